Workspace skeleton: base types, interfaces, build rules and checks

Change: strong ids and units, numbered result codes, Result, digests, block chains, the declaration as values, abstract interfaces towards log, list, engines, stores and plain services, CMake rules with visibility, formatter, linter and check scripts.

--- /dev/null
+++ b/carobshift/base/digest.h
@@ -0,0 +1,44 @@
+// Digests: SHA-256 for client keys, HMAC for what peers exchange, xxHash for
+// checksums and block identities.
+//
+//   std::string hex = Sha256Hex(bearer_token);
+//   if (!ConstantTimeEqual(hex, declared_digest)) ...
+//
+// All functions are thread-safe.
+
+#ifndef CAROBSHIFT_BASE_DIGEST_H_
+#define CAROBSHIFT_BASE_DIGEST_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace carobshift {
+
+// 64 lower-case hexadecimal digits.
+[[nodiscard]] std::string Sha256Hex(std::string_view data);
+
+// HMAC-SHA-256, 32 raw bytes.
+[[nodiscard]] std::string HmacSha256(std::string_view secret,
+                                     std::string_view data);
+
+// True if equal; takes the same time wherever the first difference is, so
+// that the time of a refusal tells nothing about a secret.
+[[nodiscard]] bool ConstantTimeEqual(std::string_view a, std::string_view b);
+
+// 64-bit xxHash (XXH3). Not for secrets.
+[[nodiscard]] std::uint64_t FastHash(std::string_view data,
+                                     std::uint64_t seed = 0);
+
+// Lower-case hexadecimal of raw bytes.
+[[nodiscard]] std::string HexEncode(std::string_view bytes);
+
+// `byte_count` bytes from the system's random source.
+[[nodiscard]] std::string RandomBytes(std::size_t byte_count);
+
+// A random number from the system's random source.
+[[nodiscard]] std::uint64_t RandomUint64();
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_BASE_DIGEST_H_
--- /dev/null
+++ b/carobshift/base/result_code.h
@@ -0,0 +1,100 @@
+// The numbered result codes that callers, operators and peers see, as a
+// std::error_code category. docs/ERRORS.md holds the same table in prose.
+//
+//   std::error_code code = ResultCode::kOverloaded;
+//   code.message();                       // "overloaded"
+//
+// Numbers are part of the interface: they are never reused or renumbered.
+
+#ifndef CAROBSHIFT_BASE_RESULT_CODE_H_
+#define CAROBSHIFT_BASE_RESULT_CODE_H_
+
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace carobshift {
+
+enum class ResultCode {
+  kOk = 0,
+  // 1xx: the request itself.
+  kMalformedRequest = 100,
+  kUnauthenticated = 101,
+  kUnknownService = 102,
+  kRequestTooLarge = 103,
+  kKeyReusedForOtherRequest = 104,
+  kInvalidIdempotencyKey = 105,
+  kUnknownRoute = 106,
+  kForbidden = 107,
+  kIdempotencyKeyExpired = 108,
+  kUnknownOutcome = 109,
+  kIdempotencyKeyRequired = 110,
+  // 2xx: decisions under load.
+  kOverloaded = 200,
+  kDeadlineUnreachable = 201,
+  kRetryBudgetSpent = 202,
+  kRequestSuspected = 203,
+  kAccountLimit = 204,
+  // 3xx: the fleet.
+  kNoEndpoint = 300,
+  kEndpointFailed = 301,
+  kEndpointTimeout = 302,
+  kVersionMismatch = 303,
+  kVersionGone = 304,
+  kEntryLeaving = 305,
+  kHomeUnreachable = 306,
+  kEndpointRefused = 307,
+  // 4xx: the platform's service.
+  kLogUnavailable = 400,
+  kLogOutcomeUnknown = 401,
+  kLogRecordExpired = 402,
+  kListUnavailable = 403,
+  kStoreUnavailable = 404,
+  kStoreFull = 405,
+  kBlockRejected = 406,
+  kWeightStoreUnavailable = 407,
+  // 5xx: configuration.
+  kInvalidConfig = 500,
+  kLostEditRace = 501,
+  kBaseMissing = 502,
+  kNoConfig = 503,
+  kInvalidSettings = 504,
+  // 6xx: peers.
+  kPeerUnreachable = 600,
+  kPeerRejected = 601,
+  kStaleFencing = 602,
+  kLeaseLost = 603,
+  // 9xx: this process.
+  kDeadlineExceeded = 900,
+  kCancelled = 901,
+  kInternal = 902,
+};
+
+// What a caller may conclude about the request from an answer.
+enum class RunState {
+  // No endpoint has seen or will see the request. Said only where proven.
+  kNotRun,
+  // The request may have run, may be running or may not.
+  kOutcomeUnknown,
+  // The request ran; the answer says how it ended.
+  kRan,
+};
+
+[[nodiscard]] std::string_view ResultCodeName(ResultCode code);
+[[nodiscard]] std::string_view RunStateName(RunState state);
+
+// The code with this number, or nothing for a number not in the table.
+[[nodiscard]] std::optional<ResultCode> ResultCodeFromNumber(int number);
+
+// The HTTP status that goes with a code towards callers.
+[[nodiscard]] int HttpStatusOf(ResultCode code);
+
+[[nodiscard]] const std::error_category& ResultCategory();
+[[nodiscard]] std::error_code make_error_code(ResultCode code);
+
+}  // namespace carobshift
+
+template <>
+struct std::is_error_code_enum<carobshift::ResultCode> : std::true_type {};
+
+#endif  // CAROBSHIFT_BASE_RESULT_CODE_H_
--- /dev/null
+++ b/carobshift/platform/instance_list.h
@@ -0,0 +1,48 @@
+// The platform's list of instances. It lags: an instance in it may be gone,
+// and a new one may be missing for a while.
+//
+//   Result<std::vector<ListedInstance>> instances = list.Fetch();
+
+#ifndef CAROBSHIFT_PLATFORM_INSTANCE_LIST_H_
+#define CAROBSHIFT_PLATFORM_INSTANCE_LIST_H_
+
+#include <string>
+#include <vector>
+
+#include "carobshift/base/ids.h"
+#include "carobshift/base/net_address.h"
+#include "carobshift/base/result.h"
+#include "carobshift/config/declaration.h"
+
+namespace carobshift {
+
+enum class InstanceKind {
+  kEntry,
+  kEngine,
+  kPlainService,
+  kStore,
+  kWeightStore
+};
+enum class InstanceState { kLive, kLeaving };
+
+struct ListedInstance {
+  std::string id;
+  InstanceKind kind = InstanceKind::kEngine;
+  InstanceState state = InstanceState::kLive;
+  PoolName pool;
+  ZoneName zone;
+  NetAddress address;
+};
+
+class InstanceList {
+ public:
+  virtual ~InstanceList() = default;
+
+  // The whole list, or kListUnavailable. Thread-safe; blocks up to the
+  // implementation's request timeout.
+  virtual Result<std::vector<ListedInstance>> Fetch() = 0;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_PLATFORM_INSTANCE_LIST_H_
--- /dev/null
+++ b/carobshift/platform/log_service.h
@@ -0,0 +1,59 @@
+// The platform's append-only log, as the rest of the system sees it.
+//
+//   Result<LogOffset> offset = log.Append(LogStream("config"), payload);
+//   Result<LogBatch> batch = log.Read(LogStream("config"), next, 100, wait);
+//
+// Implementations are thread-safe and block up to their request timeout.
+
+#ifndef CAROBSHIFT_PLATFORM_LOG_SERVICE_H_
+#define CAROBSHIFT_PLATFORM_LOG_SERVICE_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carobshift/base/ids.h"
+#include "carobshift/base/result.h"
+#include "carobshift/base/units.h"
+
+namespace carobshift {
+
+using LogStream = StrongType<struct LogStreamTag, std::string>;
+
+struct LogRecord {
+  LogOffset offset;
+  std::string payload;
+};
+
+struct LogBatch {
+  // The lowest offset the service still keeps; records below it are gone.
+  LogOffset first_retained;
+  // Where the next read continues.
+  LogOffset next;
+  // In offset order, all at or above the requested offset.
+  std::vector<LogRecord> records;
+};
+
+class LogService {
+ public:
+  virtual ~LogService() = default;
+
+  // Appends one record. kLogUnavailable means that the record is not on the
+  // log and will not be; kLogOutcomeUnknown means that it may be, and only
+  // reading tells.
+  virtual Result<LogOffset> Append(const LogStream& stream,
+                                   std::string_view payload) = 0;
+
+  // Reads up to `max_records` from `from` on. With nothing to read it waits
+  // up to `wait` for a record, then returns an empty batch. A `from` below the
+  // retained range reads from `first_retained`.
+  virtual Result<LogBatch> Read(const LogStream& stream,
+                                LogOffset from,
+                                std::size_t max_records,
+                                Milliseconds wait) = 0;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_PLATFORM_LOG_SERVICE_H_
--- /dev/null
+++ b/cmake/CarobshiftRules.cmake
@@ -0,0 +1,80 @@
+# One rule per target kind. Every package directory calls these with its own
+# sources; there are no other add_library/add_executable calls in the tree.
+#
+#   carobshift_library(NAME base_result HDRS result.h SRCS result.cc
+#                      DEPS base_ids VISIBILITY public)
+#   carobshift_test(NAME result_test SRCS result_test.cc DEPS base_result)
+#   carobshift_benchmark(NAME x_benchmark SRCS x_benchmark.cc DEPS x)
+#   carobshift_binary(NAME carobshiftd SRCS main.cc DEPS server)
+#
+# VISIBILITY is "public" (any package may depend on it) or "package" (only
+# targets below the same directory may).
+include(CMakeParseArguments)
+
+function(_carobshift_check_deps target)
+  foreach(dep ${ARGN})
+    if(NOT TARGET ${dep})
+      continue()
+    endif()
+    get_target_property(type ${dep} TYPE)
+    get_target_property(visibility ${dep} CAROBSHIFT_VISIBILITY)
+    if(visibility STREQUAL "package")
+      get_target_property(dir ${dep} CAROBSHIFT_DIR)
+      string(FIND "${CMAKE_CURRENT_SOURCE_DIR}" "${dir}" at)
+      if(NOT at EQUAL 0)
+        message(FATAL_ERROR "${target}: ${dep} is visible in ${dir} only")
+      endif()
+    endif()
+  endforeach()
+endfunction()
+
+function(carobshift_library)
+  cmake_parse_arguments(A "" "NAME;VISIBILITY" "HDRS;SRCS;DEPS" ${ARGN})
+  if(A_SRCS)
+    add_library(${A_NAME} STATIC ${A_SRCS} ${A_HDRS})
+    target_link_libraries(${A_NAME} PUBLIC ${A_DEPS} carobshift_options)
+  else()
+    add_library(${A_NAME} INTERFACE)
+    target_link_libraries(${A_NAME} INTERFACE ${A_DEPS} carobshift_options)
+  endif()
+  set_target_properties(${A_NAME} PROPERTIES
+    CAROBSHIFT_VISIBILITY "${A_VISIBILITY}"
+    CAROBSHIFT_DIR "${CMAKE_CURRENT_SOURCE_DIR}")
+  _carobshift_check_deps(${A_NAME} ${A_DEPS})
+endfunction()
+
+function(carobshift_binary)
+  cmake_parse_arguments(A "" "NAME" "SRCS;DEPS" ${ARGN})
+  add_executable(${A_NAME} ${A_SRCS})
+  target_link_libraries(${A_NAME} PRIVATE ${A_DEPS} carobshift_options)
+  set_target_properties(${A_NAME} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
+  _carobshift_check_deps(${A_NAME} ${A_DEPS})
+endfunction()
+
+# LABEL is unit (default), fuzz, process or golden; .ci/run selects by it.
+# A fuzz test is one ctest entry; the others count each test case. PROPERTIES
+# are passed on to ctest (TIMEOUT, ENVIRONMENT, ...).
+function(carobshift_test)
+  cmake_parse_arguments(A "" "NAME;LABEL" "SRCS;DEPS;PROPERTIES" ${ARGN})
+  if(NOT A_LABEL)
+    set(A_LABEL unit)
+  endif()
+  add_executable(${A_NAME} ${A_SRCS})
+  target_link_libraries(${A_NAME} PRIVATE ${A_DEPS} catch_main
+    carobshift_options)
+  set_target_properties(${A_NAME} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/tests")
+  _carobshift_check_deps(${A_NAME} ${A_DEPS})
+  catch_discover_tests(${A_NAME} TEST_PREFIX "${A_NAME}: "
+    PROPERTIES LABELS ${A_LABEL} TIMEOUT 300 ${A_PROPERTIES})
+endfunction()
+
+function(carobshift_benchmark)
+  cmake_parse_arguments(A "" "NAME" "SRCS;DEPS" ${ARGN})
+  add_executable(${A_NAME} ${A_SRCS})
+  target_link_libraries(${A_NAME} PRIVATE ${A_DEPS} benchmark::benchmark
+    carobshift_options)
+  set_target_properties(${A_NAME} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/benchmarks")
+endfunction()
--- /dev/null
+++ b/cmake/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/cmake/easylogging.cc
@@ -0,0 +1,1 @@
+#include <easylogging++.cc>
