Decide from the log alone which declaration is in force

Each entry folds the stream in offset order with one rule. Retention was the hard part: a fold that begins past dropped records can take the loser of an old race for its winner. Ruled out: taking the first text seen (differs between entries), and keeping undecided edits to judge them later (unbounded, and still wrong when the winner itself is dropped). A checkpoint now says how far its writer had read, and a fold with a gap decides nothing until a checkpoint, a peer or a reset closes it.

--- /dev/null
+++ b/carobshift/config/acceptance.cc
@@ -0,0 +1,247 @@
+#include "carobshift/config/acceptance.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace carobshift {
+namespace {
+
+// Decisions are shown to operators; the parser's list can be longer.
+constexpr std::size_t kMaxReasonBytes = 2000;
+
+std::string Shorten(std::string text) {
+  if (text.size() > kMaxReasonBytes)
+    text = text.substr(0, kMaxReasonBytes) + " ...";
+  return text;
+}
+
+std::string VersionText(const std::optional<ConfigVersion>& version) {
+  return version ? "version " + std::to_string(version->value()) : "none";
+}
+
+LogOffset After(LogOffset offset) {
+  return LogOffset(offset.value() + 1);
+}
+
+}  // namespace
+
+std::string_view EditOutcomeName(EditOutcome outcome) {
+  switch (outcome) {
+    case EditOutcome::kAccepted:
+      return "accepted";
+    case EditOutcome::kDuplicate:
+      return "duplicate";
+    case EditOutcome::kLostRace:
+      return "lost_race";
+    case EditOutcome::kBaseMissing:
+      return "base_missing";
+    case EditOutcome::kInvalid:
+      return "invalid";
+    case EditOutcome::kMalformed:
+      return "malformed";
+    case EditOutcome::kUndecided:
+      return "undecided";
+  }
+  return "malformed";
+}
+
+ConfigFold::ConfigFold(AcceptanceMutation mutation) : mutation_(mutation) {}
+
+std::vector<EditDecision> ConfigFold::OnBatch(const LogBatch& batch) {
+  std::vector<EditDecision> decisions;
+  OnFirstRetained(batch.first_retained);
+  for (const LogRecord& record : batch.records) {
+    // A late or repeated reply may hold what was read before.
+    if (record.offset < read_next_)
+      continue;
+    const LogOffset expected = After(record.offset);
+    read_next_ = expected;
+    std::optional<EditDecision> decision = OnRecord(record);
+    if (decision)
+      decisions.push_back(std::move(*decision));
+    if (read_next_ != expected)
+      return decisions;
+  }
+  if (batch.next > read_next_ && !batch.records.empty())
+    read_next_ = batch.next;
+  if (!gap_)
+    state_.next = read_next_;
+  return decisions;
+}
+
+void ConfigFold::OnFirstRetained(LogOffset first_retained) {
+  if (first_retained <= read_next_)
+    return;
+  read_next_ = first_retained;
+  if (mutation_ == AcceptanceMutation::kDecideAcrossGap)
+    state_.next = first_retained;
+  else
+    gap_ = Gap{.end = first_retained, .doubtful_reset = {}};
+}
+
+std::optional<EditDecision> ConfigFold::OnRecord(const LogRecord& record) {
+  Result<ConfigRecord> decoded = DecodeConfigRecord(record.payload);
+  std::optional<EditDecision> decision;
+  if (!decoded.ok()) {
+    decision = EditDecision{.offset = record.offset,
+                            .edit = EditId(),
+                            .outcome = EditOutcome::kMalformed,
+                            .winner = {},
+                            .reason = decoded.error().message};
+  } else if (const auto* edit = std::get_if<EditRecord>(&decoded.value())) {
+    decision = OnEdit(record.offset, *edit);
+  } else if (const auto* checkpoint =
+                 std::get_if<CheckpointRecord>(&decoded.value())) {
+    OnCheckpoint(record.offset, *checkpoint);
+  } else {
+    OnReset(record.offset, std::get<ResetRecord>(decoded.value()));
+  }
+  if (!gap_)
+    state_.next = read_next_;
+  return decision;
+}
+
+EditDecision ConfigFold::OnEdit(LogOffset offset, const EditRecord& edit) {
+  EditDecision decision = Judge(offset, edit);
+  if (decision.outcome == EditOutcome::kAccepted)
+    Accept(offset, edit.edit, edit.text);
+  if (state_.accepted && !gap_)
+    decision.winner = state_.accepted->edit;
+  return decision;
+}
+
+EditDecision ConfigFold::Judge(LogOffset offset, const EditRecord& edit) const {
+  const auto say = [&](EditOutcome outcome, std::string reason) {
+    return EditDecision{.offset = offset,
+                        .edit = edit.edit,
+                        .outcome = outcome,
+                        .winner = {},
+                        .reason = std::move(reason)};
+  };
+  if (gap_)
+    return say(EditOutcome::kUndecided, "records before offset " +
+                                            std::to_string(gap_->end.value()) +
+                                            " are gone");
+  // A publisher that lost the reply to its append may have appended twice; a
+  // blind copy would else bring its text back over a later edit.
+  if (std::ranges::find(state_.recent, edit.edit) != state_.recent.end())
+    return say(EditOutcome::kDuplicate, "the edit was accepted before");
+  const bool may_be_blind =
+      !state_.accepted || mutation_ == AcceptanceMutation::kAllowBlindWrites ||
+      in_force_->declaration.allow_blind_writes;
+  if (!edit.base && !may_be_blind)
+    return say(EditOutcome::kBaseMissing,
+               "the edit names no base version; accepted is " +
+                   VersionText(state_.accepted->version));
+  std::optional<ConfigVersion> accepted;
+  if (state_.accepted)
+    accepted = state_.accepted->version;
+  if (edit.base && edit.base != accepted &&
+      mutation_ != AcceptanceMutation::kIgnoreBase)
+    return say(EditOutcome::kLostRace,
+               "the edit builds on " + VersionText(edit.base) +
+                   "; accepted is " + VersionText(accepted));
+  const DeclarationResult parsed = ParseDeclaration(edit.text);
+  if (!parsed.declaration)
+    return say(EditOutcome::kInvalid, Shorten(parsed.ProblemText()));
+  return say(EditOutcome::kAccepted, "");
+}
+
+void ConfigFold::Accept(LogOffset offset,
+                        const EditId& edit,
+                        const std::string& text) {
+  state_.accepted = ConfigState::Accepted{
+      .version = ConfigVersion(offset.value()), .edit = edit, .text = text};
+  state_.recent.push_back(edit);
+  if (state_.recent.size() > kMaxRecentEdits)
+    state_.recent.erase(state_.recent.begin());
+  PutInForce();
+}
+
+void ConfigFold::OnCheckpoint(LogOffset offset,
+                              const CheckpointRecord& record) {
+  // No honest writer has read beyond its own record.
+  if (record.state.next > offset)
+    return;
+  if (mutation_ == AcceptanceMutation::kCheckpointRaisesVersion &&
+      record.state.accepted && !gap_) {
+    Accept(offset, record.state.accepted->edit, record.state.accepted->text);
+    return;
+  }
+  if (gap_)
+    Adopt(record.state);
+  if (!gap_ && record.state.next > state_.checkpoint && read_next_ > offset)
+    state_.checkpoint = record.state.next;
+}
+
+// Takes a state that was reached by the same rule elsewhere, if it is further
+// on than what is known here.
+bool ConfigFold::Adopt(const ConfigState& state) {
+  if (state.next <= state_.next &&
+      mutation_ != AcceptanceMutation::kTakeAnyState)
+    return false;
+  if (state.accepted && !ParseDeclaration(state.accepted->text).declaration)
+    return false;
+  state_ = state;
+  PutInForce();
+  // Below the end of the gap records are still missing after this state.
+  if (!gap_ || state.next >= gap_->end) {
+    gap_.reset();
+    read_next_ = state.next;
+  }
+  return true;
+}
+
+bool ConfigFold::OnPeerState(const ConfigState& state) {
+  return Adopt(state);
+}
+
+// A reset claims that no checkpoint reaches its `first_retained`. Each fold
+// judges the claim from the records before the reset, so all judge alike: two
+// entries may write resets at the same time, and the second finds the first.
+bool ConfigFold::ResetHolds(LogOffset offset, const ResetRecord& record) {
+  if (mutation_ == AcceptanceMutation::kTakeAnyReset)
+    return true;
+  if (!gap_)
+    return state_.checkpoint < record.first_retained;
+  // A checkpoint that reaches the end of the gap would have closed it. An
+  // earlier reset that can't be judged may have held, and refutes the claim.
+  const bool judgeable =
+      record.first_retained >= gap_->end &&
+      (!gap_->doubtful_reset || *gap_->doubtful_reset < record.first_retained);
+  if (!judgeable)
+    gap_->doubtful_reset = offset;
+  return judgeable;
+}
+
+void ConfigFold::OnReset(LogOffset offset, const ResetRecord& record) {
+  if (record.first_retained > offset || !record.state.accepted ||
+      !ParseDeclaration(record.state.accepted->text).declaration)
+    return;
+  if (!ResetHolds(offset, record))
+    return;
+  gap_.reset();
+  state_.recent = record.state.recent;
+  state_.checkpoint = offset;
+  Accept(offset, record.state.accepted->edit, record.state.accepted->text);
+}
+
+void ConfigFold::PutInForce() {
+  if (!state_.accepted)
+    return;
+  // The rule alone keeps versions rising; this holds even if a forged or
+  // damaged state got through it.
+  const bool lower =
+      in_force_ && state_.accepted->version <= in_force_->version;
+  if (lower && mutation_ != AcceptanceMutation::kTakeAnyState)
+    return;
+  DeclarationResult parsed = ParseDeclaration(state_.accepted->text);
+  in_force_ = std::make_shared<AcceptedConfig>(
+      AcceptedConfig{.version = state_.accepted->version,
+                     .edit = state_.accepted->edit,
+                     .text = state_.accepted->text,
+                     .declaration = std::move(*parsed.declaration)});
+}
+
+}  // namespace carobshift
