Claim free idempotency keys on the log

The first standing claim of a key in log order wins, and its writer dispatches only after reading it back. Ruled out: dispatch on the append's reply, which says nothing of earlier claims, and keys of any age, whose claims retention may have dropped; a key carries the time of its making instead. With the log down the refusal is of unknown outcome, since another entry may have run the key.

--- /dev/null
+++ b/carobshift/once/free_key_claims.cc
@@ -0,0 +1,302 @@
+#include "carobshift/once/free_key_claims.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobshift {
+namespace {
+
+Refusal Unknown(ResultCode code, std::string message) {
+  return {code, RunState::kOutcomeUnknown, std::move(message)};
+}
+
+}  // namespace
+
+FreeKeyClaims::FreeKeyClaims(FreeKeyOptions options)
+    : options_(std::move(options)) {}
+
+ClaimStep FreeKeyClaims::Begin(const FreeKeyRequest& request,
+                               MonotonicTime now,
+                               WallTime wall_now) {
+  Forget(wall_now);
+  if (std::optional<Refusal> refusal = RefuseByAge(request.created, wall_now))
+    return *std::move(refusal);
+  const auto standing = keys_.find(request.key);
+  if (standing != keys_.end() && !standing->second.given_up)
+    return StepFor(standing->second, request.fingerprint, request.created);
+  if (std::optional<Refusal> refusal = RefuseWait(request))
+    return *std::move(refusal);
+  if (now >= request.deadline)
+    return Unknown(ResultCode::kDeadlineExceeded, "the deadline has passed");
+  Pending& pending = PendingFor(request);
+  const ClaimTicket ticket(next_ticket_++);
+  pending.waiters.push_back({ticket, request.deadline});
+  ++waiting_;
+  return AwaitClaim{ticket};
+}
+
+std::optional<Refusal> FreeKeyClaims::RefuseByAge(WallTime created,
+                                                  WallTime wall_now) const {
+  if (options_.mutation == OnceMutation::kNoKeyAge)
+    return std::nullopt;
+  const WallTime now = std::max(wall_now, latest_wall_);
+  if (now >= created + options_.window)
+    return Unknown(ResultCode::kIdempotencyKeyExpired,
+                   "the idempotency key is too old; its claim may be gone");
+  if (created > now + options_.clock_difference)
+    return Unknown(ResultCode::kInvalidIdempotencyKey,
+                   "the idempotency key's time lies in the future");
+  if (now < missed_until_)
+    return Unknown(ResultCode::kOverloaded,
+                   "too many free idempotency keys are in use");
+  return std::nullopt;
+}
+
+std::optional<Refusal> FreeKeyClaims::RefuseWait(
+    const FreeKeyRequest& request) const {
+  const auto pending = pending_.find(request.key);
+  if (pending != pending_.end() &&
+      (pending->second.fingerprint != request.fingerprint ||
+       pending->second.created != request.created))
+    return Refusal{ResultCode::kKeyReusedForOtherRequest, RunState::kNotRun,
+                   "this idempotency key belongs to another request"};
+  const bool full =
+      waiting_ >= options_.max_waiting ||
+      (pending == pending_.end() && pending_.size() >= options_.max_waiting);
+  if (full)
+    return Unknown(ResultCode::kOverloaded,
+                   "too many requests wait for their idempotency key");
+  return std::nullopt;
+}
+
+FreeKeyClaims::Pending& FreeKeyClaims::PendingFor(
+    const FreeKeyRequest& request) {
+  const auto [it, is_new] = pending_.try_emplace(request.key);
+  Pending& pending = it->second;
+  if (!is_new)
+    return pending;
+  pending.number = next_number_++;
+  pending.fingerprint = request.fingerprint;
+  pending.created = request.created;
+  queued_claims_.push_back({.number = pending.number,
+                            .key = request.key,
+                            .fingerprint = request.fingerprint,
+                            .created = request.created});
+  return pending;
+}
+
+ClaimStep FreeKeyClaims::StepFor(const Standing& standing,
+                                 RequestFingerprint fingerprint,
+                                 WallTime created) const {
+  if (standing.fingerprint != fingerprint || standing.created != created)
+    return Refusal{ResultCode::kKeyReusedForOtherRequest, RunState::kNotRun,
+                   "this idempotency key belongs to another request"};
+  if (!IsMine(standing.claim))
+    return AskOwner{standing.claim.entry, standing.claim.incarnation};
+  if (standing.given_up)
+    return Refusal{ResultCode::kLogUnavailable, RunState::kNotRun,
+                   "the idempotency key is being released; send it again"};
+  return RunHere{};
+}
+
+std::optional<std::string> FreeKeyClaims::TakeAppend(MonotonicTime now) {
+  const bool nothing = queued_claims_.empty() && queued_releases_.empty();
+  if (in_flight_ || nothing || now < next_append_)
+    return std::nullopt;
+  ClaimBatch batch{options_.entry, options_.incarnation, {}, {}};
+  const auto has_room = [&batch] {
+    return batch.releases.size() + batch.claims.size() < kMaxClaimBatch;
+  };
+  for (; !queued_releases_.empty() && has_room(); queued_releases_.pop_front())
+    batch.releases.push_back(queued_releases_.front());
+  for (; !queued_claims_.empty() && has_room(); queued_claims_.pop_front())
+    batch.claims.push_back(queued_claims_.front());
+  next_append_ = now + options_.min_append_interval;
+  std::string payload = EncodeClaimBatch(batch);
+  in_flight_ = std::move(batch);
+  return payload;
+}
+
+std::vector<ClaimAction> FreeKeyClaims::OnAppendReply(
+    const Result<LogOffset>& reply) {
+  Actions actions;
+  if (!in_flight_)
+    return actions;
+  const ClaimBatch batch = *std::exchange(in_flight_, std::nullopt);
+  if (!reply.ok()) {
+    // A release that stands on the log twice does no harm; one that is missing
+    // would block its key.
+    queued_releases_.insert(queued_releases_.begin(), batch.releases.begin(),
+                            batch.releases.end());
+  }
+  const bool surely_missing =
+      !reply.ok() && reply.error().code == ResultCode::kLogUnavailable;
+  const bool trust_reply =
+      options_.mutation == OnceMutation::kNoReadBack && reply.ok();
+  for (const Claim& claim : batch.claims) {
+    if (trust_reply)
+      EndWait(claim.key, RunHere{}, actions);
+    if (!surely_missing)
+      continue;
+    Refusal refusal = Unknown(ResultCode::kLogUnavailable,
+                              "the log is down, so nobody can tell whether "
+                              "another entry has run the request");
+    if (options_.mutation == OnceMutation::kNotRunWhileLogDown)
+      refusal.state = RunState::kNotRun;
+    EndWait(claim.key, refusal, actions);
+    pending_.erase(claim.key);
+  }
+  return actions;
+}
+
+std::vector<ClaimAction> FreeKeyClaims::OnBatch(const LogBatch& batch,
+                                                MonotonicTime now,
+                                                WallTime wall_now) {
+  Actions actions;
+  for (const LogRecord& record : batch.records) {
+    // A late or repeated reply may hold what was read before.
+    if (record.offset < next_)
+      continue;
+    next_ = LogOffset(record.offset.value() + 1);
+    // Others can't read a damaged record either, so all skip it alike.
+    const Result<ClaimBatch> claims = DecodeClaimBatch(record.payload);
+    if (!claims.ok())
+      continue;
+    const ClaimBatch& read = claims.value();
+    for (const ClaimRelease& release : read.releases)
+      OnRelease({read.entry, read.incarnation, release.number}, release);
+    for (const Claim& claim : read.claims)
+      OnClaim({read.entry, read.incarnation, claim.number}, claim, actions);
+  }
+  next_ = std::max(next_, batch.first_retained);
+  Forget(wall_now);
+  Actions late = OnTime(now);
+  actions.insert(actions.end(), late.begin(), late.end());
+  return actions;
+}
+
+void FreeKeyClaims::OnClaim(const ClaimId& id,
+                            const Claim& claim,
+                            Actions& actions) {
+  const auto pending = pending_.find(claim.key);
+  const bool awaited = IsMine(id) && pending != pending_.end() &&
+                       pending->second.number == id.number;
+  auto standing = keys_.find(claim.key);
+  if (standing == keys_.end() && keys_.size() >= options_.max_keys) {
+    missed_until_ = std::max(missed_until_, EndOf(claim.created));
+    if (awaited)
+      EndWait(claim.key,
+              Unknown(ResultCode::kOverloaded,
+                      "too many free idempotency keys are in use"),
+              actions);
+    if (awaited)
+      pending_.erase(claim.key);
+    return;
+  }
+  const bool is_first = standing == keys_.end();
+  if (is_first)
+    by_created_.emplace(claim.created, claim.key);
+  if (is_first || options_.mutation == OnceMutation::kLastClaimWins) {
+    standing = keys_
+                   .insert_or_assign(claim.key,
+                                     Standing{.claim = id,
+                                              .fingerprint = claim.fingerprint,
+                                              .created = claim.created,
+                                              .given_up = false})
+                   .first;
+  }
+  if (awaited) {
+    const bool abandoned = pending->second.waiters.empty();
+    EndWait(claim.key,
+            StepFor(standing->second, claim.fingerprint, claim.created),
+            actions);
+    pending_.erase(claim.key);
+    if (!abandoned)
+      return;
+  }
+  // This claim stands though nobody here waits for it any more.
+  if (is_first && IsMine(id))
+    QueueRelease(claim.key, standing->second);
+}
+
+void FreeKeyClaims::OnRelease(const ClaimId& id, const ClaimRelease& release) {
+  const auto it = keys_.find(release.key);
+  if (it == keys_.end() || it->second.claim != id)
+    return;
+  const auto [first, last] = by_created_.equal_range(it->second.created);
+  const auto at = std::find_if(first, last, [&](const auto& entry) {
+    return entry.second == release.key;
+  });
+  if (at != last)
+    by_created_.erase(at);
+  keys_.erase(it);
+}
+
+void FreeKeyClaims::EndWait(const AccountKey& key,
+                            const ClaimStep& step,
+                            Actions& actions) {
+  const auto it = pending_.find(key);
+  if (it == pending_.end())
+    return;
+  for (const Pending::Waiter& waiter : it->second.waiters)
+    actions.push_back({waiter.ticket, step});
+  waiting_ -= it->second.waiters.size();
+  it->second.waiters.clear();
+}
+
+std::vector<ClaimAction> FreeKeyClaims::OnTime(MonotonicTime now) {
+  Actions actions;
+  for (auto& [key, pending] : pending_) {
+    std::erase_if(pending.waiters, [&](const Pending::Waiter& waiter) {
+      if (now < waiter.deadline)
+        return false;
+      actions.push_back(
+          {waiter.ticket, Unknown(ResultCode::kDeadlineExceeded,
+                                  "the claim was not settled in time")});
+      --waiting_;
+      return true;
+    });
+  }
+  std::erase_if(pending_, [&](const auto& entry) {
+    return entry.second.waiters.empty() &&
+           EndOf(entry.second.created) <= latest_wall_;
+  });
+  return actions;
+}
+
+void FreeKeyClaims::Release(const AccountKey& key) {
+  const auto it = keys_.find(key);
+  if (it != keys_.end() && IsMine(it->second.claim) && !it->second.given_up)
+    QueueRelease(key, it->second);
+}
+
+void FreeKeyClaims::QueueRelease(const AccountKey& key, Standing& standing) {
+  if (options_.mutation == OnceMutation::kNoReleaseOfAbandoned)
+    return;
+  standing.given_up = true;
+  queued_releases_.push_back({.number = standing.claim.number, .key = key});
+}
+
+bool FreeKeyClaims::IsMine(const ClaimId& id) const {
+  return id.entry == options_.entry && id.incarnation == options_.incarnation;
+}
+
+WallTime FreeKeyClaims::EndOf(WallTime created) const {
+  return created + options_.window + 2 * options_.clock_difference;
+}
+
+Milliseconds FreeKeyClaims::KeepFor(WallTime created, WallTime wall_now) const {
+  return std::max(Milliseconds(0), EndOf(created) - wall_now) +
+         2 * options_.clock_difference;
+}
+
+void FreeKeyClaims::Forget(WallTime wall_now) {
+  latest_wall_ = std::max(latest_wall_, wall_now);
+  while (!by_created_.empty() &&
+         EndOf(by_created_.begin()->first) <= latest_wall_) {
+    keys_.erase(by_created_.begin()->second);
+    by_created_.erase(by_created_.begin());
+  }
+}
+
+}  // namespace carobshift
--- a/carobshift/once/run_table.h
+++ b/carobshift/once/run_table.h
@@ -98,7 +98,7 @@
   kForgetAtExpiry,
   kNoReadBack,
   kLastClaimWins,
-  kClaimAgainAfterLostReply,
+  kNoReleaseOfAbandoned,
   kReleaseAfterDispatch,
   kNotRunWhileLogDown,
   kNoKeyAge,
