Entry server: front, commands, queries, tables and tasks, thin

Cause: every module needs a running process to stand on. Change: Poco::Net front with routes, limits and typed errors; completions (JSON and event stream), plain calls, addresses, state, metrics, explain; list, status, configuration and fleet tasks in their simplest form, which the modules under work will replace. No process run yet.

--- /dev/null
+++ b/carobshift/server/commands/call_command.cc
@@ -0,0 +1,52 @@
+#include "carobshift/server/commands/call_command.h"
+
+#include <utility>
+
+#include "carobshift/server/http/caller_error.h"
+
+namespace carobshift {
+
+void CallCommand::Handle(HttpExchange& exchange) {
+  auto job = MakeJob(exchange);
+  if (!job.ok()) {
+    SendError(exchange.response, exchange.id,
+              NotRun(job.error().code, job.error().message));
+    return;
+  }
+  context_.journal.Begin(exchange.id, job.value().account,
+                         job.value().service->name, exchange.received);
+  const PlainOutcome outcome = dispatcher_.Run(job.value());
+  if (outcome.error) {
+    SendError(exchange.response, exchange.id, *outcome.error);
+    return;
+  }
+  SendText(exchange.response, outcome.answer.status,
+           outcome.answer.content_type, outcome.answer.body);
+}
+
+Result<PlainJob> CallCommand::MakeJob(HttpExchange& exchange) {
+  auto caller = IdentifyCaller(context_, exchange);
+  if (!caller.ok())
+    return caller.error();
+  const auto service =
+      AllowedService(caller.value(), ServiceName(exchange.path_arguments.at(0)),
+                     ServiceKind::kPlain);
+  if (!service.ok())
+    return service.error();
+  auto body = ReadBody(exchange.request, context_.settings.max_body_bytes);
+  if (!body.ok())
+    return body.error();
+  PlainJob job;
+  job.id = exchange.id;
+  job.account = caller.value().account->id;
+  job.config = caller.value().config;
+  job.service = service.value();
+  job.body = std::move(body).value();
+  job.content_type = exchange.request.getContentType();
+  job.repeatable =
+      service.value()->idempotent && !caller.value().headers.not_repeatable;
+  job.deadline = caller.value().headers.deadline;
+  return job;
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/server/commands/call_command.h
@@ -0,0 +1,32 @@
+// POST /v1/services/{name}/call: one call of a plain service, body as it is.
+//
+//   CallCommand call(context, dispatcher);
+//   routes.Add("POST", "/v1/services/{name}/call", call);
+
+#ifndef CAROBSHIFT_SERVER_COMMANDS_CALL_COMMAND_H_
+#define CAROBSHIFT_SERVER_COMMANDS_CALL_COMMAND_H_
+
+#include "carobshift/server/commands/caller_identity.h"
+#include "carobshift/server/dispatch/plain_dispatcher.h"
+#include "carobshift/server/entry_context.h"
+#include "carobshift/server/http/route_handler.h"
+
+namespace carobshift {
+
+class CallCommand : public RouteHandler {
+ public:
+  CallCommand(EntryContext& context, PlainDispatcher& dispatcher)
+      : context_(context), dispatcher_(dispatcher) {}
+
+  void Handle(HttpExchange& exchange) override;
+
+ private:
+  Result<PlainJob> MakeJob(HttpExchange& exchange);
+
+  EntryContext& context_;
+  PlainDispatcher& dispatcher_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_COMMANDS_CALL_COMMAND_H_
--- /dev/null
+++ b/carobshift/server/dispatch/attempt_sink.h
@@ -0,0 +1,53 @@
+// Connects one attempt's stream with the assembler and the caller.
+//
+//   AttemptSink sink(attempt, assembler, writer, usage, on_first_token);
+//   Status status = engines.Generate(address, request, sink);
+
+#ifndef CAROBSHIFT_SERVER_DISPATCH_ATTEMPT_SINK_H_
+#define CAROBSHIFT_SERVER_DISPATCH_ATTEMPT_SINK_H_
+
+#include <functional>
+#include <string_view>
+
+#include "carobshift/platform/engine.h"
+#include "carobshift/server/dispatch/generate_job.h"
+#include "carobshift/stream/stream_assembler.h"
+
+namespace carobshift {
+
+class AttemptSink : public TokenSink {
+ public:
+  // All references must outlive the sink; `on_first_token` is called before
+  // the answer's first token is written.
+  AttemptSink(AttemptNumber attempt,
+              StreamAssembler& assembler,
+              AnswerWriter& writer,
+              GenerateUsage& usage,
+              std::function<void()> on_first_token);
+
+  bool OnStart(const GenerateStart& start) override;
+  bool OnToken(Tokens index, std::string_view text) override;
+  bool OnEnd(const GenerateEnd& end) override;
+
+  [[nodiscard]] bool caller_gone() const { return caller_gone_; }
+  // The attempt's frames didn't fit the answer; see StreamAssembler.
+  [[nodiscard]] bool abandoned() const { return abandoned_; }
+  // Whether the engine began to answer.
+  [[nodiscard]] bool started() const { return started_; }
+
+ private:
+  bool GoOn(FrameVerdict verdict);
+
+  const AttemptNumber attempt_;
+  StreamAssembler& assembler_;
+  AnswerWriter& writer_;
+  GenerateUsage& usage_;
+  std::function<void()> on_first_token_;
+  bool caller_gone_ = false;
+  bool abandoned_ = false;
+  bool started_ = false;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_DISPATCH_ATTEMPT_SINK_H_
--- /dev/null
+++ b/carobshift/server/dispatch/plain_dispatcher.h
@@ -0,0 +1,58 @@
+// Brings one call to a plain service and its answer back.
+//
+//   PlainOutcome outcome = dispatcher.Run(job);
+//
+// A call that may not be repeated is sent again only if it is proven that no
+// byte of the earlier try reached the service. Without that rule a booking
+// whose answer is lost would run twice. Thread-safe; Run blocks.
+
+#ifndef CAROBSHIFT_SERVER_DISPATCH_PLAIN_DISPATCHER_H_
+#define CAROBSHIFT_SERVER_DISPATCH_PLAIN_DISPATCHER_H_
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "carobshift/platform/plain_service.h"
+#include "carobshift/server/entry_context.h"
+#include "carobshift/server/http/caller_error.h"
+
+namespace carobshift {
+
+struct PlainJob {
+  RequestId id;
+  AccountId account;
+  // Keeps `service` alive.
+  std::shared_ptr<const ActiveConfig> config;
+  const ServiceSpec* service = nullptr;
+  std::string body;
+  std::string content_type;
+  // The declaration and the caller both allow it.
+  bool repeatable = false;
+  MonotonicTime deadline;
+};
+
+struct PlainOutcome {
+  // Nothing if there is an answer.
+  std::optional<CallerError> error;
+  PlainAnswer answer;
+};
+
+class PlainDispatcher {
+ public:
+  explicit PlainDispatcher(EntryContext& context) : context_(context) {}
+
+  PlainOutcome Run(const PlainJob& job);
+
+ private:
+  PlainOutcome Attempts(const PlainJob& job);
+
+  EntryContext& context_;
+  // Where the next call starts in the list of candidates.
+  std::atomic<std::size_t> next_{0};
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_DISPATCH_PLAIN_DISPATCHER_H_
--- /dev/null
+++ b/carobshift/server/entry.cc
@@ -0,0 +1,145 @@
+#include "carobshift/server/entry.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "carobshift/base/digest.h"
+#include "carobshift/server/commands/call_command.h"
+#include "carobshift/server/commands/complete_command.h"
+#include "carobshift/server/http/http_front.h"
+#include "carobshift/server/queries/addresses_query.h"
+#include "carobshift/server/queries/status_queries.h"
+#include "carobshift/server/tasks/config_follower.h"
+#include "carobshift/server/tasks/fleet_task.h"
+#include "carobshift/server/tasks/instance_poller.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+constexpr Milliseconds kDrainPollInterval{20};
+
+HttpFrontOptions FrontOptions(const Settings& settings) {
+  return {settings.entry,
+          settings.listen,
+          settings.http_threads,
+          settings.max_connections,
+          settings.max_header_fields,
+          settings.read_timeout,
+          settings.keep_alive_timeout};
+}
+
+}  // namespace
+
+// Members are in the order in which they depend on each other.
+struct Entry::Parts {
+  Parts(Settings given, std::string given_secret, PlatformClients platform)
+      : settings(std::move(given)),
+        secret(std::move(given_secret)),
+        context{settings, secret,  Incarnation(RandomUint64()),
+                platform, config,  endpoints,
+                journal,  metrics, state_dump},
+        front(FrontOptions(settings), routes) {}
+
+  void AddRoutes() {
+    routes.Add("POST", "/v1/completions", complete_text);
+    routes.Add("POST", "/v1/chat/completions", complete_chat);
+    routes.Add("POST", "/v1/services/{name}/call", call);
+    routes.Add("GET", "/v1/addresses", addresses);
+    routes.Add("GET", "/healthz", health);
+    routes.Add("GET", "/readyz", ready);
+    routes.Add("GET", "/metrics", metrics_query);
+    routes.Add("GET", "/debug/state", state);
+    routes.Add("GET", "/debug/requests/{id}", explain);
+  }
+
+  void AddStateSections() {
+    state_dump.Register("config", config);
+    state_dump.Register("endpoints", endpoints);
+    state_dump.Register("requests", journal);
+  }
+
+  void StartTasks() {
+    runner.Start(list_poller);
+    runner.Start(status_poller);
+    runner.Start(config_follower);
+    runner.Start(fleet);
+  }
+
+  Settings settings;
+  const std::string secret;
+  std::atomic<bool> leaving{false};
+
+  ConfigTable config;
+  EndpointTable endpoints;
+  RequestJournal journal;
+  Metrics metrics;
+  StateDump state_dump;
+  EntryContext context;
+
+  GenerateDispatcher generate_dispatcher{context};
+  PlainDispatcher plain_dispatcher{context};
+
+  CompleteCommand complete_text{context, generate_dispatcher, TextFormat()};
+  CompleteCommand complete_chat{context, generate_dispatcher, ChatFormat()};
+  CallCommand call{context, plain_dispatcher};
+
+  AddressesQuery addresses{context};
+  HealthQuery health;
+  ReadyQuery ready{context, leaving};
+  MetricsQuery metrics_query{context};
+  StateQuery state{context};
+  ExplainQuery explain{context};
+
+  ListPoller list_poller{context};
+  StatusPoller status_poller{context};
+  ConfigFollower config_follower{context};
+  FleetTask fleet{context};
+
+  RouteTable routes;
+  HttpFront front;
+  TaskRunner runner;
+};
+
+Entry::Entry(Settings settings, std::string secret, PlatformClients platform)
+    : parts_(std::make_unique<Parts>(std::move(settings),
+                                     std::move(secret),
+                                     platform)) {
+  parts_->AddRoutes();
+  parts_->AddStateSections();
+}
+
+Entry::~Entry() = default;
+
+Result<NetAddress> Entry::Start() {
+  auto address = parts_->front.Start();
+  if (!address.ok())
+    return address;
+  parts_->settings.listen = address.value();
+  parts_->StartTasks();
+  LogEvent(LogLevel::kInfo, "entry_started",
+           {{"address", address.value().ToString()},
+            {"zone", parts_->settings.zone.value()}});
+  return address;
+}
+
+void Entry::DrainAndStop() {
+  parts_->leaving = true;
+  LogEvent(LogLevel::kInfo, "entry_leaving", nlohmann::json::object());
+  // A caller may hold an address answer for its whole time to live and come
+  // with it up to then; refusing it would interrupt a planned stop's callers.
+  const MonotonicTime last_answer_expires =
+      MonotonicNow() + parts_->settings.address_ttl;
+  while (MonotonicNow() < last_answer_expires ||
+         parts_->front.active_requests() > 0) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+  parts_->front.StopAccepting();
+  parts_->runner.StopAll();
+  LogEvent(LogLevel::kInfo, "entry_stopped", nlohmann::json::object());
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/server/entry_context.h
@@ -0,0 +1,49 @@
+// What the commands, queries and tasks of one entry share. Everything in it
+// is thread-safe and outlives them.
+//
+//   CompleteCommand command(context);
+
+#ifndef CAROBSHIFT_SERVER_ENTRY_CONTEXT_H_
+#define CAROBSHIFT_SERVER_ENTRY_CONTEXT_H_
+
+#include <string>
+
+#include "carobshift/base/ids.h"
+#include "carobshift/platform/engine.h"
+#include "carobshift/platform/instance_list.h"
+#include "carobshift/platform/log_service.h"
+#include "carobshift/platform/plain_service.h"
+#include "carobshift/platform/store.h"
+#include "carobshift/server/settings.h"
+#include "carobshift/server/tables/config_table.h"
+#include "carobshift/server/tables/endpoint_table.h"
+#include "carobshift/server/tables/request_journal.h"
+#include "carobshift/telemetry/metrics.h"
+
+namespace carobshift {
+
+// The platform's side, behind interfaces.
+struct PlatformClients {
+  LogService& log;
+  InstanceList& list;
+  EngineClient& engines;
+  StoreClient& stores;
+  PlainServiceClient& plain_services;
+};
+
+struct EntryContext {
+  const Settings& settings;
+  // The deployment's shared secret.
+  const std::string& secret;
+  const Incarnation incarnation;
+  PlatformClients platform;
+  ConfigTable& config;
+  EndpointTable& endpoints;
+  RequestJournal& journal;
+  Metrics& metrics;
+  StateDump& state_dump;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_ENTRY_CONTEXT_H_
--- /dev/null
+++ b/carobshift/server/http/caller_error.cc
@@ -0,0 +1,34 @@
+#include "carobshift/server/http/caller_error.h"
+
+#include "carobshift/server/http/route_handler.h"
+
+namespace carobshift {
+
+CallerError NotRun(ResultCode code, std::string message) {
+  return {code, RunState::kNotRun, std::move(message), std::nullopt};
+}
+
+nlohmann::json ErrorBody(const RequestId& request, const CallerError& error) {
+  nlohmann::json body = {{"code", static_cast<int>(error.code)},
+                         {"name", ResultCodeName(error.code)},
+                         {"state", RunStateName(error.state)},
+                         {"message", error.message},
+                         {"request_id", request.value()}};
+  if (error.retry_after)
+    body["retry_after_ms"] = error.retry_after->count();
+  return {{"error", body}};
+}
+
+void SendError(Poco::Net::HTTPServerResponse& response,
+               const RequestId& request,
+               const CallerError& error) {
+  response.setKeepAlive(false);
+  if (error.retry_after) {
+    // The header counts whole seconds; the body has the exact time.
+    const auto seconds = std::chrono::ceil<Seconds>(*error.retry_after);
+    response.set("Retry-After", std::to_string(seconds.count()));
+  }
+  SendJson(response, HttpStatusOf(error.code), ErrorBody(request, error));
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/server/http/caller_request.cc
@@ -0,0 +1,142 @@
+#include "carobshift/server/http/caller_request.h"
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+#include <charconv>
+#include <istream>
+
+namespace carobshift {
+namespace {
+
+constexpr std::string_view kBearerPrefix = "Bearer ";
+constexpr long long kMaxDeadlineMs = 3600000;
+
+struct PriorityName {
+  std::string_view name;
+  PriorityClass priority;
+};
+constexpr std::array kPriorityNames = {
+    PriorityName{"high", PriorityClass::kHigh},
+    PriorityName{"normal", PriorityClass::kNormal},
+    PriorityName{"low", PriorityClass::kLow},
+};
+
+Error Malformed(const std::string& header, const std::string& allowed) {
+  return {ResultCode::kMalformedRequest,
+          "header " + header + ": expected " + allowed};
+}
+
+Status ParsePriority(const std::string& text, CallerHeaders& headers) {
+  for (const PriorityName& row : kPriorityNames) {
+    if (row.name == text) {
+      headers.priority = row.priority;
+      return {};
+    }
+  }
+  return Malformed(kPriorityHeader, "high, normal or low");
+}
+
+Status ParseDeadline(const std::string& text,
+                     MonotonicTime now,
+                     CallerHeaders& headers) {
+  long long number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  const bool is_number = error == std::errc() && stop == end;
+  if (!is_number || number < 1 || number > kMaxDeadlineMs)
+    return Malformed(kDeadlineHeader, "1 to 3600000 milliseconds");
+  headers.deadline = now + Milliseconds(number);
+  return {};
+}
+
+Status ParseNotRepeatable(const std::string& text, CallerHeaders& headers) {
+  if (text != "true" && text != "false")
+    return Malformed(kNotRepeatableHeader, "true or false");
+  headers.not_repeatable = text == "true";
+  return {};
+}
+
+bool IsAllowedId(const std::string& text) {
+  return !text.empty() && text.size() <= kMaxCallerIdBytes;
+}
+
+}  // namespace
+
+Result<CallerHeaders> ParseCallerHeaders(
+    const Poco::Net::HTTPServerRequest& request,
+    Milliseconds default_deadline,
+    MonotonicTime now) {
+  CallerHeaders headers;
+  headers.deadline = now + default_deadline;
+  const std::string credentials = request.get("Authorization", "");
+  if (!credentials.starts_with(kBearerPrefix)) {
+    return Error{ResultCode::kUnauthenticated,
+                 "header Authorization: expected Bearer and a key"};
+  }
+  headers.bearer_key = credentials.substr(kBearerPrefix.size());
+
+  Status status;
+  if (request.has(kPriorityHeader))
+    status = ParsePriority(request.get(kPriorityHeader), headers);
+  if (status.ok() && request.has(kDeadlineHeader))
+    status = ParseDeadline(request.get(kDeadlineHeader), now, headers);
+  if (status.ok() && request.has(kNotRepeatableHeader))
+    status = ParseNotRepeatable(request.get(kNotRepeatableHeader), headers);
+  if (!status.ok())
+    return status.error();
+
+  if (request.has(kIdempotencyKeyHeader)) {
+    const std::string key = request.get(kIdempotencyKeyHeader);
+    if (!IsAllowedId(key))
+      return Malformed(kIdempotencyKeyHeader, "1 to 512 bytes");
+    headers.idempotency_key = IdempotencyKey(key);
+  }
+  if (request.has(kConversationHeader)) {
+    const std::string conversation = request.get(kConversationHeader);
+    if (!IsAllowedId(conversation))
+      return Malformed(kConversationHeader, "1 to 512 bytes");
+    headers.conversation = ConversationId(conversation);
+  }
+  return headers;
+}
+
+Result<std::string> ReadBody(Poco::Net::HTTPServerRequest& request,
+                             Bytes limit) {
+  const Error too_large{
+      ResultCode::kRequestTooLarge,
+      "the body is larger than " + std::to_string(limit) + " bytes"};
+  if (request.hasContentLength() && request.getContentLength64() > limit)
+    return too_large;
+  std::string body;
+  std::array<char, 8192> buffer;
+  std::istream& in = request.stream();
+  while (in.read(buffer.data(), buffer.size()) || in.gcount() > 0) {
+    body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
+    if (static_cast<Bytes>(body.size()) > limit)
+      return too_large;
+  }
+  const bool complete =
+      !request.hasContentLength() ||
+      static_cast<Poco::Int64>(body.size()) == request.getContentLength64();
+  if (!complete) {
+    return Error{ResultCode::kMalformedRequest,
+                 "the body ended before its stated length"};
+  }
+  return body;
+}
+
+bool CallerIsGone(Poco::Net::HTTPServerRequest& request) {
+  auto& socket =
+      static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+  try {
+    // Readable without bytes means that the other side has closed.
+    return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) &&
+           socket.available() == 0;
+  } catch (const Poco::Exception&) {
+    return true;
+  }
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/server/http/http_front.cc
@@ -0,0 +1,153 @@
+#include "carobshift/server/http/http_front.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/URI.h>
+
+#include <utility>
+
+#include "carobshift/base/digest.h"
+#include "carobshift/server/http/caller_error.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+constexpr int kListenBacklog = 1024;
+
+// The entry's id comes first, so that `carobshift explain` knows whom to ask.
+RequestId NewRequestId(const EntryId& entry) {
+  return RequestId(entry.value() + "-" + HexEncode(RandomBytes(8)));
+}
+
+class RequestAdapter : public Poco::Net::HTTPRequestHandler {
+ public:
+  RequestAdapter(const HttpFrontOptions& options,
+                 const RouteTable& routes,
+                 std::atomic<int>& active)
+      : options_(options), routes_(routes), active_(active) {
+    ++active_;
+  }
+  ~RequestAdapter() override { --active_; }
+
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
+    HttpExchange exchange{
+        request, response, NewRequestId(options_.entry), MonotonicNow(), {}};
+    response.set("Carobshift-Request-Id", exchange.id.value());
+    try {
+      Route(exchange);
+    } catch (const Poco::Exception& e) {
+      FinishAfterException(exchange, e.displayText());
+    } catch (const std::exception& e) {
+      FinishAfterException(exchange, e.what());
+    }
+  }
+
+ private:
+  void Route(HttpExchange& exchange) {
+    const Poco::URI uri(exchange.request.getURI());
+    auto match = routes_.Find(exchange.request.getMethod(), uri.getPath());
+    if (!match) {
+      SendError(exchange.response, exchange.id,
+                NotRun(ResultCode::kUnknownRoute,
+                       "no such route: " + exchange.request.getMethod() + " " +
+                           uri.getPath()));
+      return;
+    }
+    exchange.path_arguments = std::move(match->path_arguments);
+    match->handler->Handle(exchange);
+  }
+
+  // A caller that goes away, or a fault of ours, ends here. Once the response
+  // has begun nothing true can be added; closing the connection before the
+  // final frame tells the caller that the answer isn't whole.
+  void FinishAfterException(HttpExchange& exchange, const std::string& what) {
+    LogEvent(LogLevel::kDebug, "request_aborted",
+             {{"request", exchange.id.value()}, {"reason", what}});
+    if (exchange.response.sent()) {
+      exchange.response.setKeepAlive(false);
+      return;
+    }
+    try {
+      SendError(exchange.response, exchange.id,
+                {ResultCode::kInternal, RunState::kOutcomeUnknown,
+                 "the request ended by an internal error", std::nullopt});
+    } catch (const std::exception&) {
+      // The connection is gone as well.
+    }
+  }
+
+  const HttpFrontOptions& options_;
+  const RouteTable& routes_;
+  std::atomic<int>& active_;
+};
+
+class AdapterFactory : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  AdapterFactory(const HttpFrontOptions& options,
+                 const RouteTable& routes,
+                 std::atomic<int>& active)
+      : options_(options), routes_(routes), active_(active) {}
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const Poco::Net::HTTPServerRequest&) override {
+    return new RequestAdapter(options_, routes_, active_);
+  }
+
+ private:
+  const HttpFrontOptions& options_;
+  const RouteTable& routes_;
+  std::atomic<int>& active_;
+};
+
+Poco::Timespan Span(Milliseconds duration) {
+  return Poco::Timespan(Microseconds(duration).count());
+}
+
+}  // namespace
+
+HttpFront::HttpFront(HttpFrontOptions options, const RouteTable& routes)
+    : options_(std::move(options)),
+      routes_(routes),
+      threads_("http", 8, options_.threads) {}
+
+HttpFront::~HttpFront() {
+  if (server_)
+    server_->stopAll(true);
+  threads_.stopAll();
+}
+
+Result<NetAddress> HttpFront::Start() {
+  try {
+    const Poco::Net::SocketAddress wanted(options_.listen.host,
+                                          options_.listen.port);
+    const Poco::Net::ServerSocket socket(wanted, kListenBacklog);
+    Poco::AutoPtr<Poco::Net::HTTPServerParams> params(
+        new Poco::Net::HTTPServerParams);
+    params->setMaxThreads(options_.threads);
+    params->setMaxQueued(options_.max_connections);
+    params->setTimeout(Span(options_.read_timeout));
+    params->setKeepAliveTimeout(Span(options_.keep_alive_timeout));
+    params->setMaxKeepAliveRequests(0);
+    server_ = std::make_unique<Poco::Net::HTTPServer>(
+        new AdapterFactory(options_, routes_, active_requests_), threads_,
+        socket, params);
+    server_->start();
+    return NetAddress{options_.listen.host, socket.address().port()};
+  } catch (const Poco::Exception& e) {
+    return Error{ResultCode::kInvalidSettings, "cannot listen on " +
+                                                   options_.listen.ToString() +
+                                                   ": " + e.displayText()};
+  }
+}
+
+void HttpFront::StopAccepting() {
+  if (server_)
+    server_->stop();
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/server/queries/addresses_query.h
@@ -0,0 +1,25 @@
+// GET /v1/addresses?service=&conversation=: which entries a caller should use.
+//
+//   AddressesQuery addresses(context);
+//   routes.Add("GET", "/v1/addresses", addresses);
+
+#ifndef CAROBSHIFT_SERVER_QUERIES_ADDRESSES_QUERY_H_
+#define CAROBSHIFT_SERVER_QUERIES_ADDRESSES_QUERY_H_
+
+#include "carobshift/server/entry_context.h"
+#include "carobshift/server/http/route_handler.h"
+
+namespace carobshift {
+
+class AddressesQuery : public RouteHandler {
+ public:
+  explicit AddressesQuery(EntryContext& context) : context_(context) {}
+  void Handle(HttpExchange& exchange) override;
+
+ private:
+  EntryContext& context_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_QUERIES_ADDRESSES_QUERY_H_
--- /dev/null
+++ b/carobshift/server/queries/status_queries.h
@@ -0,0 +1,67 @@
+// The queries about the entry itself: health, readiness, metrics, the state
+// dump and what was decided about one request.
+//
+//   HealthQuery health;
+//   routes.Add("GET", "/healthz", health);
+
+#ifndef CAROBSHIFT_SERVER_QUERIES_STATUS_QUERIES_H_
+#define CAROBSHIFT_SERVER_QUERIES_STATUS_QUERIES_H_
+
+#include <atomic>
+
+#include "carobshift/server/entry_context.h"
+#include "carobshift/server/http/route_handler.h"
+
+namespace carobshift {
+
+// 200 while the process answers at all.
+class HealthQuery : public RouteHandler {
+ public:
+  void Handle(HttpExchange& exchange) override;
+};
+
+// 200 once a configuration is in force and while the entry isn't leaving.
+class ReadyQuery : public RouteHandler {
+ public:
+  ReadyQuery(EntryContext& context, const std::atomic<bool>& leaving)
+      : context_(context), leaving_(leaving) {}
+  void Handle(HttpExchange& exchange) override;
+
+ private:
+  EntryContext& context_;
+  const std::atomic<bool>& leaving_;
+};
+
+// Prometheus text.
+class MetricsQuery : public RouteHandler {
+ public:
+  explicit MetricsQuery(EntryContext& context) : context_(context) {}
+  void Handle(HttpExchange& exchange) override;
+
+ private:
+  EntryContext& context_;
+};
+
+// GET /debug/state, with the operators' key.
+class StateQuery : public RouteHandler {
+ public:
+  explicit StateQuery(EntryContext& context) : context_(context) {}
+  void Handle(HttpExchange& exchange) override;
+
+ private:
+  EntryContext& context_;
+};
+
+// GET /debug/requests/{id}, with the operators' key.
+class ExplainQuery : public RouteHandler {
+ public:
+  explicit ExplainQuery(EntryContext& context) : context_(context) {}
+  void Handle(HttpExchange& exchange) override;
+
+ private:
+  EntryContext& context_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_QUERIES_STATUS_QUERIES_H_
--- /dev/null
+++ b/carobshift/server/settings.h
@@ -0,0 +1,77 @@
+// Process settings of one entry: a flat YAML file, each key also a flag.
+//
+//   Result<Settings> settings = LoadSettings(yaml_text, flag_values);
+//   if (!settings.ok()) Print(settings.error().message);
+//
+// Unknown keys and values out of range are refused, all at once, each with
+// line, column, key and the allowed values. docs/CONFIGURATION.md lists every
+// key with its default, unit, range and reason.
+
+#ifndef CAROBSHIFT_SERVER_SETTINGS_H_
+#define CAROBSHIFT_SERVER_SETTINGS_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carobshift/base/ids.h"
+#include "carobshift/base/net_address.h"
+#include "carobshift/base/result.h"
+#include "carobshift/base/units.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+
+struct Settings {
+  EntryId entry;
+  ZoneName zone;
+  RegionName region;
+  // Port 0 lets the system choose; gossip uses the same port number on UDP.
+  NetAddress listen;
+  NetAddress log;
+  NetAddress instance_list;
+  std::string secret_file;
+  LogLevel log_level = LogLevel::kInfo;
+
+  int http_threads = 1024;
+  int max_connections = 2048;
+  int max_header_fields = 64;
+  Bytes max_body_bytes = 4 << 20;
+  Milliseconds read_timeout{10000};
+  Milliseconds keep_alive_timeout{15000};
+  Milliseconds default_deadline{60000};
+
+  Milliseconds address_ttl{10000};
+  Milliseconds list_poll_interval{500};
+  Milliseconds status_poll_interval{200};
+  Milliseconds platform_timeout{2000};
+  Milliseconds gossip_interval{200};
+  Milliseconds lease_duration{3000};
+  Milliseconds order_timeout{1000};
+  Milliseconds clock_drift{200};
+  Milliseconds key_lifetime{600000};
+  Milliseconds key_replay_window{600000};
+};
+
+// One row per key, for parsing, for flags and for the documentation.
+struct SettingRow {
+  std::string_view key;
+  std::string_view unit;
+  std::string_view allowed;
+  bool required = false;
+  // Stores `text` in the settings; false if it isn't allowed.
+  bool (*assign)(Settings& settings, const std::string& text) = nullptr;
+};
+
+[[nodiscard]] const std::vector<SettingRow>& SettingRows();
+
+// Flags win over the file. kInvalidSettings carries every fault found, one a
+// line.
+[[nodiscard]] Result<Settings> LoadSettings(
+    const std::string& yaml_text,
+    const std::map<std::string, std::string>& flags);
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_SETTINGS_H_
