platform: HTTP adapters over Poco::Net

The interfaces to log, list, engines, stores and plain services had no implementation. All adapters share one exchange that says exactly how far a request got, since not_run may be said only where it is proven.

Ruled out: Poco's own reconnect of a kept-alive session (it may send a request twice without telling); kept connections for log appends and plain calls (a lost one leaves the outcome open although the peer is well). After a failure the idle connections to that address are dropped, as whatever lost track of one has most likely lost all.

--- /dev/null
+++ b/carobshift/platform/http_engine_client.h
@@ -0,0 +1,43 @@
+// Model engines over HTTP, streams as server-sent events. docs/PLATFORM.md has
+// the routes.
+//
+//   HttpEngineClient engines(HttpOptions{});
+//   Status done = engines.Generate(address, request, sink);
+
+#ifndef CAROBSHIFT_PLATFORM_HTTP_ENGINE_CLIENT_H_
+#define CAROBSHIFT_PLATFORM_HTTP_ENGINE_CLIENT_H_
+
+#include <memory>
+
+#include "carobshift/platform/engine.h"
+#include "carobshift/platform/http_options.h"
+
+namespace carobshift {
+
+class HttpExchange;
+
+// Thread-safe. Order and Export have their own longer bound, since loading
+// weights is answered at once but an export is answered once it is sealed.
+class HttpEngineClient : public EngineClient {
+ public:
+  explicit HttpEngineClient(const HttpOptions& options);
+  ~HttpEngineClient() override;
+
+  Status Generate(const NetAddress& engine,
+                  const GenerateRequest& request,
+                  TokenSink& sink) override;
+  Result<EngineStatus> FetchStatus(const NetAddress& engine) override;
+  Result<CacheEventBatch> FetchEvents(const NetAddress& engine,
+                                      std::uint64_t from_sequence) override;
+  Result<CacheEventBatch> ListBlocks(const NetAddress& engine) override;
+  Status Order(const NetAddress& engine, const EngineOrder& order) override;
+  Result<BlockHandle> Export(const NetAddress& engine,
+                             const ExportRequest& request) override;
+
+ private:
+  const std::unique_ptr<HttpExchange> http_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_PLATFORM_HTTP_ENGINE_CLIENT_H_
--- /dev/null
+++ b/carobshift/platform/http_instance_list.h
@@ -0,0 +1,36 @@
+// The platform's instance list over HTTP. docs/PLATFORM.md has the route.
+//
+//   HttpInstanceList list(address, HttpOptions());
+//   Result<std::vector<ListedInstance>> instances = list.Fetch();
+
+#ifndef CAROBSHIFT_PLATFORM_HTTP_INSTANCE_LIST_H_
+#define CAROBSHIFT_PLATFORM_HTTP_INSTANCE_LIST_H_
+
+#include <memory>
+#include <vector>
+
+#include "carobshift/base/net_address.h"
+#include "carobshift/platform/http_options.h"
+#include "carobshift/platform/instance_list.h"
+
+namespace carobshift {
+
+class HttpExchange;
+
+// Thread-safe. An instance of unknown kind or with a malformed address is
+// left out; the others stay usable.
+class HttpInstanceList : public InstanceList {
+ public:
+  HttpInstanceList(NetAddress address, const HttpOptions& options);
+  ~HttpInstanceList() override;
+
+  Result<std::vector<ListedInstance>> Fetch() override;
+
+ private:
+  const NetAddress address_;
+  const std::unique_ptr<HttpExchange> http_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_PLATFORM_HTTP_INSTANCE_LIST_H_
--- /dev/null
+++ b/carobshift/platform/http_log_service.h
@@ -0,0 +1,40 @@
+// The platform's log over HTTP. docs/PLATFORM.md has the routes.
+//
+//   HttpLogService log(address, HttpOptions());
+//   Result<LogOffset> offset = log.Append(LogStream("config"), payload);
+
+#ifndef CAROBSHIFT_PLATFORM_HTTP_LOG_SERVICE_H_
+#define CAROBSHIFT_PLATFORM_HTTP_LOG_SERVICE_H_
+
+#include <memory>
+#include <string_view>
+
+#include "carobshift/base/net_address.h"
+#include "carobshift/platform/http_options.h"
+#include "carobshift/platform/log_service.h"
+
+namespace carobshift {
+
+class HttpExchange;
+
+// Thread-safe. Read waits up to `wait` beyond the request timeout.
+class HttpLogService : public LogService {
+ public:
+  HttpLogService(NetAddress address, const HttpOptions& options);
+  ~HttpLogService() override;
+
+  Result<LogOffset> Append(const LogStream& stream,
+                           std::string_view payload) override;
+  Result<LogBatch> Read(const LogStream& stream,
+                        LogOffset from,
+                        std::size_t max_records,
+                        Milliseconds wait) override;
+
+ private:
+  const NetAddress address_;
+  const std::unique_ptr<HttpExchange> http_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_PLATFORM_HTTP_LOG_SERVICE_H_
--- /dev/null
+++ b/carobshift/platform/http_store_client.h
@@ -0,0 +1,37 @@
+// KV cache stores over HTTP. docs/PLATFORM.md has the routes.
+//
+//   HttpStoreClient stores(HttpOptions{});
+//   Status pinned = stores.Pin(address, handle, Seconds(10));
+
+#ifndef CAROBSHIFT_PLATFORM_HTTP_STORE_CLIENT_H_
+#define CAROBSHIFT_PLATFORM_HTTP_STORE_CLIENT_H_
+
+#include <memory>
+
+#include "carobshift/platform/http_options.h"
+#include "carobshift/platform/store.h"
+
+namespace carobshift {
+
+class HttpExchange;
+
+// Thread-safe. A store that can't be reached, or breaks off, gives
+// kStoreUnavailable.
+class HttpStoreClient : public StoreClient {
+ public:
+  explicit HttpStoreClient(const HttpOptions& options);
+  ~HttpStoreClient() override;
+
+  Result<StoreStatus> FetchStatus(const NetAddress& store) override;
+  Status Pin(const NetAddress& store,
+             const BlockHandle& handle,
+             Milliseconds duration) override;
+  Status Drop(const NetAddress& store, const BlockHandle& handle) override;
+
+ private:
+  const std::unique_ptr<HttpExchange> http_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_PLATFORM_HTTP_STORE_CLIENT_H_
