--- a/carobshift/server/http/http_front.cc
+++ b/carobshift/server/http/http_front.cc
@@ -49,6 +49,15 @@
 
  private:
   void Route(HttpExchange& exchange) {
+    if (exchange.request.size() >
+        static_cast<std::size_t>(options_.max_header_fields)) {
+      SendError(
+          exchange.response, exchange.id,
+          NotRun(ResultCode::kRequestTooLarge,
+                 "more than " + std::to_string(options_.max_header_fields) +
+                     " header fields"));
+      return;
+    }
     const Poco::URI uri(exchange.request.getURI());
     auto match = routes_.Find(exchange.request.getMethod(), uri.getPath());
     if (!match) {
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 build=$1
 jobs=$2
-git ls-files '*.cc' | grep -v '^cmake/' |
+git ls-files "*.cc" | grep -v '^cmake/' |
   xargs -P "$jobs" -n 4 clang-tidy -quiet -p "$build" 2>/dev/null
 echo "lint: clean"
