Rename the server's exchange type

Cause: server and platform both named a type HttpExchange; linked into one binary that breaks the one-definition rule, and no compiler tells. Change: the server's is RequestExchange now, behaviour unchanged.

--- a/carobshift/server/commands/call_command.cc
+++ b/carobshift/server/commands/call_command.cc
@@ -6,7 +6,7 @@
 
 namespace carobshift {
 
-void CallCommand::Handle(HttpExchange& exchange) {
+void CallCommand::Handle(RequestExchange& exchange) {
   auto job = MakeJob(exchange);
   if (!job.ok()) {
     SendError(exchange.response, exchange.id,
@@ -24,7 +24,7 @@
            outcome.answer.content_type, outcome.answer.body);
 }
 
-Result<PlainJob> CallCommand::MakeJob(HttpExchange& exchange) {
+Result<PlainJob> CallCommand::MakeJob(RequestExchange& exchange) {
   auto caller = IdentifyCaller(context_, exchange);
   if (!caller.ok())
     return caller.error();
--- a/carobshift/server/commands/call_command.h
+++ b/carobshift/server/commands/call_command.h
@@ -18,10 +18,10 @@
   CallCommand(EntryContext& context, PlainDispatcher& dispatcher)
       : context_(context), dispatcher_(dispatcher) {}
 
-  void Handle(HttpExchange& exchange) override;
+  void Handle(RequestExchange& exchange) override;
 
  private:
-  Result<PlainJob> MakeJob(HttpExchange& exchange);
+  Result<PlainJob> MakeJob(RequestExchange& exchange);
 
   EntryContext& context_;
   PlainDispatcher& dispatcher_;
--- a/carobshift/server/commands/caller_identity.cc
+++ b/carobshift/server/commands/caller_identity.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 Result<CallerIdentity> IdentifyCaller(const EntryContext& context,
-                                      const HttpExchange& exchange) {
+                                      const RequestExchange& exchange) {
   auto headers = ParseCallerHeaders(
       exchange.request, context.settings.default_deadline, exchange.received);
   if (!headers.ok())
@@ -52,7 +52,7 @@
   return HexEncode(HmacSha256(secret, "carobshift operator"));
 }
 
-bool IsOperator(const EntryContext& context, const HttpExchange& exchange) {
+bool IsOperator(const EntryContext& context, const RequestExchange& exchange) {
   const std::string given = exchange.request.get("Authorization", "");
   return ConstantTimeEqual(given, "Bearer " + OperatorKey(context.secret));
 }
--- a/carobshift/server/commands/caller_identity.h
+++ b/carobshift/server/commands/caller_identity.h
@@ -26,7 +26,7 @@
 // that no client account has, kMalformedRequest for a bad header.
 [[nodiscard]] Result<CallerIdentity> IdentifyCaller(
     const EntryContext& context,
-    const HttpExchange& exchange);
+    const RequestExchange& exchange);
 
 // kUnknownService, also for a service that the client account may not call:
 // its name is nobody else's business.
@@ -38,7 +38,7 @@
 // True if the request carries the operators' key, which is derived from the
 // deployment's secret.
 [[nodiscard]] bool IsOperator(const EntryContext& context,
-                              const HttpExchange& exchange);
+                              const RequestExchange& exchange);
 
 // The key that operators' tools send as a bearer key.
 [[nodiscard]] std::string OperatorKey(const std::string& secret);
--- a/carobshift/server/commands/complete_command.cc
+++ b/carobshift/server/commands/complete_command.cc
@@ -21,7 +21,7 @@
 // Collects a whole answer.
 class WholeWriter : public AnswerWriter {
  public:
-  explicit WholeWriter(HttpExchange& exchange) : exchange_(exchange) {}
+  explicit WholeWriter(RequestExchange& exchange) : exchange_(exchange) {}
 
   bool WriteToken(std::string_view text) override {
     text_ += text;
@@ -33,7 +33,7 @@
   [[nodiscard]] const std::string& text() const { return text_; }
 
  private:
-  HttpExchange& exchange_;
+  RequestExchange& exchange_;
   std::string text_;
 };
 
@@ -41,7 +41,7 @@
 // request that fails before it still gets a proper HTTP status.
 class StreamWriter : public AnswerWriter {
  public:
-  StreamWriter(HttpExchange& exchange,
+  StreamWriter(RequestExchange& exchange,
                const CompletionFormat& format,
                AnswerMeta meta)
       : exchange_(exchange), format_(format), meta_(std::move(meta)) {}
@@ -79,7 +79,7 @@
     out_ = &exchange_.response.send();
   }
 
-  HttpExchange& exchange_;
+  RequestExchange& exchange_;
   const CompletionFormat& format_;
   AnswerMeta meta_;
   std::ostream* out_ = nullptr;
@@ -87,7 +87,7 @@
 
 }  // namespace
 
-void CompleteCommand::Handle(HttpExchange& exchange) {
+void CompleteCommand::Handle(RequestExchange& exchange) {
   bool stream = false;
   auto job = MakeJob(exchange, stream);
   if (!job.ok()) {
@@ -104,7 +104,7 @@
   }
 }
 
-Result<GenerateJob> CompleteCommand::MakeJob(HttpExchange& exchange,
+Result<GenerateJob> CompleteCommand::MakeJob(RequestExchange& exchange,
                                              bool& stream) {
   auto caller = IdentifyCaller(context_, exchange);
   if (!caller.ok())
@@ -145,7 +145,7 @@
   return job;
 }
 
-void CompleteCommand::AnswerWhole(HttpExchange& exchange,
+void CompleteCommand::AnswerWhole(RequestExchange& exchange,
                                   const GenerateJob& job) {
   WholeWriter writer(exchange);
   const GenerateOutcome outcome = dispatcher_.Run(job, writer);
@@ -157,7 +157,7 @@
            format_.whole(MetaOf(job), writer.text(), outcome.usage));
 }
 
-void CompleteCommand::AnswerStream(HttpExchange& exchange,
+void CompleteCommand::AnswerStream(RequestExchange& exchange,
                                    const GenerateJob& job) {
   StreamWriter writer(exchange, format_, MetaOf(job));
   const GenerateOutcome outcome = dispatcher_.Run(job, writer);
--- a/carobshift/server/commands/complete_command.h
+++ b/carobshift/server/commands/complete_command.h
@@ -22,13 +22,13 @@
                   const CompletionFormat& format)
       : context_(context), dispatcher_(dispatcher), format_(format) {}
 
-  void Handle(HttpExchange& exchange) override;
+  void Handle(RequestExchange& exchange) override;
 
  private:
   // Everything checked, ready to dispatch.
-  Result<GenerateJob> MakeJob(HttpExchange& exchange, bool& stream);
-  void AnswerWhole(HttpExchange& exchange, const GenerateJob& job);
-  void AnswerStream(HttpExchange& exchange, const GenerateJob& job);
+  Result<GenerateJob> MakeJob(RequestExchange& exchange, bool& stream);
+  void AnswerWhole(RequestExchange& exchange, const GenerateJob& job);
+  void AnswerStream(RequestExchange& exchange, const GenerateJob& job);
 
   EntryContext& context_;
   GenerateDispatcher& dispatcher_;
--- a/carobshift/server/http/http_front.cc
+++ b/carobshift/server/http/http_front.cc
@@ -35,7 +35,7 @@
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
-    HttpExchange exchange{
+    RequestExchange exchange{
         request, response, NewRequestId(options_.entry), MonotonicNow(), {}};
     response.set("Carobshift-Request-Id", exchange.id.value());
     try {
@@ -48,7 +48,7 @@
   }
 
  private:
-  void Route(HttpExchange& exchange) {
+  void Route(RequestExchange& exchange) {
     if (exchange.request.size() >
         static_cast<std::size_t>(options_.max_header_fields)) {
       SendError(
@@ -74,7 +74,8 @@
   // A caller that goes away, or a fault of ours, ends here. Once the response
   // has begun nothing true can be added; closing the connection before the
   // final frame tells the caller that the answer isn't whole.
-  void FinishAfterException(HttpExchange& exchange, const std::string& what) {
+  void FinishAfterException(RequestExchange& exchange,
+                            const std::string& what) {
     LogEvent(LogLevel::kDebug, "request_aborted",
              {{"request", exchange.id.value()}, {"reason", what}});
     if (exchange.response.sent()) {
--- a/carobshift/server/http/route_handler.h
+++ b/carobshift/server/http/route_handler.h
@@ -1,7 +1,7 @@
 // The interface between the HTTP front and what answers a route.
 //
 //   class HealthQuery : public RouteHandler {
-//     void Handle(HttpExchange& exchange) override;
+//     void Handle(RequestExchange& exchange) override;
 //   };
 
 #ifndef CAROBSHIFT_SERVER_HTTP_ROUTE_HANDLER_H_
@@ -20,7 +20,7 @@
 namespace carobshift {
 
 // One HTTP request on its worker thread.
-struct HttpExchange {
+struct RequestExchange {
   Poco::Net::HTTPServerRequest& request;
   Poco::Net::HTTPServerResponse& response;
   RequestId id;
@@ -35,7 +35,7 @@
 class RouteHandler {
  public:
   virtual ~RouteHandler() = default;
-  virtual void Handle(HttpExchange& exchange) = 0;
+  virtual void Handle(RequestExchange& exchange) = 0;
 };
 
 // Sends a whole response.
--- a/carobshift/server/queries/addresses_query.cc
+++ b/carobshift/server/queries/addresses_query.cc
@@ -5,7 +5,7 @@
 
 namespace carobshift {
 
-void AddressesQuery::Handle(HttpExchange& exchange) {
+void AddressesQuery::Handle(RequestExchange& exchange) {
   const auto caller = IdentifyCaller(context_, exchange);
   if (!caller.ok()) {
     SendError(exchange.response, exchange.id,
--- a/carobshift/server/queries/addresses_query.h
+++ b/carobshift/server/queries/addresses_query.h
@@ -14,7 +14,7 @@
 class AddressesQuery : public RouteHandler {
  public:
   explicit AddressesQuery(EntryContext& context) : context_(context) {}
-  void Handle(HttpExchange& exchange) override;
+  void Handle(RequestExchange& exchange) override;
 
  private:
   EntryContext& context_;
--- a/carobshift/server/queries/status_queries.cc
+++ b/carobshift/server/queries/status_queries.cc
@@ -6,7 +6,7 @@
 namespace carobshift {
 namespace {
 
-void SendForbidden(HttpExchange& exchange) {
+void SendForbidden(RequestExchange& exchange) {
   SendError(exchange.response, exchange.id,
             NotRun(ResultCode::kForbidden,
                    "this route needs the operators' "
@@ -15,11 +15,11 @@
 
 }  // namespace
 
-void HealthQuery::Handle(HttpExchange& exchange) {
+void HealthQuery::Handle(RequestExchange& exchange) {
   SendJson(exchange.response, 200, {{"ok", true}});
 }
 
-void ReadyQuery::Handle(HttpExchange& exchange) {
+void ReadyQuery::Handle(RequestExchange& exchange) {
   const auto config = context_.config.current();
   const bool ready = config != nullptr && !leaving_;
   SendJson(exchange.response, ready ? 200 : 503,
@@ -29,12 +29,12 @@
              config ? nlohmann::json(config->version.value()) : nullptr}});
 }
 
-void MetricsQuery::Handle(HttpExchange& exchange) {
+void MetricsQuery::Handle(RequestExchange& exchange) {
   SendText(exchange.response, 200, "text/plain; version=0.0.4",
            context_.metrics.PrometheusText());
 }
 
-void StateQuery::Handle(HttpExchange& exchange) {
+void StateQuery::Handle(RequestExchange& exchange) {
   if (!IsOperator(context_, exchange)) {
     SendForbidden(exchange);
     return;
@@ -46,7 +46,7 @@
   SendJson(exchange.response, 200, state);
 }
 
-void ExplainQuery::Handle(HttpExchange& exchange) {
+void ExplainQuery::Handle(RequestExchange& exchange) {
   if (!IsOperator(context_, exchange)) {
     SendForbidden(exchange);
     return;
--- a/carobshift/server/queries/status_queries.h
+++ b/carobshift/server/queries/status_queries.h
@@ -17,7 +17,7 @@
 // 200 while the process answers at all.
 class HealthQuery : public RouteHandler {
  public:
-  void Handle(HttpExchange& exchange) override;
+  void Handle(RequestExchange& exchange) override;
 };
 
 // 200 once a configuration is in force and while the entry isn't leaving.
@@ -25,7 +25,7 @@
  public:
   ReadyQuery(EntryContext& context, const std::atomic<bool>& leaving)
       : context_(context), leaving_(leaving) {}
-  void Handle(HttpExchange& exchange) override;
+  void Handle(RequestExchange& exchange) override;
 
  private:
   EntryContext& context_;
@@ -36,7 +36,7 @@
 class MetricsQuery : public RouteHandler {
  public:
   explicit MetricsQuery(EntryContext& context) : context_(context) {}
-  void Handle(HttpExchange& exchange) override;
+  void Handle(RequestExchange& exchange) override;
 
  private:
   EntryContext& context_;
@@ -46,7 +46,7 @@
 class StateQuery : public RouteHandler {
  public:
   explicit StateQuery(EntryContext& context) : context_(context) {}
-  void Handle(HttpExchange& exchange) override;
+  void Handle(RequestExchange& exchange) override;
 
  private:
   EntryContext& context_;
@@ -56,7 +56,7 @@
 class ExplainQuery : public RouteHandler {
  public:
   explicit ExplainQuery(EntryContext& context) : context_(context) {}
-  void Handle(HttpExchange& exchange) override;
+  void Handle(RequestExchange& exchange) override;
 
  private:
   EntryContext& context_;
