--- /dev/null
+++ b/carobshift/cmd/entry_client.cc
@@ -0,0 +1,94 @@
+#include "carobshift/cmd/entry_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+
+#include <utility>
+
+#include "carobshift/cmd/cli_command.h"
+
+namespace carobshift {
+
+EntryClient::EntryClient(NetAddress address,
+                         std::string bearer_key,
+                         Milliseconds timeout)
+    : address_(std::move(address)),
+      bearer_key_(std::move(bearer_key)),
+      timeout_(timeout) {}
+
+EntryReply EntryClient::Get(const std::string& path) {
+  return Send("GET", path, "", {});
+}
+
+EntryReply EntryClient::Post(
+    const std::string& path,
+    const std::string& body,
+    const std::vector<std::pair<std::string, std::string>>& headers) {
+  return Send("POST", path, body, headers);
+}
+
+Result<nlohmann::json> EntryClient::FetchJson(const std::string& path) {
+  const EntryReply reply = Get(path);
+  if (reply.status == 0) {
+    return Error{ResultCode::kPeerUnreachable,
+                 "no answer from " + address_.ToString()};
+  }
+  auto parsed = nlohmann::json::parse(reply.body, nullptr, false);
+  if (reply.status != 200 || parsed.is_discarded()) {
+    return Error{ResultCode::kPeerRejected,
+                 address_.ToString() + " answered " +
+                     std::to_string(reply.status) + ": " + reply.body};
+  }
+  return parsed;
+}
+
+EntryReply EntryClient::Send(
+    const std::string& method,
+    const std::string& path,
+    const std::string& body,
+    const std::vector<std::pair<std::string, std::string>>& headers) {
+  try {
+    Poco::Net::HTTPClientSession session(address_.host, address_.port);
+    session.setTimeout(Poco::Timespan(Microseconds(timeout_).count()));
+    Poco::Net::HTTPRequest request(method, path, "HTTP/1.1");
+    request.set("Authorization", "Bearer " + bearer_key_);
+    for (const auto& [name, value] : headers)
+      request.set(name, value);
+    request.setContentType("application/json");
+    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    session.sendRequest(request) << body;
+    Poco::Net::HTTPResponse response;
+    EntryReply reply;
+    std::istream& in = session.receiveResponse(response);
+    Poco::StreamCopier::copyToString(in, reply.body);
+    reply.status = response.getStatus();
+    return reply;
+  } catch (const Poco::Exception&) {
+    return {};
+  }
+}
+
+ExitCode ReportErrorReply(const EntryReply& reply) {
+  if (reply.status == 0)
+    return Complain(ExitCode::kUnreachable, "no whole answer");
+  const auto body = nlohmann::json::parse(reply.body, nullptr, false);
+  if (body.is_discarded() || !body.contains("error"))
+    return Complain(ExitCode::kFailed, reply.body);
+  const nlohmann::json& error = body["error"];
+  const std::string state = error.value("state", "outcome_unknown");
+  std::string message = std::to_string(error.value("code", 0)) + " " +
+                        error.value("name", "") + " (" + state +
+                        "): " + error.value("message", "");
+  if (error.contains("retry_after_ms")) {
+    message += "; come back in " +
+               std::to_string(error.value("retry_after_ms", 0)) + " ms";
+  }
+  return Complain(state == "not_run" ? ExitCode::kNotRun
+                                     : ExitCode::kOutcomeUnknown,
+                  message);
+}
+
+}  // namespace carobshift
--- a/carobshift/server/commands/caller_identity.cc
+++ b/carobshift/server/commands/caller_identity.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/base/operator_key.h"
 
 namespace carobshift {
 namespace {
@@ -48,10 +49,6 @@
   return service;
 }
 
-std::string OperatorKey(const std::string& secret) {
-  return HexEncode(HmacSha256(secret, "carobshift operator"));
-}
-
 bool IsOperator(const EntryContext& context, const RequestExchange& exchange) {
   const std::string given = exchange.request.get("Authorization", "");
   return ConstantTimeEqual(given, "Bearer " + OperatorKey(context.secret));
--- a/carobshift/server/commands/caller_identity.h
+++ b/carobshift/server/commands/caller_identity.h
@@ -40,9 +40,6 @@
 [[nodiscard]] bool IsOperator(const EntryContext& context,
                               const RequestExchange& exchange);
 
-// The key that operators' tools send as a bearer key.
-[[nodiscard]] std::string OperatorKey(const std::string& secret);
-
 }  // namespace carobshift
 
 #endif  // CAROBSHIFT_SERVER_COMMANDS_CALLER_IDENTITY_H_
