Entries fold the configuration log by the acceptance rule

Cause: entries took each record as it came, so racing edits both won. Change: ConfigFollower runs on ConfigFold and logs each decision.

--- a/carobshift/cmd/caller_commands.cc
+++ b/carobshift/cmd/caller_commands.cc
@@ -43,8 +43,7 @@
   return ExitCode::kOk;
 }
 
-ExitCode Addresses(const CliOptions& options,
-                   const std::vector<std::string>&) {
+ExitCode Addresses(const CliOptions& options, const std::vector<std::string>&) {
   auto client = OpenEntry(options);
   if (!client)
     return ExitCode::kUsage;
--- a/carobshift/cmd/carobshift_main.cc
+++ b/carobshift/cmd/carobshift_main.cc
@@ -54,8 +54,7 @@
   for (std::size_t length : {2, 1}) {
     if (words.size() < length)
       continue;
-    const std::string name =
-        length == 2 ? words[0] + " " + words[1] : words[0];
+    const std::string name = length == 2 ? words[0] + " " + words[1] : words[0];
     for (const CliCommand& command : commands) {
       if (command.name == name) {
         words.erase(words.begin(),
--- a/carobshift/cmd/cli_options.cc
+++ b/carobshift/cmd/cli_options.cc
@@ -36,7 +36,8 @@
 }
 
 // The flag's value, or the environment's, or nothing.
-std::string TextOf(const cxxopts::ParseResult& parsed, const std::string& flag) {
+std::string TextOf(const cxxopts::ParseResult& parsed,
+                   const std::string& flag) {
   if (parsed.count(flag) > 0)
     return parsed[flag].as<std::string>();
   std::string variable = "CAROBSHIFT_";
--- a/carobshift/cmd/config_commands.cc
+++ b/carobshift/cmd/config_commands.cc
@@ -112,9 +112,9 @@
   if (options.json) {
     std::cout << R"({"valid":true})" << std::endl;
   } else {
-    std::cout << "valid: " << file->declaration.services.size()
-              << " services, " << file->declaration.accounts.size()
-              << " client accounts" << std::endl;
+    std::cout << "valid: " << file->declaration.services.size() << " services, "
+              << file->declaration.accounts.size() << " client accounts"
+              << std::endl;
   }
   return ExitCode::kOk;
 }
@@ -178,12 +178,12 @@
     const std::string winner =
         decision.winner ? decision.winner->value() : std::string();
     if (options.json) {
-      std::cout << nlohmann::json({{"offset", decision.offset.value()},
-                                   {"edit", decision.edit.value()},
-                                   {"outcome",
-                                    EditOutcomeName(decision.outcome)},
-                                   {"winner", winner},
-                                   {"reason", decision.reason}})
+      std::cout << nlohmann::json(
+                       {{"offset", decision.offset.value()},
+                        {"edit", decision.edit.value()},
+                        {"outcome", EditOutcomeName(decision.outcome)},
+                        {"winner", winner},
+                        {"reason", decision.reason}})
                 << '\n';
     } else {
       std::cout << decision.offset << "  " << decision.edit << "  "
--- a/carobshift/cmd/entry_client.cc
+++ b/carobshift/cmd/entry_client.cc
@@ -38,9 +38,9 @@
   }
   auto parsed = nlohmann::json::parse(reply.body, nullptr, false);
   if (reply.status != 200 || parsed.is_discarded()) {
-    return Error{ResultCode::kPeerRejected,
-                 address_.ToString() + " answered " +
-                     std::to_string(reply.status) + ": " + reply.body};
+    return Error{ResultCode::kPeerRejected, address_.ToString() + " answered " +
+                                                std::to_string(reply.status) +
+                                                ": " + reply.body};
   }
   return parsed;
 }
@@ -86,9 +86,9 @@
     message += "; come back in " +
                std::to_string(error.value("retry_after_ms", 0)) + " ms";
   }
-  return Complain(state == "not_run" ? ExitCode::kNotRun
-                                     : ExitCode::kOutcomeUnknown,
-                  message);
+  return Complain(
+      state == "not_run" ? ExitCode::kNotRun : ExitCode::kOutcomeUnknown,
+      message);
 }
 
 }  // namespace carobshift
--- a/carobshift/cmd/entry_client.h
+++ b/carobshift/cmd/entry_client.h
@@ -39,11 +39,11 @@
   [[nodiscard]] Result<nlohmann::json> FetchJson(const std::string& path);
 
  private:
-  EntryReply Send(const std::string& method,
-                  const std::string& path,
-                  const std::string& body,
-                  const std::vector<std::pair<std::string, std::string>>&
-                      headers);
+  EntryReply Send(
+      const std::string& method,
+      const std::string& path,
+      const std::string& body,
+      const std::vector<std::pair<std::string, std::string>>& headers);
 
   NetAddress address_;
   std::string bearer_key_;
--- a/carobshift/cmd/operator_commands.cc
+++ b/carobshift/cmd/operator_commands.cc
@@ -66,7 +66,8 @@
             << section("requests").value("in_progress", 0) << '\n';
   std::cout << std::left << std::setw(16) << "endpoint" << std::setw(16)
             << "role" << std::setw(12) << "version" << std::setw(9) << "running"
-            << std::setw(8) << "queued" << "leaving" << '\n';
+            << std::setw(8) << "queued"
+            << "leaving" << '\n';
   const auto endpoints =
       section("endpoints").value("endpoints", nlohmann::json::array());
   for (const nlohmann::json& row : endpoints) {
--- a/carobshift/server/tables/config_table.cc
+++ b/carobshift/server/tables/config_table.cc
@@ -21,6 +21,8 @@
                            EditId edit,
                            std::string text,
                            Declaration declaration) {
+  if (const auto active = current(); active && version <= active->version)
+    return false;
   auto fresh = std::make_shared<ActiveConfig>();
   fresh->version = version;
   fresh->edit = std::move(edit);
--- a/carobshift/server/tasks/config_follower.cc
+++ b/carobshift/server/tasks/config_follower.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "carobshift/config/declaration_parser.h"
+#include "carobshift/config/config_record.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -12,31 +12,30 @@
 constexpr Milliseconds kReadWait{500};
 constexpr Milliseconds kDelayAfterFailure{200};
 
+void LogDecision(const EditDecision& decision) {
+  const bool accepted = decision.outcome == EditOutcome::kAccepted;
+  LogEvent(accepted ? LogLevel::kInfo : LogLevel::kWarning, "config_decision",
+           {{"offset", decision.offset.value()},
+            {"edit", decision.edit.value()},
+            {"outcome", EditOutcomeName(decision.outcome)},
+            {"winner", decision.winner ? decision.winner->value() : ""},
+            {"reason", decision.reason}});
+}
+
 }  // namespace
 
 Milliseconds ConfigFollower::RunOnce(MonotonicTime) {
-  auto batch = context_.platform.log.Read(LogStream("config"), next_,
-                                          kMaxRecords, kReadWait);
+  const auto batch = context_.platform.log.Read(
+      LogStream(kConfigStream), fold_.next(), kMaxRecords, kReadWait);
   if (!batch.ok())
     return kDelayAfterFailure;
-  for (const LogRecord& record : batch.value().records)
-    Take(record);
-  next_ = batch.value().next;
-  return Milliseconds(0);
-}
-
-void ConfigFollower::Take(const LogRecord& record) {
-  DeclarationResult parsed = ParseDeclaration(record.payload);
-  if (!parsed.declaration) {
-    LogEvent(
-        LogLevel::kWarning, "config_refused",
-        {{"offset", record.offset.value()}, {"reason", parsed.ProblemText()}});
-    return;
+  for (const EditDecision& decision : fold_.OnBatch(batch.value()))
+    LogDecision(decision);
+  if (const auto accepted = fold_.in_force()) {
+    context_.config.Activate(accepted->version, accepted->edit, accepted->text,
+                             accepted->declaration);
   }
-  const ConfigVersion version(record.offset.value());
-  context_.config.Activate(version, EditId(""), record.payload,
-                           std::move(*parsed.declaration));
-  LogEvent(LogLevel::kInfo, "config_in_force", {{"version", version.value()}});
+  return Milliseconds(0);
 }
 
 }  // namespace carobshift
--- a/carobshift/server/tasks/config_follower.h
+++ b/carobshift/server/tasks/config_follower.h
@@ -7,7 +7,7 @@
 #ifndef CAROBSHIFT_SERVER_TASKS_CONFIG_FOLLOWER_H_
 #define CAROBSHIFT_SERVER_TASKS_CONFIG_FOLLOWER_H_
 
-#include "carobshift/base/ids.h"
+#include "carobshift/config/acceptance.h"
 #include "carobshift/server/entry_context.h"
 #include "carobshift/server/tasks/background_task.h"
 
@@ -22,10 +22,8 @@
   Milliseconds RunOnce(MonotonicTime now) override;
 
  private:
-  void Take(const LogRecord& record);
-
   EntryContext& context_;
-  LogOffset next_{0};
+  ConfigFold fold_;
 };
 
 }  // namespace carobshift
