--- a/carobshift/retry/retry_test.cc
+++ b/carobshift/retry/retry_test.cc
@@ -90,61 +90,61 @@
  public:
   void Crash(ContentFingerprint fingerprint, const std::string& endpoint) {
     const bool alone =
-        suspects_.Judge(fingerprint, now_) == SuspectVerdict::kTryAlone;
-    suspects_.OnAttemptStart(fingerprint, EndpointId(endpoint), alone);
-    suspects_.OnEndpointCrash(EndpointId(endpoint), now_);
+        suspects.Judge(fingerprint, now) == SuspectVerdict::kTryAlone;
+    suspects.OnAttemptStart(fingerprint, EndpointId(endpoint), alone);
+    suspects.OnEndpointCrash(EndpointId(endpoint), now);
   }
 
-  CrashSuspects suspects_{CrashSuspectOptions{}};
-  MonotonicTime now_ = kStart;
-  ContentFingerprint bad_ = FingerprintOf(kAccount, kService, "bad");
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  MonotonicTime now = kStart;
+  ContentFingerprint bad = FingerprintOf(kAccount, kService, "bad");
 };
 
 // A request crashes each endpoint that runs it and its caller sends it again.
 // Unnoticed it takes the fleet down one by one.
 TEST_CASE("a request that crashes endpoints is tried alone, then refused") {
   Suspects s;
-  s.Crash(s.bad_, "e1");
-  CHECK(s.suspects_.Judge(s.bad_, s.now_) == SuspectVerdict::kRun);
-  s.Crash(s.bad_, "e2");
-  CHECK(s.suspects_.Judge(s.bad_, s.now_) == SuspectVerdict::kTryAlone);
-  s.Crash(s.bad_, "e3");
-  CHECK(s.suspects_.Judge(s.bad_, s.now_) == SuspectVerdict::kRefuse);
-  CHECK(s.suspects_.RefusedFor(s.bad_, s.now_) == Milliseconds(600000));
-  CHECK(s.suspects_.Judge(FingerprintOf(kAccount, kService, "good"), s.now_) ==
+  s.Crash(s.bad, "e1");
+  CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kRun);
+  s.Crash(s.bad, "e2");
+  CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kTryAlone);
+  s.Crash(s.bad, "e3");
+  CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kRefuse);
+  CHECK(s.suspects.RefusedFor(s.bad, s.now) == Milliseconds(600000));
+  CHECK(s.suspects.Judge(FingerprintOf(kAccount, kService, "good"), s.now) ==
         SuspectVerdict::kRun);
 
   // Another entry that is told refuses it too; twice told is once told.
   CrashSuspects other({});
-  const auto told = s.suspects_.Export(s.now_);
+  const auto told = s.suspects.Export(s.now);
   other.Merge(told, kStart);
   other.Merge(told, kStart);
-  CHECK(other.Judge(s.bad_, kStart) == SuspectVerdict::kRefuse);
+  CHECK(other.Judge(s.bad, kStart) == SuspectVerdict::kRefuse);
   other.Expire(kStart + Milliseconds(1200000));
   CHECK(other.size() == 0);
 }
 
 TEST_CASE("a bystander of two crashes is cleared by a run alone") {
   Suspects s;
-  s.Crash(s.bad_, "e1");
-  s.Crash(s.bad_, "e2");
-  s.suspects_.OnAttemptStart(s.bad_, EndpointId("e3"), true);
-  CHECK(s.suspects_.Judge(s.bad_, s.now_) == SuspectVerdict::kWait);
-  s.suspects_.OnAttemptEnd(s.bad_, EndpointId("e3"), true);
-  CHECK(s.suspects_.Judge(s.bad_, s.now_) == SuspectVerdict::kRun);
+  s.Crash(s.bad, "e1");
+  s.Crash(s.bad, "e2");
+  s.suspects.OnAttemptStart(s.bad, EndpointId("e3"), true);
+  CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kWait);
+  s.suspects.OnAttemptEnd(s.bad, EndpointId("e3"), true);
+  CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kRun);
 }
 
 TEST_CASE("the records of crashes are bounded, convictions kept longest") {
   Suspects s;
-  s.Crash(s.bad_, "e1");
-  s.Crash(s.bad_, "e2");
-  s.Crash(s.bad_, "e3");
+  s.Crash(s.bad, "e1");
+  s.Crash(s.bad, "e2");
+  s.Crash(s.bad, "e3");
   for (int i = 0; i < 5000; ++i) {
-    s.now_ += Microseconds(1);
+    s.now += Microseconds(1);
     s.Crash(FingerprintOf(kAccount, kService, std::to_string(i)), "e4");
   }
-  CHECK(s.suspects_.size() == 4096);
-  CHECK(s.suspects_.Judge(s.bad_, s.now_) == SuspectVerdict::kRefuse);
+  CHECK(s.suspects.size() == 4096);
+  CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kRefuse);
 }
 
 }  // namespace
--- a/carobshift/routing/endpoint_health.cc
+++ b/carobshift/routing/endpoint_health.cc
@@ -118,7 +118,8 @@
   --ejected_;
 }
 
-void EndpointHealthTracker::OnProbeFailure(Record* record, MonotonicTime now) {
+void EndpointHealthTracker::OnProbeFailure(Record* record,
+                                           MonotonicTime now) const {
   record->good_probes = 0;
   record->probe_interval =
       std::min(2 * record->probe_interval, options_.max_probe_interval);
--- a/carobshift/routing/endpoint_health.h
+++ b/carobshift/routing/endpoint_health.h
@@ -100,7 +100,7 @@
 
   void Eject(Record* record, MonotonicTime now);
   void OnProbeAnswer(Record* record, double ratio, MonotonicTime now);
-  void OnProbeFailure(Record* record, MonotonicTime now);
+  void OnProbeFailure(Record* record, MonotonicTime now) const;
   [[nodiscard]] double MedianRatio();
 
   EndpointHealthOptions options_;
--- a/carobshift/routing/router_test.cc
+++ b/carobshift/routing/router_test.cc
@@ -94,21 +94,21 @@
  public:
   Fleet() {
     for (int i = 0; i < 8; ++i)
-      ids_.emplace_back("engine-" + std::to_string(i));
-    tracker_.Retain(ids_);
+      ids.emplace_back("engine-" + std::to_string(i));
+    tracker.Retain(ids);
   }
 
   void AnswerAll(double slow_factor) {
-    for (std::size_t i = 0; i < ids_.size(); ++i) {
+    for (std::size_t i = 0; i < ids.size(); ++i) {
       const double factor = i == 0 ? slow_factor : 1;
-      tracker_.OnFirstToken(
-          ids_[i], Microseconds(static_cast<std::int64_t>(1e5 * factor)),
+      tracker.OnFirstToken(
+          ids[i], Microseconds(static_cast<std::int64_t>(1e5 * factor)),
           Microseconds(100000), SampleKind::kOrdinary, kStart);
     }
   }
 
-  std::vector<EndpointId> ids_;
-  EndpointHealthTracker tracker_{EndpointHealthOptions{}};
+  std::vector<EndpointId> ids;
+  EndpointHealthTracker tracker{EndpointHealthOptions{}};
 };
 
 // One endpoint answers ten times slower than its peers. Each caller sent there
@@ -117,39 +117,39 @@
   Fleet fleet;
   for (int i = 0; i < 3; ++i)
     fleet.AnswerAll(10);
-  const EndpointId& slow = fleet.ids_[0];
-  CHECK(fleet.tracker_.HealthOf(slow, kStart) == EndpointHealth::kEjected);
-  CHECK(fleet.tracker_.HealthOf(fleet.ids_[1], kStart) ==
+  const EndpointId& slow = fleet.ids[0];
+  CHECK(fleet.tracker.HealthOf(slow, kStart) == EndpointHealth::kEjected);
+  CHECK(fleet.tracker.HealthOf(fleet.ids[1], kStart) ==
         EndpointHealth::kHealthy);
 
   const MonotonicTime later = kStart + Milliseconds(1000);
-  CHECK(fleet.tracker_.HealthOf(slow, later) == EndpointHealth::kProbeDue);
-  fleet.tracker_.OnProbeSent(slow, later);
-  CHECK(fleet.tracker_.HealthOf(slow, later) == EndpointHealth::kEjected);
+  CHECK(fleet.tracker.HealthOf(slow, later) == EndpointHealth::kProbeDue);
+  fleet.tracker.OnProbeSent(slow, later);
+  CHECK(fleet.tracker.HealthOf(slow, later) == EndpointHealth::kEjected);
   for (int i = 0; i < 2; ++i)
-    fleet.tracker_.OnFirstToken(slow, Milliseconds(100), Milliseconds(100),
-                                SampleKind::kProbe, later);
-  CHECK(fleet.tracker_.HealthOf(slow, later) == EndpointHealth::kHealthy);
+    fleet.tracker.OnFirstToken(slow, Milliseconds(100), Milliseconds(100),
+                               SampleKind::kProbe, later);
+  CHECK(fleet.tracker.HealthOf(slow, later) == EndpointHealth::kHealthy);
 }
 
 TEST_CASE("when all are slow none is ejected") {
   Fleet fleet;
   for (int i = 0; i < 20; ++i) {
-    for (const EndpointId& id : fleet.ids_)
-      fleet.tracker_.OnFirstToken(id, Milliseconds(900), Milliseconds(100),
-                                  SampleKind::kOrdinary, kStart);
+    for (const EndpointId& id : fleet.ids)
+      fleet.tracker.OnFirstToken(id, Milliseconds(900), Milliseconds(100),
+                                 SampleKind::kOrdinary, kStart);
   }
-  for (const EndpointId& id : fleet.ids_)
-    CHECK(fleet.tracker_.HealthOf(id, kStart) == EndpointHealth::kHealthy);
+  for (const EndpointId& id : fleet.ids)
+    CHECK(fleet.tracker.HealthOf(id, kStart) == EndpointHealth::kHealthy);
 }
 
 TEST_CASE("at most half of the endpoints are ejected by stalls") {
   Fleet fleet;
   int ejected = 0;
-  for (const EndpointId& id : fleet.ids_) {
-    fleet.tracker_.OnStall(id, SampleKind::kOrdinary, kStart);
+  for (const EndpointId& id : fleet.ids) {
+    fleet.tracker.OnStall(id, SampleKind::kOrdinary, kStart);
     ejected +=
-        fleet.tracker_.HealthOf(id, kStart) == EndpointHealth::kEjected ? 1 : 0;
+        fleet.tracker.HealthOf(id, kStart) == EndpointHealth::kEjected ? 1 : 0;
   }
   CHECK(ejected == 4);
 }
