--- a/carobshift/admission/admission_queue.cc
+++ b/carobshift/admission/admission_queue.cc
@@ -39,7 +39,7 @@
   // The account whose limit counts, and the lane in which it waits.
   Account* account = nullptr;
   Account* lane = nullptr;
-  PriorityClass priority = PriorityClass::kInteractive;
+  PriorityClass priority = PriorityClass::kNormal;
   CostUnits cost = 1;
   MonotonicTime rank{};
   MonotonicTime latest_start{};
@@ -75,6 +75,8 @@
 void AdmissionQueue::SetAccount(const AccountId& account,
                                 const AccountShare& share) {
   Account& record = FindOrAddAccount(account);
+  if (record.share == share)
+    return;
   const bool active = !record.queue.empty();
   if (active) {
     active_.erase(&record);
@@ -110,11 +112,13 @@
   item->priority = request.priority;
   item->cost = std::max(1.0, request.cost);
   item->rank = RankOf(request, now);
-  item->latest_start = now + options_.max_wait;
+  item->latest_start =
+      now + options_.max_wait[static_cast<std::size_t>(request.priority)];
   if (request.first_token_deadline) {
-    item->has_deadline = true;
-    item->latest_start =
+    const MonotonicTime by_deadline =
         *request.first_token_deadline - request.unloaded_first_token;
+    item->has_deadline = by_deadline < item->latest_start;
+    item->latest_start = std::min(by_deadline, item->latest_start);
   }
   const ResultCode late = item->has_deadline ? ResultCode::kDeadlineUnreachable
                                              : ResultCode::kOverloaded;
--- a/carobshift/admission/admission_queue.h
+++ b/carobshift/admission/admission_queue.h
@@ -30,10 +30,10 @@
 // is ranked by arrival + class * `class_step` + size offset; the rank is fixed,
 // so waiting ages it against later arrivals and none starves.
 //
-// Figures: `max_wait` is what a caller without a deadline waits in the queue at
-// most, about three times the 590 ms target. Two class steps plus the largest
-// size offset are 1.5 s, below `max_wait`, so a batch request that an account
-// sends among its interactive ones is still started in time. `max_queued`
+// Figures: `max_wait` is how long a request waits in the queue at most, about
+// three times the 590 ms target, and four times as long for low priority. Two
+// class steps plus the largest size offset are 1.5 s, so a low-priority request
+// is passed only by what arrives up to then, well within its 8 s. `max_queued`
 // bounds the memory at about 3 MB.
 //
 // Fair queueing is self-clocked by start tags: an account that becomes active
@@ -55,6 +55,7 @@
 #include <vector>
 
 #include "carobshift/admission/drain_rate.h"
+#include "carobshift/admission/priority.h"
 #include "carobshift/admission/request_cost.h"
 #include "carobshift/base/ids.h"
 #include "carobshift/base/result_code.h"
@@ -62,9 +63,6 @@
 
 namespace carobshift {
 
-enum class PriorityClass { kInteractive = 0, kNormal = 1, kBatch = 2 };
-inline constexpr std::size_t kPriorityClasses = 3;
-
 // Removes one mechanism, so that tests can show that they notice. For tests
 // only.
 enum class AdmissionMutation {
@@ -75,7 +73,9 @@
 };
 
 struct AdmissionOptions {
-  Milliseconds max_wait{2000};
+  // By priority class.
+  std::array<Milliseconds, kPriorityClasses> max_wait = {
+      Milliseconds(2000), Milliseconds(2000), Milliseconds(8000)};
   Milliseconds class_step{500};
   // Added to the rank per 1,000 cost units, up to `max_size_offset`.
   Microseconds size_offset_per_kilounit{50000};
@@ -93,14 +93,16 @@
   double weight = 1;
   // Waiting and running requests together.
   int max_in_flight = 256;
+  friend bool operator==(const AccountShare&, const AccountShare&) = default;
 };
 
 struct AdmissionRequest {
   RequestId id;
   AccountId account;
-  PriorityClass priority = PriorityClass::kInteractive;
+  PriorityClass priority = PriorityClass::kNormal;
   CostUnits cost = 1;
-  // By when the caller wants the first token, if it said so.
+  // By when the caller wants the first token, if it said so. It can shorten
+  // the longest wait, not prolong it.
   std::optional<MonotonicTime> first_token_deadline;
   // From start to first token on an unloaded endpoint.
   Microseconds unloaded_first_token{0};
--- a/carobshift/server/http/caller_request.h
+++ b/carobshift/server/http/caller_request.h
@@ -12,15 +12,13 @@
 #include <optional>
 #include <string>
 
+#include "carobshift/admission/priority.h"
 #include "carobshift/base/ids.h"
 #include "carobshift/base/result.h"
 #include "carobshift/base/units.h"
 
 namespace carobshift {
 
-// Lower runs first.
-enum class PriorityClass { kHigh = 0, kNormal = 1, kLow = 2 };
-
 struct CallerHeaders {
   std::string bearer_key;
   std::optional<IdempotencyKey> idempotency_key;
