Dispatch through admission, routing and retry

Broken connections mark a crash suspect at once: a retry would otherwise take down the next endpoint before the dead one's new incarnation is reported.

--- a/carobshift/retry/crash_suspects.cc
+++ b/carobshift/retry/crash_suspects.cc
@@ -42,24 +42,39 @@
 void CrashSuspects::OnAttemptEnd(ContentFingerprint fingerprint,
                                  const EndpointId& endpoint,
                                  bool completed) {
+  const std::optional<Attempt> attempt = Take(fingerprint, endpoint);
+  if (!attempt || !attempt->alone)
+    return;
+  trials_.erase(fingerprint);
+  if (completed)
+    records_.erase(fingerprint);
+}
+
+void CrashSuspects::OnAttemptBroken(ContentFingerprint fingerprint,
+                                    const EndpointId& endpoint,
+                                    MonotonicTime now) {
+  if (const std::optional<Attempt> attempt = Take(fingerprint, endpoint))
+    Mark(*attempt, now);
+}
+
+std::optional<CrashSuspects::Attempt> CrashSuspects::Take(
+    ContentFingerprint fingerprint,
+    const EndpointId& endpoint) {
   const auto it = attempts_.find(endpoint);
   if (it == attempts_.end())
-    return;
+    return std::nullopt;
   std::vector<Attempt>& attempts = it->second;
-  const auto attempt = std::find_if(
+  const auto found = std::find_if(
       attempts.begin(), attempts.end(),
       [&](const Attempt& a) { return a.fingerprint == fingerprint; });
-  if (attempt == attempts.end())
-    return;
-  if (attempt->alone) {
-    trials_.erase(fingerprint);
-    if (completed)
-      records_.erase(fingerprint);
-  }
-  *attempt = attempts.back();
+  if (found == attempts.end())
+    return std::nullopt;
+  const Attempt attempt = *found;
+  *found = attempts.back();
   attempts.pop_back();
   if (attempts.empty())
     attempts_.erase(it);
+  return attempt;
 }
 
 void CrashSuspects::OnEndpointCrash(const EndpointId& endpoint,
--- a/carobshift/retry/crash_suspects.h
+++ b/carobshift/retry/crash_suspects.h
@@ -38,6 +38,7 @@
 #define CAROBSHIFT_RETRY_CRASH_SUSPECTS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -101,6 +102,14 @@
                     const EndpointId& endpoint,
                     bool completed);
 
+  // The attempt's connection broke in the middle. It counts as a crash at once:
+  // the endpoint's new incarnation is seen only by a later report, and by then
+  // the retry would have taken down the next endpoint. A network fault that is
+  // taken for a crash costs the request a run alone.
+  void OnAttemptBroken(ContentFingerprint fingerprint,
+                       const EndpointId& endpoint,
+                       MonotonicTime now);
+
   // The endpoint's process has died or its incarnation has changed. Ends all
   // attempts there.
   void OnEndpointCrash(const EndpointId& endpoint, MonotonicTime now);
@@ -130,6 +139,8 @@
   };
 
   [[nodiscard]] bool IsExpired(const Record& record, MonotonicTime now) const;
+  [[nodiscard]] std::optional<Attempt> Take(ContentFingerprint fingerprint,
+                                            const EndpointId& endpoint);
   [[nodiscard]] bool HasTrial(ContentFingerprint fingerprint) const;
   void Mark(const Attempt& attempt, MonotonicTime now);
   void DropOldestIfFull(MonotonicTime now);
--- a/carobshift/server/dispatch/generate_dispatcher.cc
+++ b/carobshift/server/dispatch/generate_dispatcher.cc
@@ -1,137 +1,252 @@
 #include "carobshift/server/dispatch/generate_dispatcher.h"
 
+#include <set>
 #include <utility>
 
 #include "carobshift/server/dispatch/attempt_sink.h"
+#include "carobshift/stream/stream_assembler.h"
 
 namespace carobshift {
 namespace {
 
-constexpr std::uint32_t kMaxAttempts = 3;
-constexpr Milliseconds kNoEndpointRetryAfter{1000};
+constexpr Milliseconds kSuspectRetryAfter{1000};
 
 // An engine that says so itself has not run the request.
-bool ProvesNotRun(const Status& status) {
-  const ResultCode code = status.error().code;
+bool ProvesNotRun(ResultCode code) {
   return code == ResultCode::kNoEndpoint ||
          code == ResultCode::kEndpointRefused ||
          code == ResultCode::kVersionMismatch;
 }
 
-CallerError NoEndpointError(const StreamAssembler& assembler, bool may_ran) {
-  if (!assembler.delivered().empty()) {
-    return {ResultCode::kVersionGone, RunState::kRan,
-            "the endpoint failed and no other runs the version this answer "
-            "was begun with",
-            std::nullopt};
+CallerError SuspectError(RunState state, Milliseconds retry_after) {
+  return {ResultCode::kRequestSuspected, state,
+          "endpoints have crashed while they ran this request", retry_after};
+}
+
+FailedAttempt FailureOf(const Status& status) {
+  if (status.ok()) {
+    return {{ResultCode::kEndpointFailed, true},
+            "frames did not fit the answer"};
   }
-  return {ResultCode::kNoEndpoint,
-          may_ran ? RunState::kOutcomeUnknown : RunState::kNotRun,
-          "no endpoint of the service takes work", kNoEndpointRetryAfter};
+  return {{status.error().code, !ProvesNotRun(status.error().code)},
+          status.error().message};
 }
 
 }  // namespace
 
-GenerateOutcome GenerateDispatcher::Run(const GenerateJob& job,
-                                        AnswerWriter& writer) {
-  GenerateOutcome outcome;
-  StreamAssembler assembler{WeightVersion()};
-  std::set<EndpointId> tried;
-  bool may_have_run = false;
-  for (std::uint32_t n = 1; n <= kMaxAttempts; ++n) {
-    const AttemptNumber attempt(n);
-    const bool version_fixed = !assembler.delivered().empty();
-    const auto endpoint = Choose(
-        job, version_fixed ? assembler.version() : WeightVersion(), tried);
-    if (!endpoint)
-      break;
-    tried.insert(endpoint->id);
-    (void)assembler.ChangeVersion(endpoint->status->version);
-    assembler.BeginAttempt(attempt);
-    AttemptSink sink(attempt, assembler, writer, outcome.usage, [&] {
-      context_.metrics.Observe("carobshift_first_token_seconds",
-                               {{"service", job.service->name.value()}},
-                               MonotonicNow() - job.received);
-    });
-    const Status status = context_.platform.engines.Generate(
-        endpoint->address, MakeRequest(job, *endpoint, attempt, assembler),
-        sink);
-    {
-      const std::lock_guard lock(mutex_);
-      --in_flight_[endpoint->id];
+class GenerateDispatcher::Attempts {
+ public:
+  Attempts(EntryContext& context,
+           const LoadControl& control,
+           const GenerateJob& job,
+           ContentFingerprint fingerprint,
+           AnswerWriter& writer)
+      : context_(context),
+        control_(control),
+        job_(job),
+        fingerprint_(fingerprint),
+        writer_(writer) {}
+
+  GenerateOutcome Run() {
+    std::optional<CallerError> error;
+    for (int number = 1; !error; ++number) {
+      error = Begin(number);
+      if (error)
+        break;
+      const Status status = RunOne();
+      if (status.ok() && assembler_.complete())
+        break;
+      error = AfterFailure(number, FailureOf(status));
     }
-    if (status.ok() && assembler.complete()) {
-      RecordEnd(job, outcome);
-      return outcome;
+    outcome_.error = std::move(error);
+    return std::move(outcome_);
+  }
+
+ private:
+  // Endpoints that can take the next attempt. Once tokens were delivered, only
+  // those with the version that made them.
+  std::vector<EndpointInfo> Candidates() const {
+    std::vector<EndpointInfo> candidates =
+        control_.RefreshCandidates(*job_.service);
+    if (delivered() > 0) {
+      std::erase_if(candidates, [&](const EndpointInfo& endpoint) {
+        return endpoint.status->version != assembler_.version();
+      });
     }
-    if (sink.caller_gone()) {
-      outcome.error =
-          CallerError{ResultCode::kCancelled, RunState::kRan,
-                      "the caller closed the connection", std::nullopt};
-      RecordEnd(job, outcome);
-      return outcome;
+    return WithoutTried(std::move(candidates), tried_);
+  }
+
+  std::optional<CallerError> Begin(int number) {
+    const SuspectVerdict verdict =
+        context_.load.Judge(fingerprint_, MonotonicNow());
+    const bool runs =
+        verdict == SuspectVerdict::kRun || verdict == SuspectVerdict::kTryAlone;
+    if (!runs)
+      return SuspectError(State(), kSuspectRetryAfter);
+    if (MonotonicNow() >= job_.deadline) {
+      return CallerError{ResultCode::kDeadlineExceeded, State(),
+                         "the deadline passed before the answer began",
+                         std::nullopt};
     }
-    may_have_run = may_have_run || status.ok() || !ProvesNotRun(status);
-    context_.journal.Note(
-        job.id, MonotonicNow(), "attempt_failed",
-        {{"endpoint", endpoint->id.value()},
-         {"reason", status.ok() ? "frames did not fit the answer"
-                                : status.error().message}});
+    RouteQuery query;
+    query.id = job_.id;
+    query.prompt_tokens = EstimateTokens(job_.prompt);
+    query.zone = context_.settings.zone;
+    query.alone = verdict == SuspectVerdict::kTryAlone;
+    auto attempt =
+        control_.BeginAttempt(*job_.service, query, fingerprint_, Candidates());
+    if (!attempt && query.alone)
+      return SuspectError(State(), kSuspectRetryAfter);
+    if (!attempt)
+      return NoEndpoint();
+    attempt_ = std::move(*attempt);
+    tried_.insert(attempt_.endpoint.id);
+    (void)assembler_.ChangeVersion(attempt_.endpoint.status->version);
+    assembler_.BeginAttempt(AttemptNumber(static_cast<std::uint32_t>(number)));
+    number_ = AttemptNumber(static_cast<std::uint32_t>(number));
+    return std::nullopt;
   }
-  outcome.error = NoEndpointError(assembler, may_have_run);
-  RecordEnd(job, outcome);
-  return outcome;
-}
 
-std::optional<EndpointInfo> GenerateDispatcher::Choose(
-    const GenerateJob& job,
-    const WeightVersion& version,
-    const std::set<EndpointId>& tried) {
-  std::optional<EndpointInfo> best;
-  const auto candidates = context_.endpoints.Candidates(*job.service);
-  const std::lock_guard lock(mutex_);
-  int best_load = 0;
-  for (const EndpointInfo& candidate : candidates) {
-    const bool fits =
-        version.value().empty() || candidate.status->version == version;
-    if (!fits || tried.contains(candidate.id))
-      continue;
-    const int load = in_flight_[candidate.id];
-    if (!best || load < best_load) {
-      best = candidate;
-      best_load = load;
+  Status RunOne() {
+    const ServiceSpec& service = *job_.service;
+    AttemptSink sink(number_, assembler_, writer_, outcome_.usage,
+                     [&] { OnFirstToken(); });
+    const Status status = context_.platform.engines.Generate(
+        attempt_.endpoint.address, MakeRequest(), sink);
+    caller_gone_ = sink.caller_gone();
+    AttemptEnd end = AttemptEnd::kCompleted;
+    if (caller_gone_ || sink.abandoned()) {
+      end = AttemptEnd::kNoFault;
+    } else if (!status.ok()) {
+      end = AttemptEndOf(status.error().code);
+    }
+    context_.load.EndAttempt(service, attempt_, fingerprint_, end,
+                             MonotonicNow());
+    return status;
+  }
+
+  void OnFirstToken() {
+    const MonotonicTime now = MonotonicNow();
+    context_.load.OnFirstToken(*job_.service, &attempt_, now);
+    context_.metrics.Observe("carobshift_first_token_seconds",
+                             {{"service", job_.service->name.value()}},
+                             now - job_.received);
+  }
+
+  std::optional<CallerError> AfterFailure(int number, FailedAttempt failed) {
+    if (caller_gone_) {
+      return CallerError{ResultCode::kCancelled, RunState::kRan,
+                         "the caller closed the connection", std::nullopt};
+    }
+    may_have_run_ = may_have_run_ || failed.failure.may_have_run;
+    RetryRequest request;
+    request.id = job_.id;
+    request.attempts = number;
+    request.deadline = job_.deadline;
+    request.delivered = delivered();
+    const bool available = !Candidates().empty();
+    request.version_available = available || delivered() == 0;
+    request.endpoint_available = available;
+    failed.failure.may_have_run = may_have_run_;
+    return control_.DecideRetry(*job_.service, job_.account, request, failed);
+  }
+
+  GenerateRequest MakeRequest() const {
+    GenerateRequest request;
+    request.request = job_.id;
+    request.attempt = number_;
+    request.model = job_.service->model;
+    request.version = attempt_.endpoint.status->version;
+    request.adapter = job_.adapter;
+    request.cache_namespace =
+        MakeCacheNamespace(context_.secret, job_.account, request.model,
+                           request.version, request.adapter);
+    request.prompt = job_.prompt;
+    request.max_tokens = job_.max_tokens;
+    request.priority = static_cast<int>(job_.priority);
+    request.delivered = assembler_.delivered();
+    request.progress_timeout = job_.service->progress_timeout;
+    return request;
+  }
+
+  CallerError NoEndpoint() const {
+    if (delivered() > 0) {
+      return {ResultCode::kVersionGone, RunState::kRan,
+              "the endpoint failed and no other runs the version this answer "
+              "was begun with",
+              std::nullopt};
     }
+    return {ResultCode::kNoEndpoint, State(),
+            "no endpoint of the service takes work", kSuspectRetryAfter};
   }
-  if (best) {
-    ++in_flight_[best->id];
-    context_.journal.Note(job.id, MonotonicNow(), "dispatched",
-                          {{"endpoint", best->id.value()},
-                           {"version", best->status->version.value()},
-                           {"in_flight", best_load}});
+
+  Tokens delivered() const {
+    return static_cast<Tokens>(assembler_.delivered().size());
   }
-  return best;
+  RunState State() const {
+    if (delivered() > 0)
+      return RunState::kRan;
+    return may_have_run_ ? RunState::kOutcomeUnknown : RunState::kNotRun;
+  }
+
+  EntryContext& context_;
+  const LoadControl& control_;
+  const GenerateJob& job_;
+  const ContentFingerprint fingerprint_;
+  AnswerWriter& writer_;
+  StreamAssembler assembler_{WeightVersion()};
+  GenerateOutcome outcome_;
+  Attempt attempt_;
+  AttemptNumber number_{1};
+  std::set<EndpointId> tried_;
+  bool may_have_run_ = false;
+  bool caller_gone_ = false;
+};
+
+GenerateOutcome GenerateDispatcher::Run(const GenerateJob& job,
+                                        AnswerWriter& writer) {
+  const ServiceSpec& service = *job.service;
+  const ContentFingerprint fingerprint =
+      FingerprintOf(job.account, service.name, job.prompt);
+  GenerateOutcome outcome;
+  outcome.error = RefuseSuspect(job, fingerprint);
+  AdmitAnswer admitted;
+  if (!outcome.error) {
+    AdmitRequest request;
+    request.id = job.id;
+    request.account = job.account;
+    request.priority = job.priority;
+    request.prompt_tokens = EstimateTokens(job.prompt);
+    request.max_tokens = job.max_tokens;
+    request.deadline = job.deadline;
+    outcome.error = control_.Admit(
+        service, AccountOf(*job.config, job.account), request,
+        [&] { return writer.CallerIsGone(); }, &admitted);
+  }
+  if (outcome.error) {
+    RecordEnd(job, outcome);
+    return outcome;
+  }
+  outcome = Attempts(context_, control_, job, fingerprint, writer).Run();
+  std::optional<Tokens> tokens;
+  if (!outcome.error) {
+    tokens = outcome.usage.completion_tokens;
+    context_.load.OnSuccess(job.account, service.name);
+  }
+  context_.load.Finish(service, job.id, admitted, tokens, MonotonicNow());
+  RecordEnd(job, outcome);
+  return outcome;
 }
 
-GenerateRequest GenerateDispatcher::MakeRequest(
+std::optional<CallerError> GenerateDispatcher::RefuseSuspect(
     const GenerateJob& job,
-    const EndpointInfo& endpoint,
-    AttemptNumber attempt,
-    const StreamAssembler& assembler) const {
-  GenerateRequest request;
-  request.request = job.id;
-  request.attempt = attempt;
-  request.model = job.service->model;
-  request.version = endpoint.status->version;
-  request.adapter = job.adapter;
-  request.cache_namespace =
-      MakeCacheNamespace(context_.secret, job.account, request.model,
-                         request.version, request.adapter);
-  request.prompt = job.prompt;
-  request.max_tokens = job.max_tokens;
-  request.priority = static_cast<int>(job.priority);
-  request.delivered = assembler.delivered();
-  request.progress_timeout = job.service->progress_timeout;
-  return request;
+    ContentFingerprint fingerprint) const {
+  const MonotonicTime now = MonotonicNow();
+  if (context_.load.Judge(fingerprint, now) != SuspectVerdict::kRefuse)
+    return std::nullopt;
+  context_.journal.Note(job.id, now, "refused", {{"why", "crash suspect"}});
+  return SuspectError(RunState::kNotRun,
+                      context_.load.RefusedFor(fingerprint, now));
 }
 
 void GenerateDispatcher::RecordEnd(const GenerateJob& job,
--- a/carobshift/server/dispatch/generate_dispatcher.h
+++ b/carobshift/server/dispatch/generate_dispatcher.h
@@ -1,5 +1,5 @@
-// Brings one completion to an endpoint and its whole answer back: chooses,
-// attempts, resumes after an endpoint's death.
+// Brings one completion to an endpoint and its whole answer back: waits for
+// admission, chooses, attempts, resumes after an endpoint's death.
 //
 //   GenerateDispatcher dispatcher(context);
 //   GenerateOutcome outcome = dispatcher.Run(job, writer);
@@ -9,39 +9,32 @@
 #ifndef CAROBSHIFT_SERVER_DISPATCH_GENERATE_DISPATCHER_H_
 #define CAROBSHIFT_SERVER_DISPATCH_GENERATE_DISPATCHER_H_
 
-#include <map>
-#include <mutex>
-#include <optional>
-#include <set>
-
 #include "carobshift/platform/engine.h"
 #include "carobshift/server/dispatch/generate_job.h"
+#include "carobshift/server/dispatch/load_control.h"
 #include "carobshift/server/entry_context.h"
-#include "carobshift/stream/stream_assembler.h"
 
 namespace carobshift {
 
 class GenerateDispatcher {
  public:
-  explicit GenerateDispatcher(EntryContext& context) : context_(context) {}
+  explicit GenerateDispatcher(EntryContext& context)
+      : context_(context), control_(context) {}
 
   GenerateOutcome Run(const GenerateJob& job, AnswerWriter& writer);
 
  private:
-  // The least loaded endpoint that runs `version` (any if empty) and wasn't
-  // tried before.
-  std::optional<EndpointInfo> Choose(const GenerateJob& job,
-                                     const WeightVersion& version,
-                                     const std::set<EndpointId>& tried);
-  GenerateRequest MakeRequest(const GenerateJob& job,
-                              const EndpointInfo& endpoint,
-                              AttemptNumber attempt,
-                              const StreamAssembler& assembler) const;
+  // One request's attempts.
+  class Attempts;
+
+  // Why the request may not be run, or nothing.
+  [[nodiscard]] std::optional<CallerError> RefuseSuspect(
+      const GenerateJob& job,
+      ContentFingerprint fingerprint) const;
   void RecordEnd(const GenerateJob& job, const GenerateOutcome& outcome);
 
   EntryContext& context_;
-  std::mutex mutex_;
-  std::map<EndpointId, int> in_flight_;
+  LoadControl control_;
 };
 
 }  // namespace carobshift
--- a/carobshift/server/dispatch/plain_dispatcher.cc
+++ b/carobshift/server/dispatch/plain_dispatcher.cc
@@ -1,18 +1,41 @@
 #include "carobshift/server/dispatch/plain_dispatcher.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace carobshift {
 namespace {
 
-constexpr std::size_t kMaxAttempts = 3;
-constexpr Milliseconds kNoEndpointRetryAfter{1000};
+AdmitRequest AdmitRequestOf(const PlainJob& job) {
+  AdmitRequest request;
+  request.id = job.id;
+  request.account = job.account;
+  request.deadline = job.deadline;
+  return request;
+}
+
+RunState StateOf(bool may_have_run) {
+  return may_have_run ? RunState::kOutcomeUnknown : RunState::kNotRun;
+}
 
 }  // namespace
 
 PlainOutcome PlainDispatcher::Run(const PlainJob& job) {
-  PlainOutcome outcome = Attempts(job);
+  AdmitAnswer admitted;
+  PlainOutcome outcome;
+  // A caller that has gone is not noticed while its call waits; the wait is
+  // bounded, and the call may well be wanted to run.
+  outcome.error = control_.Admit(
+      *job.service, AccountOf(*job.config, job.account), AdmitRequestOf(job),
+      [] { return false; }, &admitted);
+  if (!outcome.error) {
+    outcome = Attempts(job);
+    const MonotonicTime now = MonotonicNow();
+    if (!outcome.error)
+      context_.load.OnSuccess(job.account, job.service->name);
+    context_.load.Finish(*job.service, job.id, admitted, std::nullopt, now);
+  }
   const ResultCode code = outcome.error ? outcome.error->code : ResultCode::kOk;
   context_.metrics.Add("carobshift_requests_total",
                        {{"service", job.service->name.value()},
@@ -23,42 +46,67 @@
 }
 
 PlainOutcome PlainDispatcher::Attempts(const PlainJob& job) {
-  const auto candidates = context_.endpoints.Candidates(*job.service);
-  const std::size_t tries = std::min(candidates.size(), kMaxAttempts);
+  std::set<EndpointId> tried;
+  RetryRequest retry;
+  retry.id = job.id;
+  retry.idempotent = job.repeatable;
+  retry.deadline = job.deadline;
   bool may_have_run = false;
-  std::string reason = "no endpoint of the service takes work";
-  ResultCode code = ResultCode::kNoEndpoint;
-  for (std::size_t i = 0; i < tries; ++i) {
-    const MonotonicTime now = MonotonicNow();
-    if (now >= job.deadline) {
-      code = ResultCode::kDeadlineExceeded;
-      reason = "the deadline passed before an endpoint answered";
-      break;
+  for (retry.attempts = 1;; ++retry.attempts) {
+    if (MonotonicNow() >= job.deadline) {
+      return {CallerError{ResultCode::kDeadlineExceeded, StateOf(may_have_run),
+                          "the deadline passed before an endpoint answered",
+                          std::nullopt},
+              {}};
+    }
+    RouteQuery query;
+    query.id = job.id;
+    query.zone = context_.settings.zone;
+    // A plain call is not judged as a crash suspect: its id is its content.
+    const ContentFingerprint fingerprint =
+        FingerprintOf(job.account, job.service->name, job.id.value());
+    auto attempt = control_.BeginAttempt(
+        *job.service, query, fingerprint,
+        WithoutTried(control_.RefreshCandidates(*job.service), tried));
+    if (!attempt) {
+      return {CallerError{ResultCode::kNoEndpoint, StateOf(may_have_run),
+                          "no endpoint of the service takes work",
+                          Milliseconds(1000)},
+              {}};
     }
-    const EndpointInfo& endpoint = candidates[next_++ % candidates.size()];
-    context_.journal.Note(job.id, now, "dispatched",
-                          {{"endpoint", endpoint.id.value()}});
-    PlainCall call{
-        job.id, job.account, job.body, job.content_type,
-        std::min(job.service->progress_timeout,
-                 std::chrono::ceil<Milliseconds>(job.deadline - now))};
-    PlainResult result =
-        context_.platform.plain_services.Call(endpoint.address, call);
+    tried.insert(attempt->endpoint.id);
+    PlainResult result = CallOnce(job, &*attempt, fingerprint);
     if (result.answer.ok())
       return {std::nullopt, std::move(result.answer).value()};
     may_have_run = may_have_run || result.may_have_run;
-    code = result.answer.error().code;
-    reason = result.answer.error().message;
-    context_.journal.Note(job.id, MonotonicNow(), "attempt_failed",
-                          {{"endpoint", endpoint.id.value()},
-                           {"may_have_run", result.may_have_run},
-                           {"reason", reason}});
-    if (result.may_have_run && !job.repeatable)
-      break;
+    const Error& error = result.answer.error();
+    auto final_error =
+        control_.DecideRetry(*job.service, job.account, retry,
+                             {{error.code, may_have_run}, error.message});
+    if (final_error)
+      return {std::move(final_error), {}};
+  }
+}
+
+PlainResult PlainDispatcher::CallOnce(const PlainJob& job,
+                                      Attempt* attempt,
+                                      ContentFingerprint fingerprint) {
+  const MonotonicTime now = MonotonicNow();
+  const PlainCall call{
+      job.id, job.account, job.body, job.content_type,
+      std::min(job.service->progress_timeout,
+               std::chrono::ceil<Milliseconds>(job.deadline - now))};
+  PlainResult result =
+      context_.platform.plain_services.Call(attempt->endpoint.address, call);
+  AttemptEnd end = AttemptEnd::kCompleted;
+  if (result.answer.ok()) {
+    context_.load.OnFirstToken(*job.service, attempt, MonotonicNow());
+  } else {
+    end = AttemptEndOf(result.answer.error().code);
   }
-  const RunState state =
-      may_have_run ? RunState::kOutcomeUnknown : RunState::kNotRun;
-  return {CallerError{code, state, reason, kNoEndpointRetryAfter}, {}};
+  context_.load.EndAttempt(*job.service, *attempt, fingerprint, end,
+                           MonotonicNow());
+  return result;
 }
 
 }  // namespace carobshift
--- a/carobshift/server/dispatch/plain_dispatcher.h
+++ b/carobshift/server/dispatch/plain_dispatcher.h
@@ -9,12 +9,12 @@
 #ifndef CAROBSHIFT_SERVER_DISPATCH_PLAIN_DISPATCHER_H_
 #define CAROBSHIFT_SERVER_DISPATCH_PLAIN_DISPATCHER_H_
 
-#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "carobshift/platform/plain_service.h"
+#include "carobshift/server/dispatch/load_control.h"
 #include "carobshift/server/entry_context.h"
 #include "carobshift/server/http/caller_error.h"
 
@@ -41,16 +41,20 @@
 
 class PlainDispatcher {
  public:
-  explicit PlainDispatcher(EntryContext& context) : context_(context) {}
+  explicit PlainDispatcher(EntryContext& context)
+      : context_(context), control_(context) {}
 
   PlainOutcome Run(const PlainJob& job);
 
  private:
   PlainOutcome Attempts(const PlainJob& job);
 
+  PlainResult CallOnce(const PlainJob& job,
+                       Attempt* attempt,
+                       ContentFingerprint fingerprint);
+
   EntryContext& context_;
-  // Where the next call starts in the list of candidates.
-  std::atomic<std::size_t> next_{0};
+  LoadControl control_;
 };
 
 }  // namespace carobshift
--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -32,6 +32,12 @@
           settings.keep_alive_timeout};
 }
 
+// A quarter of the worker threads may wait for one service; the others run
+// requests, or refuse them without having to wait for a thread.
+std::size_t WaitingLimit(const Settings& settings) {
+  return static_cast<std::size_t>(settings.http_threads) / 4 + 1;
+}
+
 }  // namespace
 
 // Members are in the order in which they depend on each other.
@@ -39,9 +45,11 @@
   Parts(Settings given, std::string given_secret, PlatformClients platform)
       : settings(std::move(given)),
         secret(std::move(given_secret)),
-        context{settings, secret,  Incarnation(RandomUint64()),
-                platform, config,  endpoints,
-                journal,  metrics, state_dump},
+        load(WaitingLimit(settings)),
+        context{settings,  secret,  Incarnation(RandomUint64()),
+                platform,  config,  endpoints,
+                load,      journal, metrics,
+                state_dump},
         front(FrontOptions(settings), routes) {}
 
   void AddRoutes() {
@@ -59,6 +67,7 @@
   void AddStateSections() {
     state_dump.Register("config", config);
     state_dump.Register("endpoints", endpoints);
+    state_dump.Register("load", load);
     state_dump.Register("requests", journal);
   }
 
@@ -75,6 +84,7 @@
 
   ConfigTable config;
   EndpointTable endpoints;
+  LoadTable load;
   RequestJournal journal;
   Metrics metrics;
   StateDump state_dump;
--- a/carobshift/server/entry_context.h
+++ b/carobshift/server/entry_context.h
@@ -17,6 +17,7 @@
 #include "carobshift/server/settings.h"
 #include "carobshift/server/tables/config_table.h"
 #include "carobshift/server/tables/endpoint_table.h"
+#include "carobshift/server/tables/load_table.h"
 #include "carobshift/server/tables/request_journal.h"
 #include "carobshift/telemetry/metrics.h"
 
@@ -39,6 +40,7 @@
   PlatformClients platform;
   ConfigTable& config;
   EndpointTable& endpoints;
+  LoadTable& load;
   RequestJournal& journal;
   Metrics& metrics;
   StateDump& state_dump;
--- /dev/null
+++ b/carobshift/server/tables/service_load.cc
@@ -0,0 +1,211 @@
+#include "carobshift/server/tables/service_load.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+#include "carobshift/base/digest.h"
+
+namespace carobshift {
+namespace {
+
+constexpr double kNewWeight = 0.1;
+// Shorter prefills are dominated by the network and the first decode step.
+constexpr Tokens kLeastPrefillToLearn = 256;
+constexpr double kLeastPrefillRate = 100;
+// Per answer, so that a service that has become slower is believed after some
+// hundred answers.
+constexpr double kFastestGrowth = 1.01;
+
+}  // namespace
+
+ServiceLoad::ServiceLoad(const AdmissionOptions& admission,
+                         const ServiceSpec& service)
+    : queue_(admission),
+      share_(ConcurrencyLimitOptions{}, service.first_token_target) {}
+
+std::vector<EndpointId> ServiceLoad::Refresh(
+    const ServiceSpec& service,
+    const std::vector<EndpointInfo>& candidates,
+    int live_entries) {
+  std::vector<EndpointId> ids;
+  std::vector<EndpointId> crashed;
+  for (const EndpointInfo& endpoint : candidates)
+    ids.push_back(endpoint.id);
+  share_.SetEndpoints(ids);
+  health_.Retain(ids);
+  // Plain services report no load: each entry adapts to them by itself.
+  share_.SetEntries(service.kind == ServiceKind::kPlain ? 1 : live_entries);
+  for (const EndpointInfo& endpoint : candidates) {
+    Record& record = records_[endpoint.id];
+    if (!endpoint.status || endpoint.status_time == record.report_time)
+      continue;
+    const EngineStatus& status = *endpoint.status;
+    if (record.incarnation != 0 && record.incarnation != status.incarnation)
+      crashed.push_back(endpoint.id);
+    record.incarnation = status.incarnation;
+    record.report_time = endpoint.status_time;
+    record.own_at_report = std::min(share_.OwnInProgress(endpoint.id),
+                                    status.running + status.queued);
+    record.prefill_at_report =
+        std::min(record.pending_prefill, status.queued_prefill_tokens);
+    share_.OnReport(endpoint.id, status.running + status.queued);
+  }
+  const std::unordered_set<EndpointId> kept(ids.begin(), ids.end());
+  std::erase_if(records_, [&](const auto& item) {
+    return !kept.contains(item.first) && share_.OwnInProgress(item.first) == 0;
+  });
+  queue_.SetCapacity(share_.Allowance());
+  return crashed;
+}
+
+std::optional<Attempt> ServiceLoad::Choose(
+    const RouteQuery& query,
+    const std::vector<EndpointInfo>& candidates,
+    MonotonicTime now) {
+  std::vector<EndpointLoad> loads;
+  std::vector<std::size_t> positions;
+  std::vector<CacheHit> hits;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const EndpointLoad load = LoadOf(candidates[i], query.alone, now);
+    const bool busy = query.alone && EstimatedInProgress(load) > 0;
+    const auto record = records_.find(candidates[i].id);
+    if (busy || (record != records_.end() && record->second.exclusive))
+      continue;
+    for (const auto& [holder, tokens] : query.cache.hits) {
+      if (holder == candidates[i].id)
+        hits.push_back({loads.size(), tokens});
+    }
+    loads.push_back(load);
+    positions.push_back(i);
+  }
+  RoutingInput input;
+  input.request.prompt_tokens = query.prompt_tokens;
+  input.request.request_hash = FastHash(query.id.value());
+  input.request.zone = query.zone;
+  input.endpoints = loads;
+  input.hits = hits;
+  input.imports = query.cache.imports;
+  input.turn = turn_++;
+  const RoutingChoice choice = RoutingStrategies().front().choose(input);
+  if (!choice.found())
+    return std::nullopt;
+  Attempt attempt;
+  attempt.endpoint = candidates[positions[choice.endpoint]];
+  attempt.choice = choice;
+  attempt.alone = query.alone;
+  attempt.begin = now;
+  Record& record = records_[attempt.endpoint.id];
+  record.pending_prefill += choice.prefill;
+  record.exclusive = query.alone;
+  share_.OnDispatch(attempt.endpoint.id);
+  if (choice.reason == RouteReason::kProbe)
+    health_.OnProbeSent(attempt.endpoint.id, now);
+  return attempt;
+}
+
+void ServiceLoad::OnFirstToken(Attempt* attempt, MonotonicTime now) {
+  if (attempt->got_first_token)
+    return;
+  attempt->got_first_token = true;
+  const EndpointId& id = attempt->endpoint.id;
+  const RoutingChoice& choice = attempt->choice;
+  const Microseconds observed = now - attempt->begin;
+  const bool probe = choice.reason == RouteReason::kProbe;
+  records_[id].pending_prefill -= choice.prefill;
+  const Microseconds unloaded = UnloadedTime(*attempt, observed);
+  share_.OnFirstToken(id, observed, unloaded, now);
+  health_.OnFirstToken(id, observed, choice.expected_wait + unloaded,
+                       probe ? SampleKind::kProbe : SampleKind::kOrdinary, now);
+  LearnPrefillRate(*attempt, observed);
+}
+
+void ServiceLoad::OnEnd(const Attempt& attempt,
+                        bool failed,
+                        MonotonicTime now) {
+  const EndpointId& id = attempt.endpoint.id;
+  Record& record = records_[id];
+  if (!attempt.got_first_token)
+    record.pending_prefill -= attempt.choice.prefill;
+  if (attempt.alone)
+    record.exclusive = false;
+  share_.OnEnd(id, failed, now);
+  if (failed) {
+    const bool probe = attempt.choice.reason == RouteReason::kProbe;
+    health_.OnStall(id, probe ? SampleKind::kProbe : SampleKind::kOrdinary,
+                    now);
+  }
+  const auto micros = static_cast<double>((now - attempt.begin).count());
+  attempt_micros_ += kNewWeight * (micros - attempt_micros_);
+  queue_.SetCapacity(share_.Allowance());
+}
+
+Tokens ServiceLoad::ExpectedDecode(Tokens max_tokens) const {
+  return std::min(max_tokens, static_cast<Tokens>(decode_tokens_) + 1);
+}
+
+void ServiceLoad::OnAnswer(Tokens completion_tokens) {
+  decode_tokens_ +=
+      kNewWeight * (static_cast<double>(completion_tokens) - decode_tokens_);
+}
+
+Microseconds ServiceLoad::PrefillTime(Tokens tokens) const {
+  return Microseconds(static_cast<std::int64_t>(static_cast<double>(tokens) /
+                                                prefill_rate_ * 1e6));
+}
+
+EndpointLoad ServiceLoad::LoadOf(const EndpointInfo& endpoint,
+                                 bool alone,
+                                 MonotonicTime now) const {
+  EndpointLoad load;
+  load.id = endpoint.id;
+  load.zone = endpoint.zone;
+  load.own_in_progress = share_.OwnInProgress(endpoint.id);
+  load.limit = share_.LimitOf(endpoint.id);
+  load.prefill_rate = prefill_rate_;
+  load.slowdown = health_.SlowdownOf(endpoint.id);
+  load.health = health_.HealthOf(endpoint.id, now);
+  // A trial of a suspect says nothing about an endpoint's recovery.
+  if (alone && load.health == EndpointHealth::kProbeDue)
+    load.health = EndpointHealth::kEjected;
+  const auto it = records_.find(endpoint.id);
+  if (it != records_.end()) {
+    load.own_pending_prefill = it->second.pending_prefill;
+    load.own_at_report = it->second.own_at_report;
+    load.own_prefill_at_report = it->second.prefill_at_report;
+  }
+  if (endpoint.status) {
+    load.reported_running = endpoint.status->running;
+    load.reported_queued = endpoint.status->queued;
+    load.reported_queued_prefill = endpoint.status->queued_prefill_tokens;
+  }
+  load.place_time = Microseconds(
+      static_cast<std::int64_t>(attempt_micros_ / std::max(1.0, load.limit)));
+  return load;
+}
+
+// A plain call has no prefill to derive it from.
+Microseconds ServiceLoad::UnloadedTime(const Attempt& attempt,
+                                       Microseconds observed) {
+  if (attempt.choice.prefill > 0)
+    return attempt.choice.unloaded_first_token;
+  const auto micros = static_cast<double>(observed.count());
+  fastest_micros_ = fastest_micros_ == 0
+                        ? micros
+                        : std::min(micros, fastest_micros_ * kFastestGrowth);
+  return Microseconds(static_cast<std::int64_t>(fastest_micros_));
+}
+
+// From attempts that should not have waited; others would mix the queue in.
+void ServiceLoad::LearnPrefillRate(const Attempt& attempt,
+                                   Microseconds observed) {
+  const RoutingChoice& choice = attempt.choice;
+  if (choice.prefill < kLeastPrefillToLearn || choice.import ||
+      choice.expected_wait.count() > 0 || observed.count() <= 0)
+    return;
+  const double sample = static_cast<double>(choice.prefill) * 1e6 /
+                        static_cast<double>(observed.count());
+  prefill_rate_ = std::max(
+      kLeastPrefillRate, prefill_rate_ + kNewWeight * (sample - prefill_rate_));
+}
+
+}  // namespace carobshift
