--- a/carobshift/server/commands/caller_identity.cc
+++ b/carobshift/server/commands/caller_identity.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/base/operator_key.h"
 
 namespace carobshift {
 namespace {
@@ -16,7 +17,7 @@
 }  // namespace
 
 Result<CallerIdentity> IdentifyCaller(const EntryContext& context,
-                                      const HttpExchange& exchange) {
+                                      const RequestExchange& exchange) {
   auto headers = ParseCallerHeaders(
       exchange.request, context.settings.default_deadline, exchange.received);
   if (!headers.ok())
@@ -48,11 +49,7 @@
   return service;
 }
 
-std::string OperatorKey(const std::string& secret) {
-  return HexEncode(HmacSha256(secret, "carobshift operator"));
-}
-
-bool IsOperator(const EntryContext& context, const HttpExchange& exchange) {
+bool IsOperator(const EntryContext& context, const RequestExchange& exchange) {
   const std::string given = exchange.request.get("Authorization", "");
   return ConstantTimeEqual(given, "Bearer " + OperatorKey(context.secret));
 }
