cache: directory, conversation table, handle guard and return planner

Cause: a returning prompt whose blocks are evicted must find them again, and must never read a freed, partly written or foreign block.

Pure modules: block_directory (holders per block, sequence gaps and restarts make an endpoint unknown until re-listed), conversation_table with gap_model, handle_guard and import_check (only sealed and pinned objects are named), link_budget and store_table (budget per link, measured rate, dead and full stores), export_policy (strategies in a table), export_queue, return_planner.

Ruled out: an unordered_map of holder lists for the directory (several times the memory at three million blocks); blocking on a full link (an import that waits longer than a first token may take is a recompute).

--- /dev/null
+++ b/carobshift/cache/conversation_table.cc
@@ -0,0 +1,70 @@
+#include "carobshift/cache/conversation_table.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace carobshift {
+
+ConversationTable::ConversationTable(const ConversationTableOptions& options)
+    : options_(options) {}
+
+std::vector<HandleId> ConversationTable::EvictOldest() {
+  Entry& oldest = entries_.back();
+  std::vector<HandleId> orphans = std::move(oldest.conversation.handles);
+  population_.RecordNever();
+  index_.erase(oldest.key);
+  entries_.pop_back();
+  return orphans;
+}
+
+std::vector<HandleId> ConversationTable::OnTurn(const ConversationKey& key,
+                                                MonotonicTime now) {
+  std::vector<HandleId> orphans;
+  const auto it = index_.find(key);
+  if (it == index_.end()) {
+    if (entries_.size() >= options_.max_conversations)
+      orphans = EvictOldest();
+    entries_.push_front({key, {}});
+    index_.emplace(key, entries_.begin());
+  } else {
+    Conversation& known = it->second->conversation;
+    const auto gap = std::chrono::duration_cast<Seconds>(now - known.last_seen);
+    known.gaps.Record(gap);
+    population_.Record(gap);
+    entries_.splice(entries_.begin(), entries_, it->second);
+  }
+  Conversation& conversation = entries_.front().conversation;
+  conversation.last_seen = now;
+  ++conversation.turns;
+  return orphans;
+}
+
+std::vector<HandleId> ConversationTable::AddHandle(const ConversationKey& key,
+                                                   HandleId handle) {
+  const auto it = index_.find(key);
+  if (it == index_.end())
+    return {handle};
+  std::vector<HandleId>& handles = it->second->conversation.handles;
+  std::vector<HandleId> pushed_out;
+  if (handles.size() >= kMaxHandlesPerConversation) {
+    pushed_out.push_back(handles.front());
+    handles.erase(handles.begin());
+  }
+  handles.push_back(handle);
+  return pushed_out;
+}
+
+void ConversationTable::RemoveHandle(const ConversationKey& key,
+                                     HandleId handle) {
+  const auto it = index_.find(key);
+  if (it != index_.end())
+    std::erase(it->second->conversation.handles, handle);
+}
+
+const Conversation* ConversationTable::Find(const ConversationKey& key) const {
+  const auto it = index_.find(key);
+  return it == index_.end() ? nullptr : &it->second->conversation;
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/cache/conversation_table_test.cc
@@ -0,0 +1,72 @@
+#include "carobshift/cache/conversation_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace carobshift {
+namespace {
+
+const MonotonicTime kStart{Seconds(1000)};
+
+ConversationKey Key(const std::string& account, const std::string& id) {
+  return {AccountId(account), ConversationId(id)};
+}
+
+}  // namespace
+
+TEST_CASE("the conversation not seen for longest gives way, with its handles") {
+  ConversationTable table(ConversationTableOptions{2});
+  CHECK(table.OnTurn(Key("a", "1"), kStart).empty());
+  CHECK(table.AddHandle(Key("a", "1"), HandleId(11)).empty());
+  CHECK(table.OnTurn(Key("a", "2"), kStart + Seconds(1)).empty());
+  CHECK(table.OnTurn(Key("a", "3"), kStart + Seconds(2)) ==
+        std::vector{HandleId(11)});
+  CHECK(table.Find(Key("a", "1")) == nullptr);
+  CHECK(table.size() == 2);
+  // A handle whose export ended after the eviction comes straight back.
+  CHECK(table.AddHandle(Key("a", "1"), HandleId(12)) ==
+        std::vector{HandleId(12)});
+}
+
+// Two client accounts choose the same conversation id, one of them perhaps on
+// purpose. The other's handles must not be found by it.
+TEST_CASE("equal conversation ids of two accounts share nothing") {
+  ConversationTable table(ConversationTableOptions{});
+  CHECK(table.OnTurn(Key("a", "same"), kStart).empty());
+  CHECK(table.AddHandle(Key("a", "same"), HandleId(1)).empty());
+  CHECK(table.Find(Key("b", "same")) == nullptr);
+  CHECK(table.OnTurn(Key("b", "same"), kStart).empty());
+  CHECK(table.Find(Key("b", "same"))->handles.empty());
+}
+
+TEST_CASE("a conversation keeps its newest handles only") {
+  ConversationTable table(ConversationTableOptions{});
+  CHECK(table.OnTurn(Key("a", "1"), kStart).empty());
+  for (std::uint64_t id = 1; id <= kMaxHandlesPerConversation; ++id)
+    CHECK(table.AddHandle(Key("a", "1"), HandleId(id)).empty());
+  CHECK(table.AddHandle(Key("a", "1"), HandleId(9)) ==
+        std::vector{HandleId(1)});
+  CHECK(table.Find(Key("a", "1"))->handles.size() ==
+        kMaxHandlesPerConversation);
+}
+
+TEST_CASE("own gaps outweigh the population's, and idle time counts") {
+  GapModel population;
+  for (int i = 0; i < 1000; ++i)
+    population.RecordNever();
+  const Seconds day(86400);
+  const GapHistory none;
+  CHECK(ReturnProbability(population, none, Seconds(0), Seconds(600), 7 * day) <
+        0.02);
+  GapHistory daily;
+  for (int i = 0; i < 8; ++i)
+    daily.Record(day);
+  CHECK(ReturnProbability(population, daily, Seconds(0), Seconds(600),
+                          7 * day) > 0.6);
+  // Away for much longer than ever before: probably over.
+  CHECK(ReturnProbability(population, daily, 4 * day, Seconds(600), 7 * day) <
+        0.02);
+  CHECK(ReturnProbability(population, daily, 8 * day, Seconds(600), 7 * day) ==
+        0.0);
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/cache/handle_guard_test.cc
@@ -0,0 +1,152 @@
+#include "carobshift/cache/handle_guard.h"
+
+#include <catch2/catch.hpp>
+
+#include "carobshift/cache/import_check.h"
+
+namespace carobshift {
+namespace {
+
+const ConversationKey kOwner{AccountId("a"), ConversationId("c")};
+const StoreId kStore("store-1");
+const std::vector<BlockHash> kChain = {{1, 1}, {2, 2}, {3, 3}};
+const MonotonicTime kStart{Seconds(1000)};
+
+CacheNamespace Namespace(const std::string& account = "a") {
+  return MakeCacheNamespace("s", AccountId(account), ModelName("m"),
+                            WeightVersion("1"), AdapterName(""));
+}
+
+BlockHandle Handle() {
+  return {kStore, 5, 77, "object", kChain[1], 2 * kBlockTokens, 1000};
+}
+
+HandleId Sealed(HandleGuard& guard) {
+  const auto id = guard.BeginExport(kOwner, Namespace(), kStore, kStart);
+  REQUIRE(guard.OnExportEnd(*id, Handle(), kStart));
+  return *id;
+}
+
+HandleId Pinned(HandleGuard& guard) {
+  const HandleId id = Sealed(guard);
+  REQUIRE(guard.BeginPin(id, Namespace(), kChain, Milliseconds(100), kStart));
+  guard.OnPinEnd(id, Status(), kStart);
+  return id;
+}
+
+}  // namespace
+
+TEST_CASE("only a sealed and pinned object is named") {
+  HandleGuard guard(GuardOptions{});
+  const auto id = guard.BeginExport(kOwner, Namespace(), kStore, kStart);
+  const auto pin = [&] {
+    return guard.BeginPin(*id, Namespace(), kChain, Milliseconds(100), kStart);
+  };
+  const auto use = [&](MonotonicTime now) {
+    return guard.Use(*id, Namespace(), kChain, now);
+  };
+  CHECK_FALSE(pin().has_value());
+  CHECK_FALSE(use(kStart).has_value());
+  REQUIRE(guard.OnExportEnd(*id, Handle(), kStart));
+  CHECK_FALSE(use(kStart).has_value());
+  REQUIRE(pin().has_value());
+  CHECK_FALSE(use(kStart).has_value());
+  guard.OnPinEnd(*id, Status(), kStart + Seconds(1));
+  CHECK(use(kStart + Seconds(1)) == Handle());
+  CHECK_FALSE(use(kStart + kMinPin - kPinMargin + Milliseconds(1)).has_value());
+}
+
+// An engine dies in the middle of an export, or answers for another place.
+// Naming what it left would hand a caller half a context.
+TEST_CASE("a failed export leaves nothing to name") {
+  HandleGuard guard(GuardOptions{});
+  const auto id = guard.BeginExport(kOwner, Namespace(), kStore, kStart);
+  SECTION("no answer") {
+    CHECK_FALSE(guard.OnExportEnd(
+        *id, Error{ResultCode::kEndpointFailed, "died"}, kStart));
+  }
+  SECTION("another store") {
+    BlockHandle other = Handle();
+    other.store = StoreId("store-2");
+    CHECK_FALSE(guard.OnExportEnd(*id, other, kStart));
+  }
+  CHECK(guard.Find(*id) == nullptr);
+  // A late second answer changes nothing.
+  CHECK_FALSE(guard.OnExportEnd(*id, Handle(), kStart));
+  CHECK(guard.TakeForgotten().size() == 1);
+}
+
+// Another client account guesses the conversation id, or a swap of weights
+// came between the turns; either prompt may be equal to the stored one.
+TEST_CASE("a pinned object is granted to its own namespace and chain only") {
+  HandleGuard guard(GuardOptions{});
+  const HandleId id = Pinned(guard);
+  CHECK_FALSE(guard.Use(id, Namespace("b"), kChain, kStart).has_value());
+  const std::vector<BlockHash> other = {{1, 1}, {2, 9}, {3, 3}};
+  CHECK_FALSE(guard.Use(id, Namespace(), other, kStart).has_value());
+  const std::vector<BlockHash> shorter = {{1, 1}};
+  CHECK_FALSE(guard.Use(id, Namespace(), shorter, kStart).has_value());
+  CHECK(guard.Use(id, Namespace(), kChain, kStart).has_value());
+}
+
+TEST_CASE("an object in use or pinned is not given up") {
+  HandleGuard guard(GuardOptions{});
+  const HandleId id = Pinned(guard);
+  CHECK_FALSE(guard.MayDrop(id, kStart));
+  REQUIRE(guard.Use(id, Namespace(), kChain, kStart).has_value());
+  const MonotonicTime later = kStart + kMinPin;
+  CHECK_FALSE(guard.MayDrop(id, later));
+  guard.EndUse(id, true, later);
+  CHECK(guard.MayDrop(id, later));
+}
+
+TEST_CASE("a rejected pin or import forgets, a silent store does not") {
+  HandleGuard guard(GuardOptions{});
+  const HandleId id = Sealed(guard);
+  const auto pin = [&] {
+    return guard.BeginPin(id, Namespace(), kChain, Milliseconds(1), kStart);
+  };
+  REQUIRE(pin());
+  guard.OnPinEnd(id, Error{ResultCode::kStoreUnavailable, ""}, kStart);
+  CHECK(guard.Find(id) != nullptr);
+  CHECK_FALSE(guard.Use(id, Namespace(), kChain, kStart).has_value());
+  REQUIRE(pin());
+  SECTION("pin") {
+    guard.OnPinEnd(id, Error{ResultCode::kBlockRejected, ""}, kStart);
+  }
+  SECTION("import") {
+    guard.OnPinEnd(id, Status(), kStart);
+    REQUIRE(guard.Use(id, Namespace(), kChain, kStart));
+    guard.EndUse(id, false, kStart);
+  }
+  CHECK(guard.Find(id) == nullptr);
+}
+
+// A store restarts with empty memory. Handles of its earlier life would meet
+// whatever is written under their names next.
+TEST_CASE("a store's new generation forgets what the old one held") {
+  HandleGuard guard(GuardOptions{});
+  const HandleId old = Sealed(guard);
+  const auto running = guard.BeginExport(kOwner, Namespace(), kStore, kStart);
+  CHECK(guard.OnStoreGeneration(kStore, 5) == 0);
+  CHECK(guard.OnStoreGeneration(kStore, 6) == 1);
+  CHECK(guard.Find(old) == nullptr);
+  CHECK(guard.Find(*running) != nullptr);
+  CHECK(guard.OnStoreGone(kStore) == 1);
+}
+
+TEST_CASE("what is under a name must be what was named, and complete") {
+  const StoredObject good{5, 77, kChain[1], true};
+  CHECK(CheckImport(Handle(), good) == ImportVerdict::kUsable);
+  StoredObject bad = good;
+  bad.sealed = false;
+  CHECK(CheckImport(Handle(), bad) == ImportVerdict::kNotSealed);
+  bad = good;
+  bad.generation = 6;
+  CHECK(CheckImport(Handle(), bad) == ImportVerdict::kOtherGeneration);
+  bad = good;
+  bad.checksum = 78;
+  CHECK(CheckImport(Handle(), bad) == ImportVerdict::kOtherChecksum);
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/cache/mutation.h
@@ -0,0 +1,25 @@
+// Switches that take one safety mechanism out of this package, so that the
+// fuzz tests can show that they notice its absence. For tests only: every
+// options struct defaults to kNone.
+//
+//   DirectoryOptions options;
+//   options.mutation = CacheMutation::kNoGapDetection;
+
+#ifndef CAROBSHIFT_CACHE_MUTATION_H_
+#define CAROBSHIFT_CACHE_MUTATION_H_
+
+namespace carobshift {
+
+enum class CacheMutation {
+  kNone,
+  kNoSealCheck,
+  kNoGenerationCheck,
+  kNoChecksum,
+  kNoNamespaceInChain,
+  kNoGapDetection,
+  kNoPin,
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_CACHE_MUTATION_H_
--- /dev/null
+++ b/carobshift/cache/return_planner.cc
@@ -0,0 +1,324 @@
+#include "carobshift/cache/return_planner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace carobshift {
+namespace {
+
+Seconds SecondsBetween(MonotonicTime from, MonotonicTime to) {
+  return std::max(Seconds(0), std::chrono::duration_cast<Seconds>(to - from));
+}
+
+}  // namespace
+
+ReturnPlanner::ReturnPlanner(const ReturnPlannerOptions& options)
+    : options_(options),
+      conversations_(options.conversations),
+      guard_(options.guard) {}
+
+PlannerStats ReturnPlanner::Stats() const {
+  PlannerStats stats = stats_;
+  stats.conversations = conversations_.size();
+  stats.objects = guard_.size();
+  stats.candidates = queue_.size();
+  return stats;
+}
+
+Milliseconds ReturnPlanner::RecomputeTime(Tokens tokens) const {
+  const double ms =
+      static_cast<double>(tokens) * 1000.0 / options_.prefill_tokens_per_second;
+  return Milliseconds(static_cast<std::int64_t>(ms));
+}
+
+void ReturnPlanner::SyncForgotten() {
+  for (const TrackedObject& object : guard_.TakeForgotten())
+    conversations_.RemoveHandle(object.owner, object.id);
+}
+
+void ReturnPlanner::OnTurnEnd(TurnEnd turn, MonotonicTime now) {
+  for (const HandleId orphan : conversations_.OnTurn(turn.key, now))
+    to_drop_.push_back(orphan);
+  if (turn.chain.empty()) {
+    queue_.RemoveOf(turn.key);
+    return;
+  }
+  const MonotonicTime not_before =
+      options_.strategy->waits_for_pause ? now + kExportDelay : now;
+  if (queue_.Push(std::move(turn), now, not_before))
+    ++stats_.candidates_dropped;
+}
+
+void ReturnPlanner::OnMemoryPressure(const EndpointId& endpoint,
+                                     MonotonicTime now) {
+  queue_.Hurry(endpoint, now);
+}
+
+// Tokens of the turn's chain that a sealed object covers already.
+Tokens ReturnPlanner::StoredTokens(const TurnEnd& turn) const {
+  const Conversation* known = conversations_.Find(turn.key);
+  Tokens stored = 0;
+  if (known == nullptr)
+    return stored;
+  for (const HandleId id : known->handles) {
+    const TrackedObject* object = guard_.Find(id);
+    if (object != nullptr && object->state != ObjectState::kExporting &&
+        object->cache_namespace == turn.cache_namespace &&
+        IsPrefixOf(object->handle, turn.chain)) {
+      stored = std::max(stored, object->handle.tokens);
+    }
+  }
+  return stored;
+}
+
+Valuation ReturnPlanner::ValueCandidate(const ExportCandidate& candidate,
+                                        const StoreId& store,
+                                        MonotonicTime now) const {
+  Valuation value;
+  const Conversation* known = conversations_.Find(candidate.turn.key);
+  if (known == nullptr)
+    return value;
+  value.idle = SecondsBetween(known->last_seen, now);
+  value.return_probability =
+      ReturnProbability(conversations_.population(), known->gaps, value.idle,
+                        options_.engine_residence, options_.horizon);
+  const Tokens tokens = TokensOf(candidate.turn);
+  value.saved = RecomputeTime(tokens - StoredTokens(candidate.turn));
+  value.bytes = BytesOf(candidate.turn);
+  value.link_time =
+      stores_.ImportTime(store, value.bytes, now).value_or(Milliseconds::max());
+  value.link_pressure = stores_.LinkPressure(store, now);
+  return value;
+}
+
+Valuation ReturnPlanner::ValueObject(const TrackedObject& object,
+                                     MonotonicTime now) const {
+  Valuation value;
+  const Conversation* known = conversations_.Find(object.owner);
+  value.bytes = object.handle.bytes;
+  value.stored_for = SecondsBetween(object.last_used, now);
+  value.idle = value.stored_for;
+  if (known == nullptr)
+    return value;
+  value.idle = SecondsBetween(known->last_seen, now);
+  value.return_probability =
+      ReturnProbability(conversations_.population(), known->gaps, value.idle,
+                        options_.engine_residence, options_.horizon);
+  value.saved = RecomputeTime(object.handle.tokens);
+  return value;
+}
+
+double ReturnPlanner::BestScore(const ExportCandidate& candidate,
+                                std::span<const StoreId> stores,
+                                MonotonicTime now) const {
+  if (stores.empty())
+    return 0.0;
+  const Tokens tokens = TokensOf(candidate.turn);
+  const Tokens stored = StoredTokens(candidate.turn);
+  if (static_cast<double>(tokens) <
+      static_cast<double>(stored) * kSupersedeShare) {
+    return 0.0;
+  }
+  return options_.strategy->export_score(
+      ValueCandidate(candidate, stores.front(), now));
+}
+
+void ReturnPlanner::DropObject(HandleId id, Moves& moves) {
+  const TrackedObject* object = guard_.Find(id);
+  if (object == nullptr)
+    return;
+  stores_.OnDropped(object->handle.store, object->handle.bytes);
+  moves.drops.push_back(object->handle);
+  guard_.Forget(id);
+}
+
+bool ReturnPlanner::MakeRoom(const StoreId& store,
+                             Bytes bytes,
+                             double score,
+                             MonotonicTime now,
+                             Moves& moves) {
+  Bytes missing = bytes - stores_.Room(store);
+  if (missing <= 0)
+    return true;
+  std::vector<std::pair<double, const TrackedObject*>> victims;
+  for (const TrackedObject* object :
+       guard_.Sample(sample_cursor_, kVictimSample)) {
+    sample_cursor_ = object->id;
+    if (object->handle.store != store || !guard_.MayDrop(object->id, now))
+      continue;
+    const double keep =
+        options_.strategy->keep_score(ValueObject(*object, now));
+    // Scores of the baselines' exports don't compare with what is stored.
+    if (!options_.strategy->waits_for_pause || keep < score)
+      victims.emplace_back(keep, object);
+  }
+  std::sort(victims.begin(), victims.end());
+  std::vector<HandleId> chosen;
+  for (const auto& [keep, object] : victims) {
+    if (missing <= 0)
+      break;
+    missing -= object->handle.bytes;
+    chosen.push_back(object->id);
+  }
+  // Giving up some without making enough room would gain nothing.
+  if (missing > 0)
+    return false;
+  for (const HandleId id : chosen) {
+    DropObject(id, moves);
+    ++stats_.evictions;
+  }
+  return true;
+}
+
+bool ReturnPlanner::TryExport(const ExportCandidate& candidate,
+                              std::span<const StoreId> stores,
+                              MonotonicTime now,
+                              Moves& moves) {
+  const TurnEnd& turn = candidate.turn;
+  const Bytes bytes = BytesOf(turn);
+  for (const StoreId& store : stores) {
+    const auto wait = stores_.ExportWait(store, bytes, now);
+    if (!wait.has_value() || *wait > Milliseconds(0))
+      continue;
+    const double score =
+        options_.strategy->export_score(ValueCandidate(candidate, store, now));
+    if (score <= 0 || !MakeRoom(store, bytes, score, now, moves))
+      continue;
+    const auto id =
+        guard_.BeginExport(turn.key, turn.cache_namespace, store, now);
+    if (!id.has_value())
+      return false;
+    const auto transfer =
+        stores_.Begin(store, TransferKind::kExport, bytes, now);
+    if (!transfer.has_value()) {
+      guard_.Forget(*id);
+      continue;
+    }
+    moves.exports.push_back({*id, transfer->id, turn.endpoint,
+                             turn.cache_namespace, turn.chain, store,
+                             turn.bytes_per_token, bytes});
+    ++stats_.exports_ordered;
+    return true;
+  }
+  return false;
+}
+
+void ReturnPlanner::DropUnnamed(MonotonicTime now, Moves& moves) {
+  for (const HandleId id : std::exchange(to_drop_, {})) {
+    if (guard_.MayDrop(id, now))
+      DropObject(id, moves);
+    else
+      guard_.Forget(id);
+  }
+}
+
+// By then the engine has evicted the blocks; there is nothing to export.
+bool ReturnPlanner::IsPastResidence(const ExportCandidate& candidate,
+                                    MonotonicTime now) const {
+  return SecondsBetween(candidate.ended, now) > options_.engine_residence;
+}
+
+std::vector<ExportQueue::Iterator> ReturnPlanner::RankDue(
+    std::span<const StoreId> stores,
+    MonotonicTime now) {
+  std::vector<std::pair<double, ExportQueue::Iterator>> scored;
+  const bool link_idle = stores_.LinkPressure(stores.front(), now) <= 0;
+  for (const ExportQueue::Iterator candidate : queue_.Due(now)) {
+    const double score = BestScore(*candidate, stores, now);
+    if (score > 0) {
+      scored.emplace_back(score, candidate);
+      continue;
+    }
+    // With a full link the price may fall again; without, it isn't worth it.
+    if (link_idle || IsPastResidence(*candidate, now)) {
+      ++stats_.exports_not_worth;
+      queue_.Remove(candidate);
+    }
+  }
+  std::stable_sort(
+      scored.begin(), scored.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<ExportQueue::Iterator> ranked;
+  for (const auto& [score, candidate] : scored)
+    ranked.push_back(candidate);
+  return ranked;
+}
+
+Moves ReturnPlanner::NextMoves(MonotonicTime now) {
+  Moves moves;
+  DropUnnamed(now, moves);
+  const std::vector<StoreId> stores = stores_.ForExport(now);
+  if (!stores.empty()) {
+    for (const ExportQueue::Iterator candidate : RankDue(stores, now)) {
+      if (moves.exports.size() >= kMaxMovesAtOnce)
+        break;
+      if (TryExport(*candidate, stores, now, moves)) {
+        queue_.Remove(candidate);
+      } else if (IsPastResidence(*candidate, now)) {
+        ++stats_.candidates_dropped;
+        queue_.Remove(candidate);
+      }
+    }
+  }
+  SyncForgotten();
+  return moves;
+}
+
+// An older object that is a prefix of a fresh one is worth nothing any more.
+void ReturnPlanner::DropSuperseded(const TrackedObject& fresh,
+                                   MonotonicTime now) {
+  const Conversation* known = conversations_.Find(fresh.owner);
+  if (known == nullptr)
+    return;
+  for (const HandleId id : known->handles) {
+    const TrackedObject* older = guard_.Find(id);
+    if (older != nullptr && id != fresh.id && guard_.MayDrop(id, now) &&
+        older->handle.tokens <= fresh.handle.tokens) {
+      to_drop_.push_back(id);
+    }
+  }
+}
+
+void ReturnPlanner::OnExportEnd(HandleId id,
+                                TransferId transfer,
+                                const Result<BlockHandle>& answer,
+                                MonotonicTime now) {
+  const TrackedObject* before = guard_.Find(id);
+  const StoreId store = before == nullptr ? StoreId() : before->handle.store;
+  const bool sealed = guard_.OnExportEnd(id, answer, now);
+  stores_.End(transfer, sealed ? TransferEnd::kMoved : TransferEnd::kFailed,
+              now);
+  if (sealed) {
+    ++stats_.exports_sealed;
+    const TrackedObject& object = *guard_.Find(id);
+    DropSuperseded(object, now);
+    for (const HandleId out : conversations_.AddHandle(object.owner, id))
+      to_drop_.push_back(out);
+  } else if (!answer.ok() && answer.error().code == ResultCode::kStoreFull) {
+    stores_.OnFull(store, now);
+  } else if (!answer.ok() &&
+             answer.error().code == ResultCode::kStoreUnavailable) {
+    stores_.OnFailure(store, now);
+  }
+  SyncForgotten();
+}
+
+void ReturnPlanner::OnStoreStatus(const StoreId& store,
+                                  const Result<StoreStatus>& status,
+                                  MonotonicTime now) {
+  const StoreChange change = stores_.OnStatus(store, status, now);
+  if (change == StoreChange::kRestarted)
+    guard_.OnStoreGeneration(store, status.value().generation);
+  if (change == StoreChange::kDied)
+    guard_.OnStoreGone(store);
+  SyncForgotten();
+}
+
+void ReturnPlanner::OnStoreRemoved(const StoreId& store) {
+  stores_.Remove(store);
+  guard_.OnStoreGone(store);
+  SyncForgotten();
+}
+
+}  // namespace carobshift
