Fuzz the acceptance rule against its plainest form

Several entries follow one log with outages past retention, reads that fail while appends go on, lost and late replies, pauses, restarts and late peers. The oracle judges all records ever written by the rule in its plainest form.

It found two faults.

--- a/carobshift/config/acceptance.cc
+++ b/carobshift/config/acceptance.cc
@@ -55,6 +55,11 @@
     // A late or repeated reply may hold what was read before.
     if (record.offset < read_next_)
       continue;
+    // A peer's state may have moved the position back while this batch was on
+    // its way. Going on beyond records that were not judged would let an edit
+    // win here that lost elsewhere.
+    if (record.offset > read_next_)
+      break;
     const LogOffset expected = After(record.offset);
     read_next_ = expected;
     std::optional<EditDecision> decision = OnRecord(record);
@@ -63,10 +68,6 @@
     if (read_next_ != expected)
       return decisions;
   }
-  if (batch.next > read_next_ && !batch.records.empty())
-    read_next_ = batch.next;
-  if (!gap_)
-    state_.next = read_next_;
   return decisions;
 }
 
@@ -216,15 +217,18 @@
 }
 
 void ConfigFold::OnReset(LogOffset offset, const ResetRecord& record) {
-  if (record.first_retained > offset || !record.state.accepted ||
-      !ParseDeclaration(record.state.accepted->text).declaration)
+  const std::optional<ConfigState::Accepted>& accepted = record.state.accepted;
+  if (record.first_retained > offset ||
+      (accepted && !ParseDeclaration(accepted->text).declaration))
     return;
   if (!ResetHolds(offset, record))
     return;
   gap_.reset();
+  state_.accepted.reset();
   state_.recent = record.state.recent;
   state_.checkpoint = offset;
-  Accept(offset, record.state.accepted->edit, record.state.accepted->text);
+  if (accepted)
+    Accept(offset, accepted->edit, accepted->text);
 }
 
 void ConfigFold::PutInForce() {
--- a/carobshift/config/acceptance.h
+++ b/carobshift/config/acceptance.h
@@ -114,6 +114,11 @@
   [[nodiscard]] const ConfigState& state() const { return state_; }
   // True while dropped records keep this fold from deciding.
   [[nodiscard]] bool has_gap() const { return gap_.has_value(); }
+  // While there is a gap: the last reset that can't be judged without the
+  // missing records. A further reset holds only once retention has dropped it.
+  [[nodiscard]] std::optional<LogOffset> doubtful_reset() const {
+    return gap_ ? gap_->doubtful_reset : std::nullopt;
+  }
 
  private:
   // What is known while records are missing.
--- a/carobshift/config/checkpoint_planner.cc
+++ b/carobshift/config/checkpoint_planner.cc
@@ -3,6 +3,10 @@
 namespace carobshift {
 namespace {
 
+// An entry that holds no text would reset to nothing, so that operators can
+// begin anew where every text is lost; whoever holds one comes first.
+constexpr int kPatienceWithoutText = 3;
+
 Milliseconds Share(Milliseconds whole, double draw) {
   return Milliseconds(static_cast<Milliseconds::rep>(
       static_cast<double>(whole.count()) * draw));
@@ -24,7 +28,13 @@
   const bool has_text = fold.state().accepted.has_value();
   const Milliseconds delay = Share(options_.spread, draw);
   if (fold.has_gap()) {
-    if (HeldFor(has_text, options_.reset_after + delay, now))
+    const Milliseconds patience =
+        options_.reset_after * (has_text ? 1 : kPatienceWithoutText);
+    // Writing on while a reset is in doubt would only add another such one,
+    // and the gap would stay open for good.
+    const bool may_hold =
+        !fold.doubtful_reset() || *fold.doubtful_reset() < first_retained;
+    if (HeldFor(may_hold, patience + delay, now))
       return ResetRecord{fold.state(), first_retained};
     return std::nullopt;
   }
--- /dev/null
+++ b/fuzz/config_fuzz.cc
@@ -0,0 +1,387 @@
+// Several entries follow one configuration log, with operators who race,
+// write blindly and write twice; a log that is down, slow, loses replies and
+// drops old records; entries that pause, die and start anew; peers that answer
+// late. The oracle is the acceptance rule over all records ever written.
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "carobshift/config/acceptance.h"
+#include "carobshift/config/checkpoint_planner.h"
+#include "fuzz/fake_log.h"
+#include "fuzz/simulation.h"
+
+namespace carobshift {
+namespace {
+
+constexpr Milliseconds kRetention{15'000};
+constexpr Milliseconds kTick{100};
+
+struct Mutations {
+  AcceptanceMutation acceptance = AcceptanceMutation::kNone;
+  bool no_checkpoints = false;
+};
+
+// The rule, as simply as it can be said, over the whole log.
+class Reference {
+ public:
+  explicit Reference(const std::vector<std::string>& records) {
+    for (std::uint64_t offset = 0; offset < records.size(); ++offset)
+      Take(offset, records[offset]);
+  }
+  // Edit id of each accepted version.
+  std::map<std::uint64_t, std::string> accepted;
+
+ private:
+  void Take(std::uint64_t offset, const std::string& payload) {
+    const auto record = DecodeConfigRecord(payload);
+    if (!record.ok())
+      return;
+    if (const auto* edit = std::get_if<EditRecord>(&record.value()))
+      TakeEdit(offset, *edit);
+    if (const auto* checkpoint = std::get_if<CheckpointRecord>(&record.value()))
+      reach_ = std::max(reach_, checkpoint->state.next.value());
+    if (const auto* reset = std::get_if<ResetRecord>(&record.value()))
+      TakeReset(offset, *reset);
+  }
+
+  void TakeEdit(std::uint64_t offset, const EditRecord& edit) {
+    const auto parsed = ParseDeclaration(edit.text);
+    const bool base_fits = edit.base
+                               ? current_ && edit.base->value() == *current_
+                               : !current_ || blind_allowed_;
+    if (!base_fits || !parsed.declaration || done_.contains(edit.edit.value()))
+      return;
+    Accept(offset, edit.edit.value(), *parsed.declaration);
+  }
+
+  void TakeReset(std::uint64_t offset, const ResetRecord& reset) {
+    if (reach_ >= reset.first_retained.value())
+      return;
+    reach_ = offset;
+    current_.reset();
+    done_.clear();
+    for (const EditId& edit : reset.state.recent)
+      done_[edit.value()] = true;
+    if (reset.state.accepted)
+      Accept(offset, reset.state.accepted->edit.value(),
+             *ParseDeclaration(reset.state.accepted->text).declaration);
+  }
+
+  void Accept(std::uint64_t offset,
+              const std::string& edit,
+              const Declaration& declaration) {
+    current_ = offset;
+    accepted[offset] = edit;
+    done_[edit] = true;
+    blind_allowed_ = declaration.allow_blind_writes;
+  }
+
+  std::optional<std::uint64_t> current_;
+  std::uint64_t reach_ = 0;
+  bool blind_allowed_ = false;
+  std::map<std::string, bool> done_;
+};
+
+class World {
+ public:
+  World(std::uint64_t seed, Mutations mutations)
+      : simulation_(seed),
+        mutations_(mutations),
+        log_(simulation_, kRetention) {
+    entries_.resize(3 + random().Below(3));
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      Start(i);
+      Tick(i);
+    }
+    Publish();
+    Fault();
+  }
+
+  std::vector<std::string> Run() {
+    simulation_.RunFor(Seconds(60));
+    calm_ = true;
+    log_.faults() = LogFaults{};
+    for (Entry& entry : entries_)
+      entry.paused = false;
+    simulation_.RunFor(Seconds(25));
+    // A newcomer that reaches no peer must find all it needs on the log.
+    Start(0);
+    first_has_peers_ = false;
+    simulation_.RunFor(Seconds(8));
+    CheckEnd();
+    return violations_;
+  }
+
+ private:
+  struct Entry {
+    std::optional<ConfigFold> fold;
+    std::optional<CheckpointPlanner> planner;
+    std::uint64_t life = 0;
+    bool paused = false;
+    bool reading = false;
+    int failed_reads = 0;
+    std::uint64_t highest = 0;
+  };
+
+  SeededRandom& random() { return simulation_.random(); }
+
+  void Start(std::size_t i) {
+    Entry& entry = entries_[i];
+    entry = Entry{.fold = ConfigFold(mutations_.acceptance),
+                  .planner = CheckpointPlanner(
+                      {.retention = kRetention,
+                       .renewals_per_retention = 3,
+                       .spread = Milliseconds(500),
+                       .reset_after = Milliseconds(3000),
+                       .mutation_no_checkpoints = mutations_.no_checkpoints}),
+                  .life = entry.life + 1,
+                  .paused = false,
+                  .reading = false,
+                  .failed_reads = 0,
+                  .highest = 0};
+  }
+
+  // Runs an event for one life of an entry, after the pause if it is paused.
+  void For(std::size_t i, std::uint64_t life, std::function<void()> event) {
+    if (entries_[i].life != life)
+      return;
+    if (!entries_[i].paused) {
+      event();
+      return;
+    }
+    simulation_.After(kTick, [this, i, life, event] { For(i, life, event); });
+  }
+
+  void Tick(std::size_t i) {
+    simulation_.After(kTick, [this, i] { Tick(i); });
+    Entry& entry = entries_[i];
+    if (entry.paused)
+      return;
+    if (!entry.reading)
+      ReadLog(i);
+    const bool needs_peer = entry.fold->has_gap() || entry.failed_reads > 2 ||
+                            !entry.fold->in_force();
+    if (needs_peer || random().Chance(0.05))
+      AskPeer(i);
+  }
+
+  void ReadLog(std::size_t i) {
+    Entry& entry = entries_[i];
+    entry.reading = true;
+    log_.Read(entry.fold->next(), 5,
+              [this, i, life = entry.life](const Result<LogBatch>& batch) {
+                For(i, life, [this, i, batch] { OnRead(i, batch); });
+              });
+  }
+
+  void OnRead(std::size_t i, const Result<LogBatch>& batch) {
+    Entry& entry = entries_[i];
+    entry.reading = false;
+    if (!batch.ok()) {
+      ++entry.failed_reads;
+      return;
+    }
+    entry.failed_reads = 0;
+    (void)entry.fold->OnBatch(batch.value());
+    CheckEntry(i);
+    const double draw = static_cast<double>(random().Below(1000)) / 1000;
+    const auto record = entry.planner->Plan(
+        *entry.fold, batch.value().first_retained, simulation_.now(), draw);
+    if (record)
+      log_.Append(EncodeConfigRecord(*record).value(), [](const auto&) {});
+  }
+
+  // The answer leaves the peer now and arrives when it will.
+  void AskPeer(std::size_t i) {
+    const std::size_t peer = random().Below(entries_.size());
+    if (peer == i || entries_[peer].paused || (i == 0 && !first_has_peers_))
+      return;
+    const ConfigState state = entries_[peer].fold->state();
+    const Milliseconds delay =
+        random().Between(Milliseconds(1), Milliseconds(calm_ ? 20 : 4000));
+    simulation_.After(delay, [this, i, life = entries_[i].life, state] {
+      For(i, life, [this, i, state] {
+        (void)entries_[i].fold->OnPeerState(state);
+        CheckEntry(i);
+      });
+    });
+  }
+
+  void Publish() {
+    simulation_.After(random().Between(Milliseconds(50), Milliseconds(1500)),
+                      [this] { Publish(); });
+    const auto in_force =
+        entries_[random().Below(entries_.size())].fold->in_force();
+    EditRecord edit;
+    edit.edit = EditId("edit-" + std::to_string(++edits_));
+    edit.text = "format: 1\npools: [{name: " + edit.edit.value() + "}]\n";
+    if (random().Chance(0.1))
+      edit.text += "allow_blind_writes: true\n";
+    if (random().Chance(0.05))
+      edit.text += "unknown: 1\n";
+    if (in_force && !random().Chance(0.1))
+      edit.base = in_force->version;
+    std::string payload = EncodeConfigRecord(edit).value();
+    if (random().Chance(0.03))
+      payload.resize(payload.size() / 2);
+    const int copies = random().Chance(0.1) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy)
+      log_.Append(payload, [](const auto&) {});
+  }
+
+  void Fault() {
+    simulation_.After(random().Between(Milliseconds(300), Milliseconds(4000)),
+                      [this] { Fault(); });
+    if (calm_)
+      return;
+    const std::size_t i = random().Below(entries_.size());
+    LogFaults& faults = log_.faults();
+    switch (random().Below(7)) {
+      case 0:
+        faults.down = true;
+        // Now and then for longer than records are kept.
+        simulation_.After(
+            random().Chance(0.2) ? kRetention + Seconds(2) : Milliseconds(2000),
+            [this] { log_.faults().down = false; });
+        break;
+      case 1:
+        faults.max_delay = random().Between(Milliseconds(5), Seconds(2));
+        break;
+      case 2:
+        faults.lose_reply = 0.2;
+        faults.arrive_late = 0.1;
+        break;
+      case 3:
+        entries_[i].paused = true;
+        simulation_.After(random().Between(Milliseconds(200), Seconds(20)),
+                          [this, i] { entries_[i].paused = false; });
+        break;
+      case 4:
+        Start(i);
+        break;
+      case 5:
+        // So that records are dropped which no entry has read.
+        faults.reads_down = true;
+        simulation_.After(
+            random().Chance(0.5) ? kRetention + Seconds(2) : Milliseconds(2000),
+            [this] { log_.faults().reads_down = false; });
+        break;
+      default:
+        faults.max_delay = Milliseconds(10);
+    }
+  }
+
+  void CheckEntry(std::size_t i) {
+    Entry& entry = entries_[i];
+    const auto in_force = entry.fold->in_force();
+    if (!in_force)
+      return;
+    const std::uint64_t version = in_force->version.value();
+    if (version < entry.highest)
+      Violation("entry went back from " + std::to_string(entry.highest) +
+                " to " + std::to_string(version));
+    entry.highest = std::max(entry.highest, version);
+    const auto [it, is_new] = seen_.emplace(version, in_force->edit.value());
+    if (!is_new && it->second != in_force->edit.value())
+      Violation("two edits under version " + std::to_string(version));
+  }
+
+  void CheckEnd() {
+    const Reference reference(log_.all());
+    for (const auto& [version, edit] : seen_) {
+      const auto it = reference.accepted.find(version);
+      if (it == reference.accepted.end() || it->second != edit)
+        Violation("version " + std::to_string(version) +
+                  " was in force but not accepted");
+    }
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      const auto in_force = entries_[i].fold->in_force();
+      if (entries_[i].fold->has_gap() || !in_force) {
+        Violation("entry " + std::to_string(i) + " never closed its gap");
+        continue;
+      }
+      // The last edits may be on their way still.
+      const auto newest = reference.accepted.rbegin();
+      std::uint64_t behind = 0;
+      for (auto it = newest; it != reference.accepted.rend() &&
+                             it->first > in_force->version.value();
+           ++it)
+        ++behind;
+      if (behind > 2)
+        Violation("entry " + std::to_string(i) + " is behind");
+    }
+  }
+
+  void Violation(std::string what) { violations_.push_back(std::move(what)); }
+
+  Simulation simulation_;
+  Mutations mutations_;
+  FakeLog log_;
+  std::vector<Entry> entries_;
+  bool calm_ = false;
+  bool first_has_peers_ = true;
+  int edits_ = 0;
+  std::map<std::uint64_t, std::string> seen_;
+  std::vector<std::string> violations_;
+};
+
+bool Caught(Mutations mutations) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    if (!World(seed, mutations).Run().empty())
+      return true;
+  }
+  return false;
+}
+
+bool Caught(AcceptanceMutation mutation) {
+  return Caught(Mutations{.acceptance = mutation, .no_checkpoints = false});
+}
+
+// Operators race while the log fails in every way it can, for longer than it
+// keeps records, and entries come and go. A user would notice two entries that
+// run different declarations, or one that goes back to an older one.
+TEST_CASE("accepted configurations never revert and all entries converge") {
+  rc::prop("under faults", [](std::uint64_t seed) {
+    const auto violations = World(seed, Mutations{}).Run();
+    if (!violations.empty())
+      RC_FAIL("seed " + std::to_string(seed) + ": " + violations.front());
+  });
+}
+
+TEST_CASE("without the base check the oracle objects") {
+  CHECK(Caught(AcceptanceMutation::kIgnoreBase));
+}
+
+TEST_CASE("with blind writes for all the oracle objects") {
+  CHECK(Caught(AcceptanceMutation::kAllowBlindWrites));
+}
+
+TEST_CASE("with decisions across dropped records the oracle objects") {
+  CHECK(Caught(AcceptanceMutation::kDecideAcrossGap));
+}
+
+TEST_CASE("with any peer's state the oracle objects") {
+  CHECK(Caught(AcceptanceMutation::kTakeAnyState));
+}
+
+TEST_CASE("with any reset the oracle objects") {
+  CHECK(Caught(AcceptanceMutation::kTakeAnyReset));
+}
+
+TEST_CASE("with checkpoints that raise the version the oracle objects") {
+  CHECK(Caught(AcceptanceMutation::kCheckpointRaisesVersion));
+}
+
+TEST_CASE("without checkpoints the oracle objects") {
+  CHECK(Caught(Mutations{.acceptance = AcceptanceMutation::kNone,
+                         .no_checkpoints = true}));
+}
+
+}  // namespace
+}  // namespace carobshift
