--- a/carobshift/once/free_key_claims.cc
+++ b/carobshift/once/free_key_claims.cc
@@ -153,6 +153,7 @@
                                                 MonotonicTime now,
                                                 WallTime wall_now) {
   Actions actions;
+  Forget(wall_now);
   for (const LogRecord& record : batch.records) {
     // A late or repeated reply may hold what was read before.
     if (record.offset < next_)
@@ -169,7 +170,6 @@
       OnClaim({read.entry, read.incarnation, claim.number}, claim, actions);
   }
   next_ = std::max(next_, batch.first_retained);
-  Forget(wall_now);
   Actions late = OnTime(now);
   actions.insert(actions.end(), late.begin(), late.end());
   return actions;
@@ -178,45 +178,51 @@
 void FreeKeyClaims::OnClaim(const ClaimId& id,
                             const Claim& claim,
                             Actions& actions) {
+  ClaimStep step;
+  bool stands = false;
+  if (std::optional<Refusal> refusal = RefuseClaim(claim)) {
+    step = *std::move(refusal);
+  } else {
+    stands = TakeIfFirst(id, claim);
+    step = StepFor(keys_.at(claim.key), claim.fingerprint, claim.created);
+  }
+  bool wanted = false;
   const auto pending = pending_.find(claim.key);
-  const bool awaited = IsMine(id) && pending != pending_.end() &&
-                       pending->second.number == id.number;
-  auto standing = keys_.find(claim.key);
-  if (standing == keys_.end() && keys_.size() >= options_.max_keys) {
-    missed_until_ = std::max(missed_until_, EndOf(claim.created));
-    if (awaited)
-      EndWait(claim.key,
-              Unknown(ResultCode::kOverloaded,
-                      "too many free idempotency keys are in use"),
-              actions);
-    if (awaited)
-      pending_.erase(claim.key);
-    return;
+  if (IsMine(id) && pending != pending_.end() &&
+      pending->second.number == id.number) {
+    wanted = !pending->second.waiters.empty();
+    EndWait(claim.key, step, actions);
+    pending_.erase(claim.key);
   }
-  const bool is_first = standing == keys_.end();
+  if (stands && IsMine(id) && !wanted)
+    QueueRelease(claim.key, keys_.at(claim.key));
+}
+
+std::optional<Refusal> FreeKeyClaims::RefuseClaim(const Claim& claim) {
+  // An earlier claim of a key this old may have been forgotten already. Taking
+  // this one for the first would run the key a second time.
+  if (EndOf(claim.created) <= latest_wall_ &&
+      options_.mutation != OnceMutation::kNoKeyAge)
+    return Unknown(ResultCode::kIdempotencyKeyExpired,
+                   "the claim came too late to count");
+  if (keys_.size() < options_.max_keys || keys_.contains(claim.key))
+    return std::nullopt;
+  missed_until_ = std::max(missed_until_, EndOf(claim.created));
+  return Unknown(ResultCode::kOverloaded,
+                 "too many free idempotency keys are in use");
+}
+
+bool FreeKeyClaims::TakeIfFirst(const ClaimId& id, const Claim& claim) {
+  const Standing standing{.claim = id,
+                          .fingerprint = claim.fingerprint,
+                          .created = claim.created,
+                          .given_up = false};
+  const auto [it, is_first] = keys_.emplace(claim.key, standing);
   if (is_first)
     by_created_.emplace(claim.created, claim.key);
-  if (is_first || options_.mutation == OnceMutation::kLastClaimWins) {
-    standing = keys_
-                   .insert_or_assign(claim.key,
-                                     Standing{.claim = id,
-                                              .fingerprint = claim.fingerprint,
-                                              .created = claim.created,
-                                              .given_up = false})
-                   .first;
-  }
-  if (awaited) {
-    const bool abandoned = pending->second.waiters.empty();
-    EndWait(claim.key,
-            StepFor(standing->second, claim.fingerprint, claim.created),
-            actions);
-    pending_.erase(claim.key);
-    if (!abandoned)
-      return;
-  }
-  // This claim stands though nobody here waits for it any more.
-  if (is_first && IsMine(id))
-    QueueRelease(claim.key, standing->second);
+  if (options_.mutation == OnceMutation::kLastClaimWins)
+    it->second = standing;
+  return is_first;
 }
 
 void FreeKeyClaims::OnRelease(const ClaimId& id, const ClaimRelease& release) {
--- a/carobshift/once/free_key_claims.h
+++ b/carobshift/once/free_key_claims.h
@@ -21,8 +21,8 @@
 //     it no repeat could ever run, and nobody would answer for the key.
 //   - A key carries the time of its making. One that is older than `window` is
 //     refused, since retention may have dropped its claim; without that, a
-//     repeat after days would run again. The window must be shorter than the
-//     log's retention by more than the entries' clocks differ.
+//     repeat after days would run again. The log's retention must exceed the
+//     window by four times `clock_difference`.
 //   - While the log can't be read nobody knows whether another entry has run a
 //     key, so the refusal says outcome_unknown.
 //
@@ -161,6 +161,10 @@
   [[nodiscard]] std::optional<Refusal> RefuseWait(
       const FreeKeyRequest& request) const;
   void OnClaim(const ClaimId& id, const Claim& claim, Actions& actions);
+  // Why a claim on the log can't be judged here, or nothing.
+  [[nodiscard]] std::optional<Refusal> RefuseClaim(const Claim& claim);
+  // Whether the claim is the first of its key, and so stands from now on.
+  [[nodiscard]] bool TakeIfFirst(const ClaimId& id, const Claim& claim);
   void OnRelease(const ClaimId& id, const ClaimRelease& release);
   // Ends the wait of all requests for the key with one step.
   void EndWait(const AccountKey& key, const ClaimStep& step, Actions& actions);
