--- /dev/null
+++ b/testing/http_client.h
@@ -0,0 +1,52 @@
+// One HTTP request from a test or a stand-in.
+//
+//   HttpAnswer answer = HttpSend(address, "POST", "/faults", {.body = "{}"});
+//   REQUIRE(answer.status == 200);
+
+#ifndef TESTING_HTTP_CLIENT_H_
+#define TESTING_HTTP_CLIENT_H_
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "carobshift/base/net_address.h"
+#include "carobshift/base/units.h"
+
+namespace carobshift {
+
+struct HttpSendOptions {
+  std::string body{};
+  std::string content_type = "application/json";
+  std::vector<std::pair<std::string, std::string>> headers{};
+  Milliseconds timeout{5000};
+  // If set, gets each line of the answer as it arrives; false closes the
+  // connection.
+  std::function<bool(std::string_view line)> on_line{};
+};
+
+struct HttpAnswer {
+  // 0 if there was no answer.
+  int status = 0;
+  std::string body{};
+  std::vector<std::pair<std::string, std::string>> headers{};
+  // Set if the connection failed before the answer was whole.
+  std::string failure;
+
+  [[nodiscard]] std::string Header(std::string_view name) const;
+  // The body, or a discarded value if it is no JSON.
+  [[nodiscard]] nlohmann::json Json() const;
+};
+
+// A new connection for each call. Thread-safe.
+[[nodiscard]] HttpAnswer HttpSend(const NetAddress& address,
+                                  const std::string& method,
+                                  const std::string& path,
+                                  const HttpSendOptions& options = {});
+
+}  // namespace carobshift
+
+#endif  // TESTING_HTTP_CLIENT_H_
--- /dev/null
+++ b/testing/standin_engine.cc
@@ -0,0 +1,408 @@
+// Stand-in for a model engine. Answers follow testing/answer_function.h, time
+// follows testing/engine_core.h. Faults besides the common ones: `slowdown`
+// (factor), `crash_on` (text; a prompt that holds it kills the process),
+// `event_lag_ms`, `load_lag_ms`, `drop_events` (how many times),
+// `stall_streams` (true: running streams send nothing more), `leaving`,
+// `wrong_version` (text said in place of the version), `crash_in_export`.
+
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <set>
+
+#include "testing/engine_core.h"
+#include "testing/engine_transfer.h"
+#include "testing/http_client.h"
+#include "testing/standin_server.h"
+
+namespace carobshift {
+namespace {
+
+using nlohmann::json;
+
+// The engine reports its cache in bytes, whatever an export then takes.
+constexpr std::size_t kNominalBlockBytes = 64 * 1024;
+
+struct EngineOptions {
+  EngineCosts costs;
+  std::size_t cache_blocks = 0;
+  bool checks_fencing = false;
+  std::optional<NetAddress> weights;
+  std::int64_t weight_bytes = 0;
+  Milliseconds load_time{100};
+  std::string model;
+  std::string version;
+  std::string role;
+};
+
+// What an engine runs at present.
+struct LoadedModel {
+  std::string model;
+  std::string version;
+  json adapters = json::array();
+  std::string role;
+  bool loading = false;
+  bool leaving = false;
+  std::uint64_t fencing = 0;
+};
+
+class Engine {
+ public:
+  Engine(Faults& faults, const EngineOptions& options)
+      : faults_(faults),
+        options_(options),
+        core_(options.costs, options.cache_blocks) {
+    loaded_.model = options.model;
+    loaded_.version = options.version;
+    loaded_.role = options.role;
+  }
+
+  void Complete(StandinExchange& exchange);
+  void Order(StandinExchange& exchange);
+  void Export(StandinExchange& exchange);
+  void Status(StandinExchange& exchange);
+  void Events(StandinExchange& exchange);
+  void Blocks(StandinExchange& exchange);
+
+ private:
+  struct Refusal {
+    ResultCode code;
+    std::string message;
+  };
+
+  std::optional<Refusal> WhyRefused(const json& request);
+  std::shared_ptr<EngineSequence> MakeSequence(const json& request) const;
+  Tokens Import(const json& extension);
+  void Stream(StandinExchange& exchange,
+              const std::shared_ptr<EngineSequence>& sequence,
+              const std::string& version,
+              Tokens max_tokens);
+  void Load(const json& order);
+  [[nodiscard]] LoadedModel loaded() const {
+    const std::lock_guard lock(mutex_);
+    return loaded_;
+  }
+  [[nodiscard]] json BatchToJson(const CacheEventBatch& batch) const;
+
+  Faults& faults_;
+  const EngineOptions options_;
+  EngineCore core_;
+  const std::uint64_t incarnation_ = RandomUint64();
+  mutable std::mutex mutex_;
+  LoadedModel loaded_;
+  // The status that readers see, and when it was taken.
+  json shown_load_;
+  MonotonicTime shown_at_;
+};
+
+std::optional<Engine::Refusal> Engine::WhyRefused(const json& request) {
+  const LoadedModel model = loaded();
+  const json& extension = request.at("carobshift");
+  if (model.leaving || faults_.Flag("leaving"))
+    return Refusal{ResultCode::kEndpointRefused, "leaving"};
+  if (model.loading || model.version.empty())
+    return Refusal{ResultCode::kEndpointRefused, "no model loaded"};
+  if (request.at("model") != model.model ||
+      extension.at("version") != model.version)
+    return Refusal{ResultCode::kVersionMismatch, "runs " + model.version};
+  const json& adapter = extension.at("adapter");
+  const bool known =
+      adapter == "" || std::find(model.adapters.begin(), model.adapters.end(),
+                                 adapter) != model.adapters.end();
+  if (!known)
+    return Refusal{ResultCode::kEndpointRefused, "adapter not loaded"};
+  return std::nullopt;
+}
+
+std::shared_ptr<EngineSequence> Engine::MakeSequence(
+    const json& request) const {
+  const json& extension = request.at("carobshift");
+  const auto prompt = request.at("prompt").get<std::string>();
+  const auto max_tokens = request.at("max_tokens").get<Tokens>();
+  auto sequence = std::make_shared<EngineSequence>();
+  sequence->cache_namespace =
+      CacheNamespace(extension.at("cache_salt").get<std::string>());
+  sequence->prompt = prompt;
+  sequence->answer =
+      AnswerFunction(prompt, request.at("model").get<std::string>(),
+                     extension.at("version").get<std::string>(),
+                     extension.at("adapter").get<std::string>());
+  for (const json& token : extension.at("delivered"))
+    sequence->prompt += token.get<std::string>();
+  sequence->next = static_cast<Tokens>(extension.at("delivered").size());
+  sequence->end = std::max(sequence->next, sequence->answer.Length(max_tokens));
+  sequence->priority = request.value("priority", 0);
+  return sequence;
+}
+
+// Returns how many tokens were imported; 0 after any doubt about the object,
+// and the prefill then recomputes them.
+Tokens Engine::Import(const json& extension) {
+  if (!extension.contains("import"))
+    return 0;
+  const std::vector<BlockHash> chain = FetchBlocks(
+      extension.at("import"), extension.at("import_from").get<std::string>());
+  core_.WithCache([&](PrefixCache& cache) { cache.Insert(chain); });
+  return static_cast<Tokens>(chain.size()) * kBlockTokens;
+}
+
+void Engine::Complete(StandinExchange& exchange) {
+  const json request = exchange.Json();
+  const std::string crash_on = faults_.Text("crash_on");
+  if (!crash_on.empty() && request.at("prompt").get<std::string>().find(
+                               crash_on) != std::string::npos)
+    std::_Exit(1);
+  if (const std::optional<Refusal> refusal = WhyRefused(request))
+    return exchange.Refuse(refusal->code, refusal->message);
+  const json& extension = request.at("carobshift");
+  core_.set_slowdown(faults_.Number("slowdown", 1));
+  const std::shared_ptr<EngineSequence> sequence = MakeSequence(request);
+  sequence->imported_blocks = Import(extension) / kBlockTokens;
+  core_.Submit(sequence);
+  exchange.BeginStream("text/event-stream");
+  Stream(exchange, sequence, extension.at("version").get<std::string>(),
+         request.at("max_tokens").get<Tokens>());
+  core_.Cancel(sequence);
+}
+
+void Engine::Stream(StandinExchange& exchange,
+                    const std::shared_ptr<EngineSequence>& sequence,
+                    const std::string& version,
+                    Tokens max_tokens) {
+  constexpr Milliseconds kPoll{50};
+  bool started = false;
+  Tokens sent = 0;
+  const Tokens wanted = sequence->end - sequence->next;
+  while (!started || sent < wanted) {
+    bool prefilled = started;
+    const Tokens ready = core_.Await(*sequence, sent, kPoll, prefilled);
+    if (exchange.PeerGone())
+      return;
+    if (faults_.Flag("stall_streams"))
+      continue;
+    if (prefilled && !started) {
+      started = true;
+      const std::string wrong = faults_.Text("wrong_version");
+      const Tokens imported = std::min(sequence->imported_blocks * kBlockTokens,
+                                       sequence->cached_tokens);
+      if (!exchange.SendEvent(
+              {{"start",
+                {{"version", wrong.empty() ? version : wrong},
+                 {"prompt_tokens", EstimateTokens(sequence->prompt)},
+                 {"cached_tokens", sequence->cached_tokens},
+                 {"imported_tokens", imported}}}}))
+        return;
+    }
+    for (; sent < ready; ++sent) {
+      const Tokens index = sequence->next + sent;
+      const json choice = {{"index", 0},
+                           {"text", sequence->answer.Token(index)}};
+      if (!exchange.SendEvent(
+              {{"choices", json::array({choice})}, {"token_index", index}}))
+        return;
+    }
+  }
+  const bool whole = sequence->answer.Length(max_tokens + 1) <= max_tokens;
+  const json choice = {
+      {"index", 0}, {"text", ""}, {"finish_reason", whole ? "stop" : "length"}};
+  exchange.SendEvent({{"choices", json::array({choice})},
+                      {"usage", {{"completion_tokens", sequence->end}}}});
+  exchange.SendPiece("data: [DONE]\n\n");
+}
+
+void Engine::Order(StandinExchange& exchange) {
+  const json order = exchange.Json();
+  const auto kind = order.at("kind").get<std::string>();
+  const auto fencing = order.at("fencing").get<std::uint64_t>();
+  const std::lock_guard lock(mutex_);
+  if (options_.checks_fencing) {
+    if (fencing < loaded_.fencing)
+      return exchange.Refuse(ResultCode::kStaleFencing, "older order");
+    loaded_.fencing = fencing;
+  }
+  if (kind == "drain") {
+    loaded_.leaving = true;
+  } else if (kind == "set_role") {
+    loaded_.role = order.at("role").get<std::string>();
+    loaded_.leaving = false;
+  } else if (kind == "unload") {
+    loaded_.model.clear();
+    loaded_.version.clear();
+    core_.WithCache([](PrefixCache& cache) { cache.Clear(); });
+  } else if (kind == "load") {
+    loaded_.leaving = false;
+    const bool same = loaded_.model == order.at("model") &&
+                      loaded_.version == order.at("version") &&
+                      loaded_.adapters == order.at("adapters");
+    if (!same && !loaded_.loading) {
+      loaded_.loading = true;
+      std::thread([this, order] { Load(order); }).detach();
+    }
+    if (!order.at("role").get<std::string>().empty())
+      loaded_.role = order.at("role").get<std::string>();
+  }
+  exchange.Reply({{"ok", true}});
+}
+
+void Engine::Load(const json& order) {
+  constexpr Milliseconds kLongestFetch{60000};
+  if (options_.weights) {
+    const json fetch = {{"bytes", options_.weight_bytes}};
+    while (HttpSend(*options_.weights, "POST", "/fetches",
+                    {.body = fetch.dump(), .timeout = kLongestFetch})
+               .status != 200)
+      std::this_thread::sleep_for(options_.load_time);
+  }
+  std::this_thread::sleep_for(options_.load_time);
+  const std::lock_guard lock(mutex_);
+  loaded_.model = order.at("model").get<std::string>();
+  loaded_.version = order.at("version").get<std::string>();
+  loaded_.adapters = order.at("adapters");
+  loaded_.loading = false;
+  core_.WithCache([](PrefixCache& cache) { cache.Clear(); });
+}
+
+void Engine::Export(StandinExchange& exchange) {
+  const json request = exchange.Json();
+  std::vector<BlockHash> chain;
+  for (const json& hex : request.at("blocks"))
+    chain.push_back(
+        BlockHashFromHex(hex.get<std::string>()).value_or(BlockHash{}));
+  std::size_t held = 0;
+  core_.WithCache([&](PrefixCache& cache) { held = cache.Match(chain); });
+  if (chain.empty() || held < chain.size())
+    return exchange.Refuse(ResultCode::kBlockRejected, "blocks not held");
+  const ExportOutcome outcome = StoreBlocks(
+      chain, request, [this] { return faults_.Flag("crash_in_export"); });
+  if (outcome.error)
+    return exchange.Refuse(*outcome.error, "export failed");
+  exchange.Reply(outcome.handle);
+}
+
+void Engine::Status(StandinExchange& exchange) {
+  const std::lock_guard lock(mutex_);
+  const Milliseconds lag(faults_.Number("load_lag_ms"));
+  if (shown_load_.is_null() || MonotonicNow() - shown_at_ >= lag) {
+    const EngineLoad load = core_.Load();
+    shown_at_ = MonotonicNow();
+    shown_load_ = {{"running", load.running},
+                   {"queued", load.queued},
+                   {"queued_prefill_tokens", load.queued_prefill_tokens}};
+    core_.WithCache([&](PrefixCache& cache) {
+      shown_load_["kv_used"] = cache.size() * kNominalBlockBytes;
+      shown_load_["kv_capacity"] = cache.capacity() * kNominalBlockBytes;
+    });
+  }
+  json status = shown_load_;
+  const char* state = "ready";
+  if (loaded_.leaving || faults_.Flag("leaving"))
+    state = "leaving";
+  else if (loaded_.loading)
+    state = "loading";
+  else if (loaded_.version.empty() || loaded_.role.empty())
+    state = "idle";
+  status.update({{"incarnation", incarnation_},
+                 {"state", state},
+                 {"model", loaded_.model},
+                 {"version", loaded_.version},
+                 {"adapters", loaded_.adapters},
+                 {"role", loaded_.role},
+                 {"fencing", loaded_.fencing}});
+  exchange.Reply(status);
+}
+
+json Engine::BatchToJson(const CacheEventBatch& batch) const {
+  json events = json::array();
+  for (const CacheEvent& event : batch.events) {
+    const bool stored = event.kind == CacheEvent::Kind::kStored;
+    events.push_back({{"sequence", event.sequence},
+                      {"kind", stored ? "stored" : "evicted"},
+                      {"block", ToHex(event.block)}});
+  }
+  return {{"incarnation", incarnation_},
+          {"first_sequence", batch.first_sequence},
+          {"next_sequence", batch.next_sequence},
+          {"events", std::move(events)}};
+}
+
+void Engine::Events(StandinExchange& exchange) {
+  CacheEventBatch batch;
+  core_.WithCache([&](PrefixCache& cache) {
+    if (faults_.TakeOne("drop_events"))
+      cache.DropEvents();
+    batch = cache.Events(exchange.QueryNumber("from"),
+                         Milliseconds(faults_.Number("event_lag_ms")));
+  });
+  exchange.Reply(BatchToJson(batch));
+}
+
+void Engine::Blocks(StandinExchange& exchange) {
+  CacheEventBatch batch;
+  core_.WithCache([&](PrefixCache& cache) { batch = cache.AllBlocks(); });
+  exchange.Reply(BatchToJson(batch));
+}
+
+std::int64_t Number(const cxxopts::ParseResult& flags, const char* name) {
+  return static_cast<std::int64_t>(flags[name].as<double>());
+}
+
+EngineOptions OptionsFrom(const cxxopts::ParseResult& flags) {
+  EngineOptions options;
+  options.costs.step = Microseconds(Number(flags, "step-us"));
+  options.costs.prefill = Microseconds(Number(flags, "prefill-us"));
+  options.costs.decode = Microseconds(Number(flags, "decode-us"));
+  options.costs.max_running =
+      static_cast<std::size_t>(Number(flags, "max-running"));
+  options.cache_blocks =
+      static_cast<std::size_t>(Number(flags, "cache-blocks"));
+  options.checks_fencing = flags["checks-fencing"].as<bool>();
+  options.weights = ParseNetAddress(flags["weights"].as<std::string>());
+  options.weight_bytes = Number(flags, "weight-bytes");
+  options.load_time = Milliseconds(Number(flags, "load-ms"));
+  options.model = flags["model"].as<std::string>();
+  options.version = flags["version"].as<std::string>();
+  options.role = flags["role"].as<std::string>();
+  return options;
+}
+
+cxxopts::ParseResult ParseFlags(int argc, char** argv) {
+  cxxopts::Options options("standin_engine");
+  const auto text = [](const char* fallback) {
+    return cxxopts::value<std::string>()->default_value(fallback);
+  };
+  const auto number = [](const char* fallback) {
+    return cxxopts::value<double>()->default_value(fallback);
+  };
+  auto add = options.add_options();
+  add("listen", "HOST:PORT", text("127.0.0.1:0"));
+  add("step-us", "base time of a step", number("8000"));
+  add("prefill-us", "time of a prefilled token", number("100"));
+  add("decode-us", "time of a decoding sequence in a step", number("20"));
+  add("max-running", "sequences in a batch", number("64"));
+  add("cache-blocks", "prefix cache size", number("2000"));
+  add("checks-fencing", "refuse orders with an old fencing number");
+  add("weights", "HOST:PORT of the weight store", text(""));
+  add("weight-bytes", "size of a weight set", number("1000000"));
+  add("load-ms", "time of a load besides the fetch", number("100"));
+  add("model", "loaded at start", text(""));
+  add("version", "loaded at start", text(""));
+  add("role", "service at start", text(""));
+  return options.parse(argc, argv);
+}
+
+}  // namespace
+}  // namespace carobshift
+
+int main(int argc, char** argv) {
+  const cxxopts::ParseResult flags = carobshift::ParseFlags(argc, argv);
+  carobshift::StandinServer server;
+  carobshift::Engine engine(server.faults(), carobshift::OptionsFrom(flags));
+  using Exchange = carobshift::StandinExchange;
+  server.Route("POST", "/v1/completions",
+               [&](Exchange& x) { engine.Complete(x); });
+  server.Route("POST", "/orders", [&](Exchange& x) { engine.Order(x); });
+  server.Route("POST", "/exports", [&](Exchange& x) { engine.Export(x); });
+  server.Route("GET", "/status", [&](Exchange& x) { engine.Status(x); });
+  server.Route("GET", "/events", [&](Exchange& x) { engine.Events(x); });
+  server.Route("GET", "/blocks", [&](Exchange& x) { engine.Blocks(x); });
+  return server.Run(flags["listen"].as<std::string>());
+}
--- /dev/null
+++ b/testing/standin_weights.cc
@@ -0,0 +1,31 @@
+// Stand-in for the weight store: two fetches at once run at full rate, more
+// share it. POST /fetches {"bytes":N} is answered once they have passed.
+
+#include <cxxopts.hpp>
+
+#include "testing/standin_server.h"
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("standin_weights");
+  options.add_options()(
+      "listen", "HOST:PORT",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+      "bytes-per-second", "of one fetch",
+      cxxopts::value<double>()->default_value("1000000"));
+  const auto flags = options.parse(argc, argv);
+  const double rate = flags["bytes-per-second"].as<double>();
+  constexpr double kFullRateFetches = 2;
+  constexpr int kPieces = 50;
+  carobshift::RateLimiter shared(kFullRateFetches * rate);
+  carobshift::StandinServer server;
+  server.Route("POST", "/fetches", [&](carobshift::StandinExchange& x) {
+    carobshift::RateLimiter own(rate);
+    const double bytes = x.Json().at("bytes").get<double>();
+    for (int i = 0; i < kPieces; ++i) {
+      own.Take(bytes / kPieces);
+      shared.Take(bytes / kPieces);
+    }
+    x.Reply({{"ok", true}});
+  });
+  return server.Run(flags["listen"].as<std::string>());
+}
