Completions marked as not repeatable get no second attempt

Cause: the header was parsed but only plain calls heeded it; a completion that may have run was sent again. Change: GenerateJob carries it into the retry policy.

--- a/carobshift/server/commands/complete_command.cc
+++ b/carobshift/server/commands/complete_command.cc
@@ -140,6 +140,7 @@
   job.prompt = std::move(body.value().prompt);
   job.max_tokens = std::min(body.value().max_tokens, spec.max_output_tokens);
   job.priority = caller.value().headers.priority;
+  job.repeatable = !caller.value().headers.not_repeatable;
   job.received = exchange.received;
   job.deadline = caller.value().headers.deadline;
   return job;
--- a/carobshift/server/dispatch/generate_dispatcher.cc
+++ b/carobshift/server/dispatch/generate_dispatcher.cc
@@ -142,6 +142,7 @@
     RetryRequest request;
     request.id = job_.id;
     request.attempts = number;
+    request.idempotent = job_.repeatable;
     request.deadline = job_.deadline;
     request.delivered = delivered();
     const bool available = !Candidates().empty();
--- a/carobshift/server/dispatch/generate_job.h
+++ b/carobshift/server/dispatch/generate_job.h
@@ -30,6 +30,9 @@
   std::string prompt;
   Tokens max_tokens = 16;
   PriorityClass priority = PriorityClass::kNormal;
+  // False if the caller marked the request as not repeatable: no second attempt
+  // once the first may have run, a resume included.
+  bool repeatable = true;
   MonotonicTime received;
   MonotonicTime deadline;
 };
