--- a/carobshift/cache/return_planner.cc
+++ b/carobshift/cache/return_planner.cc
@@ -245,13 +245,13 @@
   return ranked;
 }
 
-Moves ReturnPlanner::NextMoves(MonotonicTime now) {
+Moves ReturnPlanner::NextMoves(MonotonicTime now, std::size_t max_exports) {
   Moves moves;
   DropUnnamed(now, moves);
   const std::vector<StoreId> stores = stores_.ForExport(now);
   if (!stores.empty()) {
     for (const ExportQueue::Iterator candidate : RankDue(stores, now)) {
-      if (moves.exports.size() >= kMaxMovesAtOnce)
+      if (moves.exports.size() >= max_exports)
         break;
       if (TryExport(*candidate, stores, now, moves)) {
         queue_.Remove(candidate);
--- a/carobshift/cache/return_planner.h
+++ b/carobshift/cache/return_planner.h
@@ -6,7 +6,7 @@
 //   Moves moves = planner.NextMoves(now);          // off the request path
 //   planner.OnExportEnd(move.id, move.transfer, answer, now);
 //   ...
-//   std::optional<ImportOption> option = planner.BestImport(key, ns, chain,
+//   std::optional<StoredImport> option = planner.BestImport(key, ns, chain,
 //   now); std::optional<PinOrder> pin = planner.BeginPin(*option, ns, chain,
 //   now); planner.OnPinEnd(pin->id, store.Pin(...), now);
 //   std::optional<ImportGrant> grant = planner.BeginImport(*option, ns, chain,
@@ -75,7 +75,7 @@
   std::vector<BlockHandle> drops;
 };
 
-struct ImportOption {
+struct StoredImport {
   HandleId id;
   StoreId store;
   // Covered by the import.
@@ -102,6 +102,8 @@
   // The engine had the blocks itself or was never reached; says nothing about
   // the object.
   kNotTried,
+  // The attempt ended before the engine said anything.
+  kInterrupted,
   // The engine had to compute what the handle covers.
   kRejected,
 };
@@ -142,8 +144,10 @@
     options_.engine_residence = residence;
   }
 
-  // Moves to order now, within budgets and room. The caller orders all.
-  [[nodiscard]] Moves NextMoves(MonotonicTime now);
+  // Moves to order now, within budgets and room. The caller orders all at
+  // once: an export that waited for a thread would look like a slow link.
+  [[nodiscard]] Moves NextMoves(MonotonicTime now,
+                                std::size_t max_exports = kMaxMovesAtOnce);
   void OnExportEnd(HandleId id,
                    TransferId transfer,
                    const Result<BlockHandle>& answer,
@@ -151,23 +155,26 @@
 
   // The stored object that saves most for this prompt, if any store is usable
   // now. Whether to take it is routing's choice: ShouldImport().
-  [[nodiscard]] std::optional<ImportOption> BestImport(
+  [[nodiscard]] std::optional<StoredImport> BestImport(
       const ConversationKey& key,
       const CacheNamespace& cache_namespace,
       std::span<const BlockHash> chain,
       MonotonicTime now) const;
   // The pin to order before the import; none if a pin still holds long enough.
   [[nodiscard]] std::optional<PinOrder> BeginPin(
-      const ImportOption& option,
+      const StoredImport& option,
       const CacheNamespace& cache_namespace,
       std::span<const BlockHash> chain,
       MonotonicTime now);
   void OnPinEnd(HandleId id, const Status& answer, MonotonicTime now);
   // Takes the link's budget and grants the handle; nothing means recompute.
+  // `engine_time` is what the first token is expected to take besides the
+  // transfer; it doesn't count against the link's rate.
   [[nodiscard]] std::optional<ImportGrant> BeginImport(
-      const ImportOption& option,
+      const StoredImport& option,
       const CacheNamespace& cache_namespace,
       std::span<const BlockHash> chain,
+      Milliseconds engine_time,
       MonotonicTime now);
   void EndImport(const ImportGrant& grant,
                  ImportOutcome outcome,
--- a/carobshift/cache/return_planner_import.cc
+++ b/carobshift/cache/return_planner_import.cc
@@ -13,6 +13,7 @@
       return TransferEnd::kMoved;
     case ImportOutcome::kNotTried:
       return TransferEnd::kNotStarted;
+    case ImportOutcome::kInterrupted:
     case ImportOutcome::kRejected:
       return TransferEnd::kFailed;
   }
@@ -21,7 +22,7 @@
 
 }  // namespace
 
-std::optional<ImportOption> ReturnPlanner::BestImport(
+std::optional<StoredImport> ReturnPlanner::BestImport(
     const ConversationKey& key,
     const CacheNamespace& cache_namespace,
     std::span<const BlockHash> chain,
@@ -29,7 +30,7 @@
   const Conversation* known = conversations_.Find(key);
   if (known == nullptr)
     return std::nullopt;
-  std::optional<ImportOption> best;
+  std::optional<StoredImport> best;
   Milliseconds best_gain{0};
   for (const HandleId id : known->handles) {
     const TrackedObject* object = guard_.Find(id);
@@ -52,7 +53,7 @@
 }
 
 std::optional<PinOrder> ReturnPlanner::BeginPin(
-    const ImportOption& option,
+    const StoredImport& option,
     const CacheNamespace& ns,
     std::span<const BlockHash> chain,
     MonotonicTime now) {
@@ -72,12 +73,13 @@
 }
 
 std::optional<ImportGrant> ReturnPlanner::BeginImport(
-    const ImportOption& option,
+    const StoredImport& option,
     const CacheNamespace& ns,
     std::span<const BlockHash> chain,
+    Milliseconds engine_time,
     MonotonicTime now) {
-  const auto transfer =
-      stores_.Begin(option.store, TransferKind::kImport, option.bytes, now);
+  const auto transfer = stores_.Begin(option.store, TransferKind::kImport,
+                                      option.bytes, now, engine_time);
   if (!transfer.has_value())
     return std::nullopt;
   auto handle = guard_.Use(option.id, ns, chain, now);
--- a/carobshift/cache/return_planner_test.cc
+++ b/carobshift/cache/return_planner_test.cc
@@ -86,12 +86,13 @@
   REQUIRE(option.has_value());
   CHECK(option->tokens == 6400);
   CHECK(ShouldImport(option->transfer, Milliseconds(800)));
-  CHECK_FALSE(bench.planner.BeginImport(*option, Namespace(), chain, back));
+  CHECK_FALSE(bench.planner.BeginImport(*option, Namespace(), chain,
+                                        Milliseconds(0), back));
   const auto pin = bench.planner.BeginPin(*option, Namespace(), chain, back);
   REQUIRE(pin.has_value());
   bench.planner.OnPinEnd(pin->id, Status(), back);
-  const auto grant =
-      bench.planner.BeginImport(*option, Namespace(), chain, back);
+  const auto grant = bench.planner.BeginImport(*option, Namespace(), chain,
+                                               Milliseconds(0), back);
   REQUIRE(grant.has_value());
   bench.planner.EndImport(*grant, ImportOutcome::kImported, back);
   // Another conversation finds nothing, with the very same prompt.
--- a/carobshift/cache/store_table.cc
+++ b/carobshift/cache/store_table.cc
@@ -83,7 +83,8 @@
 std::optional<StartedTransfer> StoreTable::Begin(const StoreId& id,
                                                  TransferKind kind,
                                                  Bytes bytes,
-                                                 MonotonicTime now) {
+                                                 MonotonicTime now,
+                                                 Milliseconds other_time) {
   const auto it = stores_.find(id);
   if (it == stores_.end())
     return std::nullopt;
@@ -100,7 +101,8 @@
     store.pending += bytes;
   }
   const TransferId transfer(next_transfer_++);
-  transfers_.emplace(transfer, Transfer{id, kind, bytes, now + wait});
+  transfers_.emplace(transfer,
+                     Transfer{id, kind, bytes, now + wait + other_time});
   return StartedTransfer{transfer, wait};
 }
 
@@ -134,8 +136,12 @@
       store.used += ended.bytes;
   }
   const double seconds = ToSeconds(now - ended.began);
-  if (moved && seconds >= kShortestSample)
-    Learn(store, static_cast<double>(ended.bytes) / seconds, now);
+  // Shorter than a round trip: faster than expected, by an unknown factor.
+  if (moved) {
+    Learn(store,
+          static_cast<double>(ended.bytes) / std::max(seconds, kShortestSample),
+          now);
+  }
 }
 
 double StoreTable::RateOf(const StoreId& id,
--- a/carobshift/cache/store_table.h
+++ b/carobshift/cache/store_table.h
@@ -87,11 +87,14 @@
   void OnDropped(const StoreId& store, Bytes bytes);
 
   // Takes the transfer from the link's budget; nothing if an export has to
-  // wait at all or an import longer than kMaxImportWait.
-  [[nodiscard]] std::optional<StartedTransfer> Begin(const StoreId& store,
-                                                     TransferKind kind,
-                                                     Bytes bytes,
-                                                     MonotonicTime now);
+  // wait at all or an import longer than kMaxImportWait. `other_time` of the
+  // time until End() is not the link's.
+  [[nodiscard]] std::optional<StartedTransfer> Begin(
+      const StoreId& store,
+      TransferKind kind,
+      Bytes bytes,
+      MonotonicTime now,
+      Milliseconds other_time = Milliseconds(0));
   // A rate is learned from transfers that moved all their bytes.
   void End(TransferId transfer, TransferEnd end, MonotonicTime now);
 
--- a/fuzz/cache_world.cc
+++ b/fuzz/cache_world.cc
@@ -132,9 +132,9 @@
     Send(go_on, false);
 }
 
-void CacheWorld::AfterPin(const Request& request, const ImportOption& option) {
+void CacheWorld::AfterPin(const Request& request, const StoredImport& option) {
   const auto grant = planner_.BeginImport(option, request.cache_namespace,
-                                          request.chain, now_);
+                                          request.chain, Milliseconds(0), now_);
   if (!grant.has_value()) {
     Compute(request, 0);
     return;
@@ -257,7 +257,7 @@
       store.alive() &&
       (!transfer.started || transfer.generation == store.generation());
   if (!engine_lives || !connected || now_ >= transfer.grant.use_until) {
-    EndImport(transfer, ImportOutcome::kNotTried);
+    EndImport(transfer, ImportOutcome::kInterrupted);
     return true;
   }
   if (!transfer.started) {
--- a/fuzz/cache_world.h
+++ b/fuzz/cache_world.h
@@ -70,7 +70,7 @@
   void Check();
 
   void BeginRequest();
-  void AfterPin(const Request& request, const ImportOption& option);
+  void AfterPin(const Request& request, const StoredImport& option);
   void Compute(const Request& request, std::size_t imported);
   void OrderPin(const PinOrder& order, std::function<void()> then);
   void OrderMoves();
