--- a/testing/standin_engine.cc
+++ b/testing/standin_engine.cc
@@ -104,10 +104,10 @@
   if (request.at("model") != model.model ||
       extension.at("version") != model.version)
     return Refusal{ResultCode::kVersionMismatch, "runs " + model.version};
-  const json& adapter = extension.at("adapter");
+  const auto adapter = extension.at("adapter").get<std::string>();
   const bool known =
-      adapter == "" || std::find(model.adapters.begin(), model.adapters.end(),
-                                 adapter) != model.adapters.end();
+      adapter.empty() || std::find(model.adapters.begin(), model.adapters.end(),
+                                   adapter) != model.adapters.end();
   if (!known)
     return Refusal{ResultCode::kEndpointRefused, "adapter not loaded"};
   return std::nullopt;
--- a/testing/standin_server.h
+++ b/testing/standin_server.h
@@ -15,6 +15,9 @@
 #ifndef TESTING_STANDIN_SERVER_H_
 #define TESTING_STANDIN_SERVER_H_
 
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
 #include <functional>
 #include <map>
 #include <mutex>
@@ -26,11 +29,6 @@
 #include "carobshift/base/result_code.h"
 #include "carobshift/base/units.h"
 
-namespace Poco::Net {
-class HTTPServerRequest;
-class HTTPServerResponse;
-}  // namespace Poco::Net
-
 namespace carobshift {
 
 // The faults in force. Thread-safe.
