--- a/cmake/CarobshiftRules.cmake
+++ b/cmake/CarobshiftRules.cmake
@@ -52,9 +52,10 @@
   _carobshift_check_deps(${A_NAME} ${A_DEPS})
 endfunction()
 
-# LABEL is unit (default), fuzz, process or golden; .ci/run selects by it.
-# A fuzz test is one ctest entry; the others count each test case. PROPERTIES
-# are passed on to ctest (TIMEOUT, ENVIRONMENT, ...).
+# LABEL is unit (default), fuzz, process, golden or threads (unit tests that are
+# run under the thread sanitizer as well); scripts/check.sh selects by it, and
+# the target tests_LABEL builds all of one. PROPERTIES are passed on to ctest
+# (TIMEOUT, ENVIRONMENT, ...).
 function(carobshift_test)
   cmake_parse_arguments(A "" "NAME;LABEL" "SRCS;DEPS;PROPERTIES" ${ARGN})
   if(NOT A_LABEL)
@@ -66,6 +67,10 @@
   set_target_properties(${A_NAME} PROPERTIES
     RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/tests")
   _carobshift_check_deps(${A_NAME} ${A_DEPS})
+  if(NOT TARGET tests_${A_LABEL})
+    add_custom_target(tests_${A_LABEL})
+  endif()
+  add_dependencies(tests_${A_LABEL} ${A_NAME})
   catch_discover_tests(${A_NAME} TEST_PREFIX "${A_NAME}: "
     PROPERTIES LABELS ${A_LABEL} TIMEOUT 300 ${A_PROPERTIES})
 endfunction()
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -24,15 +24,17 @@
   fi
 }
 
+# configure_and_build DIR TARGETS CMAKE_FLAGS...
 configure_and_build() {
-  local dir=$1
+  local dir=$1 targets=$2
   local generator=()
-  shift
+  shift 2
   command -v ninja >/dev/null && generator=(-G Ninja)
   [ -f "$dir/CMakeCache.txt" ] ||
     cmake "${generator[@]}" -S . -B "$dir" "$@" >"$dir.configure.log" 2>&1 ||
     { cat "$dir.configure.log"; return 1; }
-  cmake --build "$dir" -j "$jobs" >"$dir.log" 2>&1 ||
+  # shellcheck disable=SC2086 # several targets
+  cmake --build "$dir" -j "$jobs" --target $targets >"$dir.log" 2>&1 ||
     { tail -n 60 "$dir.log"; return 1; }
 }
 
@@ -67,18 +69,18 @@
 }
 
 step format make -s format-check
-step build configure_and_build build
+step build configure_and_build build all
 step lint ./scripts/lint.sh build "$jobs"
 echo "== unit, golden and fuzz tests"
 run_ctest build -j "$jobs" -LE process
 echo "== process tests"
 run_ctest build -j 3 -L process
 step "address and undefined-behaviour sanitizers: build" configure_and_build \
-  build-asan -DCAROBSHIFT_SANITIZE=address,undefined
+  build-asan "tests_unit tests_fuzz tests_threads" -DCAROBSHIFT_SANITIZE=address,undefined
 echo "== unit and fuzz tests under them"
-run_ctest build-asan -j "$jobs" -L 'unit|fuzz'
+run_ctest build-asan -j "$jobs" -L 'unit|fuzz|threads'
 step "thread sanitizer: build" configure_and_build \
-  build-tsan -DCAROBSHIFT_SANITIZE=thread
+  build-tsan tests_threads -DCAROBSHIFT_SANITIZE=thread
 echo "== tests of the shared tables under it"
 run_ctest build-tsan -j "$jobs" -L threads
 
