--- a/carobshift/fleet/endpoint_view.cc
+++ b/carobshift/fleet/endpoint_view.cc
@@ -66,17 +66,12 @@
   // A new life of the process has nothing to do with the former one's stop.
   const bool restarted = entry.leaving_incarnation &&
                          *entry.leaving_incarnation != status.incarnation;
-  if (restarted) {
-    entry.leaving_by_answer = false;
+  if (restarted && entry.live_since) {
+    entry.leaving_by_list = false;
     entry.leaving_incarnation.reset();
-    if (entry.live_since)
-      entry.leaving_by_list = false;
-  }
-  if (status.state == EngineState::kLeaving &&
-      mutation_ != EndpointViewMutation::kIgnoreOwnAnswer) {
-    entry.leaving_by_answer = true;
-    entry.leaving_incarnation = status.incarnation;
   }
+  entry.leaving_by_answer = status.state == EngineState::kLeaving &&
+                            mutation_ != EndpointViewMutation::kIgnoreOwnAnswer;
   entry.seen.status = status;
   entry.seen.status_asked = asked;
   entry.seen.failures = 0;
--- a/carobshift/fleet/endpoint_view.h
+++ b/carobshift/fleet/endpoint_view.h
@@ -95,8 +95,7 @@
   [[nodiscard]] std::vector<EndpointId> SeenLeaving() const;
 
   // Everything of a kind, by id.
-  [[nodiscard]] std::vector<ObservedEndpoint> Observed(
-      InstanceKind kind) const;
+  [[nodiscard]] std::vector<ObservedEndpoint> Observed(InstanceKind kind) const;
   [[nodiscard]] std::optional<ObservedEndpoint> Find(
       const EndpointId& id) const;
   [[nodiscard]] std::size_t size() const { return endpoints_.size(); }
