--- /dev/null
+++ b/benchmarks/sim/simulated_entry.h
@@ -0,0 +1,134 @@
+// One entry in virtual time: the modules of carobshiftd with events in place
+// of worker threads.
+//
+//   SimulatedEntry entry(world, index, variant);
+//   entry.Submit(submission);
+//   entry.Cancel(id);
+
+#ifndef BENCHMARKS_SIM_SIMULATED_ENTRY_H_
+#define BENCHMARKS_SIM_SIMULATED_ENTRY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "benchmarks/sim/fake_engine.h"
+#include "benchmarks/sim/variant.h"
+#include "benchmarks/sim/workload.h"
+
+namespace carobshift {
+
+// Towards the store, shared by all engines: one transfer after the other.
+struct Link {
+  double bytes_per_second = 2e9;
+  MonotonicTime free_at{};
+  double bytes_moved = 0;
+
+  [[nodiscard]] Microseconds TimeFor(Bytes bytes, MonotonicTime now) const;
+  // Returns when the transfer is done.
+  MonotonicTime Transfer(Bytes bytes, MonotonicTime now);
+};
+
+// What all entries see.
+struct World {
+  EventLoop loop;
+  const Shape* shape = nullptr;
+  std::vector<std::unique_ptr<FakeEngine>> engines;
+  Link link;
+  // Prefixes that the store holds: exported when their first run ended.
+  std::set<std::uint64_t> stored;
+  std::vector<std::unique_ptr<class SimulatedEntry>> entries;
+};
+
+// One request of a caller to one entry.
+struct Submission {
+  std::string id;
+  const Need* need = nullptr;
+  MonotonicTime deadline{};
+  std::function<void()> on_first_token;
+  std::function<void(ResultCode, Milliseconds retry_after)> on_end;
+};
+
+struct EntryCounters {
+  std::uint64_t attempts = 0;
+  std::uint64_t refusals = 0;
+  std::uint64_t judged_refusals = 0;
+  std::uint64_t truthful_refusals = 0;
+  double prompt_tokens = 0;
+  double recomputed_tokens = 0;
+};
+
+class SimulatedEntry {
+ public:
+  SimulatedEntry(World& world, std::size_t index, const Variant& variant);
+
+  void Submit(Submission submission);
+  // The caller has gone.
+  void Cancel(const std::string& id);
+  // A refusal is truthful if what was ahead of the request was not served by
+  // the time at which it would have had to start. Call at the end.
+  [[nodiscard]] EntryCounters Counters() const;
+
+  // To and from the other entries.
+  [[nodiscard]] std::vector<SuspectRecord> ExportSuspects() const;
+  void MergeSuspects(const std::vector<SuspectRecord>& records);
+
+ private:
+  struct Request {
+    Submission submission;
+    ContentFingerprint fingerprint;
+    CostUnits cost = 0;
+    int attempts = 0;
+    Attempt attempt;
+    FakeEngine* engine = nullptr;
+    std::uint64_t engine_number = 0;
+    bool admitted = false;
+    bool got_first_token = false;
+    std::set<EndpointId> tried;
+  };
+  struct Refusal {
+    MonotonicTime time;
+    CostUnits served_before = 0;
+    CostUnits cost_ahead = 0;
+    MonotonicTime latest_start;
+  };
+
+  void Poll();
+  void Pump();
+  void StartAttempt(const std::string& id);
+  void Dispatch(Request& request, std::string id);
+  void WatchProgress(const std::string& id,
+                     std::uint64_t engine_number,
+                     Microseconds first_wait);
+  void OnFirstToken(const std::string& id, Tokens cached);
+  void OnAttemptEnd(const std::string& id, ResultCode code);
+  void EndAttempt(Request& request, ResultCode code);
+  void Finish(const std::string& id, ResultCode code, Milliseconds retry_after);
+  [[nodiscard]] RouteQuery QueryOf(const Request& request, bool alone) const;
+  [[nodiscard]] FakeEngine& EngineOf(const EndpointId& id) const;
+
+  World& world_;
+  ServiceSpec service_;
+  ServiceLoad load_;
+  RetryPolicy policy_;
+  RetryBudget budget_;
+  CrashSuspects suspects_;
+  std::vector<EndpointInfo> candidates_;
+  std::map<std::string, Request> requests_;
+  std::optional<MonotonicTime> wakeup_;
+  EntryCounters counters_;
+  std::vector<Refusal> refusals_;
+  // Cost started by when; for judging refusals.
+  CostUnits served_ = 0;
+  std::vector<std::pair<MonotonicTime, CostUnits>> served_by_;
+};
+
+[[nodiscard]] AccountId AccountName(int account);
+
+}  // namespace carobshift
+
+#endif  // BENCHMARKS_SIM_SIMULATED_ENTRY_H_
--- a/carobshift/server/tables/load_table.cc
+++ b/carobshift/server/tables/load_table.cc
@@ -192,8 +192,8 @@
 ServiceLoad& LoadTable::LoadOf(const ServiceSpec& service) {
   std::unique_ptr<ServiceLoad>& load = services_[service.name];
   if (!load) {
-    AdmissionOptions options;
-    options.max_queued = max_waiting_;
+    ServiceLoadOptions options;
+    options.admission.max_queued = max_waiting_;
     load = std::make_unique<ServiceLoad>(options, service);
   }
   return *load;
--- a/carobshift/server/tables/service_load.cc
+++ b/carobshift/server/tables/service_load.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kNewWeight = 0.1;
+constexpr double kUngatedCapacity = 1e9;
 // Shorter prefills are dominated by the network and the first decode step.
 constexpr Tokens kLeastPrefillToLearn = 256;
 constexpr double kLeastPrefillRate = 100;
@@ -18,10 +19,13 @@
 
 }  // namespace
 
-ServiceLoad::ServiceLoad(const AdmissionOptions& admission,
+ServiceLoad::ServiceLoad(const ServiceLoadOptions& options,
                          const ServiceSpec& service)
-    : queue_(admission),
-      share_(ConcurrencyLimitOptions{}, service.first_token_target) {}
+    : strategy_(options.strategy),
+      gated_(options.gated),
+      queue_(options.admission),
+      share_(options.limit, service.first_token_target),
+      health_(options.health) {}
 
 std::vector<EndpointId> ServiceLoad::Refresh(
     const ServiceSpec& service,
@@ -54,7 +58,7 @@
   std::erase_if(records_, [&](const auto& item) {
     return !kept.contains(item.first) && share_.OwnInProgress(item.first) == 0;
   });
-  queue_.SetCapacity(share_.Allowance());
+  UpdateCapacity();
   return crashed;
 }
 
@@ -81,12 +85,13 @@
   RoutingInput input;
   input.request.prompt_tokens = query.prompt_tokens;
   input.request.request_hash = FastHash(query.id.value());
+  input.request.prefix_hash = query.prefix_hash;
   input.request.zone = query.zone;
   input.endpoints = loads;
   input.hits = hits;
   input.imports = query.cache.imports;
   input.turn = turn_++;
-  const RoutingChoice choice = RoutingStrategies().front().choose(input);
+  const RoutingChoice choice = strategy_.choose(input);
   if (!choice.found())
     return std::nullopt;
   Attempt attempt;
@@ -136,7 +141,7 @@
   }
   const auto micros = static_cast<double>((now - attempt.begin).count());
   attempt_micros_ += kNewWeight * (micros - attempt_micros_);
-  queue_.SetCapacity(share_.Allowance());
+  UpdateCapacity();
 }
 
 Tokens ServiceLoad::ExpectedDecode(Tokens max_tokens) const {
@@ -183,6 +188,10 @@
   return load;
 }
 
+void ServiceLoad::UpdateCapacity() {
+  queue_.SetCapacity(gated_ ? share_.Allowance() : kUngatedCapacity);
+}
+
 // A plain call has no prefill to derive it from.
 Microseconds ServiceLoad::UnloadedTime(const Attempt& attempt,
                                        Microseconds observed) {
--- a/carobshift/server/tables/service_load.h
+++ b/carobshift/server/tables/service_load.h
@@ -35,6 +35,7 @@
 struct RouteQuery {
   RequestId id;
   Tokens prompt_tokens = 0;
+  std::uint64_t prefix_hash = 0;
   ZoneName zone;
   CacheView cache;
   // For a request that is suspected of crashing endpoints: only one that runs
@@ -51,9 +52,19 @@
   MonotonicTime begin{};
 };
 
+// The defaults are what the entries use; the load driver's baselines differ.
+struct ServiceLoadOptions {
+  AdmissionOptions admission;
+  ConcurrencyLimitOptions limit;
+  EndpointHealthOptions health;
+  RoutingStrategy strategy = RoutingStrategies().front();
+  // False sends everything to the endpoints at once; only for baselines.
+  bool gated = true;
+};
+
 class ServiceLoad {
  public:
-  ServiceLoad(const AdmissionOptions& admission, const ServiceSpec& service);
+  ServiceLoad(const ServiceLoadOptions& options, const ServiceSpec& service);
 
   // Takes over which endpoints take work, and load reports that are newer
   // than the last ones seen. Returns the endpoints whose process has died
@@ -99,9 +110,13 @@
                                           Microseconds observed);
   void LearnPrefillRate(const Attempt& attempt, Microseconds observed);
 
+  void UpdateCapacity();
+
+  RoutingStrategy strategy_;
+  bool gated_;
   AdmissionQueue queue_;
   EntryShare share_;
-  EndpointHealthTracker health_{EndpointHealthOptions{}};
+  EndpointHealthTracker health_;
   std::unordered_map<EndpointId, Record> records_;
   std::uint64_t turn_ = 0;
   double prefill_rate_ = 8000;
