cache: wired into carobshiftd; late pin answers no longer count

CacheTable (directory and planner behind one innermost mutex), CacheTask (events, re-listing after gaps, store status), four ExportTasks (exports, drops and pins ahead, off the request path). Routing gets cache hits and the import option; the dispatcher pins before it names a handle and ends a silent attempt before the pin does. Metrics per store link, a "cache" state section. Stores get 300 ms per call, as a pin stands before a first token.

Left out: the answer's own blocks are not counted on for the next turn.

--- a/carobshift/cache/handle_guard.cc
+++ b/carobshift/cache/handle_guard.cc
@@ -109,7 +109,7 @@
   // never ends before ours.
   object.pinned_until = now + duration;
   object.last_used = now;
-  return {object.id, object.handle, duration};
+  return {object.id, ++object.pins_ordered, object.handle, duration};
 }
 
 std::optional<PinOrder> HandleGuard::BeginPin(HandleId id,
@@ -142,18 +142,19 @@
   return OrderPin(*object, kMinPin, now);
 }
 
-void HandleGuard::OnPinEnd(HandleId id,
+void HandleGuard::OnPinEnd(const PinOrder& order,
                            const Status& answer,
                            MonotonicTime now) {
-  TrackedObject* object = FindSettled(id, now);
-  if (object == nullptr || object->state != ObjectState::kPinning)
+  TrackedObject* object = FindSettled(order.id, now);
+  if (object == nullptr || object->state != ObjectState::kPinning ||
+      object->pins_ordered != order.number)
     return;
   if (answer.ok()) {
     object->state = ObjectState::kPinned;
     return;
   }
   if (answer.error().code == ResultCode::kBlockRejected) {
-    Forget(id);
+    Forget(order.id);
     return;
   }
   // The store didn't answer; the object may still be whole. It is not named
--- a/carobshift/cache/handle_guard.h
+++ b/carobshift/cache/handle_guard.h
@@ -5,7 +5,7 @@
 //   HandleId id = guard.BeginExport(owner, ns, store);
 //   guard.OnExportEnd(id, engine.Export(...), now);      // sealed, or gone
 //   std::optional<PinOrder> pin = guard.BeginPin(id, ns, chain, now, length);
-//   guard.OnPinEnd(id, store.Pin(...), now);
+//   guard.OnPinEnd(*pin, store.Pin(...), now);
 //   std::optional<BlockHandle> handle = guard.Use(id, now);
 //
 // States: exporting -> sealed -> pinning -> pinned -> sealed. Every failure
@@ -64,6 +64,7 @@
   BlockHandle handle;
   MonotonicTime last_used;
   MonotonicTime pinned_until;
+  std::uint64_t pins_ordered = 0;
   // Turns that were granted the handle and have not ended.
   int users = 0;
 };
@@ -71,6 +72,9 @@
 // Ask the store to pin; the answer goes to OnPinEnd.
 struct PinOrder {
   HandleId id;
+  // The object's n-th pin. An answer to an earlier order says nothing about
+  // the present one: its pin may have ended.
+  std::uint64_t number = 0;
   BlockHandle handle;
   Milliseconds duration{0};
 };
@@ -112,7 +116,7 @@
   // for addresses. Does not make the object usable for any chain.
   [[nodiscard]] std::optional<PinOrder> BeginPrefetch(HandleId id,
                                                       MonotonicTime now);
-  void OnPinEnd(HandleId id, const Status& answer, MonotonicTime now);
+  void OnPinEnd(const PinOrder& order, const Status& answer, MonotonicTime now);
 
   // The handle to name in a GenerateRequest that is sent now, or nothing. The
   // caller reports the end of the import by EndUse.
--- a/carobshift/cache/handle_guard_test.cc
+++ b/carobshift/cache/handle_guard_test.cc
@@ -29,8 +29,10 @@
 
 HandleId Pinned(HandleGuard& guard) {
   const HandleId id = Sealed(guard);
-  REQUIRE(guard.BeginPin(id, Namespace(), kChain, Milliseconds(100), kStart));
-  guard.OnPinEnd(id, Status(), kStart);
+  const auto pin =
+      guard.BeginPin(id, Namespace(), kChain, Milliseconds(100), kStart);
+  REQUIRE(pin.has_value());
+  guard.OnPinEnd(*pin, Status(), kStart);
   return id;
 }
 
@@ -49,9 +51,10 @@
   CHECK_FALSE(use(kStart).has_value());
   REQUIRE(guard.OnExportEnd(*id, Handle(), kStart));
   CHECK_FALSE(use(kStart).has_value());
-  REQUIRE(pin().has_value());
+  const auto order = pin();
+  REQUIRE(order.has_value());
   CHECK_FALSE(use(kStart).has_value());
-  guard.OnPinEnd(*id, Status(), kStart + Seconds(1));
+  guard.OnPinEnd(*order, Status(), kStart + Seconds(1));
   CHECK(use(kStart + Seconds(1)) == Handle());
   CHECK_FALSE(use(kStart + kMinPin - kPinMargin + Milliseconds(1)).has_value());
 }
@@ -106,22 +109,41 @@
   const auto pin = [&] {
     return guard.BeginPin(id, Namespace(), kChain, Milliseconds(1), kStart);
   };
-  REQUIRE(pin());
-  guard.OnPinEnd(id, Error{ResultCode::kStoreUnavailable, ""}, kStart);
+  guard.OnPinEnd(*pin(), Error{ResultCode::kStoreUnavailable, ""}, kStart);
   CHECK(guard.Find(id) != nullptr);
   CHECK_FALSE(guard.Use(id, Namespace(), kChain, kStart).has_value());
-  REQUIRE(pin());
+  const auto second = pin();
+  REQUIRE(second);
   SECTION("pin") {
-    guard.OnPinEnd(id, Error{ResultCode::kBlockRejected, ""}, kStart);
+    guard.OnPinEnd(*second, Error{ResultCode::kBlockRejected, ""}, kStart);
   }
   SECTION("import") {
-    guard.OnPinEnd(id, Status(), kStart);
+    guard.OnPinEnd(*second, Status(), kStart);
     REQUIRE(guard.Use(id, Namespace(), kChain, kStart));
     guard.EndUse(id, false, kStart);
   }
   CHECK(guard.Find(id) == nullptr);
 }
 
+// The store answers a pin only after it has ended, when a second one is on its
+// way. Taking that for the second's answer would let an import start that the
+// store may free under its reader.
+TEST_CASE("a late answer to an earlier pin pins nothing") {
+  HandleGuard guard(GuardOptions{});
+  const HandleId id = Sealed(guard);
+  const auto pin = [&](MonotonicTime now) {
+    return guard.BeginPin(id, Namespace(), kChain, Milliseconds(1), now);
+  };
+  const auto first = pin(kStart);
+  const MonotonicTime later = kStart + kMinPin;
+  const auto second = pin(later);
+  REQUIRE(second.has_value());
+  guard.OnPinEnd(*first, Status(), later);
+  CHECK_FALSE(guard.Use(id, Namespace(), kChain, later).has_value());
+  guard.OnPinEnd(*second, Status(), later);
+  CHECK(guard.Use(id, Namespace(), kChain, later).has_value());
+}
+
 // A store restarts with empty memory. Handles of its earlier life would meet
 // whatever is written under their names next.
 TEST_CASE("a store's new generation forgets what the old one held") {
--- a/carobshift/cache/return_planner.h
+++ b/carobshift/cache/return_planner.h
@@ -8,7 +8,7 @@
 //   ...
 //   std::optional<StoredImport> option = planner.BestImport(key, ns, chain,
 //   now); std::optional<PinOrder> pin = planner.BeginPin(*option, ns, chain,
-//   now); planner.OnPinEnd(pin->id, store.Pin(...), now);
+//   now); planner.OnPinEnd(*pin, store.Pin(...), now);
 //   std::optional<ImportGrant> grant = planner.BeginImport(*option, ns, chain,
 //                                                          now);
 //   ... GenerateRequest.import = grant->handle ...
@@ -166,7 +166,7 @@
       const CacheNamespace& cache_namespace,
       std::span<const BlockHash> chain,
       MonotonicTime now);
-  void OnPinEnd(HandleId id, const Status& answer, MonotonicTime now);
+  void OnPinEnd(const PinOrder& order, const Status& answer, MonotonicTime now);
   // Takes the link's budget and grants the handle; nothing means recompute.
   // `engine_time` is what the first token is expected to take besides the
   // transfer; it doesn't count against the link's rate.
--- a/carobshift/cache/return_planner_import.cc
+++ b/carobshift/cache/return_planner_import.cc
@@ -60,15 +60,15 @@
   return guard_.BeginPin(option.id, ns, chain, option.transfer, now);
 }
 
-void ReturnPlanner::OnPinEnd(HandleId id,
+void ReturnPlanner::OnPinEnd(const PinOrder& order,
                              const Status& answer,
                              MonotonicTime now) {
-  const TrackedObject* object = guard_.Find(id);
+  const TrackedObject* object = guard_.Find(order.id);
   if (object != nullptr && !answer.ok() &&
       answer.error().code == ResultCode::kStoreUnavailable) {
     stores_.OnFailure(object->handle.store, now);
   }
-  guard_.OnPinEnd(id, answer, now);
+  guard_.OnPinEnd(order, answer, now);
   SyncForgotten();
 }
 
--- a/carobshift/cache/return_planner_test.cc
+++ b/carobshift/cache/return_planner_test.cc
@@ -90,7 +90,7 @@
                                         Milliseconds(0), back));
   const auto pin = bench.planner.BeginPin(*option, Namespace(), chain, back);
   REQUIRE(pin.has_value());
-  bench.planner.OnPinEnd(pin->id, Status(), back);
+  bench.planner.OnPinEnd(*pin, Status(), back);
   const auto grant = bench.planner.BeginImport(*option, Namespace(), chain,
                                                Milliseconds(0), back);
   REQUIRE(grant.has_value());
@@ -143,7 +143,7 @@
   now += kExportDelay;
   const auto pin = bench.planner.OnAddressLookup(Key(2), now);
   REQUIRE(pin.has_value());
-  bench.planner.OnPinEnd(pin->id, Status(), now);
+  bench.planner.OnPinEnd(*pin, Status(), now);
   CHECK(bench.Run(now).drops.empty());
   const Moves moves = bench.Run(now + kMinPin);
   REQUIRE(moves.drops.size() == 1);
--- a/carobshift/cmd/carobshiftd_main.cc
+++ b/carobshift/cmd/carobshiftd_main.cc
@@ -31,6 +31,9 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
 constexpr std::size_t kMinSecretBytes = 16;
+// A pin stands before the first token of a returning prompt, so a silent store
+// may take no more than half of the 590 ms that it may take.
+constexpr Milliseconds kStoreTimeout{300};
 
 std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
@@ -93,7 +96,9 @@
   HttpLogService log(settings.log, options);
   HttpInstanceList list(settings.instance_list, options);
   HttpEngineClient engines(options);
-  HttpStoreClient stores(options);
+  HttpOptions store_options = options;
+  store_options.request_timeout = kStoreTimeout;
+  HttpStoreClient stores(store_options);
   HttpPlainServiceClient plain_services(options);
   Entry entry(settings, secret, {log, list, engines, stores, plain_services});
   const auto address = entry.Start();
--- a/carobshift/server/dispatch/attempt_sink.cc
+++ b/carobshift/server/dispatch/attempt_sink.cc
@@ -21,7 +21,7 @@
 }
 
 bool AttemptSink::OnStart(const GenerateStart& start) {
-  started_ = true;
+  start_ = start;
   const bool first_start = assembler_.delivered().empty();
   if (!GoOn(assembler_.OnStart(attempt_, start.version)))
     return false;
--- a/carobshift/server/dispatch/attempt_sink.h
+++ b/carobshift/server/dispatch/attempt_sink.h
@@ -7,6 +7,7 @@
 #define CAROBSHIFT_SERVER_DISPATCH_ATTEMPT_SINK_H_
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
 #include "carobshift/platform/engine.h"
@@ -33,7 +34,11 @@
   // The attempt's frames didn't fit the answer; see StreamAssembler.
   [[nodiscard]] bool abandoned() const { return abandoned_; }
   // Whether the engine began to answer.
-  [[nodiscard]] bool started() const { return started_; }
+  [[nodiscard]] bool started() const { return start_.has_value(); }
+  // What it said of its start; nothing before that.
+  [[nodiscard]] const std::optional<GenerateStart>& start() const {
+    return start_;
+  }
 
  private:
   bool GoOn(FrameVerdict verdict);
@@ -45,7 +50,7 @@
   std::function<void()> on_first_token_;
   bool caller_gone_ = false;
   bool abandoned_ = false;
-  bool started_ = false;
+  std::optional<GenerateStart> start_;
 };
 
 }  // namespace carobshift
--- a/carobshift/server/dispatch/generate_dispatcher.cc
+++ b/carobshift/server/dispatch/generate_dispatcher.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "carobshift/server/dispatch/attempt_sink.h"
+#include "carobshift/server/dispatch/import_use.h"
 #include "carobshift/stream/stream_assembler.h"
 
 namespace carobshift {
@@ -23,6 +24,11 @@
           "endpoints have crashed while they ran this request", retry_after};
 }
 
+PromptIdentity IdentityOf(const GenerateJob& job) {
+  return {job.account, job.conversation, job.service->model, job.adapter,
+          &job.prompt};
+}
+
 FailedAttempt FailureOf(const Status& status) {
   if (status.ok()) {
     return {{ResultCode::kEndpointFailed, true},
@@ -54,8 +60,10 @@
       if (error)
         break;
       const Status status = RunOne();
-      if (status.ok() && assembler_.complete())
+      if (status.ok() && assembler_.complete()) {
+        RememberTurn();
         break;
+      }
       error = AfterFailure(number, FailureOf(status));
     }
     outcome_.error = std::move(error);
@@ -88,13 +96,16 @@
                          "the deadline passed before the answer began",
                          std::nullopt};
     }
+    const std::vector<EndpointInfo> candidates = Candidates();
+    cached_ = context_.cache.View(IdentityOf(job_), candidates, MonotonicNow());
     RouteQuery query;
     query.id = job_.id;
+    query.cache = cached_.view;
     query.prompt_tokens = EstimateTokens(job_.prompt);
     query.zone = context_.settings.zone;
     query.alone = verdict == SuspectVerdict::kTryAlone;
     auto attempt =
-        control_.BeginAttempt(*job_.service, query, fingerprint_, Candidates());
+        control_.BeginAttempt(*job_.service, query, fingerprint_, candidates);
     if (!attempt && query.alone)
       return SuspectError(State(), kSuspectRetryAfter);
     if (!attempt)
@@ -104,15 +115,19 @@
     (void)assembler_.ChangeVersion(attempt_.endpoint.status->version);
     assembler_.BeginAttempt(AttemptNumber(static_cast<std::uint32_t>(number)));
     number_ = AttemptNumber(static_cast<std::uint32_t>(number));
+    import_.Begin(cached_, attempt_);
     return std::nullopt;
   }
 
   Status RunOne() {
     const ServiceSpec& service = *job_.service;
-    AttemptSink sink(number_, assembler_, writer_, outcome_.usage,
-                     [&] { OnFirstToken(); });
+    AttemptSink sink(number_, assembler_, writer_, outcome_.usage, [&] {
+      import_.End(sink.start());
+      OnFirstToken();
+    });
     const Status status = context_.platform.engines.Generate(
         attempt_.endpoint.address, MakeRequest(), sink);
+    import_.End(sink.start());
     caller_gone_ = sink.caller_gone();
     AttemptEnd end = AttemptEnd::kCompleted;
     if (caller_gone_ || sink.abandoned()) {
@@ -125,6 +140,19 @@
     return status;
   }
 
+  // The endpoint holds the blocks of the whole prompt now. Those of the answer
+  // aren't counted on: engines differ in whether they keep them.
+  void RememberTurn() {
+    if (attempt_.endpoint.status->version != cached_.version)
+      return;
+    const ModelSpec* model =
+        job_.config->declaration.FindModel(job_.service->model);
+    context_.cache.OnTurnEnd(cached_, attempt_.endpoint.id,
+                             model == nullptr ? ModelSpec{}.kv_bytes_per_token
+                                              : model->kv_bytes_per_token,
+                             MonotonicNow());
+  }
+
   void OnFirstToken() {
     const MonotonicTime now = MonotonicNow();
     context_.load.OnFirstToken(*job_.service, &attempt_, now);
@@ -167,6 +195,7 @@
     request.priority = static_cast<int>(job_.priority);
     request.delivered = assembler_.delivered();
     request.progress_timeout = job_.service->progress_timeout;
+    import_.AddTo(request);
     return request;
   }
 
@@ -198,6 +227,8 @@
   StreamAssembler assembler_{WeightVersion()};
   GenerateOutcome outcome_;
   Attempt attempt_;
+  PromptCache cached_;
+  ImportUse import_{context_};
   AttemptNumber number_{1};
   std::set<EndpointId> tried_;
   bool may_have_run_ = false;
--- /dev/null
+++ b/carobshift/server/dispatch/import_use.cc
@@ -0,0 +1,61 @@
+#include "carobshift/server/dispatch/import_use.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace carobshift {
+namespace {
+
+// What the first token takes besides the transfer.
+Milliseconds EngineTime(const RoutingChoice& choice,
+                        const StoredImport& stored) {
+  const auto other = choice.expected_first_token - stored.transfer;
+  return std::max(Milliseconds(0),
+                  std::chrono::duration_cast<Milliseconds>(other));
+}
+
+ImportOutcome OutcomeOf(const std::optional<GenerateStart>& start,
+                        const BlockHandle& handle) {
+  if (!start)
+    return ImportOutcome::kInterrupted;
+  if (start->imported_tokens > 0)
+    return ImportOutcome::kImported;
+  const bool had_them = start->cached_tokens >= handle.tokens;
+  return had_them ? ImportOutcome::kNotTried : ImportOutcome::kRejected;
+}
+
+}  // namespace
+
+void ImportUse::Begin(const PromptCache& cached, const Attempt& attempt) {
+  grant_.reset();
+  if (!attempt.choice.import || !cached.stored ||
+      attempt.endpoint.status->version != cached.version) {
+    return;
+  }
+  grant_ =
+      context_.cache.BeginImport(context_.platform.stores, cached,
+                                 EngineTime(attempt.choice, *cached.stored));
+}
+
+void ImportUse::AddTo(GenerateRequest& request) const {
+  if (!grant_)
+    return;
+  request.import = grant_->handle;
+  request.import_from = context_.cache.StoreAddress(grant_->handle.store);
+  // A silent attempt ends before the pin does, so that the engine never reads
+  // what the store has freed since.
+  const auto left = std::chrono::duration_cast<Milliseconds>(grant_->use_until -
+                                                             MonotonicNow());
+  request.progress_timeout =
+      std::clamp(left, Milliseconds(1), request.progress_timeout);
+}
+
+void ImportUse::End(const std::optional<GenerateStart>& start) {
+  if (!grant_)
+    return;
+  context_.cache.EndImport(*grant_, OutcomeOf(start, grant_->handle),
+                           MonotonicNow());
+  grant_.reset();
+}
+
+}  // namespace carobshift
--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -1,5 +1,6 @@
 #include "carobshift/server/entry.h"
 
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -12,6 +13,7 @@
 #include "carobshift/server/http/http_front.h"
 #include "carobshift/server/queries/addresses_query.h"
 #include "carobshift/server/queries/status_queries.h"
+#include "carobshift/server/tasks/cache_task.h"
 #include "carobshift/server/tasks/config_follower.h"
 #include "carobshift/server/tasks/fleet_task.h"
 #include "carobshift/server/tasks/instance_poller.h"
@@ -46,10 +48,11 @@
       : settings(std::move(given)),
         secret(std::move(given_secret)),
         load(WaitingLimit(settings)),
-        context{settings,  secret,  Incarnation(RandomUint64()),
-                platform,  config,  endpoints,
-                load,      journal, metrics,
-                state_dump},
+        cache(secret),
+        context{settings, secret,    Incarnation(RandomUint64()),
+                platform, config,    endpoints,
+                load,     cache,     journal,
+                metrics,  state_dump},
         front(FrontOptions(settings), routes) {}
 
   void AddRoutes() {
@@ -68,6 +71,7 @@
     state_dump.Register("config", config);
     state_dump.Register("endpoints", endpoints);
     state_dump.Register("load", load);
+    state_dump.Register("cache", cache);
     state_dump.Register("requests", journal);
   }
 
@@ -76,6 +80,9 @@
     runner.Start(status_poller);
     runner.Start(config_follower);
     runner.Start(fleet);
+    runner.Start(cache_task);
+    for (ExportTask& task : export_tasks)
+      runner.Start(task);
   }
 
   Settings settings;
@@ -85,6 +92,7 @@
   ConfigTable config;
   EndpointTable endpoints;
   LoadTable load;
+  CacheTable cache;
   RequestJournal journal;
   Metrics metrics;
   StateDump state_dump;
@@ -108,6 +116,12 @@
   StatusPoller status_poller{context};
   ConfigFollower config_follower{context};
   FleetTask fleet{context};
+  CacheTask cache_task{context};
+  // Two for each store of today, so that a slow one leaves threads to the
+  // other.
+  std::array<ExportTask, 4> export_tasks = {
+      ExportTask(context), ExportTask(context), ExportTask(context),
+      ExportTask(context)};
 
   RouteTable routes;
   HttpFront front;
--- a/carobshift/server/entry_context.h
+++ b/carobshift/server/entry_context.h
@@ -15,6 +15,7 @@
 #include "carobshift/platform/plain_service.h"
 #include "carobshift/platform/store.h"
 #include "carobshift/server/settings.h"
+#include "carobshift/server/tables/cache_table.h"
 #include "carobshift/server/tables/config_table.h"
 #include "carobshift/server/tables/endpoint_table.h"
 #include "carobshift/server/tables/load_table.h"
@@ -41,6 +42,7 @@
   ConfigTable& config;
   EndpointTable& endpoints;
   LoadTable& load;
+  CacheTable& cache;
   RequestJournal& journal;
   Metrics& metrics;
   StateDump& state_dump;
--- a/carobshift/server/queries/addresses_query.cc
+++ b/carobshift/server/queries/addresses_query.cc
@@ -1,9 +1,27 @@
 #include "carobshift/server/queries/addresses_query.h"
 
+#include <Poco/URI.h>
+
 #include "carobshift/server/commands/caller_identity.h"
 #include "carobshift/server/http/caller_error.h"
 
 namespace carobshift {
+namespace {
+
+// The caller returns soon: its stored blocks are pinned ahead.
+void PinAhead(EntryContext& context,
+              const AccountId& account,
+              const RequestExchange& exchange) {
+  for (const auto& [name, value] :
+       Poco::URI(exchange.request.getURI()).getQueryParameters()) {
+    if (name == "conversation" && value.size() <= kMaxCallerIdBytes) {
+      context.cache.OnAddressLookup({account, ConversationId(value)},
+                                    MonotonicNow());
+    }
+  }
+}
+
+}  // namespace
 
 void AddressesQuery::Handle(RequestExchange& exchange) {
   const auto caller = IdentifyCaller(context_, exchange);
@@ -12,6 +30,7 @@
               NotRun(caller.error().code, caller.error().message));
     return;
   }
+  PinAhead(context_, caller.value().account->id, exchange);
   nlohmann::json addresses = nlohmann::json::array();
   for (const EndpointInfo& entry :
        context_.endpoints.All(InstanceKind::kEntry)) {
--- a/carobshift/server/tables/cache_table.cc
+++ b/carobshift/server/tables/cache_table.cc
@@ -72,7 +72,7 @@
   if (const auto pin = BeginPin(cached, MonotonicNow())) {
     const Status answer = stores.Pin(StoreAddress(cached.stored->store),
                                      pin->handle, pin->duration);
-    OnPinEnd(pin->id, answer, MonotonicNow());
+    OnPinEnd(*pin, answer, MonotonicNow());
   }
   std::optional<ImportGrant> grant;
   {
@@ -210,11 +210,11 @@
   return order;
 }
 
-void CacheTable::OnPinEnd(HandleId id,
+void CacheTable::OnPinEnd(const PinOrder& order,
                           const Status& answer,
                           MonotonicTime now) {
   const std::lock_guard lock(mutex_);
-  planner_.OnPinEnd(id, answer, now);
+  planner_.OnPinEnd(order, answer, now);
 }
 
 void CacheTable::WriteMetrics(Metrics& metrics, MonotonicTime now) const {
--- a/carobshift/server/tables/cache_table.h
+++ b/carobshift/server/tables/cache_table.h
@@ -99,7 +99,7 @@
                    const Result<BlockHandle>& answer,
                    MonotonicTime now);
   [[nodiscard]] std::optional<PinOrder> NextPrefetch();
-  void OnPinEnd(HandleId id, const Status& answer, MonotonicTime now);
+  void OnPinEnd(const PinOrder& order, const Status& answer, MonotonicTime now);
 
   [[nodiscard]] nlohmann::json DumpState() const override;
 
--- a/carobshift/server/tasks/cache_task.cc
+++ b/carobshift/server/tasks/cache_task.cc
@@ -86,7 +86,7 @@
     const Status answer =
         stores.Pin(context_.cache.StoreAddress(pin->handle.store), pin->handle,
                    pin->duration);
-    context_.cache.OnPinEnd(pin->id, answer, MonotonicNow());
+    context_.cache.OnPinEnd(*pin, answer, MonotonicNow());
   }
   const Moves moves = context_.cache.NextMoves(now);
   for (const BlockHandle& handle : moves.drops) {
--- a/fuzz/cache_world.cc
+++ b/fuzz/cache_world.cc
@@ -94,7 +94,7 @@
             order.handle, order.duration, now_, mutation_);
         Send(
             [this, order, answer, then] {
-              planner_.OnPinEnd(order.id, answer, now_);
+              planner_.OnPinEnd(order, answer, now_);
               then();
             },
             false);
