--- a/carobshift/cache/handle_guard.h
+++ b/carobshift/cache/handle_guard.h
@@ -5,7 +5,7 @@
 //   HandleId id = guard.BeginExport(owner, ns, store);
 //   guard.OnExportEnd(id, engine.Export(...), now);      // sealed, or gone
 //   std::optional<PinOrder> pin = guard.BeginPin(id, ns, chain, now, length);
-//   guard.OnPinEnd(id, store.Pin(...), now);
+//   guard.OnPinEnd(*pin, store.Pin(...), now);
 //   std::optional<BlockHandle> handle = guard.Use(id, now);
 //
 // States: exporting -> sealed -> pinning -> pinned -> sealed. Every failure
@@ -23,7 +23,9 @@
 // than recompute well before a factor of four, and a pin that its entry dies
 // with blocks the place for two minutes at most. It counts from the moment
 // the order was sent, so that the store's own count always ends later.
-// kMaxObjects bounds the state: 4 handles for each of 10,000 conversations.
+// The reader gives up kCancelMargin before the pin ends, the time in which a
+// closed connection surely stops the engine's read. kMaxObjects bounds the
+// state: 4 handles for each of 10,000 conversations.
 
 #ifndef CAROBSHIFT_CACHE_HANDLE_GUARD_H_
 #define CAROBSHIFT_CACHE_HANDLE_GUARD_H_
@@ -47,6 +49,7 @@
 inline constexpr int kPinTransferFactor = 4;
 // An import must begin this long before the pin ends at the latest.
 inline constexpr Milliseconds kPinMargin{2000};
+inline constexpr Milliseconds kCancelMargin{1000};
 inline constexpr std::size_t kMaxObjects = 40000;
 
 enum class ObjectState { kExporting, kSealed, kPinning, kPinned };
@@ -61,6 +64,7 @@
   BlockHandle handle;
   MonotonicTime last_used;
   MonotonicTime pinned_until;
+  std::uint64_t pins_ordered = 0;
   // Turns that were granted the handle and have not ended.
   int users = 0;
 };
@@ -68,6 +72,9 @@
 // Ask the store to pin; the answer goes to OnPinEnd.
 struct PinOrder {
   HandleId id;
+  // The object's n-th pin. An answer to an earlier order says nothing about
+  // the present one: its pin may have ended.
+  std::uint64_t number = 0;
   BlockHandle handle;
   Milliseconds duration{0};
 };
@@ -109,7 +116,7 @@
   // for addresses. Does not make the object usable for any chain.
   [[nodiscard]] std::optional<PinOrder> BeginPrefetch(HandleId id,
                                                       MonotonicTime now);
-  void OnPinEnd(HandleId id, const Status& answer, MonotonicTime now);
+  void OnPinEnd(const PinOrder& order, const Status& answer, MonotonicTime now);
 
   // The handle to name in a GenerateRequest that is sent now, or nothing. The
   // caller reports the end of the import by EndUse.
