--- a/carobshift/fleet/fleet_facts.h
+++ b/carobshift/fleet/fleet_facts.h
@@ -25,10 +25,13 @@
 namespace carobshift {
 
 // Published again at each round while the cause is seen; the fact table
-// passes it on only when half of it is over.
-inline constexpr Milliseconds kFleetFactLife{10'000};
+// passes it on after each FactTable::kMinExtension. Three times that, as one
+// refresh may be taken for an echo when its way was faster than the first
+// one's: with twice, an entry without the list lost a fact for a moment and
+// sent work to a leaving endpoint.
+inline constexpr Milliseconds kFleetFactLife{15'000};
 // A withdrawal lives longer than the drain that it withdraws.
-inline constexpr Milliseconds kWithdrawalLife{20'000};
+inline constexpr Milliseconds kWithdrawalLife{30'000};
 
 [[nodiscard]] std::vector<Fact> LeavingFacts(
     const std::vector<EndpointId>& leaving);
--- a/carobshift/fleet/fleet_planner.cc
+++ b/carobshift/fleet/fleet_planner.cc
@@ -1,7 +1,6 @@
 #include "carobshift/fleet/fleet_planner.h"
 
 #include <algorithm>
-#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -12,25 +11,9 @@
 // never shows it does not hold up the rest for longer.
 constexpr Milliseconds kFencingPatience{5000};
 
-// Each service after all that it depends on; the declaration has no cycles.
-std::vector<const ServiceSpec*> InDependencyOrder(
-    const Declaration& declaration) {
-  std::vector<const ServiceSpec*> ordered;
-  std::set<ServiceName> visited;
-  const std::function<void(const ServiceSpec&)> visit =
-      [&](const ServiceSpec& service) {
-        if (!visited.insert(service.name).second)
-          return;
-        for (const ServiceName& name : service.depends_on) {
-          if (const ServiceSpec* needed = declaration.FindService(name))
-            visit(*needed);
-        }
-        ordered.push_back(&service);
-      };
-  for (const ServiceSpec& service : declaration.services)
-    visit(service);
-  return ordered;
-}
+// An order that was sent has reached its engine by then or never will: the
+// request timeout of the platform's clients.
+constexpr Milliseconds kOrderArrives{2000};
 
 bool ShowsEffect(const ObservedEndpoint& engine, const PendingOrder& pending) {
   if (!engine.status || engine.status_asked < pending.sent)
@@ -45,6 +28,12 @@
          status.role == pending.order.role;
 }
 
+// An engine that leaves will not come back with the effect, but an order on
+// its way may still have it load.
+bool IsMoot(const ObservedEndpoint& engine, const PendingOrder& pending) {
+  return engine.leaving && engine.status_asked >= pending.sent + kOrderArrives;
+}
+
 }  // namespace
 
 struct FleetPlanner::Round {
@@ -124,7 +113,9 @@
   if (RaiseFencing(round))
     return std::move(round.plan);
   ContinueDrains(round);
-  const auto services = InDependencyOrder(declaration);
+  const bool by_dependency =
+      options_.mutation != FleetMutation::kIgnoreDependencies;
+  const auto services = OrderServices(declaration, by_dependency);
   for (const ServiceSpec* service : services) {
     if (service->kind == ServiceKind::kModel)
       RestoreService(round, *service);
@@ -157,10 +148,8 @@
              last != last_roles_.end())
       roles.insert(*last);
     const auto pending = pending_.find(engine.id);
-    const bool lost = !engine.status &&
-                      (!engine.silent_since ||
-                       now - *engine.silent_since >= FleetSurvey::kLostAfter);
-    if (pending == pending_.end() || engine.leaving || lost ||
+    const bool lost = FleetSurvey::IsLost(engine, now);
+    if (pending == pending_.end() || lost || IsMoot(engine, pending->second) ||
         now - pending->second.sent >= options_.order_patience ||
         ShowsEffect(engine, pending->second))
       continue;
@@ -172,10 +161,11 @@
 
 // At the begin of a tenure the former holder's orders may still be on their
 // way. An order that changes nothing raises the number that the engine has
-// seen, and it refuses the late ones. Until then, and until every status is
-// newer than the tenure, nothing else is decided.
+// seen, and it refuses the late ones. Until then, until every status is newer
+// than the tenure and until its last drains and withdrawals have arrived here,
+// nothing else is decided.
 bool FleetPlanner::RaiseFencing(Round& round) const {
-  bool waits = false;
+  bool waits = round.now - tenure_began_ < kDrainSettle;
   for (const ObservedEndpoint& engine : round.engines) {
     if (!engine.status || engine.leaving)
       continue;
@@ -204,16 +194,15 @@
     round.plan.orders.clear();
     return false;
   }
-  for (const ObservedEndpoint& engine : round.engines) {
-    if (engine.draining_since)
-      round.Drain(engine, "kept until the state of all engines is known");
-  }
+  round.plan.keep_drains = true;
   return true;
 }
 
 void FleetPlanner::ContinueDrains(Round& round) const {
   for (const ObservedEndpoint& engine : round.engines) {
-    if (!engine.draining_since || engine.leaving)
+    // A drain of an engine that is gone would keep its place for ever.
+    if (!engine.draining_since || engine.leaving ||
+        FleetSurvey::IsLost(engine, round.now))
       continue;
     const bool under_way = round.survey.Loading().contains(engine.id) ||
                            pending_.contains(engine.id);
@@ -228,17 +217,13 @@
     const bool declared = service != nullptr && service->pool == engine.pool;
     int* surplus = declared ? &round.surplus[service->name] : nullptr;
     const bool free_it = !declared || *surplus > 0;
-    if (!free_it && RunsDeclared(*engine.status, *service)) {
-      ++round.serving[service->name];
+    // Admitted again. It counts as serving from the next round on.
+    if (!free_it && RunsDeclared(*engine.status, *service))
       continue;
-    }
-    // Other replicas failed since the drain began: the work it could take is
-    // worth more than the swap.
-    if (declared && round.serving[service->name] < service->floor &&
-        options_.mutation != FleetMutation::kIgnoreFloor) {
-      round.Wait(*service, "drain of " + engine.id.value() +
-                               " given up: fewer replicas than the floor");
-      ++round.serving[service->name];
+    if (const char* reason =
+            declared ? WhyGivenUp(round, *service, free_it) : nullptr) {
+      round.Wait(*service,
+                 "drain of " + engine.id.value() + " given up: " + reason);
       round.decided.insert(engine.id);
       continue;
     }
@@ -249,13 +234,9 @@
     if (!IsDrained(engine, round.now))
       continue;
     if (free_it) {
-      round.Order(engine,
-                  {.fencing = {},
-                   .kind = OrderKind::kUnload,
-                   .model = {},
-                   .version = {},
-                   .adapters = {},
-                   .role = {}},
+      EngineOrder unload;
+      unload.kind = OrderKind::kUnload;
+      round.Order(engine, unload,
                   "its running work has ended and no service needs it");
     } else {
       Load(round, *service, engine, "weight swap: its running work has ended");
@@ -263,11 +244,29 @@
   }
 }
 
+// Replicas of the service, or of one that it depends on, failed since the
+// drain began: the work that the engine could take is worth more than the
+// change.
+const char* FleetPlanner::WhyGivenUp(const Round& round,
+                                     const ServiceSpec& service,
+                                     bool free_it) const {
+  if (round.serving.at(service.name) < service.floor &&
+      options_.mutation != FleetMutation::kIgnoreFloor)
+    return "fewer replicas than the floor";
+  if (!free_it && !round.survey.DependenciesServe(service) &&
+      options_.mutation != FleetMutation::kIgnoreDependencies)
+    return "what it depends on does not serve";
+  return nullptr;
+}
+
 bool FleetPlanner::IsDrained(const ObservedEndpoint& engine,
                              MonotonicTime now) const {
   const bool no_settle = options_.mutation == FleetMutation::kNoDrainSettle;
+  // A drain found at the begin of a tenure may have been withdrawn by the
+  // former holder, unheard here: it counts from when this holder repeats it.
+  const MonotonicTime since = std::max(*engine.draining_since, tenure_began_);
   const MonotonicTime settled =
-      *engine.draining_since + (no_settle ? Milliseconds(0) : kDrainSettle);
+      since + (no_settle ? Milliseconds(0) : kDrainSettle);
   const bool reported =
       engine.status_asked >=
       settled + (no_settle ? Milliseconds(0) : kLoadReportLag);
--- a/carobshift/fleet/fleet_planner.h
+++ b/carobshift/fleet/fleet_planner.h
@@ -5,7 +5,8 @@
 //   FleetPlanner planner(options);
 //   planner.BeginTenure(now);                       // lease acquired
 //   FleetPlan plan = planner.Plan(declaration, engines, plain, number, now);
-//   // publish plan.drains, withdraw other drains, send plan.orders
+//   // unless plan.keep_drains: publish plan.drains, withdraw other drains
+//   // send plan.orders
 //   planner.OnOrderSent(order, now);
 //
 // A planned change of a replica is: it gets no new work from any entry (a
@@ -85,6 +86,9 @@
 };
 
 struct FleetPlan {
+  // The drains that facts now hold are to stay as they are: neither repeated
+  // nor withdrawn.
+  bool keep_drains = false;
   // All endpoints to be drained; any other one is to be admitted again.
   std::vector<FleetDrain> drains;
   std::vector<FleetOrder> orders;
@@ -120,6 +124,10 @@
                      MonotonicTime now);
   bool RaiseFencing(Round& round) const;
   void ContinueDrains(Round& round) const;
+  // Null if the drain goes on.
+  [[nodiscard]] const char* WhyGivenUp(const Round& round,
+                                       const ServiceSpec& service,
+                                       bool free_it) const;
   void RestoreService(Round& round, const ServiceSpec& service) const;
   void ChangeService(Round& round, const ServiceSpec& service) const;
   void FreeUndeclared(Round& round) const;
--- a/carobshift/fleet/fleet_planner_test.cc
+++ b/carobshift/fleet/fleet_planner_test.cc
@@ -34,6 +34,7 @@
                                  .checks_fencing = false});
     declaration.services.push_back(Service("assistant", 3, 2));
     planner.BeginTenure(now);
+    now += FleetPlanner::kDrainSettle;
   }
 
   ObservedEndpoint& Add(const std::string& id, const ServiceSpec* service) {
@@ -143,7 +144,7 @@
   CHECK(plan.orders[0].endpoint == EndpointId("idle-0"));
 
   engines.pop_back();
-  planner.BeginTenure(now);
+  planner = FleetPlanner(FleetOptions{});
   plan = Plan();
   CHECK(plan.orders.empty());
   CHECK(plan.drains.empty());
--- a/carobshift/fleet/fleet_survey.cc
+++ b/carobshift/fleet/fleet_survey.cc
@@ -1,17 +1,11 @@
 #include "carobshift/fleet/fleet_survey.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace carobshift {
 namespace {
 
-bool IsLost(const ObservedEndpoint& engine, MonotonicTime now) {
-  if (engine.status)
-    return false;
-  return !engine.silent_since ||
-         now - *engine.silent_since >= FleetSurvey::kLostAfter;
-}
-
 // The service that the engine has, loads or is to load.
 ServiceName RoleOf(const ObservedEndpoint& engine,
                    const std::map<EndpointId, PendingOrder>& pending,
@@ -29,6 +23,32 @@
 
 }  // namespace
 
+std::vector<const ServiceSpec*> OrderServices(const Declaration& declaration,
+                                              bool by_dependency) {
+  std::vector<const ServiceSpec*> ordered;
+  std::set<ServiceName> visited;
+  const std::function<void(const ServiceSpec&)> visit =
+      [&](const ServiceSpec& service) {
+        if (!visited.insert(service.name).second)
+          return;
+        for (const ServiceName& name : service.depends_on) {
+          const ServiceSpec* needed = declaration.FindService(name);
+          if (needed != nullptr && by_dependency)
+            visit(*needed);
+        }
+        ordered.push_back(&service);
+      };
+  for (const ServiceSpec& service : declaration.services)
+    visit(service);
+  return ordered;
+}
+
+bool FleetSurvey::IsLost(const ObservedEndpoint& engine, MonotonicTime now) {
+  if (engine.status)
+    return false;
+  return !engine.silent_since || now - *engine.silent_since >= kLostAfter;
+}
+
 bool RunsDeclared(const EngineStatus& status, const ServiceSpec& service) {
   return status.model == service.model && status.version == service.weights &&
          status.adapters == service.adapters;
@@ -106,16 +126,14 @@
 
 const FleetSurvey::ServiceState& FleetSurvey::Of(
     const ServiceName& service) const {
-  static const ServiceState kNone;
   const auto it = services_.find(service);
-  return it == services_.end() ? kNone : it->second;
+  return it == services_.end() ? no_state_ : it->second;
 }
 
 const std::set<const ObservedEndpoint*>& FleetSurvey::Idle(
     const PoolName& pool) const {
-  static const std::set<const ObservedEndpoint*> kNone;
   const auto it = idle_.find(pool);
-  return it == idle_.end() ? kNone : it->second;
+  return it == idle_.end() ? no_engines_ : it->second;
 }
 
 bool FleetSurvey::DependenciesServe(const ServiceSpec& service) const {
--- a/carobshift/fleet/fleet_survey.h
+++ b/carobshift/fleet/fleet_survey.h
@@ -32,11 +32,19 @@
 [[nodiscard]] bool RunsDeclared(const EngineStatus& status,
                                 const ServiceSpec& service);
 
+// Each service after all that it depends on, or in the order of the text. The
+// declaration has no cycles.
+[[nodiscard]] std::vector<const ServiceSpec*> OrderServices(
+    const Declaration& declaration,
+    bool by_dependency);
+
 // Points into what it was made from, which must outlive it.
 class FleetSurvey {
  public:
   // An engine silent for longer counts as lost and is replaced.
   static constexpr Milliseconds kLostAfter{3000};
+  [[nodiscard]] static bool IsLost(const ObservedEndpoint& engine,
+                                   MonotonicTime now);
 
   FleetSurvey(const Declaration& declaration,
               const std::vector<ObservedEndpoint>& engines,
@@ -86,6 +94,9 @@
   std::map<PoolName, std::set<const ObservedEndpoint*>> idle_;
   std::vector<const ObservedEndpoint*> undeclared_;
   std::set<EndpointId> loading_;
+  // For names that the declaration does not know.
+  ServiceState no_state_;
+  std::set<const ObservedEndpoint*> no_engines_;
 };
 
 }  // namespace carobshift
