--- a/benchmarks/sim/simulated_entry.cc
+++ b/benchmarks/sim/simulated_entry.cc
@@ -88,6 +88,7 @@
     cached = std::max(cached, std::min(engine->CachedTokens(need.prefix),
                                        need.prefix_tokens));
   wanted.cost = RequestCost(need.prompt_tokens - cached, need.decode_tokens);
+  wanted.prefill = need.prompt_tokens - cached;
   wanted.first_token_deadline = submission.deadline;
   wanted.unloaded_first_token = load_.PrefillTime(need.prompt_tokens - cached);
   const AdmissionDecision decision = load_.queue().Arrive(wanted, now);
@@ -248,6 +249,7 @@
   Request& request = requests_.at(id);
   const Need& need = *request.submission.need;
   load_.OnFirstToken(&request.attempt, world_.loop.now());
+  load_.queue().OnFirstToken(RequestId(id));
   counters_.prompt_tokens += static_cast<double>(need.prompt_tokens);
   counters_.recomputed_tokens += static_cast<double>(
       need.prefix_tokens - std::min(cached, need.prefix_tokens));
@@ -255,6 +257,7 @@
     request.got_first_token = true;
     request.submission.on_first_token();
   }
+  Pump();
 }
 
 void SimulatedEntry::EndAttempt(Request& request, ResultCode code) {
--- a/carobshift/admission/admission_queue.cc
+++ b/carobshift/admission/admission_queue.cc
@@ -41,6 +41,8 @@
   Account* lane = nullptr;
   PriorityClass priority = PriorityClass::kNormal;
   CostUnits cost = 1;
+  // Counted in `running_prefill_` while it runs.
+  double prefill = 0;
   MonotonicTime rank{};
   MonotonicTime latest_start{};
   bool has_deadline = false;
@@ -89,8 +91,8 @@
   }
 }
 
-void AdmissionQueue::SetCapacity(double capacity) {
-  capacity_ = std::max(0.0, capacity);
+void AdmissionQueue::SetCapacity(const AdmissionCapacity& capacity) {
+  capacity_ = capacity;
 }
 
 AdmissionDecision AdmissionQueue::Arrive(const AdmissionRequest& request,
@@ -111,6 +113,7 @@
   item->lane = &lane;
   item->priority = request.priority;
   item->cost = std::max(1.0, request.cost);
+  item->prefill = std::max(0.0, static_cast<double>(request.prefill));
   item->rank = RankOf(request, now);
   item->latest_start =
       now + options_.max_wait[static_cast<std::size_t>(request.priority)];
@@ -126,8 +129,7 @@
     return Refuse(late, request, decision, now);
 
   if (expiry_.empty() && HasFreePlace()) {
-    item->running = true;
-    ++running_;
+    BeginRun(item.get());
     decision.cost_ahead = 0;
     decision.expected_wait = Microseconds(0);
   } else {
@@ -149,8 +151,7 @@
   GiveUpExpired(now, &step);
   while (!active_.empty() && HasFreePlace()) {
     Item* item = TakeNext();
-    item->running = true;
-    ++running_;
+    BeginRun(item);
     drain_.OnStart(item->cost);
     step.admitted.push_back(item->id);
   }
@@ -158,6 +159,12 @@
   return step;
 }
 
+void AdmissionQueue::OnFirstToken(const RequestId& id) {
+  const auto it = items_.find(id);
+  if (it != items_.end() && it->second->running)
+    EndPrefill(it->second.get());
+}
+
 void AdmissionQueue::Finish(const RequestId& id, CostUnits actual_cost) {
   const auto it = items_.find(id);
   if (it == items_.end() || !it->second->running)
@@ -173,6 +180,7 @@
       Rekey(lane);
   }
   --running_;
+  EndPrefill(&item);
   Forget(id);
 }
 
@@ -185,6 +193,7 @@
   } else if (options_.mutation != AdmissionMutation::kLostWakeup) {
     --running_;
   }
+  EndPrefill(it->second.get());
   Forget(id);
   return true;
 }
@@ -212,7 +221,10 @@
 bool AdmissionQueue::HasFreePlace() const {
   // A capacity between 0 and 1 still serves one at a time: the entry would
   // otherwise never send anything and its callers would wait for nothing.
-  return running_ < capacity_ && (running_ == 0 || running_ + 1 <= capacity_);
+  if (running_ == 0)
+    return capacity_.places > 0;
+  return running_ + 1 <= capacity_.places &&
+         (running_prefill_ < 1 || running_prefill_ < capacity_.prefill);
 }
 
 // Served before this request: all that waits, or if less, what the account
@@ -317,6 +329,19 @@
   active_.insert(lane);
 }
 
+void AdmissionQueue::BeginRun(Item* item) {
+  item->running = true;
+  ++running_;
+  item->prefill = std::min(item->prefill, capacity_.prefill_per_request);
+  running_prefill_ += item->prefill;
+}
+
+void AdmissionQueue::EndPrefill(Item* item) {
+  if (item->running)
+    running_prefill_ -= item->prefill;
+  item->prefill = 0;
+}
+
 AdmissionQueue::Item* AdmissionQueue::TakeNext() {
   Account* lane = *active_.begin();
   Item* item = *lane->queue.begin();
--- a/carobshift/admission/admission_queue.h
+++ b/carobshift/admission/admission_queue.h
@@ -4,9 +4,9 @@
 //
 //   AdmissionQueue queue(options);
 //   queue.SetAccount(account, {.weight = 2, .max_in_flight = 256});
-//   queue.SetCapacity(share.Allowance());
+//   queue.SetCapacity({.places = share.Allowance(), .prefill = 4000});
 //   AdmissionDecision decision = queue.Arrive(request, now);
-//   ...                                  // on each Finish, Cancel, SetCapacity
+//   ...                  // on each Finish, OnFirstToken, Cancel, SetCapacity
 //   AdmissionStep step = queue.Pop(now); // and at NextWakeup()
 //
 // Load patterns, and what happens without this module:
@@ -17,6 +17,11 @@
 // - Long dossiers among short questions: a request counts by its cost, not as
 //   one, so ten dossiers don't displace ten questions of another account.
 //   Within an account a short request passes a long one, up to a bound.
+// - Long prefills: endpoints prefill in order of arrival, so ten dossiers in
+//   an endpoint's own queue hold up every question behind them by seconds, and
+//   no order here can help. Requests are held back while the prefill in
+//   progress is at its limit, as they are while all places are taken; it may be
+//   passed by one request, so that no prompt is too long to start.
 // - Overload: without refusals every request waits until its caller has given
 //   up, and the work done for it is lost. Here a request that the measured
 //   drain rate can't start in time is refused on arrival, and one whose time
@@ -96,11 +101,23 @@
   friend bool operator==(const AccountShare&, const AccountShare&) = default;
 };
 
+// What may be in progress at once, from EntryShare.
+struct AdmissionCapacity {
+  double places = 0;
+  // Prefill tokens of requests that have no first token yet.
+  double prefill = 1e18;
+  // What one request counts at most: it holds up one endpoint, however long
+  // its prompt is.
+  double prefill_per_request = 1e18;
+};
+
 struct AdmissionRequest {
   RequestId id;
   AccountId account;
   PriorityClass priority = PriorityClass::kNormal;
   CostUnits cost = 1;
+  // The part of it that is prefill.
+  Tokens prefill = 0;
   // By when the caller wants the first token, if it said so. It can shorten
   // the longest wait, not prolong it.
   std::optional<MonotonicTime> first_token_deadline;
@@ -145,8 +162,8 @@
   // Adds the account or changes its share. An account never set has weight 1.
   void SetAccount(const AccountId& account, const AccountShare& share);
 
-  // Requests that may run at once, from EntryShare. Call Pop afterwards.
-  void SetCapacity(double capacity);
+  // Call Pop afterwards.
+  void SetCapacity(const AdmissionCapacity& capacity);
 
   // Decides about a new request; ids are unique among those not finished.
   [[nodiscard]] AdmissionDecision Arrive(const AdmissionRequest& request,
@@ -155,6 +172,9 @@
   // Starts what fits and gives up what can't be started in time any more.
   [[nodiscard]] AdmissionStep Pop(MonotonicTime now);
 
+  // The run's prefill is over. Unknown ids are ignored. Call Pop afterwards.
+  void OnFirstToken(const RequestId& id);
+
   // The run has ended. `actual_cost` corrects the account's share where the
   // estimate was wrong. Unknown ids are ignored. Call Pop afterwards.
   void Finish(const RequestId& id, CostUnits actual_cost);
@@ -170,7 +190,7 @@
   [[nodiscard]] int running() const { return running_; }
   [[nodiscard]] std::size_t queued() const { return expiry_.size(); }
   [[nodiscard]] CostUnits queued_cost() const { return queued_cost_; }
-  [[nodiscard]] double capacity() const { return capacity_; }
+  [[nodiscard]] const AdmissionCapacity& capacity() const { return capacity_; }
   [[nodiscard]] double drain_rate() const { return drain_.rate(); }
   [[nodiscard]] int InFlight(const AccountId& account) const;
 
@@ -204,13 +224,16 @@
   void Enqueue(Item* item);
   void Dequeue(Item* item);
   void Rekey(Account* lane);
+  void BeginRun(Item* item);
+  void EndPrefill(Item* item);
   Item* TakeNext();
   void GiveUpExpired(MonotonicTime now, AdmissionStep* step);
   void Forget(const RequestId& id);
 
   AdmissionOptions options_;
-  double capacity_ = 0;
+  AdmissionCapacity capacity_;
   int running_ = 0;
+  double running_prefill_ = 0;
   std::uint64_t next_sequence_ = 0;
   CostUnits queued_cost_ = 0;
   double active_weight_ = 0;
--- a/carobshift/admission/admission_queue_test.cc
+++ b/carobshift/admission/admission_queue_test.cc
@@ -23,7 +23,7 @@
 // Gives the queue a known drain rate, cost units a second, and leaves it empty
 // a second after kStart.
 void Warm(AdmissionQueue* queue, double rate) {
-  queue->SetCapacity(1);
+  queue->SetCapacity({.places = 1});
   RequestId running("warm0");
   (void)queue->Arrive(Request("warm0", AccountId("warm")), kStart);
   for (int i = 1; i <= 8; ++i)
@@ -39,7 +39,7 @@
 
 TEST_CASE("a free place is given at once, then requests wait in turn") {
   AdmissionQueue queue({});
-  queue.SetCapacity(1);
+  queue.SetCapacity({.places = 1});
   CHECK(queue.Arrive(Request("a", kLarge), kStart).verdict ==
         AdmissionVerdict::kAdmitted);
   CHECK(queue.Arrive(Request("b", kLarge), kStart).verdict ==
@@ -55,7 +55,7 @@
 // other account's caller would wait for all of it.
 TEST_CASE("a small account passes a hot account's backlog") {
   AdmissionQueue queue({});
-  queue.SetCapacity(1);
+  queue.SetCapacity({.places = 1});
   for (int i = 0; i < 100; ++i)
     (void)queue.Arrive(Request("l" + std::to_string(i), kLarge), kStart);
   (void)queue.Arrive(Request("s", kSmall), kStart);
@@ -71,7 +71,7 @@
   AdmissionQueue queue({});
   queue.SetAccount(kLarge, {.weight = 3, .max_in_flight = 1000});
   queue.SetAccount(kSmall, {.weight = 1, .max_in_flight = 1000});
-  queue.SetCapacity(1);
+  queue.SetCapacity({.places = 1});
   (void)queue.Arrive(Request("first", kLarge), kStart);
   for (int i = 0; i < 200; ++i) {
     (void)queue.Arrive(Request("l" + std::to_string(i), kLarge, 300), kStart);
@@ -91,7 +91,7 @@
 
 TEST_CASE("within an account a short request passes a long one, to a bound") {
   AdmissionQueue queue({});
-  queue.SetCapacity(1);
+  queue.SetCapacity({.places = 1});
   (void)queue.Arrive(Request("running", kSmall), kStart);
   (void)queue.Arrive(Request("long", kSmall, 20000), kStart);
   (void)queue.Arrive(Request("short", kSmall, 100), kStart + Milliseconds(100));
@@ -145,9 +145,25 @@
     CHECK(returns <= 40);
 }
 
+// Ten dossiers arrive, and then a question of another account. If all of them
+// were handed to the endpoints, the question would wait for ten prefills.
+TEST_CASE("long prefills are held back once their limit is in progress") {
+  AdmissionQueue queue({});
+  queue.SetCapacity({.places = 100, .prefill = 4000});
+  AdmissionRequest dossier = Request("d0", kLarge, 12000);
+  dossier.prefill = 12000;
+  CHECK(queue.Arrive(dossier, kStart).verdict == AdmissionVerdict::kAdmitted);
+  dossier.id = RequestId("d1");
+  CHECK(queue.Arrive(dossier, kStart).verdict == AdmissionVerdict::kQueued);
+  (void)queue.Arrive(Request("question", kSmall), kStart);
+  queue.OnFirstToken(RequestId("d0"));
+  const AdmissionStep step = queue.Pop(kStart);
+  CHECK(step.admitted == std::vector{RequestId("question"), RequestId("d1")});
+}
+
 TEST_CASE("a waiting request is given up when its time is over") {
   AdmissionQueue queue({});
-  queue.SetCapacity(1);
+  queue.SetCapacity({.places = 1});
   (void)queue.Arrive(Request("running", kLarge), kStart);
   (void)queue.Arrive(Request("waiting", kSmall), kStart);
   REQUIRE(queue.NextWakeup() == kStart + Milliseconds(2000));
@@ -163,7 +179,7 @@
 TEST_CASE("an account over its limit is refused without touching others") {
   AdmissionQueue queue({});
   queue.SetAccount(kLarge, {.weight = 1, .max_in_flight = 2});
-  queue.SetCapacity(10);
+  queue.SetCapacity({.places = 10});
   (void)queue.Arrive(Request("a", kLarge), kStart);
   (void)queue.Arrive(Request("b", kLarge), kStart);
   CHECK(queue.Arrive(Request("c", kLarge), kStart).code ==
--- a/carobshift/admission/entry_share.cc
+++ b/carobshift/admission/entry_share.cc
@@ -4,6 +4,16 @@
 
 namespace carobshift {
 
+double AllowanceByReport(double limit,
+                         double reported,
+                         double own_at_report,
+                         int entries) {
+  const double floor = limit / entries;
+  if (reported > limit)
+    return std::max(floor, own_at_report * limit / reported);
+  return std::max(floor, own_at_report + (limit - reported) / entries);
+}
+
 EntryShare::EntryShare(const ConcurrencyLimitOptions& options,
                        Milliseconds first_token_target)
     : options_(options), first_token_target_(first_token_target) {}
@@ -68,12 +78,8 @@
 }
 
 double EntryShare::AllowanceOf(const Record& record) const {
-  const double limit = record.limit.limit();
-  const double floor = limit / entries_;
-  const double reported = record.reported;
-  if (reported > limit)
-    return std::max(floor, record.own_at_report * limit / reported);
-  return std::max(floor, record.own_at_report + (limit - reported) / entries_);
+  return AllowanceByReport(record.limit.limit(), record.reported,
+                           record.own_at_report, entries_);
 }
 
 double EntryShare::Allowance() const {
--- a/carobshift/admission/entry_share.h
+++ b/carobshift/admission/entry_share.h
@@ -37,6 +37,12 @@
 
 namespace carobshift {
 
+// The rule above for one endpoint and any unit: requests, or prefill tokens.
+[[nodiscard]] double AllowanceByReport(double limit,
+                                       double reported,
+                                       double own_at_report,
+                                       int entries);
+
 class EntryShare {
  public:
   EntryShare(const ConcurrencyLimitOptions& options,
--- a/carobshift/server/dispatch/generate_dispatcher.cc
+++ b/carobshift/server/dispatch/generate_dispatcher.cc
@@ -127,7 +127,7 @@
 
   void OnFirstToken() {
     const MonotonicTime now = MonotonicNow();
-    context_.load.OnFirstToken(*job_.service, &attempt_, now);
+    context_.load.OnFirstToken(*job_.service, job_.id, &attempt_, now);
     context_.metrics.Observe("carobshift_first_token_seconds",
                              {{"service", job_.service->name.value()}},
                              now - job_.received);
--- a/carobshift/server/dispatch/plain_dispatcher.cc
+++ b/carobshift/server/dispatch/plain_dispatcher.cc
@@ -100,7 +100,7 @@
       context_.platform.plain_services.Call(attempt->endpoint.address, call);
   AttemptEnd end = AttemptEnd::kCompleted;
   if (result.answer.ok()) {
-    context_.load.OnFirstToken(*job.service, attempt, MonotonicNow());
+    context_.load.OnFirstToken(*job.service, job.id, attempt, MonotonicNow());
   } else {
     end = AttemptEndOf(result.answer.error().code);
   }
--- a/carobshift/server/tables/load_table.cc
+++ b/carobshift/server/tables/load_table.cc
@@ -43,6 +43,7 @@
   wanted.account = request.account;
   wanted.priority = request.priority;
   wanted.cost = RequestCost(uncached, load.ExpectedDecode(request.max_tokens));
+  wanted.prefill = uncached;
   wanted.first_token_deadline = request.deadline;
   wanted.unloaded_first_token = load.PrefillTime(uncached);
   queue.SetAccount(account.id, {account.weight, account.max_in_flight});
@@ -113,10 +114,14 @@
 }
 
 void LoadTable::OnFirstToken(const ServiceSpec& service,
+                             const RequestId& id,
                              Attempt* attempt,
                              MonotonicTime now) {
   const std::lock_guard lock(mutex_);
-  LoadOf(service).OnFirstToken(attempt, now);
+  ServiceLoad& load = LoadOf(service);
+  load.OnFirstToken(attempt, now);
+  load.queue().OnFirstToken(id);
+  Pump(load, now);
 }
 
 void LoadTable::EndAttempt(const ServiceSpec& service,
@@ -179,11 +184,13 @@
   const std::lock_guard lock(mutex_);
   for (const auto& [name, load] : services_) {
     const AdmissionQueue& queue = load->queue();
-    out["services"][name.value()] = {{"running", queue.running()},
-                                     {"queued", queue.queued()},
-                                     {"queued_cost", queue.queued_cost()},
-                                     {"capacity", queue.capacity()},
-                                     {"drain_rate", queue.drain_rate()}};
+    out["services"][name.value()] = {
+        {"running", queue.running()},
+        {"queued", queue.queued()},
+        {"queued_cost", queue.queued_cost()},
+        {"places", queue.capacity().places},
+        {"prefill_limit", queue.capacity().prefill},
+        {"drain_rate", queue.drain_rate()}};
   }
   out["crash_suspects"] = suspects_.size();
   return out;
--- a/carobshift/server/tables/load_table.h
+++ b/carobshift/server/tables/load_table.h
@@ -101,6 +101,7 @@
       const std::vector<EndpointInfo>& candidates,
       MonotonicTime now);
   void OnFirstToken(const ServiceSpec& service,
+                    const RequestId& id,
                     Attempt* attempt,
                     MonotonicTime now);
   void EndAttempt(const ServiceSpec& service,
--- a/carobshift/server/tables/service_load.cc
+++ b/carobshift/server/tables/service_load.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kNewWeight = 0.1;
+const double kPrefillWaitShare = getenv("PWS") ? atof(getenv("PWS")) : 0.5;
 constexpr double kUngatedCapacity = 1e9;
 // Shorter prefills are dominated by the network and the first decode step.
 constexpr Tokens kLeastPrefillToLearn = 256;
@@ -25,7 +26,8 @@
       gated_(options.gated),
       queue_(options.admission),
       share_(options.limit, service.first_token_target),
-      health_(options.health) {}
+      health_(options.health),
+      first_token_target_(service.first_token_target) {}
 
 std::vector<EndpointId> ServiceLoad::Refresh(
     const ServiceSpec& service,
@@ -38,9 +40,14 @@
   share_.SetEndpoints(ids);
   health_.Retain(ids);
   // Plain services report no load: each entry adapts to them by itself.
-  share_.SetEntries(service.kind == ServiceKind::kPlain ? 1 : live_entries);
+  entries_ =
+      service.kind == ServiceKind::kPlain ? 1 : std::max(1, live_entries);
+  share_.SetEntries(entries_);
+  for (auto& [id, record] : records_)
+    record.ready = false;
   for (const EndpointInfo& endpoint : candidates) {
     Record& record = records_[endpoint.id];
+    record.ready = true;
     if (!endpoint.status || endpoint.status_time == record.report_time)
       continue;
     const EngineStatus& status = *endpoint.status;
@@ -52,6 +59,7 @@
                                     status.running + status.queued);
     record.prefill_at_report =
         std::min(record.pending_prefill, status.queued_prefill_tokens);
+    record.reported_prefill = status.queued_prefill_tokens;
     share_.OnReport(endpoint.id, status.running + status.queued);
   }
   const std::unordered_set<EndpointId> kept(ids.begin(), ids.end());
@@ -188,8 +196,25 @@
   return load;
 }
 
+// The prefill that an endpoint works off within the share of the target that
+// may pass inside it (see concurrency_limit.h).
 void ServiceLoad::UpdateCapacity() {
-  queue_.SetCapacity(gated_ ? share_.Allowance() : kUngatedCapacity);
+  if (!gated_) {
+    queue_.SetCapacity({.places = kUngatedCapacity});
+    return;
+  }
+  const double limit =
+      prefill_rate_ * kPrefillWaitShare *
+      std::chrono::duration<double>(first_token_target_).count();
+  AdmissionCapacity capacity{
+      .places = share_.Allowance(), .prefill = 0, .prefill_per_request = limit};
+  for (const auto& [id, record] : records_) {
+    if (record.ready)
+      capacity.prefill += AllowanceByReport(
+          limit, static_cast<double>(record.reported_prefill),
+          static_cast<double>(record.prefill_at_report), entries_);
+  }
+  queue_.SetCapacity(capacity);
 }
 
 // A plain call has no prefill to derive it from.
--- a/carobshift/server/tables/service_load.h
+++ b/carobshift/server/tables/service_load.h
@@ -99,7 +99,9 @@
     MonotonicTime report_time{};
     int own_at_report = 0;
     Tokens prefill_at_report = 0;
+    Tokens reported_prefill = 0;
     Tokens pending_prefill = 0;
+    bool ready = false;
     bool exclusive = false;
   };
 
@@ -117,6 +119,8 @@
   AdmissionQueue queue_;
   EntryShare share_;
   EndpointHealthTracker health_;
+  Milliseconds first_token_target_;
+  int entries_ = 1;
   std::unordered_map<EndpointId, Record> records_;
   std::uint64_t turn_ = 0;
   double prefill_rate_ = 8000;
