--- a/benchmarks/sim/simulated_entry.cc
+++ b/benchmarks/sim/simulated_entry.cc
@@ -90,7 +90,8 @@
   wanted.cost = RequestCost(need.prompt_tokens - cached, need.decode_tokens);
   wanted.prefill = need.prompt_tokens - cached;
   wanted.first_token_deadline = submission.deadline;
-  wanted.unloaded_first_token = load_.PrefillTime(need.prompt_tokens - cached);
+  wanted.unloaded_first_token =
+      load_.TimeAfterStart(need.prompt_tokens - cached);
   const AdmissionDecision decision = load_.queue().Arrive(wanted, now);
   if (decision.verdict == AdmissionVerdict::kRefused) {
     ++counters_.refusals;
--- a/carobshift/admission/admission_queue.cc
+++ b/carobshift/admission/admission_queue.cc
@@ -23,10 +23,12 @@
   AccountShare share;
   int in_flight = 0;
   double start_tag = 0;
-  double finish_tag = 0;
-  CostUnits queued_cost = 0;
+  // As they stand in `active_` and `active_short_`.
+  std::optional<Turn> turn;
+  std::optional<Turn> short_turn;
   std::array<CostUnits, kPriorityClasses> class_cost{};
   std::set<Item*, ByRank> queue;
+  std::set<Item*, ByRank> short_queue;
 
   [[nodiscard]] double weight() const {
     return std::max(kLeastWeight, share.weight);
@@ -46,6 +48,7 @@
   MonotonicTime rank{};
   MonotonicTime latest_start{};
   bool has_deadline = false;
+  bool is_long = false;
   bool running = false;
   // False if it was started without waiting, when no share was charged.
   bool charged = false;
@@ -60,12 +63,6 @@
                                             : a->sequence < b->sequence;
 }
 
-bool AdmissionQueue::ByFinishTag::operator()(const Account* a,
-                                             const Account* b) const {
-  return a->finish_tag != b->finish_tag ? a->finish_tag < b->finish_tag
-                                        : a->number < b->number;
-}
-
 AdmissionQueue::AdmissionQueue(const AdmissionOptions& options)
     : options_(options), common_lane_(std::make_unique<Account>()) {
   if (options_.mutation == AdmissionMutation::kNoFairness)
@@ -81,7 +78,7 @@
     return;
   const bool active = !record.queue.empty();
   if (active) {
-    active_.erase(&record);
+    Unkey(&record);
     active_weight_ -= record.weight();
   }
   record.share = share;
@@ -114,6 +111,7 @@
   item->priority = request.priority;
   item->cost = std::max(1.0, request.cost);
   item->prefill = std::max(0.0, static_cast<double>(request.prefill));
+  item->is_long = item->prefill > capacity_.prefill_per_request;
   item->rank = RankOf(request, now);
   item->latest_start =
       now + options_.max_wait[static_cast<std::size_t>(request.priority)];
@@ -128,7 +126,7 @@
   if (item->latest_start < now && options_.refuse)
     return Refuse(late, request, decision, now);
 
-  if (expiry_.empty() && HasFreePlace()) {
+  if (expiry_.empty() && HasFreePlace() && (!item->is_long || LongMayStart())) {
     BeginRun(item.get());
     decision.cost_ahead = 0;
     decision.expected_wait = Microseconds(0);
@@ -149,8 +147,10 @@
 AdmissionStep AdmissionQueue::Pop(MonotonicTime now) {
   AdmissionStep step;
   GiveUpExpired(now, &step);
-  while (!active_.empty() && HasFreePlace()) {
+  while (HasFreePlace()) {
     Item* item = TakeNext();
+    if (item == nullptr)
+      break;
     BeginRun(item);
     drain_.OnStart(item->cost);
     step.admitted.push_back(item->id);
@@ -174,7 +174,7 @@
     Account* lane = item.lane;
     const bool active = !lane->queue.empty();
     if (active)
-      active_.erase(lane);
+      Unkey(lane);
     lane->start_tag += (actual_cost - item.cost) / lane->weight();
     if (active)
       Rekey(lane);
@@ -287,11 +287,11 @@
   if (lane->queue.empty()) {
     lane->start_tag = std::max(lane->start_tag, virtual_time_);
     active_weight_ += lane->weight();
-  } else {
-    active_.erase(lane);
   }
+  Unkey(lane);
   lane->queue.insert(item);
-  lane->queued_cost += item->cost;
+  if (!item->is_long)
+    lane->short_queue.insert(item);
   lane->class_cost[static_cast<std::size_t>(item->priority)] += item->cost;
   queued_cost_ += item->cost;
   expiry_.insert(item);
@@ -300,15 +300,14 @@
 
 void AdmissionQueue::Dequeue(Item* item) {
   Account* lane = item->lane;
-  active_.erase(lane);
+  Unkey(lane);
   lane->queue.erase(item);
+  lane->short_queue.erase(item);
   expiry_.erase(item);
-  lane->queued_cost -= item->cost;
   lane->class_cost[static_cast<std::size_t>(item->priority)] -= item->cost;
   queued_cost_ -= item->cost;
   if (lane->queue.empty()) {
     active_weight_ -= lane->weight();
-    lane->queued_cost = 0;
     lane->class_cost = {};
   } else {
     Rekey(lane);
@@ -322,11 +321,28 @@
   }
 }
 
-// The lane is not in `active_`; its queue is not empty.
+void AdmissionQueue::Unkey(Account* lane) {
+  if (lane->turn)
+    active_.erase(*lane->turn);
+  if (lane->short_turn)
+    active_short_.erase(*lane->short_turn);
+  lane->turn.reset();
+  lane->short_turn.reset();
+}
+
 void AdmissionQueue::Rekey(Account* lane) {
-  lane->finish_tag =
-      lane->start_tag + (*lane->queue.begin())->cost / lane->weight();
-  active_.insert(lane);
+  const auto turn_of = [&](const std::set<Item*, ByRank>& queue) {
+    const double tag =
+        lane->start_tag + (*queue.begin())->cost / lane->weight();
+    return Turn{tag, lane};
+  };
+  Unkey(lane);
+  lane->turn = turn_of(lane->queue);
+  active_.insert(*lane->turn);
+  if (lane->short_queue.empty())
+    return;
+  lane->short_turn = turn_of(lane->short_queue);
+  active_short_.insert(*lane->short_turn);
 }
 
 void AdmissionQueue::BeginRun(Item* item) {
@@ -334,21 +350,33 @@
   ++running_;
   item->prefill = std::min(item->prefill, capacity_.prefill_per_request);
   running_prefill_ += item->prefill;
+  running_long_ += item->is_long ? item->prefill : 0;
 }
 
 void AdmissionQueue::EndPrefill(Item* item) {
-  if (item->running)
+  if (item->running) {
     running_prefill_ -= item->prefill;
+    running_long_ -= item->is_long ? item->prefill : 0;
+  }
   item->prefill = 0;
 }
 
+bool AdmissionQueue::LongMayStart() const {
+  return running_long_ < 1 ||
+         running_long_ < options_.long_share * capacity_.prefill;
+}
+
 AdmissionQueue::Item* AdmissionQueue::TakeNext() {
-  Account* lane = *active_.begin();
-  Item* item = *lane->queue.begin();
-  active_.erase(lane);
+  const bool any = LongMayStart();
+  const std::set<Turn>& turns = any ? active_ : active_short_;
+  if (turns.empty())
+    return nullptr;
+  const Turn turn = *turns.begin();
+  Account* lane = turn.account;
+  Item* item = any ? *lane->queue.begin() : *lane->short_queue.begin();
   virtual_time_ = std::max(virtual_time_, lane->start_tag);
-  lane->start_tag = lane->finish_tag;
-  largest_tag_ = std::max(largest_tag_, lane->finish_tag);
+  lane->start_tag = turn.finish_tag;
+  largest_tag_ = std::max(largest_tag_, turn.finish_tag);
   item->charged = true;
   Dequeue(item);
   return item;
--- a/carobshift/admission/admission_queue.h
+++ b/carobshift/admission/admission_queue.h
@@ -85,6 +85,8 @@
   // Added to the rank per 1,000 cost units, up to `max_size_offset`.
   Microseconds size_offset_per_kilounit{50000};
   Milliseconds max_size_offset{500};
+  // Of the prefill limit, for long requests together; at least one runs.
+  double long_share = 0.5;
   std::size_t max_queued = 8192;
   Milliseconds min_retry_after{500};
   Milliseconds max_retry_after{30000};
@@ -107,7 +109,7 @@
   // Prefill tokens of requests that have no first token yet.
   double prefill = 1e18;
   // What one request counts at most: it holds up one endpoint, however long
-  // its prompt is.
+  // its prompt is. A request with more prefill is a long one.
   double prefill_per_request = 1e18;
 };
 
@@ -203,8 +205,11 @@
   struct ByExpiry {
     bool operator()(const Item* a, const Item* b) const;
   };
-  struct ByFinishTag {
-    bool operator()(const Account* a, const Account* b) const;
+  // An account in the order of its next request, or of its next short one.
+  struct Turn {
+    double finish_tag = 0;
+    Account* account = nullptr;
+    friend auto operator<=>(const Turn&, const Turn&) = default;
   };
 
   Account& FindOrAddAccount(const AccountId& id);
@@ -224,8 +229,11 @@
   void Enqueue(Item* item);
   void Dequeue(Item* item);
   void Rekey(Account* lane);
+  void Unkey(Account* lane);
   void BeginRun(Item* item);
   void EndPrefill(Item* item);
+  [[nodiscard]] bool LongMayStart() const;
+  // The next to start, or null if none may.
   Item* TakeNext();
   void GiveUpExpired(MonotonicTime now, AdmissionStep* step);
   void Forget(const RequestId& id);
@@ -234,6 +242,7 @@
   AdmissionCapacity capacity_;
   int running_ = 0;
   double running_prefill_ = 0;
+  double running_long_ = 0;
   std::uint64_t next_sequence_ = 0;
   CostUnits queued_cost_ = 0;
   double active_weight_ = 0;
@@ -246,7 +255,9 @@
   std::unordered_map<AccountId, std::unique_ptr<Account>> accounts_;
   std::unique_ptr<Account> common_lane_;
   std::unordered_map<RequestId, std::unique_ptr<Item>> items_;
-  std::set<Account*, ByFinishTag> active_;
+  // Accounts with requests that wait, and those with short ones among them.
+  std::set<Turn> active_;
+  std::set<Turn> active_short_;
   std::set<Item*, ByExpiry> expiry_;
 };
 
--- a/carobshift/server/tables/load_table.cc
+++ b/carobshift/server/tables/load_table.cc
@@ -45,7 +45,7 @@
   wanted.cost = RequestCost(uncached, load.ExpectedDecode(request.max_tokens));
   wanted.prefill = uncached;
   wanted.first_token_deadline = request.deadline;
-  wanted.unloaded_first_token = load.PrefillTime(uncached);
+  wanted.unloaded_first_token = load.TimeAfterStart(uncached);
   queue.SetAccount(account.id, {account.weight, account.max_in_flight});
   const AdmissionDecision decision = queue.Arrive(wanted, begin);
   Waiter waiter;
--- a/carobshift/server/tables/service_load.cc
+++ b/carobshift/server/tables/service_load.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kNewWeight = 0.1;
-const double kPrefillWaitShare = getenv("PWS") ? atof(getenv("PWS")) : 0.5;
+constexpr double kPrefillWaitShare = 0.5;
 constexpr double kUngatedCapacity = 1e9;
 // Shorter prefills are dominated by the network and the first decode step.
 constexpr Tokens kLeastPrefillToLearn = 256;
@@ -129,6 +129,9 @@
   share_.OnFirstToken(id, observed, unloaded, now);
   health_.OnFirstToken(id, observed, choice.expected_wait + unloaded,
                        probe ? SampleKind::kProbe : SampleKind::kOrdinary, now);
+  const Microseconds wait = std::max(Microseconds(0), observed - unloaded);
+  endpoint_wait_micros_ +=
+      kNewWeight * (static_cast<double>(wait.count()) - endpoint_wait_micros_);
   LearnPrefillRate(*attempt, observed);
 }
 
@@ -161,9 +164,10 @@
       kNewWeight * (static_cast<double>(completion_tokens) - decode_tokens_);
 }
 
-Microseconds ServiceLoad::PrefillTime(Tokens tokens) const {
-  return Microseconds(static_cast<std::int64_t>(static_cast<double>(tokens) /
-                                                prefill_rate_ * 1e6));
+Microseconds ServiceLoad::TimeAfterStart(Tokens uncached) const {
+  const double prefill = static_cast<double>(uncached) / prefill_rate_ * 1e6;
+  return Microseconds(
+      static_cast<std::int64_t>(prefill + endpoint_wait_micros_));
 }
 
 EndpointLoad ServiceLoad::LoadOf(const EndpointInfo& endpoint,
--- a/carobshift/server/tables/service_load.h
+++ b/carobshift/server/tables/service_load.h
@@ -86,7 +86,9 @@
   // Tokens that an answer has usually had, at most `max_tokens`.
   [[nodiscard]] Tokens ExpectedDecode(Tokens max_tokens) const;
   void OnAnswer(Tokens completion_tokens);
-  [[nodiscard]] Microseconds PrefillTime(Tokens tokens) const;
+  // From a start to the first token: the prefill, and the wait inside the
+  // endpoint as it was lately. A deadline must leave room for both.
+  [[nodiscard]] Microseconds TimeAfterStart(Tokens uncached) const;
 
   [[nodiscard]] AdmissionQueue& queue() { return queue_; }
   [[nodiscard]] const AdmissionQueue& queue() const { return queue_; }
@@ -126,6 +128,7 @@
   double prefill_rate_ = 8000;
   double decode_tokens_ = 128;
   double attempt_micros_ = 1e6;
+  double endpoint_wait_micros_ = 0;
   // The shortest time of a plain call lately: what it takes without waiting.
   double fastest_micros_ = 0;
 };
