--- a/testing/caller.h
+++ b/testing/caller.h
@@ -42,6 +42,8 @@
   bool wrong = false;
   std::string version;
   nlohmann::json usage;
+  // The connection to the entry has failed or was closed.
+  bool connection_failed = false;
   // The typed error, as answer or as the last event; null if none.
   nlohmann::json error;
   Microseconds first_token{0};
--- a/testing/http_client.cc
+++ b/testing/http_client.cc
@@ -25,6 +25,12 @@
   }
 }
 
+bool ClosedByPeer(Poco::Net::HTTPClientSession& session) {
+  Poco::Net::StreamSocket socket = session.socket();
+  return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) &&
+         socket.available() == 0;
+}
+
 void Exchange(Poco::Net::HTTPClientSession& session,
               const std::string& method,
               const std::string& path,
@@ -52,6 +58,7 @@
     answer.body.assign(std::istreambuf_iterator<char>(in), {});
   if (session.networkException() != nullptr)
     answer.failure = session.networkException()->displayText();
+  answer.closed_by_peer = ClosedByPeer(session);
 }
 
 }  // namespace
--- a/testing/http_client.h
+++ b/testing/http_client.h
@@ -35,6 +35,9 @@
   std::vector<std::pair<std::string, std::string>> headers{};
   // Set if the connection failed before the answer was whole.
   std::string failure;
+  // The peer closed the connection at the answer's end or in the middle of it;
+  // a stream of chunks doesn't tell which.
+  bool closed_by_peer = false;
 
   [[nodiscard]] std::string Header(std::string_view name) const;
   // The body, or a discarded value if it is no JSON.
