carobshiftd: bound and free keys, outcomes, peers and the config state

Plain calls under an idempotency key run through the once tables of the entry that answers for the key; others send them on over the peer interface. The address answer carries the key prefix, GET /v1/outcomes/{key} tells what became of a key, and the config follower asks a peer while the log can't tell and writes checkpoints.

Whoever is told to run a key now ends it exactly once: StartDispatch gave the key back by itself before, and a later Finish of the same thread could have hit a repeat that had taken it meanwhile.

--- a/carobshift/once/bound_key_guard_test.cc
+++ b/carobshift/once/bound_key_guard_test.cc
@@ -116,6 +116,7 @@
   REQUIRE(late);
   CHECK(late->code == ResultCode::kDeadlineExceeded);
   CHECK(late->state == RunState::kNotRun);
+  CHECK(guard.Release(key));
   CHECK(guard.table().size() == 0);
 }
 
--- a/carobshift/once/run_table.cc
+++ b/carobshift/once/run_table.cc
@@ -71,7 +71,6 @@
                    "the idempotency key was not taken"};
   if (now >= it->second.deadline &&
       mutation_ != OnceMutation::kNoDeadlineCheck) {
-    Release(key);
     return Refusal{ResultCode::kDeadlineExceeded, RunState::kNotRun,
                    "the deadline passed before the request was dispatched"};
   }
--- a/carobshift/once/run_table.h
+++ b/carobshift/once/run_table.h
@@ -117,8 +117,10 @@
                                   MonotonicTime keep_until,
                                   MonotonicTime now);
 
-  // To be called just before the first byte may leave for an endpoint. After
-  // a refusal the key is free again. This process may have been paused since
+  // To be called just before the first byte may leave for an endpoint. Whoever
+  // was told to run the key ends it by exactly one Release or Finish, also
+  // after a refusal: a second one could hit a repeat that has taken the key
+  // meanwhile, which would then run twice. This process may have been paused since
   // Begin: without this check it would run a request long after its caller
   // has given up and perhaps booked elsewhere.
   [[nodiscard]] std::optional<Refusal> StartDispatch(const AccountKey& key,
--- a/carobshift/peer/peer_codec.cc
+++ b/carobshift/peer/peer_codec.cc
@@ -87,6 +87,7 @@
 template <typename Parts, typename Message>
 void Describe(Parts& parts, Message& message) requires
     std::is_same_v<std::remove_const_t<Message>, ForwardCall> {
+  parts(message.request);
   parts(message.route);
   parts(message.service);
   parts(message.account);
--- a/carobshift/peer/peer_messages.h
+++ b/carobshift/peer/peer_messages.h
@@ -21,6 +21,7 @@
 // A caller's request under an idempotency key that another entry must run. It
 // is safe to send again: the receiver runs a key at most once.
 struct ForwardCall {
+  RequestId request;
   CallRoute route = CallRoute::kPlain;
   // Empty for completions, whose body names it.
   ServiceName service;
--- a/carobshift/server/commands/call_command.h
+++ b/carobshift/server/commands/call_command.h
@@ -1,6 +1,6 @@
 // POST /v1/services/{name}/call: one call of a plain service, body as it is.
 //
-//   CallCommand call(context, dispatcher);
+//   CallCommand call(context, dispatcher, keyed);
 //   routes.Add("POST", "/v1/services/{name}/call", call);
 
 #ifndef CAROBSHIFT_SERVER_COMMANDS_CALL_COMMAND_H_
@@ -10,21 +10,25 @@
 #include "carobshift/server/dispatch/plain_dispatcher.h"
 #include "carobshift/server/entry_context.h"
 #include "carobshift/server/http/route_handler.h"
+#include "carobshift/server/once/keyed_calls.h"
 
 namespace carobshift {
 
 class CallCommand : public RouteHandler {
  public:
-  CallCommand(EntryContext& context, PlainDispatcher& dispatcher)
-      : context_(context), dispatcher_(dispatcher) {}
+  CallCommand(EntryContext& context,
+              PlainDispatcher& dispatcher,
+              KeyedCalls& keyed)
+      : context_(context), dispatcher_(dispatcher), keyed_(keyed) {}
 
   void Handle(RequestExchange& exchange) override;
 
  private:
-  Result<PlainJob> MakeJob(RequestExchange& exchange);
+  Result<PlainJob> MakeJob(RequestExchange& exchange, CallerHeaders* headers);
 
   EntryContext& context_;
   PlainDispatcher& dispatcher_;
+  KeyedCalls& keyed_;
 };
 
 }  // namespace carobshift
--- a/carobshift/server/dispatch/plain_dispatcher.cc
+++ b/carobshift/server/dispatch/plain_dispatcher.cc
@@ -74,6 +74,8 @@
                           Milliseconds(1000)},
               {}};
     }
+    if (auto refused = PassGate(job, *attempt, fingerprint, may_have_run))
+      return {std::move(refused), {}};
     tried.insert(attempt->endpoint.id);
     PlainResult result = CallOnce(job, &*attempt, fingerprint);
     if (result.answer.ok())
@@ -88,6 +90,22 @@
   }
 }
 
+std::optional<CallerError> PlainDispatcher::PassGate(
+    const PlainJob& job,
+    const Attempt& attempt,
+    ContentFingerprint fingerprint,
+    bool may_have_run) {
+  if (!job.gate)
+    return std::nullopt;
+  const std::optional<Refusal> refusal = job.gate(MonotonicNow());
+  if (!refusal)
+    return std::nullopt;
+  context_.load.EndAttempt(*job.service, attempt, fingerprint,
+                           AttemptEnd::kCompleted, MonotonicNow());
+  return CallerError{refusal->code, StateOf(may_have_run), refusal->message,
+                     std::nullopt};
+}
+
 PlainResult PlainDispatcher::CallOnce(const PlainJob& job,
                                       Attempt* attempt,
                                       ContentFingerprint fingerprint) {
--- a/carobshift/server/dispatch/plain_dispatcher.h
+++ b/carobshift/server/dispatch/plain_dispatcher.h
@@ -9,10 +9,12 @@
 #ifndef CAROBSHIFT_SERVER_DISPATCH_PLAIN_DISPATCHER_H_
 #define CAROBSHIFT_SERVER_DISPATCH_PLAIN_DISPATCHER_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "carobshift/once/run_table.h"
 #include "carobshift/platform/plain_service.h"
 #include "carobshift/server/dispatch/load_control.h"
 #include "carobshift/server/entry_context.h"
@@ -31,6 +33,9 @@
   // The declaration and the caller both allow it.
   bool repeatable = false;
   MonotonicTime deadline;
+  // If set, asked just before each attempt's first byte may leave; an answer
+  // ends the request.
+  std::function<std::optional<Refusal>(MonotonicTime now)> gate;
 };
 
 struct PlainOutcome {
@@ -49,6 +54,12 @@
  private:
   PlainOutcome Attempts(const PlainJob& job);
 
+  // Asks the job's gate; gives the attempt back if it must not be made.
+  std::optional<CallerError> PassGate(const PlainJob& job,
+                                      const Attempt& attempt,
+                                      ContentFingerprint fingerprint,
+                                      bool may_have_run);
+
   PlainResult CallOnce(const PlainJob& job,
                        Attempt* attempt,
                        ContentFingerprint fingerprint);
--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -8,10 +8,19 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/peer/peer_client.h"
+#include "carobshift/peer/peer_server.h"
 #include "carobshift/server/commands/call_command.h"
 #include "carobshift/server/commands/complete_command.h"
 #include "carobshift/server/http/http_front.h"
+#include "carobshift/server/once/claims_tasks.h"
+#include "carobshift/server/once/keyed_calls.h"
+#include "carobshift/server/once/once_table.h"
+#include "carobshift/server/once/peer_directory.h"
+#include "carobshift/server/once/peer_service.h"
+#include "carobshift/server/once/plain_executor.h"
 #include "carobshift/server/queries/addresses_query.h"
+#include "carobshift/server/queries/outcome_query.h"
 #include "carobshift/server/queries/status_queries.h"
 #include "carobshift/server/tasks/cache_task.h"
 #include "carobshift/server/tasks/config_follower.h"
@@ -24,6 +33,14 @@
 
 constexpr Milliseconds kDrainPollInterval{20};
 
+// Peers are reached at the address of the callers' front, on a port of their
+// own that the health answer tells.
+PeerServerOptions PeerOptions(const Settings& settings) {
+  PeerServerOptions options;
+  options.listen = NetAddress{settings.listen.host, 0};
+  return options;
+}
+
 HttpFrontOptions FrontOptions(const Settings& settings) {
   return {settings.entry,
           settings.listen,
@@ -60,6 +77,7 @@
     routes.Add("POST", "/v1/chat/completions", complete_chat);
     routes.Add("POST", "/v1/services/{name}/call", call);
     routes.Add("GET", "/v1/addresses", addresses);
+    routes.Add("GET", "/v1/outcomes/{key}", outcomes);
     routes.Add("GET", "/healthz", health);
     routes.Add("GET", "/readyz", ready);
     routes.Add("GET", "/metrics", metrics_query);
@@ -73,12 +91,16 @@
     state_dump.Register("load", load);
     state_dump.Register("cache", cache);
     state_dump.Register("requests", journal);
+    state_dump.Register("once", once_table);
   }
 
   void StartTasks() {
     runner.Start(list_poller);
     runner.Start(status_poller);
     runner.Start(config_follower);
+    runner.Start(claim_reader);
+    runner.Start(claim_appender);
+    runner.Start(claim_timer);
     runner.Start(fleet);
     runner.Start(cache_task);
     for (ExportTask& task : export_tasks)
@@ -88,6 +110,7 @@
   Settings settings;
   const std::string secret;
   std::atomic<bool> leaving{false};
+  std::atomic<int> peer_port{0};
 
   ConfigTable config;
   EndpointTable endpoints;
@@ -101,12 +124,22 @@
   GenerateDispatcher generate_dispatcher{context};
   PlainDispatcher plain_dispatcher{context};
 
+  OnceTable once_table{
+      {settings.entry, context.incarnation, settings.key_replay_window}};
+  ListedPeers peers{context};
+  PeerClient peer_client{secret};
+  KeyedCalls keyed{context, once_table, peers, peer_client};
+  PlainExecutor plain_executor{context, plain_dispatcher};
+  ConfigFoldTable config_fold;
+  PeerService peer_service{keyed, config_fold};
+
   CompleteCommand complete_text{context, generate_dispatcher, TextFormat()};
   CompleteCommand complete_chat{context, generate_dispatcher, ChatFormat()};
-  CallCommand call{context, plain_dispatcher};
+  CallCommand call{context, plain_dispatcher, keyed};
 
   AddressesQuery addresses{context};
-  HealthQuery health;
+  OutcomeQuery outcomes{context, keyed};
+  HealthQuery health{context, peer_port};
   ReadyQuery ready{context, leaving};
   MetricsQuery metrics_query{context};
   StateQuery state{context};
@@ -114,7 +147,10 @@
 
   ListPoller list_poller{context};
   StatusPoller status_poller{context};
-  ConfigFollower config_follower{context};
+  ConfigFollower config_follower{context, config_fold, peers, peer_client};
+  ClaimReader claim_reader{context, once_table};
+  ClaimAppender claim_appender{context, once_table};
+  ClaimTimer claim_timer{once_table};
   FleetTask fleet{context};
   CacheTask cache_task{context};
   // Two for each store of today, so that a slow one leaves threads to the
@@ -123,6 +159,7 @@
       ExportTask(context), ExportTask(context), ExportTask(context),
       ExportTask(context)};
 
+  PeerServer peer_server{PeerOptions(settings), secret, peer_service};
   RouteTable routes;
   HttpFront front;
   TaskRunner runner;
@@ -134,11 +171,16 @@
                                      platform)) {
   parts_->AddRoutes();
   parts_->AddStateSections();
+  parts_->keyed.SetExecutor(CallRoute::kPlain, parts_->plain_executor);
 }
 
 Entry::~Entry() = default;
 
 Result<NetAddress> Entry::Start() {
+  const auto peer_address = parts_->peer_server.Start();
+  if (!peer_address.ok())
+    return peer_address;
+  parts_->peer_port = peer_address.value().port;
   auto address = parts_->front.Start();
   if (!address.ok())
     return address;
@@ -162,6 +204,7 @@
     std::this_thread::sleep_for(kDrainPollInterval);
   }
   parts_->front.StopAccepting();
+  parts_->peer_server.Stop();
   parts_->runner.StopAll();
   LogEvent(LogLevel::kInfo, "entry_stopped", nlohmann::json::object());
 }
--- a/carobshift/server/http/caller_request.cc
+++ b/carobshift/server/http/caller_request.cc
@@ -58,6 +58,16 @@
   return {};
 }
 
+Status ParseKeyCreated(const std::string& text, CallerHeaders& headers) {
+  long long number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stop != end || number < 1)
+    return Malformed(kKeyCreatedHeader, "milliseconds since 1970");
+  headers.key_created = WallTime(Milliseconds(number));
+  return {};
+}
+
 bool IsAllowedId(const std::string& text) {
   return !text.empty() && text.size() <= kMaxCallerIdBytes;
 }
@@ -84,6 +94,8 @@
     status = ParseDeadline(request.get(kDeadlineHeader), now, headers);
   if (status.ok() && request.has(kNotRepeatableHeader))
     status = ParseNotRepeatable(request.get(kNotRepeatableHeader), headers);
+  if (status.ok() && request.has(kKeyCreatedHeader))
+    status = ParseKeyCreated(request.get(kKeyCreatedHeader), headers);
   if (!status.ok())
     return status.error();
 
--- a/carobshift/server/http/caller_request.h
+++ b/carobshift/server/http/caller_request.h
@@ -22,6 +22,8 @@
 struct CallerHeaders {
   std::string bearer_key;
   std::optional<IdempotencyKey> idempotency_key;
+  // When the caller made a key of its own; the epoch if it didn't say.
+  WallTime key_created;
   std::optional<ConversationId> conversation;
   PriorityClass priority = PriorityClass::kNormal;
   MonotonicTime deadline;
@@ -33,6 +35,7 @@
 inline constexpr char kDeadlineHeader[] = "Carobshift-Deadline-Ms";
 inline constexpr char kNotRepeatableHeader[] = "Carobshift-Not-Repeatable";
 inline constexpr char kIdempotencyKeyHeader[] = "Idempotency-Key";
+inline constexpr char kKeyCreatedHeader[] = "Carobshift-Key-Created";
 
 // Longest id or key a caller may choose, in bytes.
 inline constexpr std::size_t kMaxCallerIdBytes = 512;
--- /dev/null
+++ b/carobshift/server/once/claims_tasks.h
@@ -0,0 +1,59 @@
+// Reads and appends the claims of free idempotency keys.
+//
+//   ClaimReader reader(context, table);
+//   ClaimAppender appender(context, table);
+//   runner.Start(reader);
+//   runner.Start(appender);
+//   runner.Start(timer);
+
+#ifndef CAROBSHIFT_SERVER_ONCE_CLAIMS_TASKS_H_
+#define CAROBSHIFT_SERVER_ONCE_CLAIMS_TASKS_H_
+
+#include "carobshift/server/entry_context.h"
+#include "carobshift/server/once/once_table.h"
+#include "carobshift/server/tasks/background_task.h"
+
+namespace carobshift {
+
+class ClaimReader : public BackgroundTask {
+ public:
+  ClaimReader(EntryContext& context, OnceTable& table)
+      : context_(context), table_(table) {}
+  [[nodiscard]] std::string_view name() const override {
+    return "claim_reader";
+  }
+  Milliseconds RunOnce(MonotonicTime now) override;
+
+ private:
+  EntryContext& context_;
+  OnceTable& table_;
+};
+
+class ClaimAppender : public BackgroundTask {
+ public:
+  ClaimAppender(EntryContext& context, OnceTable& table)
+      : context_(context), table_(table) {}
+  [[nodiscard]] std::string_view name() const override {
+    return "claim_appender";
+  }
+  Milliseconds RunOnce(MonotonicTime now) override;
+
+ private:
+  EntryContext& context_;
+  OnceTable& table_;
+};
+
+// Ends waits at their deadlines while the log holds up the other two.
+class ClaimTimer : public BackgroundTask {
+ public:
+  explicit ClaimTimer(OnceTable& table) : table_(table) {}
+  [[nodiscard]] std::string_view name() const override { return "claim_timer"; }
+  Milliseconds RunOnce(MonotonicTime now) override;
+
+ private:
+  OnceTable& table_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_ONCE_CLAIMS_TASKS_H_
--- /dev/null
+++ b/carobshift/server/once/once_table.cc
@@ -0,0 +1,177 @@
+#include "carobshift/server/once/once_table.h"
+
+#include <utility>
+
+namespace carobshift {
+namespace {
+
+BoundKeyGuardOptions GuardOptions(const OnceOptions& options) {
+  BoundKeyGuardOptions guard;
+  guard.entry = options.entry;
+  guard.incarnation = options.incarnation;
+  guard.replay_window = options.replay_window;
+  return guard;
+}
+
+FreeKeyOptions ClaimOptions(const OnceOptions& options) {
+  FreeKeyOptions claims;
+  claims.entry = options.entry;
+  claims.incarnation = options.incarnation;
+  return claims;
+}
+
+KeyDecision Widen(RunDecision decision) {
+  return std::visit([](auto& typed) { return KeyDecision(std::move(typed)); },
+                    decision);
+}
+
+}  // namespace
+
+OnceTable::OnceTable(const OnceOptions& options)
+    : guard_(GuardOptions(options)),
+      free_runs_(RunTableLimits{}),
+      claims_(ClaimOptions(options)) {}
+
+KeyDecision OnceTable::Begin(const KeyedRequest& request) {
+  std::unique_lock lock(mutex_);
+  ++begun_;
+  KeyDecision decision =
+      request.bound ? Widen(guard_.Begin(*request.bound, request.account,
+                                         request.fingerprint, request.deadline,
+                                         MonotonicNow()))
+                    : BeginFree(request, lock);
+  if (std::holds_alternative<Replay>(decision))
+    ++replayed_;
+  return decision;
+}
+
+KeyDecision OnceTable::BeginFree(const KeyedRequest& request,
+                                 std::unique_lock<std::mutex>& lock) {
+  const ClaimStep step = claims_.Begin({.key = NameOf(request),
+                                        .fingerprint = request.fingerprint,
+                                        .created = request.created,
+                                        .deadline = request.deadline},
+                                       MonotonicNow(), WallNow());
+  const auto* await = std::get_if<AwaitClaim>(&step);
+  if (await == nullptr)
+    return Take(request, step);
+  changed_.notify_all();
+  const ClaimTicket ticket = await->ticket;
+  // The claims end every wait at its deadline, as long as OnTime is called.
+  changed_.wait(lock, [&] { return settled_.contains(ticket); });
+  const ClaimStep settled = settled_.extract(ticket).mapped();
+  return Take(request, settled);
+}
+
+// The step and the taking of the key are one under the mutex: the claim could
+// else be given back in between, and the key would run here and elsewhere.
+KeyDecision OnceTable::Take(const KeyedRequest& request,
+                            const ClaimStep& step) {
+  if (const auto* owner = std::get_if<AskOwner>(&step))
+    return *owner;
+  if (const auto* refusal = std::get_if<Refusal>(&step))
+    return *refusal;
+  const MonotonicTime now = MonotonicNow();
+  return Widen(
+      free_runs_.Begin(NameOf(request), request.fingerprint, request.deadline,
+                       now + claims_.KeepFor(request.created, WallNow()), now));
+}
+
+std::optional<Refusal> OnceTable::StartDispatch(const KeyedRequest& request,
+                                                MonotonicTime now) {
+  const std::lock_guard lock(mutex_);
+  return request.bound ? guard_.StartDispatch(*request.bound, now)
+                       : free_runs_.StartDispatch(NameOf(request), now);
+}
+
+void OnceTable::Finish(const KeyedRequest& request, FinalAnswer answer) {
+  const std::lock_guard lock(mutex_);
+  const bool give_back = answer.state == RunState::kNotRun;
+  if (request.bound)
+    guard_.Finish(*request.bound, std::move(answer));
+  else
+    free_runs_.Finish(NameOf(request), std::move(answer));
+  if (give_back && !request.bound)
+    claims_.Release(NameOf(request));
+  changed_.notify_all();
+}
+
+bool OnceTable::AwaitEnd(const KeyedRequest& request) {
+  std::unique_lock lock(mutex_);
+  return changed_.wait_until(lock, request.deadline,
+                             [&] { return !InProgress(request); });
+}
+
+bool OnceTable::InProgress(const KeyedRequest& request) const {
+  const RunTable& table = request.bound ? guard_.table() : free_runs_;
+  const auto known = table.Find(NameOf(request));
+  return known && !known->answer;
+}
+
+KeyDecision OnceTable::Outcome(const KeyedRequest& request, MonotonicTime now) {
+  const std::lock_guard lock(mutex_);
+  if (request.bound)
+    return Widen(guard_.Outcome(*request.bound, request.account, now));
+  const auto known = free_runs_.Find(NameOf(request));
+  if (known && known->answer)
+    return Replay{*known->answer};
+  if (known)
+    return Attach{};
+  return Refusal{ResultCode::kUnknownOutcome, RunState::kOutcomeUnknown,
+                 "this entry knows nothing of the idempotency key"};
+}
+
+std::optional<std::string> OnceTable::AwaitAppend(Milliseconds wait) {
+  std::unique_lock lock(mutex_);
+  std::optional<std::string> payload = claims_.TakeAppend(MonotonicNow());
+  if (payload)
+    return payload;
+  changed_.wait_for(lock, wait);
+  return claims_.TakeAppend(MonotonicNow());
+}
+
+void OnceTable::OnAppendReply(const Result<LogOffset>& reply) {
+  const std::lock_guard lock(mutex_);
+  Deliver(claims_.OnAppendReply(reply));
+}
+
+LogOffset OnceTable::next_claim() const {
+  const std::lock_guard lock(mutex_);
+  return claims_.next();
+}
+
+void OnceTable::OnClaims(const LogBatch& batch,
+                         MonotonicTime now,
+                         WallTime wall_now) {
+  const std::lock_guard lock(mutex_);
+  Deliver(claims_.OnBatch(batch, now, wall_now));
+}
+
+void OnceTable::OnTime(MonotonicTime now) {
+  const std::lock_guard lock(mutex_);
+  Deliver(claims_.OnTime(now));
+}
+
+void OnceTable::Deliver(const std::vector<ClaimAction>& actions) {
+  for (const ClaimAction& action : actions)
+    settled_.emplace(action.ticket, action.step);
+  if (!actions.empty())
+    changed_.notify_all();
+}
+
+AccountKey OnceTable::NameOf(const KeyedRequest& request) const {
+  return {request.account,
+          request.bound ? request.bound->text : request.free_key};
+}
+
+nlohmann::json OnceTable::DumpState() const {
+  const std::lock_guard lock(mutex_);
+  return {{"bound_keys", guard_.table().size()},
+          {"free_keys", free_runs_.size()},
+          {"claims", claims_.size()},
+          {"next_claim", claims_.next().value()},
+          {"begun", begun_},
+          {"replayed", replayed_}};
+}
+
+}  // namespace carobshift
--- a/carobshift/server/queries/addresses_query.cc
+++ b/carobshift/server/queries/addresses_query.cc
@@ -2,6 +2,8 @@
 
 #include <Poco/URI.h>
 
+#include <algorithm>
+
 #include "carobshift/server/commands/caller_identity.h"
 #include "carobshift/server/http/caller_error.h"
 
@@ -40,8 +42,16 @@
                          {"address", entry.address.ToString()},
                          {"zone", entry.zone.value()}});
   }
+  const IssuedPrefix issued =
+      issuer_.Issue(caller.value().account->id, MonotonicNow());
+  // The prefix is good for longer, but its entry may leave once this answer has
+  // expired; a caller that goes on using it would then hear outcome_unknown.
+  const Milliseconds key_ttl =
+      std::min(issued.time_to_live, context_.settings.address_ttl);
   SendJson(exchange.response, 200,
            {{"addresses", std::move(addresses)},
+            {"key_prefix", issued.prefix},
+            {"key_ttl_ms", key_ttl.count()},
             {"ttl_ms", context_.settings.address_ttl.count()}});
 }
 
--- a/carobshift/server/queries/addresses_query.h
+++ b/carobshift/server/queries/addresses_query.h
@@ -6,6 +6,7 @@
 #ifndef CAROBSHIFT_SERVER_QUERIES_ADDRESSES_QUERY_H_
 #define CAROBSHIFT_SERVER_QUERIES_ADDRESSES_QUERY_H_
 
+#include "carobshift/once/bound_key.h"
 #include "carobshift/server/entry_context.h"
 #include "carobshift/server/http/route_handler.h"
 
@@ -13,11 +14,17 @@
 
 class AddressesQuery : public RouteHandler {
  public:
-  explicit AddressesQuery(EntryContext& context) : context_(context) {}
+  explicit AddressesQuery(EntryContext& context)
+      : context_(context),
+        issuer_(context.secret,
+                context.settings.entry,
+                context.incarnation,
+                context.settings.key_lifetime) {}
   void Handle(RequestExchange& exchange) override;
 
  private:
   EntryContext& context_;
+  BoundKeyIssuer issuer_;
 };
 
 }  // namespace carobshift
--- a/carobshift/server/queries/status_queries.cc
+++ b/carobshift/server/queries/status_queries.cc
@@ -16,7 +16,11 @@
 }  // namespace
 
 void HealthQuery::Handle(RequestExchange& exchange) {
-  SendJson(exchange.response, 200, {{"ok", true}});
+  SendJson(exchange.response, 200,
+           {{"ok", true},
+            {"entry", context_.settings.entry.value()},
+            {"incarnation", context_.incarnation.value()},
+            {"peer_port", peer_port_.load()}});
 }
 
 void ReadyQuery::Handle(RequestExchange& exchange) {
--- a/carobshift/server/queries/status_queries.h
+++ b/carobshift/server/queries/status_queries.h
@@ -1,7 +1,7 @@
 // The queries about the entry itself: health, readiness, metrics, the state
 // dump and what was decided about one request.
 //
-//   HealthQuery health;
+//   HealthQuery health(context, peer_port);
 //   routes.Add("GET", "/healthz", health);
 
 #ifndef CAROBSHIFT_SERVER_QUERIES_STATUS_QUERIES_H_
@@ -14,10 +14,17 @@
 
 namespace carobshift {
 
-// 200 while the process answers at all.
+// 200 while the process answers at all; says which life of which entry answers
+// and where its peer interface is.
 class HealthQuery : public RouteHandler {
  public:
+  HealthQuery(EntryContext& context, const std::atomic<int>& peer_port)
+      : context_(context), peer_port_(peer_port) {}
   void Handle(RequestExchange& exchange) override;
+
+ private:
+  EntryContext& context_;
+  const std::atomic<int>& peer_port_;
 };
 
 // 200 once a configuration is in force and while the entry isn't leaving.
--- a/carobshift/server/tasks/config_follower.cc
+++ b/carobshift/server/tasks/config_follower.cc
@@ -1,7 +1,10 @@
 #include "carobshift/server/tasks/config_follower.h"
 
-#include <utility>
+#include <cstdint>
+#include <variant>
+#include <vector>
 
+#include "carobshift/base/digest.h"
 #include "carobshift/config/config_record.h"
 #include "carobshift/telemetry/event_log.h"
 
@@ -11,6 +14,8 @@
 constexpr std::size_t kMaxRecords = 100;
 constexpr Milliseconds kReadWait{500};
 constexpr Milliseconds kDelayAfterFailure{200};
+constexpr Milliseconds kPeerTimeout{2000};
+constexpr std::uint64_t kDrawSteps = 1000;
 
 void LogDecision(const EditDecision& decision) {
   const bool accepted = decision.outcome == EditOutcome::kAccepted;
@@ -24,18 +29,70 @@
 
 }  // namespace
 
-Milliseconds ConfigFollower::RunOnce(MonotonicTime) {
+Milliseconds ConfigFollower::RunOnce(MonotonicTime now) {
   const auto batch = context_.platform.log.Read(
       LogStream(kConfigStream), fold_.next(), kMaxRecords, kReadWait);
-  if (!batch.ok())
-    return kDelayAfterFailure;
-  for (const EditDecision& decision : fold_.OnBatch(batch.value()))
-    LogDecision(decision);
+  if (batch.ok()) {
+    for (const EditDecision& decision : fold_.OnBatch(batch.value()))
+      LogDecision(decision);
+    KeepCheckpoint(batch.value().first_retained, now);
+  }
+  // An entry that starts while the log is down would else have no
+  // configuration until it is back.
+  if (!batch.ok() || fold_.has_gap())
+    AskPeer();
+  PutInForce();
+  return batch.ok() ? Milliseconds(0) : kDelayAfterFailure;
+}
+
+void ConfigFollower::AskPeer() {
+  const std::vector<EntryId> others = peers_.Others();
+  if (others.empty())
+    return;
+  const auto peer = peers_.Find(others[RandomUint64() % others.size()]);
+  if (!peer)
+    return;
+  const auto reply = client_.Call(peer->address, FetchConfig{}, kPeerTimeout);
+  if (!reply.ok())
+    return;
+  const auto* config = std::get_if<ConfigReply>(&reply.value());
+  if (config == nullptr)
+    return;
+  const auto record = DecodeConfigRecord(config->checkpoint);
+  if (!record.ok())
+    return;
+  const auto* checkpoint = std::get_if<CheckpointRecord>(&record.value());
+  if (checkpoint == nullptr || !fold_.OnPeerState(checkpoint->state))
+    return;
+  LogEvent(LogLevel::kInfo, "config_from_peer",
+           {{"peer", peer->entry.value()},
+            {"next", checkpoint->state.next.value()}});
+}
+
+void ConfigFollower::PutInForce() {
   if (const auto accepted = fold_.in_force()) {
     context_.config.Activate(accepted->version, accepted->edit, accepted->text,
                              accepted->declaration);
   }
-  return Milliseconds(0);
+}
+
+// If the append fails or its reply is lost, the planner asks again later; a
+// checkpoint that stands twice does no harm.
+void ConfigFollower::KeepCheckpoint(LogOffset first_retained,
+                                    MonotonicTime now) {
+  const double draw =
+      static_cast<double>(RandomUint64() % kDrawSteps) / kDrawSteps;
+  const auto record = fold_.Plan(first_retained, now, draw);
+  if (!record)
+    return;
+  const auto payload = EncodeConfigRecord(*record);
+  if (!payload.ok())
+    return;
+  const auto offset =
+      context_.platform.log.Append(LogStream(kConfigStream), payload.value());
+  LogEvent(LogLevel::kInfo, "config_checkpoint",
+           {{"reset", std::holds_alternative<ResetRecord>(*record)},
+            {"appended", offset.ok()}});
 }
 
 }  // namespace carobshift
--- a/carobshift/server/tasks/config_follower.h
+++ b/carobshift/server/tasks/config_follower.h
@@ -1,29 +1,41 @@
 // Follows the platform's log for accepted configurations and puts them in
-// force.
+// force; asks a peer while the log can't tell; writes checkpoints.
 //
-//   ConfigFollower follower(context);
+//   ConfigFollower follower(context, fold, peers, client);
 //   runner.Start(follower);
 
 #ifndef CAROBSHIFT_SERVER_TASKS_CONFIG_FOLLOWER_H_
 #define CAROBSHIFT_SERVER_TASKS_CONFIG_FOLLOWER_H_
 
-#include "carobshift/config/acceptance.h"
+#include "carobshift/peer/peer_client.h"
 #include "carobshift/server/entry_context.h"
+#include "carobshift/server/once/peer_directory.h"
+#include "carobshift/server/tables/config_fold_table.h"
 #include "carobshift/server/tasks/background_task.h"
 
 namespace carobshift {
 
 class ConfigFollower : public BackgroundTask {
  public:
-  explicit ConfigFollower(EntryContext& context) : context_(context) {}
+  ConfigFollower(EntryContext& context,
+                 ConfigFoldTable& fold,
+                 PeerDirectory& peers,
+                 const PeerClient& client)
+      : context_(context), fold_(fold), peers_(peers), client_(client) {}
   [[nodiscard]] std::string_view name() const override {
     return "config_follower";
   }
   Milliseconds RunOnce(MonotonicTime now) override;
 
  private:
+  void AskPeer();
+  void PutInForce();
+  void KeepCheckpoint(LogOffset first_retained, MonotonicTime now);
+
   EntryContext& context_;
-  ConfigFold fold_;
+  ConfigFoldTable& fold_;
+  PeerDirectory& peers_;
+  const PeerClient& client_;
 };
 
 }  // namespace carobshift
--- a/fuzz/once_world.cc
+++ b/fuzz/once_world.cc
@@ -345,6 +345,10 @@
                         : entries_[i].free_table->StartDispatch(key.name, now);
   if (late) {
     job->over = true;
+    if (key.bound)
+      (void)entries_[i].guard->Release(*key.bound);
+    else
+      (void)entries_[i].free_table->Release(key.name);
     GiveBack(i, copy.key);
     TellAll(i, job->sending, AnswerOf(late->state, late->code));
     return;
