Process tests of idempotency keys and of the configuration in an outage

Real processes: a booking sent three times to three entries, a free key sent to all at once, ten seconds with the log stopped, the home of a key killed and restarted, an entry started while the log is down.

--- a/carobshift/once/run_table.h
+++ b/carobshift/once/run_table.h
@@ -120,9 +120,9 @@
   // To be called just before the first byte may leave for an endpoint. Whoever
   // was told to run the key ends it by exactly one Release or Finish, also
   // after a refusal: a second one could hit a repeat that has taken the key
-  // meanwhile, which would then run twice. This process may have been paused since
-  // Begin: without this check it would run a request long after its caller
-  // has given up and perhaps booked elsewhere.
+  // meanwhile, which would then run twice. This process may have been paused
+  // since Begin: without this check it would run a request long after its
+  // caller has given up and perhaps booked elsewhere.
   [[nodiscard]] std::optional<Refusal> StartDispatch(const AccountKey& key,
                                                      MonotonicTime now);
 
--- /dev/null
+++ b/testing/once_test.cc
@@ -0,0 +1,176 @@
+// Idempotency keys and the configuration through real processes, while the log
+// is down and entries die.
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/caller.h"
+#include "testing/cluster.h"
+#include "testing/http_client.h"
+
+namespace carobshift {
+namespace {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+Headers FreeKey(const std::string& key) {
+  const auto now = WallNow().time_since_epoch().count();
+  return {{"Authorization", "Bearer " + std::string(kClubKey)},
+          {"Idempotency-Key", key},
+          {"Carobshift-Key-Created", std::to_string(now)}};
+}
+
+HttpAnswer Book(const NetAddress& entry,
+                const std::string& body,
+                const Headers& headers) {
+  return HttpSend(
+      entry, "POST", "/v1/services/" + std::string(kPlainService) + "/call",
+      {.body = body, .headers = headers, .timeout = Milliseconds(10000)});
+}
+
+HttpAnswer AskOutcome(const NetAddress& entry, const std::string& key) {
+  return HttpSend(
+      entry, "GET", "/v1/outcomes/" + key,
+      {.headers = {{"Authorization", "Bearer " + std::string(kClubKey)}}});
+}
+
+// A fresh prefix from the entry.
+std::string PrefixOf(const Process& entry) {
+  Caller caller({entry.address()}, kClubKey);
+  (void)caller.AskAddresses("");
+  return caller.key_prefix();
+}
+
+}  // namespace
+
+// A caller misses the answer to its booking and sends it again, to whichever
+// entry it finds. A second run would confirm the slot twice.
+TEST_CASE("a booking sent three times, to three entries, runs once") {
+  Cluster cluster({.entries = 3, .engines = 1});
+  const Caller caller(cluster.EntryAddresses(), kClubKey);
+  const std::string key = PrefixOf(cluster.entry(1)) + "slot-1";
+  std::set<std::string> receipts;
+  for (std::size_t i = 0; i < cluster.entries(); ++i) {
+    const BookingOutcome outcome =
+        caller.BookAt(cluster.entry(i).address(), "slot 1", key);
+    INFO(outcome.status << " " << outcome.body);
+    REQUIRE(outcome.status == 200);
+    receipts.insert(outcome.body);
+  }
+  CHECK(receipts.size() == 1);
+  CHECK(cluster.Runs("slot 1") == 1);
+  for (std::size_t i = 0; i < cluster.entries(); ++i)
+    CHECK(AskOutcome(cluster.entry(i).address(), key).body ==
+          *receipts.begin());
+  const BookingOutcome other =
+      caller.BookAt(cluster.entry(0).address(), "slot 2", key);
+  CHECK(other.error["name"] == "key_reused_for_other_request");
+  CHECK(cluster.Runs("slot 2") == 0);
+}
+
+// The same with a key of the caller's own, by all entries at the same moment.
+TEST_CASE(
+    "a booking under a free key, sent to all entries at once, runs once") {
+  Cluster cluster({.entries = 3, .engines = 1});
+  const Headers headers = FreeKey("my own key");
+  std::vector<HttpAnswer> answers(6);
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    threads.emplace_back([&, i] {
+      answers[i] = Book(cluster.entry(i % cluster.entries()).address(),
+                        "slot 3", headers);
+    });
+  }
+  for (std::thread& thread : threads)
+    thread.join();
+  for (const HttpAnswer& answer : answers) {
+    INFO(answer.body);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == answers[0].body);
+  }
+  CHECK(cluster.Runs("slot 3") == 1);
+}
+
+// The log hangs. Bound keys don't need it; a booking that is refused, or run
+// twice, would cost a club its slot.
+TEST_CASE("bookings go on through a log outage, none doubled, none refused") {
+  Cluster cluster({.entries = 3, .engines = 1});
+  const Caller caller(cluster.EntryAddresses(), kClubKey);
+  cluster.log().Signal(SIGSTOP);
+  constexpr Milliseconds kOutage{10'000};
+  const MonotonicTime end = MonotonicNow() + kOutage;
+  int bookings = 0;
+  while (MonotonicNow() < end) {
+    const std::string body = "outage " + std::to_string(bookings);
+    const std::string key =
+        PrefixOf(cluster.entry(static_cast<std::size_t>(bookings) % 3)) + "k";
+    for (std::size_t copy = 0; copy < 3; ++copy) {
+      const BookingOutcome outcome =
+          caller.BookAt(cluster.entry(copy).address(), body, key);
+      INFO(outcome.status << " " << outcome.body);
+      REQUIRE(outcome.status == 200);
+    }
+    REQUIRE(cluster.Runs(body) == 1);
+    ++bookings;
+  }
+  CHECK(bookings > 20);
+  Headers headers = FreeKey("during the outage");
+  headers.emplace_back("Carobshift-Deadline-Ms", "2000");
+  const HttpAnswer refused =
+      Book(cluster.entry(0).address(), "unclaimed", headers);
+  CHECK(refused.Json()["error"]["state"] == "outcome_unknown");
+  cluster.log().Signal(SIGCONT);
+  CHECK(cluster.Runs("unclaimed") == 0);
+}
+
+// An entry is killed after it has run a booking, and started again. Nobody
+// knows any more whether the booking ran; to hold its caller up or to run it
+// again would both be wrong.
+TEST_CASE("the home of a key killed: a repeat hears outcome_unknown at once") {
+  Cluster cluster({.entries = 2, .engines = 1});
+  const Caller caller(cluster.EntryAddresses(), kClubKey);
+  const std::string key = PrefixOf(cluster.entry(0)) + "slot-4";
+  REQUIRE(caller.BookAt(cluster.entry(1).address(), "slot 4", key).status ==
+          200);
+  cluster.entry(0).Kill();
+  const MonotonicTime begin = MonotonicNow();
+  const BookingOutcome dead =
+      caller.BookAt(cluster.entry(1).address(), "slot 4", key);
+  CHECK(dead.run_state == "outcome_unknown");
+  CHECK(MonotonicNow() - begin < Milliseconds(1000));
+  cluster.RestartEntry(0);
+  cluster.WaitUntilServing();
+  for (std::size_t i = 0; i < cluster.entries(); ++i) {
+    const BookingOutcome outcome =
+        caller.BookAt(cluster.entry(i).address(), "slot 4", key);
+    INFO(outcome.body);
+    CHECK(outcome.run_state == "outcome_unknown");
+  }
+  CHECK(cluster.Runs("slot 4") == 1);
+}
+
+// A new entry starts while the log is down. Without the others' state it would
+// refuse every caller until the log is back.
+TEST_CASE("an entry started during a log outage has the configuration") {
+  Cluster cluster({.entries = 3, .engines = 1});
+  const auto version = cluster.State(0)["config"]["version"];
+  cluster.log().Signal(SIGSTOP);
+  cluster.entry(2).Kill();
+  cluster.RestartEntry(2);
+  CHECK(WaitUntil(
+      [&] { return cluster.State(2)["config"]["version"] == version; }));
+  const Caller caller(cluster.EntryAddresses(), kClubKey);
+  CHECK(WaitUntil([&] {
+    return caller
+               .BookAt(cluster.entry(2).address(), "slot 5",
+                       PrefixOf(cluster.entry(2)) + "slot-5")
+               .status == 200;
+  }));
+  cluster.log().Signal(SIGCONT);
+}
+
+}  // namespace carobshift
