--- a/carobshift/base/result_code.cc
+++ b/carobshift/base/result_code.cc
@@ -111,8 +111,8 @@
 }
 
 const std::error_category& ResultCategory() {
-  static const Category category;
-  return category;
+  static const Category kCategory;
+  return kCategory;
 }
 
 std::error_code make_error_code(ResultCode code) {
--- a/carobshift/cmd/caller_commands.cc
+++ b/carobshift/cmd/caller_commands.cc
@@ -98,7 +98,7 @@
 }  // namespace
 
 const std::vector<CliCommand>& CallerCommands() {
-  static const std::vector<CliCommand> commands = {
+  static const std::vector<CliCommand> kCommands = {
       {"addresses", "", "ask which entries to use",
        "carobshift addresses --entry 10.0.0.1:8080 --key-file key", Addresses},
       {"complete", "PROMPT", "send a completion",
@@ -110,7 +110,7 @@
        Call},
       {"outcome", "KEY", "ask what became of a request with a key",
        "carobshift outcome \"$PREFIX-1\"", Outcome}};
-  return commands;
+  return kCommands;
 }
 
 }  // namespace carobshift
--- a/carobshift/cmd/config_commands.cc
+++ b/carobshift/cmd/config_commands.cc
@@ -326,7 +326,7 @@
 }  // namespace
 
 const std::vector<CliCommand>& ConfigCommands() {
-  static const std::vector<CliCommand> commands = {
+  static const std::vector<CliCommand> kCommands = {
       {"config check", "FILE", "report all faults of a declaration",
        "carobshift config check deployment.yaml", Check},
       {"config show", "", "print the accepted declaration",
@@ -340,7 +340,7 @@
        Publish},
       {"config history", "", "list the edits and what became of each",
        "carobshift config history --log 10.0.0.5:7000", History}};
-  return commands;
+  return kCommands;
 }
 
 }  // namespace carobshift
--- a/carobshift/cmd/operator_commands.cc
+++ b/carobshift/cmd/operator_commands.cc
@@ -136,7 +136,7 @@
 }  // namespace
 
 const std::vector<CliCommand>& OperatorCommands() {
-  static const std::vector<CliCommand> commands = {
+  static const std::vector<CliCommand> kCommands = {
       {"state", "", "print an entry's whole state",
        "carobshift state --entry 10.0.0.1:8080 --secret-file secret --json",
        State},
@@ -145,7 +145,7 @@
       {"explain", "REQUEST_ID", "say what was decided about a request, and why",
        "carobshift explain entry-1-0f3a... --entry 10.0.0.1:8080", Explain},
       {"version", "", "print the version", "carobshift version", Version}};
-  return commands;
+  return kCommands;
 }
 
 }  // namespace carobshift
--- a/carobshift/server/settings.cc
+++ b/carobshift/server/settings.cc
@@ -136,7 +136,7 @@
 
 const std::vector<SettingRow>& SettingRows() {
   using S = Settings;
-  static const std::vector<SettingRow> rows = {
+  static const std::vector<SettingRow> kRows = {
       {"entry", "", kText, true, AssignText<&S::entry>},
       {"zone", "", kText, true, AssignText<&S::zone>},
       {"region", "", kText, false, AssignText<&S::region>},
@@ -182,7 +182,7 @@
       {"key_replay_window_ms", "ms", "1000 to 86400000", false,
        AssignNumber<&S::key_replay_window, 1000, 86400000>},
   };
-  return rows;
+  return kRows;
 }
 
 Result<Settings> LoadSettings(const std::string& yaml_text,
--- a/carobshift/telemetry/event_log.cc
+++ b/carobshift/telemetry/event_log.cc
@@ -20,7 +20,7 @@
 std::string process_name;
 
 el::Logger* JsonLinesLogger() {
-  static el::Logger* const logger = [] {
+  static el::Logger* const kLogger = [] {
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -30,7 +30,7 @@
     el::Loggers::reconfigureAllLoggers(configuration);
     return el::Loggers::getLogger("default");
   }();
-  return logger;
+  return kLogger;
 }
 
 }  // namespace
