--- a/carobshift/admission/admission_queue.cc
+++ b/carobshift/admission/admission_queue.cc
@@ -22,6 +22,8 @@
   std::uint64_t number = 0;
   AccountShare share;
   int in_flight = 0;
+  // Until when the places in its queue of returns are given away.
+  MonotonicTime returns_until{};
   double start_tag = 0;
   // As they stand in `active_` and `active_short_`.
   std::optional<Turn> turn;
@@ -101,7 +103,7 @@
   decision.cost_ahead = CostAhead(lane, request);
   decision.expected_wait = drain_.TimeFor(decision.cost_ahead);
   if (account.in_flight >= account.share.max_in_flight)
-    return Refuse(ResultCode::kAccountLimit, request, decision, now);
+    return Refuse(ResultCode::kAccountLimit, &lane, request, decision, now);
 
   auto item = std::make_unique<Item>();
   item->id = request.id;
@@ -124,7 +126,7 @@
   const ResultCode late = item->has_deadline ? ResultCode::kDeadlineUnreachable
                                              : ResultCode::kOverloaded;
   if (item->latest_start < now && options_.refuse)
-    return Refuse(late, request, decision, now);
+    return Refuse(late, &lane, request, decision, now);
 
   if (expiry_.empty() && HasFreePlace() && (!item->is_long || LongMayStart())) {
     BeginRun(item.get());
@@ -132,9 +134,9 @@
     decision.expected_wait = Microseconds(0);
   } else {
     if (expiry_.size() >= options_.max_queued)
-      return Refuse(ResultCode::kOverloaded, request, decision, now);
+      return Refuse(ResultCode::kOverloaded, &lane, request, decision, now);
     if (options_.refuse && now + decision.expected_wait > item->latest_start)
-      return Refuse(late, request, decision, now);
+      return Refuse(late, &lane, request, decision, now);
     decision.verdict = AdmissionVerdict::kQueued;
     Enqueue(item.get());
     drain_.Observe(true, now);
@@ -234,33 +236,41 @@
   CostUnits own = 0;
   for (std::size_t c = 0; c <= static_cast<std::size_t>(request.priority); ++c)
     own += lane.class_cost[c];
-  const double weights =
-      active_weight_ + (lane.queue.empty() ? lane.weight() : 0);
-  const CostUnits by_share = (own + request.cost) * weights / lane.weight();
+  const CostUnits by_share =
+      (own + request.cost) * WeightsBeside(lane) / lane.weight();
   return std::min(queued_cost_, by_share);
 }
 
+double AdmissionQueue::WeightsBeside(const Account& lane) const {
+  return active_weight_ + (lane.queue.empty() ? lane.weight() : 0);
+}
+
 AdmissionDecision AdmissionQueue::Refuse(ResultCode code,
+                                         Account* lane,
                                          const AdmissionRequest& request,
                                          AdmissionDecision decision,
                                          MonotonicTime now) {
   decision.verdict = AdmissionVerdict::kRefused;
   decision.code = code;
   decision.retry_after =
-      RetryAfter(request.id, request.cost, decision.expected_wait, now);
+      RetryAfter(lane, request.id, request.cost, decision.expected_wait, now);
   return decision;
 }
 
-Milliseconds AdmissionQueue::RetryAfter(const RequestId& id,
+Milliseconds AdmissionQueue::RetryAfter(Account* lane,
+                                        const RequestId& id,
                                         CostUnits cost,
-                                        Microseconds excess,
-                                        MonotonicTime now) {
-  returns_until_ = std::max(returns_until_, now + excess);
-  returns_until_ += Microseconds(static_cast<std::int64_t>(
-      static_cast<double>(drain_.TimeFor(cost).count()) / kReturnShare));
-  returns_until_ = std::min(returns_until_, now + options_.max_retry_after);
+                                        Microseconds expected_wait,
+                                        MonotonicTime now) const {
+  const CostUnits by_share =
+      cost * WeightsBeside(*lane) / lane->weight() / kReturnShare;
+  lane->returns_until = std::max(lane->returns_until, now + expected_wait) +
+                        drain_.TimeFor(by_share);
+  lane->returns_until =
+      std::min(lane->returns_until, now + options_.max_retry_after);
   const double horizon =
-      std::chrono::duration<double, std::milli>(returns_until_ - now).count();
+      std::chrono::duration<double, std::milli>(lane->returns_until - now)
+          .count();
   // A uniform place in the upper half of the horizon.
   const double fraction =
       0.5 + 0.5 * static_cast<double>(FastHash(id.value()) >> 11) * 0x1p-53;
@@ -391,8 +401,8 @@
     expired.id = item->id;
     expired.code = item->has_deadline ? ResultCode::kDeadlineUnreachable
                                       : ResultCode::kOverloaded;
-    expired.retry_after =
-        RetryAfter(item->id, item->cost, drain_.TimeFor(queued_cost_), now);
+    expired.retry_after = RetryAfter(item->lane, item->id, item->cost,
+                                     drain_.TimeFor(queued_cost_), now);
     Dequeue(item);
     Forget(expired.id);
     step->expired.push_back(std::move(expired));
--- a/carobshift/admission/admission_queue.h
+++ b/carobshift/admission/admission_queue.h
@@ -26,9 +26,10 @@
 //   up, and the work done for it is lost. Here a request that the measured
 //   drain rate can't start in time is refused on arrival, and one whose time
 //   runs out while it waits is given up at once.
-// - Returning refusals: each refusal reserves a place in a queue of returns
-//   and gets its time, scattered by a hash of the request id, so that those
-//   refused in one burst don't come back as one.
+// - Returning refusals: each refusal reserves a place in its account's queue of
+//   returns and gets its time, scattered by a hash of the request id, so that
+//   those refused in one burst don't come back as one, and an account that
+//   ignores its times lengthens only its own.
 //
 // Priorities order the requests of one account, never those of two: an account
 // that marks all its requests urgent gains nothing over the others. A request
@@ -217,13 +218,17 @@
   [[nodiscard]] CostUnits CostAhead(const Account& lane,
                                     const AdmissionRequest& request) const;
   [[nodiscard]] AdmissionDecision Refuse(ResultCode code,
+                                         Account* lane,
                                          const AdmissionRequest& request,
                                          AdmissionDecision decision,
                                          MonotonicTime now);
-  [[nodiscard]] Milliseconds RetryAfter(const RequestId& id,
+  [[nodiscard]] Milliseconds RetryAfter(Account* lane,
+                                        const RequestId& id,
                                         CostUnits cost,
-                                        Microseconds excess,
-                                        MonotonicTime now);
+                                        Microseconds expected_wait,
+                                        MonotonicTime now) const;
+  // All weights that compete with the lane, its own included.
+  [[nodiscard]] double WeightsBeside(const Account& lane) const;
   [[nodiscard]] MonotonicTime RankOf(const AdmissionRequest& request,
                                      MonotonicTime now) const;
   void Enqueue(Item* item);
@@ -250,8 +255,6 @@
   double virtual_time_ = 0;
   double largest_tag_ = 0;
   DrainRate drain_;
-  // Until when the places in the queue of returns are given away.
-  MonotonicTime returns_until_{};
   std::unordered_map<AccountId, std::unique_ptr<Account>> accounts_;
   std::unique_ptr<Account> common_lane_;
   std::unordered_map<RequestId, std::unique_ptr<Item>> items_;
