--- a/carobshift/cache/return_planner.h
+++ b/carobshift/cache/return_planner.h
@@ -23,7 +23,7 @@
 // without an export per turn, and is short against the minutes that an engine
 // keeps blocks; under memory pressure there is no wait. kVictimSample objects
 // are looked at for each object to give up, so that an eviction costs the same
-// at any size. kSupersedeShare: a further export pays once it covers a quarter
+// at any size. kSupersedeShare: a further export pays once it covers a tenth
 // more tokens.
 
 #ifndef CAROBSHIFT_CACHE_RETURN_PLANNER_H_
--- a/carobshift/server/tables/service_load.cc
+++ b/carobshift/server/tables/service_load.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double kNewWeight = 0.1;
+constexpr double kPrefillWaitShare = 0.5;
+constexpr double kUngatedCapacity = 1e9;
 // Shorter prefills are dominated by the network and the first decode step.
 constexpr Tokens kLeastPrefillToLearn = 256;
 constexpr double kLeastPrefillRate = 100;
@@ -18,10 +20,14 @@
 
 }  // namespace
 
-ServiceLoad::ServiceLoad(const AdmissionOptions& admission,
+ServiceLoad::ServiceLoad(const ServiceLoadOptions& options,
                          const ServiceSpec& service)
-    : queue_(admission),
-      share_(ConcurrencyLimitOptions{}, service.first_token_target) {}
+    : strategy_(options.strategy),
+      gated_(options.gated),
+      queue_(options.admission),
+      share_(options.limit, service.first_token_target),
+      health_(options.health),
+      first_token_target_(service.first_token_target) {}
 
 std::vector<EndpointId> ServiceLoad::Refresh(
     const ServiceSpec& service,
@@ -34,9 +40,14 @@
   share_.SetEndpoints(ids);
   health_.Retain(ids);
   // Plain services report no load: each entry adapts to them by itself.
-  share_.SetEntries(service.kind == ServiceKind::kPlain ? 1 : live_entries);
+  entries_ =
+      service.kind == ServiceKind::kPlain ? 1 : std::max(1, live_entries);
+  share_.SetEntries(entries_);
+  for (auto& [id, record] : records_)
+    record.ready = false;
   for (const EndpointInfo& endpoint : candidates) {
     Record& record = records_[endpoint.id];
+    record.ready = true;
     if (!endpoint.status || endpoint.status_time == record.report_time)
       continue;
     const EngineStatus& status = *endpoint.status;
@@ -48,13 +59,14 @@
                                     status.running + status.queued);
     record.prefill_at_report =
         std::min(record.pending_prefill, status.queued_prefill_tokens);
+    record.reported_prefill = status.queued_prefill_tokens;
     share_.OnReport(endpoint.id, status.running + status.queued);
   }
   const std::unordered_set<EndpointId> kept(ids.begin(), ids.end());
   std::erase_if(records_, [&](const auto& item) {
     return !kept.contains(item.first) && share_.OwnInProgress(item.first) == 0;
   });
-  queue_.SetCapacity(share_.Allowance());
+  UpdateCapacity();
   return crashed;
 }
 
@@ -81,12 +93,13 @@
   RoutingInput input;
   input.request.prompt_tokens = query.prompt_tokens;
   input.request.request_hash = FastHash(query.id.value());
+  input.request.prefix_hash = query.prefix_hash;
   input.request.zone = query.zone;
   input.endpoints = loads;
   input.hits = hits;
   input.imports = query.cache.imports;
   input.turn = turn_++;
-  const RoutingChoice choice = RoutingStrategies().front().choose(input);
+  const RoutingChoice choice = strategy_.choose(input);
   if (!choice.found())
     return std::nullopt;
   Attempt attempt;
@@ -116,6 +129,9 @@
   share_.OnFirstToken(id, observed, unloaded, now);
   health_.OnFirstToken(id, observed, choice.expected_wait + unloaded,
                        probe ? SampleKind::kProbe : SampleKind::kOrdinary, now);
+  const Microseconds wait = std::max(Microseconds(0), observed - unloaded);
+  endpoint_wait_micros_ +=
+      kNewWeight * (static_cast<double>(wait.count()) - endpoint_wait_micros_);
   LearnPrefillRate(*attempt, observed);
 }
 
@@ -136,7 +152,7 @@
   }
   const auto micros = static_cast<double>((now - attempt.begin).count());
   attempt_micros_ += kNewWeight * (micros - attempt_micros_);
-  queue_.SetCapacity(share_.Allowance());
+  UpdateCapacity();
 }
 
 Tokens ServiceLoad::ExpectedDecode(Tokens max_tokens) const {
@@ -148,9 +164,10 @@
       kNewWeight * (static_cast<double>(completion_tokens) - decode_tokens_);
 }
 
-Microseconds ServiceLoad::PrefillTime(Tokens tokens) const {
-  return Microseconds(static_cast<std::int64_t>(static_cast<double>(tokens) /
-                                                prefill_rate_ * 1e6));
+Microseconds ServiceLoad::TimeAfterStart(Tokens uncached) const {
+  const double prefill = static_cast<double>(uncached) / prefill_rate_ * 1e6;
+  return Microseconds(
+      static_cast<std::int64_t>(prefill + endpoint_wait_micros_));
 }
 
 EndpointLoad ServiceLoad::LoadOf(const EndpointInfo& endpoint,
@@ -183,6 +200,27 @@
   return load;
 }
 
+// The prefill that an endpoint works off within the share of the target that
+// may pass inside it (see concurrency_limit.h).
+void ServiceLoad::UpdateCapacity() {
+  if (!gated_) {
+    queue_.SetCapacity({.places = kUngatedCapacity});
+    return;
+  }
+  const double limit =
+      prefill_rate_ * kPrefillWaitShare *
+      std::chrono::duration<double>(first_token_target_).count();
+  AdmissionCapacity capacity{
+      .places = share_.Allowance(), .prefill = 0, .prefill_per_request = limit};
+  for (const auto& [id, record] : records_) {
+    if (record.ready)
+      capacity.prefill += AllowanceByReport(
+          limit, static_cast<double>(record.reported_prefill),
+          static_cast<double>(record.prefill_at_report), entries_);
+  }
+  queue_.SetCapacity(capacity);
+}
+
 // A plain call has no prefill to derive it from.
 Microseconds ServiceLoad::UnloadedTime(const Attempt& attempt,
                                        Microseconds observed) {
--- a/carobshift/server/tables/service_load.h
+++ b/carobshift/server/tables/service_load.h
@@ -35,6 +35,7 @@
 struct RouteQuery {
   RequestId id;
   Tokens prompt_tokens = 0;
+  std::uint64_t prefix_hash = 0;
   ZoneName zone;
   CacheView cache;
   // For a request that is suspected of crashing endpoints: only one that runs
@@ -51,9 +52,19 @@
   MonotonicTime begin{};
 };
 
+// The defaults are what the entries use; the load driver's baselines differ.
+struct ServiceLoadOptions {
+  AdmissionOptions admission;
+  ConcurrencyLimitOptions limit;
+  EndpointHealthOptions health;
+  RoutingStrategy strategy = RoutingStrategies().front();
+  // False sends everything to the endpoints at once; only for baselines.
+  bool gated = true;
+};
+
 class ServiceLoad {
  public:
-  ServiceLoad(const AdmissionOptions& admission, const ServiceSpec& service);
+  ServiceLoad(const ServiceLoadOptions& options, const ServiceSpec& service);
 
   // Takes over which endpoints take work, and load reports that are newer
   // than the last ones seen. Returns the endpoints whose process has died
@@ -75,7 +86,9 @@
   // Tokens that an answer has usually had, at most `max_tokens`.
   [[nodiscard]] Tokens ExpectedDecode(Tokens max_tokens) const;
   void OnAnswer(Tokens completion_tokens);
-  [[nodiscard]] Microseconds PrefillTime(Tokens tokens) const;
+  // From a start to the first token: the prefill, and the wait inside the
+  // endpoint as it was lately. A deadline must leave room for both.
+  [[nodiscard]] Microseconds TimeAfterStart(Tokens uncached) const;
 
   [[nodiscard]] AdmissionQueue& queue() { return queue_; }
   [[nodiscard]] const AdmissionQueue& queue() const { return queue_; }
@@ -88,7 +101,9 @@
     MonotonicTime report_time{};
     int own_at_report = 0;
     Tokens prefill_at_report = 0;
+    Tokens reported_prefill = 0;
     Tokens pending_prefill = 0;
+    bool ready = false;
     bool exclusive = false;
   };
 
@@ -99,14 +114,21 @@
                                           Microseconds observed);
   void LearnPrefillRate(const Attempt& attempt, Microseconds observed);
 
+  void UpdateCapacity();
+
+  RoutingStrategy strategy_;
+  bool gated_;
   AdmissionQueue queue_;
   EntryShare share_;
-  EndpointHealthTracker health_{EndpointHealthOptions{}};
+  EndpointHealthTracker health_;
+  Milliseconds first_token_target_;
+  int entries_ = 1;
   std::unordered_map<EndpointId, Record> records_;
   std::uint64_t turn_ = 0;
   double prefill_rate_ = 8000;
   double decode_tokens_ = 128;
   double attempt_micros_ = 1e6;
+  double endpoint_wait_micros_ = 0;
   // The shortest time of a plain call lately: what it takes without waiting.
   double fastest_micros_ = 0;
 };
