--- a/testing/cluster.cc
+++ b/testing/cluster.cc
@@ -175,7 +175,7 @@
          << ", link_bytes_per_second: 100000000}\n";
   }
   text << "accounts:\n  - {id: lahore, key_sha256: [" << Sha256Hex(kClubKey)
-       << "], weight: 2}\n  - {id: karachi, key_sha256: ["
+       << "], weight: 2, max_in_flight: 2000}\n  - {id: karachi, key_sha256: ["
        << Sha256Hex(kOtherClubKey) << "]}\n";
   return text.str();
 }
--- a/testing/standin_engine.cc
+++ b/testing/standin_engine.cc
@@ -3,7 +3,8 @@
 // (factor), `crash_on` (text; a prompt that holds it kills the process),
 // `event_lag_ms`, `load_lag_ms`, `drop_events` (how many times),
 // `stall_streams` (true: running streams send nothing more), `leaving`,
-// `wrong_version` (text said in place of the version), `crash_in_export`.
+// `wrong_version` (text said in place of the version), `crash_in_export`,
+// `trace` (true: GET /traces tells when each prompt came and was answered).
 
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -62,6 +63,7 @@
   void Status(StandinExchange& exchange);
   void Events(StandinExchange& exchange);
   void Blocks(StandinExchange& exchange);
+  void Traces(StandinExchange& exchange);
 
  private:
   struct Refusal {
@@ -75,8 +77,10 @@
   void Stream(StandinExchange& exchange,
               const std::shared_ptr<EngineSequence>& sequence,
               const std::string& version,
-              Tokens max_tokens);
+              Tokens max_tokens,
+              MonotonicTime received);
   void Load(const json& order);
+  void Trace(const std::string& prompt, MonotonicTime received);
   [[nodiscard]] LoadedModel loaded() const {
     const std::lock_guard lock(mutex_);
     return loaded_;
@@ -92,6 +96,9 @@
   // The status that readers see, and when it was taken.
   json shown_load_;
   MonotonicTime shown_at_;
+  // By prompt: microseconds from a request's arrival to its first token. Only
+  // for a driver of a bounded number of requests.
+  json traces_ = json::object();
 };
 
 std::optional<Engine::Refusal> Engine::WhyRefused(const json& request) {
@@ -146,6 +153,7 @@
 }
 
 void Engine::Complete(StandinExchange& exchange) {
+  const MonotonicTime received = MonotonicNow();
   const json request = exchange.Json();
   const std::string crash_on = faults_.Text("crash_on");
   if (!crash_on.empty() && request.at("prompt").get<std::string>().find(
@@ -160,14 +168,15 @@
   core_.Submit(sequence);
   exchange.BeginStream("text/event-stream");
   Stream(exchange, sequence, extension.at("version").get<std::string>(),
-         request.at("max_tokens").get<Tokens>());
+         request.at("max_tokens").get<Tokens>(), received);
   core_.Cancel(sequence);
 }
 
 void Engine::Stream(StandinExchange& exchange,
                     const std::shared_ptr<EngineSequence>& sequence,
                     const std::string& version,
-                    Tokens max_tokens) {
+                    Tokens max_tokens,
+                    MonotonicTime received) {
   constexpr Milliseconds kPoll{50};
   bool started = false;
   Tokens sent = 0;
@@ -181,6 +190,8 @@
       continue;
     if (prefilled && !started) {
       started = true;
+      if (faults_.Flag("trace"))
+        Trace(sequence->prompt, received);
       const std::string wrong = faults_.Text("wrong_version");
       const Tokens imported = std::min(sequence->imported_blocks * kBlockTokens,
                                        sequence->cached_tokens);
@@ -335,6 +346,16 @@
   exchange.Reply(BatchToJson(batch));
 }
 
+void Engine::Trace(const std::string& prompt, MonotonicTime received) {
+  const std::lock_guard lock(mutex_);
+  traces_[prompt] = (MonotonicNow() - received).count();
+}
+
+void Engine::Traces(StandinExchange& exchange) {
+  const std::lock_guard lock(mutex_);
+  exchange.Reply(traces_);
+}
+
 void Engine::Blocks(StandinExchange& exchange) {
   CacheEventBatch batch;
   core_.WithCache([&](PrefixCache& cache) { batch = cache.AllBlocks(); });
@@ -403,6 +424,7 @@
   server.Route("POST", "/exports", [&](Exchange& x) { engine.Export(x); });
   server.Route("GET", "/status", [&](Exchange& x) { engine.Status(x); });
   server.Route("GET", "/events", [&](Exchange& x) { engine.Events(x); });
+  server.Route("GET", "/traces", [&](Exchange& x) { engine.Traces(x); });
   server.Route("GET", "/blocks", [&](Exchange& x) { engine.Blocks(x); });
   return server.Run(flags["listen"].as<std::string>());
 }
