--- a/carobshift/server/tables/service_load.cc
+++ b/carobshift/server/tables/service_load.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kNewWeight = 0.1;
+constexpr double kPrefillWaitShare = 0.5;
 constexpr double kUngatedCapacity = 1e9;
 // Shorter prefills are dominated by the network and the first decode step.
 constexpr Tokens kLeastPrefillToLearn = 256;
@@ -25,7 +26,8 @@
       gated_(options.gated),
       queue_(options.admission),
       share_(options.limit, service.first_token_target),
-      health_(options.health) {}
+      health_(options.health),
+      first_token_target_(service.first_token_target) {}
 
 std::vector<EndpointId> ServiceLoad::Refresh(
     const ServiceSpec& service,
@@ -38,9 +40,14 @@
   share_.SetEndpoints(ids);
   health_.Retain(ids);
   // Plain services report no load: each entry adapts to them by itself.
-  share_.SetEntries(service.kind == ServiceKind::kPlain ? 1 : live_entries);
+  entries_ =
+      service.kind == ServiceKind::kPlain ? 1 : std::max(1, live_entries);
+  share_.SetEntries(entries_);
+  for (auto& [id, record] : records_)
+    record.ready = false;
   for (const EndpointInfo& endpoint : candidates) {
     Record& record = records_[endpoint.id];
+    record.ready = true;
     if (!endpoint.status || endpoint.status_time == record.report_time)
       continue;
     const EngineStatus& status = *endpoint.status;
@@ -52,6 +59,7 @@
                                     status.running + status.queued);
     record.prefill_at_report =
         std::min(record.pending_prefill, status.queued_prefill_tokens);
+    record.reported_prefill = status.queued_prefill_tokens;
     share_.OnReport(endpoint.id, status.running + status.queued);
   }
   const std::unordered_set<EndpointId> kept(ids.begin(), ids.end());
@@ -121,6 +129,9 @@
   share_.OnFirstToken(id, observed, unloaded, now);
   health_.OnFirstToken(id, observed, choice.expected_wait + unloaded,
                        probe ? SampleKind::kProbe : SampleKind::kOrdinary, now);
+  const Microseconds wait = std::max(Microseconds(0), observed - unloaded);
+  endpoint_wait_micros_ +=
+      kNewWeight * (static_cast<double>(wait.count()) - endpoint_wait_micros_);
   LearnPrefillRate(*attempt, observed);
 }
 
@@ -153,9 +164,10 @@
       kNewWeight * (static_cast<double>(completion_tokens) - decode_tokens_);
 }
 
-Microseconds ServiceLoad::PrefillTime(Tokens tokens) const {
-  return Microseconds(static_cast<std::int64_t>(static_cast<double>(tokens) /
-                                                prefill_rate_ * 1e6));
+Microseconds ServiceLoad::TimeAfterStart(Tokens uncached) const {
+  const double prefill = static_cast<double>(uncached) / prefill_rate_ * 1e6;
+  return Microseconds(
+      static_cast<std::int64_t>(prefill + endpoint_wait_micros_));
 }
 
 EndpointLoad ServiceLoad::LoadOf(const EndpointInfo& endpoint,
@@ -188,8 +200,25 @@
   return load;
 }
 
+// The prefill that an endpoint works off within the share of the target that
+// may pass inside it (see concurrency_limit.h).
 void ServiceLoad::UpdateCapacity() {
-  queue_.SetCapacity(gated_ ? share_.Allowance() : kUngatedCapacity);
+  if (!gated_) {
+    queue_.SetCapacity({.places = kUngatedCapacity});
+    return;
+  }
+  const double limit =
+      prefill_rate_ * kPrefillWaitShare *
+      std::chrono::duration<double>(first_token_target_).count();
+  AdmissionCapacity capacity{
+      .places = share_.Allowance(), .prefill = 0, .prefill_per_request = limit};
+  for (const auto& [id, record] : records_) {
+    if (record.ready)
+      capacity.prefill += AllowanceByReport(
+          limit, static_cast<double>(record.reported_prefill),
+          static_cast<double>(record.prefill_at_report), entries_);
+  }
+  queue_.SetCapacity(capacity);
 }
 
 // A plain call has no prefill to derive it from.
