Completions under an idempotency key run once and are replayed

The copy that runs at its own entry streams as it goes, any other gets the kept answer at its end. The generate dispatcher asks the key's gate just before each attempt, as the plain one does.

--- a/carobshift/server/commands/call_command.cc
+++ b/carobshift/server/commands/call_command.cc
@@ -34,7 +34,7 @@
   }
   if (headers.idempotency_key) {
     SendReply(exchange.response, keyed_.Run(AsForward(job.value(), headers),
-                                            job.value().deadline));
+                                            job.value().deadline, {}));
     return;
   }
   context_.journal.Begin(exchange.id, job.value().account,
--- a/carobshift/server/commands/complete_command.cc
+++ b/carobshift/server/commands/complete_command.cc
@@ -1,23 +1,14 @@
 #include "carobshift/server/commands/complete_command.h"
 
-#include <algorithm>
 #include <ostream>
 #include <utility>
 
 #include "carobshift/server/http/caller_error.h"
+#include "carobshift/server/once/send_reply.h"
 
 namespace carobshift {
 namespace {
 
-AnswerMeta MetaOf(const GenerateJob& job) {
-  return {job.id, job.service->name,
-          std::chrono::floor<Seconds>(WallNow()).time_since_epoch().count()};
-}
-
-std::string Dump(const nlohmann::json& value) {
-  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 // Collects a whole answer.
 class WholeWriter : public AnswerWriter {
  public:
@@ -47,24 +38,17 @@
       : exchange_(exchange), format_(format), meta_(std::move(meta)) {}
 
   bool WriteToken(std::string_view text) override {
-    return WriteEvent("data: " + Dump(format_.chunk(meta_, text)) + "\n\n");
+    return WriteEvent(EventText(format_.chunk(meta_, text)));
   }
   bool CallerIsGone() override {
     return carobshift::CallerIsGone(exchange_.request);
   }
-  // The final frame with the token count, then the end mark. A stream without
-  // them is not whole.
   void WriteFinal(const GenerateUsage& usage) {
-    WriteEvent("data: " + Dump(format_.final_chunk(meta_, usage)) +
-               "\n\ndata: [DONE]\n\n");
+    WriteEvent(FinalEvents(format_, meta_, usage));
   }
   void WriteError(const CallerError& error) {
-    WriteEvent("event: error\ndata: " + Dump(ErrorBody(meta_.id, error)) +
-               "\n\n");
+    WriteEvent("event: error\n" + EventText(ErrorBody(meta_.id, error)));
   }
-  [[nodiscard]] bool begun() const { return out_ != nullptr; }
-
- private:
   bool WriteEvent(const std::string& event) {
     if (out_ == nullptr)
       Begin();
@@ -72,6 +56,9 @@
     out_->flush();
     return out_->good();
   }
+  [[nodiscard]] bool begun() const { return out_ != nullptr; }
+
+ private:
   void Begin() {
     exchange_.response.setContentType("text/event-stream");
     exchange_.response.set("Cache-Control", "no-store");
@@ -88,62 +75,72 @@
 }  // namespace
 
 void CompleteCommand::Handle(RequestExchange& exchange) {
-  bool stream = false;
-  auto job = MakeJob(exchange, stream);
-  if (!job.ok()) {
+  KeyedText keyed;
+  const auto task = MakeTask(exchange, &keyed);
+  if (!task.ok()) {
     SendError(exchange.response, exchange.id,
-              NotRun(job.error().code, job.error().message));
+              NotRun(task.error().code, task.error().message));
+    return;
+  }
+  if (keyed.headers.idempotency_key) {
+    AnswerKeyed(exchange, task.value(), keyed);
     return;
   }
-  context_.journal.Begin(exchange.id, job.value().account,
-                         job.value().service->name, exchange.received);
-  if (stream) {
-    AnswerStream(exchange, job.value());
+  const GenerateJob& job = task.value().job;
+  context_.journal.Begin(exchange.id, job.account, job.service->name,
+                         exchange.received);
+  if (task.value().stream) {
+    AnswerStream(exchange, job);
   } else {
-    AnswerWhole(exchange, job.value());
+    AnswerWhole(exchange, job);
   }
 }
 
-Result<GenerateJob> CompleteCommand::MakeJob(RequestExchange& exchange,
-                                             bool& stream) {
+Result<CompletionTask> CompleteCommand::MakeTask(RequestExchange& exchange,
+                                                 KeyedText* keyed) {
   auto caller = IdentifyCaller(context_, exchange);
   if (!caller.ok())
     return caller.error();
   auto text = ReadBody(exchange.request, context_.settings.max_body_bytes);
   if (!text.ok())
     return text.error();
-  auto body = ParseCompletionBody(format_, text.value());
-  if (!body.ok())
-    return body.error();
-  const auto service =
-      AllowedService(caller.value(), body.value().service, ServiceKind::kModel);
-  if (!service.ok())
-    return service.error();
-  const ServiceSpec& spec = *service.value();
-  const AdapterName& adapter = body.value().adapter;
-  const bool adapter_declared =
-      adapter.value().empty() ||
-      std::ranges::find(spec.adapters, adapter) != spec.adapters.end();
-  if (!adapter_declared) {
-    return Error{
-        ResultCode::kUnknownService,
-        "service " + spec.name.value() + " has no adapter " + adapter.value()};
-  }
-  stream = body.value().stream;
-  GenerateJob job;
+  auto task = MakeCompletionTask(caller.value(), format_, text.value());
+  if (!task.ok())
+    return task;
+  GenerateJob& job = task.value().job;
   job.id = exchange.id;
-  job.account = caller.value().account->id;
-  job.conversation = caller.value().headers.conversation;
-  job.config = caller.value().config;
-  job.service = &spec;
-  job.adapter = adapter;
-  job.prompt = std::move(body.value().prompt);
-  job.max_tokens = std::min(body.value().max_tokens, spec.max_output_tokens);
-  job.priority = caller.value().headers.priority;
-  job.repeatable = !caller.value().headers.not_repeatable;
   job.received = exchange.received;
   job.deadline = caller.value().headers.deadline;
-  return job;
+  keyed->headers = std::move(caller.value().headers);
+  keyed->text = std::move(text).value();
+  return task;
+}
+
+// A copy that runs here streams as it goes; any other gets the whole answer
+// at its end.
+void CompleteCommand::AnswerKeyed(RequestExchange& exchange,
+                                  const CompletionTask& task,
+                                  const KeyedText& keyed) {
+  ForwardCall call;
+  call.request = exchange.id;
+  call.route = route_;
+  call.account = task.job.account;
+  call.key = *keyed.headers.idempotency_key;
+  call.key_created = keyed.headers.key_created;
+  call.body = keyed.text;
+  call.priority = static_cast<std::uint8_t>(task.job.priority);
+  call.conversation = task.job.conversation.value_or(ConversationId());
+  call.not_repeatable = keyed.headers.not_repeatable;
+  StreamWriter writer(exchange, format_, MetaOf(task.job));
+  const LiveEvents live = [&writer](const std::string& event) {
+    writer.WriteEvent(event);
+  };
+  const CallReply reply =
+      keyed_.Run(call, task.job.deadline, task.stream ? live : LiveEvents());
+  if (writer.begun())
+    exchange.response.setKeepAlive(false);
+  else
+    SendReply(exchange.response, reply);
 }
 
 void CompleteCommand::AnswerWhole(RequestExchange& exchange,
--- a/carobshift/server/dispatch/generate_dispatcher.cc
+++ b/carobshift/server/dispatch/generate_dispatcher.cc
@@ -60,6 +60,11 @@
       if (error)
         break;
       const Status status = RunOne();
+      if (refused_) {
+        error = CallerError{refused_->code, State(), refused_->message,
+                            std::nullopt};
+        break;
+      }
       if (status.ok() && assembler_.complete()) {
         RememberTurn();
         break;
@@ -125,12 +130,16 @@
       import_.End(sink.start());
       OnFirstToken();
     });
-    const Status status = context_.platform.engines.Generate(
-        attempt_.endpoint.address, MakeRequest(), sink);
+    if (job_.gate)
+      refused_ = job_.gate(MonotonicNow());
+    const Status status =
+        refused_ ? Status(Error{refused_->code, refused_->message})
+                 : context_.platform.engines.Generate(attempt_.endpoint.address,
+                                                      MakeRequest(), sink);
     import_.End(sink.start());
     caller_gone_ = sink.caller_gone();
     AttemptEnd end = AttemptEnd::kCompleted;
-    if (caller_gone_ || sink.abandoned()) {
+    if (refused_ || caller_gone_ || sink.abandoned()) {
       end = AttemptEnd::kNoFault;
     } else if (!status.ok()) {
       end = AttemptEndOf(status.error().code);
@@ -233,6 +242,8 @@
   std::set<EndpointId> tried_;
   bool may_have_run_ = false;
   bool caller_gone_ = false;
+  // The job's gate refused the attempt that was about to begin.
+  std::optional<Refusal> refused_;
 };
 
 GenerateOutcome GenerateDispatcher::Run(const GenerateJob& job,
--- a/carobshift/server/dispatch/generate_job.h
+++ b/carobshift/server/dispatch/generate_job.h
@@ -5,6 +5,7 @@
 #ifndef CAROBSHIFT_SERVER_DISPATCH_GENERATE_JOB_H_
 #define CAROBSHIFT_SERVER_DISPATCH_GENERATE_JOB_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
 #include "carobshift/config/declaration.h"
+#include "carobshift/once/run_table.h"
 #include "carobshift/server/http/caller_error.h"
 #include "carobshift/server/http/caller_request.h"
 #include "carobshift/server/tables/config_table.h"
@@ -35,6 +37,9 @@
   bool repeatable = true;
   MonotonicTime received;
   MonotonicTime deadline;
+  // If set, asked just before each attempt's first byte may leave; an answer
+  // ends the request.
+  std::function<std::optional<Refusal>(MonotonicTime now)> gate;
 };
 
 struct GenerateUsage {
--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -12,6 +12,7 @@
 #include "carobshift/peer/peer_server.h"
 #include "carobshift/server/commands/call_command.h"
 #include "carobshift/server/commands/complete_command.h"
+#include "carobshift/server/commands/completion_executor.h"
 #include "carobshift/server/http/http_front.h"
 #include "carobshift/server/once/claims_tasks.h"
 #include "carobshift/server/once/keyed_calls.h"
@@ -133,8 +134,13 @@
   ConfigFoldTable config_fold;
   PeerService peer_service{keyed, config_fold};
 
-  CompleteCommand complete_text{context, generate_dispatcher, TextFormat()};
-  CompleteCommand complete_chat{context, generate_dispatcher, ChatFormat()};
+  CompletionExecutor text_executor{context, generate_dispatcher, TextFormat()};
+  CompletionExecutor chat_executor{context, generate_dispatcher, ChatFormat()};
+
+  CompleteCommand complete_text{context, generate_dispatcher, keyed,
+                                CallRoute::kText, TextFormat()};
+  CompleteCommand complete_chat{context, generate_dispatcher, keyed,
+                                CallRoute::kChat, ChatFormat()};
   CallCommand call{context, plain_dispatcher, keyed};
 
   AddressesQuery addresses{context};
@@ -172,6 +178,8 @@
   parts_->AddRoutes();
   parts_->AddStateSections();
   parts_->keyed.SetExecutor(CallRoute::kPlain, parts_->plain_executor);
+  parts_->keyed.SetExecutor(CallRoute::kText, parts_->text_executor);
+  parts_->keyed.SetExecutor(CallRoute::kChat, parts_->chat_executor);
 }
 
 Entry::~Entry() = default;
--- a/carobshift/server/once/keyed_calls.cc
+++ b/carobshift/server/once/keyed_calls.cc
@@ -96,7 +96,9 @@
   return key.entry == context_.settings.entry;
 }
 
-CallReply KeyedCalls::Run(ForwardCall call, MonotonicTime deadline) {
+CallReply KeyedCalls::Run(ForwardCall call,
+                          MonotonicTime deadline,
+                          const LiveEvents& live) {
   const Result<KeyedRequest> request = MakeRequest(call, deadline);
   if (!request.ok())
     return ErrorReply(call.request,
@@ -107,7 +109,7 @@
                       NotRun(ResultCode::kInvalidIdempotencyKey,
                              "the key was issued to another client account"));
   if (!bound || IsMine(*bound))
-    return RunHere(call, request.value(), true);
+    return RunHere(call, request.value(), true, live);
   call.owner = bound->incarnation;
   return Forward(bound->entry, bound->incarnation, call, call.request,
                  deadline);
@@ -126,16 +128,17 @@
         call.request,
         {ResultCode::kHomeUnreachable, RunState::kOutcomeUnknown,
          "the entry that answers for the key was restarted", std::nullopt});
-  return RunHere(call, request.value(), false);
+  return RunHere(call, request.value(), false, {});
 }
 
 CallReply KeyedCalls::RunHere(const ForwardCall& call,
                               const KeyedRequest& request,
-                              bool may_forward) {
+                              bool may_forward,
+                              const LiveEvents& live) {
   for (;;) {
     const KeyDecision decision = table_.Begin(request);
     if (std::holds_alternative<RunNow>(decision))
-      return Execute(call, request);
+      return Execute(call, request, live);
     if (const auto* replay = std::get_if<Replay>(&decision))
       return ReplayReply(call.request, replay->answer);
     if (const auto* refusal = std::get_if<Refusal>(&decision))
@@ -157,15 +160,18 @@
 }
 
 CallReply KeyedCalls::Execute(const ForwardCall& call,
-                              const KeyedRequest& request) {
+                              const KeyedRequest& request,
+                              const LiveEvents& live) {
   KeyedExecutor* executor = executors_.at(static_cast<std::size_t>(call.route));
   FinalAnswer answer;
   // A key whose run never ends would hold its repeats for good.
   try {
-    answer = executor->Execute(call, request.deadline,
-                               [this, &request](MonotonicTime now) {
-                                 return table_.StartDispatch(request, now);
-                               });
+    answer = executor->Execute(
+        call, request.deadline,
+        [this, &request](MonotonicTime now) {
+          return table_.StartDispatch(request, now);
+        },
+        live);
   } catch (const std::exception&) {
     answer = ErrorAnswer(call.request,
                          {ResultCode::kInternal, RunState::kOutcomeUnknown,
--- a/carobshift/server/once/keyed_calls.h
+++ b/carobshift/server/once/keyed_calls.h
@@ -3,7 +3,7 @@
 //
 //   KeyedCalls keyed(context, table, peers, client);
 //   keyed.SetExecutor(CallRoute::kPlain, plain_executor);
-//   CallReply reply = keyed.Run(call, deadline);
+//   CallReply reply = keyed.Run(call, deadline, {});
 //
 // Thread-safe; Run blocks until the answer or the deadline.
 
@@ -13,6 +13,7 @@
 #include <array>
 #include <functional>
 #include <optional>
+#include <string>
 
 #include "carobshift/peer/peer_client.h"
 #include "carobshift/peer/peer_server.h"
@@ -27,6 +28,9 @@
 // that it must not.
 using DispatchGate = std::function<std::optional<Refusal>(MonotonicTime now)>;
 
+// Gets the events of a streamed answer as they come; may be empty.
+using LiveEvents = std::function<void(const std::string& event)>;
+
 // Runs one kind of request at this entry.
 class KeyedExecutor {
  public:
@@ -35,7 +39,8 @@
   // no byte of it has reached an endpoint.
   virtual FinalAnswer Execute(const ForwardCall& call,
                               MonotonicTime deadline,
-                              const DispatchGate& gate) = 0;
+                              const DispatchGate& gate,
+                              const LiveEvents& live) = 0;
 };
 
 class KeyedCalls {
@@ -49,8 +54,11 @@
   // Before the front starts. `executor` must outlive this.
   void SetExecutor(CallRoute route, KeyedExecutor& executor);
 
-  // A caller's request at this entry.
-  [[nodiscard]] CallReply Run(ForwardCall call, MonotonicTime deadline);
+  // A caller's request at this entry. If it runs here, `live` gets the events
+  // of a streamed answer; else the reply alone holds them.
+  [[nodiscard]] CallReply Run(ForwardCall call,
+                              MonotonicTime deadline,
+                              const LiveEvents& live);
   // One that another entry has sent on.
   [[nodiscard]] CallReply RunForwarded(const ForwardCall& call);
 
@@ -67,9 +75,11 @@
                                                  MonotonicTime deadline) const;
   [[nodiscard]] CallReply RunHere(const ForwardCall& call,
                                   const KeyedRequest& request,
-                                  bool may_forward);
+                                  bool may_forward,
+                                  const LiveEvents& live);
   [[nodiscard]] CallReply Execute(const ForwardCall& call,
-                                  const KeyedRequest& request);
+                                  const KeyedRequest& request,
+                                  const LiveEvents& live);
   [[nodiscard]] CallReply Forward(const EntryId& entry,
                                   Incarnation incarnation,
                                   const PeerRequest& message,
--- a/carobshift/server/once/plain_executor.cc
+++ b/carobshift/server/once/plain_executor.cc
@@ -6,7 +6,8 @@
 
 FinalAnswer PlainExecutor::Execute(const ForwardCall& call,
                                    MonotonicTime deadline,
-                                   const DispatchGate& gate) {
+                                   const DispatchGate& gate,
+                                   const LiveEvents&) {
   PlainJob job;
   job.id = call.request;
   job.account = call.account;
--- a/carobshift/server/once/plain_executor.h
+++ b/carobshift/server/once/plain_executor.h
@@ -20,7 +20,8 @@
 
   FinalAnswer Execute(const ForwardCall& call,
                       MonotonicTime deadline,
-                      const DispatchGate& gate) override;
+                      const DispatchGate& gate,
+                      const LiveEvents& live) override;
 
  private:
   EntryContext& context_;
--- a/testing/once_test.cc
+++ b/testing/once_test.cc
@@ -95,6 +95,29 @@
   CHECK(cluster.Runs("slot 3") == 1);
 }
 
+// A completion is sent again after its answer was missed: streamed at the home
+// of its key, then at another entry, whose caller gets the kept answer.
+TEST_CASE("a completion under a key runs once and is replayed whole") {
+  Cluster cluster({.entries = 2, .engines = 1});
+  const Caller caller(cluster.EntryAddresses(), kClubKey);
+  CompletionCall call{
+      .prompt = "pair me with someone kind",
+      .max_tokens = 30,
+      .headers = {{"Idempotency-Key", PrefixOf(cluster.entry(0)) + "pairing"}}};
+  const CompletionOutcome first =
+      caller.CompleteAt(cluster.entry(0).address(), call);
+  INFO(first.error.dump());
+  REQUIRE(first.whole);
+  for (std::size_t i = 0; i < cluster.entries(); ++i) {
+    const CompletionOutcome again =
+        caller.CompleteAt(cluster.entry(i).address(), call);
+    CHECK(again.whole);
+    CHECK(again.text == first.text);
+    CHECK(cluster.State(i)["once"]["bound_keys"] == (i == 0 ? 1 : 0));
+  }
+  CHECK(cluster.State(0)["once"]["replayed"] == 2);
+}
+
 // The log hangs. Bound keys don't need it; a booking that is refused, or run
 // twice, would cost a club its slot.
 TEST_CASE("bookings go on through a log outage, none doubled, none refused") {
