Entries run on membership, endpoint view, lease and fleet planner

Cause: the thin server took the entries from the list, gave orders from the first entry by id and polled engines one after another. Now: UDP gossip on the HTTP port number, address answers from the live members by rendezvous hashing, endpoint table over EndpointView, eight status pollers (a silent engine holds up one), lease and fleet tasks with one log line per decision, orders with a client of their own timeout; SIGTERM leaves the answers by gossip first.

The stream is named lease-fleet, as the log's routes take one path segment. The gossip interval's default becomes 500 ms: 200 ms would pass 18 KB a second at 420 entries.

--- a/carobshift/cmd/carobshiftd_main.cc
+++ b/carobshift/cmd/carobshiftd_main.cc
@@ -100,7 +100,11 @@
   store_options.request_timeout = kStoreTimeout;
   HttpStoreClient stores(store_options);
   HttpPlainServiceClient plain_services(options);
-  Entry entry(settings, secret, {log, list, engines, stores, plain_services});
+  HttpOptions order_options = options;
+  order_options.request_timeout = settings.order_timeout;
+  HttpEngineClient orders(order_options);
+  Entry entry(settings, secret,
+              {log, list, engines, stores, plain_services, orders});
   const auto address = entry.Start();
   if (!address.ok())
     return Fail(kExitFailed, address.error().message);
--- a/carobshift/lease/lease.cc
+++ b/carobshift/lease/lease.cc
@@ -98,6 +98,10 @@
       Take(record, now);
   }
   next_ = std::max(next_, batch.value().next);
+  // Nothing was ever on the stream, and nothing was dropped from it: there is
+  // no former holder to wait for.
+  if (next_ == LogOffset(0) && batch.value().first_retained == LogOffset(0))
+    free_at_ = now;
   // More may follow a batch that was not empty.
   settled_ = batch.value().records.empty();
   if (!settled_)
--- a/carobshift/lease/lease.h
+++ b/carobshift/lease/lease.h
@@ -1,5 +1,5 @@
 // One entry's part in the lease on a scope of the fleet, as a state machine
-// over the log stream "lease/<scope>". The holder may give orders.
+// over the log stream "lease-<scope>". The holder may give orders.
 //
 //   Lease lease(options, self, incarnation, now);
 //   LeaseAction action = lease.Next(now);      // read, append or wait
--- a/carobshift/server/dispatch/load_control.cc
+++ b/carobshift/server/dispatch/load_control.cc
@@ -51,11 +51,8 @@
 std::vector<EndpointInfo> LoadControl::RefreshCandidates(
     const ServiceSpec& service) const {
   std::vector<EndpointInfo> candidates = context_.endpoints.Candidates(service);
-  const auto entries = context_.endpoints.All(InstanceKind::kEntry);
-  const auto live = std::ranges::count_if(
-      entries, [](const EndpointInfo& entry) { return !entry.leaving; });
-  context_.load.Refresh(service, candidates, static_cast<int>(live),
-                        MonotonicNow());
+  const auto live = static_cast<int>(context_.membership.Live().size());
+  context_.load.Refresh(service, candidates, live, MonotonicNow());
   return candidates;
 }
 
--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -16,13 +16,18 @@
 #include "carobshift/server/tasks/cache_task.h"
 #include "carobshift/server/tasks/config_follower.h"
 #include "carobshift/server/tasks/fleet_task.h"
+#include "carobshift/server/tasks/gossip_task.h"
 #include "carobshift/server/tasks/instance_poller.h"
+#include "carobshift/server/tasks/lease_task.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
 namespace {
 
 constexpr Milliseconds kDrainPollInterval{20};
+// Other entries name this one in their address answers until the gossip has
+// told them that it leaves.
+constexpr Milliseconds kLeaveSpread{2000};
 
 HttpFrontOptions FrontOptions(const Settings& settings) {
   return {settings.entry,
@@ -40,6 +45,12 @@
   return static_cast<std::size_t>(settings.http_threads) / 4 + 1;
 }
 
+LeaseOptions LeaseOptionsOf(const Settings& settings) {
+  return {.duration = settings.lease_duration,
+          .order_timeout = settings.order_timeout,
+          .clock_drift = settings.clock_drift};
+}
+
 }  // namespace
 
 // Members are in the order in which they depend on each other.
@@ -49,10 +60,9 @@
         secret(std::move(given_secret)),
         load(WaitingLimit(settings)),
         cache(secret),
-        context{settings, secret,    Incarnation(RandomUint64()),
-                platform, config,    endpoints,
-                load,     cache,     journal,
-                metrics,  state_dump},
+        context{settings,   secret,     incarnation, platform, config,
+                endpoints,  load,       cache,       journal,  metrics,
+                state_dump, membership, lease},
         front(FrontOptions(settings), routes) {}
 
   void AddRoutes() {
@@ -68,6 +78,9 @@
   }
 
   void AddStateSections() {
+    state_dump.Register("membership", membership);
+    state_dump.Register("lease", lease);
+    state_dump.Register("fleet", fleet);
     state_dump.Register("config", config);
     state_dump.Register("endpoints", endpoints);
     state_dump.Register("load", load);
@@ -75,9 +88,30 @@
     state_dump.Register("requests", journal);
   }
 
+  // Needs the address that the front listens on.
+  void StartMembership() {
+    const auto version = WallNow().time_since_epoch().count();
+    const NetAddress& address = settings.listen;
+    const MemberInfo self{
+        .id = settings.entry,
+        .incarnation = incarnation,
+        .version = MemberVersion(static_cast<std::uint64_t>(version)),
+        .zone = settings.zone,
+        .host = address.host,
+        .gossip_port = address.port,
+        .peer_port = address.port,
+        .http_port = address.port};
+    MembershipOptions options;
+    options.period = settings.gossip_interval;
+    membership.Start(options, self, secret, MonotonicNow());
+  }
+
   void StartTasks() {
     runner.Start(list_poller);
-    runner.Start(status_poller);
+    for (StatusPoller& poller : status_pollers)
+      runner.Start(poller);
+    runner.Start(gossip);
+    runner.Start(lease_task);
     runner.Start(config_follower);
     runner.Start(fleet);
     runner.Start(cache_task);
@@ -96,6 +130,10 @@
   RequestJournal journal;
   Metrics metrics;
   StateDump state_dump;
+  MembershipTable membership;
+  const Incarnation incarnation{RandomUint64()};
+  LeaseTable lease{LeaseOptionsOf(settings), settings.entry, incarnation,
+                   MonotonicNow()};
   EntryContext context;
 
   GenerateDispatcher generate_dispatcher{context};
@@ -113,9 +151,21 @@
   ExplainQuery explain{context};
 
   ListPoller list_poller{context};
-  StatusPoller status_poller{context};
+  StatusSchedule status_schedule;
+  // A silent engine holds one of them up; a rack of them leaves some.
+  std::array<StatusPoller, 8> status_pollers = {
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule)};
+  GossipTask gossip{context};
+  LeaseTask lease_task{context};
   ConfigFollower config_follower{context};
-  FleetTask fleet{context};
+  FleetTask fleet{context, leaving};
   CacheTask cache_task{context};
   // Two for each store of today, so that a slow one leaves threads to the
   // other.
@@ -143,6 +193,10 @@
   if (!address.ok())
     return address;
   parts_->settings.listen = address.value();
+  const Status bound = parts_->gossip.Bind(address.value());
+  if (!bound.ok())
+    return bound.error();
+  parts_->StartMembership();
   parts_->StartTasks();
   LogEvent(LogLevel::kInfo, "entry_started",
            {{"address", address.value().ToString()},
@@ -152,11 +206,12 @@
 
 void Entry::DrainAndStop() {
   parts_->leaving = true;
+  parts_->membership.Leave();
   LogEvent(LogLevel::kInfo, "entry_leaving", nlohmann::json::object());
   // A caller may hold an address answer for its whole time to live and come
   // with it up to then; refusing it would interrupt a planned stop's callers.
   const MonotonicTime last_answer_expires =
-      MonotonicNow() + parts_->settings.address_ttl;
+      MonotonicNow() + parts_->settings.address_ttl + kLeaveSpread;
   while (MonotonicNow() < last_answer_expires ||
          parts_->front.active_requests() > 0) {
     std::this_thread::sleep_for(kDrainPollInterval);
--- a/carobshift/server/entry_context.h
+++ b/carobshift/server/entry_context.h
@@ -18,7 +18,9 @@
 #include "carobshift/server/tables/cache_table.h"
 #include "carobshift/server/tables/config_table.h"
 #include "carobshift/server/tables/endpoint_table.h"
+#include "carobshift/server/tables/lease_table.h"
 #include "carobshift/server/tables/load_table.h"
+#include "carobshift/server/tables/membership_table.h"
 #include "carobshift/server/tables/request_journal.h"
 #include "carobshift/telemetry/metrics.h"
 
@@ -31,6 +33,8 @@
   EngineClient& engines;
   StoreClient& stores;
   PlainServiceClient& plain_services;
+  // For orders; its request timeout is the setting `order_timeout_ms`.
+  EngineClient& orders;
 };
 
 struct EntryContext {
@@ -46,6 +50,8 @@
   RequestJournal& journal;
   Metrics& metrics;
   StateDump& state_dump;
+  MembershipTable& membership;
+  LeaseTable& lease;
 };
 
 }  // namespace carobshift
--- a/carobshift/server/queries/addresses_query.cc
+++ b/carobshift/server/queries/addresses_query.cc
@@ -2,12 +2,29 @@
 
 #include <Poco/URI.h>
 
+#include "carobshift/membership/entry_ranking.h"
 #include "carobshift/server/commands/caller_identity.h"
 #include "carobshift/server/http/caller_error.h"
 
 namespace carobshift {
 namespace {
 
+// An answer with more would not help: after the first some are dead too, the
+// caller asks again.
+constexpr std::size_t kMaxAddresses = 4;
+
+RankingKey KeyOf(const AccountId& account, const RequestExchange& exchange) {
+  RankingKey key{.account = account};
+  for (const auto& [name, value] :
+       Poco::URI(exchange.request.getURI()).getQueryParameters()) {
+    if (name == "conversation" && value.size() <= kMaxCallerIdBytes)
+      key.conversation = ConversationId(value);
+    if (name == "zone" && value.size() <= kMaxCallerIdBytes)
+      key.zone = ZoneName(value);
+  }
+  return key;
+}
+
 // The caller returns soon: its stored blocks are pinned ahead.
 void PinAhead(EntryContext& context,
               const AccountId& account,
@@ -32,12 +49,11 @@
   }
   PinAhead(context_, caller.value().account->id, exchange);
   nlohmann::json addresses = nlohmann::json::array();
-  for (const EndpointInfo& entry :
-       context_.endpoints.All(InstanceKind::kEntry)) {
-    if (entry.leaving)
-      continue;
+  const RankingKey key = KeyOf(caller.value().account->id, exchange);
+  for (const MemberInfo& entry :
+       RankEntries(key, context_.membership.Live(), kMaxAddresses)) {
     addresses.push_back({{"entry", entry.id.value()},
-                         {"address", entry.address.ToString()},
+                         {"address", entry.http_address().ToString()},
                          {"zone", entry.zone.value()}});
   }
   SendJson(exchange.response, 200,
--- a/carobshift/server/settings.h
+++ b/carobshift/server/settings.h
@@ -46,7 +46,7 @@
   Milliseconds list_poll_interval{500};
   Milliseconds status_poll_interval{200};
   Milliseconds platform_timeout{2000};
-  Milliseconds gossip_interval{200};
+  Milliseconds gossip_interval{500};
   Milliseconds lease_duration{3000};
   Milliseconds order_timeout{1000};
   Milliseconds clock_drift{200};
--- a/carobshift/server/tables/endpoint_table.cc
+++ b/carobshift/server/tables/endpoint_table.cc
@@ -1,5 +1,6 @@
 #include "carobshift/server/tables/endpoint_table.h"
 
+#include <array>
 #include <utility>
 
 namespace carobshift {
@@ -8,102 +9,102 @@
 // A dump lists this many endpoints and then only counts.
 constexpr std::size_t kMaxDumped = 200;
 
-bool ServesModel(const EndpointInfo& endpoint, const ServiceSpec& service) {
-  return endpoint.kind == InstanceKind::kEngine && endpoint.status &&
-         endpoint.status->state == EngineState::kReady &&
-         endpoint.status->role == service.name &&
-         endpoint.status->model == service.model;
+constexpr std::array kKinds = {
+    InstanceKind::kEntry, InstanceKind::kEngine, InstanceKind::kPlainService,
+    InstanceKind::kStore, InstanceKind::kWeightStore};
+
+std::vector<EndpointInfo> ToInfos(std::vector<ObservedEndpoint> observed) {
+  std::vector<EndpointInfo> infos;
+  infos.reserve(observed.size());
+  for (ObservedEndpoint& endpoint : observed) {
+    infos.push_back({std::move(endpoint.id), endpoint.kind,
+                     std::move(endpoint.pool), std::move(endpoint.zone),
+                     std::move(endpoint.address), endpoint.leaving,
+                     std::move(endpoint.status), endpoint.status_asked});
+  }
+  return infos;
 }
 
-bool Serves(const EndpointInfo& endpoint, const ServiceSpec& service) {
-  if (endpoint.leaving || endpoint.pool != service.pool)
-    return false;
-  if (service.kind == ServiceKind::kPlain)
-    return endpoint.kind == InstanceKind::kPlainService;
-  return ServesModel(endpoint, service);
+nlohmann::json DumpEndpoint(const ObservedEndpoint& endpoint) {
+  nlohmann::json row = {{"id", endpoint.id.value()},
+                        {"pool", endpoint.pool.value()},
+                        {"zone", endpoint.zone.value()},
+                        {"address", endpoint.address.ToString()},
+                        {"leaving", endpoint.leaving},
+                        {"draining", endpoint.draining_since.has_value()},
+                        {"failures", endpoint.failures}};
+  if (endpoint.status) {
+    row["role"] = endpoint.status->role.value();
+    row["version"] = endpoint.status->version.value();
+    row["running"] = endpoint.status->running;
+    row["queued"] = endpoint.status->queued;
+    row["fencing"] = endpoint.status->fencing.value();
+  }
+  return row;
 }
 
 }  // namespace
 
-void EndpointTable::ReplaceList(const std::vector<ListedInstance>& instances) {
-  std::map<EndpointId, EndpointInfo> fresh;
+void EndpointTable::ReplaceList(const std::vector<ListedInstance>& instances,
+                                MonotonicTime now) {
   const std::lock_guard lock(mutex_);
-  for (const ListedInstance& listed : instances) {
-    EndpointInfo info;
-    info.id = EndpointId(listed.id);
-    const auto known = endpoints_.find(info.id);
-    if (known != endpoints_.end() && known->second.address == listed.address) {
-      info = known->second;
-    }
-    info.kind = listed.kind;
-    info.pool = listed.pool;
-    info.zone = listed.zone;
-    info.address = listed.address;
-    info.leaving = listed.state == InstanceState::kLeaving;
-    fresh.emplace(info.id, std::move(info));
-  }
-  endpoints_ = std::move(fresh);
+  view_.OnList(instances, now);
 }
 
 void EndpointTable::UpdateStatus(const EndpointId& id,
                                  const EngineStatus& status,
-                                 MonotonicTime now) {
+                                 MonotonicTime asked) {
+  const std::lock_guard lock(mutex_);
+  view_.OnStatus(id, status, asked);
+}
+
+bool EndpointTable::NoteFailure(const EndpointId& id, MonotonicTime now) {
   const std::lock_guard lock(mutex_);
-  const auto it = endpoints_.find(id);
-  if (it == endpoints_.end())
-    return;
-  it->second.status = status;
-  it->second.status_time = now;
+  const auto before = view_.Find(id);
+  view_.OnFailure(id, now);
+  const auto after = view_.Find(id);
+  return before && before->status && after && !after->status;
 }
 
-void EndpointTable::MarkLost(const EndpointId& id) {
+void EndpointTable::TakeFacts(const std::set<std::string>& leaving,
+                              const std::set<std::string>& draining,
+                              MonotonicTime now) {
   const std::lock_guard lock(mutex_);
-  const auto it = endpoints_.find(id);
-  if (it != endpoints_.end())
-    it->second.status.reset();
+  view_.OnFacts(leaving, draining, now);
 }
 
 std::vector<EndpointInfo> EndpointTable::Candidates(
     const ServiceSpec& service) const {
-  std::vector<EndpointInfo> out;
+  const MonotonicTime now = MonotonicNow();
   const std::lock_guard lock(mutex_);
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (Serves(endpoint, service))
-      out.push_back(endpoint);
-  }
-  return out;
+  return ToInfos(view_.TakingWork(service, now));
 }
 
 std::vector<EndpointInfo> EndpointTable::All(InstanceKind kind) const {
-  std::vector<EndpointInfo> out;
   const std::lock_guard lock(mutex_);
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.kind == kind)
-      out.push_back(endpoint);
-  }
-  return out;
+  return ToInfos(view_.Observed(kind));
+}
+
+std::vector<ObservedEndpoint> EndpointTable::Observed(InstanceKind kind) const {
+  const std::lock_guard lock(mutex_);
+  return view_.Observed(kind);
+}
+
+std::vector<EndpointId> EndpointTable::SeenLeaving() const {
+  const std::lock_guard lock(mutex_);
+  return view_.SeenLeaving();
 }
 
 nlohmann::json EndpointTable::DumpState() const {
   nlohmann::json rows = nlohmann::json::array();
   const std::lock_guard lock(mutex_);
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (rows.size() == kMaxDumped)
-      break;
-    nlohmann::json row = {{"id", id.value()},
-                          {"pool", endpoint.pool.value()},
-                          {"zone", endpoint.zone.value()},
-                          {"address", endpoint.address.ToString()},
-                          {"leaving", endpoint.leaving}};
-    if (endpoint.status) {
-      row["role"] = endpoint.status->role.value();
-      row["version"] = endpoint.status->version.value();
-      row["running"] = endpoint.status->running;
-      row["queued"] = endpoint.status->queued;
+  for (const InstanceKind kind : kKinds) {
+    for (const ObservedEndpoint& endpoint : view_.Observed(kind)) {
+      if (rows.size() < kMaxDumped)
+        rows.push_back(DumpEndpoint(endpoint));
     }
-    rows.push_back(std::move(row));
   }
-  return {{"count", endpoints_.size()}, {"endpoints", std::move(rows)}};
+  return {{"count", view_.size()}, {"endpoints", std::move(rows)}};
 }
 
 }  // namespace carobshift
--- a/carobshift/server/tables/endpoint_table.h
+++ b/carobshift/server/tables/endpoint_table.h
@@ -1,22 +1,23 @@
-// What this entry knows of the instances: the platform's list and each
-// engine's own status.
+// What this entry knows of the instances, for all of its threads: the view of
+// fleet/endpoint_view.h under a lock.
 //
-//   for (const EndpointInfo& endpoint : table.Candidates(service, now)) ...
+//   for (const EndpointInfo& endpoint : table.Candidates(service)) ...
 //
-// Thread-safe; returns copies. Bounded by the instance list.
+// Thread-safe; returns copies. Bounded by EndpointView::kMaxEndpoints.
 
 #ifndef CAROBSHIFT_SERVER_TABLES_ENDPOINT_TABLE_H_
 #define CAROBSHIFT_SERVER_TABLES_ENDPOINT_TABLE_H_
 
-#include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
 #include "carobshift/config/declaration.h"
+#include "carobshift/fleet/endpoint_view.h"
 #include "carobshift/platform/engine.h"
 #include "carobshift/platform/instance_list.h"
 #include "carobshift/telemetry/state_source.h"
@@ -30,22 +31,27 @@
   ZoneName zone;
   NetAddress address;
   bool leaving = false;
-  // An engine's last status and when it was read; nothing for plain services
-  // and for engines that haven't answered since they were last lost.
+  // An engine's last status and when it was asked for; nothing for plain
+  // services and for engines that haven't answered since they were last lost.
   std::optional<EngineStatus> status;
   MonotonicTime status_time;
 };
 
 class EndpointTable : public StateSource {
  public:
-  // Takes over a list. An instance that is no longer in it is forgotten.
-  void ReplaceList(const std::vector<ListedInstance>& instances);
+  void ReplaceList(const std::vector<ListedInstance>& instances,
+                   MonotonicTime now);
 
   void UpdateStatus(const EndpointId& id,
                     const EngineStatus& status,
-                    MonotonicTime now);
-  // The endpoint didn't answer: it takes no new work until it does.
-  void MarkLost(const EndpointId& id);
+                    MonotonicTime asked);
+  // The endpoint didn't answer. True if it counts as lost with this: it takes
+  // no new work until it answers again.
+  bool NoteFailure(const EndpointId& id, MonotonicTime now);
+  // Facts of the gossip; see EndpointView::OnFacts.
+  void TakeFacts(const std::set<std::string>& leaving,
+                 const std::set<std::string>& draining,
+                 MonotonicTime now);
 
   // Endpoints that may take new work of the service now.
   [[nodiscard]] std::vector<EndpointInfo> Candidates(
@@ -53,12 +59,15 @@
 
   // All known instances of a kind, leaving ones included.
   [[nodiscard]] std::vector<EndpointInfo> All(InstanceKind kind) const;
+  // The same as the fleet's planner needs them.
+  [[nodiscard]] std::vector<ObservedEndpoint> Observed(InstanceKind kind) const;
+  [[nodiscard]] std::vector<EndpointId> SeenLeaving() const;
 
   [[nodiscard]] nlohmann::json DumpState() const override;
 
  private:
   mutable std::mutex mutex_;
-  std::map<EndpointId, EndpointInfo> endpoints_;
+  EndpointView view_;
 };
 
 }  // namespace carobshift
--- /dev/null
+++ b/carobshift/server/tables/membership_table.h
@@ -0,0 +1,59 @@
+// What the threads of an entry share of the membership: the gossip task feeds
+// it, the queries and the fleet task read it.
+//
+//   membership.Start(self, options, secret, now);
+//   std::vector<MemberInfo> live = membership.Live();
+//
+// Thread-safe. Bounded by MemberTable::kMaxMembers and FactTable::kMaxFacts.
+
+#ifndef CAROBSHIFT_SERVER_TABLES_MEMBERSHIP_TABLE_H_
+#define CAROBSHIFT_SERVER_TABLES_MEMBERSHIP_TABLE_H_
+
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carobshift/base/units.h"
+#include "carobshift/membership/membership.h"
+#include "carobshift/telemetry/state_source.h"
+
+namespace carobshift {
+
+class MembershipTable : public StateSource {
+ public:
+  // Until Start there are no members, and nothing is sent.
+  void Start(const MembershipOptions& options,
+             const MemberInfo& self,
+             const std::string& secret,
+             MonotonicTime now);
+
+  [[nodiscard]] std::vector<SendDatagram> OnTick(
+      const std::vector<NetAddress>& seeds,
+      ConfigVersion config,
+      MonotonicTime now);
+  [[nodiscard]] std::vector<SendDatagram> OnDatagram(std::string_view bytes,
+                                                     MonotonicTime now);
+  void PublishFacts(const std::vector<Fact>& facts, MonotonicTime now);
+  void Leave();
+
+  // Entries to name in address answers.
+  [[nodiscard]] std::vector<MemberInfo> Live() const;
+  // This entry first, then all others, dead ones included.
+  [[nodiscard]] std::vector<MemberRecord> Members() const;
+  // Subjects of the active facts of a kind.
+  [[nodiscard]] std::set<std::string> Subjects(FactKind kind,
+                                               MonotonicTime now) const;
+
+  [[nodiscard]] nlohmann::json DumpState() const override;
+
+ private:
+  mutable std::mutex mutex_;
+  std::optional<Membership> membership_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_SERVER_TABLES_MEMBERSHIP_TABLE_H_
--- a/carobshift/server/tables/tables_threads_test.cc
+++ b/carobshift/server/tables/tables_threads_test.cc
@@ -83,7 +83,7 @@
   std::atomic<bool> without_status = false;
   RunThreads([&](int thread, int round) {
     if (thread == 0) {
-      table.ReplaceList({Engine(1), Engine(2 + round % 2)});
+      table.ReplaceList({Engine(1), Engine(2 + round % 2)}, MonotonicNow());
     } else if (thread == 1) {
       table.UpdateStatus(EndpointId("engine-1"), ReadyStatus(), MonotonicNow());
     } else {
