--- a/carobshift/admission/admission_queue.cc
+++ b/carobshift/admission/admission_queue.cc
@@ -22,11 +22,15 @@
   std::uint64_t number = 0;
   AccountShare share;
   int in_flight = 0;
+  // Until when the places in its queue of returns are given away.
+  MonotonicTime returns_until{};
   double start_tag = 0;
-  double finish_tag = 0;
-  CostUnits queued_cost = 0;
+  // As they stand in `active_` and `active_short_`.
+  std::optional<Turn> turn;
+  std::optional<Turn> short_turn;
   std::array<CostUnits, kPriorityClasses> class_cost{};
   std::set<Item*, ByRank> queue;
+  std::set<Item*, ByRank> short_queue;
 
   [[nodiscard]] double weight() const {
     return std::max(kLeastWeight, share.weight);
@@ -41,9 +45,12 @@
   Account* lane = nullptr;
   PriorityClass priority = PriorityClass::kNormal;
   CostUnits cost = 1;
+  // Counted in `running_prefill_` while it runs.
+  double prefill = 0;
   MonotonicTime rank{};
   MonotonicTime latest_start{};
   bool has_deadline = false;
+  bool is_long = false;
   bool running = false;
   // False if it was started without waiting, when no share was charged.
   bool charged = false;
@@ -58,12 +65,6 @@
                                             : a->sequence < b->sequence;
 }
 
-bool AdmissionQueue::ByFinishTag::operator()(const Account* a,
-                                             const Account* b) const {
-  return a->finish_tag != b->finish_tag ? a->finish_tag < b->finish_tag
-                                        : a->number < b->number;
-}
-
 AdmissionQueue::AdmissionQueue(const AdmissionOptions& options)
     : options_(options), common_lane_(std::make_unique<Account>()) {
   if (options_.mutation == AdmissionMutation::kNoFairness)
@@ -79,7 +80,7 @@
     return;
   const bool active = !record.queue.empty();
   if (active) {
-    active_.erase(&record);
+    Unkey(&record);
     active_weight_ -= record.weight();
   }
   record.share = share;
@@ -89,8 +90,8 @@
   }
 }
 
-void AdmissionQueue::SetCapacity(double capacity) {
-  capacity_ = std::max(0.0, capacity);
+void AdmissionQueue::SetCapacity(const AdmissionCapacity& capacity) {
+  capacity_ = capacity;
 }
 
 AdmissionDecision AdmissionQueue::Arrive(const AdmissionRequest& request,
@@ -102,7 +103,7 @@
   decision.cost_ahead = CostAhead(lane, request);
   decision.expected_wait = drain_.TimeFor(decision.cost_ahead);
   if (account.in_flight >= account.share.max_in_flight)
-    return Refuse(ResultCode::kAccountLimit, request, decision, now);
+    return Refuse(ResultCode::kAccountLimit, &lane, request, decision, now);
 
   auto item = std::make_unique<Item>();
   item->id = request.id;
@@ -111,6 +112,8 @@
   item->lane = &lane;
   item->priority = request.priority;
   item->cost = std::max(1.0, request.cost);
+  item->prefill = std::max(0.0, static_cast<double>(request.prefill));
+  item->is_long = item->prefill > capacity_.prefill_per_request;
   item->rank = RankOf(request, now);
   item->latest_start =
       now + options_.max_wait[static_cast<std::size_t>(request.priority)];
@@ -123,18 +126,17 @@
   const ResultCode late = item->has_deadline ? ResultCode::kDeadlineUnreachable
                                              : ResultCode::kOverloaded;
   if (item->latest_start < now && options_.refuse)
-    return Refuse(late, request, decision, now);
+    return Refuse(late, &lane, request, decision, now);
 
-  if (expiry_.empty() && HasFreePlace()) {
-    item->running = true;
-    ++running_;
+  if (expiry_.empty() && HasFreePlace() && (!item->is_long || LongMayStart())) {
+    BeginRun(item.get());
     decision.cost_ahead = 0;
     decision.expected_wait = Microseconds(0);
   } else {
     if (expiry_.size() >= options_.max_queued)
-      return Refuse(ResultCode::kOverloaded, request, decision, now);
+      return Refuse(ResultCode::kOverloaded, &lane, request, decision, now);
     if (options_.refuse && now + decision.expected_wait > item->latest_start)
-      return Refuse(late, request, decision, now);
+      return Refuse(late, &lane, request, decision, now);
     decision.verdict = AdmissionVerdict::kQueued;
     Enqueue(item.get());
     drain_.Observe(true, now);
@@ -147,10 +149,11 @@
 AdmissionStep AdmissionQueue::Pop(MonotonicTime now) {
   AdmissionStep step;
   GiveUpExpired(now, &step);
-  while (!active_.empty() && HasFreePlace()) {
+  while (HasFreePlace()) {
     Item* item = TakeNext();
-    item->running = true;
-    ++running_;
+    if (item == nullptr)
+      break;
+    BeginRun(item);
     drain_.OnStart(item->cost);
     step.admitted.push_back(item->id);
   }
@@ -158,6 +161,12 @@
   return step;
 }
 
+void AdmissionQueue::OnFirstToken(const RequestId& id) {
+  const auto it = items_.find(id);
+  if (it != items_.end() && it->second->running)
+    EndPrefill(it->second.get());
+}
+
 void AdmissionQueue::Finish(const RequestId& id, CostUnits actual_cost) {
   const auto it = items_.find(id);
   if (it == items_.end() || !it->second->running)
@@ -167,12 +176,13 @@
     Account* lane = item.lane;
     const bool active = !lane->queue.empty();
     if (active)
-      active_.erase(lane);
+      Unkey(lane);
     lane->start_tag += (actual_cost - item.cost) / lane->weight();
     if (active)
       Rekey(lane);
   }
   --running_;
+  EndPrefill(&item);
   Forget(id);
 }
 
@@ -185,6 +195,7 @@
   } else if (options_.mutation != AdmissionMutation::kLostWakeup) {
     --running_;
   }
+  EndPrefill(it->second.get());
   Forget(id);
   return true;
 }
@@ -212,7 +223,10 @@
 bool AdmissionQueue::HasFreePlace() const {
   // A capacity between 0 and 1 still serves one at a time: the entry would
   // otherwise never send anything and its callers would wait for nothing.
-  return running_ < capacity_ && (running_ == 0 || running_ + 1 <= capacity_);
+  if (running_ == 0)
+    return capacity_.places > 0;
+  return running_ + 1 <= capacity_.places &&
+         (running_prefill_ < 1 || running_prefill_ < capacity_.prefill);
 }
 
 // Served before this request: all that waits, or if less, what the account
@@ -222,33 +236,41 @@
   CostUnits own = 0;
   for (std::size_t c = 0; c <= static_cast<std::size_t>(request.priority); ++c)
     own += lane.class_cost[c];
-  const double weights =
-      active_weight_ + (lane.queue.empty() ? lane.weight() : 0);
-  const CostUnits by_share = (own + request.cost) * weights / lane.weight();
+  const CostUnits by_share =
+      (own + request.cost) * WeightsBeside(lane) / lane.weight();
   return std::min(queued_cost_, by_share);
 }
 
+double AdmissionQueue::WeightsBeside(const Account& lane) const {
+  return active_weight_ + (lane.queue.empty() ? lane.weight() : 0);
+}
+
 AdmissionDecision AdmissionQueue::Refuse(ResultCode code,
+                                         Account* lane,
                                          const AdmissionRequest& request,
                                          AdmissionDecision decision,
                                          MonotonicTime now) {
   decision.verdict = AdmissionVerdict::kRefused;
   decision.code = code;
   decision.retry_after =
-      RetryAfter(request.id, request.cost, decision.expected_wait, now);
+      RetryAfter(lane, request.id, request.cost, decision.expected_wait, now);
   return decision;
 }
 
-Milliseconds AdmissionQueue::RetryAfter(const RequestId& id,
+Milliseconds AdmissionQueue::RetryAfter(Account* lane,
+                                        const RequestId& id,
                                         CostUnits cost,
-                                        Microseconds excess,
-                                        MonotonicTime now) {
-  returns_until_ = std::max(returns_until_, now + excess);
-  returns_until_ += Microseconds(static_cast<std::int64_t>(
-      static_cast<double>(drain_.TimeFor(cost).count()) / kReturnShare));
-  returns_until_ = std::min(returns_until_, now + options_.max_retry_after);
+                                        Microseconds expected_wait,
+                                        MonotonicTime now) const {
+  const CostUnits by_share =
+      cost * WeightsBeside(*lane) / lane->weight() / kReturnShare;
+  lane->returns_until = std::max(lane->returns_until, now + expected_wait) +
+                        drain_.TimeFor(by_share);
+  lane->returns_until =
+      std::min(lane->returns_until, now + options_.max_retry_after);
   const double horizon =
-      std::chrono::duration<double, std::milli>(returns_until_ - now).count();
+      std::chrono::duration<double, std::milli>(lane->returns_until - now)
+          .count();
   // A uniform place in the upper half of the horizon.
   const double fraction =
       0.5 + 0.5 * static_cast<double>(FastHash(id.value()) >> 11) * 0x1p-53;
@@ -275,11 +297,11 @@
   if (lane->queue.empty()) {
     lane->start_tag = std::max(lane->start_tag, virtual_time_);
     active_weight_ += lane->weight();
-  } else {
-    active_.erase(lane);
   }
+  Unkey(lane);
   lane->queue.insert(item);
-  lane->queued_cost += item->cost;
+  if (!item->is_long)
+    lane->short_queue.insert(item);
   lane->class_cost[static_cast<std::size_t>(item->priority)] += item->cost;
   queued_cost_ += item->cost;
   expiry_.insert(item);
@@ -288,15 +310,14 @@
 
 void AdmissionQueue::Dequeue(Item* item) {
   Account* lane = item->lane;
-  active_.erase(lane);
+  Unkey(lane);
   lane->queue.erase(item);
+  lane->short_queue.erase(item);
   expiry_.erase(item);
-  lane->queued_cost -= item->cost;
   lane->class_cost[static_cast<std::size_t>(item->priority)] -= item->cost;
   queued_cost_ -= item->cost;
   if (lane->queue.empty()) {
     active_weight_ -= lane->weight();
-    lane->queued_cost = 0;
     lane->class_cost = {};
   } else {
     Rekey(lane);
@@ -310,20 +331,62 @@
   }
 }
 
-// The lane is not in `active_`; its queue is not empty.
+void AdmissionQueue::Unkey(Account* lane) {
+  if (lane->turn)
+    active_.erase(*lane->turn);
+  if (lane->short_turn)
+    active_short_.erase(*lane->short_turn);
+  lane->turn.reset();
+  lane->short_turn.reset();
+}
+
 void AdmissionQueue::Rekey(Account* lane) {
-  lane->finish_tag =
-      lane->start_tag + (*lane->queue.begin())->cost / lane->weight();
-  active_.insert(lane);
+  const auto turn_of = [&](const std::set<Item*, ByRank>& queue) {
+    const double tag =
+        lane->start_tag + (*queue.begin())->cost / lane->weight();
+    return Turn{tag, lane};
+  };
+  Unkey(lane);
+  lane->turn = turn_of(lane->queue);
+  active_.insert(*lane->turn);
+  if (lane->short_queue.empty())
+    return;
+  lane->short_turn = turn_of(lane->short_queue);
+  active_short_.insert(*lane->short_turn);
+}
+
+void AdmissionQueue::BeginRun(Item* item) {
+  item->running = true;
+  ++running_;
+  item->prefill = std::min(item->prefill, capacity_.prefill_per_request);
+  running_prefill_ += item->prefill;
+  running_long_ += item->is_long ? item->prefill : 0;
+}
+
+void AdmissionQueue::EndPrefill(Item* item) {
+  if (item->running) {
+    running_prefill_ -= item->prefill;
+    running_long_ -= item->is_long ? item->prefill : 0;
+  }
+  item->prefill = 0;
+}
+
+bool AdmissionQueue::LongMayStart() const {
+  return running_long_ < 1 ||
+         running_long_ < options_.long_share * capacity_.prefill;
 }
 
 AdmissionQueue::Item* AdmissionQueue::TakeNext() {
-  Account* lane = *active_.begin();
-  Item* item = *lane->queue.begin();
-  active_.erase(lane);
+  const bool any = LongMayStart();
+  const std::set<Turn>& turns = any ? active_ : active_short_;
+  if (turns.empty())
+    return nullptr;
+  const Turn turn = *turns.begin();
+  Account* lane = turn.account;
+  Item* item = any ? *lane->queue.begin() : *lane->short_queue.begin();
   virtual_time_ = std::max(virtual_time_, lane->start_tag);
-  lane->start_tag = lane->finish_tag;
-  largest_tag_ = std::max(largest_tag_, lane->finish_tag);
+  lane->start_tag = turn.finish_tag;
+  largest_tag_ = std::max(largest_tag_, turn.finish_tag);
   item->charged = true;
   Dequeue(item);
   return item;
@@ -338,8 +401,8 @@
     expired.id = item->id;
     expired.code = item->has_deadline ? ResultCode::kDeadlineUnreachable
                                       : ResultCode::kOverloaded;
-    expired.retry_after =
-        RetryAfter(item->id, item->cost, drain_.TimeFor(queued_cost_), now);
+    expired.retry_after = RetryAfter(item->lane, item->id, item->cost,
+                                     drain_.TimeFor(queued_cost_), now);
     Dequeue(item);
     Forget(expired.id);
     step->expired.push_back(std::move(expired));
