--- a/benchmarks/sim/simulated_entry.h
+++ b/benchmarks/sim/simulated_entry.h
@@ -82,6 +82,7 @@
     Submission submission;
     ContentFingerprint fingerprint;
     CostUnits cost = 0;
+    bool is_long = false;
     int attempts = 0;
     Attempt attempt;
     FakeEngine* engine = nullptr;
@@ -92,6 +93,7 @@
   };
   struct Refusal {
     MonotonicTime time;
+    bool is_long = false;
     CostUnits served_before = 0;
     CostUnits cost_ahead = 0;
     MonotonicTime latest_start;
@@ -99,6 +101,7 @@
 
   void Poll();
   void Pump();
+  void Start(const std::string& id);
   void StartAttempt(const std::string& id);
   void Dispatch(Request& request, std::string id);
   void WatchProgress(const std::string& id,
@@ -122,9 +125,14 @@
   std::optional<MonotonicTime> wakeup_;
   EntryCounters counters_;
   std::vector<Refusal> refusals_;
-  // Cost started by when; for judging refusals.
-  CostUnits served_ = 0;
-  std::vector<std::pair<MonotonicTime, CostUnits>> served_by_;
+  // Cost started by when, of all and of long requests; for judging refusals.
+  struct Served {
+    MonotonicTime time;
+    CostUnits all = 0;
+    CostUnits of_long = 0;
+  };
+  Served served_;
+  std::vector<Served> served_by_;
 };
 
 [[nodiscard]] AccountId AccountName(int account);
--- a/carobshift/admission/admission_queue.cc
+++ b/carobshift/admission/admission_queue.cc
@@ -2,60 +2,10 @@
 
 #include <algorithm>
 
-#include "carobshift/base/digest.h"
+#include "carobshift/admission/internal/admission_records.h"
 
 namespace carobshift {
 
-namespace {
-
-// Share of the drain rate that returning requests may use, so that they don't
-// displace the new ones.
-constexpr double kReturnShare = 0.5;
-constexpr double kLeastWeight = 1e-6;
-// The rank offset of a class when aging is switched off by a mutation.
-constexpr Milliseconds kNeverAged{24LL * 3600 * 1000};
-
-}  // namespace
-
-// One account's requests, or with `fair` off all of them.
-struct AdmissionQueue::Account {
-  std::uint64_t number = 0;
-  AccountShare share;
-  int in_flight = 0;
-  // Until when the places in its queue of returns are given away.
-  MonotonicTime returns_until{};
-  double start_tag = 0;
-  // As they stand in `active_` and `active_short_`.
-  std::optional<Turn> turn;
-  std::optional<Turn> short_turn;
-  std::array<CostUnits, kPriorityClasses> class_cost{};
-  std::set<Item*, ByRank> queue;
-  std::set<Item*, ByRank> short_queue;
-
-  [[nodiscard]] double weight() const {
-    return std::max(kLeastWeight, share.weight);
-  }
-};
-
-struct AdmissionQueue::Item {
-  RequestId id;
-  std::uint64_t sequence = 0;
-  // The account whose limit counts, and the lane in which it waits.
-  Account* account = nullptr;
-  Account* lane = nullptr;
-  PriorityClass priority = PriorityClass::kNormal;
-  CostUnits cost = 1;
-  // Counted in `running_prefill_` while it runs.
-  double prefill = 0;
-  MonotonicTime rank{};
-  MonotonicTime latest_start{};
-  bool has_deadline = false;
-  bool is_long = false;
-  bool running = false;
-  // False if it was started without waiting, when no share was charged.
-  bool charged = false;
-};
-
 bool AdmissionQueue::ByRank::operator()(const Item* a, const Item* b) const {
   return a->rank != b->rank ? a->rank < b->rank : a->sequence < b->sequence;
 }
@@ -96,12 +46,12 @@
 
 AdmissionDecision AdmissionQueue::Arrive(const AdmissionRequest& request,
                                          MonotonicTime now) {
-  drain_.Observe(!expiry_.empty(), now);
+  ObserveBacklog(now);
   Account& account = FindOrAddAccount(request.account);
   Account& lane = options_.fair ? account : *common_lane_;
   AdmissionDecision decision;
   decision.cost_ahead = CostAhead(lane, request);
-  decision.expected_wait = drain_.TimeFor(decision.cost_ahead);
+  decision.expected_wait = TimeFor(decision.cost_ahead, IsLong(request));
   if (account.in_flight >= account.share.max_in_flight)
     return Refuse(ResultCode::kAccountLimit, &lane, request, decision, now);
 
@@ -113,7 +63,7 @@
   item->priority = request.priority;
   item->cost = std::max(1.0, request.cost);
   item->prefill = std::max(0.0, static_cast<double>(request.prefill));
-  item->is_long = item->prefill > capacity_.prefill_per_request;
+  item->is_long = IsLong(request);
   item->rank = RankOf(request, now);
   item->latest_start =
       now + options_.max_wait[static_cast<std::size_t>(request.priority)];
@@ -139,7 +89,7 @@
       return Refuse(late, &lane, request, decision, now);
     decision.verdict = AdmissionVerdict::kQueued;
     Enqueue(item.get());
-    drain_.Observe(true, now);
+    ObserveBacklog(now);
   }
   ++account.in_flight;
   items_.emplace(request.id, std::move(item));
@@ -155,9 +105,11 @@
       break;
     BeginRun(item);
     drain_.OnStart(item->cost);
+    if (item->is_long)
+      long_drain_.OnStart(item->cost);
     step.admitted.push_back(item->id);
   }
-  drain_.Observe(!expiry_.empty(), now);
+  ObserveBacklog(now);
   return step;
 }
 
@@ -229,67 +181,9 @@
          (running_prefill_ < 1 || running_prefill_ < capacity_.prefill);
 }
 
-// Served before this request: all that waits, or if less, what the account
-// itself has waiting, while the other accounts get their shares beside it.
-CostUnits AdmissionQueue::CostAhead(const Account& lane,
-                                    const AdmissionRequest& request) const {
-  CostUnits own = 0;
-  for (std::size_t c = 0; c <= static_cast<std::size_t>(request.priority); ++c)
-    own += lane.class_cost[c];
-  const CostUnits by_share =
-      (own + request.cost) * WeightsBeside(lane) / lane.weight();
-  return std::min(queued_cost_, by_share);
-}
-
-double AdmissionQueue::WeightsBeside(const Account& lane) const {
-  return active_weight_ + (lane.queue.empty() ? lane.weight() : 0);
-}
-
-AdmissionDecision AdmissionQueue::Refuse(ResultCode code,
-                                         Account* lane,
-                                         const AdmissionRequest& request,
-                                         AdmissionDecision decision,
-                                         MonotonicTime now) {
-  decision.verdict = AdmissionVerdict::kRefused;
-  decision.code = code;
-  decision.retry_after =
-      RetryAfter(lane, request.id, request.cost, decision.expected_wait, now);
-  return decision;
-}
-
-Milliseconds AdmissionQueue::RetryAfter(Account* lane,
-                                        const RequestId& id,
-                                        CostUnits cost,
-                                        Microseconds expected_wait,
-                                        MonotonicTime now) const {
-  const CostUnits by_share =
-      cost * WeightsBeside(*lane) / lane->weight() / kReturnShare;
-  lane->returns_until = std::max(lane->returns_until, now + expected_wait) +
-                        drain_.TimeFor(by_share);
-  lane->returns_until =
-      std::min(lane->returns_until, now + options_.max_retry_after);
-  const double horizon =
-      std::chrono::duration<double, std::milli>(lane->returns_until - now)
-          .count();
-  // A uniform place in the upper half of the horizon.
-  const double fraction =
-      0.5 + 0.5 * static_cast<double>(FastHash(id.value()) >> 11) * 0x1p-53;
-  const Milliseconds wanted(static_cast<std::int64_t>(horizon * fraction));
-  const Milliseconds least(static_cast<std::int64_t>(
-      static_cast<double>(options_.min_retry_after.count()) * 2 * fraction));
-  return std::min(std::max(wanted, least), options_.max_retry_after);
-}
-
-MonotonicTime AdmissionQueue::RankOf(const AdmissionRequest& request,
-                                     MonotonicTime now) const {
-  const Milliseconds step = options_.mutation == AdmissionMutation::kNoAging
-                                ? kNeverAged
-                                : options_.class_step;
-  const Microseconds by_size(static_cast<std::int64_t>(
-      static_cast<double>(options_.size_offset_per_kilounit.count()) *
-      std::min(request.cost, 1e9) / 1000));
-  return now + step * static_cast<int>(request.priority) +
-         std::min<Microseconds>(by_size, options_.max_size_offset);
+void AdmissionQueue::ObserveBacklog(MonotonicTime now) {
+  drain_.Observe(!active_short_.empty(), now);
+  long_drain_.Observe(queued_long_ > 0, now);
 }
 
 void AdmissionQueue::Enqueue(Item* item) {
@@ -304,6 +198,11 @@
     lane->short_queue.insert(item);
   lane->class_cost[static_cast<std::size_t>(item->priority)] += item->cost;
   queued_cost_ += item->cost;
+  if (item->is_long) {
+    ++queued_long_;
+    queued_long_cost_ += item->cost;
+    lane->long_cost[static_cast<std::size_t>(item->priority)] += item->cost;
+  }
   expiry_.insert(item);
   Rekey(lane);
 }
@@ -316,9 +215,15 @@
   expiry_.erase(item);
   lane->class_cost[static_cast<std::size_t>(item->priority)] -= item->cost;
   queued_cost_ -= item->cost;
+  if (item->is_long) {
+    --queued_long_;
+    queued_long_cost_ -= item->cost;
+    lane->long_cost[static_cast<std::size_t>(item->priority)] -= item->cost;
+  }
   if (lane->queue.empty()) {
     active_weight_ -= lane->weight();
     lane->class_cost = {};
+    lane->long_cost = {};
   } else {
     Rekey(lane);
   }
@@ -327,6 +232,7 @@
     // and sums of doubles start again from zero.
     virtual_time_ = std::max(virtual_time_, largest_tag_);
     queued_cost_ = 0;
+    queued_long_cost_ = 0;
     active_weight_ = 0;
   }
 }
@@ -371,11 +277,6 @@
   item->prefill = 0;
 }
 
-bool AdmissionQueue::LongMayStart() const {
-  return running_long_ < 1 ||
-         running_long_ < options_.long_share * capacity_.prefill;
-}
-
 AdmissionQueue::Item* AdmissionQueue::TakeNext() {
   const bool any = LongMayStart();
   const std::set<Turn>& turns = any ? active_ : active_short_;
@@ -401,8 +302,10 @@
     expired.id = item->id;
     expired.code = item->has_deadline ? ResultCode::kDeadlineUnreachable
                                       : ResultCode::kOverloaded;
-    expired.retry_after = RetryAfter(item->lane, item->id, item->cost,
-                                     drain_.TimeFor(queued_cost_), now);
+    const CostUnits ahead = item->is_long ? queued_long_cost_ : queued_cost_;
+    expired.retry_after =
+        RetryAfter(item->lane, item->id, item->cost, item->is_long,
+                   TimeFor(ahead, item->is_long), now);
     Dequeue(item);
     Forget(expired.id);
     step->expired.push_back(std::move(expired));
--- a/carobshift/admission/admission_queue.h
+++ b/carobshift/admission/admission_queue.h
@@ -215,8 +215,12 @@
 
   Account& FindOrAddAccount(const AccountId& id);
   [[nodiscard]] bool HasFreePlace() const;
+  [[nodiscard]] bool IsLong(const AdmissionRequest& request) const;
   [[nodiscard]] CostUnits CostAhead(const Account& lane,
                                     const AdmissionRequest& request) const;
+  // At the rate of the long requests or of all.
+  [[nodiscard]] Microseconds TimeFor(CostUnits cost, bool is_long) const;
+  void ObserveBacklog(MonotonicTime now);
   [[nodiscard]] AdmissionDecision Refuse(ResultCode code,
                                          Account* lane,
                                          const AdmissionRequest& request,
@@ -225,6 +229,7 @@
   [[nodiscard]] Milliseconds RetryAfter(Account* lane,
                                         const RequestId& id,
                                         CostUnits cost,
+                                        bool is_long,
                                         Microseconds expected_wait,
                                         MonotonicTime now) const;
   // All weights that compete with the lane, its own included.
@@ -250,11 +255,16 @@
   double running_long_ = 0;
   std::uint64_t next_sequence_ = 0;
   CostUnits queued_cost_ = 0;
+  CostUnits queued_long_cost_ = 0;
+  std::size_t queued_long_ = 0;
   double active_weight_ = 0;
   // Start tag of the last request started, and the largest tag given.
   double virtual_time_ = 0;
   double largest_tag_ = 0;
+  // All starts while short requests wait, and long ones while long ones do.
+  // A long request that waits beside its turn says nothing about the others.
   DrainRate drain_;
+  DrainRate long_drain_;
   std::unordered_map<AccountId, std::unique_ptr<Account>> accounts_;
   std::unique_ptr<Account> common_lane_;
   std::unordered_map<RequestId, std::unique_ptr<Item>> items_;
