--- a/benchmarks/sim/report.cc
+++ b/benchmarks/sim/report.cc
@@ -58,9 +58,9 @@
 
 constexpr std::array<std::string_view, 4> kPlotted = {
     "burst", "hot_account", "slow_endpoint", "overload"};
-constexpr std::array<std::string_view, 8> kColors = {
-    "#0b6e4f", "#c1440e", "#e0a100", "#7b3fa0",
-    "#1f6fb2", "#888888", "#d43f8d", "#000000"};
+constexpr std::array<std::string_view, 9> kColors = {
+    "#0b6e4f", "#c1440e", "#e0a100", "#7b3fa0", "#1f6fb2",
+    "#888888", "#d43f8d", "#000000", "#5b8c2a"};
 constexpr double kPlotWidth = 640;
 constexpr double kPlotHeight = 320;
 constexpr double kMargin = 50;
--- a/benchmarks/sim/simulated_entry.cc
+++ b/benchmarks/sim/simulated_entry.cc
@@ -34,6 +34,7 @@
                                std::size_t index,
                                const Variant& variant)
     : world_(world),
+      entries_(variant.entry_share ? world.shape->entries : 1),
       load_(variant.LoadOptions(), service_),
       policy_(variant.Policy()),
       budget_(variant.BudgetOptions()),
@@ -62,7 +63,7 @@
     candidates_ = read;
     const auto now = world_.loop.now();
     for (const EndpointId& crashed :
-         load_.Refresh(service_, candidates_, world_.shape->entries))
+         load_.Refresh(service_, candidates_, entries_))
       suspects_.OnEndpointCrash(crashed, now);
     Pump();
   });
--- a/benchmarks/sim/simulated_entry.h
+++ b/benchmarks/sim/simulated_entry.h
@@ -116,6 +116,7 @@
 
   World& world_;
   ServiceSpec service_;
+  int entries_;
   ServiceLoad load_;
   RetryPolicy policy_;
   RetryBudget budget_;
--- a/benchmarks/sim/variant.cc
+++ b/benchmarks/sim/variant.cc
@@ -20,6 +20,7 @@
             .health = false},
     Variant{.name = "no_fairness", .fair = false},
     Variant{.name = "no_limit", .limited = false},
+    Variant{.name = "no_entry_share", .entry_share = false},
     Variant{.name = "unlimited_retries",
             .retry_budget = false,
             .suspects = false},
--- a/benchmarks/sim/variant.h
+++ b/benchmarks/sim/variant.h
@@ -22,6 +22,8 @@
   bool fair = true;
   // Without it everything is sent to the engines at once, nothing refused.
   bool limited = true;
+  // Without it each entry takes all that it sees free, as if it were alone.
+  bool entry_share = true;
   bool health = true;
   bool retry_budget = true;
   bool suspects = true;
--- a/benchmarks/sim/workload.h
+++ b/benchmarks/sim/workload.h
@@ -72,7 +72,7 @@
   // multiplied.
   int begin = 20;
   int end = 40;
-  int duration = 60;
+  int duration = 90;
   double load_factor = 1;
   // Times the usual load of account 5, a small one.
   double hot_account_factor = 1;
--- a/carobshift/admission/admission_queue.cc
+++ b/carobshift/admission/admission_queue.cc
@@ -250,7 +250,7 @@
   const auto turn_of = [&](const std::set<Item*, ByRank>& queue) {
     const double tag =
         lane->start_tag + (*queue.begin())->cost / lane->weight();
-    return Turn{tag, lane};
+    return Turn{tag, lane->number, lane};
   };
   Unkey(lane);
   lane->turn = turn_of(lane->queue);
--- a/carobshift/admission/admission_queue.h
+++ b/carobshift/admission/admission_queue.h
@@ -209,6 +209,8 @@
   // An account in the order of its next request, or of its next short one.
   struct Turn {
     double finish_tag = 0;
+    // Decides between equal tags, so that no address does.
+    std::uint64_t account_number = 0;
     Account* account = nullptr;
     friend auto operator<=>(const Turn&, const Turn&) = default;
   };
