--- a/carobshift/cache/export_policy.cc
+++ b/carobshift/cache/export_policy.cc
@@ -14,9 +14,10 @@
 constexpr double kImportAdvantage = 0.9;
 constexpr Milliseconds kImportOverhead{10};
 
+// Per second of a byte's place in the store.
 double ExpectedSavingPerByte(const Valuation& valuation) {
   const double saved = static_cast<double>(valuation.saved.count());
-  return valuation.return_probability * saved /
+  return valuation.returns_per_second * saved /
          static_cast<double>(std::max<Bytes>(1, valuation.bytes));
 }
 
--- a/carobshift/cache/export_policy.h
+++ b/carobshift/cache/export_policy.h
@@ -28,6 +28,8 @@
   // That the conversation returns after the engine has evicted its blocks and
   // before the horizon ends.
   double return_probability = 0;
+  // The same by the time that the object has to be kept for it.
+  double returns_per_second = 0;
   // Prefill time saved then, beyond what an older object saves already.
   Milliseconds saved{0};
   Bytes bytes = 0;
--- a/carobshift/cache/gap_model.h
+++ b/carobshift/cache/gap_model.h
@@ -2,7 +2,7 @@
 //
 //   GapModel population;
 //   population.Record(Seconds(5400));
-//   double p = ReturnProbability(population, own, idle, from, until);
+//   ReturnForecast f = ForecastReturn(population, own, idle, from, until);
 //
 // Load pattern: callers return after minutes to days; some never. Without a
 // model a store fills with conversations that are over, and those that will
@@ -63,13 +63,22 @@
   double total_ = 0;
 };
 
-// The probability that a conversation that has been away for `idle` returns
-// when it has been away for between `from` and `until`. 0 if until <= idle.
-[[nodiscard]] double ReturnProbability(const GapModel& population,
-                                       const GapHistory& own,
-                                       Seconds idle,
-                                       Seconds from,
-                                       Seconds until);
+struct ReturnForecast {
+  // That the conversation returns when it has been away for between `from` and
+  // `until`, given that it has been away for `idle`.
+  double probability = 0;
+  // The same, each return divided by the time until then: what a byte of a
+  // store earns a second. A conversation that returns every few minutes is
+  // worth more room than one that returns as surely, but in days.
+  double per_second = 0;
+};
+
+// Nothing is expected if until <= idle.
+[[nodiscard]] ReturnForecast ForecastReturn(const GapModel& population,
+                                            const GapHistory& own,
+                                            Seconds idle,
+                                            Seconds from,
+                                            Seconds until);
 
 }  // namespace carobshift
 
--- a/carobshift/cache/return_planner.cc
+++ b/carobshift/cache/return_planner.cc
@@ -84,9 +84,11 @@
   if (known == nullptr)
     return value;
   value.idle = SecondsBetween(known->last_seen, now);
-  value.return_probability =
-      ReturnProbability(conversations_.population(), known->gaps, value.idle,
-                        options_.engine_residence, options_.horizon);
+  const ReturnForecast forecast =
+      ForecastReturn(conversations_.population(), known->gaps, value.idle,
+                     options_.engine_residence, options_.horizon);
+  value.return_probability = forecast.probability;
+  value.returns_per_second = forecast.per_second;
   const Tokens tokens = TokensOf(candidate.turn);
   value.saved = RecomputeTime(tokens - StoredTokens(candidate.turn));
   value.bytes = BytesOf(candidate.turn);
@@ -106,9 +108,11 @@
   if (known == nullptr)
     return value;
   value.idle = SecondsBetween(known->last_seen, now);
-  value.return_probability =
-      ReturnProbability(conversations_.population(), known->gaps, value.idle,
-                        options_.engine_residence, options_.horizon);
+  const ReturnForecast forecast =
+      ForecastReturn(conversations_.population(), known->gaps, value.idle,
+                     options_.engine_residence, options_.horizon);
+  value.return_probability = forecast.probability;
+  value.returns_per_second = forecast.per_second;
   value.saved = RecomputeTime(object.handle.tokens);
   return value;
 }
--- a/carobshift/server/dispatch/import_use.cc
+++ b/carobshift/server/dispatch/import_use.cc
@@ -20,7 +20,8 @@
     return ImportOutcome::kInterrupted;
   if (start->imported_tokens > 0)
     return ImportOutcome::kImported;
-  const bool had_them = start->cached_tokens >= handle.tokens;
+  // An engine computes the last token of a prompt even if it holds its block.
+  const bool had_them = start->cached_tokens + kBlockTokens > handle.tokens;
   return had_them ? ImportOutcome::kNotTried : ImportOutcome::kRejected;
 }
 
