golden: whole sessions compared byte for byte

Completion stream with addresses and chat, a return, refusals, a race of two edits with the entry's decision lines; request ids, times and addresses are replaced.

The demo's phases now use two callers: with four, callers queued in admission (up to 527 ms of a returning caller's 591 ms by /debug/requests), which hid what the phases are to show.

--- /dev/null
+++ b/golden/golden_test.cc
@@ -0,0 +1,115 @@
+// Whole sessions with real processes, compared with the files beside this one.
+
+#include <catch2/catch.hpp>
+#include <sstream>
+#include <string>
+
+#include "golden/session.h"
+#include "testing/caller.h"
+#include "testing/cluster.h"
+
+namespace carobshift {
+namespace {
+
+const std::pair<std::string, std::string> kCredentials = {
+    "Authorization", "Bearer " + std::string(kClubKey)};
+
+ClusterOptions SmallCluster() {
+  return {.entries = 1, .engines = 1, .zones = 1};
+}
+
+}  // namespace
+
+TEST_CASE("session: a completion stream") {
+  Cluster cluster(SmallCluster());
+  Session session(cluster.entry(0).address());
+  const HttpAnswer addresses =
+      session.Send("the caller asks which entry to use", "GET",
+                   "/v1/addresses?service=assistant&conversation=round-1",
+                   {.headers = {kCredentials}});
+  session.Replace(addresses.Json().value("key_prefix", ""), "KEY_PREFIX-");
+  session.Send(
+      "and streams a completion", "POST", "/v1/completions",
+      {.body =
+           R"({"model":"assistant","prompt":"who pairs","max_tokens":4,"stream":true})",
+       .headers = {kCredentials, {"Carobshift-Conversation", "round-1"}}});
+  session.Send(
+      "a chat, as one JSON answer", "POST", "/v1/chat/completions",
+      {.body =
+           R"({"model":"assistant","messages":[{"role":"user","content":"hi"}],"max_tokens":3})",
+       .headers = {kCredentials}});
+  CHECK(session.MatchesFile("completion_stream"));
+}
+
+TEST_CASE("session: a prompt that returns") {
+  Cluster cluster(SmallCluster());
+  Session session(cluster.entry(0).address());
+  std::string prompt;
+  constexpr std::size_t kPromptBytes = 560;
+  while (prompt.size() < kPromptBytes)
+    prompt += "pairing notes ";
+  const auto ask = [&](const std::string& note) {
+    const nlohmann::json body = {
+        {"model", "assistant"}, {"prompt", prompt}, {"max_tokens", 3}};
+    const HttpAnswer answer = session.Send(
+        note, "POST", "/v1/completions",
+        {.body = body.dump(),
+         .headers = {kCredentials, {"Carobshift-Conversation", "round-2"}}});
+    prompt += answer.Json()["choices"][0]["text"].get<std::string>();
+    prompt += " And then?";
+  };
+  ask("the first turn: nothing is cached");
+  ask("the second turn finds the first one's two whole blocks");
+  CHECK(session.MatchesFile("return"));
+}
+
+TEST_CASE("session: refusals") {
+  ClusterOptions options = SmallCluster();
+  options.engines = 0;
+  options.publish = false;
+  Cluster cluster(options);
+  Session session(cluster.entry(0).address());
+  const std::string body = R"({"model":"assistant","prompt":"x"})";
+  session.Send("no declaration is in force yet", "POST", "/v1/completions",
+               {.body = body, .headers = {kCredentials}});
+  cluster.Publish("first", cluster.DeclarationText(kFirstVersion),
+                  std::nullopt);
+  REQUIRE(WaitUntil([&] {
+    return HttpSend(cluster.entry(0).address(), "GET", "/readyz").status == 200;
+  }));
+  session.Send("without a key", "POST", "/v1/completions", {.body = body});
+  session.Send("a service that isn't declared", "POST", "/v1/completions",
+               {.body = R"({"model":"nobody","prompt":"x"})",
+                .headers = {kCredentials}});
+  session.Send("malformed", "POST", "/v1/completions",
+               {.body = "{", .headers = {kCredentials}});
+  session.Send("a service without a replica", "POST", "/v1/completions",
+               {.body = body, .headers = {kCredentials}});
+  session.Send("an unknown route", "GET", "/v1/nowhere",
+               {.headers = {kCredentials}});
+  CHECK(session.MatchesFile("refusals"));
+}
+
+// Two operators edit the same version. The log's order decides; the second is
+// told who won.
+TEST_CASE("session: a race of two edits") {
+  Cluster cluster(SmallCluster());
+  Session session(cluster.entry(0).address());
+  const std::string text = cluster.DeclarationText(kFirstVersion);
+  cluster.Publish("edit-of-asma", text + "# asma\n", 0);
+  cluster.Publish("edit-of-bilal", text + "# bilal\n", 0);
+  cluster.Publish("edit-without-base", text + "# blind\n", std::nullopt);
+  cluster.Publish("edit-of-chand", text + "# chand\n", 1);
+  REQUIRE(WaitUntil(
+      [&] { return cluster.State(0)["config"]["edit"] == "edit-of-chand"; }));
+  std::istringstream lines(cluster.entry(0).Output());
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.find("\"config_decision\"") != std::string::npos)
+      session.Note(line);
+  }
+  session.Note(cluster.State(0)["config"].dump());
+  CHECK(session.MatchesFile("config_race"));
+}
+
+}  // namespace carobshift
--- a/testing/caller.cc
+++ b/testing/caller.cc
@@ -36,6 +36,7 @@
       outcome_.version = event.at("weight_version").get<std::string>();
       return true;
     }
+    outcome_.request_id = event.value("id", "");
     if (outcome_.tokens == 0)
       outcome_.first_token = MonotonicNow() - begin_;
     ++outcome_.tokens;
--- a/testing/caller.h
+++ b/testing/caller.h
@@ -41,6 +41,8 @@
   // Some token is not what the answer function gives.
   bool wrong = false;
   std::string version;
+  // For the operators' /debug/requests/{id}.
+  std::string request_id;
   nlohmann::json usage;
   // The connection to the entry has failed or was closed.
   bool connection_failed = false;
--- a/testing/cluster.cc
+++ b/testing/cluster.cc
@@ -212,9 +212,9 @@
     throw std::runtime_error("deployment not ready: " + entries_[0]->Output());
 }
 
-json Cluster::State(std::size_t entry) const {
+json Cluster::OperatorGet(std::size_t entry, const std::string& path) const {
   return HttpSend(
-             entries_.at(entry)->address(), "GET", "/debug/state",
+             entries_.at(entry)->address(), "GET", path,
              {.headers = {{"Authorization", "Bearer " + OperatorKey(kSecret)}}})
       .Json();
 }
--- a/testing/cluster.h
+++ b/testing/cluster.h
@@ -78,8 +78,12 @@
                         std::optional<std::uint64_t> base);
   void WaitUntilServing();
 
-  // GET /debug/state with the operators' key.
-  [[nodiscard]] nlohmann::json State(std::size_t entry) const;
+  // GET with the operators' key.
+  [[nodiscard]] nlohmann::json OperatorGet(std::size_t entry,
+                                           const std::string& path) const;
+  [[nodiscard]] nlohmann::json State(std::size_t entry) const {
+    return OperatorGet(entry, "/debug/state");
+  }
   // How often a plain call with this body has run, over all plain services.
   [[nodiscard]] int Runs(const std::string& body) const;
 
--- a/testing/demo_main.cc
+++ b/testing/demo_main.cc
@@ -20,7 +20,8 @@
 namespace {
 
 constexpr std::size_t kConversations = 8;
-constexpr std::size_t kCallers = 4;
+// Few enough that a phase shows what a caller gets, not how callers queue.
+constexpr std::size_t kCallers = 2;
 constexpr std::size_t kPromptBlocks = 32;
 // Enough for the conversations, but not for them and the other prompts.
 constexpr char kCacheBlocks[] = "--cache-blocks=160";
