--- a/carobshift/server/tables/membership_table.h
+++ b/carobshift/server/tables/membership_table.h
@@ -43,6 +43,8 @@
   [[nodiscard]] std::vector<MemberInfo> Live() const;
   // This entry first, then all others, dead ones included.
   [[nodiscard]] std::vector<MemberRecord> Members() const;
+  [[nodiscard]] std::vector<Fact> Active(FactKind kind,
+                                         MonotonicTime now) const;
   // Subjects of the active facts of a kind.
   [[nodiscard]] std::set<std::string> Subjects(FactKind kind,
                                                MonotonicTime now) const;
--- a/carobshift/server/tasks/gossip_task.cc
+++ b/carobshift/server/tasks/gossip_task.cc
@@ -3,12 +3,18 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <cstdint>
 #include <map>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
 #include "carobshift/membership/gossip_codec.h"
+#include "carobshift/retry/crash_suspects.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -25,6 +31,38 @@
   return addresses;
 }
 
+// Suspected requests are told and heard this often; a caller that turns to
+// another entry needs longer.
+constexpr Milliseconds kExchangeInterval{200};
+
+// A suspicion as a fact: its version rises with the crashes counted, and
+// highest with the conviction; what remains of it tells the age.
+constexpr std::uint64_t kConvicted = std::uint64_t{1} << 32;
+const Milliseconds kSuspicionLife = CrashSuspectOptions{}.memory;
+
+Fact ToFact(const SuspectRecord& record) {
+  const auto crashes = static_cast<std::uint64_t>(record.crashes);
+  return {.kind = FactKind::kSuspectedRequest,
+          .subject = std::to_string(record.fingerprint.value()),
+          .version = {.term = 0,
+                      .counter = crashes + (record.convicted ? kConvicted : 0)},
+          .active = true,
+          .remaining = kSuspicionLife - record.age};
+}
+
+std::optional<SuspectRecord> ToSuspect(const Fact& fact) {
+  std::uint64_t fingerprint = 0;
+  const char* const end = fact.subject.data() + fact.subject.size();
+  const auto parsed = std::from_chars(fact.subject.data(), end, fingerprint);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return SuspectRecord{
+      .fingerprint = ContentFingerprint(fingerprint),
+      .crashes = static_cast<int>(fact.version.counter % kConvicted),
+      .convicted = fact.version.counter >= kConvicted,
+      .age = std::max(Milliseconds(0), kSuspicionLife - fact.remaining)};
+}
+
 }  // namespace
 
 Status GossipTask::Bind(const NetAddress& address) {
@@ -69,9 +107,37 @@
   context_.endpoints.TakeFacts(
       context_.membership.Subjects(FactKind::kEndpointLeaving, now),
       context_.membership.Subjects(FactKind::kEndpointDraining, now), now);
+  if (now >= next_exchange_)
+    ExchangeSuspects(now);
   LogChanges();
 }
 
+void GossipTask::ExchangeSuspects(MonotonicTime now) {
+  next_exchange_ = now + kExchangeInterval;
+  std::vector<Fact> facts;
+  for (const SuspectRecord& record : context_.load.ExportSuspects(now)) {
+    facts.push_back(ToFact(record));
+    suspect_versions_[facts.back().subject] = facts.back().version;
+  }
+  context_.membership.PublishFacts(facts, now);
+  // Each statement is merged once: a request that a trial alone has cleared
+  // here would otherwise be suspected again by the echo.
+  std::vector<SuspectRecord> heard;
+  std::map<std::string, FactVersion> versions;
+  for (const Fact& fact :
+       context_.membership.Active(FactKind::kSuspectedRequest, now)) {
+    const auto known = suspect_versions_.find(fact.subject);
+    const bool news =
+        known == suspect_versions_.end() || known->second < fact.version;
+    const auto suspect = ToSuspect(fact);
+    if (news && suspect)
+      heard.push_back(*suspect);
+    versions[fact.subject] = news ? fact.version : known->second;
+  }
+  suspect_versions_ = std::move(versions);
+  context_.load.MergeSuspects(heard, now);
+}
+
 void GossipTask::SendAll(const std::vector<SendDatagram>& datagrams) {
   for (const SendDatagram& datagram : datagrams) {
     try {
--- a/carobshift/server/tasks/gossip_task.h
+++ b/carobshift/server/tasks/gossip_task.h
@@ -9,6 +9,8 @@
 
 #include <Poco/Net/DatagramSocket.h>
 
+#include <map>
+#include <string>
 #include <vector>
 
 #include "carobshift/base/net_address.h"
@@ -33,12 +35,16 @@
   void Receive();
   void Tick(MonotonicTime now);
   void SendAll(const std::vector<SendDatagram>& datagrams);
+  void ExchangeSuspects(MonotonicTime now);
   void LogChanges();
 
   EntryContext& context_;
   Poco::Net::DatagramSocket socket_;
   MonotonicTime next_tick_{};
+  MonotonicTime next_exchange_{};
   std::map<EntryId, MemberState> states_;
+  // The statements about suspected requests that were merged already.
+  std::map<std::string, FactVersion> suspect_versions_;
 };
 
 }  // namespace carobshift
