--- a/carobshift/cache/return_planner.cc
+++ b/carobshift/cache/return_planner.cc
@@ -7,6 +7,10 @@
 namespace carobshift {
 namespace {
 
+// Where the best candidates find no room or budget, lesser ones won't either;
+// trying them all each time would cost a sample of the store each.
+constexpr int kMaxRefusals = 4;
+
 Seconds SecondsBetween(MonotonicTime from, MonotonicTime to) {
   return std::max(Seconds(0), std::chrono::duration_cast<Seconds>(to - from));
 }
@@ -80,9 +84,11 @@
   if (known == nullptr)
     return value;
   value.idle = SecondsBetween(known->last_seen, now);
-  value.return_probability =
-      ReturnProbability(conversations_.population(), known->gaps, value.idle,
-                        options_.engine_residence, options_.horizon);
+  const ReturnForecast forecast =
+      ForecastReturn(conversations_.population(), known->gaps, value.idle,
+                     options_.engine_residence, options_.horizon);
+  value.return_probability = forecast.probability;
+  value.returns_per_second = forecast.per_second;
   const Tokens tokens = TokensOf(candidate.turn);
   value.saved = RecomputeTime(tokens - StoredTokens(candidate.turn));
   value.bytes = BytesOf(candidate.turn);
@@ -102,9 +108,11 @@
   if (known == nullptr)
     return value;
   value.idle = SecondsBetween(known->last_seen, now);
-  value.return_probability =
-      ReturnProbability(conversations_.population(), known->gaps, value.idle,
-                        options_.engine_residence, options_.horizon);
+  const ReturnForecast forecast =
+      ForecastReturn(conversations_.population(), known->gaps, value.idle,
+                     options_.engine_residence, options_.horizon);
+  value.return_probability = forecast.probability;
+  value.returns_per_second = forecast.per_second;
   value.saved = RecomputeTime(object.handle.tokens);
   return value;
 }
@@ -250,12 +258,17 @@
   DropUnnamed(now, moves);
   const std::vector<StoreId> stores = stores_.ForExport(now);
   if (!stores.empty()) {
+    int refusals = 0;
     for (const ExportQueue::Iterator candidate : RankDue(stores, now)) {
       if (moves.exports.size() >= max_exports)
         break;
-      if (TryExport(*candidate, stores, now, moves)) {
+      if (refusals < kMaxRefusals &&
+          TryExport(*candidate, stores, now, moves)) {
         queue_.Remove(candidate);
-      } else if (IsPastResidence(*candidate, now)) {
+        continue;
+      }
+      ++refusals;
+      if (IsPastResidence(*candidate, now)) {
         ++stats_.candidates_dropped;
         queue_.Remove(candidate);
       }
--- a/testing/caller.h
+++ b/testing/caller.h
@@ -41,7 +41,11 @@
   // Some token is not what the answer function gives.
   bool wrong = false;
   std::string version;
+  // For the operators' /debug/requests/{id}.
+  std::string request_id;
   nlohmann::json usage;
+  // The connection to the entry has failed or was closed.
+  bool connection_failed = false;
   // The typed error, as answer or as the last event; null if none.
   nlohmann::json error;
   Microseconds first_token{0};
