--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -8,21 +8,43 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/peer/peer_client.h"
+#include "carobshift/peer/peer_server.h"
 #include "carobshift/server/commands/call_command.h"
 #include "carobshift/server/commands/complete_command.h"
 #include "carobshift/server/http/http_front.h"
+#include "carobshift/server/once/claims_tasks.h"
+#include "carobshift/server/once/keyed_calls.h"
+#include "carobshift/server/once/once_table.h"
+#include "carobshift/server/once/peer_directory.h"
+#include "carobshift/server/once/peer_service.h"
+#include "carobshift/server/once/plain_executor.h"
 #include "carobshift/server/queries/addresses_query.h"
+#include "carobshift/server/queries/outcome_query.h"
 #include "carobshift/server/queries/status_queries.h"
 #include "carobshift/server/tasks/cache_task.h"
 #include "carobshift/server/tasks/config_follower.h"
 #include "carobshift/server/tasks/fleet_task.h"
+#include "carobshift/server/tasks/gossip_task.h"
 #include "carobshift/server/tasks/instance_poller.h"
+#include "carobshift/server/tasks/lease_task.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
 namespace {
 
 constexpr Milliseconds kDrainPollInterval{20};
+// Other entries name this one in their address answers until the gossip has
+// told them that it leaves.
+constexpr Milliseconds kLeaveSpread{2000};
+
+// Peers are reached at the address of the callers' front, on a port of their
+// own that the health answer tells.
+PeerServerOptions PeerOptions(const Settings& settings) {
+  PeerServerOptions options;
+  options.listen = NetAddress{settings.listen.host, 0};
+  return options;
+}
 
 HttpFrontOptions FrontOptions(const Settings& settings) {
   return {settings.entry,
@@ -40,6 +62,12 @@
   return static_cast<std::size_t>(settings.http_threads) / 4 + 1;
 }
 
+LeaseOptions LeaseOptionsOf(const Settings& settings) {
+  return {.duration = settings.lease_duration,
+          .order_timeout = settings.order_timeout,
+          .clock_drift = settings.clock_drift};
+}
+
 }  // namespace
 
 // Members are in the order in which they depend on each other.
@@ -49,10 +77,9 @@
         secret(std::move(given_secret)),
         load(WaitingLimit(settings)),
         cache(secret),
-        context{settings, secret,    Incarnation(RandomUint64()),
-                platform, config,    endpoints,
-                load,     cache,     journal,
-                metrics,  state_dump},
+        context{settings,   secret,     incarnation, platform, config,
+                endpoints,  load,       cache,       journal,  metrics,
+                state_dump, membership, lease},
         front(FrontOptions(settings), routes) {}
 
   void AddRoutes() {
@@ -60,6 +87,7 @@
     routes.Add("POST", "/v1/chat/completions", complete_chat);
     routes.Add("POST", "/v1/services/{name}/call", call);
     routes.Add("GET", "/v1/addresses", addresses);
+    routes.Add("GET", "/v1/outcomes/{key}", outcomes);
     routes.Add("GET", "/healthz", health);
     routes.Add("GET", "/readyz", ready);
     routes.Add("GET", "/metrics", metrics_query);
@@ -68,17 +96,45 @@
   }
 
   void AddStateSections() {
+    state_dump.Register("membership", membership);
+    state_dump.Register("lease", lease);
+    state_dump.Register("fleet", fleet);
     state_dump.Register("config", config);
     state_dump.Register("endpoints", endpoints);
     state_dump.Register("load", load);
     state_dump.Register("cache", cache);
     state_dump.Register("requests", journal);
+    state_dump.Register("once", once_table);
+  }
+
+  // Needs the address that the front listens on.
+  void StartMembership() {
+    const auto version = WallNow().time_since_epoch().count();
+    const NetAddress& address = settings.listen;
+    const MemberInfo self{
+        .id = settings.entry,
+        .incarnation = incarnation,
+        .version = MemberVersion(static_cast<std::uint64_t>(version)),
+        .zone = settings.zone,
+        .host = address.host,
+        .gossip_port = address.port,
+        .peer_port = static_cast<std::uint16_t>(peer_port.load()),
+        .http_port = address.port};
+    MembershipOptions options;
+    options.period = settings.gossip_interval;
+    membership.Start(options, self, secret, MonotonicNow());
   }
 
   void StartTasks() {
     runner.Start(list_poller);
-    runner.Start(status_poller);
+    for (StatusPoller& poller : status_pollers)
+      runner.Start(poller);
+    runner.Start(gossip);
+    runner.Start(lease_task);
     runner.Start(config_follower);
+    runner.Start(claim_reader);
+    runner.Start(claim_appender);
+    runner.Start(claim_timer);
     runner.Start(fleet);
     runner.Start(cache_task);
     for (ExportTask& task : export_tasks)
@@ -88,6 +144,7 @@
   Settings settings;
   const std::string secret;
   std::atomic<bool> leaving{false};
+  std::atomic<int> peer_port{0};
 
   ConfigTable config;
   EndpointTable endpoints;
@@ -96,26 +153,55 @@
   RequestJournal journal;
   Metrics metrics;
   StateDump state_dump;
+  MembershipTable membership;
+  const Incarnation incarnation{RandomUint64()};
+  LeaseTable lease{LeaseOptionsOf(settings), settings.entry, incarnation,
+                   MonotonicNow()};
   EntryContext context;
 
   GenerateDispatcher generate_dispatcher{context};
   PlainDispatcher plain_dispatcher{context};
 
+  OnceTable once_table{
+      {settings.entry, context.incarnation, settings.key_replay_window}};
+  ListedPeers peers{context};
+  PeerClient peer_client{secret};
+  KeyedCalls keyed{context, once_table, peers, peer_client};
+  PlainExecutor plain_executor{context, plain_dispatcher};
+  ConfigFoldTable config_fold;
+  PeerService peer_service{keyed, config_fold};
+
   CompleteCommand complete_text{context, generate_dispatcher, TextFormat()};
   CompleteCommand complete_chat{context, generate_dispatcher, ChatFormat()};
-  CallCommand call{context, plain_dispatcher};
+  CallCommand call{context, plain_dispatcher, keyed};
 
   AddressesQuery addresses{context};
-  HealthQuery health;
+  OutcomeQuery outcomes{context, keyed};
+  HealthQuery health{context, peer_port};
   ReadyQuery ready{context, leaving};
   MetricsQuery metrics_query{context};
   StateQuery state{context};
   ExplainQuery explain{context};
 
   ListPoller list_poller{context};
-  StatusPoller status_poller{context};
-  ConfigFollower config_follower{context};
-  FleetTask fleet{context};
+  StatusSchedule status_schedule;
+  // A silent engine holds one of them up; a rack of them leaves some.
+  std::array<StatusPoller, 8> status_pollers = {
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule),
+      StatusPoller(context, status_schedule)};
+  GossipTask gossip{context};
+  LeaseTask lease_task{context};
+  ConfigFollower config_follower{context, config_fold, peers, peer_client};
+  ClaimReader claim_reader{context, once_table};
+  ClaimAppender claim_appender{context, once_table};
+  ClaimTimer claim_timer{once_table};
+  FleetTask fleet{context, leaving};
   CacheTask cache_task{context};
   // Two for each store of today, so that a slow one leaves threads to the
   // other.
@@ -123,6 +209,7 @@
       ExportTask(context), ExportTask(context), ExportTask(context),
       ExportTask(context)};
 
+  PeerServer peer_server{PeerOptions(settings), secret, peer_service};
   RouteTable routes;
   HttpFront front;
   TaskRunner runner;
@@ -134,15 +221,24 @@
                                      platform)) {
   parts_->AddRoutes();
   parts_->AddStateSections();
+  parts_->keyed.SetExecutor(CallRoute::kPlain, parts_->plain_executor);
 }
 
 Entry::~Entry() = default;
 
 Result<NetAddress> Entry::Start() {
+  const auto peer_address = parts_->peer_server.Start();
+  if (!peer_address.ok())
+    return peer_address;
+  parts_->peer_port = peer_address.value().port;
   auto address = parts_->front.Start();
   if (!address.ok())
     return address;
   parts_->settings.listen = address.value();
+  const Status bound = parts_->gossip.Bind(address.value());
+  if (!bound.ok())
+    return bound.error();
+  parts_->StartMembership();
   parts_->StartTasks();
   LogEvent(LogLevel::kInfo, "entry_started",
            {{"address", address.value().ToString()},
@@ -152,16 +248,18 @@
 
 void Entry::DrainAndStop() {
   parts_->leaving = true;
+  parts_->membership.Leave();
   LogEvent(LogLevel::kInfo, "entry_leaving", nlohmann::json::object());
   // A caller may hold an address answer for its whole time to live and come
   // with it up to then; refusing it would interrupt a planned stop's callers.
   const MonotonicTime last_answer_expires =
-      MonotonicNow() + parts_->settings.address_ttl;
+      MonotonicNow() + parts_->settings.address_ttl + kLeaveSpread;
   while (MonotonicNow() < last_answer_expires ||
          parts_->front.active_requests() > 0) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
   parts_->front.StopAccepting();
+  parts_->peer_server.Stop();
   parts_->runner.StopAll();
   LogEvent(LogLevel::kInfo, "entry_stopped", nlohmann::json::object());
 }
