golden: a booking with a repeat

Key prefix from the address answer, repeat answered with the first receipt, another body under the same key, the outcome asked, a key never used. One run of the booking.

--- a/golden/golden_test.cc
+++ b/golden/golden_test.cc
@@ -90,6 +90,38 @@
   CHECK(session.MatchesFile("refusals"));
 }
 
+// A member on a phone presses the button again. The repeat is answered with the
+// first run's receipt; the slot is booked once.
+TEST_CASE("session: a booking with a repeat") {
+  Cluster cluster(SmallCluster());
+  Session session(cluster.entry(0).address());
+  const HttpAnswer addresses = session.Send(
+      "the address answer brings a prefix for keys", "GET",
+      "/v1/addresses?service=tee-desk", {.headers = {kCredentials}});
+  const auto prefix = addresses.Json().at("key_prefix").get<std::string>();
+  session.Replace(prefix, "KEY_PREFIX-");
+  const std::string booking = R"({"slot":"08:10"})";
+  const std::string path = "/v1/services/tee-desk/call";
+  const HttpSendOptions call{
+      .body = booking,
+      .headers = {kCredentials, {"Idempotency-Key", prefix + "0810"}}};
+  session.Send("a booking", "POST", path, call);
+  session.Send("the same booking again", "POST", path, call);
+  HttpSendOptions other = call;
+  other.body = R"({"slot":"08:20"})";
+  session.Send("another booking under the same key", "POST", path, other);
+  session.Send("what became of the key", "GET",
+               "/v1/outcomes/" + prefix + "0810", {.headers = {kCredentials}});
+  session.Send("a key that was never used", "GET",
+               "/v1/outcomes/" + prefix + "unused",
+               {.headers = {kCredentials}});
+  session.Send("a booking without a key can't be repeated safely", "POST", path,
+               {.body = R"({"slot":"08:30"})", .headers = {kCredentials}});
+  CHECK(cluster.Runs(booking) == 1);
+  CHECK(cluster.Runs(other.body) == 0);
+  CHECK(session.MatchesFile("booking"));
+}
+
 // Two operators edit the same version. The log's order decides; the second is
 // told who won.
 TEST_CASE("session: a race of two edits") {
