--- /dev/null
+++ b/carobshift/server/tasks/gossip_task.cc
@@ -0,0 +1,172 @@
+#include "carobshift/server/tasks/gossip_task.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "carobshift/membership/gossip_codec.h"
+#include "carobshift/retry/crash_suspects.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+// Datagrams taken in one round before the next tick is due again: a flood must
+// not keep this entry from answering for itself.
+constexpr int kMaxPerRound = 256;
+
+std::vector<NetAddress> ListedEntries(const EntryContext& context) {
+  std::vector<NetAddress> addresses;
+  for (const EndpointInfo& entry : context.endpoints.All(InstanceKind::kEntry))
+    addresses.push_back(entry.address);
+  return addresses;
+}
+
+// Suspected requests are told and heard this often; a caller that turns to
+// another entry needs longer.
+constexpr Milliseconds kExchangeInterval{200};
+
+// A suspicion as a fact: its version rises with the crashes counted, and
+// highest with the conviction; what remains of it tells the age.
+constexpr std::uint64_t kConvicted = std::uint64_t{1} << 32;
+const Milliseconds kSuspicionLife = CrashSuspectOptions{}.memory;
+
+Fact ToFact(const SuspectRecord& record) {
+  const auto crashes = static_cast<std::uint64_t>(record.crashes);
+  return {.kind = FactKind::kSuspectedRequest,
+          .subject = std::to_string(record.fingerprint.value()),
+          .version = {.term = 0,
+                      .counter = crashes + (record.convicted ? kConvicted : 0)},
+          .active = true,
+          .remaining = kSuspicionLife - record.age};
+}
+
+std::optional<SuspectRecord> ToSuspect(const Fact& fact) {
+  std::uint64_t fingerprint = 0;
+  const char* const end = fact.subject.data() + fact.subject.size();
+  const auto parsed = std::from_chars(fact.subject.data(), end, fingerprint);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return SuspectRecord{
+      .fingerprint = ContentFingerprint(fingerprint),
+      .crashes = static_cast<int>(fact.version.counter % kConvicted),
+      .convicted = fact.version.counter >= kConvicted,
+      .age = std::max(Milliseconds(0), kSuspicionLife - fact.remaining)};
+}
+
+}  // namespace
+
+Status GossipTask::Bind(const NetAddress& address) {
+  try {
+    socket_.bind(Poco::Net::SocketAddress(address.host, address.port));
+    return Status();
+  } catch (const Poco::Exception& e) {
+    return Error{ResultCode::kInternal, "cannot use UDP port " +
+                                            address.ToString() +
+                                            " for gossip: " + e.displayText()};
+  }
+}
+
+Milliseconds GossipTask::RunOnce(MonotonicTime) {
+  constexpr Poco::Timespan::TimeDiff kTickMicroseconds =
+      Microseconds(Membership::kTick).count();
+  if (socket_.poll(Poco::Timespan(kTickMicroseconds),
+                   Poco::Net::Socket::SELECT_READ))
+    Receive();
+  const MonotonicTime now = MonotonicNow();
+  if (now >= next_tick_)
+    Tick(now);
+  return Milliseconds(0);
+}
+
+void GossipTask::Receive() {
+  std::array<char, kMaxDatagramBytes + 1> buffer;
+  for (int i = 0; i < kMaxPerRound && socket_.available() > 0; ++i) {
+    Poco::Net::SocketAddress sender;
+    const int size = socket_.receiveFrom(
+        buffer.data(), static_cast<int>(buffer.size()), sender);
+    const std::string_view bytes(buffer.data(), static_cast<std::size_t>(size));
+    SendAll(context_.membership.OnDatagram(bytes, MonotonicNow()));
+  }
+}
+
+void GossipTask::Tick(MonotonicTime now) {
+  next_tick_ = now + Membership::kTick;
+  const auto config = context_.config.current();
+  const ConfigVersion version = config ? config->version : ConfigVersion(0);
+  SendAll(context_.membership.OnTick(ListedEntries(context_), version, now));
+  context_.endpoints.TakeFacts(
+      context_.membership.Subjects(FactKind::kEndpointLeaving, now),
+      context_.membership.Subjects(FactKind::kEndpointDraining, now), now);
+  if (now >= next_exchange_)
+    ExchangeSuspects(now);
+  LogChanges();
+}
+
+void GossipTask::ExchangeSuspects(MonotonicTime now) {
+  next_exchange_ = now + kExchangeInterval;
+  std::vector<Fact> facts;
+  for (const SuspectRecord& record : context_.load.ExportSuspects(now)) {
+    facts.push_back(ToFact(record));
+    suspect_versions_[facts.back().subject] = facts.back().version;
+  }
+  context_.membership.PublishFacts(facts, now);
+  // Each statement is merged once: a request that a trial alone has cleared
+  // here would otherwise be suspected again by the echo.
+  std::vector<SuspectRecord> heard;
+  std::map<std::string, FactVersion> versions;
+  for (const Fact& fact :
+       context_.membership.Active(FactKind::kSuspectedRequest, now)) {
+    const auto known = suspect_versions_.find(fact.subject);
+    const bool news =
+        known == suspect_versions_.end() || known->second < fact.version;
+    const auto suspect = ToSuspect(fact);
+    if (news && suspect)
+      heard.push_back(*suspect);
+    versions[fact.subject] = news ? fact.version : known->second;
+  }
+  suspect_versions_ = std::move(versions);
+  context_.load.MergeSuspects(heard, now);
+}
+
+void GossipTask::SendAll(const std::vector<SendDatagram>& datagrams) {
+  for (const SendDatagram& datagram : datagrams) {
+    try {
+      socket_.sendTo(
+          datagram.bytes.data(), static_cast<int>(datagram.bytes.size()),
+          Poco::Net::SocketAddress(datagram.to.host, datagram.to.port));
+    } catch (const Poco::Exception&) {
+      // Unreachable now is the same as lost: the probes find out.
+    }
+  }
+}
+
+void GossipTask::LogChanges() {
+  std::map<EntryId, MemberState> states;
+  for (const MemberRecord& member : context_.membership.Members()) {
+    states[member.info.id] = member.state;
+    const auto known = states_.find(member.info.id);
+    if (known != states_.end() && known->second == member.state)
+      continue;
+    static constexpr std::array<std::string_view, 3> kEvents = {
+        "member_alive", "member_suspect", "member_dead"};
+    static constexpr std::array<std::string_view, 3> kReasons = {
+        "it answers", "it answered neither this entry nor its helpers",
+        "it did not contradict the suspicion in time"};
+    const auto state = static_cast<std::size_t>(member.state);
+    LogEvent(LogLevel::kInfo, kEvents[state],
+             {{"entry", member.info.id.value()}, {"reason", kReasons[state]}});
+  }
+  states_ = std::move(states);
+}
+
+}  // namespace carobshift
