--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -165,7 +165,7 @@
 
   OnceTable once_table{
       {settings.entry, context.incarnation, settings.key_replay_window}};
-  ListedPeers peers{context};
+  EntryPeers peers{context};
   PeerClient peer_client{secret};
   KeyedCalls keyed{context, once_table, peers, peer_client};
   PlainExecutor plain_executor{context, plain_dispatcher};
--- a/carobshift/server/once/keyed_calls.cc
+++ b/carobshift/server/once/keyed_calls.cc
@@ -192,11 +192,9 @@
                       {ResultCode::kHomeUnreachable, RunState::kOutcomeUnknown,
                        std::move(why), std::nullopt});
   };
-  const std::optional<PeerAddress> peer = peers_.Find(entry);
+  const std::optional<PeerAddress> peer = peers_.Find(entry, incarnation);
   if (!peer)
-    return lost("the entry that answers for the key is not there");
-  if (peer->incarnation != incarnation)
-    return lost("the entry that answers for the key was restarted");
+    return lost("the entry that answers for the key is gone or restarted");
   PeerRequest timed = message;
   if (auto* call = std::get_if<ForwardCall>(&timed))
     call->time_left = TimeLeft(deadline);
--- a/carobshift/server/once/peer_directory.cc
+++ b/carobshift/server/once/peer_directory.cc
@@ -4,9 +4,9 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
 
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 namespace carobshift {
@@ -48,7 +48,28 @@
 
 }  // namespace
 
-std::optional<PeerAddress> ListedPeers::Find(const EntryId& entry) {
+std::optional<PeerAddress> EntryPeers::Find(const EntryId& entry,
+                                            std::optional<Incarnation> wanted) {
+  const auto fits = [&wanted](const std::optional<PeerAddress>& peer) {
+    return peer && (!wanted || peer->incarnation == *wanted);
+  };
+  std::optional<PeerAddress> peer = FindMember(entry);
+  if (fits(peer))
+    return peer;
+  peer = AskListed(entry);
+  return fits(peer) ? peer : std::nullopt;
+}
+
+std::optional<PeerAddress> EntryPeers::FindMember(const EntryId& entry) const {
+  for (const MemberRecord& member : context_.membership.Members()) {
+    if (member.info.id == entry && member.info.peer_port != 0)
+      return PeerAddress{entry, member.info.peer_address(),
+                         member.info.incarnation};
+  }
+  return std::nullopt;
+}
+
+std::optional<PeerAddress> EntryPeers::AskListed(const EntryId& entry) const {
   for (const EndpointInfo& listed :
        context_.endpoints.All(InstanceKind::kEntry)) {
     if (listed.id.value() == entry.value())
@@ -57,14 +78,15 @@
   return std::nullopt;
 }
 
-std::vector<EntryId> ListedPeers::Others() {
-  std::vector<EntryId> others;
+std::vector<EntryId> EntryPeers::Others() {
+  std::set<EntryId> others;
   for (const EndpointInfo& listed :
-       context_.endpoints.All(InstanceKind::kEntry)) {
-    if (listed.id.value() != context_.settings.entry.value())
-      others.emplace_back(listed.id.value());
-  }
-  return others;
+       context_.endpoints.All(InstanceKind::kEntry))
+    others.emplace(listed.id.value());
+  for (const MemberInfo& member : context_.membership.Live())
+    others.insert(member.id);
+  others.erase(context_.settings.entry);
+  return {others.begin(), others.end()};
 }
 
 }  // namespace carobshift
--- a/carobshift/server/once/peer_directory.h
+++ b/carobshift/server/once/peer_directory.h
@@ -1,7 +1,8 @@
 // Where the peer interface of another entry is, and which incarnation of it
 // lives there.
 //
-//   std::optional<PeerAddress> home = directory.Find(EntryId("entry-2"));
+//   std::optional<PeerAddress> home = directory.Find(EntryId("entry-2"),
+//                                                   incarnation);
 
 #ifndef CAROBSHIFT_SERVER_ONCE_PEER_DIRECTORY_H_
 #define CAROBSHIFT_SERVER_ONCE_PEER_DIRECTORY_H_
@@ -25,23 +26,32 @@
 class PeerDirectory {
  public:
   virtual ~PeerDirectory() = default;
-  // Nothing if the entry is not known or doesn't answer.
-  virtual std::optional<PeerAddress> Find(const EntryId& entry) = 0;
+  // The entry in the life `wanted`, or in whichever it is in now if none is.
+  // Nothing if the entry is not known, doesn't answer or is in another life.
+  virtual std::optional<PeerAddress> Find(
+      const EntryId& entry,
+      std::optional<Incarnation> wanted) = 0;
   // The other entries, in no order; without asking whether they live.
   virtual std::vector<EntryId> Others() = 0;
 };
 
-// Takes the entries from the platform's list and asks the one concerned, on
-// its HTTP address, for its peer port and incarnation. Asked anew each time,
-// since an answer that is kept may be of a life that has ended; that costs a
-// round trip of a few milliseconds for requests that come to the wrong entry.
-class ListedPeers : public PeerDirectory {
+// Takes the address from the membership. Gossip may lag behind a restart, and
+// an entry that starts knows no member yet; then the entry concerned is asked
+// at its address in the platform's list. Without that a caller whose key is of
+// a new life would be told for a moment that its home is gone.
+class EntryPeers : public PeerDirectory {
  public:
-  explicit ListedPeers(EntryContext& context) : context_(context) {}
-  std::optional<PeerAddress> Find(const EntryId& entry) override;
+  explicit EntryPeers(EntryContext& context) : context_(context) {}
+  std::optional<PeerAddress> Find(const EntryId& entry,
+                                  std::optional<Incarnation> wanted) override;
   std::vector<EntryId> Others() override;
 
  private:
+  [[nodiscard]] std::optional<PeerAddress> FindMember(
+      const EntryId& entry) const;
+  [[nodiscard]] std::optional<PeerAddress> AskListed(
+      const EntryId& entry) const;
+
   EntryContext& context_;
 };
 
--- a/carobshift/server/tasks/config_follower.cc
+++ b/carobshift/server/tasks/config_follower.cc
@@ -49,7 +49,7 @@
   const std::vector<EntryId> others = peers_.Others();
   if (others.empty())
     return;
-  const auto peer = peers_.Find(others[RandomUint64() % others.size()]);
+  const auto peer = peers_.Find(others[RandomUint64() % others.size()], {});
   if (!peer)
     return;
   const auto reply = client_.Call(peer->address, FetchConfig{}, kPeerTimeout);
