--- a/carobshift/once/bound_key_guard_test.cc
+++ b/carobshift/once/bound_key_guard_test.cc
@@ -26,7 +26,11 @@
 }
 
 FinalAnswer Ran(const std::string& body) {
-  return {.state = RunState::kRan, .content_type = "text/plain", .body = body};
+  FinalAnswer answer;
+  answer.state = RunState::kRan;
+  answer.content_type = "text/plain";
+  answer.body = body;
+  return answer;
 }
 
 template <typename Kind>
--- a/carobshift/once/run_table.cc
+++ b/carobshift/once/run_table.cc
@@ -120,12 +120,11 @@
   answer_bytes_ -= BodyBytes(run.answer);
   with_body_.erase(*run.body);
   run.body.reset();
-  run.answer =
-      FinalAnswer{.state = run.answer.state,
-                  .code = ResultCode::kUnknownOutcome,
-                  .http_status = HttpStatusOf(ResultCode::kUnknownOutcome),
-                  .content_type = "",
-                  .body = ""};
+  const RunState state = run.answer.state;
+  run.answer = FinalAnswer();
+  run.answer.state = state;
+  run.answer.code = ResultCode::kUnknownOutcome;
+  run.answer.http_status = HttpStatusOf(run.answer.code);
 }
 
 void RunTable::Erase(Runs::iterator it) {
--- a/carobshift/once/run_table.h
+++ b/carobshift/once/run_table.h
@@ -65,6 +65,8 @@
   int http_status = 200;
   std::string content_type;
   std::string body;
+  // When a return makes sense; 0 if it doesn't.
+  Milliseconds retry_after{0};
   friend bool operator==(const FinalAnswer&, const FinalAnswer&) = default;
 };
 
--- a/carobshift/server/once/keyed_calls.cc
+++ b/carobshift/server/once/keyed_calls.cc
@@ -13,13 +13,11 @@
 
 CallReply AsReply(const FinalAnswer& answer) {
   return {answer.http_status, answer.content_type, answer.body,
-          Milliseconds(0)};
+          answer.retry_after};
 }
 
 CallReply ErrorReply(const RequestId& request, const CallerError& error) {
-  CallReply reply = AsReply(ErrorAnswer(request, error));
-  reply.retry_after = error.retry_after.value_or(Milliseconds(0));
-  return reply;
+  return AsReply(ErrorAnswer(request, error));
 }
 
 CallReply RefusalReply(const RequestId& request, const Refusal& refusal) {
@@ -60,6 +58,7 @@
   answer.code = error.code;
   answer.http_status = HttpStatusOf(error.code);
   answer.content_type = "application/json";
+  answer.retry_after = error.retry_after.value_or(Milliseconds(0));
   answer.body =
       ErrorBody(request, error)
           .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
