Crash suspects travel with the gossip

A run alone that ends well now leaves a record, or what others still tell of the same crashes would make the request suspected again.

--- a/carobshift/retry/crash_suspects.cc
+++ b/carobshift/retry/crash_suspects.cc
@@ -6,6 +6,13 @@
 
 namespace carobshift {
 
+namespace {
+
+// Ages grow inexact on their way through several entries.
+constexpr Milliseconds kTransitTolerance{5000};
+
+}  // namespace
+
 ContentFingerprint FingerprintOf(const AccountId& account,
                                  const ServiceName& service,
                                  std::string_view content) {
@@ -46,8 +53,12 @@
   if (!attempt || !attempt->alone)
     return;
   trials_.erase(fingerprint);
-  if (completed)
-    records_.erase(fingerprint);
+  const auto it = records_.find(fingerprint);
+  if (completed && it != records_.end()) {
+    it->second.crashes = 0;
+    it->second.convicted = false;
+    it->second.cleared = true;
+  }
 }
 
 void CrashSuspects::OnAttemptBroken(ContentFingerprint fingerprint,
@@ -100,7 +111,7 @@
 std::vector<SuspectRecord> CrashSuspects::Export(MonotonicTime now) const {
   std::vector<SuspectRecord> out;
   for (const auto& [fingerprint, record] : records_) {
-    if (IsExpired(record, now))
+    if (record.cleared || IsExpired(record, now))
       continue;
     out.push_back(
         {.fingerprint = fingerprint,
@@ -115,10 +126,17 @@
                           MonotonicTime now) {
   for (const SuspectRecord& told : records) {
     const MonotonicTime last_crash = now - std::max(Milliseconds(0), told.age);
-    if (IsExpired({told.crashes, told.convicted, last_crash}, now))
+    Record heard;
+    heard.last_crash = last_crash;
+    if (IsExpired(heard, now))
+      continue;
+    const auto known = records_.find(told.fingerprint);
+    if (known != records_.end() && known->second.cleared &&
+        last_crash <= known->second.last_crash + kTransitTolerance)
       continue;
     DropOldestIfFull(now);
     Record& record = records_[told.fingerprint];
+    record.cleared = false;
     record.crashes = std::max(record.crashes, told.crashes);
     record.convicted = record.convicted || told.convicted;
     record.last_crash = std::max(record.last_crash, last_crash);
@@ -147,6 +165,7 @@
       !record.convicted)
     record = Record{};
   ++record.crashes;
+  record.cleared = false;
   record.convicted = record.convicted || attempt.alone;
   record.last_crash = now;
 }
--- a/carobshift/retry/crash_suspects.h
+++ b/carobshift/retry/crash_suspects.h
@@ -131,6 +131,9 @@
   struct Record {
     int crashes = 0;
     bool convicted = false;
+    // A run alone went well. The record stays, so that what other entries still
+    // tell of the crashes before it doesn't make the request suspected again.
+    bool cleared = false;
     MonotonicTime last_crash{};
   };
   struct Attempt {
--- a/carobshift/retry/retry_test.cc
+++ b/carobshift/retry/retry_test.cc
@@ -130,8 +130,13 @@
   s.Crash(s.bad, "e2");
   s.suspects.OnAttemptStart(s.bad, EndpointId("e3"), true);
   CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kWait);
+  const auto told = s.suspects.Export(s.now);
   s.suspects.OnAttemptEnd(s.bad, EndpointId("e3"), true);
   CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kRun);
+  // What others still tell of the same crashes changes nothing.
+  s.suspects.Merge(told, s.now + Milliseconds(100));
+  CHECK(s.suspects.Judge(s.bad, s.now) == SuspectVerdict::kRun);
+  CHECK(s.suspects.Export(s.now).empty());
 }
 
 TEST_CASE("the records of crashes are bounded, convictions kept longest") {
--- a/carobshift/server/tables/membership_table.cc
+++ b/carobshift/server/tables/membership_table.cc
@@ -79,13 +79,17 @@
   return membership_ ? membership_->Members() : std::vector<MemberRecord>();
 }
 
+std::vector<Fact> MembershipTable::ActiveFacts(FactKind kind,
+                                               MonotonicTime now) const {
+  const std::lock_guard lock(mutex_);
+  return membership_ ? membership_->facts().Active(kind, now)
+                     : std::vector<Fact>();
+}
+
 std::set<std::string> MembershipTable::Subjects(FactKind kind,
                                                 MonotonicTime now) const {
   std::set<std::string> subjects;
-  const std::lock_guard lock(mutex_);
-  if (!membership_)
-    return subjects;
-  for (Fact& fact : membership_->facts().Active(kind, now))
+  for (Fact& fact : ActiveFacts(kind, now))
     subjects.insert(std::move(fact.subject));
   return subjects;
 }
--- a/carobshift/server/tables/membership_table.h
+++ b/carobshift/server/tables/membership_table.h
@@ -43,7 +43,9 @@
   [[nodiscard]] std::vector<MemberInfo> Live() const;
   // This entry first, then all others, dead ones included.
   [[nodiscard]] std::vector<MemberRecord> Members() const;
-  // Subjects of the active facts of a kind.
+  // The active facts of a kind, and only their subjects.
+  [[nodiscard]] std::vector<Fact> ActiveFacts(FactKind kind,
+                                              MonotonicTime now) const;
   [[nodiscard]] std::set<std::string> Subjects(FactKind kind,
                                                MonotonicTime now) const;
 
--- a/carobshift/server/tasks/gossip_task.cc
+++ b/carobshift/server/tasks/gossip_task.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "carobshift/membership/gossip_codec.h"
+#include "carobshift/server/tasks/suspect_facts.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -69,9 +70,20 @@
   context_.endpoints.TakeFacts(
       context_.membership.Subjects(FactKind::kEndpointLeaving, now),
       context_.membership.Subjects(FactKind::kEndpointDraining, now), now);
+  ExchangeSuspects(now);
   LogChanges();
 }
 
+// A caller whose request crashed endpoints may turn to another entry; that one
+// must refuse it too.
+void GossipTask::ExchangeSuspects(MonotonicTime now) {
+  context_.membership.PublishFacts(
+      SuspectFacts(context_.load.ExportSuspects(now)), now);
+  context_.load.MergeSuspects(SuspectsOf(context_.membership.ActiveFacts(
+                                  FactKind::kSuspectedRequest, now)),
+                              now);
+}
+
 void GossipTask::SendAll(const std::vector<SendDatagram>& datagrams) {
   for (const SendDatagram& datagram : datagrams) {
     try {
--- a/carobshift/server/tasks/gossip_task.h
+++ b/carobshift/server/tasks/gossip_task.h
@@ -32,6 +32,7 @@
  private:
   void Receive();
   void Tick(MonotonicTime now);
+  void ExchangeSuspects(MonotonicTime now);
   void SendAll(const std::vector<SendDatagram>& datagrams);
   void LogChanges();
 
