An early refusal reaches a caller that is still sending

Ruled out: the error itself (sent each time), the client (reads after a failed send). Change: after an answer that closes the connection the rest of the body is read and dropped, one second at most; a body without stated length is empty.

--- a/carobshift/server/http/caller_request.cc
+++ b/carobshift/server/http/caller_request.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::string_view kBearerPrefix = "Bearer ";
+// Enough for a body of the largest size that settings allow over a slow
+// link's buffer; a caller that sends for longer loses its connection.
+constexpr Milliseconds kLongestDiscard{1000};
 constexpr long long kMaxDeadlineMs = 3600000;
 
 struct PriorityName {
@@ -121,6 +124,10 @@
       "the body is larger than " + std::to_string(limit) + " bytes"};
   if (request.hasContentLength() && request.getContentLength64() > limit)
     return too_large;
+  // A request that states neither length nor chunks has no body; reading on
+  // would wait for the connection's end.
+  if (!request.hasContentLength() && !request.getChunkedTransferEncoding())
+    return std::string();
   std::string body;
   std::array<char, 8192> buffer;
   std::istream& in = request.stream();
@@ -139,6 +146,25 @@
   return body;
 }
 
+void DiscardUnreadBody(Poco::Net::HTTPServerRequest& request) {
+  if (!request.hasContentLength() && !request.getChunkedTransferEncoding())
+    return;
+  auto& socket =
+      static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+  const MonotonicTime give_up = MonotonicNow() + kLongestDiscard;
+  std::array<char, 8192> buffer;
+  std::istream& in = request.stream();
+  try {
+    socket.setReceiveTimeout(Microseconds(kLongestDiscard).count());
+    while (in.read(buffer.data(), buffer.size()) || in.gcount() > 0) {
+      if (MonotonicNow() >= give_up)
+        return;
+    }
+  } catch (const Poco::Exception&) {
+    // The caller is gone or silent; nobody is left to read the answer.
+  }
+}
+
 bool CallerIsGone(Poco::Net::HTTPServerRequest& request) {
   auto& socket =
       static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
--- a/carobshift/server/http/caller_request.h
+++ b/carobshift/server/http/caller_request.h
@@ -52,6 +52,11 @@
     Poco::Net::HTTPServerRequest& request,
     Bytes limit);
 
+// Reads on, for a second at most, past an answer that was sent before the
+// body's end. Closing with unread bytes resets the connection, and a caller
+// that is still sending would lose the answer that tells it why.
+void DiscardUnreadBody(Poco::Net::HTTPServerRequest& request);
+
 // Whether the caller has closed its connection. Doesn't block.
 [[nodiscard]] bool CallerIsGone(Poco::Net::HTTPServerRequest& request);
 
--- a/carobshift/server/http/http_front.cc
+++ b/carobshift/server/http/http_front.cc
@@ -11,6 +11,7 @@
 
 #include "carobshift/base/digest.h"
 #include "carobshift/server/http/caller_error.h"
+#include "carobshift/server/http/caller_request.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -40,6 +41,8 @@
     response.set("Carobshift-Request-Id", exchange.id.value());
     try {
       Route(exchange);
+      if (!response.getKeepAlive())
+        DiscardUnreadBody(request);
     } catch (const Poco::Exception& e) {
       FinishAfterException(exchange, e.displayText());
     } catch (const std::exception& e) {
