The race session names offsets by their edits

Change: each offset that Publish returns is named after its edit; which edit won, lost to whom and on which base is compared as strictly as before.

--- a/golden/golden_test.cc
+++ b/golden/golden_test.cc
@@ -18,6 +18,18 @@
   return {.entries = 1, .engines = 1, .zones = 1};
 }
 
+// An entry may write a checkpoint between two edits, which moves the offsets of
+// those that follow. The session names them by their edits instead.
+void NameOffset(Session& session,
+                std::uint64_t offset,
+                const std::string& name) {
+  const std::string number = std::to_string(offset);
+  session.Replace("\"offset\":" + number + ",", "\"offset\":" + name + ",");
+  session.Replace("\"version\":" + number + "}", "\"version\":" + name + "}");
+  for (const char* end : {";", "\""})
+    session.Replace("version " + number + end, "version " + name + end);
+}
+
 }  // namespace
 
 TEST_CASE("session: a completion stream") {
@@ -128,10 +140,16 @@
   Cluster cluster(SmallCluster());
   Session session(cluster.entry(0).address());
   const std::string text = cluster.DeclarationText(kFirstVersion);
-  cluster.Publish("edit-of-asma", text + "# asma\n", 0);
-  cluster.Publish("edit-of-bilal", text + "# bilal\n", 0);
-  cluster.Publish("edit-without-base", text + "# blind\n", std::nullopt);
-  cluster.Publish("edit-of-chand", text + "# chand\n", 1);
+  const auto publish = [&](const std::string& edit,
+                           std::optional<std::uint64_t> base) {
+    const auto offset = cluster.Publish(edit, text + "# " + edit + "\n", base);
+    NameOffset(session, offset, "OFFSET_OF_" + edit);
+    return offset;
+  };
+  const std::uint64_t asma = publish("edit-of-asma", 0);
+  publish("edit-of-bilal", 0);
+  publish("edit-without-base", std::nullopt);
+  publish("edit-of-chand", asma);
   REQUIRE(WaitUntil(
       [&] { return cluster.State(0)["config"]["edit"] == "edit-of-chand"; }));
   std::istringstream lines(cluster.entry(0).Output());
