Membership fuzz: all machines exist before the first sends

AddressSanitizer showed a datagram delivered to a machine not made yet: a fault of the test's world.

--- a/fuzz/membership_fuzz.cc
+++ b/fuzz/membership_fuzz.cc
@@ -35,8 +35,8 @@
   World(std::uint64_t seed, MemberMutation mutation)
       : simulation_(seed), mutation_(mutation) {
     size_ = 3 + static_cast<int>(simulation_.random().Below(4));
+    nodes_.resize(static_cast<std::size_t>(size_));
     for (int i = 0; i < size_; ++i) {
-      nodes_.emplace_back();
       Start(i);
       Tick(i);
     }
