--- a/benchmarks/returning/returning_test.cc
+++ b/benchmarks/returning/returning_test.cc
@@ -45,9 +45,9 @@
   const ReturningReport none = NoStore(scenario);
   CHECK(ours.first_token_p50_ms <= none.first_token_p50_ms);
   CHECK(ours.first_token_p95_ms <= none.first_token_p95_ms);
-  // Those that were under way when the link slowed, and what queued on it.
+  // Those that were under way when the link slowed.
   CHECK(static_cast<double>(ours.slower_imports) <=
-        0.005 * static_cast<double>(ours.imports));
+        0.0005 * static_cast<double>(ours.imports));
 }
 
 // A store dies and comes back empty. Its conversations are computed once more.
--- a/carobshift/cache/store_table.cc
+++ b/carobshift/cache/store_table.cc
@@ -164,6 +164,23 @@
   return std::max(rate, budget * kLowestRateShare);
 }
 
+// What is under way is ahead of a new transfer, or shares the link with it.
+double StoreTable::Backlog(const StoreId& id,
+                           double rate,
+                           MonotonicTime now) const {
+  double seconds = 0;
+  std::size_t followed = 0;
+  for (const auto& [transfer_id, transfer] : transfers_) {
+    if (++followed > kMaxFollowedTransfers)
+      break;
+    if (transfer.store != id)
+      continue;
+    const double all = static_cast<double>(transfer.bytes) / rate;
+    seconds += std::clamp(all - ToSeconds(now - transfer.began), 0.0, all);
+  }
+  return seconds;
+}
+
 const StoreTable::Store* StoreTable::FindUsable(const StoreId& id,
                                                 MonotonicTime now) const {
   const auto it = stores_.find(id);
@@ -182,7 +199,9 @@
       store->budget.WaitFor(TransferKind::kImport, bytes, now);
   if (wait > kMaxImportWait)
     return std::nullopt;
-  const double seconds = static_cast<double>(bytes) / RateOf(id, *store, now);
+  const double rate = RateOf(id, *store, now);
+  const double seconds =
+      static_cast<double>(bytes) / rate + Backlog(id, rate, now);
   return wait + Milliseconds(static_cast<std::int64_t>(seconds * 1000.0));
 }
 
--- a/carobshift/cache/store_table.h
+++ b/carobshift/cache/store_table.h
@@ -98,8 +98,8 @@
   // A rate is learned from transfers that moved all their bytes.
   void End(TransferId transfer, TransferEnd end, MonotonicTime now);
 
-  // Expected time of an import that is ordered now, waiting for the budget
-  // included; nothing if the store is not to be used.
+  // Expected time of an import that is ordered now, waiting for the budget and
+  // for transfers under way included; nothing if the store is not to be used.
   [[nodiscard]] std::optional<Milliseconds> ImportTime(const StoreId& store,
                                                        Bytes bytes,
                                                        MonotonicTime now) const;
@@ -142,6 +142,10 @@
   [[nodiscard]] double RateOf(const StoreId& id,
                               const Store& store,
                               MonotonicTime now) const;
+  // Seconds until the transfers under way have ended, by expectation.
+  [[nodiscard]] double Backlog(const StoreId& id,
+                               double rate,
+                               MonotonicTime now) const;
   static void Learn(Store& store, double rate, MonotonicTime now);
 
   std::map<StoreId, Store> stores_;
