--- a/carobshift/server/tables/service_load.cc
+++ b/carobshift/server/tables/service_load.cc
@@ -1,7 +1,7 @@
 #include "carobshift/server/tables/service_load.h"
 
 #include <algorithm>
-#include <unordered_set>
+#include <ranges>
 
 #include "carobshift/base/digest.h"
 
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr double kNewWeight = 0.1;
+constexpr std::size_t kMostCompared = 64;
+// Other draws than the router's, which are by the same id.
+constexpr std::uint64_t kWindowSeed = 1;
 constexpr double kPrefillWaitShare = 0.5;
 constexpr double kUngatedCapacity = 1e9;
 // Shorter prefills are dominated by the network and the first decode step.
@@ -33,40 +36,59 @@
     const ServiceSpec& service,
     const std::vector<EndpointInfo>& candidates,
     int live_entries) {
-  std::vector<EndpointId> ids;
   std::vector<EndpointId> crashed;
-  for (const EndpointInfo& endpoint : candidates)
-    ids.push_back(endpoint.id);
-  share_.SetEndpoints(ids);
-  health_.Retain(ids);
   // Plain services report no load: each entry adapts to them by itself.
   entries_ =
       service.kind == ServiceKind::kPlain ? 1 : std::max(1, live_entries);
   share_.SetEntries(entries_);
+  const bool same =
+      std::ranges::equal(candidates, seen_, {}, &EndpointInfo::id, &Seen::id);
+  if (!same)
+    TakeEndpoints(candidates);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const EndpointInfo& endpoint = candidates[i];
+    if (!endpoint.status || endpoint.status_time == seen_[i].report_time)
+      continue;
+    seen_[i].report_time = endpoint.status_time;
+    if (TakeReport(endpoint))
+      crashed.push_back(endpoint.id);
+  }
+  UpdateCapacity();
+  return crashed;
+}
+
+void ServiceLoad::TakeEndpoints(const std::vector<EndpointInfo>& candidates) {
+  std::vector<EndpointId> ids;
+  seen_.clear();
   for (auto& [id, record] : records_)
     record.ready = false;
   for (const EndpointInfo& endpoint : candidates) {
-    Record& record = records_[endpoint.id];
-    record.ready = true;
-    if (!endpoint.status || endpoint.status_time == record.report_time)
-      continue;
-    const EngineStatus& status = *endpoint.status;
-    if (record.incarnation != 0 && record.incarnation != status.incarnation)
-      crashed.push_back(endpoint.id);
-    record.incarnation = status.incarnation;
-    record.report_time = endpoint.status_time;
-    record.own_at_report = std::min(share_.OwnInProgress(endpoint.id),
-                                    status.running + status.queued);
-    record.prefill_at_report =
-        std::min(record.pending_prefill, status.queued_prefill_tokens);
-    record.reported_prefill = status.queued_prefill_tokens;
-    share_.OnReport(endpoint.id, status.running + status.queued);
+    ids.push_back(endpoint.id);
+    records_[endpoint.id].ready = true;
+    seen_.push_back({endpoint.id, records_[endpoint.id].report_time});
   }
-  const std::unordered_set<EndpointId> kept(ids.begin(), ids.end());
+  share_.SetEndpoints(ids);
+  health_.Retain(ids);
+  // A record with own work stays until that work has ended.
   std::erase_if(records_, [&](const auto& item) {
-    return !kept.contains(item.first) && share_.OwnInProgress(item.first) == 0;
+    return !item.second.ready && share_.OwnInProgress(item.first) == 0;
   });
-  UpdateCapacity();
+}
+
+bool ServiceLoad::TakeReport(const EndpointInfo& endpoint) {
+  Record& record = records_[endpoint.id];
+  const EngineStatus& status = *endpoint.status;
+  const bool crashed =
+      record.incarnation != 0 && record.incarnation != status.incarnation;
+  const int in_progress = status.running + status.queued;
+  record.incarnation = status.incarnation;
+  record.report_time = endpoint.status_time;
+  record.own_at_report =
+      std::min(share_.OwnInProgress(endpoint.id), in_progress);
+  record.prefill_at_report =
+      std::min(record.pending_prefill, status.queued_prefill_tokens);
+  record.reported_prefill = status.queued_prefill_tokens;
+  share_.OnReport(endpoint.id, in_progress);
   return crashed;
 }
 
@@ -74,19 +96,42 @@
     const RouteQuery& query,
     const std::vector<EndpointInfo>& candidates,
     MonotonicTime now) {
+  // Of many endpoints a window at a random place is compared: the router draws
+  // a few of them anyway, and the mean load of 64 is close to that of all.
+  const std::size_t count = candidates.size();
+  const std::size_t start =
+      count == 0 ? 0 : FastHash(query.id.value(), kWindowSeed) % count;
+  const std::size_t window =
+      query.alone ? count : std::min(count, kMostCompared);
+  auto attempt = ChooseWithin(query, candidates, start, window, now);
+  if (!attempt && window < count)
+    attempt = ChooseWithin(query, candidates, 0, count, now);
+  return attempt;
+}
+
+std::optional<Attempt> ServiceLoad::ChooseWithin(
+    const RouteQuery& query,
+    const std::vector<EndpointInfo>& candidates,
+    std::size_t start,
+    std::size_t window,
+    MonotonicTime now) {
   std::vector<EndpointLoad> loads;
   std::vector<std::size_t> positions;
   std::vector<CacheHit> hits;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
+  const std::size_t count = candidates.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto hit = std::ranges::find(query.cache.hits, candidates[i].id,
+                                       &std::pair<EndpointId, Tokens>::first);
+    const bool holds = hit != query.cache.hits.end();
+    if (!holds && (i + count - start) % count >= window)
+      continue;
     const EndpointLoad load = LoadOf(candidates[i], query.alone, now);
     const bool busy = query.alone && EstimatedInProgress(load) > 0;
     const auto record = records_.find(candidates[i].id);
     if (busy || (record != records_.end() && record->second.exclusive))
       continue;
-    for (const auto& [holder, tokens] : query.cache.hits) {
-      if (holder == candidates[i].id)
-        hits.push_back({loads.size(), tokens});
-    }
+    if (holds)
+      hits.push_back({loads.size(), hit->second});
     loads.push_back(load);
     positions.push_back(i);
   }
--- a/carobshift/server/tables/service_load.h
+++ b/carobshift/server/tables/service_load.h
@@ -107,6 +107,22 @@
     bool exclusive = false;
   };
 
+  // The endpoints of the last Refresh, in its order.
+  struct Seen {
+    EndpointId id;
+    MonotonicTime report_time{};
+  };
+
+  void TakeEndpoints(const std::vector<EndpointInfo>& candidates);
+  // True if the endpoint's process is another one than before.
+  bool TakeReport(const EndpointInfo& endpoint);
+  // Among the `window` candidates from `start` on, and the holders of blocks.
+  std::optional<Attempt> ChooseWithin(
+      const RouteQuery& query,
+      const std::vector<EndpointInfo>& candidates,
+      std::size_t start,
+      std::size_t window,
+      MonotonicTime now);
   [[nodiscard]] EndpointLoad LoadOf(const EndpointInfo& endpoint,
                                     bool alone,
                                     MonotonicTime now) const;
@@ -123,6 +139,7 @@
   EndpointHealthTracker health_;
   Milliseconds first_token_target_;
   int entries_ = 1;
+  std::vector<Seen> seen_;
   std::unordered_map<EndpointId, Record> records_;
   std::uint64_t turn_ = 0;
   double prefill_rate_ = 8000;
