--- a/benchmarks/entry_overhead_driver.cc
+++ b/benchmarks/entry_overhead_driver.cc
@@ -29,7 +29,8 @@
 constexpr int kRequestsPerSecond = 100;
 constexpr int kDirectPerSecond = 20;
 constexpr int kTokens = 100;
-// Admission raises its limit of an engine by a twentieth in each quarter second.
+// Admission raises its limit of an engine by a twentieth in each quarter
+// second.
 constexpr Seconds kRampUp{20};
 constexpr Seconds kMeasured{12};
 // A stream lasts five seconds: 100 a second make 500 open ones.
