--- a/carobshift/server/tables/membership_table.cc
+++ b/carobshift/server/tables/membership_table.cc
@@ -79,8 +79,8 @@
   return membership_ ? membership_->Members() : std::vector<MemberRecord>();
 }
 
-std::vector<Fact> MembershipTable::ActiveFacts(FactKind kind,
-                                               MonotonicTime now) const {
+std::vector<Fact> MembershipTable::Active(FactKind kind,
+                                          MonotonicTime now) const {
   const std::lock_guard lock(mutex_);
   return membership_ ? membership_->facts().Active(kind, now)
                      : std::vector<Fact>();
@@ -89,7 +89,7 @@
 std::set<std::string> MembershipTable::Subjects(FactKind kind,
                                                 MonotonicTime now) const {
   std::set<std::string> subjects;
-  for (Fact& fact : ActiveFacts(kind, now))
+  for (Fact& fact : Active(kind, now))
     subjects.insert(std::move(fact.subject));
   return subjects;
 }
