--- a/carobshift/retry/crash_suspects.cc
+++ b/carobshift/retry/crash_suspects.cc
@@ -148,6 +148,13 @@
                 [&](const auto& item) { return IsExpired(item.second, now); });
 }
 
+std::size_t CrashSuspects::RefusedCount(MonotonicTime now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(records_, [&](const auto& item) {
+        return Judge(item.first, now) == SuspectVerdict::kRefuse;
+      }));
+}
+
 bool CrashSuspects::IsExpired(const Record& record, MonotonicTime now) const {
   return now >= record.last_crash + options_.memory + options_.refusal;
 }
--- a/carobshift/retry/crash_suspects.h
+++ b/carobshift/retry/crash_suspects.h
@@ -126,6 +126,8 @@
   void Expire(MonotonicTime now);
 
   [[nodiscard]] std::size_t size() const { return records_.size(); }
+  // Those that Judge refuses now; for the state dump.
+  [[nodiscard]] std::size_t RefusedCount(MonotonicTime now) const;
 
  private:
   struct Record {
--- a/carobshift/server/tables/load_table.cc
+++ b/carobshift/server/tables/load_table.cc
@@ -193,6 +193,7 @@
         {"drain_rate", queue.drain_rate()}};
   }
   out["crash_suspects"] = suspects_.size();
+  out["refused_requests"] = suspects_.RefusedCount(MonotonicNow());
   return out;
 }
 
--- a/testing/crash_suspect_test.cc
+++ b/testing/crash_suspect_test.cc
@@ -45,14 +45,14 @@
   }
   CHECK(RunningEngines(cluster) == 1);
 
-  // The other entries hear of it before they run it.
   for (std::size_t entry = 0; entry < cluster.entries(); ++entry) {
-    CompletionOutcome outcome;
-    CHECK(WaitUntil([&] {
-      outcome = caller.CompleteAt(cluster.entry(entry).address(),
-                                  {.prompt = "is anybody there?"});
-      return outcome.whole;
+    // The gossip reaches every entry.
+    REQUIRE(WaitUntil([&] {
+      return cluster.State(entry).at("load").at("refused_requests") == 1;
     }));
+    CompletionOutcome outcome = caller.CompleteAt(
+        cluster.entry(entry).address(), {.prompt = "is anybody there?"});
+    CHECK(outcome.whole);
     outcome = caller.CompleteAt(cluster.entry(entry).address(), poison);
     INFO("entry " << entry << " " << outcome.error.dump());
     CHECK(CodeOf(outcome) == kSuspected);
