cache wiring: a waiting pin ahead no longer blocks the request's import

Seen in the demo: of eight returning prompts, routing chose an import for four or more, and one or none was carried out. An address answer orders a pin ahead, which waits for the export thread; while that is busy (a turn's export takes up to a second) the object counts as being pinned, no other pin is ordered, and the request recomputes. Now the request runs the waiting pin itself.

Ruled out: a wrong prefix or namespace (routing counted the store's tokens) and a store refusal (no pin reached it).

--- a/carobshift/server/tables/cache_table.cc
+++ b/carobshift/server/tables/cache_table.cc
@@ -69,11 +69,18 @@
                                                    Milliseconds engine_time) {
   if (!cached.stored)
     return std::nullopt;
-  if (const auto pin = BeginPin(cached, MonotonicNow())) {
+  const auto run_pin = [&](const PinOrder& pin) {
     const Status answer = stores.Pin(StoreAddress(cached.stored->store),
-                                     pin->handle, pin->duration);
-    OnPinEnd(*pin, answer, MonotonicNow());
-  }
+                                     pin.handle, pin.duration);
+    OnPinEnd(pin, answer, MonotonicNow());
+  };
+  // A pin ahead may still wait behind exports. While it counts as under way no
+  // other is ordered, and the request would recompute what the store has; so
+  // it is run here.
+  if (const auto waiting = TakePrefetch(cached.stored->id))
+    run_pin(*waiting);
+  if (const auto pin = BeginPin(cached, MonotonicNow()))
+    run_pin(*pin);
   std::optional<ImportGrant> grant;
   {
     const std::lock_guard lock(mutex_);
@@ -210,6 +217,16 @@
   return order;
 }
 
+std::optional<PinOrder> CacheTable::TakePrefetch(HandleId id) {
+  const std::lock_guard lock(mutex_);
+  const auto waiting = std::ranges::find(prefetches_, id, &PinOrder::id);
+  if (waiting == prefetches_.end())
+    return std::nullopt;
+  PinOrder order = std::move(*waiting);
+  prefetches_.erase(waiting);
+  return order;
+}
+
 void CacheTable::OnPinEnd(const PinOrder& order,
                           const Status& answer,
                           MonotonicTime now) {
--- a/carobshift/server/tables/cache_table.h
+++ b/carobshift/server/tables/cache_table.h
@@ -104,6 +104,8 @@
   [[nodiscard]] nlohmann::json DumpState() const override;
 
  private:
+  // The pin ahead of this object that still waits for a thread, if any.
+  [[nodiscard]] std::optional<PinOrder> TakePrefetch(HandleId id);
   [[nodiscard]] std::optional<PinOrder> BeginPin(const PromptCache& cached,
                                                  MonotonicTime now);
 
