demo: the gap leaves time for exports

Exports start under memory pressure; the demo pushed the blocks out faster than they could be written, so some returns had nothing to read.

--- a/testing/demo_main.cc
+++ b/testing/demo_main.cc
@@ -52,10 +52,8 @@
   int Run() {
     RunPhase("cold");
     RunPhase("warm, at once");
-    AwaitExports();
     PushOut("first");
     RunPhase("returning through a store");
-    AwaitExports();
     PushOut("second");
     cluster_.store(0).Kill();
     cluster_.store(1).Kill();
@@ -165,13 +163,19 @@
   }
 
   void PushOut(const std::string& round) {
-    InParallel(kOtherPrompts, [&](std::size_t i) {
+    AskOthers(round + " morning");
+    AwaitExports();
+    AskOthers(round + " evening");
+    Say("a long gap: other prompts took the engines' memory");
+  }
+
+  void AskOthers(const std::string& round) {
+    InParallel(kOtherPrompts / 2, [&](std::size_t i) {
       Caller caller = caller_;
       (void)caller.Complete({.prompt = Prompt("other " + round, i),
                              .max_tokens = 1,
                              .conversation = "other-" + std::to_string(i)});
     });
-    Say("a long gap: other prompts took the engines' memory");
   }
 
   void BookThreeTimes() {
