--- a/carobshift/retry/crash_suspects.h
+++ b/carobshift/retry/crash_suspects.h
@@ -126,11 +126,16 @@
   void Expire(MonotonicTime now);
 
   [[nodiscard]] std::size_t size() const { return records_.size(); }
+  // Those that Judge refuses now; for the state dump.
+  [[nodiscard]] std::size_t RefusedCount(MonotonicTime now) const;
 
  private:
   struct Record {
     int crashes = 0;
     bool convicted = false;
+    // A run alone went well. The record stays, so that what other entries still
+    // tell of the crashes before it doesn't make the request suspected again.
+    bool cleared = false;
     MonotonicTime last_crash{};
   };
   struct Attempt {
