--- /dev/null
+++ b/fuzz/once_world_entries.cc
@@ -0,0 +1,115 @@
+// The entries of OnceWorld: their lives, pauses and traffic with the log.
+
+#include <memory>
+#include <utility>
+
+#include "fuzz/once_world.h"
+
+namespace carobshift {
+namespace {
+
+constexpr Milliseconds kTick{50};
+constexpr Milliseconds kReplayWindow{6000};
+constexpr Milliseconds kFreeWindow{10'000};
+constexpr Milliseconds kClockDifference{1000};
+
+}  // namespace
+
+void OnceWorld::Start(std::size_t i) {
+  const std::uint64_t life = entries_[i].life + 1;
+  Entry entry;
+  entry.life = life;
+  entry.wall_error = random().Between(Milliseconds(-400), Milliseconds(400));
+  entry.guard = std::make_unique<BoundKeyGuard>(
+      BoundKeyGuardOptions{.entry = NameOf(i),
+                           .incarnation = Incarnation(life),
+                           .replay_window = kReplayWindow,
+                           .limits = {},
+                           .mutation = mutation_});
+  entry.free_table = std::make_unique<RunTable>(RunTableLimits{}, mutation_);
+  FreeKeyOptions options;
+  options.entry = NameOf(i);
+  options.incarnation = Incarnation(life);
+  options.window = kFreeWindow;
+  options.clock_difference = kClockDifference;
+  options.mutation = mutation_;
+  entry.claims = std::make_unique<FreeKeyClaims>(options);
+  entries_[i] = std::move(entry);
+}
+
+void OnceWorld::For(std::size_t i,
+                    std::uint64_t life,
+                    std::function<void()> event) {
+  if (entries_[i].life != life)
+    return;
+  if (!entries_[i].paused) {
+    event();
+    return;
+  }
+  simulation_.After(kTick, [this, i, life, event] { For(i, life, event); });
+}
+
+void OnceWorld::Tick(std::size_t i) {
+  simulation_.After(kTick, [this, i] { Tick(i); });
+  Entry& entry = entries_[i];
+  if (entry.paused)
+    return;
+  const std::uint64_t life = entry.life;
+  OnActions(i, entry.claims->OnTime(simulation_.now()));
+  if (auto payload = entry.claims->TakeAppend(simulation_.now())) {
+    log_.Append(*payload, [this, i, life](const Result<LogOffset>& reply) {
+      For(i, life, [this, i, reply] {
+        OnActions(i, entries_[i].claims->OnAppendReply(reply));
+      });
+    });
+  }
+  if (entry.reading)
+    return;
+  entry.reading = true;
+  log_.Read(
+      entry.claims->next(), 20, [this, i, life](const Result<LogBatch>& batch) {
+        For(i, life, [this, i, batch] {
+          Entry& reader = entries_[i];
+          reader.reading = false;
+          if (batch.ok())
+            OnActions(i, reader.claims->OnBatch(
+                             batch.value(), simulation_.now(), WallOf(reader)));
+        });
+      });
+}
+
+void OnceWorld::Fault() {
+  simulation_.After(random().Between(Milliseconds(200), Seconds(3)),
+                    [this] { Fault(); });
+  if (calm_)
+    return;
+  const std::size_t i = random().Below(entries_.size());
+  LogFaults& faults = log_.faults();
+  switch (random().Below(7)) {
+    case 0:
+      faults.down = true;
+      simulation_.After(random().Between(Milliseconds(500), Seconds(6)),
+                        [this] { log_.faults().down = false; });
+      break;
+    case 1:
+      faults.max_delay = random().Between(Milliseconds(5), Seconds(1));
+      break;
+    case 2:
+      faults.lose_reply = 0.3;
+      faults.arrive_late = 0.1;
+      break;
+    case 3:
+    case 4:
+      entries_[i].paused = true;
+      simulation_.After(random().Between(Milliseconds(200), Seconds(8)),
+                        [this, i] { entries_[i].paused = false; });
+      break;
+    case 5:
+      Start(i);
+      break;
+    default:
+      faults = LogFaults{};
+  }
+}
+
+}  // namespace carobshift
