--- a/carobshift/cmd/carobshiftd_main.cc
+++ b/carobshift/cmd/carobshiftd_main.cc
@@ -108,7 +108,9 @@
   const auto address = entry.Start();
   if (!address.ok())
     return Fail(kExitFailed, address.error().message);
-  std::cout << "listening " << address.value().ToString() << std::endl;
+  // In one write: a log line of another thread must not come between, or
+  // whoever waits for this line does not find it.
+  std::cout << "listening " + address.value().ToString() + "\n" << std::flush;
   int signal = 0;
   sigwait(&signals, &signal);
   entry.DrainAndStop();
--- a/carobshift/server/tasks/gossip_task.cc
+++ b/carobshift/server/tasks/gossip_task.cc
@@ -31,10 +31,6 @@
   return addresses;
 }
 
-// Suspected requests are told and heard this often; a caller that turns to
-// another entry needs longer.
-constexpr Milliseconds kExchangeInterval{200};
-
 // A suspicion as a fact: its version rises with the crashes counted, and
 // highest with the conviction; what remains of it tells the age.
 constexpr std::uint64_t kConvicted = std::uint64_t{1} << 32;
@@ -80,8 +76,12 @@
   constexpr Poco::Timespan::TimeDiff kTickMicroseconds =
       Microseconds(Membership::kTick).count();
   if (socket_.poll(Poco::Timespan(kTickMicroseconds),
-                   Poco::Net::Socket::SELECT_READ))
+                   Poco::Net::Socket::SELECT_READ)) {
     Receive();
+    // A caller whose request crashed endpoints may be at this entry's door
+    // before the next tick.
+    ExchangeSuspects(MonotonicNow());
+  }
   const MonotonicTime now = MonotonicNow();
   if (now >= next_tick_)
     Tick(now);
@@ -101,19 +101,18 @@
 
 void GossipTask::Tick(MonotonicTime now) {
   next_tick_ = now + Membership::kTick;
+  // Before the membership's own tick, which sends the news.
+  ExchangeSuspects(now);
   const auto config = context_.config.current();
   const ConfigVersion version = config ? config->version : ConfigVersion(0);
   SendAll(context_.membership.OnTick(ListedEntries(context_), version, now));
   context_.endpoints.TakeFacts(
       context_.membership.Subjects(FactKind::kEndpointLeaving, now),
       context_.membership.Subjects(FactKind::kEndpointDraining, now), now);
-  if (now >= next_exchange_)
-    ExchangeSuspects(now);
   LogChanges();
 }
 
 void GossipTask::ExchangeSuspects(MonotonicTime now) {
-  next_exchange_ = now + kExchangeInterval;
   std::vector<Fact> facts;
   for (const SuspectRecord& record : context_.load.ExportSuspects(now)) {
     facts.push_back(ToFact(record));
--- a/carobshift/server/tasks/gossip_task.h
+++ b/carobshift/server/tasks/gossip_task.h
@@ -41,7 +41,6 @@
   EntryContext& context_;
   Poco::Net::DatagramSocket socket_;
   MonotonicTime next_tick_{};
-  MonotonicTime next_exchange_{};
   std::map<EntryId, MemberState> states_;
   // The statements about suspected requests that were merged already.
   std::map<std::string, FactVersion> suspect_versions_;
