--- a/testing/standin_engine.cc
+++ b/testing/standin_engine.cc
@@ -7,10 +7,10 @@
 // `trace` (true: GET /traces tells when each prompt came and was answered).
 
 #include <cstdlib>
-#include <cxxopts.hpp>
 #include <set>
 
 #include "testing/engine_core.h"
+#include "testing/engine_options.h"
 #include "testing/engine_transfer.h"
 #include "testing/http_client.h"
 #include "testing/standin_server.h"
@@ -23,18 +23,6 @@
 // The engine reports its cache in bytes, whatever an export then takes.
 constexpr std::size_t kNominalBlockBytes = 64 * 1024;
 
-struct EngineOptions {
-  EngineCosts costs;
-  std::size_t cache_blocks = 0;
-  bool checks_fencing = false;
-  std::optional<NetAddress> weights;
-  std::int64_t weight_bytes = 0;
-  Milliseconds load_time{100};
-  std::string model;
-  std::string version;
-  std::string role;
-};
-
 // What an engine runs at present.
 struct LoadedModel {
   std::string model;
@@ -362,61 +350,14 @@
   exchange.Reply(BatchToJson(batch));
 }
 
-std::int64_t Number(const cxxopts::ParseResult& flags, const char* name) {
-  return static_cast<std::int64_t>(flags[name].as<double>());
-}
-
-EngineOptions OptionsFrom(const cxxopts::ParseResult& flags) {
-  EngineOptions options;
-  options.costs.step = Microseconds(Number(flags, "step-us"));
-  options.costs.prefill = Microseconds(Number(flags, "prefill-us"));
-  options.costs.decode = Microseconds(Number(flags, "decode-us"));
-  options.costs.max_running =
-      static_cast<std::size_t>(Number(flags, "max-running"));
-  options.cache_blocks =
-      static_cast<std::size_t>(Number(flags, "cache-blocks"));
-  options.checks_fencing = flags["checks-fencing"].as<bool>();
-  options.weights = ParseNetAddress(flags["weights"].as<std::string>());
-  options.weight_bytes = Number(flags, "weight-bytes");
-  options.load_time = Milliseconds(Number(flags, "load-ms"));
-  options.model = flags["model"].as<std::string>();
-  options.version = flags["version"].as<std::string>();
-  options.role = flags["role"].as<std::string>();
-  return options;
-}
-
-cxxopts::ParseResult ParseFlags(int argc, char** argv) {
-  cxxopts::Options options("standin_engine");
-  const auto text = [](const char* fallback) {
-    return cxxopts::value<std::string>()->default_value(fallback);
-  };
-  const auto number = [](const char* fallback) {
-    return cxxopts::value<double>()->default_value(fallback);
-  };
-  auto add = options.add_options();
-  add("listen", "HOST:PORT", text("127.0.0.1:0"));
-  add("step-us", "base time of a step", number("8000"));
-  add("prefill-us", "time of a prefilled token", number("100"));
-  add("decode-us", "time of a decoding sequence in a step", number("20"));
-  add("max-running", "sequences in a batch", number("64"));
-  add("cache-blocks", "prefix cache size", number("2000"));
-  add("checks-fencing", "refuse orders with an old fencing number");
-  add("weights", "HOST:PORT of the weight store", text(""));
-  add("weight-bytes", "size of a weight set", number("1000000"));
-  add("load-ms", "time of a load besides the fetch", number("100"));
-  add("model", "loaded at start", text(""));
-  add("version", "loaded at start", text(""));
-  add("role", "service at start", text(""));
-  return options.parse(argc, argv);
-}
-
 }  // namespace
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
-  const cxxopts::ParseResult flags = carobshift::ParseFlags(argc, argv);
+  const carobshift::EngineOptions options =
+      carobshift::ParseEngineOptions(argc, argv);
   carobshift::StandinServer server;
-  carobshift::Engine engine(server.faults(), carobshift::OptionsFrom(flags));
+  carobshift::Engine engine(server.faults(), options);
   using Exchange = carobshift::StandinExchange;
   server.Route("POST", "/v1/completions",
                [&](Exchange& x) { engine.Complete(x); });
@@ -426,5 +367,5 @@
   server.Route("GET", "/events", [&](Exchange& x) { engine.Events(x); });
   server.Route("GET", "/traces", [&](Exchange& x) { engine.Traces(x); });
   server.Route("GET", "/blocks", [&](Exchange& x) { engine.Blocks(x); });
-  return server.Run(flags["listen"].as<std::string>());
+  return server.Run(options.listen);
 }
