--- a/testing/overload_test.cc
+++ b/testing/overload_test.cc
@@ -54,7 +54,7 @@
 
  private:
   void Run(std::vector<NetAddress> entries, int number) {
-    std::ranges::rotate(entries, entries.begin() + number % 3);
+    std::rotate(entries.begin(), entries.begin() + number % 3, entries.end());
     Caller caller(entries, kOtherClubKey);
     for (int call = 0; !stopping_; ++call) {
       TimedOutcome timed =
@@ -87,7 +87,7 @@
   std::vector<Microseconds> times;
   for (int i = 0; i < kSmallCalls; ++i) {
     std::vector<NetAddress> rotated = entries;
-    std::ranges::rotate(rotated, rotated.begin() + i % 3);
+    std::rotate(rotated.begin(), rotated.begin() + i % 3, rotated.end());
     Caller caller(rotated, kClubKey);
     const CompletionOutcome outcome =
         caller.Complete({.prompt = name + std::to_string(i), .max_tokens = 4});
