--- a/fuzz/cache_world.h
+++ b/fuzz/cache_world.h
@@ -62,6 +62,15 @@
     bool started = false;
   };
 
+  static constexpr std::size_t kEngines = 2;
+  static constexpr std::size_t kStores = 2;
+  static constexpr std::size_t kTopics = 3;
+  static constexpr std::size_t kMaxBlocks = 4;
+  static constexpr Bytes kLinkRate = 1000000000;
+
+  // The start of a topic's text, the same for all accounts.
+  static std::string TextOf(std::size_t topic, std::size_t blocks);
+
   std::size_t Pick(std::size_t count);
   bool Chance(int percent);
   void Act();
