testing: a child's standard output has its own file

One of 31 tests failed in a run with 'carobshiftd did not start': its line 'listening ADDRESS' and a log line of another thread stood in one line of the shared file, so the address was not found. Ruled out: a fault in the server; it had started and logged member_alive.

--- a/testing/process.cc
+++ b/testing/process.cc
@@ -28,6 +28,22 @@
   return (self.parent_path().parent_path() / "bin" / name).string();
 }
 
+// Standard output has a file of its own: a line of it would be cut in two by
+// what another thread writes to standard error meanwhile, and its address not
+// be found.
+std::string OutputPath(const std::string& log_path) {
+  return log_path + ".out";
+}
+
+int OpenToAppend(const std::string& path) {
+  return open(path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+}
+
+std::string ReadAll(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
 pid_t Spawn(const std::string& binary,
             const std::vector<std::string>& arguments,
             const std::string& log_path) {
@@ -36,15 +52,16 @@
   for (const std::string& argument : arguments)
     argv.push_back(const_cast<char*>(argument.c_str()));
   argv.push_back(nullptr);
-  const int log =
-      open(log_path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+  const int log = OpenToAppend(log_path);
+  const int output = OpenToAppend(OutputPath(log_path));
   const pid_t pid = fork();
   if (pid != 0) {
     close(log);
+    close(output);
     return pid;
   }
   prctl(PR_SET_PDEATHSIG, SIGKILL);
-  dup2(log, STDOUT_FILENO);
+  dup2(output, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
   execv(path.c_str(), argv.data());
   _exit(127);
@@ -98,12 +115,11 @@
 }
 
 std::string Process::Output() const {
-  std::ifstream in(log_path_, std::ios::binary);
-  return {std::istreambuf_iterator<char>(in), {}};
+  return ReadAll(OutputPath(log_path_)) + ReadAll(log_path_);
 }
 
 std::optional<NetAddress> Process::ListeningAddress() const {
-  std::istringstream lines(Output());
+  std::istringstream lines(ReadAll(OutputPath(log_path_)));
   std::string line;
   while (std::getline(lines, line)) {
     // A line without its end may still be being written.
