Entries share the log's appends for claims

Cause: each entry spaced its claim appends by 20 ms whatever their number; 420 entries would ask the log for 21,000 a second, and it takes several hundred. Ruled out: a longer fixed interval (slow for seven entries). Change: the interval grows with the live members; 200 appends a second in all.

--- a/carobshift/once/free_key_claims.cc
+++ b/carobshift/once/free_key_claims.cc
@@ -13,7 +13,8 @@
 }  // namespace
 
 FreeKeyClaims::FreeKeyClaims(FreeKeyOptions options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)),
+      append_interval_(options_.min_append_interval) {}
 
 ClaimStep FreeKeyClaims::Begin(const FreeKeyRequest& request,
                                MonotonicTime now,
@@ -111,12 +112,19 @@
     batch.releases.push_back(queued_releases_.front());
   for (; !queued_claims_.empty() && has_room(); queued_claims_.pop_front())
     batch.claims.push_back(queued_claims_.front());
-  next_append_ = now + options_.min_append_interval;
+  next_append_ = now + append_interval_;
   std::string payload = EncodeClaimBatch(batch);
   in_flight_ = std::move(batch);
   return payload;
 }
 
+void FreeKeyClaims::ShareLog(int live_entries) {
+  const Milliseconds share = std::max(1, live_entries) *
+                             Milliseconds(Seconds(1)) /
+                             options_.log_appends_per_second;
+  append_interval_ = std::max(options_.min_append_interval, share);
+}
+
 std::vector<ClaimAction> FreeKeyClaims::OnAppendReply(
     const Result<LogOffset>& reply) {
   Actions actions;
--- a/carobshift/once/free_key_claims.h
+++ b/carobshift/once/free_key_claims.h
@@ -28,8 +28,9 @@
 //
 // Load pattern: group commit. While one append is under way further claims
 // gather, so the log sees one append per round trip and entry at most: at 420
-// entries and 5 ms that could still be more than the log's several hundred a
-// second, so `min_append_interval` spaces them out.
+// entries and 5 ms that would still be 84,000 a second against the log's
+// several hundred. So the live entries share `log_appends_per_second` among
+// them: 50 a second each with four entries, one in two seconds each with 420.
 //
 // Pure; thread-compatible. Holds `max_keys` claims and `max_waiting` requests.
 
@@ -61,6 +62,10 @@
   Milliseconds clock_difference{30'000};
   std::size_t max_keys = 65'536;
   std::size_t max_waiting = 4096;
+  // Of the log's several hundred, for the claims of all entries together. The
+  // rest is for configuration, leases and what else the platform keeps there.
+  int log_appends_per_second = 200;
+  // No use in more: a claim waits for its way to the log and back anyway.
   Milliseconds min_append_interval{20};
   OnceMutation mutation = OnceMutation::kNone;
 };
@@ -106,6 +111,11 @@
   // The payload to append now, if any. One append at a time: the next comes
   // after OnAppendReply.
   [[nodiscard]] std::optional<std::string> TakeAppend(MonotonicTime now);
+
+  // Spaces the appends from the next one on so that `live_entries` entries
+  // share the log. One entry is assumed until it is called.
+  void ShareLog(int live_entries);
+
   [[nodiscard]] std::vector<ClaimAction> OnAppendReply(
       const Result<LogOffset>& reply);
 
@@ -184,6 +194,7 @@
   std::deque<ClaimRelease> queued_releases_;
   std::optional<ClaimBatch> in_flight_;
   MonotonicTime next_append_;
+  Milliseconds append_interval_;
   std::uint64_t next_number_ = 1;
   std::uint64_t next_ticket_ = 1;
   // A calendar clock that is set back must not make an old key young again.
--- a/carobshift/once/free_key_claims_test.cc
+++ b/carobshift/once/free_key_claims_test.cc
@@ -137,4 +137,29 @@
   CHECK(DecodeClaimBatch(EncodeClaimBatch(batch)).value() == batch);
 }
 
+// Every entry of the two-year size gets keys all the time. If each appended as
+// fast as it can, the log would throttle all of them, and with the claims the
+// configuration and the leases.
+TEST_CASE("the entries share the log's appends, however many they are") {
+  for (const int entries : {1, 7, 420}) {
+    FreeKeyClaims claims = Entry("a");
+    claims.ShareLog(entries);
+    int appends = 0;
+    for (Milliseconds after{0}; after < Seconds(100);
+         after += Milliseconds(5)) {
+      FreeKeyRequest request = Request();
+      request.key.key = IdempotencyKey(std::to_string(after.count()));
+      request.deadline = kNow + Seconds(200);
+      (void)claims.Begin(request, kNow + after, kWall);
+      if (!claims.TakeAppend(kNow + after))
+        continue;
+      ++appends;
+      (void)claims.OnAppendReply(LogOffset(0));
+    }
+    INFO(entries << " entries");
+    CHECK(appends > 0);
+    CHECK(appends * entries <= 200 * 100 + entries);
+  }
+}
+
 }  // namespace carobshift
--- a/carobshift/server/once/once_table.cc
+++ b/carobshift/server/once/once_table.cc
@@ -121,6 +121,11 @@
                  "this entry knows nothing of the idempotency key"};
 }
 
+void OnceTable::ShareLog(int live_entries) {
+  const std::lock_guard lock(mutex_);
+  claims_.ShareLog(live_entries);
+}
+
 std::optional<std::string> OnceTable::AwaitAppend(Milliseconds wait) {
   std::unique_lock lock(mutex_);
   std::optional<std::string> payload = claims_.TakeAppend(MonotonicNow());
--- a/carobshift/server/once/once_table.h
+++ b/carobshift/server/once/once_table.h
@@ -67,6 +67,9 @@
   [[nodiscard]] KeyDecision Outcome(const KeyedRequest& request,
                                     MonotonicTime now);
 
+  // Tells how many entries share the log.
+  void ShareLog(int live_entries);
+
   // The claims task's side; see FreeKeyClaims. AwaitAppend waits up to `wait`
   // for something to append.
   [[nodiscard]] std::optional<std::string> AwaitAppend(Milliseconds wait);
