--- a/carobshift/server/http/caller_error.cc
+++ b/carobshift/server/http/caller_error.cc
@@ -3,9 +3,18 @@
 #include "carobshift/server/http/route_handler.h"
 
 namespace carobshift {
+namespace {
+
+// A new entry has the configuration from the log or a peer within a second.
+constexpr Milliseconds kNoConfigRetryAfter{1000};
+
+}  // namespace
 
 CallerError NotRun(ResultCode code, std::string message) {
-  return {code, RunState::kNotRun, std::move(message), std::nullopt};
+  CallerError error{code, RunState::kNotRun, std::move(message), std::nullopt};
+  if (code == ResultCode::kNoConfig)
+    error.retry_after = kNoConfigRetryAfter;
+  return error;
 }
 
 nlohmann::json ErrorBody(const RequestId& request, const CallerError& error) {
