--- a/carobshift/server/settings.h
+++ b/carobshift/server/settings.h
@@ -50,8 +50,8 @@
   Milliseconds lease_duration{3000};
   Milliseconds order_timeout{1000};
   Milliseconds clock_drift{200};
-  Milliseconds key_lifetime{600000};
-  Milliseconds key_replay_window{600000};
+  Milliseconds key_lifetime{60000};
+  Milliseconds key_replay_window{120000};
 };
 
 // One row per key, for parsing, for flags and for the documentation.
