--- a/carobshift/server/dispatch/generate_dispatcher.cc
+++ b/carobshift/server/dispatch/generate_dispatcher.cc
@@ -1,5 +1,6 @@
 #include "carobshift/server/dispatch/generate_dispatcher.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -29,6 +30,17 @@
           &job.prompt};
 }
 
+// Tokens that need not be computed, wherever they are. Counted in full, a
+// return would pay and wait for work that nobody does.
+Tokens TokensAtHand(const CacheView& view) {
+  Tokens most = 0;
+  for (const auto& [endpoint, tokens] : view.hits)
+    most = std::max(most, tokens);
+  for (const ImportOption& option : view.imports)
+    most = std::max(most, option.tokens);
+  return most;
+}
+
 FailedAttempt FailureOf(const Status& status) {
   if (status.ok()) {
     return {{ResultCode::kEndpointFailed, true},
@@ -260,6 +272,11 @@
     request.account = job.account;
     request.priority = job.priority;
     request.prompt_tokens = EstimateTokens(job.prompt);
+    request.cached_tokens = TokensAtHand(
+        context_.cache
+            .View(IdentityOf(job), control_.RefreshCandidates(service),
+                  MonotonicNow())
+            .view);
     request.max_tokens = job.max_tokens;
     request.deadline = job.deadline;
     outcome.error = control_.Admit(
