--- a/carobshift/cmd/caller_commands.cc
+++ b/carobshift/cmd/caller_commands.cc
@@ -33,6 +33,8 @@
     headers.emplace_back("Carobshift-Conversation", options.conversation);
   if (!options.idempotency_key.empty())
     headers.emplace_back("Idempotency-Key", options.idempotency_key);
+  if (!options.key_created.empty())
+    headers.emplace_back("Carobshift-Key-Created", options.key_created);
   return headers;
 }
 
--- a/carobshift/cmd/carobshift_main.cc
+++ b/carobshift/cmd/carobshift_main.cc
@@ -44,7 +44,8 @@
     std::cout << command.name << ' ';
   std::cout << "completion --help --json --entry --log --instance-list "
                "--key-file --secret-file --service --conversation "
-               "--idempotency-key --base --max-tokens --count --timeout-ms\" "
+               "--idempotency-key --key-created --base --max-tokens --count "
+               "--timeout-ms\" "
                "carobshift\n";
 }
 
--- a/carobshift/cmd/cli_options.cc
+++ b/carobshift/cmd/cli_options.cc
@@ -25,6 +25,8 @@
   add("service", "name of a service", text());
   add("conversation", "conversation that the request belongs to", text());
   add("idempotency-key", "key of a call that must not run twice", text());
+  add("key-created", "when a key that is not bound was made, in ms since 1970",
+      text());
   add("base", "version that the edit was made from",
       cxxopts::value<std::uint64_t>());
   add("max-tokens", "longest answer", cxxopts::value<Tokens>());
@@ -91,6 +93,7 @@
   out.service = TextOf(parsed, "service");
   out.conversation = TextOf(parsed, "conversation");
   out.idempotency_key = TextOf(parsed, "idempotency-key");
+  out.key_created = TextOf(parsed, "key-created");
   if (parsed.count("base") > 0)
     out.base = ConfigVersion(parsed["base"].as<std::uint64_t>());
   if (parsed.count("max-tokens") > 0)
--- a/carobshift/cmd/cli_options.h
+++ b/carobshift/cmd/cli_options.h
@@ -32,6 +32,8 @@
   std::string service;
   std::string conversation;
   std::string idempotency_key;
+  // When a free idempotency key was made, in milliseconds since 1970.
+  std::string key_created;
   std::optional<ConfigVersion> base;
   Tokens max_tokens = 64;
   int count = 0;
