--- a/carobshift/config/yaml_reader.cc
+++ b/carobshift/config/yaml_reader.cc
@@ -68,7 +68,8 @@
 }  // namespace
 
 std::string YamlProblem::ToString() const {
-  std::string out = std::to_string(line) + ":" + std::to_string(column) + " ";
+  std::string out = "line " + std::to_string(line) + ", column " +
+                    std::to_string(column) + ": ";
   if (!field.empty())
     out += field + ": ";
   return out + message;
--- a/carobshift/config/yaml_reader.h
+++ b/carobshift/config/yaml_reader.h
@@ -36,7 +36,8 @@
   // What is wrong, and which values are allowed.
   std::string message;
 
-  // "12:5 services[1].replicas: must be a whole number from 0 to 10000"
+  // "line 12, column 5: services[1].replicas: must be a whole number from 0 to
+  // 10000"
   [[nodiscard]] std::string ToString() const;
 };
 
--- a/testing/cluster.h
+++ b/testing/cluster.h
@@ -61,6 +61,7 @@
   }
   [[nodiscard]] std::size_t stores() const { return stores_.size(); }
   [[nodiscard]] std::vector<NetAddress> EntryAddresses() const;
+  [[nodiscard]] const std::string& secret_file() const { return secret_file_; }
 
   // Starts and lists a new process in the place of a dead one.
   void RestartEntry(std::size_t i);
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -23,11 +23,6 @@
 constexpr Milliseconds kPollInterval{5};
 constexpr std::string_view kListening = "listening ";
 
-std::string BinaryPath(const std::string& name) {
-  const fs::path self = fs::read_symlink("/proc/self/exe");
-  return (self.parent_path().parent_path() / "bin" / name).string();
-}
-
 // Standard output has a file of its own: a line of it would be cut in two by
 // what another thread writes to standard error meanwhile, and its address not
 // be found.
@@ -69,6 +64,11 @@
 
 }  // namespace
 
+std::string BinaryPath(const std::string& name) {
+  const fs::path self = fs::read_symlink("/proc/self/exe");
+  return (self.parent_path().parent_path() / "bin" / name).string();
+}
+
 bool WaitUntil(const std::function<bool()>& condition, Milliseconds limit) {
   const MonotonicTime end = MonotonicNow() + limit;
   while (!condition()) {
--- a/testing/process.h
+++ b/testing/process.h
@@ -24,6 +24,9 @@
 [[nodiscard]] bool WaitUntil(const std::function<bool()>& condition,
                              Milliseconds limit = Milliseconds(10000));
 
+// Where a binary of this build lies.
+[[nodiscard]] std::string BinaryPath(const std::string& name);
+
 // Removed with all files at the end, unless CAROBSHIFT_KEEP_LOGS is set.
 class TemporaryDirectory {
  public:
