Process tests: a claim's lost reply, and the log's retention

Cause: both were proved in the fuzz only. Change: two cases in once_test through real processes. Measured: once_process_test 'a booking whose*' and 'the configuration outlives*' pass.

--- a/testing/once_test.cc
+++ b/testing/once_test.cc
@@ -8,6 +8,8 @@
 #include <thread>
 #include <vector>
 
+#include "carobshift/config/config_record.h"
+#include "carobshift/platform/http_log_service.h"
 #include "testing/caller.h"
 #include "testing/cluster.h"
 #include "testing/http_client.h"
@@ -196,4 +198,45 @@
   cluster.log().Signal(SIGCONT);
 }
 
+// The log takes a claim but its reply is lost. An entry that wrote again, or
+// gave up, would run the booking twice or leave its key blocked for good.
+TEST_CASE("a booking whose claim's reply is lost runs once all the same") {
+  Cluster cluster({.entries = 2, .engines = 1});
+  // The lease's renewals may use up some.
+  SetFaults(cluster.log(), {{"lose_replies", 6}});
+  const Headers headers = FreeKey("lost reply");
+  std::vector<HttpAnswer> answers;
+  for (std::size_t i = 0; i < cluster.entries(); ++i)
+    answers.push_back(Book(cluster.entry(i).address(), "slot 6", headers));
+  for (const HttpAnswer& answer : answers) {
+    INFO(answer.body);
+    CHECK(answer.status == 200);
+  }
+  CHECK(cluster.Runs("slot 6") == 1);
+}
+
+// Many edits come and lose, and the log's retention drops the accepted one.
+// Entries that are all replaced afterwards would find nothing to run by.
+TEST_CASE("the configuration outlives its own record on the log") {
+  Cluster cluster({.entries = 2, .engines = 1});
+  const auto config = cluster.State(0)["config"];
+  SetFaults(cluster.log(), {{"retain_records", 4}});
+  for (int i = 0; i < 8; ++i)
+    cluster.Publish("lost-" + std::to_string(i), "format: 1\n", 4000);
+  HttpLogService log(cluster.log().address(), HttpOptions());
+  REQUIRE(WaitUntil([&] {
+    const auto batch =
+        log.Read(LogStream(kConfigStream), LogOffset(0), 100, Milliseconds(0));
+    return batch.ok() && !batch.value().records.empty() &&
+           batch.value().records.back().payload.find("checkpoint") !=
+               std::string::npos;
+  }));
+  for (std::size_t i = 0; i < cluster.entries(); ++i)
+    cluster.entry(i).Kill();
+  for (std::size_t i = 0; i < cluster.entries(); ++i)
+    cluster.RestartEntry(i);
+  for (std::size_t i = 0; i < cluster.entries(); ++i)
+    CHECK(WaitUntil([&] { return cluster.State(i)["config"] == config; }));
+}
+
 }  // namespace carobshift
