--- a/carobshift/server/dispatch/load_control.cc
+++ b/carobshift/server/dispatch/load_control.cc
@@ -51,7 +51,7 @@
 std::vector<EndpointInfo> LoadControl::RefreshCandidates(
     const ServiceSpec& service) const {
   std::vector<EndpointInfo> candidates = context_.endpoints.Candidates(service);
-  const auto live = static_cast<int>(context_.membership.Live().size());
+  const auto live = context_.membership.live_count();
   context_.load.Refresh(service, candidates, live, MonotonicNow());
   return candidates;
 }
--- a/carobshift/server/once/claims_tasks.cc
+++ b/carobshift/server/once/claims_tasks.cc
@@ -24,7 +24,7 @@
 }
 
 Milliseconds ClaimAppender::RunOnce(MonotonicTime) {
-  table_.ShareLog(static_cast<int>(context_.membership.Live().size()));
+  table_.ShareLog(context_.membership.live_count());
   const auto payload = table_.AwaitAppend(kAppendWait);
   if (!payload)
     return Milliseconds(1);
--- a/carobshift/server/tables/membership_table.cc
+++ b/carobshift/server/tables/membership_table.cc
@@ -1,5 +1,6 @@
 #include "carobshift/server/tables/membership_table.h"
 
+#include <algorithm>
 #include <array>
 
 #include "carobshift/base/digest.h"
@@ -43,7 +44,9 @@
     return {};
   membership_->SetSeeds(seeds);
   membership_->SetConfigVersion(config);
-  return membership_->OnTick(now);
+  std::vector<SendDatagram> datagrams = membership_->OnTick(now);
+  live_count_ = std::max(1, static_cast<int>(membership_->Live().size()));
+  return datagrams;
 }
 
 std::vector<SendDatagram> MembershipTable::OnDatagram(std::string_view bytes,
--- a/carobshift/server/tables/membership_table.h
+++ b/carobshift/server/tables/membership_table.h
@@ -9,6 +9,7 @@
 #ifndef CAROBSHIFT_SERVER_TABLES_MEMBERSHIP_TABLE_H_
 #define CAROBSHIFT_SERVER_TABLES_MEMBERSHIP_TABLE_H_
 
+#include <atomic>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -41,6 +42,9 @@
 
   // Entries to name in address answers.
   [[nodiscard]] std::vector<MemberInfo> Live() const;
+  // Their number as of the last tick, 1 at least; takes no lock, since every
+  // request asks.
+  [[nodiscard]] int live_count() const { return live_count_; }
   // This entry first, then all others, dead ones included.
   [[nodiscard]] std::vector<MemberRecord> Members() const;
   [[nodiscard]] std::vector<Fact> Active(FactKind kind,
@@ -54,6 +58,7 @@
  private:
   mutable std::mutex mutex_;
   std::optional<Membership> membership_;
+  std::atomic<int> live_count_{1};
 };
 
 }  // namespace carobshift
