--- a/carobshift/admission/concurrency_limit.cc
+++ b/carobshift/admission/concurrency_limit.cc
@@ -9,6 +9,8 @@
 // Below this use of the limit its height has not been tested.
 constexpr double kNearlyUsed = 0.8;
 
+// From this use on requests are held back that an endpoint could take.
+constexpr double kFullyUsed = 0.98;
 // Of the allowed wait; beyond this an endpoint is no longer free.
 constexpr double kWaitSeen = 0.1;
 
@@ -46,8 +48,9 @@
   if (mean > allowed_wait_) {
     limit_ *= options_.decrease;
   } else if (peak_in_progress_ >= kNearlyUsed * limit_) {
+    const bool fast = starting_ && peak_in_progress_ >= kFullyUsed * limit_;
     const double share =
-        starting_ ? options_.start_increase_share : options_.increase_share;
+        fast ? options_.start_increase_share : options_.increase_share;
     limit_ += std::max(1.0, share * limit_);
   }
   limit_ = std::clamp(limit_, options_.minimum, options_.maximum);
