Link use by service, and a log line for each request

Change: carobshift_service_link_bytes_total on each sealed export and finished import; request_ended at the level of debugging, written outside the lock.

--- a/carobshift/server/dispatch/import_use.cc
+++ b/carobshift/server/dispatch/import_use.cc
@@ -33,6 +33,7 @@
       attempt.endpoint.status->version != cached.version) {
     return;
   }
+  service_ = attempt.endpoint.status->role;
   grant_ =
       context_.cache.BeginImport(context_.platform.stores, cached,
                                  EngineTime(attempt.choice, *cached.stored));
@@ -54,8 +55,15 @@
 void ImportUse::End(const std::optional<GenerateStart>& start) {
   if (!grant_)
     return;
-  context_.cache.EndImport(*grant_, OutcomeOf(start, grant_->handle),
-                           MonotonicNow());
+  const ImportOutcome outcome = OutcomeOf(start, grant_->handle);
+  context_.cache.EndImport(*grant_, outcome, MonotonicNow());
+  if (outcome == ImportOutcome::kImported) {
+    context_.metrics.Add("carobshift_service_link_bytes_total",
+                         {{"service", service_.value()},
+                          {"store", grant_->handle.store.value()},
+                          {"direction", "import"}},
+                         static_cast<double>(grant_->handle.bytes));
+  }
   grant_.reset();
 }
 
--- a/carobshift/server/dispatch/import_use.h
+++ b/carobshift/server/dispatch/import_use.h
@@ -34,6 +34,8 @@
  private:
   EntryContext& context_;
   std::optional<ImportGrant> grant_;
+  // Whose work the import is for.
+  ServiceName service_;
 };
 
 }  // namespace carobshift
--- a/carobshift/server/tables/request_journal.cc
+++ b/carobshift/server/tables/request_journal.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "carobshift/telemetry/event_log.h"
+
 namespace carobshift {
 namespace {
 
@@ -48,13 +50,23 @@
 void RequestJournal::End(const RequestId& id,
                          MonotonicTime now,
                          ResultCode code) {
-  const std::lock_guard lock(mutex_);
-  const auto it = records_.find(id);
-  if (it == records_.end() || it->second.code)
-    return;
-  it->second.code = code;
-  it->second.duration = now - it->second.begin;
-  --open_;
+  nlohmann::json line;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto it = records_.find(id);
+    if (it == records_.end() || it->second.code)
+      return;
+    Record& record = it->second;
+    record.code = code;
+    record.duration = now - record.begin;
+    --open_;
+    line = {{"request", id.value()},
+            {"account", record.account.value()},
+            {"service", record.service.value()},
+            {"result", ResultCodeName(code)},
+            {"duration_ms", Ms(record.duration)}};
+  }
+  LogEvent(LogLevel::kDebug, "request_ended", std::move(line));
 }
 
 std::optional<nlohmann::json> RequestJournal::Explain(
--- a/carobshift/server/tables/request_journal.h
+++ b/carobshift/server/tables/request_journal.h
@@ -40,6 +40,7 @@
             MonotonicTime now,
             std::string_view what,
             nlohmann::json fields);
+  // Also writes one log line, at the level of debugging.
   void End(const RequestId& id, MonotonicTime now, ResultCode code);
 
   // The request's record, or nothing once it was dropped for newer ones.
--- a/carobshift/server/tasks/cache_task.cc
+++ b/carobshift/server/tasks/cache_task.cc
@@ -54,11 +54,10 @@
   return kEventPollInterval;
 }
 
-NetAddress ExportTask::EngineAddress(const EndpointId& id) const {
-  for (const EndpointInfo& engine :
-       context_.endpoints.All(InstanceKind::kEngine)) {
+EndpointInfo ExportTask::FindEngine(const EndpointId& id) const {
+  for (EndpointInfo& engine : context_.endpoints.All(InstanceKind::kEngine)) {
     if (engine.id == id)
-      return engine.address;
+      return std::move(engine);
   }
   return {};
 }
@@ -70,9 +69,16 @@
   request.store = move.store;
   request.store_address = context_.cache.StoreAddress(move.store);
   request.bytes_per_token = move.bytes_per_token;
-  const auto answer =
-      context_.platform.engines.Export(EngineAddress(move.endpoint), request);
+  const EndpointInfo engine = FindEngine(move.endpoint);
+  const auto answer = context_.platform.engines.Export(engine.address, request);
   context_.cache.OnExportEnd(move, answer, MonotonicNow());
+  if (answer.ok() && engine.status) {
+    context_.metrics.Add("carobshift_service_link_bytes_total",
+                         {{"service", engine.status->role.value()},
+                          {"store", move.store.value()},
+                          {"direction", "export"}},
+                         static_cast<double>(answer.value().bytes));
+  }
   LogEvent(LogLevel::kInfo, answer.ok() ? "export_sealed" : "export_failed",
            {{"endpoint", move.endpoint.value()},
             {"store", move.store.value()},
--- a/carobshift/server/tasks/cache_task.h
+++ b/carobshift/server/tasks/cache_task.h
@@ -40,7 +40,7 @@
 
  private:
   void Export(const ExportMove& move);
-  [[nodiscard]] NetAddress EngineAddress(const EndpointId& id) const;
+  [[nodiscard]] EndpointInfo FindEngine(const EndpointId& id) const;
 
   EntryContext& context_;
 };
--- a/testing/returning_prompt_test.cc
+++ b/testing/returning_prompt_test.cc
@@ -90,6 +90,14 @@
   CHECK(guide.Cache().at("imports") == 1);
   CHECK(guide.Cache().at("imports_rejected") == 0);
   CHECK(warm.first_token < cold.first_token / 2);
+  const std::string metrics =
+      HttpSend(cluster.entry(0).address(), "GET", "/metrics").body;
+  for (const std::string direction : {"export", "import"}) {
+    CHECK(metrics.find("carobshift_service_link_bytes_total{service=\"" +
+                       std::string(kModelService) +
+                       "\",store=\"store-0\",direction=\"" + direction) !=
+          std::string::npos);
+  }
 }
 
 // The store's process is killed between a conversation's turns. Its caller must
