Package of the outside systems' interfaces is called external

Cause: the folder platform/ at the root will hold what translates to the users' platform; a package of the same name inside the product would be read as that. Pure rename, no behaviour changed; sources reformatted for the new include order.

--- a/benchmarks/sim/fake_engine.h
+++ b/benchmarks/sim/fake_engine.h
@@ -21,7 +21,7 @@
 #include "benchmarks/sim/event_loop.h"
 #include "carobshift/base/ids.h"
 #include "carobshift/base/result_code.h"
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 
 namespace carobshift {
 
--- a/carobshift/cache/block_directory.h
+++ b/carobshift/cache/block_directory.h
@@ -36,7 +36,7 @@
 #include "carobshift/cache/block_chain.h"
 #include "carobshift/cache/internal/holder_table.h"
 #include "carobshift/cache/mutation.h"
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 
 namespace carobshift {
 
--- a/carobshift/cache/handle_guard.h
+++ b/carobshift/cache/handle_guard.h
@@ -39,8 +39,8 @@
 #include "carobshift/cache/block_chain.h"
 #include "carobshift/cache/conversation_table.h"
 #include "carobshift/cache/mutation.h"
-#include "carobshift/platform/engine.h"
-#include "carobshift/platform/store.h"
+#include "carobshift/external/engine.h"
+#include "carobshift/external/store.h"
 
 namespace carobshift {
 
--- a/carobshift/cache/import_check.h
+++ b/carobshift/cache/import_check.h
@@ -16,7 +16,7 @@
 #include <cstdint>
 
 #include "carobshift/cache/mutation.h"
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 
 namespace carobshift {
 
--- a/carobshift/cache/store_table.h
+++ b/carobshift/cache/store_table.h
@@ -30,7 +30,7 @@
 #include "carobshift/base/result.h"
 #include "carobshift/base/units.h"
 #include "carobshift/cache/link_budget.h"
-#include "carobshift/platform/store.h"
+#include "carobshift/external/store.h"
 
 namespace carobshift {
 
--- a/carobshift/cmd/carobshiftd_main.cc
+++ b/carobshift/cmd/carobshiftd_main.cc
@@ -15,11 +15,11 @@
 #include <optional>
 #include <string>
 
-#include "carobshift/platform/http_engine_client.h"
-#include "carobshift/platform/http_instance_list.h"
-#include "carobshift/platform/http_log_service.h"
-#include "carobshift/platform/http_plain_service_client.h"
-#include "carobshift/platform/http_store_client.h"
+#include "carobshift/external/http_engine_client.h"
+#include "carobshift/external/http_instance_list.h"
+#include "carobshift/external/http_log_service.h"
+#include "carobshift/external/http_plain_service_client.h"
+#include "carobshift/external/http_store_client.h"
 #include "carobshift/server/entry.h"
 #include "carobshift/server/settings.h"
 #include "carobshift/telemetry/event_log.h"
--- a/carobshift/cmd/config_commands.cc
+++ b/carobshift/cmd/config_commands.cc
@@ -14,8 +14,8 @@
 #include "carobshift/config/config_record.h"
 #include "carobshift/config/declaration_diff.h"
 #include "carobshift/config/declaration_parser.h"
-#include "carobshift/platform/http_instance_list.h"
-#include "carobshift/platform/http_log_service.h"
+#include "carobshift/external/http_instance_list.h"
+#include "carobshift/external/http_log_service.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/config/acceptance.h
+++ b/carobshift/config/acceptance.h
@@ -39,7 +39,7 @@
 #include "carobshift/config/config_record.h"
 #include "carobshift/config/declaration.h"
 #include "carobshift/config/declaration_parser.h"
-#include "carobshift/platform/log_service.h"
+#include "carobshift/external/log_service.h"
 
 namespace carobshift {
 
--- a/carobshift/platform/engine.h
+++ b/carobshift/external/engine.h
@@ -7,8 +7,8 @@
 //
 // Implementations are thread-safe; calls block.
 
-#ifndef CAROBSHIFT_PLATFORM_ENGINE_H_
-#define CAROBSHIFT_PLATFORM_ENGINE_H_
+#ifndef CAROBSHIFT_EXTERNAL_ENGINE_H_
+#define CAROBSHIFT_EXTERNAL_ENGINE_H_
 
 #include <cstdint>
 #include <optional>
@@ -173,4 +173,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_ENGINE_H_
+#endif  // CAROBSHIFT_EXTERNAL_ENGINE_H_
--- a/carobshift/platform/http_engine_client.cc
+++ b/carobshift/external/http_engine_client.cc
@@ -1,12 +1,12 @@
-#include "carobshift/platform/http_engine_client.h"
+#include "carobshift/external/http_engine_client.h"
 
 #include <array>
 #include <string>
 #include <utility>
 
-#include "carobshift/platform/internal/engine_stream.h"
-#include "carobshift/platform/internal/http_exchange.h"
-#include "carobshift/platform/internal/http_json.h"
+#include "carobshift/external/internal/engine_stream.h"
+#include "carobshift/external/internal/http_exchange.h"
+#include "carobshift/external/internal/http_json.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/platform/http_engine_client.h
+++ b/carobshift/external/http_engine_client.h
@@ -4,13 +4,13 @@
 //   HttpEngineClient engines(HttpOptions{});
 //   Status done = engines.Generate(address, request, sink);
 
-#ifndef CAROBSHIFT_PLATFORM_HTTP_ENGINE_CLIENT_H_
-#define CAROBSHIFT_PLATFORM_HTTP_ENGINE_CLIENT_H_
+#ifndef CAROBSHIFT_EXTERNAL_HTTP_ENGINE_CLIENT_H_
+#define CAROBSHIFT_EXTERNAL_HTTP_ENGINE_CLIENT_H_
 
 #include <memory>
 
-#include "carobshift/platform/engine.h"
-#include "carobshift/platform/http_options.h"
+#include "carobshift/external/engine.h"
+#include "carobshift/external/http_options.h"
 
 namespace carobshift {
 
@@ -40,4 +40,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_HTTP_ENGINE_CLIENT_H_
+#endif  // CAROBSHIFT_EXTERNAL_HTTP_ENGINE_CLIENT_H_
--- a/carobshift/platform/http_instance_list.cc
+++ b/carobshift/external/http_instance_list.cc
@@ -1,12 +1,12 @@
-#include "carobshift/platform/http_instance_list.h"
+#include "carobshift/external/http_instance_list.h"
 
 #include <array>
 #include <optional>
 #include <string>
 #include <utility>
 
-#include "carobshift/platform/internal/http_exchange.h"
-#include "carobshift/platform/internal/http_json.h"
+#include "carobshift/external/internal/http_exchange.h"
+#include "carobshift/external/internal/http_json.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/platform/http_instance_list.h
+++ b/carobshift/external/http_instance_list.h
@@ -3,15 +3,15 @@
 //   HttpInstanceList list(address, HttpOptions());
 //   Result<std::vector<ListedInstance>> instances = list.Fetch();
 
-#ifndef CAROBSHIFT_PLATFORM_HTTP_INSTANCE_LIST_H_
-#define CAROBSHIFT_PLATFORM_HTTP_INSTANCE_LIST_H_
+#ifndef CAROBSHIFT_EXTERNAL_HTTP_INSTANCE_LIST_H_
+#define CAROBSHIFT_EXTERNAL_HTTP_INSTANCE_LIST_H_
 
 #include <memory>
 #include <vector>
 
 #include "carobshift/base/net_address.h"
-#include "carobshift/platform/http_options.h"
-#include "carobshift/platform/instance_list.h"
+#include "carobshift/external/http_options.h"
+#include "carobshift/external/instance_list.h"
 
 namespace carobshift {
 
@@ -33,4 +33,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_HTTP_INSTANCE_LIST_H_
+#endif  // CAROBSHIFT_EXTERNAL_HTTP_INSTANCE_LIST_H_
--- a/carobshift/platform/http_log_service.cc
+++ b/carobshift/external/http_log_service.cc
@@ -1,4 +1,4 @@
-#include "carobshift/platform/http_log_service.h"
+#include "carobshift/external/http_log_service.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/URI.h>
@@ -8,8 +8,8 @@
 #include <string>
 #include <utility>
 
-#include "carobshift/platform/internal/http_exchange.h"
-#include "carobshift/platform/internal/http_json.h"
+#include "carobshift/external/internal/http_exchange.h"
+#include "carobshift/external/internal/http_json.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/platform/http_log_service.h
+++ b/carobshift/external/http_log_service.h
@@ -3,15 +3,15 @@
 //   HttpLogService log(address, HttpOptions());
 //   Result<LogOffset> offset = log.Append(LogStream("config"), payload);
 
-#ifndef CAROBSHIFT_PLATFORM_HTTP_LOG_SERVICE_H_
-#define CAROBSHIFT_PLATFORM_HTTP_LOG_SERVICE_H_
+#ifndef CAROBSHIFT_EXTERNAL_HTTP_LOG_SERVICE_H_
+#define CAROBSHIFT_EXTERNAL_HTTP_LOG_SERVICE_H_
 
 #include <memory>
 #include <string_view>
 
 #include "carobshift/base/net_address.h"
-#include "carobshift/platform/http_options.h"
-#include "carobshift/platform/log_service.h"
+#include "carobshift/external/http_options.h"
+#include "carobshift/external/log_service.h"
 
 namespace carobshift {
 
@@ -37,4 +37,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_HTTP_LOG_SERVICE_H_
+#endif  // CAROBSHIFT_EXTERNAL_HTTP_LOG_SERVICE_H_
--- a/carobshift/platform/http_options.h
+++ b/carobshift/external/http_options.h
@@ -4,8 +4,8 @@
 //   options.connect_timeout = Milliseconds(100);
 //   HttpLogService log(address, options);
 
-#ifndef CAROBSHIFT_PLATFORM_HTTP_OPTIONS_H_
-#define CAROBSHIFT_PLATFORM_HTTP_OPTIONS_H_
+#ifndef CAROBSHIFT_EXTERNAL_HTTP_OPTIONS_H_
+#define CAROBSHIFT_EXTERNAL_HTTP_OPTIONS_H_
 
 #include <cstddef>
 
@@ -31,4 +31,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_HTTP_OPTIONS_H_
+#endif  // CAROBSHIFT_EXTERNAL_HTTP_OPTIONS_H_
--- a/carobshift/platform/http_plain_service_client.cc
+++ b/carobshift/external/http_plain_service_client.cc
@@ -1,8 +1,8 @@
-#include "carobshift/platform/http_plain_service_client.h"
+#include "carobshift/external/http_plain_service_client.h"
 
 #include <utility>
 
-#include "carobshift/platform/internal/http_exchange.h"
+#include "carobshift/external/internal/http_exchange.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/platform/http_plain_service_client.h
+++ b/carobshift/external/http_plain_service_client.h
@@ -3,13 +3,13 @@
 //   HttpPlainServiceClient client(HttpOptions{});
 //   PlainResult result = client.Call(address, call);
 
-#ifndef CAROBSHIFT_PLATFORM_HTTP_PLAIN_SERVICE_CLIENT_H_
-#define CAROBSHIFT_PLATFORM_HTTP_PLAIN_SERVICE_CLIENT_H_
+#ifndef CAROBSHIFT_EXTERNAL_HTTP_PLAIN_SERVICE_CLIENT_H_
+#define CAROBSHIFT_EXTERNAL_HTTP_PLAIN_SERVICE_CLIENT_H_
 
 #include <memory>
 
-#include "carobshift/platform/http_options.h"
-#include "carobshift/platform/plain_service.h"
+#include "carobshift/external/http_options.h"
+#include "carobshift/external/plain_service.h"
 
 namespace carobshift {
 
@@ -31,4 +31,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_HTTP_PLAIN_SERVICE_CLIENT_H_
+#endif  // CAROBSHIFT_EXTERNAL_HTTP_PLAIN_SERVICE_CLIENT_H_
--- a/carobshift/platform/http_store_client.cc
+++ b/carobshift/external/http_store_client.cc
@@ -1,10 +1,10 @@
-#include "carobshift/platform/http_store_client.h"
+#include "carobshift/external/http_store_client.h"
 
 #include <string>
 #include <utility>
 
-#include "carobshift/platform/internal/http_exchange.h"
-#include "carobshift/platform/internal/http_json.h"
+#include "carobshift/external/internal/http_exchange.h"
+#include "carobshift/external/internal/http_json.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/platform/http_store_client.h
+++ b/carobshift/external/http_store_client.h
@@ -3,13 +3,13 @@
 //   HttpStoreClient stores(HttpOptions{});
 //   Status pinned = stores.Pin(address, handle, Seconds(10));
 
-#ifndef CAROBSHIFT_PLATFORM_HTTP_STORE_CLIENT_H_
-#define CAROBSHIFT_PLATFORM_HTTP_STORE_CLIENT_H_
+#ifndef CAROBSHIFT_EXTERNAL_HTTP_STORE_CLIENT_H_
+#define CAROBSHIFT_EXTERNAL_HTTP_STORE_CLIENT_H_
 
 #include <memory>
 
-#include "carobshift/platform/http_options.h"
-#include "carobshift/platform/store.h"
+#include "carobshift/external/http_options.h"
+#include "carobshift/external/store.h"
 
 namespace carobshift {
 
@@ -34,4 +34,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_HTTP_STORE_CLIENT_H_
+#endif  // CAROBSHIFT_EXTERNAL_HTTP_STORE_CLIENT_H_
--- a/carobshift/platform/instance_list.h
+++ b/carobshift/external/instance_list.h
@@ -3,8 +3,8 @@
 //
 //   Result<std::vector<ListedInstance>> instances = list.Fetch();
 
-#ifndef CAROBSHIFT_PLATFORM_INSTANCE_LIST_H_
-#define CAROBSHIFT_PLATFORM_INSTANCE_LIST_H_
+#ifndef CAROBSHIFT_EXTERNAL_INSTANCE_LIST_H_
+#define CAROBSHIFT_EXTERNAL_INSTANCE_LIST_H_
 
 #include <string>
 #include <vector>
@@ -45,4 +45,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_INSTANCE_LIST_H_
+#endif  // CAROBSHIFT_EXTERNAL_INSTANCE_LIST_H_
--- a/carobshift/platform/internal/engine_stream.cc
+++ b/carobshift/external/internal/engine_stream.cc
@@ -1,4 +1,4 @@
-#include "carobshift/platform/internal/engine_stream.h"
+#include "carobshift/external/internal/engine_stream.h"
 
 #include <string>
 #include <utility>
--- a/carobshift/platform/internal/engine_stream.h
+++ b/carobshift/external/internal/engine_stream.h
@@ -4,15 +4,15 @@
 //   http.Stream(call, [&](std::string_view line) { return stream.OnLine(line);
 //   }); if (!stream.ended()) ...
 
-#ifndef CAROBSHIFT_PLATFORM_INTERNAL_ENGINE_STREAM_H_
-#define CAROBSHIFT_PLATFORM_INTERNAL_ENGINE_STREAM_H_
+#ifndef CAROBSHIFT_EXTERNAL_INTERNAL_ENGINE_STREAM_H_
+#define CAROBSHIFT_EXTERNAL_INTERNAL_ENGINE_STREAM_H_
 
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string_view>
 
 #include "carobshift/base/result.h"
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 
 namespace carobshift {
 
@@ -43,4 +43,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_INTERNAL_ENGINE_STREAM_H_
+#endif  // CAROBSHIFT_EXTERNAL_INTERNAL_ENGINE_STREAM_H_
--- a/carobshift/platform/internal/http_exchange.cc
+++ b/carobshift/external/internal/http_exchange.cc
@@ -1,4 +1,4 @@
-#include "carobshift/platform/internal/http_exchange.h"
+#include "carobshift/external/internal/http_exchange.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/carobshift/platform/internal/http_exchange.h
+++ b/carobshift/external/internal/http_exchange.h
@@ -8,8 +8,8 @@
 //
 // Thread-safe; Run and Stream block.
 
-#ifndef CAROBSHIFT_PLATFORM_INTERNAL_HTTP_EXCHANGE_H_
-#define CAROBSHIFT_PLATFORM_INTERNAL_HTTP_EXCHANGE_H_
+#ifndef CAROBSHIFT_EXTERNAL_INTERNAL_HTTP_EXCHANGE_H_
+#define CAROBSHIFT_EXTERNAL_INTERNAL_HTTP_EXCHANGE_H_
 
 #include <cstdint>
 #include <deque>
@@ -24,7 +24,7 @@
 
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/units.h"
-#include "carobshift/platform/http_options.h"
+#include "carobshift/external/http_options.h"
 
 namespace carobshift {
 
@@ -121,4 +121,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_INTERNAL_HTTP_EXCHANGE_H_
+#endif  // CAROBSHIFT_EXTERNAL_INTERNAL_HTTP_EXCHANGE_H_
--- a/carobshift/platform/internal/http_json.cc
+++ b/carobshift/external/internal/http_json.cc
@@ -1,4 +1,4 @@
-#include "carobshift/platform/internal/http_json.h"
+#include "carobshift/external/internal/http_json.h"
 
 #include <array>
 #include <optional>
--- a/carobshift/platform/internal/http_json.h
+++ b/carobshift/external/internal/http_json.h
@@ -2,16 +2,16 @@
 //
 //   Result<nlohmann::json> answer = JsonAnswer(reply, fallback);
 
-#ifndef CAROBSHIFT_PLATFORM_INTERNAL_HTTP_JSON_H_
-#define CAROBSHIFT_PLATFORM_INTERNAL_HTTP_JSON_H_
+#ifndef CAROBSHIFT_EXTERNAL_INTERNAL_HTTP_JSON_H_
+#define CAROBSHIFT_EXTERNAL_INTERNAL_HTTP_JSON_H_
 
 #include <nlohmann/json.hpp>
 #include <string_view>
 
 #include "carobshift/base/result.h"
 #include "carobshift/cache/block_chain.h"
-#include "carobshift/platform/engine.h"
-#include "carobshift/platform/internal/http_exchange.h"
+#include "carobshift/external/engine.h"
+#include "carobshift/external/internal/http_exchange.h"
 
 namespace carobshift {
 
@@ -45,4 +45,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_INTERNAL_HTTP_JSON_H_
+#endif  // CAROBSHIFT_EXTERNAL_INTERNAL_HTTP_JSON_H_
--- a/carobshift/platform/log_service.h
+++ b/carobshift/external/log_service.h
@@ -5,8 +5,8 @@
 //
 // Implementations are thread-safe and block up to their request timeout.
 
-#ifndef CAROBSHIFT_PLATFORM_LOG_SERVICE_H_
-#define CAROBSHIFT_PLATFORM_LOG_SERVICE_H_
+#ifndef CAROBSHIFT_EXTERNAL_LOG_SERVICE_H_
+#define CAROBSHIFT_EXTERNAL_LOG_SERVICE_H_
 
 #include <cstddef>
 #include <string>
@@ -56,4 +56,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_LOG_SERVICE_H_
+#endif  // CAROBSHIFT_EXTERNAL_LOG_SERVICE_H_
--- a/carobshift/platform/plain_service.h
+++ b/carobshift/external/plain_service.h
@@ -3,8 +3,8 @@
 //   PlainResult result = client.Call(address, call);
 //   if (!result.answer.ok() && !result.may_have_run) ...  // safe to retry
 
-#ifndef CAROBSHIFT_PLATFORM_PLAIN_SERVICE_H_
-#define CAROBSHIFT_PLATFORM_PLAIN_SERVICE_H_
+#ifndef CAROBSHIFT_EXTERNAL_PLAIN_SERVICE_H_
+#define CAROBSHIFT_EXTERNAL_PLAIN_SERVICE_H_
 
 #include <string>
 
@@ -46,4 +46,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_PLAIN_SERVICE_H_
+#endif  // CAROBSHIFT_EXTERNAL_PLAIN_SERVICE_H_
--- a/carobshift/platform/store.h
+++ b/carobshift/external/store.h
@@ -5,15 +5,15 @@
 //
 // Implementations are thread-safe; calls block.
 
-#ifndef CAROBSHIFT_PLATFORM_STORE_H_
-#define CAROBSHIFT_PLATFORM_STORE_H_
+#ifndef CAROBSHIFT_EXTERNAL_STORE_H_
+#define CAROBSHIFT_EXTERNAL_STORE_H_
 
 #include <cstdint>
 
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/result.h"
 #include "carobshift/base/units.h"
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 
 namespace carobshift {
 
@@ -43,4 +43,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_PLATFORM_STORE_H_
+#endif  // CAROBSHIFT_EXTERNAL_STORE_H_
--- a/carobshift/fleet/endpoint.h
+++ b/carobshift/fleet/endpoint.h
@@ -12,8 +12,8 @@
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/units.h"
 #include "carobshift/config/declaration.h"
-#include "carobshift/platform/engine.h"
-#include "carobshift/platform/instance_list.h"
+#include "carobshift/external/engine.h"
+#include "carobshift/external/instance_list.h"
 
 namespace carobshift {
 
--- a/carobshift/fleet/endpoint_view.h
+++ b/carobshift/fleet/endpoint_view.h
@@ -32,9 +32,9 @@
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
 #include "carobshift/config/declaration.h"
+#include "carobshift/external/engine.h"
+#include "carobshift/external/instance_list.h"
 #include "carobshift/fleet/endpoint.h"
-#include "carobshift/platform/engine.h"
-#include "carobshift/platform/instance_list.h"
 
 namespace carobshift {
 
--- a/carobshift/fleet/fleet_planner.h
+++ b/carobshift/fleet/fleet_planner.h
@@ -38,9 +38,9 @@
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/units.h"
 #include "carobshift/config/declaration.h"
+#include "carobshift/external/engine.h"
 #include "carobshift/fleet/endpoint.h"
 #include "carobshift/fleet/fleet_survey.h"
-#include "carobshift/platform/engine.h"
 
 namespace carobshift {
 
--- a/carobshift/lease/lease.h
+++ b/carobshift/lease/lease.h
@@ -42,8 +42,8 @@
 #include "carobshift/base/ids.h"
 #include "carobshift/base/result.h"
 #include "carobshift/base/units.h"
+#include "carobshift/external/log_service.h"
 #include "carobshift/lease/lease_record.h"
-#include "carobshift/platform/log_service.h"
 
 namespace carobshift {
 
--- a/carobshift/once/free_key_claims.h
+++ b/carobshift/once/free_key_claims.h
@@ -46,9 +46,9 @@
 #include <vector>
 
 #include "carobshift/base/result.h"
+#include "carobshift/external/log_service.h"
 #include "carobshift/once/claim_record.h"
 #include "carobshift/once/run_table.h"
-#include "carobshift/platform/log_service.h"
 
 namespace carobshift {
 
--- a/carobshift/server/dispatch/attempt_sink.h
+++ b/carobshift/server/dispatch/attempt_sink.h
@@ -10,7 +10,7 @@
 #include <optional>
 #include <string_view>
 
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 #include "carobshift/server/dispatch/generate_job.h"
 #include "carobshift/stream/stream_assembler.h"
 
--- a/carobshift/server/dispatch/generate_dispatcher.h
+++ b/carobshift/server/dispatch/generate_dispatcher.h
@@ -9,7 +9,7 @@
 #ifndef CAROBSHIFT_SERVER_DISPATCH_GENERATE_DISPATCHER_H_
 #define CAROBSHIFT_SERVER_DISPATCH_GENERATE_DISPATCHER_H_
 
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 #include "carobshift/server/dispatch/generate_job.h"
 #include "carobshift/server/dispatch/load_control.h"
 #include "carobshift/server/entry_context.h"
--- a/carobshift/server/dispatch/import_use.h
+++ b/carobshift/server/dispatch/import_use.h
@@ -14,7 +14,7 @@
 
 #include <optional>
 
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 #include "carobshift/server/entry_context.h"
 
 namespace carobshift {
--- a/carobshift/server/dispatch/plain_dispatcher.h
+++ b/carobshift/server/dispatch/plain_dispatcher.h
@@ -14,8 +14,8 @@
 #include <optional>
 #include <string>
 
+#include "carobshift/external/plain_service.h"
 #include "carobshift/once/run_table.h"
-#include "carobshift/platform/plain_service.h"
 #include "carobshift/server/dispatch/load_control.h"
 #include "carobshift/server/entry_context.h"
 #include "carobshift/server/http/caller_error.h"
--- a/carobshift/server/entry_context.h
+++ b/carobshift/server/entry_context.h
@@ -9,11 +9,11 @@
 #include <string>
 
 #include "carobshift/base/ids.h"
-#include "carobshift/platform/engine.h"
-#include "carobshift/platform/instance_list.h"
-#include "carobshift/platform/log_service.h"
-#include "carobshift/platform/plain_service.h"
-#include "carobshift/platform/store.h"
+#include "carobshift/external/engine.h"
+#include "carobshift/external/instance_list.h"
+#include "carobshift/external/log_service.h"
+#include "carobshift/external/plain_service.h"
+#include "carobshift/external/store.h"
 #include "carobshift/server/settings.h"
 #include "carobshift/server/tables/cache_table.h"
 #include "carobshift/server/tables/config_table.h"
--- a/carobshift/server/tables/cache_table.h
+++ b/carobshift/server/tables/cache_table.h
@@ -22,7 +22,7 @@
 
 #include "carobshift/cache/block_directory.h"
 #include "carobshift/cache/return_planner.h"
-#include "carobshift/platform/store.h"
+#include "carobshift/external/store.h"
 #include "carobshift/server/tables/endpoint_table.h"
 #include "carobshift/server/tables/service_load.h"
 #include "carobshift/telemetry/metrics.h"
--- a/fuzz/cache_model.h
+++ b/fuzz/cache_model.h
@@ -19,7 +19,7 @@
 #include <vector>
 
 #include "carobshift/cache/import_check.h"
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 
 namespace carobshift {
 
--- a/fuzz/fake_log.h
+++ b/fuzz/fake_log.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "carobshift/base/result.h"
-#include "carobshift/platform/log_service.h"
+#include "carobshift/external/log_service.h"
 #include "fuzz/simulation.h"
 
 namespace carobshift {
--- a/testing/adapters_test.cc
+++ b/testing/adapters_test.cc
@@ -5,11 +5,11 @@
 #include <csignal>
 #include <string>
 
-#include "carobshift/platform/http_engine_client.h"
-#include "carobshift/platform/http_instance_list.h"
-#include "carobshift/platform/http_log_service.h"
-#include "carobshift/platform/http_plain_service_client.h"
-#include "carobshift/platform/http_store_client.h"
+#include "carobshift/external/http_engine_client.h"
+#include "carobshift/external/http_instance_list.h"
+#include "carobshift/external/http_log_service.h"
+#include "carobshift/external/http_plain_service_client.h"
+#include "carobshift/external/http_store_client.h"
 #include "testing/answer_function.h"
 #include "testing/cluster.h"
 #include "testing/http_client.h"
--- a/testing/cluster.cc
+++ b/testing/cluster.cc
@@ -7,7 +7,7 @@
 #include "carobshift/base/digest.h"
 #include "carobshift/base/operator_key.h"
 #include "carobshift/config/config_record.h"
-#include "carobshift/platform/http_log_service.h"
+#include "carobshift/external/http_log_service.h"
 #include "testing/http_client.h"
 
 namespace carobshift {
--- a/testing/once_test.cc
+++ b/testing/once_test.cc
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "carobshift/config/config_record.h"
-#include "carobshift/platform/http_log_service.h"
+#include "carobshift/external/http_log_service.h"
 #include "testing/caller.h"
 #include "testing/cluster.h"
 #include "testing/http_client.h"
--- a/testing/prefix_cache.h
+++ b/testing/prefix_cache.h
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "carobshift/cache/block_chain.h"
-#include "carobshift/platform/engine.h"
+#include "carobshift/external/engine.h"
 
 namespace carobshift {
 
