--- a/carobshift/base/ids.h
+++ b/carobshift/base/ids.h
@@ -29,6 +29,8 @@
 using RegionName = StrongType<struct RegionNameTag, std::string>;
 using ModelName = StrongType<struct ModelNameTag, std::string>;
 using WeightVersion = StrongType<struct WeightVersionTag, std::string>;
+// Weight versions that count upwards, where the platform numbers them.
+using WeightNumber = StrongType<struct WeightNumberTag, std::uint64_t>;
 using AdapterName = StrongType<struct AdapterNameTag, std::string>;
 // One caller request as received by an entry; shown in answers and logs.
 using RequestId = StrongType<struct RequestIdTag, std::string>;
--- a/carobshift/base/units.h
+++ b/carobshift/base/units.h
@@ -6,6 +6,8 @@
 #ifndef CAROBSHIFT_BASE_UNITS_H_
 #define CAROBSHIFT_BASE_UNITS_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 
@@ -17,7 +19,10 @@
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
-// A reading of this process's steady clock. Not comparable between processes.
+// A reading of this machine's clock since boot. Not comparable between machines.
+// It goes on while the machine is suspended: a lease or a deadline that was
+// counted on a clock that stands still meanwhile would look unexpired after the
+// resume, and two holders could order at once.
 using MonotonicTime =
     std::chrono::time_point<std::chrono::steady_clock, Microseconds>;
 
@@ -33,8 +38,12 @@
 
 // The clocks, read only at the edge of the process.
 [[nodiscard]] inline MonotonicTime MonotonicNow() {
-  return std::chrono::time_point_cast<Microseconds>(
-      std::chrono::steady_clock::now());
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  constexpr std::int64_t kNanosecondsPerMicrosecond = 1000;
+  return MonotonicTime(
+      Microseconds(std::int64_t{time.tv_sec} * std::micro::den +
+                   time.tv_nsec / kNanosecondsPerMicrosecond));
 }
 [[nodiscard]] inline WallTime WallNow() {
   return std::chrono::time_point_cast<Milliseconds>(
--- a/carobshift/cmd/carobshiftd_main.cc
+++ b/carobshift/cmd/carobshiftd_main.cc
@@ -1,6 +1,7 @@
 // carobshiftd: the entry process.
 //
 //   carobshiftd --settings entry.yaml --listen 127.0.0.1:8080
+//   carobshiftd gateway        # on the users' platform, see gateway_command.h
 //
 // Prints "listening HOST:PORT" on standard output once it serves; logs JSON
 // lines on standard error. Exits 0 after a planned stop (SIGTERM or SIGINT),
@@ -14,7 +15,9 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "carobshift/cmd/gateway_command.h"
 #include "carobshift/external/http_engine_client.h"
 #include "carobshift/external/http_instance_list.h"
 #include "carobshift/external/http_log_service.h"
@@ -154,5 +157,7 @@
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
+  if (argc > 1 && std::string_view(argv[1]) == "gateway")
+    return carobshift::RunGatewayCommand(argc - 1, argv + 1);
   return carobshift::Run(argc, argv);
 }
--- /dev/null
+++ b/carobshift/cmd/gateway_command.h
@@ -0,0 +1,15 @@
+// carobshiftd gateway: runs one gateway on the users' platform.
+//
+//   carobshiftd gateway [--settings FILE] [--metrics-port N] [--log-level L]
+
+#ifndef CAROBSHIFT_CMD_GATEWAY_COMMAND_H_
+#define CAROBSHIFT_CMD_GATEWAY_COMMAND_H_
+
+namespace carobshift {
+
+// Returns the process's exit code; `argv[0]` is the word "gateway".
+int RunGatewayCommand(int argc, char** argv);
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_CMD_GATEWAY_COMMAND_H_
--- /dev/null
+++ b/carobshift/gateway/endpoint_health.cc
@@ -0,0 +1,68 @@
+#include "carobshift/gateway/endpoint_health.h"
+
+#include <algorithm>
+
+namespace carobshift {
+
+void EndpointHealthBook::OnStart(const EndpointId& id) {
+  ++entries_[id].in_flight;
+}
+
+void EndpointHealthBook::OnEnd(const EndpointId& id) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end() && found->second.in_flight > 0)
+    --found->second.in_flight;
+}
+
+void EndpointHealthBook::OnAnswer(const EndpointId& id) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end())
+    found->second.failures = 0;
+}
+
+void EndpointHealthBook::OnTrouble(const EndpointId& id,
+                                   EndpointTrouble trouble,
+                                   MonotonicTime now) {
+  Entry& entry = entries_[id];
+  if (trouble == EndpointTrouble::kFull) {
+    entry.avoid_until = std::max(entry.avoid_until, now + kFullPause);
+    return;
+  }
+  // Requests that were under way together fail together; they count once.
+  if (entry.failures > 0 && now < entry.avoid_until)
+    return;
+  constexpr int kMaxDoublings = 8;
+  const int doublings = std::min(entry.failures, kMaxDoublings);
+  const Milliseconds pause =
+      std::min(kLongestPause, kFirstPause * (1 << doublings));
+  ++entry.failures;
+  entry.avoid_until = now + pause;
+}
+
+void EndpointHealthBook::Forget(const EndpointId& id) {
+  entries_.erase(id);
+}
+
+int EndpointHealthBook::InFlight(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? 0 : found->second.in_flight;
+}
+
+bool EndpointHealthBook::Avoided(const EndpointId& id,
+                                 MonotonicTime now) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end())
+    return false;
+  const Entry& entry = found->second;
+  return now < entry.avoid_until || (entry.failures > 0 && entry.in_flight > 0);
+}
+
+Milliseconds EndpointHealthBook::AvoidedFor(const EndpointId& id,
+                                            MonotonicTime now) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.avoid_until <= now)
+    return Milliseconds(0);
+  return std::chrono::ceil<Milliseconds>(found->second.avoid_until - now);
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/exchange_run.h
@@ -0,0 +1,72 @@
+// The input and output of one exchange: its caller's connection, its attempt's
+// call and its timer. It passes events on and decides nothing.
+
+#ifndef CAROBSHIFT_GATEWAY_EXCHANGE_RUN_H_
+#define CAROBSHIFT_GATEWAY_EXCHANGE_RUN_H_
+
+#include <memory>
+#include <string_view>
+
+#include "carobshift/gateway/dialect.h"
+#include "carobshift/gateway/exchange.h"
+#include "carobshift/net/http_client.h"
+#include "carobshift/net/http_server_connection.h"
+
+namespace carobshift {
+
+class ExchangeRun : private CallerReply,
+                    private HttpCallListener,
+                    public std::enable_shared_from_this<ExchangeRun> {
+ public:
+  ExchangeRun(EventLoop& loop,
+              const RequestDialect& dialect,
+              std::shared_ptr<HttpServerConnection> caller,
+              ExchangeSetup setup,
+              ServiceDesk& desk);
+  ~ExchangeRun() override;
+
+  void Start();
+  // For ServiceDesk.
+  void StartCall(HttpClient& client,
+                 const NetAddress& address,
+                 std::string bytes,
+                 const HttpCallOptions& options);
+  void DropCall();
+  void PauseCall(bool pause);
+
+  void OnCallerGone();
+  void OnCallerSlow(bool slow) { exchange_.OnCallerSlow(slow); }
+
+  [[nodiscard]] Exchange& exchange() { return exchange_; }
+  // When the endpoint of the attempt last sent something, or was sent the
+  // request.
+  [[nodiscard]] MonotonicTime last_heard() const { return last_heard_; }
+  [[nodiscard]] const ReplyFacts& reply_facts() const { return facts_; }
+
+ private:
+  void SendWhole(HttpHead head, std::string_view body) override;
+  void BeginStream(HttpHead head) override;
+  void SendPiece(std::string_view bytes) override;
+  void EndStream() override;
+  void BreakOff() override;
+
+  ReplyVerdict OnReplyHead(const HttpHead& head,
+                           const HttpMessageInfo& info) override;
+  void OnReplyBody(std::string_view bytes) override;
+  void OnReplyEnd() override;
+  void OnCallFailed(const CallFailure& failure) override;
+
+  EventLoop& loop_;
+  const RequestDialect& dialect_;
+  std::shared_ptr<HttpServerConnection> caller_;
+  Exchange exchange_;
+  ServiceDesk& desk_;
+  std::shared_ptr<ClientCall> call_;
+  TimerId deadline_timer_;
+  MonotonicTime last_heard_{};
+  ReplyFacts facts_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_EXCHANGE_RUN_H_
--- /dev/null
+++ b/carobshift/gateway/gateway_state.cc
@@ -0,0 +1,119 @@
+#include "carobshift/gateway/gateway_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+
+void OperatorRecords::OnRecord(const KeyedRecord& record, MonotonicTime) {
+  if (!record.value)
+    return;
+  Result<OperatorRecord> decoded =
+      dialect_.DecodeOperatorRecord(record.key, *record.value);
+  if (!decoded.ok()) {
+    LogEvent(LogLevel::kWarning, "operator_record_unreadable",
+             {{"key", record.key},
+              {"offset", record.offset.value()},
+              {"reason", decoded.error().message}});
+    return;
+  }
+  if (auto* config = std::get_if<ServingConfig>(&decoded.value()))
+    Apply(std::move(*config), record.offset);
+  else
+    listener_.on_weights(std::get<NamedWeights>(decoded.value()));
+}
+
+void OperatorRecords::Apply(ServingConfig config, LogOffset offset) {
+  if (config_ != nullptr && config.number <= config_->config().number)
+    return;
+  LogEvent(LogLevel::kInfo, "config_in_force",
+           {{"config", config.number.value()},
+            {"offset", offset.value()},
+            {"routes", config.routes.size()},
+            {"accounts", config.accounts.size()}});
+  config_ = std::make_shared<const ConfigInForce>(std::move(config));
+  listener_.on_config(config_);
+}
+
+void OperatorRecords::OnLogLost(std::string_view reason) {
+  LogEvent(LogLevel::kWarning, "log_lost",
+           {{"stream", "operator"}, {"reason", reason}});
+}
+
+void OperatorRecords::OnLogBack(Milliseconds away, MonotonicTime) {
+  LogEvent(LogLevel::kInfo, "log_back",
+           {{"stream", "operator"}, {"away_ms", away.count()}});
+}
+
+void EndpointRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
+  const EndpointId id(record.key);
+  const std::uint64_t before = registry_.revision();
+  if (!record.value) {
+    registry_.Remove(id, CauseAt(now), now);
+  } else {
+    const Result<EndpointRecord> decoded =
+        dialect_.DecodeEndpointRecord(record.key, *record.value);
+    if (decoded.ok()) {
+      registry_.Put(decoded.value(), now);
+    } else {
+      LogEvent(LogLevel::kWarning, "endpoint_record_unreadable",
+               {{"endpoint", record.key}, {"reason", decoded.error().message}});
+      registry_.Remove(id, RemovalCause::kAnnounced, now);
+    }
+  }
+  if (registry_.revision() == before)
+    return;
+  const EndpointRecord* const known = registry_.Find(id);
+  LogEvent(LogLevel::kInfo, "endpoint_changed",
+           {{"endpoint", record.key},
+            {"state", known == nullptr ? "gone"
+                      : known->leaving ? "leaving"
+                                       : "ready"},
+            {"born", known == nullptr ? 0 : known->born.value()},
+            {"offset", record.offset.value()},
+            {"registry", registry_.revision()}});
+  listener_.on_endpoints();
+}
+
+void EndpointRecords::OnSnapshot(const std::vector<std::string>& present,
+                                 MonotonicTime now) {
+  const std::set<std::string> listed(present.begin(), present.end());
+  std::vector<EndpointId> missing;
+  for (const auto& [id, record] : registry_.all()) {
+    if (!listed.contains(id.value()))
+      missing.push_back(id);
+  }
+  bool changed = false;
+  for (const EndpointId& id : missing)
+    changed = registry_.Remove(id, CauseAt(now), now) || changed;
+  if (changed)
+    listener_.on_endpoints();
+}
+
+RemovalCause EndpointRecords::CauseAt(MonotonicTime now) const {
+  return now < returned_until_ ? RemovalCause::kRanOutDuringOutage
+                               : RemovalCause::kAnnounced;
+}
+
+void EndpointRecords::OnLogLost(std::string_view reason) {
+  LogEvent(LogLevel::kWarning, "log_lost",
+           {{"stream", "endpoints"}, {"reason", reason}});
+}
+
+void EndpointRecords::OnLogBack(Milliseconds away, MonotonicTime now) {
+  LogEvent(LogLevel::kInfo, "log_back",
+           {{"stream", "endpoints"}, {"away_ms", away.count()}});
+  if (away >= kNoticeableAbsence)
+    returned_until_ = now + EndpointRegistry::kReturnGrace;
+}
+
+void EndpointRecords::Expire(MonotonicTime now) {
+  const std::uint64_t before = registry_.revision();
+  registry_.Expire(now);
+  if (registry_.revision() != before)
+    listener_.on_endpoints();
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/gateway_state.h
@@ -0,0 +1,85 @@
+// What the operator and the endpoints have written, applied to the tables by
+// which requests are served.
+//
+//   GatewayState state(dialects.log, ...);
+//   KeyedFollower operators(..., state.operator_sink());
+
+#ifndef CAROBSHIFT_GATEWAY_GATEWAY_STATE_H_
+#define CAROBSHIFT_GATEWAY_GATEWAY_STATE_H_
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "carobshift/gateway/dialect.h"
+#include "carobshift/gateway/endpoint_registry.h"
+#include "carobshift/gateway/keyed_follower.h"
+#include "carobshift/gateway/serving_config.h"
+
+namespace carobshift {
+
+// Who wants to know of changes.
+struct GatewayStateListener {
+  std::function<void(std::shared_ptr<const ConfigInForce>)> on_config;
+  std::function<void(const NamedWeights&)> on_weights;
+  std::function<void()> on_endpoints;
+};
+
+// Configuration and named weights. A configuration with a number that isn't
+// higher than the one in force is left out, so that none is ever taken back.
+class OperatorRecords : public KeyedFollowerSink {
+ public:
+  OperatorRecords(const LogDialect& dialect,
+                  const GatewayStateListener& listener)
+      : dialect_(dialect), listener_(listener) {}
+
+  void OnRecord(const KeyedRecord& record, MonotonicTime now) override;
+  void OnSnapshot(const std::vector<std::string>&, MonotonicTime) override {}
+  void OnLogLost(std::string_view reason) override;
+  void OnLogBack(Milliseconds away, MonotonicTime now) override;
+
+  [[nodiscard]] const std::shared_ptr<const ConfigInForce>& config() const {
+    return config_;
+  }
+
+ private:
+  void Apply(ServingConfig config, LogOffset offset);
+
+  const LogDialect& dialect_;
+  const GatewayStateListener& listener_;
+  std::shared_ptr<const ConfigInForce> config_;
+};
+
+// The endpoints' own records.
+class EndpointRecords : public KeyedFollowerSink {
+ public:
+  // An absence of the log that is longer than this may have let entries run
+  // out: they do after three heartbeats.
+  static constexpr Milliseconds kNoticeableAbsence{1500};
+
+  EndpointRecords(const LogDialect& dialect,
+                  EndpointRegistry& registry,
+                  const GatewayStateListener& listener)
+      : dialect_(dialect), registry_(registry), listener_(listener) {}
+
+  void OnRecord(const KeyedRecord& record, MonotonicTime now) override;
+  void OnSnapshot(const std::vector<std::string>& present,
+                  MonotonicTime now) override;
+  void OnLogLost(std::string_view reason) override;
+  void OnLogBack(Milliseconds away, MonotonicTime now) override;
+  void Expire(MonotonicTime now);
+
+ private:
+  [[nodiscard]] RemovalCause CauseAt(MonotonicTime now) const;
+
+  const LogDialect& dialect_;
+  EndpointRegistry& registry_;
+  const GatewayStateListener& listener_;
+  // While this lies ahead, missing entries may be back any moment.
+  MonotonicTime returned_until_{};
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_GATEWAY_STATE_H_
--- /dev/null
+++ b/carobshift/gateway/keyed_follower.cc
@@ -0,0 +1,180 @@
+#include "carobshift/gateway/keyed_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+// Answers without waiting take some milliseconds; under a slow log some
+// hundreds.
+constexpr Milliseconds kPageTimeout{1500};
+constexpr Milliseconds kConnectTimeout{400};
+
+}  // namespace
+
+KeyedFollower::KeyedFollower(EventLoop& loop,
+                             HttpClient& client,
+                             const NetAddress& log,
+                             const LogDialect& dialect,
+                             LogStream stream,
+                             const KeyedFollowerOptions& options,
+                             KeyedFollowerSink& sink)
+    : loop_(loop),
+      client_(client),
+      log_(log),
+      dialect_(dialect),
+      stream_(std::move(stream)),
+      options_(options),
+      sink_(sink) {}
+
+void KeyedFollower::Start() {
+  started_ = loop_.now();
+  ReadPage();
+}
+
+void KeyedFollower::Stop() {
+  stopped_ = true;
+  loop_.CancelTimer(timer_);
+  fetch_.Cancel();
+}
+
+FetchOptions KeyedFollower::CallOptions(Milliseconds wait) const {
+  FetchOptions options;
+  options.call.connect_timeout = kConnectTimeout;
+  options.timeout = wait;
+  return options;
+}
+
+void KeyedFollower::ReadPage() {
+  if (stopped_)
+    return;
+  fetch_.Start(
+      client_, loop_, log_,
+      SerializeRequest(dialect_.EncodeNewest(stream_, after_), log_, ""),
+      CallOptions(kPageTimeout),
+      [this](const FetchOutcome& outcome) { OnPage(outcome); });
+}
+
+void KeyedFollower::OnPage(const FetchOutcome& outcome) {
+  if (!outcome.status) {
+    OnFailure(outcome.reason);
+    return;
+  }
+  const Result<KeyedPage> page =
+      dialect_.DecodeNewest(*outcome.status, outcome.body);
+  if (!page.ok()) {
+    OnFailure(page.error().message);
+    return;
+  }
+  OnAnswer();
+  // The first page's end: what is written while later pages are read lies
+  // behind it and is read after them.
+  if (!snapshot_end_)
+    snapshot_end_ = page.value().end;
+  for (const KeyedRecord& record : page.value().records) {
+    present_.push_back(record.key);
+    Tell(record);
+  }
+  after_ = page.value().more_after;
+  if (after_) {
+    ReadPage();
+    return;
+  }
+  next_ = *std::exchange(snapshot_end_, std::nullopt);
+  caught_up_ = true;
+  sink_.OnSnapshot(std::exchange(present_, {}), loop_.now());
+  ReadOn();
+}
+
+void KeyedFollower::ReadOn() {
+  if (stopped_)
+    return;
+  const MonotonicTime asked = loop_.now();
+  fetch_.Start(
+      client_, loop_, log_,
+      SerializeRequest(dialect_.EncodeRead(stream_, next_, options_.wait), log_,
+                       ""),
+      CallOptions(options_.wait + options_.slack),
+      [this, asked](const FetchOutcome& outcome) { OnBatch(outcome, asked); });
+}
+
+void KeyedFollower::OnBatch(const FetchOutcome& outcome, MonotonicTime asked) {
+  if (!outcome.status) {
+    OnFailure(outcome.reason);
+    return;
+  }
+  const Result<LogBatch> batch =
+      dialect_.DecodeRead(*outcome.status, outcome.body, next_);
+  if (!batch.ok() && batch.error().code == ResultCode::kLogRecordExpired) {
+    LogEvent(LogLevel::kInfo, "log_records_expired",
+             {{"stream", stream_.value()}, {"from", next_.value()}});
+    ReadPage();
+    return;
+  }
+  if (!batch.ok()) {
+    OnFailure(batch.error().message);
+    return;
+  }
+  OnAnswer();
+  for (const LogRecord& record : batch.value().records) {
+    if (const auto keyed = dialect_.DecodeKeyed(record); keyed.ok()) {
+      Tell(keyed.value());
+    } else {
+      LogEvent(
+          LogLevel::kWarning, "log_record_unreadable",
+          {{"stream", stream_.value()}, {"offset", record.offset.value()}});
+    }
+  }
+  next_ = std::max(next_, batch.value().next);
+  const auto passed =
+      std::chrono::duration_cast<Milliseconds>(loop_.now() - asked);
+  Again(std::max(Milliseconds(0), options_.pace - passed),
+        &KeyedFollower::ReadOn);
+}
+
+void KeyedFollower::Tell(const KeyedRecord& record) {
+  const auto [told, first] = told_.emplace(record.key, record.offset);
+  if (!first) {
+    if (record.offset <= told->second)
+      return;
+    told->second = record.offset;
+  }
+  sink_.OnRecord(record, loop_.now());
+}
+
+void KeyedFollower::OnAnswer() {
+  const MonotonicTime before = last_answer_.value_or(started_);
+  last_answer_ = loop_.now();
+  retry_ = Milliseconds(0);
+  if (!std::exchange(lost_, false))
+    return;
+  sink_.OnLogBack(
+      std::chrono::duration_cast<Milliseconds>(loop_.now() - before),
+      loop_.now());
+}
+
+void KeyedFollower::OnFailure(std::string_view reason) {
+  if (!std::exchange(lost_, true))
+    sink_.OnLogLost(reason);
+  retry_ = retry_ == Milliseconds(0)
+               ? options_.first_retry
+               : std::min(options_.longest_retry, retry_ * 2);
+  // Pages begin anew: what was read of them may be outdated when the log is
+  // back.
+  after_.reset();
+  snapshot_end_.reset();
+  present_.clear();
+  Again(retry_, caught_up_ ? &KeyedFollower::ReadOn : &KeyedFollower::ReadPage);
+}
+
+void KeyedFollower::Again(Milliseconds wait, void (KeyedFollower::*read)()) {
+  if (stopped_)
+    return;
+  timer_ =
+      loop_.AddTimer(loop_.now() + wait, [this, read] { (this->*read)(); });
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/keyed_follower.h
@@ -0,0 +1,117 @@
+// Follows a log stream that keeps the newest record of each key, by HTTP calls
+// in the event loop.
+//
+//   KeyedFollower follower(loop, client, address, dialect, stream, options,
+//                          sink);
+//   follower.Start();
+//
+// It reads the newest records once, then every record from there on by reads
+// that wait. What can go wrong, and what is done:
+// - The connection goes silent. A read has a time limit a little above its
+//   wait, so the silence is noticed and the read made anew.
+// - The log has dropped the records that come next (compaction). The newest
+//   records are read again; until they are there, what was known holds.
+// - Pages of the newest records are no snapshot, and reading from their end
+//   may tell a record twice or an older one after a newer. Records are taken
+//   only in the order of their offsets, key by key.
+// - The log turns this process away or is down. Reads go on at a slower pace,
+//   and the sink is told of the loss and of the return.
+
+#ifndef CAROBSHIFT_GATEWAY_KEYED_FOLLOWER_H_
+#define CAROBSHIFT_GATEWAY_KEYED_FOLLOWER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "carobshift/gateway/dialect.h"
+#include "carobshift/net/http_fetch.h"
+
+namespace carobshift {
+
+struct KeyedFollowerOptions {
+  // How long a read waits for a record. Short enough that with the slack a
+  // silent connection is noticed well within the time in which a change must be
+  // in force.
+  Milliseconds wait{800};
+  Milliseconds slack{300};
+  // Between two reads, so that a busy stream is read in batches: each call has
+  // a price.
+  Milliseconds pace{0};
+  // After a failure; doubled up to the second.
+  Milliseconds first_retry{100};
+  Milliseconds longest_retry{800};
+};
+
+class KeyedFollowerSink {
+ public:
+  virtual ~KeyedFollowerSink() = default;
+  // A record that is newer than all told of its key.
+  virtual void OnRecord(const KeyedRecord& record, MonotonicTime now) = 0;
+  // All newest records were told; keys not in `present` are gone.
+  virtual void OnSnapshot(const std::vector<std::string>& present,
+                          MonotonicTime now) = 0;
+  virtual void OnLogLost(std::string_view reason) = 0;
+  // After `away` without an answer.
+  virtual void OnLogBack(Milliseconds away, MonotonicTime now) = 0;
+};
+
+class KeyedFollower {
+ public:
+  KeyedFollower(EventLoop& loop,
+                HttpClient& client,
+                const NetAddress& log,
+                const LogDialect& dialect,
+                LogStream stream,
+                const KeyedFollowerOptions& options,
+                KeyedFollowerSink& sink);
+
+  void Start();
+  void Stop();
+
+  // When the log last answered; nothing before the first answer.
+  [[nodiscard]] std::optional<MonotonicTime> last_answer() const {
+    return last_answer_;
+  }
+  [[nodiscard]] LogOffset next() const { return next_; }
+  // Whether the newest records have been read once.
+  [[nodiscard]] bool caught_up() const { return caught_up_; }
+
+ private:
+  void ReadPage();
+  void OnPage(const FetchOutcome& outcome);
+  void ReadOn();
+  void OnBatch(const FetchOutcome& outcome, MonotonicTime asked);
+  void OnAnswer();
+  void OnFailure(std::string_view reason);
+  void Again(Milliseconds wait, void (KeyedFollower::*read)());
+  void Tell(const KeyedRecord& record);
+  [[nodiscard]] FetchOptions CallOptions(Milliseconds wait) const;
+
+  EventLoop& loop_;
+  HttpClient& client_;
+  NetAddress log_;
+  const LogDialect& dialect_;
+  LogStream stream_;
+  KeyedFollowerOptions options_;
+  KeyedFollowerSink& sink_;
+  HttpFetch fetch_;
+  TimerId timer_;
+  bool stopped_ = false;
+  bool caught_up_ = false;
+  bool lost_ = false;
+  // Of the page being read.
+  std::optional<std::string> after_;
+  std::optional<LogOffset> snapshot_end_;
+  std::vector<std::string> present_;
+  LogOffset next_;
+  std::map<std::string, LogOffset> told_;
+  std::optional<MonotonicTime> last_answer_;
+  MonotonicTime started_{};
+  Milliseconds retry_{0};
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_KEYED_FOLLOWER_H_
--- /dev/null
+++ b/carobshift/gateway/query_service.cc
@@ -0,0 +1,36 @@
+#include "carobshift/gateway/query_service.h"
+
+#include <utility>
+
+namespace carobshift {
+
+Status QueryService::Listen(const NetAddress& address) {
+  auto listener = TcpListener::Open(
+      loop_, address, [this](const Poco::Net::StreamSocket& socket) {
+        const auto connection =
+            HttpServerConnection::Open(loop_, socket, {}, {}, *this);
+        connections_[connection.get()] = connection;
+      });
+  if (!listener.ok())
+    return listener.error();
+  listener_ = listener.value();
+  return {};
+}
+
+void QueryService::Close() {
+  if (listener_ != nullptr)
+    listener_->Close();
+}
+
+void QueryService::OnRequest(
+    const std::shared_ptr<HttpServerConnection>& connection,
+    HttpServerRequest request) {
+  QueryAnswer answer = answer_(request.head);
+  HttpHead head;
+  head.status = answer.status;
+  if (!answer.content_type.empty())
+    head.fields.push_back({"Content-Type", std::move(answer.content_type)});
+  connection->SendWhole(std::move(head), answer.body);
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/query_service.h
@@ -0,0 +1,57 @@
+// Answers short questions on a port of its own: readiness, addresses, metrics.
+//
+//   QueryService queries(loop, [](const HttpHead& question) {
+//     return QueryAnswer{200, "text/plain", "ready"};
+//   });
+//   queries.Listen(address);
+
+#ifndef CAROBSHIFT_GATEWAY_QUERY_SERVICE_H_
+#define CAROBSHIFT_GATEWAY_QUERY_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "carobshift/base/net_address.h"
+#include "carobshift/base/result.h"
+#include "carobshift/net/http_server_connection.h"
+#include "carobshift/net/tcp_listener.h"
+
+namespace carobshift {
+
+struct QueryAnswer {
+  int status = 200;
+  std::string content_type;
+  std::string body;
+};
+
+class QueryService : private HttpServerHandler {
+ public:
+  using Answer = std::function<QueryAnswer(const HttpHead&)>;
+
+  QueryService(EventLoop& loop, Answer answer)
+      : loop_(loop), answer_(std::move(answer)) {}
+
+  [[nodiscard]] Status Listen(const NetAddress& address);
+  void Close();
+
+ private:
+  void OnRequest(const std::shared_ptr<HttpServerConnection>& connection,
+                 HttpServerRequest request) override;
+  void OnCallerGone(HttpServerConnection&) override {}
+  void OnConnectionEnd(HttpServerConnection& connection) override {
+    connections_.erase(&connection);
+  }
+
+  EventLoop& loop_;
+  Answer answer_;
+  std::shared_ptr<TcpListener> listener_;
+  std::unordered_map<HttpServerConnection*,
+                     std::shared_ptr<HttpServerConnection>>
+      connections_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_QUERY_SERVICE_H_
--- /dev/null
+++ b/carobshift/gateway/request_service.cc
@@ -0,0 +1,357 @@
+#include "carobshift/gateway/request_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "carobshift/gateway/failure_reply.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// Callers of an instance that has just started find it, or another one, ready
+// by then.
+constexpr Milliseconds kReturnWithoutConfig{300};
+// Of an endpoint's connections, so that instances which count their number
+// differently stay below the limit together.
+constexpr double kConnectionShare = 0.9;
+
+std::int64_t MillisecondsSince(MonotonicTime since, MonotonicTime now) {
+  return std::chrono::duration_cast<Milliseconds>(now - since).count();
+}
+
+}  // namespace
+
+RequestService::RequestService(EventLoop& loop,
+                               HttpClient& client,
+                               const RequestDialect& dialect,
+                               EndpointRegistry& registry,
+                               StoreContents& contents,
+                               Metrics& metrics,
+                               const RequestServiceOptions& options)
+    : loop_(loop),
+      client_(client),
+      dialect_(dialect),
+      registry_(registry),
+      metrics_(metrics),
+      options_(options),
+      planner_(registry, health_, contents),
+      allowance_(options.retries) {}
+
+RequestService::~RequestService() {
+  runs_.clear();
+}
+
+void RequestService::Accept(const Poco::Net::StreamSocket& socket) {
+  HttpServerLimits limits;
+  if (config_ != nullptr) {
+    const CallerLimits& declared = config_->config().limits;
+    limits.head_bytes = declared.head_bytes;
+    limits.body_bytes = declared.body_bytes;
+    limits.head_timeout = declared.head_timeout;
+    limits.idle_timeout = declared.idle_timeout;
+  }
+  const auto connection =
+      HttpServerConnection::Open(loop_, socket, limits, {}, *this);
+  connections_[connection.get()] = connection;
+  if (stopping_)
+    connection->CloseWhenIdle();
+}
+
+void RequestService::SetConfig(std::shared_ptr<const ConfigInForce> config) {
+  config_ = std::move(config);
+  planner_.SetConfig(config_->config());
+  SetConnectionLimits();
+}
+
+void RequestService::SetLiveEntries(int count) {
+  allowance_.OnMembers(count, loop_.now());
+  if (count == live_entries_)
+    return;
+  live_entries_ = count;
+  SetConnectionLimits();
+}
+
+void RequestService::OnEndpointsChanged() {
+  std::map<EndpointId, NetAddress> now_known;
+  for (const auto& [id, record] : registry_.all())
+    now_known[id] = record.address;
+  for (const auto& [id, address] : addresses_) {
+    if (now_known.contains(id))
+      continue;
+    client_.ForgetAddress(address);
+    health_.Forget(id);
+    planner_.ForgetWeights(id);
+  }
+  addresses_ = std::move(now_known);
+  SetConnectionLimits();
+}
+
+void RequestService::SetConnectionLimits() {
+  if (config_ == nullptr)
+    return;
+  for (const auto& [id, record] : registry_.all()) {
+    const DeclaredService* const service =
+        config_->config().FindService(record.service);
+    if (service == nullptr || service->connection_limit <= 0)
+      continue;
+    const int share = static_cast<int>(service->connection_limit *
+                                       kConnectionShare / live_entries_);
+    client_.SetConnectionLimit(record.address, std::max(1, share));
+  }
+}
+
+void RequestService::BeginStop() {
+  stopping_ = true;
+  std::vector<std::shared_ptr<HttpServerConnection>> all;
+  for (const auto& [key, connection] : connections_)
+    all.push_back(connection);
+  for (const auto& connection : all)
+    connection->CloseWhenIdle();
+}
+
+void RequestService::OnRequest(
+    const std::shared_ptr<HttpServerConnection>& connection,
+    HttpServerRequest received) {
+  Result<CallerRequest> decoded = dialect_.DecodeRequest(received.head);
+  if (!decoded.ok()) {
+    Reject(*connection, RequestId(), kBadRequest, decoded.error().code,
+           RunState::kNotRun);
+    return;
+  }
+  CallerRequest& request = decoded.value();
+  request.body = std::move(received.body);
+  if (config_ == nullptr) {
+    Reject(*connection, request.id, kUnavailable, ResultCode::kNoConfig,
+           RunState::kNotRun);
+    return;
+  }
+  const Route* const route =
+      config_->routes().Find(request.host, request.target);
+  if (route == nullptr) {
+    Reject(*connection, request.id, kNotFound, ResultCode::kUnknownRoute,
+           RunState::kNotRun);
+    return;
+  }
+  const Account* account = nullptr;
+  if (!config_->config().accounts.empty() && !request.key.empty())
+    account = config_->AccountOfKey(request.key);
+  if (account == nullptr && !route->anonymous &&
+      !config_->config().accounts.empty()) {
+    Reject(*connection, request.id, kUnauthorized, ResultCode::kUnauthenticated,
+           RunState::kNotRun);
+    return;
+  }
+  const ServiceName service =
+      ChooseService(*route, PlacementHash(request.id.value()));
+  allowance_.OnRequest(service, loop_.now());
+  ExchangeSetup setup{.request = std::move(request),
+                      .config = config_,
+                      .route = route,
+                      .account = account,
+                      .service = service,
+                      .arrived = loop_.now()};
+  ServiceDesk& desk = *this;
+  const auto run = std::make_shared<ExchangeRun>(loop_, dialect_, connection,
+                                                 std::move(setup), desk);
+  Exchange* const exchange = &run->exchange();
+  runs_[exchange] = {run, connection.get(), {}, false};
+  by_connection_[connection.get()] = exchange;
+  run->Start();
+}
+
+void RequestService::Reject(HttpServerConnection& connection,
+                            const RequestId& id,
+                            int status,
+                            ResultCode code,
+                            RunState run_state) {
+  metrics_.Add("carobshift_rejected_total", {{"code", ResultCodeName(code)}},
+               1);
+  LogEvent(
+      LogLevel::kInfo, "request_rejected",
+      {{"request", id.value()},
+       {"status", status},
+       {"code", ResultCodeName(code)},
+       {"config", config_ == nullptr ? 0 : config_->config().number.value()}});
+  std::optional<Milliseconds> return_after;
+  if (status == kUnavailable)
+    return_after = kReturnWithoutConfig;
+  connection.SendWhole(FailureHead(status, return_after),
+                       FailureBody(code, RunStateName(run_state)));
+}
+
+void RequestService::OnMalformed(int status) {
+  metrics_.Add("carobshift_malformed_total", {}, 1);
+  LogEvent(LogLevel::kInfo, "request_malformed", {{"status", status}});
+}
+
+void RequestService::OnCallerGone(HttpServerConnection& connection) {
+  const auto found = by_connection_.find(&connection);
+  if (found == by_connection_.end())
+    return;
+  const auto run = runs_.at(found->second).run;
+  run->OnCallerGone();
+}
+
+void RequestService::OnPause(HttpServerConnection& connection, bool pause) {
+  const auto found = by_connection_.find(&connection);
+  if (found != by_connection_.end())
+    runs_.at(found->second).run->OnCallerSlow(pause);
+}
+
+void RequestService::OnConnectionEnd(HttpServerConnection& connection) {
+  connections_.erase(&connection);
+}
+
+NoAttempt RequestService::StartAttempt(Exchange& exchange,
+                                       const AttemptWish& wish,
+                                       EndpointId* endpoint) {
+  const ExchangeSetup& setup = exchange.setup();
+  auto plan = planner_.Plan(setup, wish, loop_.now());
+  if (!plan)
+    return NoAttempt::kNoEndpoint;
+  if (wish.repeat && !allowance_.TrySpend(setup.service, loop_.now()))
+    return NoAttempt::kNoAllowance;
+  Running& running = runs_.at(&exchange);
+  running.endpoint = plan->endpoint.id;
+  running.attempt = true;
+  health_.OnStart(plan->endpoint.id);
+  HttpCallOptions options;
+  options.connect_timeout = options_.connect_timeout;
+  options.is_head_request = setup.request.method == "HEAD";
+  if (!setup.route->MayRunAgain())
+    options.max_idle = options_.once_max_idle;
+  *endpoint = plan->endpoint.id;
+  std::string bytes = dialect_.EncodeAttempt(setup.request, plan->fields);
+  bytes += setup.request.body;
+  running.run->StartCall(client_, plan->endpoint.address, std::move(bytes),
+                         options);
+  return NoAttempt::kNone;
+}
+
+void RequestService::EndAttempt(Exchange& exchange) {
+  Running& running = runs_.at(&exchange);
+  if (!running.attempt)
+    return;
+  running.attempt = false;
+  health_.OnEnd(running.endpoint);
+}
+
+void RequestService::DropAttempt(Exchange& exchange) {
+  EndAttempt(exchange);
+  runs_.at(&exchange).run->DropCall();
+}
+
+void RequestService::PauseAttempt(Exchange& exchange, bool pause) {
+  runs_.at(&exchange).run->PauseCall(pause);
+}
+
+Milliseconds RequestService::ReturnAfter(const Exchange& exchange) {
+  return planner_.ReturnAfter(exchange.setup().service, loop_.now());
+}
+
+void RequestService::OnAttemptReply(Exchange& exchange,
+                                    const ReplyFacts& facts) {
+  const EndpointId& endpoint = runs_.at(&exchange).endpoint;
+  const auto& prompt = exchange.request().prompt;
+  if (facts.weights && prompt)
+    planner_.NoteWeights(endpoint, prompt->model, *facts.weights);
+  if (facts.not_run && !facts.misdirected)
+    health_.OnTrouble(endpoint, EndpointTrouble::kFull, loop_.now());
+  else
+    health_.OnAnswer(endpoint);
+}
+
+void RequestService::OnAttemptEnd(Exchange& exchange) {
+  EndAttempt(exchange);
+}
+
+void RequestService::OnAttemptFailure(Exchange& exchange,
+                                      const CallFailure& failure) {
+  EndAttempt(exchange);
+  const EndpointId& endpoint = runs_.at(&exchange).endpoint;
+  if (failure.fault == CallFault::kConnectionLimit)
+    return;
+  // A kept connection that had died tells nothing of the endpoint.
+  if (failure.reused && failure.fault == CallFault::kBroken)
+    return;
+  const auto trouble = failure.fault == CallFault::kNotConnected
+                           ? EndpointTrouble::kNotConnected
+                           : EndpointTrouble::kBroken;
+  health_.OnTrouble(endpoint, trouble, loop_.now());
+  LogEvent(LogLevel::kInfo, "attempt_failed",
+           {{"request", exchange.request().id.value()},
+            {"endpoint", endpoint.value()},
+            {"fault", static_cast<int>(failure.fault)},
+            {"sent", failure.sent},
+            {"reused", failure.reused},
+            {"registry", registry_.revision()}});
+}
+
+void RequestService::OnExchangeEnd(Exchange& exchange) {
+  LogEnd(exchange);
+  const auto found = runs_.find(&exchange);
+  const auto run = found->second.run;
+  by_connection_.erase(found->second.connection);
+  runs_.erase(found);
+  // The exchange's own function that led here has yet to return.
+  loop_.AddTimer(loop_.now(), [run] {});
+}
+
+void RequestService::LogEnd(const Exchange& exchange) {
+  const ExchangeSummary& summary = exchange.summary();
+  const ExchangeSetup& setup = exchange.setup();
+  const MonotonicTime now = loop_.now();
+  metrics_.Add("carobshift_requests_total",
+               {{"service", setup.service.value()},
+                {"code", ResultCodeName(summary.code)}},
+               1);
+  metrics_.Observe("carobshift_request_seconds",
+                   {{"service", setup.service.value()}}, now - setup.arrived);
+  nlohmann::json fields = {{"request", setup.request.id.value()},
+                           {"route", setup.route->name},
+                           {"status", summary.status},
+                           {"code", ResultCodeName(summary.code)},
+                           {"endpoint", summary.last_endpoint.value()},
+                           {"attempts", summary.attempts},
+                           {"ms", MillisecondsSince(setup.arrived, now)},
+                           {"config", setup.config->config().number.value()},
+                           {"registry", registry_.revision()}};
+  if (summary.resumes > 0)
+    fields["resumes"] = summary.resumes;
+  if (summary.first_byte)
+    fields["first_ms"] = MillisecondsSince(setup.arrived, *summary.first_byte);
+  if (setup.account != nullptr)
+    fields["account"] = setup.account->name.value();
+  LogEvent(LogLevel::kInfo, "request_done", std::move(fields));
+}
+
+void RequestService::OnTick() {
+  const MonotonicTime now = loop_.now();
+  // The youngest word of each endpoint with streams under way.
+  std::unordered_map<EndpointId, MonotonicTime> heard;
+  for (const auto& [exchange, running] : runs_) {
+    if (!running.attempt)
+      continue;
+    MonotonicTime& latest = heard[running.endpoint];
+    latest = std::max(latest, running.run->last_heard());
+  }
+  std::vector<std::shared_ptr<ExchangeRun>> silent;
+  for (const auto& [exchange, running] : runs_) {
+    if (!running.attempt || !exchange->streaming())
+      continue;
+    if (now - heard[running.endpoint] < options_.stream_silence)
+      continue;
+    health_.OnTrouble(running.endpoint, EndpointTrouble::kBroken, now);
+    silent.push_back(running.run);
+  }
+  for (const auto& run : silent)
+    run->exchange().OnEndpointSilent(now);
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/request_service.h
@@ -0,0 +1,135 @@
+// Serves callers: reads their requests, finds route and account, and runs an
+// exchange for each on an endpoint of the route's service.
+//
+//   RequestService service(loop, client, dialect, tables, options);
+//   service.SetConfig(config);
+//   service.Accept(socket);
+//   service.BeginStop();
+
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_SERVICE_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_SERVICE_H_
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "carobshift/gateway/attempt_planner.h"
+#include "carobshift/gateway/dialect.h"
+#include "carobshift/gateway/endpoint_health.h"
+#include "carobshift/gateway/endpoint_registry.h"
+#include "carobshift/gateway/exchange_run.h"
+#include "carobshift/gateway/retry_allowance.h"
+#include "carobshift/gateway/serving_config.h"
+#include "carobshift/gateway/store_contents.h"
+#include "carobshift/net/http_server_connection.h"
+#include "carobshift/telemetry/metrics.h"
+
+namespace carobshift {
+
+struct RequestServiceOptions {
+  RetryLimits retries;
+  // Connecting to an endpoint takes a round trip of some milliseconds. One that
+  // has not come about by then is lost or its endpoint is dark.
+  Milliseconds connect_timeout{200};
+  // How long a kept connection may have been idle for a request that may run
+  // only once: if the connection has died unnoticed, its outcome is open.
+  Milliseconds once_max_idle{1000};
+  // Without a word for this long, an endpoint with streams under way is taken
+  // for dark: engines send something every few dozen milliseconds.
+  Milliseconds stream_silence{600};
+};
+
+class RequestService : private HttpServerHandler, private ServiceDesk {
+ public:
+  RequestService(EventLoop& loop,
+                 HttpClient& client,
+                 const RequestDialect& dialect,
+                 EndpointRegistry& registry,
+                 StoreContents& contents,
+                 Metrics& metrics,
+                 const RequestServiceOptions& options);
+  ~RequestService() override;
+
+  void Accept(const Poco::Net::StreamSocket& socket);
+  void SetConfig(std::shared_ptr<const ConfigInForce> config);
+  // After the registry has changed.
+  void OnEndpointsChanged();
+  void SetDraining(std::set<EndpointId> draining) {
+    planner_.SetDraining(std::move(draining));
+  }
+  // Entries that live, this one included.
+  void SetLiveEntries(int count);
+  // To be called about every kTick.
+  void OnTick();
+
+  // Callers are told to connect elsewhere; requests under way go on.
+  void BeginStop();
+  [[nodiscard]] std::size_t open_requests() const { return runs_.size(); }
+  [[nodiscard]] std::size_t open_connections() const {
+    return connections_.size();
+  }
+  [[nodiscard]] bool has_config() const { return config_ != nullptr; }
+
+ private:
+  void OnRequest(const std::shared_ptr<HttpServerConnection>& connection,
+                 HttpServerRequest request) override;
+  void OnCallerGone(HttpServerConnection& connection) override;
+  void OnPause(HttpServerConnection& connection, bool pause) override;
+  void OnConnectionEnd(HttpServerConnection& connection) override;
+  void OnMalformed(int status) override;
+
+  NoAttempt StartAttempt(Exchange& exchange,
+                         const AttemptWish& wish,
+                         EndpointId* endpoint) override;
+  void DropAttempt(Exchange& exchange) override;
+  void PauseAttempt(Exchange& exchange, bool pause) override;
+  void OnAttemptReply(Exchange& exchange, const ReplyFacts& facts) override;
+  void OnAttemptEnd(Exchange& exchange) override;
+  void OnAttemptFailure(Exchange& exchange,
+                        const CallFailure& failure) override;
+  Milliseconds ReturnAfter(const Exchange& exchange) override;
+  void OnExchangeEnd(Exchange& exchange) override;
+
+  // Answers without an endpoint.
+  void Reject(HttpServerConnection& connection,
+              const RequestId& id,
+              int status,
+              ResultCode code,
+              RunState run_state);
+  void LogEnd(const Exchange& exchange);
+  void EndAttempt(Exchange& exchange);
+  void SetConnectionLimits();
+
+  struct Running {
+    std::shared_ptr<ExchangeRun> run;
+    HttpServerConnection* connection = nullptr;
+    EndpointId endpoint;
+    bool attempt = false;
+  };
+
+  EventLoop& loop_;
+  HttpClient& client_;
+  const RequestDialect& dialect_;
+  EndpointRegistry& registry_;
+  Metrics& metrics_;
+  RequestServiceOptions options_;
+  EndpointHealthBook health_;
+  AttemptPlanner planner_;
+  RetryAllowance allowance_;
+  std::shared_ptr<const ConfigInForce> config_;
+  std::unordered_map<HttpServerConnection*,
+                     std::shared_ptr<HttpServerConnection>>
+      connections_;
+  std::unordered_map<HttpServerConnection*, Exchange*> by_connection_;
+  std::unordered_map<Exchange*, Running> runs_;
+  std::map<EndpointId, NetAddress> addresses_;
+  int live_entries_ = 1;
+  bool stopping_ = false;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_SERVICE_H_
--- /dev/null
+++ b/carobshift/gateway/retry_allowance.cc
@@ -0,0 +1,60 @@
+#include "carobshift/gateway/retry_allowance.h"
+
+namespace carobshift {
+
+std::int64_t WindowCount::StepOf(Milliseconds window, MonotonicTime now) {
+  const Microseconds step = Microseconds(window) / kSlots;
+  return now.time_since_epoch() / step;
+}
+
+void WindowCount::Add(double amount, Milliseconds window, MonotonicTime now) {
+  const std::int64_t step = StepOf(window, now);
+  Slot& slot = slots_[static_cast<std::size_t>(step) % slots_.size()];
+  if (slot.step != step)
+    slot = {step, 0};
+  slot.amount += amount;
+}
+
+double WindowCount::Sum(Milliseconds window, MonotonicTime now) const {
+  const std::int64_t step = StepOf(window, now);
+  double sum = 0;
+  for (const Slot& slot : slots_) {
+    if (slot.step >= 0 && step - slot.step <= kSlots)
+      sum += slot.amount;
+  }
+  return sum;
+}
+
+void RetryAllowance::OnRequest(const ServiceName& service, MonotonicTime now) {
+  counts_[service].requests.Add(1, limits_.window, now);
+}
+
+void RetryAllowance::OnMembers(int live_entries, MonotonicTime now) {
+  if (live_entries < members_ && now - members_seen_ < kMemberMemory)
+    return;
+  members_ = live_entries;
+  members_seen_ = now;
+}
+
+double RetryAllowance::Left(const ServiceName& service,
+                            MonotonicTime now) const {
+  const auto found = counts_.find(service);
+  const double requests = found == counts_.end()
+                              ? 0
+                              : found->second.requests.Sum(limits_.window, now);
+  const double repeats = found == counts_.end()
+                             ? 0
+                             : found->second.repeats.Sum(limits_.window, now);
+  const double allowed =
+      kSafety * (limits_.share * requests + limits_.extra / members_);
+  return allowed - repeats;
+}
+
+bool RetryAllowance::TrySpend(const ServiceName& service, MonotonicTime now) {
+  if (Left(service, now) < 1)
+    return false;
+  counts_[service].repeats.Add(1, limits_.window, now);
+  return true;
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/weight_rollout.h
@@ -0,0 +1,107 @@
+// In which order engines are brought to the weights that the operator named.
+//
+//   WeightRollout rollout(options);
+//   rollout.SetTarget(model, number);
+//   for (const RolloutStep& step : rollout.Next(engines, now)) ...
+//
+// Load pattern: new weights are named while callers keep coming. An engine that
+// loads weights serves nothing for about two seconds and forgets its cached
+// prompts; all at once would refuse everybody, one after the other would leave
+// callers on old weights for half a minute. Loads slow each other down beyond a
+// few at once.
+//
+// How: a share of a model's engines at a time. The next ones are kept free of
+// new work while their forerunners load, so that they have nothing left to
+// finish when their turn comes. Where engines have different numbers already,
+// those furthest behind go first.
+//
+// Figures: a sixth of the engines at once; by the platform's sheets loads take
+// longer beyond that. kOrderLife is after which an order without effect is
+// given again: a load takes up to two seconds and the engine finishes its runs
+// first.
+//
+// Thread-compatible. Not a lease: whoever calls it must hold one.
+
+#ifndef CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_H_
+#define CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "carobshift/base/ids.h"
+#include "carobshift/base/units.h"
+
+namespace carobshift {
+
+struct RolloutOptions {
+  double share_at_once = 1.0 / 6;
+  // For which an engine is kept free of new work before its order.
+  Milliseconds drain{250};
+  Milliseconds order_life{5000};
+};
+
+// An engine as the rollout sees it.
+struct RolloutEngine {
+  EndpointId id;
+  ModelName model;
+  WeightNumber weights{};
+};
+
+enum class RolloutStepKind {
+  // Keep the engine free of new work.
+  kDrain,
+  // Order the engine to load.
+  kOrder,
+};
+
+struct RolloutStep {
+  RolloutStepKind kind = RolloutStepKind::kDrain;
+  EndpointId endpoint;
+  ModelName model;
+  WeightNumber number{};
+};
+
+class WeightRollout {
+ public:
+  explicit WeightRollout(const RolloutOptions& options) : options_(options) {}
+
+  // A lower number than the present target is ignored.
+  void SetTarget(const ModelName& model, WeightNumber number);
+  [[nodiscard]] std::optional<WeightNumber> Target(
+      const ModelName& model) const;
+
+  // Whether some engine has older weights than named.
+  [[nodiscard]] bool HasWork(const std::vector<RolloutEngine>& engines) const;
+
+  // What to do now; each step is returned once, until it proves without effect.
+  [[nodiscard]] std::vector<RolloutStep> Next(
+      const std::vector<RolloutEngine>& engines,
+      MonotonicTime now);
+  // The order was not accepted, or its fate is unknown: it is given again
+  // `wait` later.
+  void OnOrderFailed(const EndpointId& endpoint,
+                     Milliseconds wait,
+                     MonotonicTime now);
+
+ private:
+  struct Progress {
+    WeightNumber number{};
+    // Nothing before the drain has begun.
+    std::optional<MonotonicTime> drained_at;
+    std::optional<MonotonicTime> ordered_at;
+    // No order before this.
+    MonotonicTime not_before{};
+  };
+
+  [[nodiscard]] bool IsBehind(const RolloutEngine& engine) const;
+  void Forget(const std::vector<RolloutEngine>& engines, MonotonicTime now);
+
+  RolloutOptions options_;
+  std::map<ModelName, WeightNumber> targets_;
+  std::map<EndpointId, Progress> progress_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_H_
--- /dev/null
+++ b/carobshift/gateway/weight_steward.cc
@@ -0,0 +1,255 @@
+#include "carobshift/gateway/weight_steward.h"
+
+#include <utility>
+
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+constexpr char kLeaseStream[] = "carobshift-lease";
+constexpr Milliseconds kLeaseCallTimeout{900};
+constexpr Milliseconds kOrderTimeout{800};
+constexpr Milliseconds kConnectTimeout{300};
+// An engine that is busy with another order, or didn't answer, is asked again
+// after about the time that a load takes at its shortest.
+constexpr Milliseconds kAskAgain{500};
+// Of the announcement that an engine is kept free: as long as its load may
+// take. It ends earlier when the engine shows its new weights.
+constexpr Milliseconds kDrainLife{4000};
+
+LeaseOptions LeaseOptionsOf(const GatewaySettings& settings) {
+  LeaseOptions options;
+  options.duration = settings.lease;
+  options.order_timeout = kOrderTimeout;
+  return options;
+}
+
+FetchOptions CallOptions(Milliseconds timeout) {
+  FetchOptions options;
+  options.call.connect_timeout = kConnectTimeout;
+  options.timeout = timeout;
+  return options;
+}
+
+}  // namespace
+
+WeightSteward::WeightSteward(EventLoop& loop,
+                             HttpClient& client,
+                             const GatewaySettings& settings,
+                             const Dialects& dialects,
+                             Cluster& cluster,
+                             const EndpointRegistry& registry)
+    : loop_(loop),
+      client_(client),
+      settings_(settings),
+      dialects_(dialects),
+      cluster_(cluster),
+      registry_(registry),
+      rollout_(RolloutOptions{}),
+      stream_(kLeaseStream),
+      lease_(LeaseOptionsOf(settings),
+             settings.entry,
+             cluster.incarnation(),
+             loop.now()) {}
+
+void WeightSteward::SetTarget(const ModelName& model, WeightNumber number) {
+  const auto before = rollout_.Target(model);
+  rollout_.SetTarget(model, number);
+  if (before == rollout_.Target(model))
+    return;
+  LogEvent(LogLevel::kInfo, "weights_named",
+           {{"model", model.value()}, {"number", number.value()}});
+}
+
+std::vector<RolloutEngine> WeightSteward::Engines() const {
+  std::vector<RolloutEngine> engines;
+  for (const auto& [id, record] : registry_.all()) {
+    if (record.leaving)
+      continue;
+    for (const auto& [model, number] : record.weights)
+      engines.push_back({id, model, number});
+  }
+  return engines;
+}
+
+bool WeightSteward::IsMyTurn(MonotonicTime now) {
+  if (lease_.IsHolder())
+    return true;
+  const auto& holding = lease_.holding();
+  const bool other_holds = holding && cluster_.IsLive(holding->holder) &&
+                           holding->holder != settings_.entry;
+  std::size_t turns = cluster_.Rank();
+  // Whoever held it last goes on, as nobody has to wait for its end.
+  if (other_holds)
+    ++turns;
+  return now - seen_at_ >= kTurn * static_cast<int>(turns);
+}
+
+void WeightSteward::OnTick() {
+  if (stopped_ || config_ == nullptr)
+    return;
+  const MonotonicTime now = loop_.now();
+  const std::vector<RolloutEngine> engines = Engines();
+  if (!rollout_.HasWork(engines)) {
+    seen_.clear();
+    return;
+  }
+  std::vector<WeightNumber> seen;
+  for (const RolloutEngine& engine : engines)
+    seen.push_back(engine.weights);
+  if (seen != seen_) {
+    seen_ = std::move(seen);
+    seen_at_ = now;
+  }
+  if (!IsMyTurn(now))
+    return;
+  DriveLease();
+  GiveOrders(engines);
+}
+
+void WeightSteward::DriveLease() {
+  if (lease_call_.active() || loop_.now() < lease_wait_)
+    return;
+  const LeaseAction action = lease_.Next(loop_.now());
+  if (const auto* read = std::get_if<ReadLog>(&action))
+    ReadLease(read->from);
+  else if (const auto* append = std::get_if<AppendLog>(&action))
+    AppendLease(append->payload);
+  else
+    lease_wait_ = std::get<WaitUntil>(action).time;
+}
+
+void WeightSteward::ReadLease(LogOffset from) {
+  lease_call_.Start(
+      client_, loop_, settings_.log,
+      SerializeRequest(dialects_.log.EncodeRead(stream_, from, Milliseconds(0)),
+                       settings_.log, ""),
+      CallOptions(kLeaseCallTimeout),
+      [this, from](const FetchOutcome& outcome) {
+        const bool held = lease_.IsHolder();
+        Result<LogBatch> batch =
+            outcome.status
+                ? dialects_.log.DecodeRead(*outcome.status, outcome.body, from)
+                : Error{ResultCode::kLogUnavailable,
+                        std::string(outcome.reason)};
+        lease_.OnRead(batch, loop_.now());
+        if (held != lease_.IsHolder()) {
+          LogEvent(LogLevel::kInfo, held ? "lease_lost" : "lease_held",
+                   {{"fencing", lease_.holding()->number.value()}});
+        }
+        DriveLease();
+      });
+}
+
+void WeightSteward::AppendLease(const std::string& payload) {
+  std::string body;
+  const HttpHead head =
+      dialects_.log.EncodeAppend(stream_, payload, std::nullopt, &body);
+  lease_call_.Start(
+      client_, loop_, settings_.log,
+      SerializeRequest(head, settings_.log, body),
+      CallOptions(kLeaseCallTimeout), [this](const FetchOutcome& outcome) {
+        Result<LogOffset> offset =
+            outcome.status
+                ? dialects_.log.DecodeAppend(*outcome.status, outcome.body)
+                : Error{outcome.sent ? ResultCode::kLogOutcomeUnknown
+                                     : ResultCode::kLogUnavailable,
+                        std::string(outcome.reason)};
+        lease_.OnAppended(offset, loop_.now());
+        DriveLease();
+      });
+}
+
+void WeightSteward::GiveOrders(const std::vector<RolloutEngine>& engines) {
+  const auto number =
+      lease_.MayOrder(settings_.engines_check_fencing, loop_.now());
+  if (!number || loop_.now() >= lease_.expires())
+    return;
+  for (const RolloutStep& step : rollout_.Next(engines, loop_.now())) {
+    cluster_.AnnounceDraining(step.endpoint, *number, kDrainLife);
+    if (step.kind == RolloutStepKind::kOrder)
+      AskThenOrder(step);
+  }
+}
+
+void WeightSteward::AskThenOrder(const RolloutStep& step) {
+  const EndpointRecord* const record = registry_.Find(step.endpoint);
+  if (record == nullptr)
+    return;
+  auto order = std::make_shared<Order>();
+  order->step = step;
+  order->address = record->address;
+  orders_[step.endpoint] = order;
+  order->fetch.Start(
+      client_, loop_, order->address,
+      SerializeRequest(dialects_.engine.EncodeReportQuestion(), order->address,
+                       ""),
+      CallOptions(kOrderTimeout), [this, order](const FetchOutcome& outcome) {
+        Result<EngineReport> report =
+            outcome.status
+                ? dialects_.engine.DecodeReport(*outcome.status, outcome.body)
+                : Error{ResultCode::kEndpointFailed,
+                        std::string(outcome.reason)};
+        const auto keep = order;
+        if (!report.ok() || report.value().busy) {
+          rollout_.OnOrderFailed(order->step.endpoint, kAskAgain, loop_.now());
+          orders_.erase(order->step.endpoint);
+          return;
+        }
+        SendOrder(order, report.value());
+      });
+}
+
+void WeightSteward::SendOrder(const std::shared_ptr<Order>& order,
+                              const EngineReport& report) {
+  // The process may have been suspended since it held the lease.
+  const auto number =
+      lease_.MayOrder(settings_.engines_check_fencing, loop_.Refresh());
+  if (!number || loop_.now() >= lease_.expires() || stopped_) {
+    rollout_.OnOrderFailed(order->step.endpoint, kAskAgain, loop_.now());
+    orders_.erase(order->step.endpoint);
+    return;
+  }
+  const WeightOrder wanted{.model = order->step.model,
+                           .number = order->step.number,
+                           .endpoint = order->step.endpoint,
+                           .holder = settings_.entry.value(),
+                           .fencing = *number,
+                           .after_orders = report.orders};
+  std::string body;
+  const HttpHead head = dialects_.engine.EncodeOrder(wanted, &body);
+  LogEvent(LogLevel::kInfo, "order_sent",
+           {{"endpoint", order->step.endpoint.value()},
+            {"model", order->step.model.value()},
+            {"weights", order->step.number.value()},
+            {"fencing", number->value()},
+            {"after_orders", report.orders}});
+  order->fetch.Start(client_, loop_, order->address,
+                     SerializeRequest(head, order->address, body),
+                     CallOptions(kOrderTimeout),
+                     [this, order](const FetchOutcome& outcome) {
+                       OnOrderReply(order, outcome);
+                     });
+}
+
+void WeightSteward::OnOrderReply(const std::shared_ptr<Order>& order,
+                                 const FetchOutcome& outcome) {
+  const auto keep = order;
+  const EndpointId endpoint = order->step.endpoint;
+  orders_.erase(endpoint);
+  LogEvent(LogLevel::kInfo, "order_answered",
+           {{"endpoint", endpoint.value()},
+            {"status", outcome.status.value_or(0)},
+            {"reason", outcome.reason}});
+  // Without an answer it may still be carried out; the rollout looks at the
+  // engine's weights again before it repeats it.
+  if (!outcome.status)
+    return;
+  const OrderOutcome result =
+      dialects_.engine.DecodeOrderReply(*outcome.status);
+  if (result != OrderOutcome::kAccepted && result != OrderOutcome::kAlreadyDone)
+    rollout_.OnOrderFailed(endpoint, kAskAgain, loop_.now());
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/weight_steward.h
@@ -0,0 +1,95 @@
+// Brings engines to the weights that the operator named: seeks the lease when
+// there is something to do, and gives the orders while it holds it.
+//
+//   WeightSteward steward(loop, client, settings, dialects, cluster, registry);
+//   steward.SetTarget(model, number);
+//   steward.OnTick();
+//
+// All instances see the same work at the same time. So that they don't race for
+// the lease, the one with the lowest id among those that live seeks it first;
+// each further one waits kTurn longer, and only while nothing has changed.
+
+#ifndef CAROBSHIFT_GATEWAY_WEIGHT_STEWARD_H_
+#define CAROBSHIFT_GATEWAY_WEIGHT_STEWARD_H_
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "carobshift/gateway/cluster.h"
+#include "carobshift/gateway/dialect.h"
+#include "carobshift/gateway/endpoint_registry.h"
+#include "carobshift/gateway/gateway_settings.h"
+#include "carobshift/gateway/serving_config.h"
+#include "carobshift/gateway/weight_rollout.h"
+#include "carobshift/lease/lease.h"
+#include "carobshift/net/http_fetch.h"
+
+namespace carobshift {
+
+class WeightSteward {
+ public:
+  // A holder that lives has moved something within this time: an engine loads
+  // for about two seconds.
+  static constexpr Milliseconds kTurn{2500};
+
+  WeightSteward(EventLoop& loop,
+                HttpClient& client,
+                const GatewaySettings& settings,
+                const Dialects& dialects,
+                Cluster& cluster,
+                const EndpointRegistry& registry);
+
+  void SetConfig(std::shared_ptr<const ConfigInForce> config) {
+    config_ = std::move(config);
+  }
+  void SetTarget(const ModelName& model, WeightNumber number);
+  void OnTick();
+  // Gives no more orders. The lease is not given back: a successor must wait
+  // for the whole lease after the last order.
+  void Stop() { stopped_ = true; }
+
+  [[nodiscard]] bool IsHolder() const { return lease_.IsHolder(); }
+
+ private:
+  struct Order {
+    RolloutStep step;
+    NetAddress address;
+    HttpFetch fetch;
+  };
+
+  [[nodiscard]] std::vector<RolloutEngine> Engines() const;
+  [[nodiscard]] bool IsMyTurn(MonotonicTime now);
+  void DriveLease();
+  void ReadLease(LogOffset from);
+  void AppendLease(const std::string& payload);
+  void GiveOrders(const std::vector<RolloutEngine>& engines);
+  // Asks the engine how many orders it has accepted, then orders.
+  void AskThenOrder(const RolloutStep& step);
+  void SendOrder(const std::shared_ptr<Order>& order,
+                 const EngineReport& report);
+  void OnOrderReply(const std::shared_ptr<Order>& order,
+                    const FetchOutcome& outcome);
+
+  EventLoop& loop_;
+  HttpClient& client_;
+  const GatewaySettings& settings_;
+  Dialects dialects_;
+  Cluster& cluster_;
+  const EndpointRegistry& registry_;
+  std::shared_ptr<const ConfigInForce> config_;
+  WeightRollout rollout_;
+  LogStream stream_;
+  Lease lease_;
+  HttpFetch lease_call_;
+  MonotonicTime lease_wait_{};
+  std::map<EndpointId, std::shared_ptr<Order>> orders_;
+  bool stopped_ = false;
+  // What the engines looked like when it last changed.
+  std::vector<WeightNumber> seen_;
+  MonotonicTime seen_at_{};
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_WEIGHT_STEWARD_H_
--- /dev/null
+++ b/carobshift/net/event_loop.cc
@@ -0,0 +1,63 @@
+#include "carobshift/net/event_loop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobshift {
+
+void EventLoop::Add(const Poco::Net::Socket& socket,
+                    std::shared_ptr<SocketHandler> handler,
+                    int interest) {
+  handlers_[socket.impl()] = std::move(handler);
+  poll_set_.add(socket, interest);
+}
+
+void EventLoop::SetInterest(const Poco::Net::Socket& socket, int interest) {
+  poll_set_.update(socket, interest);
+}
+
+void EventLoop::Remove(const Poco::Net::Socket& socket) {
+  if (handlers_.erase(socket.impl()) > 0)
+    poll_set_.remove(socket);
+}
+
+void EventLoop::Run(const std::function<bool()>& stop) {
+  while (!stop())
+    RunOnce(kLongestWait);
+}
+
+void EventLoop::RunOnce(Milliseconds longest) {
+  Refresh();
+  Microseconds wait = longest;
+  if (const auto next = timers_.Next()) {
+    const auto until_next =
+        std::chrono::duration_cast<Microseconds>(*next - now_);
+    wait = std::clamp(until_next, Microseconds(0), wait);
+  }
+  // The poll counts in milliseconds; rounded up, or the loop would spin until
+  // a timer that is less than one away.
+  const auto wait_ms = std::chrono::ceil<Milliseconds>(wait);
+  const auto ready = poll_set_.poll(Poco::Timespan(wait_ms.count() * 1000));
+  Refresh();
+  for (const auto& [socket, events] : ready)
+    Dispatch(socket, events);
+  timers_.RunDue(now_);
+}
+
+void EventLoop::Dispatch(const Poco::Net::Socket& socket, int events) {
+  // An earlier call of this round may have removed it.
+  const auto find = [&] { return handlers_.find(socket.impl()); };
+  auto found = find();
+  if (found == handlers_.end())
+    return;
+  const std::shared_ptr<SocketHandler> handler = found->second;
+  if ((events & kRead) != 0)
+    handler->OnReadable();
+  if ((events & kWrite) != 0 && find() != handlers_.end())
+    handler->OnWritable();
+  if ((events & Poco::Net::PollSet::POLL_ERROR) != 0 &&
+      find() != handlers_.end())
+    handler->OnSocketError();
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/net/http_client.cc
@@ -0,0 +1,331 @@
+#include "carobshift/net/http_client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace carobshift {
+namespace {
+
+constexpr std::string_view kTimeoutParameter = "timeout=";
+constexpr int kFirstFinalStatus = 200;
+
+// The seconds of "timeout=N" in a Keep-Alive field.
+std::optional<Seconds> KeepAliveTimeout(std::string_view value) {
+  const std::size_t at = value.find(kTimeoutParameter);
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  value.remove_prefix(at + kTimeoutParameter.size());
+  int seconds = 0;
+  const auto parsed =
+      std::from_chars(value.data(), value.data() + value.size(), seconds);
+  if (parsed.ec != std::errc())
+    return std::nullopt;
+  return Seconds(seconds);
+}
+
+}  // namespace
+
+void ClientCall::Cancel() {
+  if (connection_ == nullptr)
+    return;
+  const auto connection = std::move(connection_);
+  connection_.reset();
+  connection->Close();
+}
+
+void ClientCall::SetReading(bool reading) {
+  if (connection_ != nullptr)
+    connection_->SetReading(reading);
+}
+
+HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
+    : loop_(loop), options_(options) {}
+
+HttpClient::~HttpClient() {
+  for (auto& [address, peer] : peers_) {
+    const auto idle = std::move(peer.idle);
+    peer.idle.clear();
+    for (const auto& connection : idle)
+      connection->Close();
+  }
+}
+
+std::shared_ptr<ClientCall> HttpClient::Start(const NetAddress& address,
+                                              std::string bytes,
+                                              const HttpCallOptions& options,
+                                              HttpCallListener* listener) {
+  ++counters_.calls;
+  auto call = std::make_shared<ClientCall>();
+  Peer& peer = peers_[address];
+  std::shared_ptr<HttpClientConnection> connection =
+      TakeIdle(peer, options.max_idle);
+  if (connection == nullptr) {
+    // A connection too old for this call makes room for a new one.
+    if (peer.limit > 0 && peer.open >= peer.limit && !peer.idle.empty()) {
+      const auto oldest = peer.idle.front();
+      peer.idle.erase(peer.idle.begin());
+      oldest->Close();
+    }
+    if (peer.limit > 0 && peer.open >= peer.limit) {
+      // Whoever gives the call up lets go of it, and then only this holds it.
+      loop_.AddTimer(loop_.now(), [call, listener] {
+        if (call.use_count() > 1)
+          listener->OnCallFailed(
+              {CallFault::kConnectionLimit, /*sent=*/false, false});
+      });
+      return call;
+    }
+    connection = std::make_shared<HttpClientConnection>(*this, address);
+    ++peer.open;
+    ++counters_.connections_opened;
+    connection->Open(options.connect_timeout);
+  }
+  call->connection_ = connection;
+  connection->Begin(std::move(bytes), options, listener, call);
+  return call;
+}
+
+std::shared_ptr<HttpClientConnection> HttpClient::TakeIdle(
+    Peer& peer,
+    Milliseconds max_idle) {
+  while (!peer.idle.empty()) {
+    const auto connection = peer.idle.back();
+    const auto idle = loop_.now() - connection->idle_since();
+    // The others at the front are older still.
+    if (idle > max_idle)
+      return nullptr;
+    peer.idle.pop_back();
+    if (connection->alive() && idle < connection->idle_limit())
+      return connection;
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void HttpClient::SetConnectionLimit(const NetAddress& address, int limit) {
+  peers_[address].limit = limit;
+}
+
+void HttpClient::ForgetAddress(const NetAddress& address) {
+  const auto found = peers_.find(address);
+  if (found == peers_.end())
+    return;
+  const auto idle = std::move(found->second.idle);
+  found->second.idle.clear();
+  for (const auto& connection : idle)
+    connection->Close();
+  if (found->second.open == 0)
+    peers_.erase(found);
+}
+
+void HttpClient::CloseIdle(MonotonicTime now) {
+  std::vector<std::shared_ptr<HttpClientConnection>> expired;
+  for (auto& [address, peer] : peers_) {
+    std::erase_if(peer.idle, [&](const auto& connection) {
+      const bool over =
+          now - connection->idle_since() >= connection->idle_limit();
+      if (over)
+        expired.push_back(connection);
+      return over;
+    });
+  }
+  for (const auto& connection : expired)
+    connection->Close();
+}
+
+int HttpClient::OpenConnections(const NetAddress& address) const {
+  const auto found = peers_.find(address);
+  return found == peers_.end() ? 0 : found->second.open;
+}
+
+void HttpClient::OnConnectionIdle(
+    const std::shared_ptr<HttpClientConnection>& connection) {
+  peers_[connection->address()].idle.push_back(connection);
+}
+
+void HttpClient::OnConnectionGone(HttpClientConnection* connection) {
+  const auto found = peers_.find(connection->address());
+  if (found == peers_.end())
+    return;
+  --found->second.open;
+  std::erase_if(found->second.idle, [connection](const auto& idle) {
+    return idle.get() == connection;
+  });
+}
+
+HttpClientConnection::HttpClientConnection(HttpClient& client,
+                                           const NetAddress& address)
+    : client_(client),
+      address_(address),
+      parser_(HttpParser::Kind::kReply,
+              {.head_bytes = client.options_.max_head_bytes},
+              *this) {}
+
+void HttpClientConnection::Open(Milliseconds connect_timeout) {
+  tcp_ = TcpConnection::Connect(client_.loop_, address_, client_.options_.tcp,
+                                this);
+  connect_timer_ = client_.loop_.AddTimer(
+      client_.loop_.now() + connect_timeout,
+      [self = shared_from_this()] { self->Fail(CallFault::kNotConnected); });
+}
+
+void HttpClientConnection::Begin(std::string bytes,
+                                 const HttpCallOptions& options,
+                                 HttpCallListener* listener,
+                                 const std::shared_ptr<ClientCall>& call) {
+  listener_ = listener;
+  call_ = call;
+  is_head_request_ = options.is_head_request;
+  skipping_ = interim_ = false;
+  keep_ = true;
+  parser_.Reset(is_head_request_);
+  if (tcp_->connected()) {
+    sent_ = true;
+    tcp_->Send(bytes);
+  } else {
+    sent_ = false;
+    waiting_bytes_ = std::move(bytes);
+  }
+}
+
+void HttpClientConnection::OnConnected() {
+  client_.loop_.CancelTimer(connect_timer_);
+  sent_ = true;
+  const std::string bytes = std::move(waiting_bytes_);
+  waiting_bytes_.clear();
+  tcp_->Send(bytes);
+}
+
+void HttpClientConnection::SetReading(bool reading) {
+  if (alive())
+    tcp_->SetReading(reading);
+}
+
+void HttpClientConnection::Close() {
+  client_.loop_.CancelTimer(connect_timer_);
+  TakeListener();
+  if (tcp_ == nullptr)
+    return;
+  const auto tcp = std::move(tcp_);
+  tcp_.reset();
+  tcp->Close();
+  client_.OnConnectionGone(this);
+}
+
+HttpCallListener* HttpClientConnection::TakeListener() {
+  if (call_ != nullptr)
+    call_->connection_.reset();
+  call_.reset();
+  return std::exchange(listener_, nullptr);
+}
+
+void HttpClientConnection::Fail(CallFault fault) {
+  const auto self = shared_from_this();
+  const CallFailure failure{fault, sent_, used_before_};
+  HttpCallListener* const listener = TakeListener();
+  Close();
+  if (listener != nullptr)
+    listener->OnCallFailed(failure);
+}
+
+void HttpClientConnection::OnData(std::string_view bytes) {
+  const auto self = shared_from_this();
+  if (listener_ == nullptr) {
+    ++client_.counters_.stray_replies;
+    Close();
+    return;
+  }
+  while (!bytes.empty() && listener_ != nullptr) {
+    const HttpParser::Progress progress = parser_.Feed(bytes);
+    // The listener may have cancelled the call meanwhile.
+    if (listener_ == nullptr)
+      return;
+    bytes.remove_prefix(progress.consumed);
+    if (progress.state == HttpParser::State::kPartial)
+      return;
+    if (progress.state != HttpParser::State::kComplete) {
+      Fail(CallFault::kMalformed);
+      return;
+    }
+    if (!bytes.empty() && !skipping_ && !interim_) {
+      ++client_.counters_.stray_replies;
+      keep_ = false;
+    }
+    OnMessageEnd();
+  }
+}
+
+void HttpClientConnection::OnHead(HttpHead head, const HttpMessageInfo& info) {
+  if (listener_ == nullptr)
+    return;
+  interim_ = head.status < kFirstFinalStatus;
+  if (interim_)
+    return;
+  skipping_ = listener_->OnReplyHead(head, info) == ReplyVerdict::kSkip;
+  if (skipping_) {
+    ++client_.counters_.stray_replies;
+    // Without a length what is skipped would reach to the connection's end.
+    if (info.framing == HttpBodyFraming::kUntilClose)
+      keep_ = false;
+    return;
+  }
+  NoteKeepAlive(head, info);
+}
+
+void HttpClientConnection::NoteKeepAlive(const HttpHead& head,
+                                         const HttpMessageInfo& info) {
+  keep_ = keep_ && info.keep_alive && !info.http_1_0 &&
+          info.framing != HttpBodyFraming::kUntilClose;
+  idle_limit_ = client_.options_.default_idle;
+  const std::string* const field = head.Find("Keep-Alive");
+  if (field == nullptr)
+    return;
+  if (const auto timeout = KeepAliveTimeout(*field)) {
+    idle_limit_ = std::max<Milliseconds>(
+        Milliseconds(0), *timeout - client_.options_.idle_margin);
+  }
+}
+
+void HttpClientConnection::OnBody(std::string_view bytes) {
+  if (listener_ != nullptr && !skipping_)
+    listener_->OnReplyBody(bytes);
+}
+
+void HttpClientConnection::OnMessageEnd() {
+  if (skipping_ || interim_) {
+    skipping_ = interim_ = false;
+    parser_.Reset(is_head_request_);
+    return;
+  }
+  const auto self = shared_from_this();
+  HttpCallListener* const listener = TakeListener();
+  used_before_ = true;
+  if (keep_ && alive() && tcp_->unsent() == 0) {
+    idle_since_ = client_.loop_.now();
+    tcp_->SetReading(true);
+    client_.OnConnectionIdle(self);
+  } else {
+    Close();
+  }
+  listener->OnReplyEnd();
+}
+
+void HttpClientConnection::OnClosed(CloseReason reason) {
+  const auto self = shared_from_this();
+  const bool ended =
+      reason == CloseReason::kPeerEnded && listener_ != nullptr && !skipping_ &&
+      parser_.head_done() && parser_.FeedEnd() == HttpParser::State::kComplete;
+  if (listener_ == nullptr && call_ == nullptr) {
+    Close();
+    return;
+  }
+  if (ended && listener_ != nullptr) {
+    keep_ = false;
+    OnMessageEnd();
+    return;
+  }
+  Fail(sent_ ? CallFault::kBroken : CallFault::kNotConnected);
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/net/http_fetch.cc
@@ -0,0 +1,99 @@
+#include "carobshift/net/http_fetch.h"
+
+#include <utility>
+
+namespace carobshift {
+
+HttpFetch::~HttpFetch() {
+  Cancel();
+}
+
+void HttpFetch::Start(HttpClient& client,
+                      EventLoop& loop,
+                      const NetAddress& address,
+                      std::string bytes,
+                      const FetchOptions& options,
+                      Done done) {
+  Cancel();
+  loop_ = &loop;
+  options_ = options;
+  done_ = std::move(done);
+  status_ = 0;
+  body_.clear();
+  timer_ = loop.AddTimer(loop.now() + options.timeout, [this] {
+    call_->Cancel();
+    Finish({.status = std::nullopt,
+            .body = {},
+            .sent = true,
+            .reason = "timeout"});
+  });
+  call_ = client.Start(address, std::move(bytes), options.call, this);
+}
+
+void HttpFetch::Cancel() {
+  if (done_ == nullptr)
+    return;
+  done_ = nullptr;
+  loop_->CancelTimer(timer_);
+  call_->Cancel();
+  call_.reset();
+}
+
+ReplyVerdict HttpFetch::OnReplyHead(const HttpHead& head,
+                                    const HttpMessageInfo&) {
+  status_ = head.status;
+  return ReplyVerdict::kTake;
+}
+
+void HttpFetch::OnReplyBody(std::string_view bytes) {
+  if (body_.size() + bytes.size() <= options_.max_body) {
+    body_.append(bytes);
+    return;
+  }
+  call_->Cancel();
+  Finish({.status = std::nullopt,
+          .body = {},
+          .sent = true,
+          .reason = "reply too large"});
+}
+
+void HttpFetch::OnReplyEnd() {
+  Finish({.status = status_,
+          .body = std::move(body_),
+          .sent = true,
+          .reason = {}});
+}
+
+void HttpFetch::OnCallFailed(const CallFailure& failure) {
+  const std::string_view reason =
+      failure.fault == CallFault::kNotConnected      ? "not connected"
+      : failure.fault == CallFault::kConnectionLimit ? "connection limit"
+      : failure.fault == CallFault::kMalformed       ? "malformed reply"
+                                                     : "connection broken";
+  Finish({.status = std::nullopt,
+          .body = {},
+          .sent = failure.sent,
+          .reason = reason});
+}
+
+void HttpFetch::Finish(FetchOutcome outcome) {
+  loop_->CancelTimer(timer_);
+  call_.reset();
+  // The callback may start the next call with this object.
+  const Done done = std::exchange(done_, nullptr);
+  if (done != nullptr)
+    done(outcome);
+}
+
+std::string SerializeRequest(HttpHead head,
+                             const NetAddress& address,
+                             std::string_view body) {
+  head.Set("Host", address.ToString());
+  if (!body.empty() || head.method == "POST")
+    head.Set("Content-Length", std::to_string(body.size()));
+  std::string bytes = SerializeRequestHead(head);
+  bytes.append(body);
+  return bytes;
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/net/http_parser.cc
@@ -0,0 +1,191 @@
+#include "carobshift/net/http_parser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobshift {
+namespace {
+
+// RFC 9110, 5.6.2.
+bool IsTokenChar(char c) {
+  const auto u = static_cast<unsigned char>(c);
+  if ((u >= '0' && u <= '9') || (u >= 'a' && u <= 'z') ||
+      (u >= 'A' && u <= 'Z'))
+    return true;
+  return std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
+}
+
+bool IsFieldValue(std::string_view text) {
+  return std::none_of(text.begin(), text.end(), [](char c) {
+    const auto u = static_cast<unsigned char>(c);
+    return (u < 0x20 && u != '\t') || u == 0x7f;
+  });
+}
+
+// The library's own limit is a process-wide one; ours are per parser, so its
+// limit is only a backstop.
+constexpr std::size_t kLibraryHeadLimit = std::size_t{1} << 20;
+
+}  // namespace
+
+struct HttpParser::Callbacks {
+  static HttpParser& Self(http_parser* parser) {
+    return *static_cast<HttpParser*>(parser->data);
+  }
+  static int OnUrl(http_parser* parser, const char* at, std::size_t size) {
+    Self(parser).head_.target.append(at, size);
+    return 0;
+  }
+  static int OnStatus(http_parser* parser, const char* at, std::size_t size) {
+    Self(parser).head_.reason.append(at, size);
+    return 0;
+  }
+  static int OnField(http_parser* parser, const char* at, std::size_t size) {
+    HttpParser& self = Self(parser);
+    // Trailers carry nothing that anybody here uses.
+    if (self.head_done_)
+      return 0;
+    if (self.last_was_value_ || self.head_.fields.empty())
+      self.head_.fields.emplace_back();
+    self.last_was_value_ = false;
+    self.head_.fields.back().name.append(at, size);
+    return 0;
+  }
+  static int OnValue(http_parser* parser, const char* at, std::size_t size) {
+    HttpParser& self = Self(parser);
+    if (self.head_done_)
+      return 0;
+    self.last_was_value_ = true;
+    self.head_.fields.back().value.append(at, size);
+    return 0;
+  }
+  static int OnHeadersComplete(http_parser* parser) {
+    return Self(parser).OnHeadersComplete();
+  }
+  static int OnBody(http_parser* parser, const char* at, std::size_t size) {
+    Self(parser).sink_.OnBody({at, size});
+    return 0;
+  }
+  static int OnMessageComplete(http_parser* parser) {
+    Self(parser).complete_ = true;
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+
+  static const http_parser_settings& Settings() {
+    static const http_parser_settings kSettings = [] {
+      http_parser_settings settings;
+      http_parser_settings_init(&settings);
+      settings.on_url = &OnUrl;
+      settings.on_status = &OnStatus;
+      settings.on_header_field = &OnField;
+      settings.on_header_value = &OnValue;
+      settings.on_headers_complete = &OnHeadersComplete;
+      settings.on_body = &OnBody;
+      settings.on_message_complete = &OnMessageComplete;
+      http_parser_set_max_header_size(kLibraryHeadLimit);
+      return settings;
+    }();
+    return kSettings;
+  }
+};
+
+HttpParser::HttpParser(Kind kind,
+                       const HttpParserLimits& limits,
+                       HttpSink& sink)
+    : kind_(kind), limits_(limits), sink_(sink) {
+  Reset();
+}
+
+void HttpParser::Reset(bool reply_to_head) {
+  http_parser_init(&parser_,
+                   kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  head_ = HttpHead();
+  reply_to_head_ = reply_to_head;
+  begun_ = head_done_ = complete_ = unsound_ = last_was_value_ = false;
+  head_size_ = 0;
+}
+
+HttpParser::Progress HttpParser::Feed(std::string_view bytes) {
+  if (bytes.empty() || complete_)
+    return {0, CurrentState()};
+  begun_ = true;
+  const std::size_t parsed = http_parser_execute(
+      &parser_, &Callbacks::Settings(), bytes.data(), bytes.size());
+  if (!head_done_) {
+    head_size_ += parsed;
+    if (head_size_ > limits_.head_bytes)
+      return {parsed, State::kHeadTooLarge};
+  }
+  return {parsed, CurrentState()};
+}
+
+HttpParser::State HttpParser::FeedEnd() {
+  if (complete_)
+    return State::kComplete;
+  if (!begun_)
+    return State::kPartial;
+  http_parser_execute(&parser_, &Callbacks::Settings(), nullptr, 0);
+  return complete_ ? CurrentState() : State::kMalformed;
+}
+
+HttpParser::State HttpParser::CurrentState() const {
+  if (unsound_)
+    return State::kMalformed;
+  if (complete_)
+    return State::kComplete;
+  const auto error = HTTP_PARSER_ERRNO(&parser_);
+  if (error == HPE_HEADER_OVERFLOW)
+    return State::kHeadTooLarge;
+  return error == HPE_OK ? State::kPartial : State::kMalformed;
+}
+
+bool HttpParser::IsHeadSound() const {
+  for (const HttpField& field : head_.fields) {
+    if (!IsToken(field.name) || !IsFieldValue(field.value))
+      return false;
+  }
+  const std::size_t lengths = head_.Count("Content-Length");
+  const std::size_t encodings = head_.Count("Transfer-Encoding");
+  return lengths <= 1 && encodings <= 1 && lengths + encodings <= 1;
+}
+
+int HttpParser::OnHeadersComplete() {
+  constexpr int kSkipBody = 1;
+  constexpr int kFail = -1;
+  head_done_ = true;
+  if (!IsHeadSound() || parser_.upgrade != 0) {
+    unsound_ = true;
+    return kFail;
+  }
+  HttpMessageInfo info;
+  info.keep_alive = http_should_keep_alive(&parser_) != 0;
+  info.http_1_0 = parser_.http_major == 1 && parser_.http_minor == 0;
+  if (kind_ == Kind::kRequest) {
+    head_.method = http_method_str(static_cast<http_method>(parser_.method));
+  } else {
+    head_.status = static_cast<int>(parser_.status_code);
+  }
+  const bool bodyless =
+      kind_ == Kind::kReply && (reply_to_head_ || head_.status < 200 ||
+                                head_.status == 204 || head_.status == 304);
+  if (bodyless) {
+    info.framing = HttpBodyFraming::kNone;
+  } else if ((parser_.flags & F_CHUNKED) != 0) {
+    info.framing = HttpBodyFraming::kChunked;
+  } else if ((parser_.flags & F_CONTENTLENGTH) != 0) {
+    info.framing = HttpBodyFraming::kLength;
+    info.length = parser_.content_length;
+  } else if (kind_ == Kind::kReply) {
+    info.framing = HttpBodyFraming::kUntilClose;
+  }
+  sink_.OnHead(std::move(head_), info);
+  return bodyless ? kSkipBody : 0;
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/net/http_server_connection.cc
@@ -0,0 +1,269 @@
+#include "carobshift/net/http_server_connection.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace carobshift {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+// What a caller may send beyond the request that is served; more stops the
+// reading.
+constexpr std::size_t kMaxUnread = std::size_t{64} << 10;
+
+}  // namespace
+
+HttpServerConnection::HttpServerConnection(EventLoop& loop,
+                                           const HttpServerLimits& limits,
+                                           HttpServerHandler& handler)
+    : loop_(loop),
+      limits_(limits),
+      handler_(&handler),
+      parser_(HttpParser::Kind::kRequest,
+              {.head_bytes = limits.head_bytes},
+              *this) {}
+
+std::shared_ptr<HttpServerConnection> HttpServerConnection::Open(
+    EventLoop& loop,
+    const Poco::Net::StreamSocket& socket,
+    const HttpServerLimits& limits,
+    const TcpOptions& tcp,
+    HttpServerHandler& handler) {
+  std::shared_ptr<HttpServerConnection> connection(
+      new HttpServerConnection(loop, limits, handler));
+  connection->tcp_ = TcpConnection::Accept(loop, socket, tcp, connection.get());
+  connection->ArmTimer(limits.idle_timeout, false);
+  return connection;
+}
+
+void HttpServerConnection::ArmTimer(Milliseconds wait, bool reading_request) {
+  loop_.CancelTimer(timer_);
+  timer_ = loop_.AddTimer(
+      loop_.now() + wait, [weak = weak_from_this(), reading_request] {
+        const auto self = weak.lock();
+        if (self == nullptr || self->ended_ || self->serving_)
+          return;
+        // An idle caller is closed without a word; one that stopped in the
+        // middle of a request is told why.
+        if (reading_request)
+          self->Refuse(kBadRequest);
+        else
+          self->End();
+      });
+}
+
+void HttpServerConnection::OnData(std::string_view bytes) {
+  const auto self = shared_from_this();
+  unread_.append(bytes);
+  if (serving_) {
+    if (unread_.size() > kMaxUnread)
+      tcp_->SetReading(false);
+    return;
+  }
+  Parse();
+}
+
+void HttpServerConnection::Parse() {
+  while (!ended_ && !serving_ && !unread_.empty()) {
+    const bool begins = !parser_.begun();
+    const bool had_head = parser_.head_done();
+    const HttpParser::Progress progress = parser_.Feed(unread_);
+    unread_.erase(0, progress.consumed);
+    if (too_large_) {
+      Refuse(kPayloadTooLarge);
+      return;
+    }
+    switch (progress.state) {
+      case HttpParser::State::kPartial:
+        if (begins || had_head || parser_.head_done())
+          ArmTimer(limits_.head_timeout, true);
+        return;
+      case HttpParser::State::kMalformed:
+        Refuse(kBadRequest);
+        return;
+      case HttpParser::State::kHeadTooLarge:
+        Refuse(kHeadTooLarge);
+        return;
+      case HttpParser::State::kComplete:
+        loop_.CancelTimer(timer_);
+        serving_ = true;
+        parser_.Reset();
+        handler_->OnRequest(shared_from_this(), std::exchange(request_, {}));
+        break;
+    }
+  }
+}
+
+void HttpServerConnection::OnHead(HttpHead head, const HttpMessageInfo& info) {
+  http_1_0_ = info.http_1_0;
+  keep_alive_ = info.keep_alive && !info.http_1_0;
+  reply_to_head_ = head.method == "HEAD";
+  if (info.framing == HttpBodyFraming::kLength &&
+      info.length > limits_.body_bytes)
+    too_large_ = true;
+  const std::string* const expect = head.Find("Expect");
+  if (expect != nullptr && EqualsIgnoringCase(*expect, "100-continue") &&
+      info.framing != HttpBodyFraming::kNone && !too_large_)
+    tcp_->Send(kContinue);
+  request_.head = std::move(head);
+}
+
+void HttpServerConnection::OnBody(std::string_view bytes) {
+  if (request_.body.size() + bytes.size() > limits_.body_bytes)
+    too_large_ = true;
+  if (!too_large_)
+    request_.body.append(bytes);
+}
+
+void HttpServerConnection::Refuse(int status) {
+  if (ended_)
+    return;
+  handler_->OnMalformed(status);
+  HttpHead head;
+  head.status = status;
+  serving_ = true;
+  keep_alive_ = false;
+  SendWhole(std::move(head), "");
+}
+
+void HttpServerConnection::AddConnectionFields(HttpHead& head) {
+  if (closing_)
+    keep_alive_ = false;
+  if (!keep_alive_)
+    head.fields.push_back({"Connection", "close"});
+}
+
+void HttpServerConnection::SendWhole(HttpHead head, std::string_view body) {
+  if (ended_)
+    return;
+  AddConnectionFields(head);
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  const bool bodyless =
+      head.status == kNoContent || head.status == kNotModified;
+  if (!bodyless)
+    head.fields.push_back({"Content-Length", std::to_string(body.size())});
+  std::string bytes = SerializeReplyHead(head);
+  if (!bodyless && !reply_to_head_)
+    bytes.append(body);
+  tcp_->Send(bytes);
+  FinishReply();
+}
+
+void HttpServerConnection::BeginStream(HttpHead head) {
+  if (ended_)
+    return;
+  // A caller of HTTP/1.0 knows no chunks; the connection's end is its framing.
+  chunked_ = !http_1_0_;
+  AddConnectionFields(head);
+  if (chunked_)
+    head.fields.push_back({"Transfer-Encoding", "chunked"});
+  tcp_->Send(SerializeReplyHead(head));
+}
+
+void HttpServerConnection::SendPiece(std::string_view bytes) {
+  if (ended_ || bytes.empty() || reply_to_head_)
+    return;
+  if (!chunked_) {
+    tcp_->Send(bytes);
+  } else {
+    constexpr int kHex = 16;
+    std::array<char, 20> size;
+    const auto end = std::to_chars(size.data(), size.data() + size.size(),
+                                   bytes.size(), kHex)
+                         .ptr;
+    std::string chunk(size.data(), end);
+    chunk += "\r\n";
+    chunk += bytes;
+    chunk += "\r\n";
+    tcp_->Send(chunk);
+  }
+  CheckPressure();
+}
+
+void HttpServerConnection::EndStream() {
+  if (ended_)
+    return;
+  if (chunked_ && !reply_to_head_)
+    tcp_->Send(kLastChunk);
+  FinishReply();
+}
+
+void HttpServerConnection::FinishReply() {
+  serving_ = false;
+  paused_ = false;
+  if (ended_)
+    return;
+  if (!keep_alive_) {
+    ended_ = true;
+    loop_.CancelTimer(timer_);
+    tcp_->CloseAfterFlush();
+    handler_->OnConnectionEnd(*this);
+    return;
+  }
+  ArmTimer(limits_.idle_timeout, false);
+  tcp_->SetReading(true);
+  // Not from within the handler's own call: what follows begins a new round.
+  if (!unread_.empty()) {
+    loop_.AddTimer(loop_.now(), [weak = weak_from_this()] {
+      if (const auto self = weak.lock())
+        self->Parse();
+    });
+  }
+}
+
+void HttpServerConnection::BreakOff() {
+  if (ended_)
+    return;
+  ended_ = true;
+  loop_.CancelTimer(timer_);
+  tcp_->Abort();
+  handler_->OnConnectionEnd(*this);
+}
+
+void HttpServerConnection::CloseWhenIdle() {
+  closing_ = true;
+  if (!ended_ && !busy() && unread_.empty())
+    End();
+}
+
+void HttpServerConnection::End() {
+  if (ended_)
+    return;
+  ended_ = true;
+  loop_.CancelTimer(timer_);
+  tcp_->CloseAfterFlush();
+  handler_->OnConnectionEnd(*this);
+}
+
+void HttpServerConnection::CheckPressure() {
+  if (paused_ || tcp_->unsent() < limits_.high_water)
+    return;
+  paused_ = true;
+  handler_->OnPause(*this, true);
+}
+
+void HttpServerConnection::OnFlushed() {
+  if (!paused_)
+    return;
+  paused_ = false;
+  handler_->OnPause(*this, false);
+}
+
+void HttpServerConnection::OnClosed(CloseReason) {
+  const auto self = shared_from_this();
+  if (ended_)
+    return;
+  ended_ = true;
+  loop_.CancelTimer(timer_);
+  if (serving_)
+    handler_->OnCallerGone(*this);
+  handler_->OnConnectionEnd(*this);
+}
+
+}  // namespace carobshift
--- a/cmake/CarobshiftRules.cmake
+++ b/cmake/CarobshiftRules.cmake
@@ -57,13 +57,18 @@
 # the target tests_LABEL builds all of one. PROPERTIES are passed on to ctest
 # (TIMEOUT, ENVIRONMENT, ...).
 function(carobshift_test)
-  cmake_parse_arguments(A "" "NAME;LABEL" "SRCS;DEPS;PROPERTIES" ${ARGN})
+  if(NOT BUILD_TESTING)
+    return()
+  endif()
+  cmake_parse_arguments(A "" "NAME;LABEL" "SRCS;DEPS;DEFINES;PROPERTIES"
+    ${ARGN})
   if(NOT A_LABEL)
     set(A_LABEL unit)
   endif()
   add_executable(${A_NAME} ${A_SRCS})
   target_link_libraries(${A_NAME} PRIVATE ${A_DEPS} catch_main
     carobshift_options)
+  target_compile_definitions(${A_NAME} PRIVATE ${A_DEFINES})
   set_target_properties(${A_NAME} PROPERTIES
     RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/tests")
   _carobshift_check_deps(${A_NAME} ${A_DEPS})
@@ -76,6 +81,9 @@
 endfunction()
 
 function(carobshift_benchmark)
+  if(NOT BUILD_TESTING)
+    return()
+  endif()
   cmake_parse_arguments(A "" "NAME" "SRCS;DEPS" ${ARGN})
   add_executable(${A_NAME} ${A_SRCS})
   target_link_libraries(${A_NAME} PRIVATE ${A_DEPS} benchmark::benchmark
