--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -47,7 +47,7 @@
  public:
   // How long a fetch may last from the plan on. Endpoints don't start a
   // transfer that would wait for more than two seconds.
-  static constexpr Milliseconds kFetchLife{2500};
+  static constexpr Milliseconds kFetchLife{200};
   // A part that is being kept is not sent to its store again for this long; by
   // then the store has told that it is whole, or it never will be.
   static constexpr Milliseconds kSaveMemory{3000};
