Placement by the memory that all instances' requests take; a stop closes the listener

Cause: prompts wait for seconds where an engine's memory is full, and one instance sees a seventh of what runs there.

--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -38,10 +38,13 @@
 
 void AttemptPlanner::SetConfig(const ServingConfig& config) {
   stores_.clear();
+  engines_.clear();
   store_per_part_ = false;
   for (const auto& [name, service] : config.services) {
-    if (service.engine)
+    if (service.engine) {
+      engines_[name] = *service.engine;
       store_per_part_ = store_per_part_ || service.engine->store_per_part;
+    }
     if (!service.store)
       continue;
     stores_.push_back(
@@ -74,21 +77,41 @@
   return known;
 }
 
+PlacementCandidate AttemptPlanner::Measure(
+    const EndpointRecord& record,
+    const RequestFootprint& footprint) const {
+  const EndpointLoad load = loads_.Total(record.id);
+  PlacementCandidate candidate;
+  candidate.hash = PlacementHash(record.id.value());
+  const auto engine = engines_.find(record.service);
+  if (engine == engines_.end() || engine->second.memory_tokens <= 0) {
+    candidate.load = load.requests;
+    candidate.added = 1;
+    candidate.room = record.slots;
+    return candidate;
+  }
+  candidate.load = load.tokens;
+  candidate.added = loads_.Added(record.id, footprint);
+  candidate.room =
+      kMemoryShare * static_cast<double>(engine->second.memory_tokens);
+  return candidate;
+}
+
 AttemptPlanner::Candidates AttemptPlanner::CandidatesOf(
-    const ServiceName& service,
+    const ExchangeSetup& setup,
     const AttemptWish& wish,
     MonotonicTime now) const {
+  const RequestFootprint footprint = RequestFootprint::Of(setup.request);
   Candidates out;
   for (const auto& [id, record] : registry_.all()) {
-    if (record.service != service || record.leaving)
+    if (record.service != setup.service || record.leaving)
       continue;
     const bool tried = wish.tried != nullptr && wish.tried->contains(id);
+    PlacementCandidate candidate = Measure(record, footprint);
+    candidate.avoided =
+        tried || draining_.contains(id) || health_.Avoided(id, now);
     out.endpoints.push_back(&record);
-    out.placement.push_back({.hash = PlacementHash(id.value()),
-                             .load = static_cast<double>(health_.InFlight(id)),
-                             .speed = 1,
-                             .avoided = tried || draining_.contains(id) ||
-                                        health_.Avoided(id, now)});
+    out.placement.push_back(candidate);
   }
   return out;
 }
@@ -96,9 +119,9 @@
 std::optional<AttemptPlan> AttemptPlanner::Plan(const ExchangeSetup& setup,
                                                 const AttemptWish& wish,
                                                 MonotonicTime now) {
-  const Candidates candidates = CandidatesOf(setup.service, wish, now);
+  const Candidates candidates = CandidatesOf(setup, wish, now);
   const PlacementChoice choice =
-      Place(candidates.placement, SessionHash(setup.request), placement_);
+      Place(candidates.placement, SessionHash(setup.request));
   if (!choice.index)
     return std::nullopt;
   AttemptPlan plan;
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -26,6 +26,7 @@
 #include "carobshift/gateway/endpoint_health.h"
 #include "carobshift/gateway/endpoint_registry.h"
 #include "carobshift/gateway/exchange.h"
+#include "carobshift/gateway/load_book.h"
 #include "carobshift/gateway/placement.h"
 #include "carobshift/gateway/store_contents.h"
 
@@ -45,8 +46,13 @@
 
 class AttemptPlanner {
  public:
-  // How long a fetch may last from the plan on. Endpoints don't start a
-  // transfer that would wait for more than two seconds.
+  // Of an engine's memory that prompts are placed into. The rest is for the
+  // difference between what is counted here and what the engine holds: reports
+  // are a fifth of a second old, and outputs differ from their estimate.
+  static constexpr double kMemoryShare = 0.9;
+  // How long a fetch may last from the plan on. Reading a part of ten thousand
+  // tokens takes an engine a tenth of a second; a link that is so full or slow
+  // that the fetch takes twice that is worse than reading.
   static constexpr Milliseconds kFetchLife{200};
   // A part that is being kept is not sent to its store again for this long; by
   // then the store has told that it is whole, or it never will be.
@@ -54,8 +60,12 @@
 
   AttemptPlanner(const EndpointRegistry& registry,
                  const EndpointHealthBook& health,
+                 const LoadBook& loads,
                  const StoreContents& contents)
-      : registry_(registry), health_(health), contents_(contents) {}
+      : registry_(registry),
+        health_(health),
+        loads_(loads),
+        contents_(contents) {}
 
   void SetConfig(const ServingConfig& config);
   // Endpoints that are to be kept free of new work, as they load weights.
@@ -86,9 +96,13 @@
     std::vector<PlacementCandidate> placement;
   };
 
-  [[nodiscard]] Candidates CandidatesOf(const ServiceName& service,
+  [[nodiscard]] Candidates CandidatesOf(const ExchangeSetup& setup,
                                         const AttemptWish& wish,
                                         MonotonicTime now) const;
+  // Load and room in the unit that binds the service.
+  [[nodiscard]] PlacementCandidate Measure(
+      const EndpointRecord& record,
+      const RequestFootprint& footprint) const;
   void AddPromptFields(const ExchangeSetup& setup,
                        const EndpointRecord& endpoint,
                        AttemptFields& fields,
@@ -102,8 +116,9 @@
 
   const EndpointRegistry& registry_;
   const EndpointHealthBook& health_;
+  const LoadBook& loads_;
   const StoreContents& contents_;
-  PlacementOptions placement_;
+  std::map<ServiceName, EngineTraits> engines_;
   std::vector<StoreChoice> stores_;
   bool store_per_part_ = false;
   std::set<EndpointId> draining_;
--- a/carobshift/gateway/cluster.cc
+++ b/carobshift/gateway/cluster.cc
@@ -23,13 +23,6 @@
           .http_port = settings.callers.port};
 }
 
-// Datagrams are authenticated with a key that all instances of one deployment
-// share. The platform hands out no secret, so it is derived from the log's
-// address: it keeps deployments apart and does not keep out whoever knows it.
-std::string GossipKey(const GatewaySettings& settings) {
-  return "carobshift gossip " + settings.log.ToString();
-}
-
 MembershipOptions Options() {
   MembershipOptions options;
   options.period = kGossipPeriod;
@@ -38,6 +31,10 @@
 
 }  // namespace
 
+std::string SharedSecret(const GatewaySettings& settings) {
+  return "carobshift gossip " + settings.log.ToString();
+}
+
 Cluster::Cluster(EventLoop& loop, const GatewaySettings& settings)
     : loop_(loop),
       address_{settings.host, settings.gossip_port},
@@ -45,7 +42,7 @@
       incarnation_(RandomUint64()),
       membership_(Options(),
                   SelfInfo(settings, incarnation_),
-                  GossipKey(settings),
+                  SharedSecret(settings),
                   RandomUint64(),
                   loop.now()) {
   SetSeedHosts(settings.seed_hosts);
--- a/carobshift/gateway/cluster.h
+++ b/carobshift/gateway/cluster.h
@@ -21,6 +21,11 @@
 
 namespace carobshift {
 
+// The key that authenticates datagrams between the instances of a deployment.
+// The platform hands out no secret, so it is derived from the log's address: it
+// keeps deployments apart and does not keep out whoever knows it.
+[[nodiscard]] std::string SharedSecret(const GatewaySettings& settings);
+
 class Cluster {
  public:
   Cluster(EventLoop& loop, const GatewaySettings& settings);
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -7,6 +7,7 @@
 #include "carobshift/gateway/cluster.h"
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/keyed_follower.h"
+#include "carobshift/gateway/load_sharing.h"
 #include "carobshift/gateway/query_service.h"
 #include "carobshift/gateway/request_service.h"
 #include "carobshift/gateway/store_watcher.h"
@@ -23,8 +24,10 @@
 // Callers ask again after this. Shorter answers notice a dead instance sooner
 // and cost a call each time.
 constexpr Milliseconds kAddressLife{2000};
-// Some callers keep an answer three times as long.
-constexpr int kAddressKeepers = 3;
+// After the announcement of a stop, new connections are taken for this long:
+// until then most callers have asked again for addresses. Later ones are reset
+// at once and go elsewhere, so that what is still taken can end in time.
+constexpr Milliseconds kStopAccepting{2400};
 // Of the grace time, left for the process to end in.
 constexpr Milliseconds kStopMargin{700};
 // Endpoints are read in batches of this: a change is in force well within the
@@ -82,6 +85,7 @@
   RequestService requests{
       loop,     endpoint_client, dialects.request,        registry,
       contents, metrics,         ServiceOptions(settings)};
+  LoadSharing load_sharing{loop, settings, cluster, requests.loads()};
   WeightSteward steward{loop,     control_client, settings,
                         dialects, cluster,        registry};
   StoreWatcher stores{loop, control_client, dialects.engine, contents};
@@ -111,7 +115,6 @@
   std::shared_ptr<TcpListener> caller_listener;
   MonotonicTime next_sweep{};
   std::optional<MonotonicTime> stop_began;
-  bool accepting = true;
 };
 
 Status Gateway::Parts::Listen() {
@@ -136,6 +139,8 @@
     return status;
   if (Status status = cluster.Start(); !status.ok())
     return status;
+  if (Status status = load_sharing.Start(); !status.ok())
+    return status;
   operator_follower.Start();
   endpoint_follower.Start();
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
@@ -161,6 +166,7 @@
       std::max<int>(1, static_cast<int>(cluster.Live().size())));
   requests.SetDraining(cluster.Draining());
   requests.OnTick();
+  load_sharing.OnTick();
   endpoint_records.Expire(loop.now());
   steward.OnTick();
   if (loop.now() < next_sweep)
@@ -239,6 +245,8 @@
   steward.Stop();
   cluster.Leave();
   requests.BeginStop();
+  loop.AddTimer(loop.now() + kStopAccepting,
+                [this] { caller_listener->Close(); });
 }
 
 bool Gateway::Parts::Stopped() const {
@@ -246,11 +254,9 @@
     return false;
   const auto passed = loop.now() - *stop_began;
   const Milliseconds last = settings.stop_grace - kStopMargin;
-  const Milliseconds answers_expire =
-      std::min(kAddressLife * kAddressKeepers, last);
   if (passed >= last)
     return true;
-  return passed >= answers_expire && requests.open_requests() == 0;
+  return passed >= kStopAccepting && requests.open_requests() == 0;
 }
 
 Gateway::Gateway(const GatewaySettings& settings, const Dialects& dialects)
--- /dev/null
+++ b/carobshift/gateway/load_book.cc
@@ -0,0 +1,119 @@
+#include "carobshift/gateway/load_book.h"
+
+#include <algorithm>
+
+#include "carobshift/gateway/placement.h"
+
+namespace carobshift {
+
+RequestFootprint RequestFootprint::Of(const CallerRequest& request) {
+  RequestFootprint footprint;
+  if (!request.prompt)
+    return footprint;
+  const PromptTraits& prompt = *request.prompt;
+  Tokens shared = 0;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    footprint.shared.push_back(prompt.parts[i]);
+    shared += prompt.parts[i].tokens;
+  }
+  footprint.own_tokens = std::max<Tokens>(0, prompt.prompt_tokens - shared) +
+                         prompt.max_output_tokens;
+  return footprint;
+}
+
+Milliseconds LoadBook::PeriodFor(std::size_t instances) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  const auto fair = Milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(instances) *
+                                kMillisecondsPerSecond / kReportsPerSecond));
+  return std::max(kReportPeriod, fair);
+}
+
+void LoadBook::OnStart(const EndpointId& endpoint,
+                       const RequestFootprint& footprint) {
+  OwnLoad& own = own_[endpoint];
+  own.load.requests += 1;
+  own.load.tokens += static_cast<double>(footprint.own_tokens);
+  for (const PromptPart& part : footprint.shared) {
+    if (++own.shared[part.id] == 1)
+      own.load.tokens += static_cast<double>(part.tokens);
+  }
+}
+
+void LoadBook::OnEnd(const EndpointId& endpoint,
+                     const RequestFootprint& footprint) {
+  const auto found = own_.find(endpoint);
+  if (found == own_.end())
+    return;
+  OwnLoad& own = found->second;
+  own.load.requests -= 1;
+  own.load.tokens -= static_cast<double>(footprint.own_tokens);
+  for (const PromptPart& part : footprint.shared) {
+    const auto shared = own.shared.find(part.id);
+    if (shared == own.shared.end() || --shared->second > 0)
+      continue;
+    own.shared.erase(shared);
+    own.load.tokens -= static_cast<double>(part.tokens);
+  }
+  if (own.load.requests <= 0)
+    own_.erase(found);
+}
+
+void LoadBook::OnPeerReport(const LoadReport& report, MonotonicTime now) {
+  Peer& peer = peers_[report.sender];
+  if (peer.report.sequence >= report.sequence)
+    return;
+  peer = {report, now + report.period * kReportLife};
+  SumPeers();
+}
+
+void LoadBook::Expire(MonotonicTime now) {
+  if (std::erase_if(peers_, [now](const auto& entry) {
+        return now >= entry.second.expires;
+      }) > 0)
+    SumPeers();
+}
+
+void LoadBook::SumPeers() {
+  theirs_.clear();
+  for (const auto& [sender, peer] : peers_) {
+    for (const auto& [endpoint, load] : peer.report.loads) {
+      theirs_[endpoint].tokens += load.tokens;
+      theirs_[endpoint].requests += load.requests;
+    }
+  }
+}
+
+EndpointLoad LoadBook::Total(const EndpointId& endpoint) const {
+  EndpointLoad total;
+  if (const auto own = own_.find(endpoint); own != own_.end())
+    total = own->second.load;
+  const auto theirs = theirs_.find(PlacementHash(endpoint.value()));
+  if (theirs != theirs_.end()) {
+    total.tokens += theirs->second.tokens;
+    total.requests += theirs->second.requests;
+  }
+  return total;
+}
+
+double LoadBook::Added(const EndpointId& endpoint,
+                       const RequestFootprint& footprint) const {
+  double added = static_cast<double>(footprint.own_tokens);
+  const auto own = own_.find(endpoint);
+  for (const PromptPart& part : footprint.shared) {
+    const bool there =
+        own != own_.end() && own->second.shared.contains(part.id);
+    if (!there)
+      added += static_cast<double>(part.tokens);
+  }
+  return added;
+}
+
+std::map<std::uint64_t, EndpointLoad> LoadBook::Own() const {
+  std::map<std::uint64_t, EndpointLoad> loads;
+  for (const auto& [endpoint, own] : own_)
+    loads[PlacementHash(endpoint.value())] = own.load;
+  return loads;
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/load_book.h
@@ -0,0 +1,104 @@
+// How much work each endpoint has from all instances together.
+//
+//   LoadBook book;
+//   book.OnStart(endpoint, footprint);
+//   book.OnPeerReport(report, now);
+//   const EndpointLoad load = book.Total(endpoint, now);
+//
+// Load pattern: engines keep the tokens of running prompts in memory, and long
+// dossiers fill nine tenths of it. One instance sees a seventh of the requests;
+// by its own alone it sends a dossier to an engine whose memory is full, where
+// the dossier waits for seconds or pushes another one out. So instances tell
+// each other what they have running, a few times a second.
+//
+// Figures: kReportPeriod is short against the seconds that a dossier runs, and
+// costs a small instance some thirty datagrams a second among seven. With more
+// instances it grows, so that an instance never handles more than
+// kReportsPerSecond. A peer's report counts for kReportLife times its period; a
+// dead peer's requests end with it.
+//
+// A part of a prompt that several requests share is counted once an instance.
+//
+// Thread-compatible.
+
+#ifndef CAROBSHIFT_GATEWAY_LOAD_BOOK_H_
+#define CAROBSHIFT_GATEWAY_LOAD_BOOK_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "carobshift/base/ids.h"
+#include "carobshift/base/units.h"
+#include "carobshift/gateway/caller_request.h"
+
+namespace carobshift {
+
+// What one request takes of an endpoint.
+struct RequestFootprint {
+  // Of the request alone: the prompt's last part and what may be produced.
+  Tokens own_tokens = 0;
+  std::vector<PromptPart> shared;
+
+  [[nodiscard]] static RequestFootprint Of(const CallerRequest& request);
+};
+
+struct EndpointLoad {
+  double tokens = 0;
+  double requests = 0;
+};
+
+// What one instance tells the others.
+struct LoadReport {
+  Incarnation sender;
+  std::uint64_t sequence = 0;
+  Milliseconds period{0};
+  // By the hash of the endpoint's id.
+  std::map<std::uint64_t, EndpointLoad> loads;
+};
+
+class LoadBook {
+ public:
+  static constexpr Milliseconds kReportPeriod{200};
+  static constexpr double kReportsPerSecond = 60;
+  static constexpr int kReportLife = 4;
+
+  // Between two reports of an instance among `instances`.
+  [[nodiscard]] static Milliseconds PeriodFor(std::size_t instances);
+
+  void OnStart(const EndpointId& endpoint, const RequestFootprint& footprint);
+  // Every start ends with this.
+  void OnEnd(const EndpointId& endpoint, const RequestFootprint& footprint);
+  void OnPeerReport(const LoadReport& report, MonotonicTime now);
+  void Expire(MonotonicTime now);
+
+  [[nodiscard]] EndpointLoad Total(const EndpointId& endpoint) const;
+  // Tokens that the request would add there.
+  [[nodiscard]] double Added(const EndpointId& endpoint,
+                             const RequestFootprint& footprint) const;
+  [[nodiscard]] std::map<std::uint64_t, EndpointLoad> Own() const;
+
+ private:
+  struct OwnLoad {
+    EndpointLoad load;
+    // Requests that share the part.
+    std::unordered_map<std::string, int> shared;
+  };
+  struct Peer {
+    LoadReport report;
+    MonotonicTime expires;
+  };
+
+  std::unordered_map<EndpointId, OwnLoad> own_;
+  std::unordered_map<Incarnation, Peer> peers_;
+  // Sum over the peers.
+  std::unordered_map<std::uint64_t, EndpointLoad> theirs_;
+
+  void SumPeers();
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_LOAD_BOOK_H_
--- a/carobshift/gateway/placement.cc
+++ b/carobshift/gateway/placement.cc
@@ -8,25 +8,18 @@
 namespace carobshift {
 namespace {
 
+// Added to the fill of an avoided endpoint: it comes after all others, however
+// full they are.
+constexpr double kAvoidedFill = 1e6;
+
 std::uint64_t Rank(std::uint64_t endpoint, std::uint64_t session) {
   const std::array<std::uint64_t, 2> both = {endpoint, session};
   return XXH3_64bits(both.data(), sizeof both);
 }
 
-double LoadOf(const PlacementCandidate& candidate) {
-  return candidate.load / candidate.speed;
-}
-
-double MeanLoad(const std::vector<PlacementCandidate>& candidates) {
-  double sum = 0;
-  int counted = 0;
-  for (const PlacementCandidate& candidate : candidates) {
-    if (candidate.avoided)
-      continue;
-    sum += LoadOf(candidate);
-    ++counted;
-  }
-  return counted == 0 ? 0 : sum / counted;
+double FillOf(const PlacementCandidate& candidate) {
+  return (candidate.load + candidate.added) / candidate.room +
+         (candidate.avoided ? kAvoidedFill : 0);
 }
 
 }  // namespace
@@ -36,37 +29,31 @@
 }
 
 PlacementChoice Place(const std::vector<PlacementCandidate>& candidates,
-                      std::uint64_t session,
-                      const PlacementOptions& options) {
-  const double bound =
-      options.load_factor * MeanLoad(candidates) + options.load_slack;
+                      std::uint64_t session) {
   std::optional<std::size_t> home;
   std::optional<std::size_t> best;
   std::optional<std::size_t> least;
   std::uint64_t home_rank = 0;
   std::uint64_t best_rank = 0;
-  double least_load = std::numeric_limits<double>::max();
+  double least_fill = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const PlacementCandidate& candidate = candidates[i];
-    const std::uint64_t rank = Rank(candidate.hash, session);
+    const std::uint64_t rank = Rank(candidates[i].hash, session);
+    const double fill = FillOf(candidates[i]);
     if (!home || rank > home_rank) {
       home = i;
       home_rank = rank;
     }
-    // An avoided endpoint is better than none.
-    const double load = LoadOf(candidate) + (candidate.avoided ? 1e6 : 0);
-    if (load < least_load) {
+    if (fill < least_fill) {
       least = i;
-      least_load = load;
+      least_fill = fill;
     }
-    const bool within = !candidate.avoided && load <= bound;
-    if (within && (!best || rank > best_rank)) {
+    if (fill <= 1 && (!best || rank > best_rank)) {
       best = i;
       best_rank = rank;
     }
   }
   const auto chosen = best ? best : least;
-  return {chosen, chosen.has_value() && chosen == home};
+  return {chosen, chosen.has_value() && chosen == home, best.has_value()};
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -40,7 +40,7 @@
       registry_(registry),
       metrics_(metrics),
       options_(options),
-      planner_(registry, health_, contents),
+      planner_(registry, health_, loads_, contents),
       allowance_(options.retries) {}
 
 RequestService::~RequestService() {
@@ -160,7 +160,11 @@
   const auto run = std::make_shared<ExchangeRun>(loop_, dialect_, connection,
                                                  std::move(setup), desk);
   Exchange* const exchange = &run->exchange();
-  runs_[exchange] = {run, connection.get(), {}, false};
+  runs_[exchange] = {run,
+                     connection.get(),
+                     {},
+                     RequestFootprint::Of(exchange->request()),
+                     false};
   by_connection_[connection.get()] = exchange;
   run->Start();
 }
@@ -221,6 +225,7 @@
   running.endpoint = plan->endpoint.id;
   running.attempt = true;
   health_.OnStart(plan->endpoint.id);
+  loads_.OnStart(plan->endpoint.id, running.footprint);
   HttpCallOptions options;
   options.connect_timeout = options_.connect_timeout;
   options.is_head_request = setup.request.method == "HEAD";
@@ -240,6 +245,7 @@
     return;
   running.attempt = false;
   health_.OnEnd(running.endpoint);
+  loads_.OnEnd(running.endpoint, running.footprint);
 }
 
 void RequestService::DropAttempt(Exchange& exchange) {
@@ -333,6 +339,7 @@
 
 void RequestService::OnTick() {
   const MonotonicTime now = loop_.now();
+  loads_.Expire(now);
   // The youngest word of each endpoint with streams under way.
   std::unordered_map<EndpointId, MonotonicTime> heard;
   for (const auto& [exchange, running] : runs_) {
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -21,6 +21,7 @@
 #include "carobshift/gateway/endpoint_health.h"
 #include "carobshift/gateway/endpoint_registry.h"
 #include "carobshift/gateway/exchange_run.h"
+#include "carobshift/gateway/load_book.h"
 #include "carobshift/gateway/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/gateway/store_contents.h"
@@ -64,6 +65,7 @@
   void SetLiveEntries(int count);
   // To be called about every kTick.
   void OnTick();
+  [[nodiscard]] LoadBook& loads() { return loads_; }
 
   // Callers are told to connect elsewhere; requests under way go on.
   void BeginStop();
@@ -107,6 +109,7 @@
     std::shared_ptr<ExchangeRun> run;
     HttpServerConnection* connection = nullptr;
     EndpointId endpoint;
+    RequestFootprint footprint;
     bool attempt = false;
   };
 
@@ -117,6 +120,7 @@
   Metrics& metrics_;
   RequestServiceOptions options_;
   EndpointHealthBook health_;
+  LoadBook loads_;
   AttemptPlanner planner_;
   RetryAllowance allowance_;
   std::shared_ptr<const ConfigInForce> config_;
