--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -11,6 +11,9 @@
 // For callers that are told to come back while no endpoint is known at all.
 constexpr Milliseconds kReturnWithoutEndpoints{500};
 constexpr Milliseconds kLeastReturn{100};
+// A request in progress at a service without prompts, in the unit of placement:
+// above its tolerance, so that such services spread by load alone.
+constexpr double kRequestCost = 10'000;
 
 std::string Hex(std::uint64_t value) {
   std::array<char, 20> text;
@@ -48,7 +51,7 @@
     if (!service.store)
       continue;
     stores_.push_back(
-        {name, service.store->address,
+        {CacheHolder(name.value()), service.store->address,
          static_cast<double>(std::max<Tokens>(service.store->capacity, 1)),
          PlacementHash(name.value())});
   }
@@ -77,108 +80,158 @@
   return known;
 }
 
-PlacementCandidate AttemptPlanner::Measure(
-    const EndpointRecord& record,
-    const RequestFootprint& footprint) const {
-  const EndpointLoad load = loads_.Total(record.id);
-  PlacementCandidate candidate;
-  candidate.hash = PlacementHash(record.id.value());
-  const auto engine = engines_.find(record.service);
-  if (engine == engines_.end() || engine->second.memory_tokens <= 0) {
-    candidate.load = load.requests;
-    candidate.added = 1;
-    candidate.room = record.slots;
+AttemptPlanner::Candidate AttemptPlanner::Describe(
+    const ExchangeSetup& setup,
+    const EndpointRecord& record) const {
+  Candidate candidate;
+  candidate.record = &record;
+  if (!setup.request.prompt)
+    return candidate;
+  candidate.weights = WeightsOf(record, setup.request.prompt->model);
+  if (!candidate.weights) {
+    candidate.scope = "unshared-" + setup.request.id.value();
     return candidate;
   }
-  candidate.load = load.tokens;
-  candidate.added = loads_.Added(record.id, footprint);
-  candidate.room =
-      kMemoryShare * static_cast<double>(engine->second.memory_tokens);
+  std::optional<AccountId> isolated;
+  if (setup.account != nullptr && setup.account->isolated)
+    isolated = setup.account->name;
+  candidate.scope =
+      CacheScope(setup.request.prompt->model, *candidate.weights, isolated);
   return candidate;
 }
 
-AttemptPlanner::Candidates AttemptPlanner::CandidatesOf(
-    const ExchangeSetup& setup,
-    const AttemptWish& wish,
+std::optional<AttemptPlanner::Source> AttemptPlanner::FindSource(
+    const PromptPart& part,
+    const std::string& scope,
     MonotonicTime now) const {
-  const RequestFootprint footprint = RequestFootprint::Of(setup.request);
-  Candidates out;
+  // An engine first: its link is several times as fast as a store's.
   for (const auto& [id, record] : registry_.all()) {
-    if (record.service != setup.service || record.leaving)
-      continue;
-    const bool tried = wish.tried != nullptr && wish.tried->contains(id);
-    PlacementCandidate candidate = Measure(record, footprint);
-    candidate.avoided =
-        tried || draining_.contains(id) || health_.Avoided(id, now);
-    out.endpoints.push_back(&record);
-    out.placement.push_back(candidate);
+    const CacheHolder holder(id.value());
+    if (engines_.contains(record.service) && !health_.Avoided(id, now) &&
+        contents_.HoldsWhole(holder, scope, part, now))
+      return Source{holder, record.address};
+  }
+  for (const StoreChoice& store : stores_) {
+    if (contents_.HoldsWhole(store.holder, scope, part, now))
+      return Source{store.holder, store.address};
   }
-  return out;
+  return std::nullopt;
+}
+
+const AttemptPlanner::Sources& AttemptPlanner::SourcesOf(
+    const PromptTraits& prompt,
+    const std::string& scope,
+    MonotonicTime now) {
+  const auto [found, fresh] = sources_.try_emplace(scope);
+  if (!fresh)
+    return found->second;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+    found->second.push_back(FindSource(prompt.parts[i], scope, now));
+  return found->second;
+}
+
+double AttemptPlanner::CostOf(const ExchangeSetup& setup,
+                              const RequestFootprint& footprint,
+                              Candidate& candidate,
+                              MonotonicTime now) {
+  const EndpointRecord& record = *candidate.record;
+  const EndpointLoad load = loads_.Total(record.id);
+  const auto engine = engines_.find(record.service);
+  if (engine == engines_.end() || !setup.request.prompt)
+    return load.requests * kRequestCost / record.slots;
+  const PromptTraits& prompt = *setup.request.prompt;
+  const CacheHolder self(record.id.value());
+  const Sources& sources = SourcesOf(prompt, candidate.scope, now);
+  double fetched = 0;
+  double unread = static_cast<double>(prompt.prompt_tokens);
+  for (std::size_t i = 0; i < sources.size(); ++i) {
+    const PromptPart& part = prompt.parts[i];
+    const auto tokens = static_cast<double>(part.tokens);
+    const bool here = contents_.HoldsWhole(self, candidate.scope, part, now);
+    // What follows a part that has to be read has to be read too.
+    if (!here && !sources[i])
+      break;
+    unread -= tokens;
+    if (!here)
+      fetched += tokens;
+  }
+  candidate.unread = std::max(0.0, unread);
+  double cost = load.unread + candidate.unread + kFetchCost * fetched;
+  const double room =
+      kMemoryShare * static_cast<double>(engine->second.memory_tokens);
+  const double over = load.tokens + loads_.Added(record.id, footprint) - room;
+  if (room > 0 && over > 0)
+    cost += kOverMemoryCost * over;
+  return cost;
 }
 
 std::optional<AttemptPlan> AttemptPlanner::Plan(const ExchangeSetup& setup,
                                                 const AttemptWish& wish,
                                                 MonotonicTime now) {
-  const Candidates candidates = CandidatesOf(setup, wish, now);
+  sources_.clear();
+  const RequestFootprint footprint = RequestFootprint::Of(setup.request);
+  std::vector<Candidate> candidates;
+  std::vector<PlacementCandidate> placement;
+  for (const auto& [id, record] : registry_.all()) {
+    if (record.service != setup.service || record.leaving)
+      continue;
+    Candidate candidate = Describe(setup, record);
+    const bool tried = wish.tried != nullptr && wish.tried->contains(id);
+    placement.push_back({.hash = PlacementHash(id.value()),
+                         .cost = CostOf(setup, footprint, candidate, now),
+                         .avoided = tried || draining_.contains(id) ||
+                                    health_.Avoided(id, now)});
+    candidates.push_back(std::move(candidate));
+  }
   const PlacementChoice choice =
-      Place(candidates.placement, SessionHash(setup.request));
+      Place(placement, SessionHash(setup.request), placement_);
   if (!choice.index)
     return std::nullopt;
+  const Candidate& chosen = candidates[*choice.index];
   AttemptPlan plan;
-  plan.endpoint = *candidates.endpoints[*choice.index];
-  plan.home = choice.home;
+  plan.endpoint = *chosen.record;
+  plan.unread = chosen.unread;
   plan.fields.endpoint = plan.endpoint.id;
   plan.fields.time_left = wish.time_left;
   plan.fields.last_event = wish.last_event;
   if (setup.account != nullptr)
     plan.fields.account = setup.account->name;
-  if (setup.request.prompt)
-    AddPromptFields(setup, plan.endpoint, plan.fields, now);
-  return plan;
-}
-
-void AttemptPlanner::AddPromptFields(const ExchangeSetup& setup,
-                                     const EndpointRecord& endpoint,
-                                     AttemptFields& fields,
-                                     MonotonicTime now) {
-  const PromptTraits& prompt = *setup.request.prompt;
+  if (!setup.request.prompt)
+    return plan;
   const bool has_priority =
       setup.account != nullptr && setup.account->priority.has_value();
-  fields.urgency =
+  plan.fields.urgency =
       has_priority ? *setup.account->priority : setup.route->priority;
-  fields.weights = WeightsOf(endpoint, prompt.model);
-  if (!fields.weights) {
-    fields.cache_scope = "unshared-" + setup.request.id.value();
-    return;
-  }
-  std::optional<AccountId> isolated;
-  if (setup.account != nullptr && setup.account->isolated)
-    isolated = setup.account->name;
-  fields.cache_scope = CacheScope(prompt.model, *fields.weights, isolated);
-  AddStores(prompt, fields, now);
+  plan.fields.weights = chosen.weights;
+  plan.fields.cache_scope = chosen.scope;
+  if (chosen.weights)
+    AddCacheFields(*setup.request.prompt, chosen, plan.fields, now);
+  return plan;
 }
 
-void AttemptPlanner::AddStores(const PromptTraits& prompt,
-                               AttemptFields& fields,
-                               MonotonicTime now) {
-  if (stores_.empty() || prompt.parts.size() < 2)
+void AttemptPlanner::AddCacheFields(const PromptTraits& prompt,
+                                    const Candidate& candidate,
+                                    AttemptFields& fields,
+                                    MonotonicTime now) {
+  if (prompt.parts.size() < 2)
     return;
-  fields.single_store = !store_per_part_;
   const std::size_t parts = prompt.parts.size();
+  fields.single_store = !store_per_part_;
   fields.fetch_from.resize(parts);
   fields.save_to.resize(parts);
-  const StoreChoice* const session_store =
-      ChooseStore(stores_, prompt.SessionPart()->id);
+  const CacheHolder self(candidate.record->id.value());
+  const Sources& sources = SourcesOf(prompt, candidate.scope, now);
   for (std::size_t i = 0; i + 1 < parts; ++i) {
-    const std::string& part = prompt.parts[i].id;
-    const StoreChoice* const store =
-        store_per_part_ ? ChooseStore(stores_, part) : session_store;
-    if (contents_.HoldsWhole(store->name, fields.cache_scope, part, now)) {
-      fields.fetch_from[i] = store->address;
-    } else if (contents_.Trusted(store->name, now) &&
-               NoteSave(fields.cache_scope, part, now)) {
+    const PromptPart& part = prompt.parts[i];
+    const bool here = contents_.HoldsWhole(self, candidate.scope, part, now);
+    if (!here && sources[i] && sources[i]->holder != self)
+      fields.fetch_from[i] = sources[i]->address;
+    const StoreChoice* const store = ChooseStore(
+        stores_, store_per_part_ ? part.id : prompt.SessionPart()->id);
+    if (store != nullptr && contents_.Trusted(store->holder, now) &&
+        !contents_.HoldsWhole(store->holder, candidate.scope, part, now) &&
+        NoteSave(candidate.scope, part.id, now))
       fields.save_to[i] = store->address;
-    }
   }
   if (const auto clock = contents_.ClockAt(now))
     fields.fetch_until = *clock + kFetchLife;
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -1,8 +1,8 @@
 // Where one attempt goes and what is said to its endpoint: the endpoint by
-// placement.h, its weights, the scope of its cached parts, and the stores that
-// parts are read from and kept in.
+// placement.h, its weights, the scope of its cached parts, the holders that
+// parts are fetched from and the stores that they are kept in.
 //
-//   AttemptPlanner planner(registry, health, contents, options);
+//   AttemptPlanner planner(registry, health, loads, contents);
 //   const std::optional<AttemptPlan> plan = planner.Plan(setup, wish, now);
 //
 // What must hold: no request may run on KV cache that was made by other
@@ -22,20 +22,21 @@
 #include <string>
 #include <vector>
 
+#include "carobshift/gateway/cache_contents.h"
 #include "carobshift/gateway/caller_request.h"
 #include "carobshift/gateway/endpoint_health.h"
 #include "carobshift/gateway/endpoint_registry.h"
 #include "carobshift/gateway/exchange.h"
 #include "carobshift/gateway/load_book.h"
 #include "carobshift/gateway/placement.h"
-#include "carobshift/gateway/store_contents.h"
 
 namespace carobshift {
 
 struct AttemptPlan {
   EndpointRecord endpoint;
   AttemptFields fields;
-  bool home = false;
+  // Tokens of the prompt that the endpoint has to read itself.
+  double unread = 0;
 };
 
 // The text under which an endpoint finds cached parts. `account` only where it
@@ -50,10 +51,15 @@
   // difference between what is counted here and what the engine holds: reports
   // are a fifth of a second old, and outputs differ from their estimate.
   static constexpr double kMemoryShare = 0.9;
-  // How long a fetch may last from the plan on. Reading a part of ten thousand
-  // tokens takes an engine a tenth of a second; a link that is so full or slow
-  // that the fetch takes twice that is worse than reading.
-  static constexpr Milliseconds kFetchLife{200};
+  // A token over an engine's memory, in tokens to be read: the request waits
+  // until as many are freed, which takes several times as long as reading them.
+  static constexpr double kOverMemoryCost = 4;
+  // A token that is fetched instead of read. The link moves a part of ten
+  // thousand tokens in about a tenth of the time that reading it takes.
+  static constexpr double kFetchCost = 0.15;
+  // How long a fetch may last from the plan on. A link that is so full or slow
+  // that a fetch takes longer is worse than reading.
+  static constexpr Milliseconds kFetchLife{250};
   // A part that is being kept is not sent to its store again for this long; by
   // then the store has told that it is whole, or it never will be.
   static constexpr Milliseconds kSaveMemory{3000};
@@ -61,7 +67,7 @@
   AttemptPlanner(const EndpointRegistry& registry,
                  const EndpointHealthBook& health,
                  const LoadBook& loads,
-                 const StoreContents& contents)
+                 const CacheContents& contents)
       : registry_(registry),
         health_(health),
         loads_(loads),
@@ -91,25 +97,37 @@
       const ModelName& model) const;
 
  private:
-  struct Candidates {
-    std::vector<const EndpointRecord*> endpoints;
-    std::vector<PlacementCandidate> placement;
+  // Where a part can be fetched from.
+  struct Source {
+    CacheHolder holder;
+    NetAddress address;
   };
+  struct Candidate {
+    const EndpointRecord* record = nullptr;
+    std::string scope;
+    std::optional<WeightNumber> weights;
+    double unread = 0;
+  };
+  using Sources = std::vector<std::optional<Source>>;
 
-  [[nodiscard]] Candidates CandidatesOf(const ExchangeSetup& setup,
-                                        const AttemptWish& wish,
-                                        MonotonicTime now) const;
-  // Load and room in the unit that binds the service.
-  [[nodiscard]] PlacementCandidate Measure(
-      const EndpointRecord& record,
-      const RequestFootprint& footprint) const;
-  void AddPromptFields(const ExchangeSetup& setup,
-                       const EndpointRecord& endpoint,
-                       AttemptFields& fields,
-                       MonotonicTime now);
-  void AddStores(const PromptTraits& prompt,
-                 AttemptFields& fields,
-                 MonotonicTime now);
+  [[nodiscard]] Candidate Describe(const ExchangeSetup& setup,
+                                   const EndpointRecord& record) const;
+  // In the unit of placement; sets the candidate's unread tokens.
+  [[nodiscard]] double CostOf(const ExchangeSetup& setup,
+                              const RequestFootprint& footprint,
+                              Candidate& candidate,
+                              MonotonicTime now);
+  // For each part of the prompt but the last; found once for each scope.
+  const Sources& SourcesOf(const PromptTraits& prompt,
+                           const std::string& scope,
+                           MonotonicTime now);
+  [[nodiscard]] std::optional<Source> FindSource(const PromptPart& part,
+                                                 const std::string& scope,
+                                                 MonotonicTime now) const;
+  void AddCacheFields(const PromptTraits& prompt,
+                      const Candidate& candidate,
+                      AttemptFields& fields,
+                      MonotonicTime now);
   bool NoteSave(const std::string& scope,
                 const std::string& part,
                 MonotonicTime now);
@@ -117,13 +135,16 @@
   const EndpointRegistry& registry_;
   const EndpointHealthBook& health_;
   const LoadBook& loads_;
-  const StoreContents& contents_;
+  const CacheContents& contents_;
   std::map<ServiceName, EngineTraits> engines_;
+  PlacementOptions placement_;
   std::vector<StoreChoice> stores_;
   bool store_per_part_ = false;
   std::set<EndpointId> draining_;
   std::map<EndpointId, std::map<ModelName, WeightNumber>> noted_;
   std::map<std::string, MonotonicTime> saves_;
+  // Of the plan under way.
+  std::map<std::string, Sources> sources_;
 };
 
 }  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/cache_contents.cc
@@ -0,0 +1,162 @@
+#include "carobshift/gateway/cache_contents.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cmath>
+#include <limits>
+
+namespace carobshift {
+
+std::string CacheContents::Key(std::string_view scope, std::string_view part) {
+  std::string key;
+  key.reserve(scope.size() + part.size() + 1);
+  key.append(scope);
+  key.push_back('\n');
+  key.append(part);
+  return key;
+}
+
+std::uint64_t CacheContents::next(const CacheHolder& holder) const {
+  const auto found = holders_.find(holder);
+  return found == holders_.end() ? 0 : found->second.next;
+}
+
+void CacheContents::Apply(Holder& holder, const StoreEvent& event) {
+  std::string key = Key(event.scope, event.part);
+  if (event.tokens <= 0) {
+    holder.parts.erase(key);
+  } else if (holder.parts.size() < kMaxParts) {
+    holder.parts[std::move(key)] = event.tokens;
+  }
+}
+
+void CacheContents::OnEvents(const CacheHolder& name,
+                             const StoreEvents& events,
+                             MonotonicTime now) {
+  Holder& holder = holders_[name];
+  if (holder.known && holder.epoch != events.epoch)
+    holder.parts.clear();
+  // What lies in a gap may have been a removal; listing again sets it right.
+  if (events.gap) {
+    holder.parts.clear();
+    holder.listed = false;
+  }
+  holder.known = true;
+  holder.epoch = events.epoch;
+  holder.next = events.next;
+  holder.heard = now;
+  for (const StoreEvent& event : events.events)
+    Apply(holder, event);
+  if (events.clock) {
+    clock_offset_ = std::chrono::duration_cast<Microseconds>(
+                        events.clock->time_since_epoch()) -
+                    now.time_since_epoch();
+  }
+}
+
+void CacheContents::OnListing(const CacheHolder& name,
+                              const StoreListing& listing,
+                              MonotonicTime now) {
+  Holder& holder = holders_[name];
+  holder.parts.clear();
+  holder.known = true;
+  holder.listed = true;
+  holder.epoch = listing.epoch;
+  holder.next = listing.next;
+  holder.heard = now;
+  for (const StoreEvent& part : listing.whole)
+    Apply(holder, part);
+}
+
+void CacheContents::OnReaderLost(const CacheHolder& name) {
+  Holder& holder = holders_[name];
+  holder.heard = MonotonicTime{};
+}
+
+bool CacheContents::NeedsListing(const CacheHolder& name) const {
+  const auto found = holders_.find(name);
+  return found != holders_.end() && !found->second.listed;
+}
+
+bool CacheContents::Trusted(const CacheHolder& name, MonotonicTime now) const {
+  const auto found = holders_.find(name);
+  return found != holders_.end() && found->second.heard != MonotonicTime{} &&
+         now - found->second.heard <= kTrust;
+}
+
+bool CacheContents::HoldsWhole(const CacheHolder& name,
+                               std::string_view scope,
+                               const PromptPart& part,
+                               MonotonicTime now) const {
+  if (!Trusted(name, now))
+    return false;
+  const Holder& holder = holders_.find(name)->second;
+  const auto found = holder.parts.find(Key(scope, part.id));
+  return found != holder.parts.end() &&
+         static_cast<double>(found->second) >=
+             kWholeShare * static_cast<double>(part.tokens);
+}
+
+std::optional<WallTime> CacheContents::ClockAt(MonotonicTime now) const {
+  if (!clock_offset_)
+    return std::nullopt;
+  return WallTime(std::chrono::duration_cast<Milliseconds>(
+      now.time_since_epoch() + *clock_offset_));
+}
+
+std::size_t CacheContents::size(const CacheHolder& name) const {
+  const auto found = holders_.find(name);
+  return found == holders_.end() ? 0 : found->second.parts.size();
+}
+
+void CacheContents::OnFreed(const CacheHolder& name,
+                            const std::vector<StoreEvent>& parts) {
+  const auto found = holders_.find(name);
+  if (found == holders_.end())
+    return;
+  for (const StoreEvent& part : parts)
+    found->second.parts.erase(Key(part.scope, part.part));
+}
+
+std::optional<std::uint64_t> CacheContents::Epoch(
+    const CacheHolder& name) const {
+  const auto found = holders_.find(name);
+  if (found == holders_.end() || !found->second.known)
+    return std::nullopt;
+  return found->second.epoch;
+}
+
+std::vector<StoreEvent> CacheContents::Parts(const CacheHolder& name) const {
+  std::vector<StoreEvent> parts;
+  const auto found = holders_.find(name);
+  if (found == holders_.end())
+    return parts;
+  for (const auto& [key, tokens] : found->second.parts) {
+    const std::size_t middle = key.find('\n');
+    parts.push_back(
+        {true, key.substr(0, middle), key.substr(middle + 1), tokens});
+  }
+  return parts;
+}
+
+const StoreChoice* ChooseStore(const std::vector<StoreChoice>& stores,
+                               std::string_view part) {
+  const std::uint64_t part_hash = XXH3_64bits(part.data(), part.size());
+  const StoreChoice* best = nullptr;
+  double best_score = -1;
+  for (const StoreChoice& store : stores) {
+    const std::array<std::uint64_t, 2> both = {store.hash, part_hash};
+    const double uniform =
+        (static_cast<double>(XXH3_64bits(both.data(), sizeof both)) + 1) /
+        (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+    const double score = -store.weight / std::log(uniform);
+    if (score > best_score) {
+      best = &store;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace carobshift
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -4,13 +4,13 @@
 #include <utility>
 
 #include "carobshift/gateway/address_choice.h"
+#include "carobshift/gateway/cache_watcher.h"
 #include "carobshift/gateway/cluster.h"
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/keyed_follower.h"
 #include "carobshift/gateway/load_sharing.h"
 #include "carobshift/gateway/query_service.h"
 #include "carobshift/gateway/request_service.h"
-#include "carobshift/gateway/store_watcher.h"
 #include "carobshift/gateway/weight_steward.h"
 #include "carobshift/net/tcp_listener.h"
 #include "carobshift/telemetry/event_log.h"
@@ -58,11 +58,16 @@
                 [this](const NamedWeights& named) {
                   steward.SetTarget(named.model, named.number);
                 },
-            .on_endpoints = [this] { requests.OnEndpointsChanged(); }} {}
+            .on_endpoints =
+                [this] {
+                  requests.OnEndpointsChanged();
+                  WatchCaches();
+                }} {}
 
   Status Start();
   Status Listen();
   void OnTick();
+  void WatchCaches();
   void OnConfig(std::shared_ptr<const ConfigInForce> config);
   void BeginStop();
   [[nodiscard]] bool Stopped() const;
@@ -80,7 +85,7 @@
   // one doesn't use up the other's connections.
   HttpClient control_client{loop, {}};
   EndpointRegistry registry;
-  StoreContents contents;
+  CacheContents contents;
   Cluster cluster{loop, settings};
   RequestService requests{
       loop,     endpoint_client, dialects.request,        registry,
@@ -88,7 +93,7 @@
   LoadSharing load_sharing{loop, settings, cluster, requests.loads()};
   WeightSteward steward{loop,     control_client, settings,
                         dialects, cluster,        registry};
-  StoreWatcher stores{loop, control_client, dialects.engine, contents};
+  CacheWatcher caches{loop, control_client, dialects.engine, contents};
   OperatorRecords operator_records{dialects.log, listener};
   EndpointRecords endpoint_records{dialects.log, registry, listener};
   KeyedFollower operator_follower{loop,
@@ -154,7 +159,7 @@
 void Gateway::Parts::OnConfig(std::shared_ptr<const ConfigInForce> config) {
   requests.SetConfig(config);
   steward.SetConfig(config);
-  stores.SetStores(config->config(), cluster.Rank());
+  WatchCaches();
   // Numbers of members without a configuration are 0.
   cluster.SetConfigNumber(config->config().number.value() + 1);
 }
@@ -174,8 +179,14 @@
   next_sweep = loop.now() + kIdleSweep;
   endpoint_client.CloseIdle(loop.now());
   control_client.CloseIdle(loop.now());
-  if (requests.has_config())
-    stores.SetStores(operator_records.config()->config(), cluster.Rank());
+  WatchCaches();
+}
+
+void Gateway::Parts::WatchCaches() {
+  const auto& config = operator_records.config();
+  if (config == nullptr)
+    return;
+  caches.SetHolders(HoldersOf(config->config(), registry), cluster.Rank());
 }
 
 QueryAnswer Gateway::Parts::Answer(const HttpHead& question) {
--- a/carobshift/gateway/load_book.cc
+++ b/carobshift/gateway/load_book.cc
@@ -30,8 +30,10 @@
 }
 
 void LoadBook::OnStart(const EndpointId& endpoint,
-                       const RequestFootprint& footprint) {
+                       const RequestFootprint& footprint,
+                       double unread) {
   OwnLoad& own = own_[endpoint];
+  own.load.unread += unread;
   own.load.requests += 1;
   own.load.tokens += static_cast<double>(footprint.own_tokens);
   for (const PromptPart& part : footprint.shared) {
@@ -40,6 +42,12 @@
   }
 }
 
+void LoadBook::OnRead(const EndpointId& endpoint, double unread) {
+  const auto found = own_.find(endpoint);
+  if (found != own_.end())
+    found->second.load.unread -= unread;
+}
+
 void LoadBook::OnEnd(const EndpointId& endpoint,
                      const RequestFootprint& footprint) {
   const auto found = own_.find(endpoint);
@@ -80,6 +88,7 @@
     for (const auto& [endpoint, load] : peer.report.loads) {
       theirs_[endpoint].tokens += load.tokens;
       theirs_[endpoint].requests += load.requests;
+      theirs_[endpoint].unread += load.unread;
     }
   }
 }
@@ -92,6 +101,7 @@
   if (theirs != theirs_.end()) {
     total.tokens += theirs->second.tokens;
     total.requests += theirs->second.requests;
+    total.unread += theirs->second.unread;
   }
   return total;
 }
--- a/carobshift/gateway/load_book.h
+++ b/carobshift/gateway/load_book.h
@@ -48,6 +48,8 @@
 struct EndpointLoad {
   double tokens = 0;
   double requests = 0;
+  // Of prompts that have not been read yet; the engine reads them first.
+  double unread = 0;
 };
 
 // What one instance tells the others.
@@ -68,7 +70,12 @@
   // Between two reports of an instance among `instances`.
   [[nodiscard]] static Milliseconds PeriodFor(std::size_t instances);
 
-  void OnStart(const EndpointId& endpoint, const RequestFootprint& footprint);
+  // `unread`: what the endpoint has to read of the prompt.
+  void OnStart(const EndpointId& endpoint,
+               const RequestFootprint& footprint,
+               double unread);
+  // The prompt has been read, or will not be; once for each start.
+  void OnRead(const EndpointId& endpoint, double unread);
   // Every start ends with this.
   void OnEnd(const EndpointId& endpoint, const RequestFootprint& footprint);
   void OnPeerReport(const LoadReport& report, MonotonicTime now);
--- a/carobshift/gateway/load_report_codec.cc
+++ b/carobshift/gateway/load_report_codec.cc
@@ -32,7 +32,8 @@
             static_cast<std::uint16_t>(loads.size()));
     for (const auto& [endpoint, load] : loads) {
       archive(endpoint, static_cast<std::uint32_t>(load.tokens),
-              static_cast<std::uint16_t>(load.requests));
+              static_cast<std::uint16_t>(load.requests),
+              static_cast<std::uint32_t>(std::max(0.0, load.unread)));
     }
   }
   const std::string body = out.str();
@@ -59,9 +60,11 @@
       std::uint64_t endpoint = 0;
       std::uint32_t tokens = 0;
       std::uint16_t requests = 0;
-      archive(endpoint, tokens, requests);
+      std::uint32_t unread = 0;
+      archive(endpoint, tokens, requests, unread);
       report.loads[endpoint] = {static_cast<double>(tokens),
-                                static_cast<double>(requests)};
+                                static_cast<double>(requests),
+                                static_cast<double>(unread)};
     }
   } catch (const std::exception& e) {
     return Error{ResultCode::kPeerRejected, e.what()};
--- a/carobshift/gateway/placement.h
+++ b/carobshift/gateway/placement.h
@@ -1,21 +1,27 @@
-// Which endpoint gets a request, so that a session comes back to the endpoint
-// that still holds its cached parts, and no endpoint gets more than it has room
-// for.
+// Which endpoint gets a request: the one that is expected to begin its answer
+// first, and among those about as soon the one that the session always had.
 //
-//   const PlacementChoice choice = Place(candidates, key);
+//   const PlacementChoice choice = Place(candidates, key, options);
 //   if (choice.index) Send(candidates[*choice.index]);
 //
 // Load pattern: some hundred sessions return after seconds to minutes, each
-// with thousands of shared tokens; the tokens of running prompts fill most of
-// the engines' memory, and now and then a quarter of the engines is gone. Sent
-// to the least loaded endpoint, each return reads its whole prompt again. Sent
-// by the session alone, an engine whose sessions happen to come together is
-// full: the newest of them wait for seconds, or are pushed out and read again.
+// with thousands of shared tokens. Reading them again takes an engine most of
+// its time: between the tokens of thirty other requests it reads about seventy
+// tokens a millisecond, so that a dossier which it doesn't hold occupies it for
+// a fifth of a second. Sent to the least loaded engine, each return reads its
+// whole prompt again; sent by the session alone, engines whose sessions happen
+// to come together build up a queue of seconds while others have none.
 //
-// How: rendezvous hashing orders the endpoints anew for each session, the same
-// way in each process without any talk. The first one that has room gets the
-// request; if none has, the one that is least over its room. An endpoint that
-// leaves moves only its own sessions.
+// How: each candidate has a cost, in tokens to be read before the first token
+// of the answer: those of others that wait there, and those of the prompt that
+// are neither there nor can be fetched. Memory that would be exceeded counts on
+// top, as somebody would have to wait until it is free. Among candidates within
+// `tolerance` of the cheapest, rendezvous hashing of the session decides, the
+// same way in each process without any talk; so a session that nobody holds
+// gets one home, and an endpoint that leaves moves only its own sessions.
+//
+// Figures: `tolerance` is about what an engine reads in 20 ms. Below it the
+// difference is not felt; well above it sessions would queue at their home.
 
 #ifndef CAROBSHIFT_GATEWAY_PLACEMENT_H_
 #define CAROBSHIFT_GATEWAY_PLACEMENT_H_
@@ -27,14 +33,15 @@
 
 namespace carobshift {
 
+struct PlacementOptions {
+  double tolerance = 1500;
+};
+
 struct PlacementCandidate {
   // Hash of the endpoint's id.
   std::uint64_t hash = 0;
-  // What it has, what the request would add, and what it has room for; in the
-  // same unit, tokens for engines and requests for others.
-  double load = 0;
-  double added = 1;
-  double room = 1;
+  // What stands before the first token there; lower is better.
+  double cost = 0;
   // Usable, but better not: it loads weights, failed lately, was tried already.
   bool avoided = false;
 };
@@ -42,10 +49,8 @@
 struct PlacementChoice {
   // Nothing if there is no candidate.
   std::optional<std::size_t> index;
-  // Whether it is the session's first endpoint in the hash order.
-  bool home = false;
-  // Whether it has room for the request.
-  bool fits = false;
+  // Whether only avoided candidates were left.
+  bool avoided = false;
 };
 
 [[nodiscard]] std::uint64_t PlacementHash(std::string_view text);
@@ -54,7 +59,8 @@
 // share nothing take a random one and so spread evenly.
 [[nodiscard]] PlacementChoice Place(
     const std::vector<PlacementCandidate>& candidates,
-    std::uint64_t session);
+    std::uint64_t session,
+    const PlacementOptions& options);
 
 }  // namespace carobshift
 
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -31,7 +31,7 @@
                                HttpClient& client,
                                const RequestDialect& dialect,
                                EndpointRegistry& registry,
-                               StoreContents& contents,
+                               CacheContents& contents,
                                Metrics& metrics,
                                const RequestServiceOptions& options)
     : loop_(loop),
@@ -225,7 +225,8 @@
   running.endpoint = plan->endpoint.id;
   running.attempt = true;
   health_.OnStart(plan->endpoint.id);
-  loads_.OnStart(plan->endpoint.id, running.footprint);
+  running.unread = plan->unread;
+  loads_.OnStart(plan->endpoint.id, running.footprint, running.unread);
   HttpCallOptions options;
   options.connect_timeout = options_.connect_timeout;
   options.is_head_request = setup.request.method == "HEAD";
@@ -244,10 +245,16 @@
   if (!running.attempt)
     return;
   running.attempt = false;
+  NoteRead(running);
   health_.OnEnd(running.endpoint);
   loads_.OnEnd(running.endpoint, running.footprint);
 }
 
+void RequestService::NoteRead(Running& running) {
+  loads_.OnRead(running.endpoint, running.unread);
+  running.unread = 0;
+}
+
 void RequestService::DropAttempt(Exchange& exchange) {
   EndAttempt(exchange);
   runs_.at(&exchange).run->DropCall();
@@ -263,7 +270,9 @@
 
 void RequestService::OnAttemptReply(Exchange& exchange,
                                     const ReplyFacts& facts) {
-  const EndpointId& endpoint = runs_.at(&exchange).endpoint;
+  Running& running = runs_.at(&exchange);
+  NoteRead(running);
+  const EndpointId& endpoint = running.endpoint;
   const auto& prompt = exchange.request().prompt;
   if (facts.weights && prompt)
     planner_.NoteWeights(endpoint, prompt->model, *facts.weights);
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -17,6 +17,7 @@
 #include <unordered_set>
 
 #include "carobshift/gateway/attempt_planner.h"
+#include "carobshift/gateway/cache_contents.h"
 #include "carobshift/gateway/dialect.h"
 #include "carobshift/gateway/endpoint_health.h"
 #include "carobshift/gateway/endpoint_registry.h"
@@ -24,7 +25,6 @@
 #include "carobshift/gateway/load_book.h"
 #include "carobshift/gateway/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
-#include "carobshift/gateway/store_contents.h"
 #include "carobshift/net/http_server_connection.h"
 #include "carobshift/telemetry/metrics.h"
 
@@ -49,7 +49,7 @@
                  HttpClient& client,
                  const RequestDialect& dialect,
                  EndpointRegistry& registry,
-                 StoreContents& contents,
+                 CacheContents& contents,
                  Metrics& metrics,
                  const RequestServiceOptions& options);
   ~RequestService() override;
@@ -95,6 +95,16 @@
   Milliseconds ReturnAfter(const Exchange& exchange) override;
   void OnExchangeEnd(Exchange& exchange) override;
 
+  struct Running {
+    std::shared_ptr<ExchangeRun> run;
+    HttpServerConnection* connection = nullptr;
+    EndpointId endpoint;
+    RequestFootprint footprint;
+    // Of the attempt; zero once the endpoint has read the prompt.
+    double unread = 0;
+    bool attempt = false;
+  };
+
   // Answers without an endpoint.
   void Reject(HttpServerConnection& connection,
               const RequestId& id,
@@ -103,16 +113,9 @@
               RunState run_state);
   void LogEnd(const Exchange& exchange);
   void EndAttempt(Exchange& exchange);
+  void NoteRead(Running& running);
   void SetConnectionLimits();
 
-  struct Running {
-    std::shared_ptr<ExchangeRun> run;
-    HttpServerConnection* connection = nullptr;
-    EndpointId endpoint;
-    RequestFootprint footprint;
-    bool attempt = false;
-  };
-
   EventLoop& loop_;
   HttpClient& client_;
   const RequestDialect& dialect_;
