--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -177,8 +177,9 @@
       continue;
     Candidate candidate = Describe(setup, record);
     const bool tried = wish.tried != nullptr && wish.tried->contains(id);
+    candidate.cost = CostOf(setup, footprint, candidate, now);
     placement.push_back({.hash = PlacementHash(id.value()),
-                         .cost = CostOf(setup, footprint, candidate, now),
+                         .cost = candidate.cost,
                          .avoided = tried || draining_.contains(id) ||
                                     health_.Avoided(id, now)});
     candidates.push_back(std::move(candidate));
@@ -198,6 +199,7 @@
     plan.fields.account = setup.account->name;
   if (!setup.request.prompt)
     return plan;
+  plan.cost = chosen.cost;
   const bool has_priority =
       setup.account != nullptr && setup.account->priority.has_value();
   plan.fields.urgency =
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -37,6 +37,9 @@
   AttemptFields fields;
   // Tokens of the prompt that the endpoint has to read itself.
   double unread = 0;
+  // What stands before its first token there, in the unit of placement; 0 for
+  // requests without a prompt.
+  double cost = 0;
 };
 
 // The text under which an endpoint finds cached parts. `account` only where it
@@ -107,6 +110,7 @@
     std::string scope;
     std::optional<WeightNumber> weights;
     double unread = 0;
+    double cost = 0;
   };
   using Sources = std::vector<std::optional<Source>>;
 
--- a/carobshift/gateway/exchange.cc
+++ b/carobshift/gateway/exchange.cc
@@ -23,6 +23,8 @@
   switch (failure) {
     case NoAttempt::kNoAllowance:
       return ResultCode::kRetryBudgetSpent;
+    case NoAttempt::kOverloaded:
+      return ResultCode::kOverloaded;
     case NoAttempt::kNoTime:
       return ResultCode::kDeadlineExceeded;
     case NoAttempt::kNone:
--- a/carobshift/gateway/exchange.h
+++ b/carobshift/gateway/exchange.h
@@ -72,6 +72,8 @@
   kNoAllowance,
   // The caller's time is over.
   kNoTime,
+  // The answer would begin too late to be of use.
+  kOverloaded,
 };
 
 // Where attempts run. One at a time for each exchange.
@@ -93,7 +95,7 @@
   virtual void OnAttemptFailure(Exchange& exchange,
                                 const CallFailure& failure) = 0;
   // How long a caller should wait before it comes back to the service.
-  virtual Milliseconds ReturnAfter(const Exchange& exchange) = 0;
+  virtual Milliseconds ReturnAfter(Exchange& exchange) = 0;
   // The exchange is over; the last call.
   virtual void OnExchangeEnd(Exchange& exchange) = 0;
 };
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -169,7 +169,7 @@
   cluster.OnTick();
   requests.SetLiveEntries(
       std::max<int>(1, static_cast<int>(cluster.Live().size())));
-  requests.SetDraining(cluster.Draining());
+  requests.SetDraining(steward.Behind(cluster.Draining()));
   requests.OnTick();
   load_sharing.OnTick();
   endpoint_records.Expire(loop.now());
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -160,11 +160,10 @@
   const auto run = std::make_shared<ExchangeRun>(loop_, dialect_, connection,
                                                  std::move(setup), desk);
   Exchange* const exchange = &run->exchange();
-  runs_[exchange] = {run,
-                     connection.get(),
-                     {},
-                     RequestFootprint::Of(exchange->request()),
-                     false};
+  Running& running = runs_[exchange];
+  running.run = run;
+  running.connection = connection.get();
+  running.footprint = RequestFootprint::Of(exchange->request());
   by_connection_[connection.get()] = exchange;
   run->Start();
 }
@@ -219,10 +218,14 @@
   auto plan = planner_.Plan(setup, wish, loop_.now());
   if (!plan)
     return NoAttempt::kNoEndpoint;
+  Running& running = runs_.at(&exchange);
+  if (!wish.repeat && RefusedUnderLoad(running, setup, *plan))
+    return NoAttempt::kOverloaded;
   if (wish.repeat && !allowance_.TrySpend(setup.service, loop_.now()))
     return NoAttempt::kNoAllowance;
-  Running& running = runs_.at(&exchange);
   running.endpoint = plan->endpoint.id;
+  running.cost = plan->cost;
+  running.attempt_began = loop_.now();
   running.attempt = true;
   health_.OnStart(plan->endpoint.id);
   running.unread = plan->unread;
@@ -264,7 +267,31 @@
   runs_.at(&exchange).run->PauseCall(pause);
 }
 
-Milliseconds RequestService::ReturnAfter(const Exchange& exchange) {
+bool RequestService::RefusedUnderLoad(Running& running,
+                                      const ExchangeSetup& setup,
+                                      const AttemptPlan& plan) {
+  const OverloadVerdict verdict = overload_.Judge(
+      {.service = setup.service,
+       .cost = plan.cost,
+       .latency_target = setup.route->latency_target,
+       .urgency = plan.fields.urgency.value_or(setup.route->priority),
+       .hash = PlacementHash(setup.request.id.value())});
+  if (!verdict.refused)
+    return false;
+  running.return_after = verdict.return_after;
+  LogEvent(LogLevel::kInfo, "refused_under_load",
+           {{"request", setup.request.id.value()},
+            {"cost", static_cast<std::int64_t>(plan.cost)},
+            {"expected_ms", verdict.expected.count()},
+            {"target_ms", setup.route->latency_target.count()},
+            {"return_ms", verdict.return_after.count()}});
+  return true;
+}
+
+Milliseconds RequestService::ReturnAfter(Exchange& exchange) {
+  const auto found = runs_.find(&exchange);
+  if (found != runs_.end() && found->second.return_after)
+    return *found->second.return_after;
   return planner_.ReturnAfter(exchange.setup().service, loop_.now());
 }
 
@@ -272,6 +299,10 @@
                                     const ReplyFacts& facts) {
   Running& running = runs_.at(&exchange);
   NoteRead(running);
+  if (!facts.not_run) {
+    overload_.OnFirstToken(exchange.setup().service, running.cost,
+                           loop_.now() - running.attempt_began);
+  }
   const EndpointId& endpoint = running.endpoint;
   const auto& prompt = exchange.request().prompt;
   if (facts.weights && prompt)
@@ -318,7 +349,7 @@
   loop_.AddTimer(loop_.now(), [run] {});
 }
 
-void RequestService::LogEnd(const Exchange& exchange) {
+void RequestService::LogEnd(Exchange& exchange) {
   const ExchangeSummary& summary = exchange.summary();
   const ExchangeSetup& setup = exchange.setup();
   const MonotonicTime now = loop_.now();
@@ -337,6 +368,9 @@
                            {"ms", MillisecondsSince(setup.arrived, now)},
                            {"config", setup.config->config().number.value()},
                            {"registry", registry_.revision()}};
+  const Running& running = runs_.at(&exchange);
+  if (running.cost > 0)
+    fields["cost"] = static_cast<std::int64_t>(running.cost);
   if (summary.resumes > 0)
     fields["resumes"] = summary.resumes;
   if (summary.first_byte)
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -23,6 +23,7 @@
 #include "carobshift/gateway/endpoint_registry.h"
 #include "carobshift/gateway/exchange_run.h"
 #include "carobshift/gateway/load_book.h"
+#include "carobshift/gateway/overload_guard.h"
 #include "carobshift/gateway/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_server_connection.h"
@@ -92,7 +93,7 @@
   void OnAttemptEnd(Exchange& exchange) override;
   void OnAttemptFailure(Exchange& exchange,
                         const CallFailure& failure) override;
-  Milliseconds ReturnAfter(const Exchange& exchange) override;
+  Milliseconds ReturnAfter(Exchange& exchange) override;
   void OnExchangeEnd(Exchange& exchange) override;
 
   struct Running {
@@ -102,7 +103,11 @@
     RequestFootprint footprint;
     // Of the attempt; zero once the endpoint has read the prompt.
     double unread = 0;
+    double cost = 0;
+    MonotonicTime attempt_began{};
     bool attempt = false;
+    // Set when it was refused under load.
+    std::optional<Milliseconds> return_after;
   };
 
   // Answers without an endpoint.
@@ -111,9 +116,13 @@
               int status,
               ResultCode code,
               RunState run_state);
-  void LogEnd(const Exchange& exchange);
+  void LogEnd(Exchange& exchange);
   void EndAttempt(Exchange& exchange);
   void NoteRead(Running& running);
+  // Whether a request that has not been sent yet is to be refused.
+  [[nodiscard]] bool RefusedUnderLoad(Running& running,
+                                      const ExchangeSetup& setup,
+                                      const AttemptPlan& plan);
   void SetConnectionLimits();
 
   EventLoop& loop_;
@@ -124,6 +133,7 @@
   RequestServiceOptions options_;
   EndpointHealthBook health_;
   LoadBook loads_;
+  OverloadGuard overload_;
   AttemptPlanner planner_;
   RetryAllowance allowance_;
   std::shared_ptr<const ConfigInForce> config_;
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -16,7 +16,12 @@
 constexpr Milliseconds kAskAgain{500};
 // Of the announcement that an engine is kept free: as long as its load may
 // take. It ends earlier when the engine shows its new weights.
-constexpr Milliseconds kDrainLife{4000};
+constexpr Milliseconds kDrainLife{3000};
+// An order is looked after for the first time when the shortest load may be
+// over, then every kWatchAgain, at most kMaxWatch in all.
+constexpr Milliseconds kWatchFirst{900};
+constexpr Milliseconds kWatchAgain{200};
+constexpr Milliseconds kMaxWatch{6000};
 
 LeaseOptions LeaseOptionsOf(const GatewaySettings& settings) {
   LeaseOptions options;
@@ -67,12 +72,54 @@
   for (const auto& [id, record] : registry_.all()) {
     if (record.leaving)
       continue;
-    for (const auto& [model, number] : record.weights)
+    for (const auto& [model, recorded] : record.weights) {
+      WeightNumber number = recorded;
+      if (const auto found = reported_.find(id); found != reported_.end()) {
+        const auto of_model = found->second.find(model);
+        if (of_model != found->second.end())
+          number = std::max(number, of_model->second);
+      }
       engines.push_back({id, model, number});
+    }
   }
   return engines;
 }
 
+std::set<EndpointId> WeightSteward::Behind(
+    const std::set<EndpointId>& endpoints) const {
+  std::set<EndpointId> behind;
+  if (endpoints.empty())
+    return behind;
+  for (const RolloutEngine& engine : Engines()) {
+    const auto target = rollout_.Target(engine.model);
+    if (target && engine.weights < *target && endpoints.contains(engine.id))
+      behind.insert(engine.id);
+  }
+  return behind;
+}
+
+// Past the lease's end only while the log doesn't answer: nobody can have
+// succeeded through it unseen for longer than the lease protects, and engines
+// that check fencing bar whoever was succeeded. After a suspension of this
+// process the last call had an answer, so the log is asked first.
+std::optional<FencingNumber> WeightSteward::MayOrder(MonotonicTime now) const {
+  const auto number = lease_.MayOrder(settings_.engines_check_fencing, now);
+  if (!number || stopped_)
+    return std::nullopt;
+  const bool expired = now >= lease_.expires();
+  if (expired && !(log_failing_ && settings_.engines_check_fencing))
+    return std::nullopt;
+  return number;
+}
+
+void WeightSteward::Drop(const EndpointId& endpoint) {
+  const auto found = orders_.find(endpoint);
+  if (found == orders_.end())
+    return;
+  loop_.CancelTimer(found->second->timer);
+  orders_.erase(found);
+}
+
 bool WeightSteward::IsMyTurn(MonotonicTime now) {
   if (lease_.IsHolder())
     return true;
@@ -133,6 +180,7 @@
                 ? dialects_.log.DecodeRead(*outcome.status, outcome.body, from)
                 : Error{ResultCode::kLogUnavailable,
                         std::string(outcome.reason)};
+        log_failing_ = !outcome.status;
         lease_.OnRead(batch, loop_.now());
         if (held != lease_.IsHolder()) {
           LogEvent(LogLevel::kInfo, held ? "lease_lost" : "lease_held",
@@ -156,15 +204,15 @@
                 : Error{outcome.sent ? ResultCode::kLogOutcomeUnknown
                                      : ResultCode::kLogUnavailable,
                         std::string(outcome.reason)};
+        log_failing_ = !outcome.status;
         lease_.OnAppended(offset, loop_.now());
         DriveLease();
       });
 }
 
 void WeightSteward::GiveOrders(const std::vector<RolloutEngine>& engines) {
-  const auto number =
-      lease_.MayOrder(settings_.engines_check_fencing, loop_.now());
-  if (!number || loop_.now() >= lease_.expires())
+  const auto number = MayOrder(loop_.now());
+  if (!number)
     return;
   for (const RolloutStep& step : rollout_.Next(engines, loop_.now())) {
     cluster_.AnnounceDraining(step.endpoint, *number, kDrainLife);
@@ -177,8 +225,10 @@
   const EndpointRecord* const record = registry_.Find(step.endpoint);
   if (record == nullptr)
     return;
+  Drop(step.endpoint);
   auto order = std::make_shared<Order>();
   order->step = step;
+  order->sent = loop_.now();
   order->address = record->address;
   orders_[step.endpoint] = order;
   order->fetch.Start(
@@ -194,7 +244,7 @@
         const auto keep = order;
         if (!report.ok() || report.value().busy) {
           rollout_.OnOrderFailed(order->step.endpoint, kAskAgain, loop_.now());
-          orders_.erase(order->step.endpoint);
+          Drop(order->step.endpoint);
           return;
         }
         SendOrder(order, report.value());
@@ -204,11 +254,10 @@
 void WeightSteward::SendOrder(const std::shared_ptr<Order>& order,
                               const EngineReport& report) {
   // The process may have been suspended since it held the lease.
-  const auto number =
-      lease_.MayOrder(settings_.engines_check_fencing, loop_.Refresh());
-  if (!number || loop_.now() >= lease_.expires() || stopped_) {
+  const auto number = MayOrder(loop_.Refresh());
+  if (!number) {
     rollout_.OnOrderFailed(order->step.endpoint, kAskAgain, loop_.now());
-    orders_.erase(order->step.endpoint);
+    Drop(order->step.endpoint);
     return;
   }
   const WeightOrder wanted{.model = order->step.model,
@@ -237,19 +286,63 @@
                                  const FetchOutcome& outcome) {
   const auto keep = order;
   const EndpointId endpoint = order->step.endpoint;
-  orders_.erase(endpoint);
   LogEvent(LogLevel::kInfo, "order_answered",
            {{"endpoint", endpoint.value()},
             {"status", outcome.status.value_or(0)},
             {"reason", outcome.reason}});
-  // Without an answer it may still be carried out; the rollout looks at the
-  // engine's weights again before it repeats it.
-  if (!outcome.status)
-    return;
-  const OrderOutcome result =
-      dialects_.engine.DecodeOrderReply(*outcome.status);
-  if (result != OrderOutcome::kAccepted && result != OrderOutcome::kAlreadyDone)
+  const bool refused = outcome.status &&
+                       dialects_.engine.DecodeOrderReply(*outcome.status) !=
+                           OrderOutcome::kAccepted &&
+                       dialects_.engine.DecodeOrderReply(*outcome.status) !=
+                           OrderOutcome::kAlreadyDone;
+  if (refused) {
     rollout_.OnOrderFailed(endpoint, kAskAgain, loop_.now());
+    Drop(endpoint);
+    return;
+  }
+  // Without an answer it may still be carried out.
+  WatchLater(order, kWatchFirst);
+}
+
+void WeightSteward::WatchLater(const std::shared_ptr<Order>& order,
+                               Milliseconds wait) {
+  order->timer = loop_.AddTimer(loop_.now() + wait, [this, order] {
+    order->fetch.Start(client_, loop_, order->address,
+                       SerializeRequest(dialects_.engine.EncodeReportQuestion(),
+                                        order->address, ""),
+                       CallOptions(kOrderTimeout),
+                       [this, order](const FetchOutcome& outcome) {
+                         OnWatched(order, outcome);
+                       });
+  });
+}
+
+void WeightSteward::OnWatched(const std::shared_ptr<Order>& order,
+                              const FetchOutcome& outcome) {
+  const auto keep = order;
+  const EndpointId endpoint = order->step.endpoint;
+  const Result<EngineReport> report =
+      outcome.status
+          ? dialects_.engine.DecodeReport(*outcome.status, outcome.body)
+          : Error{ResultCode::kEndpointFailed, std::string(outcome.reason)};
+  if (report.ok()) {
+    const auto& weights = report.value().weights;
+    const auto found = weights.find(order->step.model);
+    if (found != weights.end() && found->second >= order->step.number) {
+      reported_[endpoint] = weights;
+      LogEvent(
+          LogLevel::kInfo, "weights_loaded",
+          {{"endpoint", endpoint.value()}, {"weights", found->second.value()}});
+      Drop(endpoint);
+      OnTick();
+      return;
+    }
+  }
+  if (loop_.now() - order->sent > kMaxWatch) {
+    Drop(endpoint);
+    return;
+  }
+  WatchLater(order, kWatchAgain);
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/weight_steward.h
+++ b/carobshift/gateway/weight_steward.h
@@ -14,6 +14,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "carobshift/gateway/cluster.h"
@@ -50,12 +52,17 @@
   void Stop() { stopped_ = true; }
 
   [[nodiscard]] bool IsHolder() const { return lease_.IsHolder(); }
+  // Those of `endpoints` that still have older weights than named.
+  [[nodiscard]] std::set<EndpointId> Behind(
+      const std::set<EndpointId>& endpoints) const;
 
  private:
   struct Order {
     RolloutStep step;
     NetAddress address;
     HttpFetch fetch;
+    TimerId timer;
+    MonotonicTime sent{};
   };
 
   [[nodiscard]] std::vector<RolloutEngine> Engines() const;
@@ -70,6 +77,15 @@
                  const EngineReport& report);
   void OnOrderReply(const std::shared_ptr<Order>& order,
                     const FetchOutcome& outcome);
+  // Asks the engine for its weights until it has the ordered ones. Its record
+  // tells too, but later, and not at all while this instance doesn't reach the
+  // log.
+  void WatchLater(const std::shared_ptr<Order>& order, Milliseconds wait);
+  void OnWatched(const std::shared_ptr<Order>& order,
+                 const FetchOutcome& outcome);
+  // An order may be sent under this number now.
+  [[nodiscard]] std::optional<FencingNumber> MayOrder(MonotonicTime now) const;
+  void Drop(const EndpointId& endpoint);
 
   EventLoop& loop_;
   HttpClient& client_;
@@ -83,6 +99,9 @@
   Lease lease_;
   HttpFetch lease_call_;
   MonotonicTime lease_wait_{};
+  // The last call for the lease had no answer.
+  bool log_failing_ = false;
+  std::map<EndpointId, std::map<ModelName, WeightNumber>> reported_;
   std::map<EndpointId, std::shared_ptr<Order>> orders_;
   bool stopped_ = false;
   // What the engines looked like when it last changed.
