--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -130,15 +130,17 @@
   return found->second;
 }
 
-double AttemptPlanner::CostOf(const ExchangeSetup& setup,
-                              const RequestFootprint& footprint,
-                              Candidate& candidate,
-                              MonotonicTime now) {
+void AttemptPlanner::Measure(const ExchangeSetup& setup,
+                             const RequestFootprint& footprint,
+                             Candidate& candidate,
+                             MonotonicTime now) {
   const EndpointRecord& record = *candidate.record;
   const EndpointLoad load = loads_.Total(record.id);
   const auto engine = engines_.find(record.service);
-  if (engine == engines_.end() || !setup.request.prompt)
-    return load.requests * kRequestCost / record.slots;
+  if (engine == engines_.end() || !setup.request.prompt) {
+    candidate.cost = load.requests * kRequestCost / record.slots;
+    return;
+  }
   const PromptTraits& prompt = *setup.request.prompt;
   const CacheHolder self(record.id.value());
   const Sources& sources = SourcesOf(prompt, candidate.scope, now);
@@ -156,13 +158,13 @@
       fetched += tokens;
   }
   candidate.unread = std::max(0.0, unread);
-  double cost = load.unread + candidate.unread + kFetchCost * fetched;
+  candidate.ahead = load.unread;
   const double room =
       kMemoryShare * static_cast<double>(engine->second.memory_tokens);
   const double over = load.tokens + loads_.Added(record.id, footprint) - room;
   if (room > 0 && over > 0)
-    cost += kOverMemoryCost * over;
-  return cost;
+    candidate.ahead += kOverMemoryCost * over;
+  candidate.cost = candidate.ahead + candidate.unread + kFetchCost * fetched;
 }
 
 std::optional<AttemptPlan> AttemptPlanner::Plan(const ExchangeSetup& setup,
@@ -177,7 +179,7 @@
       continue;
     Candidate candidate = Describe(setup, record);
     const bool tried = wish.tried != nullptr && wish.tried->contains(id);
-    candidate.cost = CostOf(setup, footprint, candidate, now);
+    Measure(setup, footprint, candidate, now);
     placement.push_back({.hash = PlacementHash(id.value()),
                          .cost = candidate.cost,
                          .avoided = tried || draining_.contains(id) ||
@@ -200,6 +202,7 @@
   if (!setup.request.prompt)
     return plan;
   plan.cost = chosen.cost;
+  plan.ahead = chosen.ahead;
   const bool has_priority =
       setup.account != nullptr && setup.account->priority.has_value();
   plan.fields.urgency =
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -40,6 +40,8 @@
   // What stands before its first token there, in the unit of placement; 0 for
   // requests without a prompt.
   double cost = 0;
+  // The part of it that is other requests' or lacks memory.
+  double ahead = 0;
 };
 
 // The text under which an endpoint finds cached parts. `account` only where it
@@ -111,16 +113,17 @@
     std::optional<WeightNumber> weights;
     double unread = 0;
     double cost = 0;
+    double ahead = 0;
   };
   using Sources = std::vector<std::optional<Source>>;
 
   [[nodiscard]] Candidate Describe(const ExchangeSetup& setup,
                                    const EndpointRecord& record) const;
-  // In the unit of placement; sets the candidate's unread tokens.
-  [[nodiscard]] double CostOf(const ExchangeSetup& setup,
-                              const RequestFootprint& footprint,
-                              Candidate& candidate,
-                              MonotonicTime now);
+  // Sets the candidate's unread tokens and its costs.
+  void Measure(const ExchangeSetup& setup,
+               const RequestFootprint& footprint,
+               Candidate& candidate,
+               MonotonicTime now);
   // For each part of the prompt but the last; found once for each scope.
   const Sources& SourcesOf(const PromptTraits& prompt,
                            const std::string& scope,
--- a/carobshift/gateway/overload_guard.cc
+++ b/carobshift/gateway/overload_guard.cc
@@ -37,7 +37,7 @@
 OverloadVerdict OverloadGuard::Judge(const OverloadQuestion& question) const {
   OverloadVerdict verdict;
   const double expected =
-      question.cost * MillisecondsPerToken(question.service);
+      question.ahead * MillisecondsPerToken(question.service);
   verdict.expected = Milliseconds(std::llround(expected));
   if (question.latency_target.count() <= 0)
     return verdict;
--- a/carobshift/gateway/overload_guard.h
+++ b/carobshift/gateway/overload_guard.h
@@ -11,14 +11,17 @@
 // after two seconds of it all first tokens are later than they were worth
 // waiting for, those of short questions too, until the load falls again.
 //
-// How: the cost of a placement (placement.h) times the measured time that a
-// token of it takes is the time to the first token to be expected. If that is
-// beyond a share of the latency target, the request is refused at once, not
+// How: what stands before a request at its best place (placement.h), times the
+// measured time that a token of it takes, is the wait to be expected. If that
+// is beyond a share of the latency target, the request is refused at once, not
 // run, with the time after which the backlog is gone. The least urgent are
-// refused first, so that their backlog doesn't reach those before them.
+// refused first, so that their backlog doesn't reach those before them. The
+// request's own prompt doesn't count: long prompts would be refused first and
+// hardly ever be served.
 //
-// Figures: kShare leaves the most urgent nearly their whole target and the
-// least urgent three fifths of it; the rest is for what the estimate misses.
+// Figures: of the target, the most urgent may wait for kMostUrgentShare, each
+// step of urgency below for kShareStep less, nobody for less than kLeastShare;
+// the rest is for reading the prompt and for what the estimate misses.
 // kLeastReturn is a tenth of the shortest deadline of a streamed answer, so
 // that whoever comes back finds a change; the scatter keeps those refused in
 // one burst from coming back as one.
@@ -38,8 +41,9 @@
 
 struct OverloadQuestion {
   ServiceName service;
-  // Of the best place, in the unit of placement.
-  double cost = 0;
+  // What stands before the request at the best place, without its own prompt,
+  // in the unit of placement.
+  double ahead = 0;
   Milliseconds latency_target{0};
   // 0 is the most urgent.
   int urgency = 0;
@@ -55,9 +59,9 @@
 
 class OverloadGuard {
  public:
-  static constexpr double kMostUrgentShare = 0.95;
-  static constexpr double kShareStep = 0.15;
-  static constexpr double kLeastShare = 0.5;
+  static constexpr double kMostUrgentShare = 0.85;
+  static constexpr double kShareStep = 0.2;
+  static constexpr double kLeastShare = 0.3;
   static constexpr Milliseconds kLeastReturn{300};
   static constexpr Milliseconds kLongestReturn{3000};
   // Before anything was measured: an engine that reads between the tokens of
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -60,7 +60,7 @@
       HttpServerConnection::Open(loop_, socket, limits, {}, *this);
   connections_[connection.get()] = connection;
   if (stopping_)
-    connection->CloseWhenIdle();
+    connection->CloseAfterReply();
 }
 
 void RequestService::SetConfig(std::shared_ptr<const ConfigInForce> config) {
@@ -272,7 +272,7 @@
                                       const AttemptPlan& plan) {
   const OverloadVerdict verdict = overload_.Judge(
       {.service = setup.service,
-       .cost = plan.cost,
+       .ahead = plan.ahead,
        .latency_target = setup.route->latency_target,
        .urgency = plan.fields.urgency.value_or(setup.route->priority),
        .hash = PlacementHash(setup.request.id.value())});
@@ -281,7 +281,7 @@
   running.return_after = verdict.return_after;
   LogEvent(LogLevel::kInfo, "refused_under_load",
            {{"request", setup.request.id.value()},
-            {"cost", static_cast<std::int64_t>(plan.cost)},
+            {"ahead", static_cast<std::int64_t>(plan.ahead)},
             {"expected_ms", verdict.expected.count()},
             {"target_ms", setup.route->latency_target.count()},
             {"return_ms", verdict.return_after.count()}});
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -199,6 +199,9 @@
   paused_ = false;
   if (ended_)
     return;
+  // A stream that began before the stop didn't say that the connection ends.
+  if (closing_)
+    keep_alive_ = false;
   if (!keep_alive_) {
     ended_ = true;
     loop_.CancelTimer(timer_);
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -90,7 +90,9 @@
   void BreakOff();
 
   // From now on replies say that the connection ends, and it does after the
-  // present request; at once if there is none and nothing was read of the next.
+  // present request or the next one.
+  void CloseAfterReply() { closing_ = true; }
+  // The same; and at once if nothing was read of a request.
   void CloseWhenIdle();
   // Whether a request is being read or served.
   [[nodiscard]] bool busy() const { return serving_ || parser_.begun(); }
