--- a/carobshift/cmd/gateway_command.cc
+++ b/carobshift/cmd/gateway_command.cc
@@ -12,6 +12,7 @@
 #include "carobshift/cmd/exit_codes.h"
 #include "carobshift/gateway/gateway.h"
 #include "carobshift/telemetry/event_log.h"
+#include "carobshift/telemetry/log_output.h"
 #include "platform/platform_dialects.h"
 #include "platform/settings_file.h"
 
@@ -71,14 +72,18 @@
   if (!settings.ok())
     return Fail(ExitCode::kUsage, settings.error().message);
   ConfigureEventLog(level, settings.value().entry.value());
+  BufferLogOutput();
   const PlatformDialects platform;
   Gateway gateway(settings.value(), platform.dialects());
   if (const Status status = gateway.Start(); !status.ok())
     return Fail(ExitCode::kFailed, status.error().message);
+  std::cerr << "listening " + settings.value().callers.ToString() + "\n"
+            << std::flush;
   gateway.Run(
       {.stop_requested = [] { return stop_requested.load(); },
        .take_reload = [] { return reload_requested.exchange(false); },
        .read_settings = [&] { return ReadSettings(path, metrics_port); }});
+  FinishLogOutput();
   return static_cast<int>(ExitCode::kOk);
 }
 
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -14,6 +14,7 @@
 #include "carobshift/gateway/weight_steward.h"
 #include "carobshift/net/tcp_listener.h"
 #include "carobshift/telemetry/event_log.h"
+#include "carobshift/telemetry/log_output.h"
 #include "carobshift/telemetry/metrics.h"
 
 namespace carobshift {
@@ -166,6 +167,7 @@
 
 void Gateway::Parts::OnTick() {
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
+  FlushLogOutput();
   cluster.OnTick();
   requests.SetLiveEntries(
       std::max<int>(1, static_cast<int>(cluster.Live().size())));
@@ -211,6 +213,8 @@
     return {200, "application/json", StateDumpText()};
   metrics.Set("carobshift_open_requests", {},
               static_cast<double>(requests.open_requests()));
+  metrics.Set("carobshift_log_lines_dropped", {},
+              static_cast<double>(DroppedLogLines()));
   metrics.Set("carobshift_live_entries", {},
               static_cast<double>(cluster.Live().size()));
   metrics.Set(
--- a/carobshift/telemetry/event_log.cc
+++ b/carobshift/telemetry/event_log.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "carobshift/base/units.h"
+#include "carobshift/telemetry/log_output.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -25,7 +26,7 @@
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::Format, "%msg");
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    // Standard output is kept for what other programs read.
+    // To LogOutput(), see there.
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     el::Loggers::reconfigureAllLoggers(configuration);
     return el::Loggers::getLogger("default");
--- a/carobshift/telemetry/event_log.h
+++ b/carobshift/telemetry/event_log.h
@@ -1,4 +1,4 @@
-// Logs as JSON lines on standard error: one object per line with time, level,
+// Logs as JSON lines to LogOutput(): one object per line with time, level,
 // event name and fields. No prompt text, key or secret goes into a field.
 //
 //   LogEvent(LogLevel::kInfo, "endpoint_lost",
