--- a/carobshift/gateway/decisions_test.cc
+++ b/carobshift/gateway/decisions_test.cc
@@ -39,6 +39,15 @@
   return record;
 }
 
+std::vector<RolloutEngine> Engines(int count, std::uint64_t weights) {
+  std::vector<RolloutEngine> engines;
+  for (int i = 0; i < count; ++i) {
+    engines.push_back({EndpointId("e" + std::to_string(i)), ModelName("m"),
+                       WeightNumber(weights)});
+  }
+  return engines;
+}
+
 TEST_CASE("the longest prefix of the host's routes wins") {
   const std::vector<Route> routes = {RouteOf("a.example", "/x/"),
                                      RouteOf("a.example", "/x/y/"),
@@ -111,6 +120,38 @@
   CHECK_FALSE(health.Avoided(id, now));
 }
 
+TEST_CASE("an address that another endpoint has taken is left at once") {
+  // An endpoint has died and its address was given to another service, while
+  // its entry still stands for some seconds. Every request sent there is
+  // refused and sent again elsewhere; together they would use up the repeats
+  // allowed.
+  EndpointHealthBook health;
+  const EndpointId id("e1");
+  health.OnTrouble(id, EndpointTrouble::kReplaced, kStart);
+  CHECK(health.AvoidedFor(id, kStart) == EndpointHealthBook::kLongestPause);
+}
+
+TEST_CASE("an order that had no answer is given again soon") {
+  // The engine lost the order's answer, or will carry it out in ten seconds.
+  // Waiting for it would leave callers on old weights for that long.
+  WeightRollout rollout({});
+  rollout.SetTarget(ModelName("m"), WeightNumber(2));
+  const auto engines = Engines(1, 1);
+  MonotonicTime now = kStart;
+  int orders = 0;
+  while (orders < 2 && now < kStart + Seconds(5)) {
+    for (const auto& step : rollout.Next(engines, now)) {
+      if (step.kind != RolloutStepKind::kOrder)
+        continue;
+      ++orders;
+      rollout.OnOrderFailed(step.endpoint, Milliseconds(500), now);
+    }
+    now += Milliseconds(100);
+  }
+  CHECK(orders == 2);
+  CHECK(now - kStart < Seconds(2));
+}
+
 TEST_CASE("repeats of all instances together stay within what is allowed") {
   // A third of the endpoints fails, and every instance sends its failed
   // requests again. Each keeps to its part by itself; together they stay below
@@ -335,15 +376,6 @@
   CHECK(book.Total(engine).tokens == Approx(0));
 }
 
-std::vector<RolloutEngine> Engines(int count, std::uint64_t weights) {
-  std::vector<RolloutEngine> engines;
-  for (int i = 0; i < count; ++i) {
-    engines.push_back({EndpointId("e" + std::to_string(i)), ModelName("m"),
-                       WeightNumber(weights)});
-  }
-  return engines;
-}
-
 TEST_CASE("new weights reach all engines, a share of them at a time") {
   // All twelve engines at once would refuse every caller for two seconds.
   WeightRollout rollout({});
--- a/carobshift/gateway/endpoint_health.cc
+++ b/carobshift/gateway/endpoint_health.cc
@@ -28,6 +28,11 @@
     entry.avoid_until = std::max(entry.avoid_until, now + kFullPause);
     return;
   }
+  if (trouble == EndpointTrouble::kReplaced) {
+    ++entry.failures;
+    entry.avoid_until = now + kLongestPause;
+    return;
+  }
   // Requests that were under way together fail together; they count once.
   if (entry.failures > 0 && now < entry.avoid_until)
     return;
--- a/carobshift/gateway/endpoint_health.h
+++ b/carobshift/gateway/endpoint_health.h
@@ -35,6 +35,9 @@
   kBroken,
   // It said that it has no place now.
   kFull,
+  // Another endpoint answered at its address: it is gone, and its entry will be
+  // too. Until then every request sent there is one that counts as a repeat.
+  kReplaced,
 };
 
 class EndpointHealthBook {
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -307,7 +307,11 @@
   const auto& prompt = exchange.request().prompt;
   if (facts.weights && prompt)
     planner_.NoteWeights(endpoint, prompt->model, *facts.weights);
-  if (facts.not_run && !facts.misdirected)
+  const bool replaced =
+      facts.misdirected && facts.endpoint && *facts.endpoint != endpoint;
+  if (replaced)
+    health_.OnTrouble(endpoint, EndpointTrouble::kReplaced, loop_.now());
+  else if (facts.not_run && !facts.misdirected)
     health_.OnTrouble(endpoint, EndpointTrouble::kFull, loop_.now());
   else
     health_.OnAnswer(endpoint);
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -9,11 +9,13 @@
 
 constexpr char kLeaseStream[] = "carobshift-lease";
 constexpr Milliseconds kLeaseCallTimeout{900};
-constexpr Milliseconds kOrderTimeout{800};
+// An engine answers within a few milliseconds. One that has not by then has
+// lost the answer, or will carry the order out later.
+constexpr Milliseconds kOrderTimeout{400};
 constexpr Milliseconds kConnectTimeout{300};
-// An engine that is busy with another order, or didn't answer, is asked again
-// after about the time that a load takes at its shortest.
-constexpr Milliseconds kAskAgain{500};
+// Before an engine that is busy with another order, or didn't answer, is asked
+// again.
+constexpr Milliseconds kAskAgain{250};
 // Of the announcement that an engine is kept free: as long as its load may
 // take. It ends earlier when the engine shows its new weights.
 constexpr Milliseconds kDrainLife{3000};
@@ -300,7 +302,15 @@
     Drop(endpoint);
     return;
   }
-  // Without an answer it may still be carried out.
+  if (!outcome.status) {
+    // It may be carried out, now or seconds later. Given again with the same
+    // count of orders before it, it is carried out once at most; left alone,
+    // engines that lose answers would keep their old weights for ten seconds
+    // each.
+    rollout_.OnOrderFailed(endpoint, kAskAgain, loop_.now());
+    Drop(endpoint);
+    return;
+  }
   WatchLater(order, kWatchFirst);
 }
 
