--- a/carobshift/cmd/gateway_command.cc
+++ b/carobshift/cmd/gateway_command.cc
@@ -45,8 +45,9 @@
       "metrics-port", "port of metrics and state dump; 0 for none",
       cxxopts::value<std::uint16_t>()->default_value("0"))(
       "log-level", "debug, info, warning or error",
-      cxxopts::value<std::string>()->default_value("info"))("help",
-                                                            "print this help");
+      cxxopts::value<std::string>()->default_value("info"))(
+      "print-address", "print \"listening HOST:PORT\" once it serves")(
+      "help", "print this help");
   return options;
 }
 
@@ -67,22 +68,35 @@
   return settings;
 }
 
-int Serve(const std::string& path, std::uint16_t metrics_port, LogLevel level) {
-  const Result<GatewaySettings> settings = ReadSettings(path, metrics_port);
+struct GatewayFlags {
+  std::string settings_path;
+  std::uint16_t metrics_port = 0;
+  LogLevel log_level = LogLevel::kInfo;
+  bool print_address = false;
+};
+
+int Serve(const GatewayFlags& flags) {
+  const Result<GatewaySettings> settings =
+      ReadSettings(flags.settings_path, flags.metrics_port);
   if (!settings.ok())
     return Fail(ExitCode::kUsage, settings.error().message);
-  ConfigureEventLog(level, settings.value().entry.value());
+  ConfigureEventLog(flags.log_level, settings.value().entry.value());
   BufferLogOutput();
   const PlatformDialects platform;
   Gateway gateway(settings.value(), platform.dialects());
   if (const Status status = gateway.Start(); !status.ok())
     return Fail(ExitCode::kFailed, status.error().message);
-  std::cerr << "listening " + settings.value().callers.ToString() + "\n"
-            << std::flush;
-  gateway.Run(
-      {.stop_requested = [] { return stop_requested.load(); },
-       .take_reload = [] { return reload_requested.exchange(false); },
-       .read_settings = [&] { return ReadSettings(path, metrics_port); }});
+  if (flags.print_address) {
+    std::cout << "listening " + settings.value().callers.ToString() + "\n"
+              << std::flush;
+  }
+  gateway.Run({.stop_requested = [] { return stop_requested.load(); },
+               .take_reload = [] { return reload_requested.exchange(false); },
+               .read_settings =
+                   [&] {
+                     return ReadSettings(flags.settings_path,
+                                         flags.metrics_port);
+                   }});
   FinishLogOutput();
   return static_cast<int>(ExitCode::kOk);
 }
@@ -107,7 +121,10 @@
       path = parsed["settings"].as<std::string>();
     if (!path)
       return Fail(ExitCode::kUsage, "no settings file was given");
-    return Serve(*path, parsed["metrics-port"].as<std::uint16_t>(), *level);
+    return Serve({.settings_path = *path,
+                  .metrics_port = parsed["metrics-port"].as<std::uint16_t>(),
+                  .log_level = *level,
+                  .print_address = parsed.count("print-address") > 0});
   } catch (const cxxopts::exceptions::exception& e) {
     return Fail(ExitCode::kUsage, e.what());
   }
--- /dev/null
+++ b/carobshift/gateway/attempt_planner_test.cc
@@ -0,0 +1,204 @@
+#include "carobshift/gateway/attempt_planner.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace carobshift {
+namespace {
+
+const MonotonicTime kStart{Seconds(100)};
+const ServiceName kEngines("engines");
+const ModelName kModel("m1");
+
+// Four engines with the same weights, two stores, and one account that shares
+// nothing.
+class Scene {
+ public:
+  Scene() {
+    DeclaredService engines;
+    engines.name = kEngines;
+    engines.engine = EngineTraits{.slots = 64,
+                                  .memory_tokens = 100'000,
+                                  .store_per_part = true,
+                                  .event_readers = 8,
+                                  .models = {kModel}};
+    config.services[kEngines] = engines;
+    for (const char* name : {"store-a", "store-b"}) {
+      DeclaredService store;
+      store.name = ServiceName(name);
+      store.store = StoreTraits{{name, 1}, ZoneName("z"), 1'000'000, true, 8};
+      config.services[store.name] = store;
+      Tell(name, {});
+    }
+    planner.SetConfig(config);
+    for (int i = 0; i < 4; ++i) {
+      EndpointRecord record;
+      record.id = EndpointId("e" + std::to_string(i));
+      record.service = kEngines;
+      record.address = {"10.0.0." + std::to_string(i), 80};
+      record.weights[kModel] = WeightNumber(1);
+      registry.Put(record, kStart);
+      Tell(record.id.value(), {});
+    }
+    route.latency_target = Milliseconds(800);
+    route.priority = 2;
+    isolated.name = AccountId("walled");
+    isolated.isolated = true;
+    account.name = AccountId("north");
+    account.priority = 1;
+    setup.request.id = RequestId("r1");
+    setup.request.prompt = PromptTraits{
+        kModel, 9500, 100, {{"system", 500}, {"session", 8000}, {"own", 1000}}};
+    setup.route = &route;
+    setup.account = &account;
+    setup.service = kEngines;
+  }
+
+  void Tell(const std::string& holder, std::vector<StoreEvent> events) {
+    StoreEvents told;
+    told.epoch = 1;
+    told.next = 1;
+    told.events = std::move(events);
+    contents.OnEvents(CacheHolder(holder), told, kStart);
+  }
+
+  // The holder has all shared parts of the request under `scope`.
+  void Hold(const std::string& holder, const std::string& scope) {
+    Tell(holder,
+         {{true, scope, "system", 500}, {true, scope, "session", 8000}});
+  }
+
+  AttemptPlan Plan() {
+    const auto plan = planner.Plan(setup, {}, kStart);
+    REQUIRE(plan.has_value());
+    return *plan;
+  }
+
+  ServingConfig config;
+  EndpointRegistry registry;
+  EndpointHealthBook health;
+  LoadBook loads;
+  CacheContents contents;
+  AttemptPlanner planner{registry, health, loads, contents};
+  Route route;
+  Account account;
+  Account isolated;
+  ExchangeSetup setup;
+};
+
+TEST_CASE("caches of other weights or of a walled account can't match") {
+  const std::string scope = CacheScope(kModel, WeightNumber(1), std::nullopt);
+  CHECK(scope != CacheScope(kModel, WeightNumber(2), std::nullopt));
+  CHECK(scope != CacheScope(ModelName("m2"), WeightNumber(1), std::nullopt));
+  CHECK(scope != CacheScope(kModel, WeightNumber(1), AccountId("walled")));
+  CHECK(scope == CacheScope(kModel, WeightNumber(1), std::nullopt));
+}
+
+TEST_CASE("an attempt names its endpoint, its weights and the cache's scope") {
+  Scene scene;
+  const AttemptPlan plan = scene.Plan();
+  CHECK(plan.fields.endpoint == plan.endpoint.id);
+  CHECK(plan.fields.weights == WeightNumber(1));
+  CHECK(plan.fields.cache_scope ==
+        CacheScope(kModel, WeightNumber(1), std::nullopt));
+  // The account's rank goes before the route's.
+  CHECK(plan.fields.urgency == 1);
+  scene.setup.account = &scene.isolated;
+  CHECK(scene.Plan().fields.cache_scope ==
+        CacheScope(kModel, WeightNumber(1), AccountId("walled")));
+  CHECK(scene.Plan().fields.urgency == 2);
+}
+
+TEST_CASE("an engine whose weights aren't known shares no cache") {
+  Scene scene;
+  for (int i = 0; i < 4; ++i) {
+    EndpointRecord record =
+        *scene.registry.Find(EndpointId("e" + std::to_string(i)));
+    record.weights.clear();
+    scene.registry.Put(record, kStart);
+  }
+  const AttemptPlan plan = scene.Plan();
+  CHECK_FALSE(plan.fields.weights.has_value());
+  CHECK(plan.fields.cache_scope.find("r1") != std::string::npos);
+  CHECK(plan.fields.fetch_from.empty());
+  CHECK(plan.fields.save_to.empty());
+}
+
+TEST_CASE("a returning session goes where its parts are") {
+  Scene scene;
+  scene.Hold("e2", CacheScope(kModel, WeightNumber(1), std::nullopt));
+  const AttemptPlan plan = scene.Plan();
+  CHECK(plan.endpoint.id == EndpointId("e2"));
+  CHECK(plan.unread == Approx(1000));
+  CHECK_FALSE(plan.fields.fetch_from[1].has_value());
+}
+
+TEST_CASE("a holder with a long queue is read from, not sent to") {
+  // The session's engine has thirty thousand tokens to read for others. The
+  // request goes to a free engine, which fetches the session's parts from there
+  // over a link that is ten times as fast as reading.
+  Scene scene;
+  scene.Hold("e2", CacheScope(kModel, WeightNumber(1), std::nullopt));
+  scene.loads.OnStart(EndpointId("e2"), {}, 30'000);
+  const AttemptPlan plan = scene.Plan();
+  CHECK(plan.endpoint.id != EndpointId("e2"));
+  REQUIRE(plan.fields.fetch_from[1].has_value());
+  CHECK(plan.fields.fetch_from[1]->host == "10.0.0.2");
+  CHECK_FALSE(plan.fields.fetch_from[2].has_value());
+  CHECK(plan.unread == Approx(1000));
+}
+
+TEST_CASE("an engine whose memory is full is left to what it runs") {
+  // One more prompt would wait until others end, or push one of them out.
+  Scene scene;
+  scene.Hold("e2", CacheScope(kModel, WeightNumber(1), std::nullopt));
+  RequestFootprint running;
+  running.own_tokens = 95'000;
+  scene.loads.OnStart(EndpointId("e2"), running, 0);
+  CHECK(scene.Plan().endpoint.id != EndpointId("e2"));
+}
+
+TEST_CASE("a part is kept in one store, and sent there once") {
+  Scene scene;
+  const AttemptPlan first = scene.Plan();
+  CHECK(first.fields.save_to[0].has_value());
+  CHECK(first.fields.save_to[1].has_value());
+  CHECK_FALSE(first.fields.save_to[2].has_value());
+  const AttemptPlan second = scene.Plan();
+  CHECK_FALSE(second.fields.save_to[1].has_value());
+}
+
+TEST_CASE("engines that load weights or failed lately come last") {
+  Scene scene;
+  scene.Hold("e2", CacheScope(kModel, WeightNumber(1), std::nullopt));
+  SECTION("loading") {
+    scene.planner.SetDraining({EndpointId("e2")});
+  }
+  SECTION("failed") {
+    scene.health.OnTrouble(EndpointId("e2"), EndpointTrouble::kBroken, kStart);
+  }
+  CHECK(scene.Plan().endpoint.id != EndpointId("e2"));
+}
+
+TEST_CASE("what an engine says of its weights goes before its older record") {
+  Scene scene;
+  for (int i = 0; i < 4; ++i) {
+    scene.planner.NoteWeights(EndpointId("e" + std::to_string(i)), kModel,
+                              WeightNumber(2));
+  }
+  CHECK(scene.Plan().fields.weights == WeightNumber(2));
+}
+
+TEST_CASE("without an endpoint that takes work there is no plan") {
+  Scene scene;
+  for (int i = 0; i < 4; ++i) {
+    EndpointRecord record =
+        *scene.registry.Find(EndpointId("e" + std::to_string(i)));
+    record.leaving = true;
+    scene.registry.Put(record, kStart);
+  }
+  CHECK_FALSE(scene.planner.Plan(scene.setup, {}, kStart).has_value());
+}
+
+}  // namespace
+}  // namespace carobshift
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/keyed_follower.h"
 #include "carobshift/gateway/load_sharing.h"
+#include "carobshift/gateway/peer_sync.h"
 #include "carobshift/gateway/query_service.h"
 #include "carobshift/gateway/request_service.h"
 #include "carobshift/gateway/weight_steward.h"
@@ -111,6 +112,8 @@
                                   dialects.log.EndpointStream(),
                                   EndpointFollowerOptions(),
                                   endpoint_records};
+  PeerSync peer_sync{loop,    control_client,    settings,
+                     cluster, operator_follower, endpoint_follower};
   QueryService queries{
       loop, [this](const HttpHead& question) { return Answer(question); }};
   QueryService directory{
@@ -147,6 +150,8 @@
     return status;
   if (Status status = load_sharing.Start(); !status.ok())
     return status;
+  if (Status status = peer_sync.Start(); !status.ok())
+    return status;
   operator_follower.Start();
   endpoint_follower.Start();
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
@@ -174,6 +179,7 @@
   requests.SetDraining(steward.Behind(cluster.Draining()));
   requests.OnTick();
   load_sharing.OnTick();
+  peer_sync.OnTick();
   endpoint_records.Expire(loop.now());
   steward.OnTick();
   if (loop.now() < next_sweep)
--- a/carobshift/gateway/keyed_follower.cc
+++ b/carobshift/gateway/keyed_follower.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/keyed_follower.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "carobshift/telemetry/event_log.h"
@@ -85,6 +86,7 @@
   }
   next_ = *std::exchange(snapshot_end_, std::nullopt);
   caught_up_ = true;
+  NoteMissing();
   sink_.OnSnapshot(std::exchange(present_, {}), loop_.now());
   ReadOn();
 }
@@ -135,14 +137,54 @@
         &KeyedFollower::ReadOn);
 }
 
-void KeyedFollower::Tell(const KeyedRecord& record) {
-  const auto [told, first] = told_.emplace(record.key, record.offset);
+bool KeyedFollower::Tell(const KeyedRecord& record) {
+  const auto [known, first] = newest_.emplace(record.key, record);
   if (!first) {
-    if (record.offset <= told->second)
-      return;
-    told->second = record.offset;
+    if (record.offset <= known->second.offset)
+      return false;
+    known->second = record;
   }
+  if (!record.value)
+    ForgetOldRemovals();
   sink_.OnRecord(record, loop_.now());
+  return true;
+}
+
+// Keys that the newest records lack were removed while nothing was read.
+void KeyedFollower::NoteMissing() {
+  const std::set<std::string> present(present_.begin(), present_.end());
+  const LogOffset last(next_.value() == 0 ? 0 : next_.value() - 1);
+  for (auto& [key, record] : newest_) {
+    if (present.contains(key) || record.offset > last)
+      continue;
+    record.value.reset();
+    record.offset = last;
+  }
+}
+
+// Keys that were removed are remembered so that no peer brings them back; after
+// kRemovalsKept further records of the stream every peer has heard of it.
+void KeyedFollower::ForgetOldRemovals() {
+  constexpr std::uint64_t kRemovalsKept = 5000;
+  std::erase_if(newest_, [this](const auto& entry) {
+    const KeyedRecord& record = entry.second;
+    return !record.value &&
+           record.offset.value() + kRemovalsKept < next_.value();
+  });
+}
+
+std::vector<KeyedRecord> KeyedFollower::Newest() const {
+  std::vector<KeyedRecord> records;
+  for (const auto& [key, record] : newest_)
+    records.push_back(record);
+  return records;
+}
+
+std::size_t KeyedFollower::Learn(const std::vector<KeyedRecord>& records) {
+  std::size_t learnt = 0;
+  for (const KeyedRecord& record : records)
+    learnt += Tell(record) ? 1 : 0;
+  return learnt;
 }
 
 void KeyedFollower::OnAnswer() {
--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/keyed_follower.h
@@ -70,6 +70,11 @@
   void Start();
   void Stop();
 
+  // The newest record known of each key; removed keys have no value.
+  [[nodiscard]] std::vector<KeyedRecord> Newest() const;
+  // Takes what another instance knows. Returns how many records were news.
+  std::size_t Learn(const std::vector<KeyedRecord>& records);
+
   // When the log last answered; nothing before the first answer.
   [[nodiscard]] std::optional<MonotonicTime> last_answer() const {
     return last_answer_;
@@ -86,7 +91,10 @@
   void OnAnswer();
   void OnFailure(std::string_view reason);
   void Again(Milliseconds wait, void (KeyedFollower::*read)());
-  void Tell(const KeyedRecord& record);
+  // False if it isn't newer than what was told of its key.
+  bool Tell(const KeyedRecord& record);
+  void NoteMissing();
+  void ForgetOldRemovals();
   [[nodiscard]] FetchOptions CallOptions(Milliseconds wait) const;
 
   EventLoop& loop_;
@@ -106,7 +114,7 @@
   std::optional<LogOffset> snapshot_end_;
   std::vector<std::string> present_;
   LogOffset next_;
-  std::map<std::string, LogOffset> told_;
+  std::map<std::string, KeyedRecord> newest_;
   std::optional<MonotonicTime> last_answer_;
   MonotonicTime started_{};
   Milliseconds retry_{0};
--- /dev/null
+++ b/carobshift/gateway/peer_state_codec.cc
@@ -0,0 +1,96 @@
+#include "carobshift/gateway/peer_state_codec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <exception>
+#include <sstream>
+
+#include "carobshift/base/digest.h"
+
+namespace carobshift {
+namespace {
+
+constexpr std::size_t kMacBytes = 32;
+// Far above what a deployment has, and far below what would exhaust memory.
+constexpr std::uint32_t kMaxRecords = 100'000;
+constexpr std::uint32_t kMaxText = 16U << 20;
+
+void WriteText(cereal::PortableBinaryOutputArchive& archive,
+               const std::string& text) {
+  archive(static_cast<std::uint32_t>(text.size()));
+  archive(cereal::binary_data(text.data(), text.size()));
+}
+
+std::string ReadText(cereal::PortableBinaryInputArchive& archive) {
+  std::uint32_t size = 0;
+  archive(size);
+  if (size > kMaxText)
+    throw cereal::Exception("a text is too long");
+  std::string text(size, '\0');
+  archive(cereal::binary_data(text.data(), size));
+  return text;
+}
+
+void WriteRecords(cereal::PortableBinaryOutputArchive& archive,
+                  const std::vector<KeyedRecord>& records) {
+  archive(static_cast<std::uint32_t>(records.size()));
+  for (const KeyedRecord& record : records) {
+    WriteText(archive, record.key);
+    archive(record.offset.value(), record.value.has_value());
+    if (record.value)
+      WriteText(archive, *record.value);
+  }
+}
+
+std::vector<KeyedRecord> ReadRecords(
+    cereal::PortableBinaryInputArchive& archive) {
+  std::uint32_t count = 0;
+  archive(count);
+  if (count > kMaxRecords)
+    throw cereal::Exception("too many records");
+  std::vector<KeyedRecord> records;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    KeyedRecord record;
+    std::uint64_t offset = 0;
+    bool present = false;
+    record.key = ReadText(archive);
+    archive(offset, present);
+    record.offset = LogOffset(offset);
+    if (present)
+      record.value = ReadText(archive);
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+}  // namespace
+
+std::string EncodePeerState(const PeerState& state, const std::string& secret) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    WriteRecords(archive, state.operator_records);
+    WriteRecords(archive, state.endpoint_records);
+  }
+  const std::string body = out.str();
+  return HmacSha256(secret, body) + body;
+}
+
+Result<PeerState> DecodePeerState(std::string_view bytes,
+                                  const std::string& secret) {
+  if (bytes.size() <= kMacBytes ||
+      !ConstantTimeEqual(bytes.substr(0, kMacBytes),
+                         HmacSha256(secret, bytes.substr(kMacBytes))))
+    return Error{ResultCode::kPeerRejected, "peer state not authenticated"};
+  PeerState state;
+  try {
+    std::istringstream in(std::string(bytes.substr(kMacBytes)));
+    cereal::PortableBinaryInputArchive archive(in);
+    state.operator_records = ReadRecords(archive);
+    state.endpoint_records = ReadRecords(archive);
+  } catch (const std::exception& e) {
+    return Error{ResultCode::kPeerRejected, e.what()};
+  }
+  return state;
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/peer_state_codec.h
@@ -0,0 +1,33 @@
+// What an instance tells another one of the platform's records, as bytes with
+// an authentication code.
+//
+//   std::string bytes = EncodePeerState(state, secret);
+//   Result<PeerState> state = DecodePeerState(bytes, secret);
+
+#ifndef CAROBSHIFT_GATEWAY_PEER_STATE_CODEC_H_
+#define CAROBSHIFT_GATEWAY_PEER_STATE_CODEC_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carobshift/base/result.h"
+#include "carobshift/gateway/dialect.h"
+
+namespace carobshift {
+
+// The newest record of each key that the sender knows, as they were written.
+struct PeerState {
+  std::vector<KeyedRecord> operator_records;
+  std::vector<KeyedRecord> endpoint_records;
+};
+
+[[nodiscard]] std::string EncodePeerState(const PeerState& state,
+                                          const std::string& secret);
+// kPeerRejected for anything else than a whole state under the same secret.
+[[nodiscard]] Result<PeerState> DecodePeerState(std::string_view bytes,
+                                                const std::string& secret);
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_PEER_STATE_CODEC_H_
--- /dev/null
+++ b/carobshift/gateway/peer_sync.cc
@@ -0,0 +1,102 @@
+#include "carobshift/gateway/peer_sync.h"
+
+#include <utility>
+
+#include "carobshift/base/digest.h"
+#include "carobshift/gateway/peer_state_codec.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+constexpr Milliseconds kCallTimeout{600};
+constexpr Milliseconds kConnectTimeout{200};
+
+}  // namespace
+
+PeerSync::PeerSync(EventLoop& loop,
+                   HttpClient& client,
+                   const GatewaySettings& settings,
+                   const Cluster& cluster,
+                   KeyedFollower& operators,
+                   KeyedFollower& endpoints)
+    : loop_(loop),
+      client_(client),
+      cluster_(cluster),
+      operators_(operators),
+      endpoints_(endpoints),
+      address_{settings.host, settings.peer_port},
+      self_(settings.entry),
+      secret_(SharedSecret(settings)),
+      queries_(loop,
+               [this](const HttpHead& question) { return Answer(question); }),
+      started_(loop.now()) {}
+
+Status PeerSync::Start() {
+  return queries_.Listen(address_);
+}
+
+std::string PeerSync::Path() const {
+  return "/state/" + HexEncode(HmacSha256(secret_, "peer state"));
+}
+
+QueryAnswer PeerSync::Answer(const HttpHead& question) const {
+  constexpr int kForbidden = 403;
+  constexpr int kUnavailable = 503;
+  if (!ConstantTimeEqual(question.target, Path()))
+    return {kForbidden, {}, {}};
+  PeerState state{operators_.Newest(), endpoints_.Newest()};
+  if (state.operator_records.empty())
+    return {kUnavailable, {}, {}};
+  return {200, "application/octet-stream", EncodePeerState(state, secret_)};
+}
+
+bool PeerSync::IsSilent(const KeyedFollower& follower) const {
+  if (!follower.last_answer())
+    return loop_.now() - started_ > kSilenceAtStart;
+  return loop_.now() - *follower.last_answer() > kSilence;
+}
+
+void PeerSync::OnTick() {
+  if (fetch_.active() || loop_.now() < next_ ||
+      (!IsSilent(operators_) && !IsSilent(endpoints_)))
+    return;
+  next_ = loop_.now() + kAskAgain;
+  std::vector<MemberInfo> peers = cluster_.Live();
+  std::erase_if(peers,
+                [this](const auto& member) { return member.id == self_; });
+  if (!peers.empty())
+    Ask(peers[turn_++ % peers.size()]);
+}
+
+void PeerSync::Ask(const MemberInfo& peer) {
+  HttpHead head;
+  head.method = "GET";
+  head.target = Path();
+  FetchOptions options;
+  options.call.connect_timeout = kConnectTimeout;
+  options.timeout = kCallTimeout;
+  fetch_.Start(
+      client_, loop_, peer.peer_address(),
+      SerializeRequest(head, peer.peer_address(), ""), options,
+      [this, peer](const FetchOutcome& outcome) { OnAnswer(peer, outcome); });
+}
+
+void PeerSync::OnAnswer(const MemberInfo& peer, const FetchOutcome& outcome) {
+  if (outcome.status != 200)
+    return;
+  const Result<PeerState> state = DecodePeerState(outcome.body, secret_);
+  if (!state.ok()) {
+    LogEvent(LogLevel::kWarning, "peer_state_rejected",
+             {{"peer", peer.id.value()}, {"reason", state.error().message}});
+    return;
+  }
+  const std::size_t learnt = operators_.Learn(state.value().operator_records) +
+                             endpoints_.Learn(state.value().endpoint_records);
+  if (learnt > 0) {
+    LogEvent(LogLevel::kInfo, "learnt_from_peer",
+             {{"peer", peer.id.value()}, {"records", learnt}});
+  }
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/testing/gateway_cluster.cc
@@ -0,0 +1,243 @@
+#include "testing/gateway_cluster.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <stdexcept>
+
+namespace carobshift {
+namespace {
+
+using nlohmann::json;
+
+// Ports per gateway, of which several test processes need different ones.
+constexpr int kPortsPerTest = 10;
+constexpr int kFirstPort = 20000;
+constexpr int kPortRange = 10000;
+
+enum PortOf { kFront = 0, kReady, kDirectory, kMetrics, kControl, kInternal };
+
+json RouteOf(const std::string& name,
+             const std::string& kind,
+             const std::string& service,
+             bool resumable) {
+  return {{"name", name},
+          {"host", "api.example"},
+          {"path_prefix", "/" + name + "/"},
+          {"kind", kind},
+          {"timeout_ms", 5000},
+          {"target_latency_ms", 800},
+          {"priority", 1},
+          {"service", service},
+          {"attempts", kind == "unsafe" ? 1 : 2},
+          {"allow_anonymous", false},
+          {"sticky_sessions", service == "engines"},
+          {"resumable", resumable}};
+}
+
+}  // namespace
+
+GatewayCluster::GatewayCluster(const GatewayClusterOptions& options)
+    : options_(options),
+      base_port_(static_cast<std::uint16_t>(
+          kFirstPort + getpid() * kPortsPerTest % kPortRange)),
+      platform_(std::make_unique<Process>("standin_platform",
+                                          std::vector<std::string>{},
+                                          directory_.path())) {
+  for (int i = 0; i < options.engines; ++i)
+    AddReplica("engine-" + std::to_string(i), /*engine=*/true);
+  for (int i = 0; i < options.desks; ++i)
+    AddReplica("desk-" + std::to_string(i), /*engine=*/false);
+  PutConfig(1, /*with_key=*/true);
+  gateways_.resize(static_cast<std::size_t>(options.gateways));
+  for (std::size_t i = 0; i < gateways_.size(); ++i)
+    StartGateway(i);
+  const bool ready = WaitUntil([this] {
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+      if (!Ready(i) || State(i).at("members").size() != gateways_.size() ||
+          State(i).at("endpoints").size() != replicas_.size())
+        return false;
+    }
+    return true;
+  });
+  if (!ready)
+    throw std::runtime_error("gateways did not become ready");
+}
+
+void GatewayCluster::AddReplica(const std::string& id, bool engine) {
+  std::vector<std::string> arguments = {"--id", id};
+  if (engine) {
+    arguments.insert(arguments.end(), {"--model", "m1", "--events",
+                                       std::to_string(options_.events)});
+  }
+  replicas_.push_back({id, engine ? "engines" : "desks", engine,
+                       std::make_unique<Process>("standin_replica", arguments,
+                                                 directory_.path())});
+  PutReplica(replicas_.size() - 1, "ready");
+}
+
+void GatewayCluster::PutKeyed(const std::string& topic,
+                              const std::string& key,
+                              const std::string& value) {
+  constexpr int kBitsPerByte = 8;
+  std::string record;
+  record.push_back(static_cast<char>(key.size()));
+  record += key + value;
+  std::string body;
+  for (int shift = 24; shift >= 0; shift -= kBitsPerByte)
+    body.push_back(static_cast<char>(record.size() >> shift & 0xff));
+  const HttpAnswer answer = HttpSend(platform_->address(), "POST",
+                                     "/log-append?topic=" + topic + "&part=0",
+                                     {.body = body + record});
+  if (answer.status != 200)
+    throw std::runtime_error("append answered " +
+                             std::to_string(answer.status));
+}
+
+void GatewayCluster::PutConfig(int number, bool with_key) {
+  json accounts = json::array(
+      {{{"name", "north"},
+        {"api_keys", with_key ? json::array({kKey}) : json::array()}},
+       {{"name", "south"}, {"api_keys", {"key-of-south"}}}});
+  const json config = {{"version", number},
+                       {"routes",
+                        {RouteOf("review", "streaming", "engines", true),
+                         RouteOf("ask", "streaming", "engines", false),
+                         RouteOf("book", "unsafe", "desks", false),
+                         RouteOf("find", "safe", "desks", false)}},
+                       {"services",
+                        {{{"name", "engines"},
+                          {"connection_limit", 100},
+                          {"engine",
+                           {{"slots", 16},
+                            {"kv_cache_tokens", 100000},
+                            {"max_concurrent", 8},
+                            {"models", {{{"name", "m1"}}}}}}},
+                         {{"name", "desks"}, {"connection_limit", 100}}}},
+                       {"limits",
+                        {{"max_header_bytes", 16384},
+                         {"max_body_bytes", 65536},
+                         {"header_timeout_ms", 1000},
+                         {"idle_timeout_ms", 5000}}},
+                       {"tenants", accounts}};
+  PutKeyed("keyed.op", "config", config.dump());
+}
+
+void GatewayCluster::NameWeights(int number) {
+  PutKeyed("keyed.op", "version/m1",
+           json{{"model", "m1"}, {"version", number}}.dump());
+}
+
+void GatewayCluster::PutReplica(std::size_t index, const std::string& state) {
+  const Replica& replica = replicas_[index];
+  if (state.empty()) {
+    PutKeyed("keyed.servers", replica.id, "");
+    return;
+  }
+  json record = {{"service", replica.service},
+                 {"address", replica.process->address().ToString()},
+                 {"zone", "z1"},
+                 {"slots", 16},
+                 {"state", state},
+                 {"sequence", 1},
+                 {"models", json::array()}};
+  if (replica.engine) {
+    const json weights = RunsOf(index).at("weights");
+    record["models"].push_back({{"name", "m1"}, {"version", weights}});
+  }
+  PutKeyed("keyed.servers", replica.id, record.dump());
+}
+
+std::string GatewayCluster::HostOf(std::size_t gateway) const {
+  return "127.0.1." + std::to_string(gateway + 1);
+}
+
+std::string GatewayCluster::WriteSettings(std::size_t gateway) const {
+  const std::string host = HostOf(gateway);
+  const auto address = [&](PortOf port) {
+    return host + ":" + std::to_string(base_port_ + port);
+  };
+  const std::string path =
+      directory_.path() + "/gateway-" + std::to_string(gateway) + ".yaml";
+  std::ofstream out(path);
+  out << "node_name: gateway-" << gateway << "\nzone: z1\nip: " << host
+      << "\nlisten_addresses:\n  front: " << address(kFront)
+      << "\n  ready: " << address(kReady)
+      << "\n  directory: " << address(kDirectory) << "\ninternal_port_range: ["
+      << base_port_ + kInternal << ", " << base_port_ + kInternal + 1
+      << "]\nseeds: [\"" << HostOf(0) << ":" << base_port_ + kControl
+      << "\"]\nbounds: {lease_ms: 1000, "
+      << "grace_period_s: 6, retry_budget_ratio: 0.2, retry_budget_extra: 50}"
+      << "\nplatform: {address: \"" << platform_->address().ToString()
+      << "\"}\n";
+  return path;
+}
+
+void GatewayCluster::StartGateway(std::size_t index) {
+  gateways_[index] = std::make_unique<Process>(
+      "carobshiftd",
+      std::vector<std::string>{"gateway", "--print-address", "--settings",
+                               WriteSettings(index), "--metrics-port",
+                               std::to_string(base_port_ + kMetrics)},
+      directory_.path());
+}
+
+HttpAnswer GatewayCluster::Send(std::size_t index,
+                                const std::string& method,
+                                const std::string& path,
+                                HttpSendOptions options) {
+  ++requests_;
+  auto& headers = options.headers;
+  headers.insert(headers.begin(), {{"Host", "api.example"},
+                                   {"Request-Id", LastRequestId()},
+                                   {"Deadline-Ms", "5000"}});
+  bool has_key = false;
+  for (const auto& [name, value] : headers)
+    has_key = has_key || name == "X-Api-Key";
+  if (!has_key)
+    headers.emplace_back("X-Api-Key", kKey);
+  if (path.starts_with("/review") || path.starts_with("/ask")) {
+    headers.emplace_back("Model", "m1");
+    headers.emplace_back("Token-Counts", "300,50");
+    headers.emplace_back("Prompt-Prefix", "aa:100,bb:100,cc:100");
+  }
+  return HttpSend({HostOf(index), base_port_}, method, path, options);
+}
+
+std::string GatewayCluster::LastRequestId() const {
+  return "request-" + std::to_string(requests_);
+}
+
+json GatewayCluster::Addresses(std::size_t index) const {
+  return HttpSend({HostOf(index),
+                   static_cast<std::uint16_t>(base_port_ + kDirectory)},
+                  "GET", "/resolution?name=api.example&region=r&zone=z1")
+      .Json();
+}
+
+bool GatewayCluster::Ready(std::size_t index) const {
+  return HttpSend(
+             {HostOf(index), static_cast<std::uint16_t>(base_port_ + kReady)},
+             "GET", "/readiness")
+             .status == 200;
+}
+
+json GatewayCluster::State(std::size_t index) const {
+  return HttpSend(
+             {HostOf(index), static_cast<std::uint16_t>(base_port_ + kMetrics)},
+             "GET", "/debug/state")
+      .Json();
+}
+
+json GatewayCluster::RunsOf(std::size_t replica) const {
+  return HttpSend(replicas_[replica].process->address(), "GET", "/runs").Json();
+}
+
+int GatewayCluster::TotalRuns() const {
+  int runs = 0;
+  for (std::size_t i = 0; i < replicas_.size(); ++i)
+    runs += static_cast<int>(RunsOf(i).at("runs").size());
+  return runs;
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/testing/gateway_process_test.cc
@@ -0,0 +1,226 @@
+// Gateways as processes before the platform's stand-ins: a thin day, and what
+// fails on it.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <string>
+#include <thread>
+
+#include "testing/gateway_cluster.h"
+
+namespace carobshift {
+namespace {
+
+using nlohmann::json;
+
+std::string WholeStream(int events) {
+  std::string text;
+  for (int i = 1; i <= events; ++i) {
+    text += "id: " + std::to_string(i) + "\ndata: token" + std::to_string(i) +
+            "\n\n";
+  }
+  return text;
+}
+
+void SetFault(Process& process, const json& fault) {
+  REQUIRE(HttpSend(process.address(), "POST", "/faults", {.body = fault.dump()})
+              .status == 200);
+}
+
+TEST_CASE("a thin day: requests, streams, refusals and addresses") {
+  GatewayCluster cluster({});
+  const HttpAnswer booked =
+      cluster.Send(0, "POST", "/book/1", {.body = "slot 7"});
+  CHECK(booked.status == 200);
+  CHECK(booked.body == "done slot 7");
+  CHECK_FALSE(booked.Header("Response-Stamp").empty());
+
+  const HttpAnswer review = cluster.Send(1, "POST", "/review/1");
+  CHECK(review.status == 200);
+  CHECK(review.body == WholeStream(5));
+
+  CHECK(cluster.Send(0, "POST", "/nowhere/1").status == 404);
+  CHECK(cluster.Send(0, "POST", "/book/1", {.headers = {{"X-Api-Key", "no"}}})
+            .status == 401);
+  CHECK(cluster.Addresses(0).at("addresses").size() == 2);
+
+  // The endpoint hears the account and never the key, and the scope of its
+  // cache is the system's own.
+  json seen;
+  for (std::size_t i = 0; i < cluster.replicas(); ++i) {
+    const json answer = cluster.RunsOf(i);
+    for (const json& run : answer.at("runs"))
+      seen.push_back(run);
+  }
+  REQUIRE(seen.size() == 2);
+  for (const json& run : seen) {
+    CHECK(run.at("account") == "north");
+    CHECK(run.at("key") == "");
+  }
+}
+
+TEST_CASE("a booking of two accounts' requests runs once each") {
+  GatewayCluster cluster({});
+  for (int i = 0; i < 20; ++i) {
+    CHECK(cluster
+              .Send(static_cast<std::size_t>(i % 2), "POST", "/book/1",
+                    {.body = std::to_string(i)})
+              .status == 200);
+  }
+  CHECK(cluster.TotalRuns() == 20);
+}
+
+TEST_CASE("a review whose engine breaks off goes on at another engine") {
+  // An engine's process dies in the middle of an event. The caller reads one
+  // stream without a gap; a plain question, which may not be resumed, breaks
+  // off so that the caller can see it.
+  GatewayCluster cluster({.events = 8});
+  for (std::size_t i = 0; i < 2; ++i)
+    SetFault(cluster.replica(i), {{"break_after", 3}});
+  const HttpAnswer review = cluster.Send(0, "POST", "/review/1");
+  CHECK(review.status == 200);
+  CHECK(review.body == WholeStream(8));
+
+  for (std::size_t i = 0; i < 2; ++i)
+    SetFault(cluster.replica(i), {{"break_after", 3}});
+  const HttpAnswer question = cluster.Send(0, "POST", "/ask/1");
+  CHECK((!question.failure.empty() || question.closed_by_peer));
+  CHECK(question.body.find("token4") == std::string::npos);
+}
+
+TEST_CASE("new weights reach every engine by one holder") {
+  // One engine loses the answer to its first order. It is given again, and the
+  // engines end with the named weights, each by orders of one holder.
+  GatewayCluster cluster({.gateways = 2, .engines = 3});
+  SetFault(cluster.replica(0), {{"order_silence", 1}});
+  cluster.NameWeights(2);
+  REQUIRE(WaitUntil(
+      [&] {
+        for (std::size_t i = 0; i < 3; ++i) {
+          if (cluster.RunsOf(i).at("weights") != 2)
+            return false;
+        }
+        return true;
+      },
+      Milliseconds(20000)));
+  int holders = 0;
+  for (std::size_t i = 0; i < cluster.gateways(); ++i)
+    holders += cluster.State(i).at("lease_holder").get<bool>() ? 1 : 0;
+  CHECK(holders == 1);
+  for (std::size_t i = 0; i < 3; ++i)
+    cluster.PutReplica(i, "ready");
+  CHECK(cluster.Send(0, "POST", "/review/1").status == 200);
+}
+
+TEST_CASE("an endpoint that leaves gets no new work") {
+  GatewayCluster cluster({});
+  // The engines are replicas 0 and 1, the desks 2 and 3.
+  cluster.PutReplica(2, "draining");
+  REQUIRE(WaitUntil([&] {
+    const json state = cluster.State(0);
+    for (const json& endpoint : state.at("endpoints")) {
+      if (endpoint.at("id") == "desk-0")
+        return endpoint.at("leaving").get<bool>();
+    }
+    return false;
+  }));
+  const std::size_t before = cluster.RunsOf(2).at("runs").size();
+  for (int i = 0; i < 10; ++i)
+    CHECK(cluster.Send(0, "POST", "/book/1").status == 200);
+  CHECK(cluster.RunsOf(2).at("runs").size() == before);
+}
+
+TEST_CASE("a planned stop finishes the streams that it serves") {
+  // An instance is stopped while it streams a review. It isn't ready at once,
+  // leaves the other's address answers, sends the rest of the review and ends.
+  GatewayCluster cluster({.events = 60});
+  HttpAnswer review;
+  std::thread caller([&] { review = cluster.Send(0, "POST", "/review/1"); });
+  const bool streaming =
+      WaitUntil([&] { return cluster.State(0).at("open_requests") == 1; });
+  cluster.gateway(0).Signal(SIGTERM);
+  const bool unready = WaitUntil([&] { return !cluster.Ready(0); });
+  const bool left = WaitUntil(
+      [&] { return cluster.Addresses(1).at("addresses").size() == 1; });
+  caller.join();
+  CHECK(streaming);
+  CHECK(unready);
+  CHECK(left);
+  CHECK(review.body == WholeStream(60));
+  CHECK(cluster.gateway(0).WaitForExit(Milliseconds(8000)) == 0);
+}
+
+TEST_CASE(
+    "the log is away: requests go on, and a new instance learns from peers") {
+  // The platform's log falls silent. Callers notice nothing; an instance that
+  // is killed and starts again meanwhile gets configuration and endpoints from
+  // another one, instead of turning its callers away until the log is back.
+  GatewayCluster cluster({});
+  SetFault(cluster.platform(), {{"silent", true}});
+  CHECK(cluster.Send(0, "POST", "/book/1").status == 200);
+  cluster.gateway(1).Kill();
+  cluster.StartGateway(1);
+  CHECK(WaitUntil([&] { return cluster.Ready(1); }));
+  CHECK(cluster.Send(1, "POST", "/book/1").status == 200);
+  SetFault(cluster.platform(), {{"silent", false}});
+  cluster.PutConfig(2, /*with_key=*/false);
+  CHECK(WaitUntil(
+      [&] { return cluster.Send(1, "POST", "/book/1").status == 401; }));
+}
+
+TEST_CASE(
+    "a configuration takes effect on all instances and is not taken back") {
+  GatewayCluster cluster({});
+  cluster.PutConfig(5, /*with_key=*/false);
+  for (std::size_t i = 0; i < cluster.gateways(); ++i) {
+    CHECK(WaitUntil(
+        [&] { return cluster.Send(i, "POST", "/book/1").status == 401; },
+        Milliseconds(2000)));
+  }
+  // An older number that comes later, by an operator who was overtaken.
+  cluster.PutConfig(3, /*with_key=*/true);
+  cluster.NameWeights(1);
+  CHECK(WaitUntil([&] { return cluster.State(0).at("config") == 5; }));
+  CHECK(cluster.Send(0, "POST", "/book/1").status == 401);
+}
+
+TEST_CASE("the log has dropped the next records: nothing known is lost") {
+  GatewayCluster cluster({});
+  REQUIRE(HttpSend(cluster.platform().address(), "POST",
+                   "/forget?topic=keyed.servers", {.body = "{}"})
+              .status == 200);
+  cluster.PutReplica(2, "");
+  CHECK(WaitUntil([&] {
+    return cluster.State(0).at("endpoints").size() == cluster.replicas() - 1;
+  }));
+  CHECK(cluster.Send(0, "POST", "/book/1").status == 200);
+}
+
+TEST_CASE("a failed request is explained from its id") {
+  // All desks are gone. The caller complains with the request's id; the
+  // instance's log names the attempts, why each failed and what was answered.
+  GatewayCluster cluster({.desks = 1});
+  cluster.replica(2).Kill();
+  const HttpAnswer answer = cluster.Send(0, "POST", "/book/1");
+  CHECK(answer.status == 503);
+  CHECK_FALSE(answer.Header("Retry-After").empty());
+  const std::string id = cluster.LastRequestId();
+  REQUIRE(WaitUntil([&] {
+    const std::string log = cluster.gateway(0).Output();
+    return log.find("request_done") != std::string::npos &&
+           log.find("attempt_failed") != std::string::npos;
+  }));
+  const std::string log = cluster.gateway(0).Output();
+  for (const char* event : {"attempt_failed", "request_done"}) {
+    const std::size_t at = log.find(event);
+    const std::size_t begin = log.rfind('\n', at) + 1;
+    const json line =
+        json::parse(log.substr(begin, log.find('\n', at) - begin));
+    CHECK(line.at("request") == id);
+    CHECK(line.at("endpoint") == "desk-0");
+  }
+}
+
+}  // namespace
+}  // namespace carobshift
--- /dev/null
+++ b/testing/standin_replica.cc
@@ -0,0 +1,182 @@
+// Stand-in for a replica on the users' platform: an engine that streams events
+// or a plain service, as the platform's published pages describe them. It
+// checks what it is asked (instance, weights), takes orders for weights, and
+// tells what it has run at GET /runs.
+//
+// Faults besides the common ones: `break_after` (the connection ends after this
+// many events, once for each time it is set), `order_silence` (orders get no
+// answer and are not carried out, this many times).
+
+#include <atomic>
+#include <cxxopts.hpp>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/standin_server.h"
+
+namespace carobshift {
+namespace {
+
+using nlohmann::json;
+
+struct ReplicaOptions {
+  std::string id;
+  std::string model;
+  int events = 5;
+  Milliseconds event_gap{20};
+  Milliseconds load_time{300};
+};
+
+class Replica {
+ public:
+  Replica(ReplicaOptions options, Faults& faults)
+      : options_(std::move(options)), faults_(faults) {}
+
+  void Run(StandinExchange& exchange) {
+    const std::string request = exchange.Header("Request-Id");
+    exchange.SetHeader("Instance-Id", options_.id);
+    if (exchange.Header("Expect-Instance") != options_.id) {
+      exchange.ReplyRaw(421, "text/plain", "");
+      return;
+    }
+    const std::string wanted = exchange.Header("Expect-Version");
+    exchange.SetHeader("Weight-Versions", std::to_string(weights_.load()));
+    if (!wanted.empty() && wanted != std::to_string(weights_.load())) {
+      exchange.ReplyRaw(421, "text/plain", "");
+      return;
+    }
+    if (loading_ || request.empty()) {
+      exchange.SetHeader("Not-Executed", "1");
+      exchange.ReplyRaw(503, "text/plain", "");
+      return;
+    }
+    Note(exchange);
+    exchange.SetHeader("Request-Id", request);
+    exchange.SetHeader("Response-Stamp", options_.id + "." + request);
+    if (options_.model.empty())
+      exchange.ReplyRaw(200, "text/plain", "done " + exchange.body());
+    else
+      Stream(exchange);
+  }
+
+  void Report(StandinExchange& exchange) {
+    exchange.Reply({{"busy", loading_.load()},
+                    {"sequence", orders_.load()},
+                    {"models", Models()}});
+  }
+
+  void Order(StandinExchange& exchange) {
+    const json order = exchange.Json();
+    if (faults_.TakeOne("order_silence")) {
+      exchange.Abandon();
+      return;
+    }
+    if (order.value("precondition", orders_.load()) != orders_.load() ||
+        loading_.exchange(true)) {
+      exchange.ReplyRaw(409, "application/json", "{}");
+      return;
+    }
+    ++orders_;
+    const int version = order.at("version").get<int>();
+    loader_ = std::jthread([this, version] {
+      std::this_thread::sleep_for(options_.load_time);
+      weights_ = version;
+      loading_ = false;
+    });
+    exchange.ReplyRaw(202, "application/json", "{}");
+  }
+
+  void Events(StandinExchange& exchange) {
+    // Nothing is cached here; the call waits as the pages say.
+    std::this_thread::sleep_for(Milliseconds(500));
+    exchange.Reply({{"epoch", 1},
+                    {"next_page_token", 0},
+                    {"lost", false},
+                    {"events", json::array()}});
+  }
+
+  void Runs(StandinExchange& exchange) {
+    const std::lock_guard lock(mutex_);
+    exchange.Reply({{"runs", runs_}, {"weights", weights_.load()}});
+  }
+
+ private:
+  void Note(StandinExchange& exchange) {
+    const std::lock_guard lock(mutex_);
+    runs_.push_back({{"request", exchange.Header("Request-Id")},
+                     {"account", exchange.Header("Tenant-Name")},
+                     {"key", exchange.Header("X-Api-Key")},
+                     {"scope", exchange.Header("Cache-Salt")},
+                     {"after", exchange.Header("Last-Event-Id")},
+                     {"body", exchange.body()}});
+  }
+
+  void Stream(StandinExchange& exchange) {
+    const std::string after = exchange.Header("Last-Event-Id");
+    int number = after.empty() ? 0 : std::stoi(after);
+    exchange.BeginStream("text/event-stream");
+    while (number < options_.events) {
+      ++number;
+      if (!exchange.SendPiece("id: " + std::to_string(number) +
+                              "\ndata: token" + std::to_string(number) +
+                              "\n\n"))
+        return;
+      if (faults_.Number("break_after") == number) {
+        faults_.Merge({{"break_after", 0}});
+        exchange.SendPiece("id: 99\nda");
+        exchange.Abandon();
+        return;
+      }
+      std::this_thread::sleep_for(options_.event_gap);
+    }
+  }
+
+  [[nodiscard]] json Models() const {
+    json models = json::array();
+    if (!options_.model.empty()) {
+      models.push_back(
+          {{"name", options_.model}, {"version", weights_.load()}});
+    }
+    return models;
+  }
+
+  ReplicaOptions options_;
+  Faults& faults_;
+  std::atomic<int> weights_{1};
+  std::atomic<int> orders_{0};
+  std::atomic<bool> loading_{false};
+  std::jthread loader_;
+  std::mutex mutex_;
+  json runs_ = json::array();
+};
+
+}  // namespace
+}  // namespace carobshift
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("standin_replica");
+  options.add_options()(
+      "listen", "HOST:PORT",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+      "id", "its id", cxxopts::value<std::string>())(
+      "model", "empty for a plain service",
+      cxxopts::value<std::string>()->default_value(""))(
+      "events", "in a stream", cxxopts::value<int>()->default_value("5"));
+  const auto flags = options.parse(argc, argv);
+  carobshift::ReplicaOptions replica_options;
+  replica_options.id = flags["id"].as<std::string>();
+  replica_options.model = flags["model"].as<std::string>();
+  replica_options.events = flags["events"].as<int>();
+  carobshift::StandinServer server;
+  carobshift::Replica replica(replica_options, server.faults());
+  using Exchange = carobshift::StandinExchange;
+  server.Route("GET", "/report", [&](Exchange& x) { replica.Report(x); });
+  server.Route("POST", "/order", [&](Exchange& x) { replica.Order(x); });
+  server.Route("GET", "/kv-events", [&](Exchange& x) { replica.Events(x); });
+  server.Route("GET", "/runs", [&](Exchange& x) { replica.Runs(x); });
+  server.Route("POST", "/*/*", [&](Exchange& x) { replica.Run(x); });
+  server.Route("GET", "/*/*", [&](Exchange& x) { replica.Run(x); });
+  return server.Run(flags["listen"].as<std::string>());
+}
