--- a/carobshift/gateway/cluster.cc
+++ b/carobshift/gateway/cluster.cc
@@ -135,6 +135,31 @@
       loop_.now());
 }
 
+void Cluster::AnnounceCrash(const std::string& description) {
+  constexpr Milliseconds kLife{60000};
+  if (loop_.now() - crash_second_ >= Seconds(1)) {
+    crash_second_ = loop_.now();
+    crashes_told_ = 0;
+  }
+  if (description.size() > kMaxFactSubject ||
+      ++crashes_told_ > kCrashesPerSecond)
+    return;
+  membership_.PublishFact({.kind = FactKind::kSuspectedRequest,
+                           .subject = description,
+                           .version = {.term = 0, .counter = ++facts_told_},
+                           .active = true,
+                           .remaining = kLife},
+                          loop_.now());
+}
+
+std::vector<std::string> Cluster::Crashes() const {
+  std::vector<std::string> crashes;
+  for (const Fact& fact :
+       membership_.facts().Active(FactKind::kSuspectedRequest, loop_.now()))
+    crashes.push_back(fact.subject);
+  return crashes;
+}
+
 std::set<EndpointId> Cluster::Draining() const {
   std::set<EndpointId> draining;
   for (const Fact& fact :
--- a/carobshift/gateway/cluster.h
+++ b/carobshift/gateway/cluster.h
@@ -53,6 +53,13 @@
                         Milliseconds life);
   [[nodiscard]] std::set<EndpointId> Draining() const;
 
+  // Runs that broke off, see crash_record.h. When endpoints die by the dozen,
+  // hundreds of runs break at once; at most kCrashesPerSecond are told, or they
+  // would delay the news that an endpoint leaves.
+  static constexpr int kCrashesPerSecond = 10;
+  void AnnounceCrash(const std::string& description);
+  [[nodiscard]] std::vector<std::string> Crashes() const;
+
   [[nodiscard]] Incarnation incarnation() const { return incarnation_; }
   [[nodiscard]] const Membership& membership() const { return membership_; }
 
@@ -66,6 +73,8 @@
   Membership membership_;
   std::shared_ptr<UdpPort> port_;
   std::uint64_t facts_told_ = 0;
+  MonotonicTime crash_second_{};
+  int crashes_told_ = 0;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/exchange.cc
+++ b/carobshift/gateway/exchange.cc
@@ -25,6 +25,8 @@
       return ResultCode::kRetryBudgetSpent;
     case NoAttempt::kOverloaded:
       return ResultCode::kOverloaded;
+    case NoAttempt::kSuspected:
+      return ResultCode::kRequestSuspected;
     case NoAttempt::kNoTime:
       return ResultCode::kDeadlineExceeded;
     case NoAttempt::kNone:
--- a/carobshift/gateway/exchange.h
+++ b/carobshift/gateway/exchange.h
@@ -74,6 +74,8 @@
   kNoTime,
   // The answer would begin too late to be of use.
   kOverloaded,
+  // Every endpoint that ran it so far broke off.
+  kSuspected,
 };
 
 // Where attempts run. One at a time for each exchange.
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -152,6 +152,10 @@
     return status;
   if (Status status = peer_sync.Start(); !status.ok())
     return status;
+  requests.SetOnCrash(
+      [this](RequestFingerprint fingerprint, const std::string& run) {
+        cluster.AnnounceCrash(DescribeCrash(fingerprint, run));
+      });
   operator_follower.Start();
   endpoint_follower.Start();
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
@@ -177,6 +181,10 @@
   requests.SetLiveEntries(
       std::max<int>(1, static_cast<int>(cluster.Live().size())));
   requests.SetDraining(steward.Behind(cluster.Draining()));
+  for (const std::string& crash : cluster.Crashes()) {
+    if (const auto described = ReadCrash(crash))
+      requests.NoteCrash(*described);
+  }
   requests.OnTick();
   load_sharing.OnTick();
   peer_sync.OnTick();
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -215,6 +215,9 @@
                                        const AttemptWish& wish,
                                        EndpointId* endpoint) {
   const ExchangeSetup& setup = exchange.setup();
+  if (!crashes_.empty() &&
+      crashes_.Refuses(FingerprintOfExchange(exchange), loop_.now()))
+    return NoAttempt::kSuspected;
   auto plan = planner_.Plan(setup, wish, loop_.now());
   if (!plan)
     return NoAttempt::kNoEndpoint;
@@ -282,6 +285,8 @@
   LogEvent(LogLevel::kInfo, "refused_under_load",
            {{"request", setup.request.id.value()},
             {"ahead", static_cast<std::int64_t>(plan.ahead)},
+            {"endpoint", plan.endpoint.id.value()},
+            {"urgency", plan.fields.urgency.value_or(setup.route->priority)},
             {"expected_ms", verdict.expected.count()},
             {"target_ms", setup.route->latency_target.count()},
             {"return_ms", verdict.return_after.count()}});
@@ -317,8 +322,19 @@
     health_.OnAnswer(endpoint);
 }
 
+RequestFingerprint RequestService::FingerprintOfExchange(
+    const Exchange& exchange) {
+  const ExchangeSetup& setup = exchange.setup();
+  std::optional<AccountId> account;
+  if (setup.account != nullptr)
+    account = setup.account->name;
+  return FingerprintOf(setup.request, account);
+}
+
 void RequestService::OnAttemptEnd(Exchange& exchange) {
   EndAttempt(exchange);
+  if (!crashes_.empty())
+    crashes_.OnCompleted(FingerprintOfExchange(exchange));
 }
 
 void RequestService::OnAttemptFailure(Exchange& exchange,
@@ -327,6 +343,14 @@
   const EndpointId& endpoint = runs_.at(&exchange).endpoint;
   if (failure.fault == CallFault::kConnectionLimit)
     return;
+  if (failure.sent && failure.fault == CallFault::kBroken) {
+    const RequestFingerprint fingerprint = FingerprintOfExchange(exchange);
+    const std::string run = exchange.request().id.value() + "." +
+                            std::to_string(exchange.summary().attempts);
+    crashes_.OnBroken(fingerprint, run, loop_.now());
+    if (on_crash_)
+      on_crash_(fingerprint, run);
+  }
   // A kept connection that had died tells nothing of the endpoint.
   if (failure.reused && failure.fault == CallFault::kBroken)
     return;
@@ -337,7 +361,7 @@
   LogEvent(LogLevel::kInfo, "attempt_failed",
            {{"request", exchange.request().id.value()},
             {"endpoint", endpoint.value()},
-            {"fault", static_cast<int>(failure.fault)},
+            {"fault", CallFaultName(failure.fault)},
             {"sent", failure.sent},
             {"reused", failure.reused},
             {"registry", registry_.revision()}});
@@ -387,6 +411,7 @@
 void RequestService::OnTick() {
   const MonotonicTime now = loop_.now();
   loads_.Expire(now);
+  crashes_.Expire(now);
   // The youngest word of each endpoint with streams under way.
   std::unordered_map<EndpointId, MonotonicTime> heard;
   for (const auto& [exchange, running] : runs_) {
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -11,6 +11,7 @@
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -18,6 +19,7 @@
 
 #include "carobshift/gateway/attempt_planner.h"
 #include "carobshift/gateway/cache_contents.h"
+#include "carobshift/gateway/crash_record.h"
 #include "carobshift/gateway/dialect.h"
 #include "carobshift/gateway/endpoint_health.h"
 #include "carobshift/gateway/endpoint_registry.h"
@@ -62,6 +64,14 @@
   void SetDraining(std::set<EndpointId> draining) {
     planner_.SetDraining(std::move(draining));
   }
+  // Called with each run that broke, to be told to the other instances.
+  using OnCrash =
+      std::function<void(RequestFingerprint, const std::string& run)>;
+  void SetOnCrash(OnCrash on_crash) { on_crash_ = std::move(on_crash); }
+  // What they told.
+  void NoteCrash(const DescribedCrash& crash) {
+    crashes_.OnBroken(crash.fingerprint, crash.run, loop_.now());
+  }
   // Entries that live, this one included.
   void SetLiveEntries(int count);
   // To be called about every kTick.
@@ -117,6 +127,8 @@
               ResultCode code,
               RunState run_state);
   void LogEnd(Exchange& exchange);
+  [[nodiscard]] static RequestFingerprint FingerprintOfExchange(
+      const Exchange& exchange);
   void EndAttempt(Exchange& exchange);
   void NoteRead(Running& running);
   // Whether a request that has not been sent yet is to be refused.
@@ -134,6 +146,8 @@
   EndpointHealthBook health_;
   LoadBook loads_;
   OverloadGuard overload_;
+  CrashRecord crashes_;
+  OnCrash on_crash_;
   AttemptPlanner planner_;
   RetryAllowance allowance_;
   std::shared_ptr<const ConfigInForce> config_;
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -26,6 +26,20 @@
 
 }  // namespace
 
+std::string_view CallFaultName(CallFault fault) {
+  switch (fault) {
+    case CallFault::kNotConnected:
+      return "not_connected";
+    case CallFault::kConnectionLimit:
+      return "connection_limit";
+    case CallFault::kBroken:
+      return "connection_broken";
+    case CallFault::kMalformed:
+      return "malformed_reply";
+  }
+  return "unknown";
+}
+
 void ClientCall::Cancel() {
   if (connection_ == nullptr)
     return;
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -48,6 +48,9 @@
   kMalformed,
 };
 
+// For logs.
+[[nodiscard]] std::string_view CallFaultName(CallFault fault);
+
 struct CallFailure {
   CallFault fault = CallFault::kBroken;
   // Whether some byte of the call may have reached the peer.
--- a/carobshift/net/http_fetch.cc
+++ b/carobshift/net/http_fetch.cc
@@ -65,15 +65,10 @@
 }
 
 void HttpFetch::OnCallFailed(const CallFailure& failure) {
-  const std::string_view reason =
-      failure.fault == CallFault::kNotConnected      ? "not connected"
-      : failure.fault == CallFault::kConnectionLimit ? "connection limit"
-      : failure.fault == CallFault::kMalformed       ? "malformed reply"
-                                                     : "connection broken";
   Finish({.status = std::nullopt,
           .body = {},
           .sent = failure.sent,
-          .reason = reason});
+          .reason = CallFaultName(failure.fault)});
 }
 
 void HttpFetch::Finish(FetchOutcome outcome) {
