--- a/carobshift/base/units.h
+++ b/carobshift/base/units.h
@@ -19,10 +19,10 @@
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
-// A reading of this machine's clock since boot. Not comparable between machines.
-// It goes on while the machine is suspended: a lease or a deadline that was
-// counted on a clock that stands still meanwhile would look unexpired after the
-// resume, and two holders could order at once.
+// A reading of this machine's clock since boot. Not comparable between
+// machines. It goes on while the machine is suspended: a lease or a deadline
+// that was counted on a clock that stands still meanwhile would look unexpired
+// after the resume, and two holders could order at once.
 using MonotonicTime =
     std::chrono::time_point<std::chrono::steady_clock, Microseconds>;
 
--- /dev/null
+++ b/carobshift/gateway/cache_contents_test.cc
@@ -0,0 +1,87 @@
+#include "carobshift/gateway/cache_contents.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "carobshift/gateway/placement.h"
+
+namespace carobshift {
+namespace {
+
+const MonotonicTime kStart{Seconds(100)};
+
+StoreEvents EventsOf(std::vector<StoreEvent> events, std::uint64_t epoch = 1) {
+  StoreEvents out;
+  out.epoch = epoch;
+  out.next = 10;
+  out.events = std::move(events);
+  return out;
+}
+
+TEST_CASE("a part counts as whole only while its store answers") {
+  // A store goes dark, comes back empty, and a part is written to it anew. What
+  // was known of it before must not send anybody there: the fetch would read a
+  // part that is half written.
+  const CacheHolder store("store");
+  const PromptPart part{"p", 100};
+  CacheContents contents;
+  contents.OnEvents(store, EventsOf({{true, "s", "p", 100}}), kStart);
+  CHECK(contents.HoldsWhole(store, "s", part, kStart));
+  CHECK_FALSE(contents.HoldsWhole(store, "other", part, kStart));
+  SECTION("it falls silent") {
+    const MonotonicTime later =
+        kStart + CacheContents::kTrust + Milliseconds(1);
+    CHECK_FALSE(contents.HoldsWhole(store, "s", part, later));
+  }
+  SECTION("its connection breaks") {
+    contents.OnReaderLost(store);
+    CHECK_FALSE(contents.HoldsWhole(store, "s", part, kStart));
+  }
+  SECTION("it has restarted") {
+    contents.OnEvents(store, EventsOf({}, /*epoch=*/2), kStart);
+    CHECK_FALSE(contents.HoldsWhole(store, "s", part, kStart));
+  }
+  SECTION("an engine has dropped the part's end") {
+    contents.OnEvents(store, EventsOf({{false, "s", "p", 64}}), kStart);
+    CHECK_FALSE(contents.HoldsWhole(store, "s", part, kStart));
+  }
+  SECTION("events are missing") {
+    StoreEvents gap = EventsOf({});
+    gap.gap = true;
+    contents.OnEvents(store, gap, kStart);
+    CHECK_FALSE(contents.HoldsWhole(store, "s", part, kStart));
+    CHECK(contents.NeedsListing(store));
+    contents.OnListing(store, {1, 20, {{true, "s", "p", 100}}}, kStart);
+    CHECK(contents.HoldsWhole(store, "s", part, kStart));
+    CHECK_FALSE(contents.NeedsListing(store));
+  }
+}
+
+TEST_CASE(
+    "parts are spread over stores by their room, and stay where they are") {
+  std::vector<StoreChoice> stores;
+  for (int i = 0; i < 3; ++i) {
+    const std::string name = "s" + std::to_string(i);
+    stores.push_back(
+        {CacheHolder(name), {}, i == 0 ? 2.0 : 1.0, PlacementHash(name)});
+  }
+  std::map<CacheHolder, int> counts;
+  int moved = 0;
+  for (int i = 0; i < 4000; ++i) {
+    const std::string part = "part" + std::to_string(i);
+    const CacheHolder chosen = ChooseStore(stores, part)->holder;
+    ++counts[chosen];
+    const std::vector<StoreChoice> fewer(stores.begin(), stores.end() - 1);
+    if (chosen != stores.back().holder &&
+        ChooseStore(fewer, part)->holder != chosen)
+      ++moved;
+  }
+  CHECK(counts[CacheHolder("s0")] == Approx(2000).margin(200));
+  CHECK(moved == 0);
+  CHECK(ChooseStore({}, "part") == nullptr);
+}
+
+}  // namespace
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/placement_test.cc
@@ -0,0 +1,58 @@
+#include "carobshift/gateway/placement.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace carobshift {
+namespace {
+
+std::vector<PlacementCandidate> Candidates(int count) {
+  std::vector<PlacementCandidate> candidates;
+  for (int i = 0; i < count; ++i) {
+    PlacementCandidate candidate;
+    candidate.hash = PlacementHash("engine" + std::to_string(i));
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+TEST_CASE("a session keeps its place when another endpoint goes") {
+  const auto all = Candidates(12);
+  auto fewer = all;
+  fewer.pop_back();
+  int moved = 0;
+  for (std::uint64_t session = 0; session < 1000; ++session) {
+    const auto before = Place(all, session, {}).index;
+    const auto after = Place(fewer, session, {}).index;
+    if (*before != 11 && before != after)
+      ++moved;
+  }
+  CHECK(moved == 0);
+}
+
+TEST_CASE("a session goes where its parts are, unless too much waits there") {
+  // Engine 3 holds the session's nine thousand tokens. A popular session would
+  // queue there; a rare one would be read again elsewhere.
+  auto candidates = Candidates(12);
+  for (auto& candidate : candidates)
+    candidate.cost = 12'000;
+  candidates[3].cost = 3'000;
+  CHECK(Place(candidates, 7, {}).index == 3U);
+  candidates[3].cost = 3'000 + 30'000;
+  CHECK(Place(candidates, 7, {}).index != 3U);
+}
+
+TEST_CASE("endpoints to avoid come after all others, but before none") {
+  auto candidates = Candidates(2);
+  candidates[0].avoided = true;
+  candidates[1].cost = 1e6;
+  CHECK(Place(candidates, 1, {}).index == 1U);
+  candidates[1].avoided = true;
+  CHECK(Place(candidates, 1, {}).index == 0U);
+  CHECK(Place(candidates, 1, {}).avoided);
+  CHECK_FALSE(Place({}, 1, {}).index.has_value());
+}
+
+}  // namespace
+}  // namespace carobshift
