--- a/carobshift/gateway/exchange_run.cc
+++ b/carobshift/gateway/exchange_run.cc
@@ -12,8 +12,7 @@
     : loop_(loop),
       dialect_(dialect),
       caller_(std::move(caller)),
-      exchange_(std::move(setup), desk, *this),
-      desk_(desk) {}
+      exchange_(std::move(setup), desk, *this) {}
 
 ExchangeRun::~ExchangeRun() {
   loop_.CancelTimer(deadline_timer_);
--- a/carobshift/gateway/exchange_run.h
+++ b/carobshift/gateway/exchange_run.h
@@ -60,7 +60,6 @@
   const RequestDialect& dialect_;
   std::shared_ptr<HttpServerConnection> caller_;
   Exchange exchange_;
-  ServiceDesk& desk_;
   std::shared_ptr<ClientCall> call_;
   TimerId deadline_timer_;
   MonotonicTime last_heard_{};
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -75,7 +75,7 @@
   [[nodiscard]] bool Stopped() const;
   QueryAnswer Answer(const HttpHead& question);
   QueryAnswer AnswerMetrics(const HttpHead& question);
-  [[nodiscard]] std::string StateDumpText();
+  [[nodiscard]] std::string StateDumpText() const;
 
   GatewaySettings settings;
   Dialects dialects;
@@ -237,7 +237,7 @@
   return {200, "text/plain; version=0.0.4", metrics.PrometheusText()};
 }
 
-std::string Gateway::Parts::StateDumpText() {
+std::string Gateway::Parts::StateDumpText() const {
   nlohmann::json endpoints = nlohmann::json::array();
   for (const auto& [id, record] : registry.all()) {
     nlohmann::json weights = nlohmann::json::object();
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -243,7 +243,6 @@
                 ? dialects_.engine.DecodeReport(*outcome.status, outcome.body)
                 : Error{ResultCode::kEndpointFailed,
                         std::string(outcome.reason)};
-        const auto keep = order;
         if (!report.ok() || report.value().busy) {
           rollout_.OnOrderFailed(order->step.endpoint, kAskAgain, loop_.now());
           Drop(order->step.endpoint);
@@ -286,7 +285,6 @@
 
 void WeightSteward::OnOrderReply(const std::shared_ptr<Order>& order,
                                  const FetchOutcome& outcome) {
-  const auto keep = order;
   const EndpointId endpoint = order->step.endpoint;
   LogEvent(LogLevel::kInfo, "order_answered",
            {{"endpoint", endpoint.value()},
@@ -329,7 +327,6 @@
 
 void WeightSteward::OnWatched(const std::shared_ptr<Order>& order,
                               const FetchOutcome& outcome) {
-  const auto keep = order;
   const EndpointId endpoint = order->step.endpoint;
   const Result<EngineReport> report =
       outcome.status
--- a/testing/gateway_process_test.cc
+++ b/testing/gateway_process_test.cc
@@ -56,7 +56,7 @@
   REQUIRE(seen.size() == 2);
   for (const json& run : seen) {
     CHECK(run.at("account") == "north");
-    CHECK(run.at("key") == "");
+    CHECK(run.at("key").get<std::string>().empty());
   }
 }
 
