--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -32,7 +32,9 @@
   EndpointHealthBook health;
   LoadBook loads;
   CacheContents contents;
-  AttemptPlanner planner{registry, health, loads, contents};
+  // No weights are named in these loads.
+  WeightDeadlines deadlines{Milliseconds(15000)};
+  AttemptPlanner planner{registry, health, loads, contents, deadlines};
   OverloadGuard guard;
   CacheRelay relay;
   std::uint64_t reports = 0;
--- a/carobshift/base/result_code.h
+++ b/carobshift/base/result_code.h
@@ -44,6 +44,7 @@
   kEntryLeaving = 305,
   kHomeUnreachable = 306,
   kEndpointRefused = 307,
+  kWeightsReplaced = 308,
   // 4xx: the platform's service.
   kLogUnavailable = 400,
   kLogOutcomeUnknown = 401,
--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -193,6 +193,34 @@
   candidate.cost = candidate.ahead + candidate.unread + kFetchCost * fetched;
 }
 
+bool AttemptPlanner::TakesWork(const ExchangeSetup& setup,
+                               const EndpointRecord& record) const {
+  return record.service == setup.service && !record.leaving;
+}
+
+bool AttemptPlanner::Overdue(const ExchangeSetup& setup,
+                             const EndpointRecord& record,
+                             MonotonicTime now) const {
+  if (!setup.request.prompt)
+    return false;
+  const ModelName& model = setup.request.prompt->model;
+  const auto weights = WeightsOf(record, model);
+  return weights && deadlines_.Overdue(model, *weights, now);
+}
+
+bool AttemptPlanner::OnlyReplacedWeights(const ExchangeSetup& setup,
+                                         MonotonicTime now) const {
+  bool some = false;
+  for (const auto& [id, record] : registry_.all()) {
+    if (!TakesWork(setup, record))
+      continue;
+    if (!Overdue(setup, record, now))
+      return false;
+    some = true;
+  }
+  return some;
+}
+
 bool AttemptPlanner::Avoided(const EndpointRecord& record,
                              const AttemptWish& wish,
                              MonotonicTime now) const {
@@ -233,7 +261,7 @@
   std::vector<Candidate> candidates;
   std::vector<PlacementCandidate> placement;
   for (const auto& [id, record] : registry_.all()) {
-    if (record.service != setup.service || record.leaving)
+    if (!TakesWork(setup, record) || Overdue(setup, record, now))
       continue;
     Candidate candidate = Describe(setup, record);
     Measure(setup, footprint, candidate, now);
@@ -301,11 +329,13 @@
   return true;
 }
 
-Milliseconds AttemptPlanner::ReturnAfter(const ServiceName& service,
+Milliseconds AttemptPlanner::ReturnAfter(const ExchangeSetup& setup,
                                          MonotonicTime now) const {
+  if (OnlyReplacedWeights(setup, now))
+    return kReturnAfterLoad;
   std::optional<Milliseconds> soonest;
   for (const auto& [id, record] : registry_.all()) {
-    if (record.service != service || record.leaving)
+    if (!TakesWork(setup, record) || Overdue(setup, record, now))
       continue;
     const Milliseconds wait = health_.AvoidedFor(id, now);
     if (!soonest || wait < *soonest)
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -2,14 +2,17 @@
 // placement.h, its weights, the scope of its cached parts, the holders that
 // parts are fetched from and the stores that they are kept in.
 //
-//   AttemptPlanner planner(registry, health, loads, contents);
+//   AttemptPlanner planner(registry, health, loads, contents, deadlines);
 //   const std::optional<AttemptPlan> plan = planner.Plan(setup, wish, now);
 //
 // What must hold: no request may run on KV cache that was made by other
 // weights, nor, for an isolated account, by another account. The scope of the
 // cache is a digest of model, weight number and account, and the endpoint is
 // told to run the request only with those weights. An endpoint whose weights
-// aren't known gets a scope that nothing shares.
+// aren't known gets a scope that nothing shares. And no request may begin on
+// weights that were replaced longer ago than the operator allows, however few
+// other endpoints there are: its caller would take the answer for one of the
+// named weights.
 //
 // Thread-compatible; reads the tables that it was given.
 
@@ -30,6 +33,7 @@
 #include "carobshift/gateway/exchange.h"
 #include "carobshift/gateway/load_book.h"
 #include "carobshift/gateway/placement.h"
+#include "carobshift/gateway/weight_deadlines.h"
 
 namespace carobshift {
 
@@ -72,15 +76,20 @@
   // A part that is being kept is not sent to its store again for this long; by
   // then the store has told that it is whole, or it never will be.
   static constexpr Milliseconds kSaveMemory{3000};
+  // For callers whose endpoints all have to load first. By the platform's
+  // sheets a load takes one to two seconds, and one is under way.
+  static constexpr Milliseconds kReturnAfterLoad{1000};
 
   AttemptPlanner(const EndpointRegistry& registry,
                  const EndpointHealthBook& health,
                  const LoadBook& loads,
-                 const CacheContents& contents)
+                 const CacheContents& contents,
+                 const WeightDeadlines& deadlines)
       : registry_(registry),
         health_(health),
         loads_(loads),
-        contents_(contents) {}
+        contents_(contents),
+        deadlines_(deadlines) {}
 
   void SetConfig(const ServingConfig& config);
   // Endpoints that are to be kept free of new work, as they load weights.
@@ -99,12 +108,16 @@
   // Call when an endpoint's record changes.
   void ForgetWeights(const EndpointId& id) { noted_.erase(id); }
 
-  // Nothing if no endpoint takes work of the service.
+  // Nothing if no endpoint of the service takes work, or only with weights on
+  // which nothing may begin any more.
   [[nodiscard]] std::optional<AttemptPlan> Plan(const ExchangeSetup& setup,
                                                 const AttemptWish& wish,
                                                 MonotonicTime now);
+  // Whether the second is why there is no plan.
+  [[nodiscard]] bool OnlyReplacedWeights(const ExchangeSetup& setup,
+                                         MonotonicTime now) const;
   // How long until some endpoint of the service is worth another try.
-  [[nodiscard]] Milliseconds ReturnAfter(const ServiceName& service,
+  [[nodiscard]] Milliseconds ReturnAfter(const ExchangeSetup& setup,
                                          MonotonicTime now) const;
   [[nodiscard]] std::optional<WeightNumber> WeightsOf(
       const EndpointRecord& endpoint,
@@ -156,6 +169,12 @@
   [[nodiscard]] static const Source* NearestSource(
       const std::vector<Source>& sources,
       const EndpointRecord& reader);
+  [[nodiscard]] bool TakesWork(const ExchangeSetup& setup,
+                               const EndpointRecord& record) const;
+  // Whether the request may not begin on the endpoint's weights any more.
+  [[nodiscard]] bool Overdue(const ExchangeSetup& setup,
+                             const EndpointRecord& record,
+                             MonotonicTime now) const;
   // Usable, but taken last.
   [[nodiscard]] bool Avoided(const EndpointRecord& record,
                              const AttemptWish& wish,
@@ -176,6 +195,7 @@
   const EndpointHealthBook& health_;
   const LoadBook& loads_;
   const CacheContents& contents_;
+  const WeightDeadlines& deadlines_;
   std::map<ServiceName, EngineTraits> engines_;
   PlacementOptions placement_;
   std::vector<StoreChoice> stores_;
--- a/carobshift/gateway/attempt_planner_benchmark.cc
+++ b/carobshift/gateway/attempt_planner_benchmark.cc
@@ -48,7 +48,8 @@
     registry.Put(record, now);
     fill(record.id.value(), i + 1);
   }
-  AttemptPlanner planner(registry, health, loads, contents);
+  const WeightDeadlines deadlines{Milliseconds(15000)};
+  AttemptPlanner planner(registry, health, loads, contents, deadlines);
   planner.SetConfig(config);
   Route route;
   ExchangeSetup setup;
--- a/carobshift/gateway/attempt_planner_test.cc
+++ b/carobshift/gateway/attempt_planner_test.cc
@@ -81,7 +81,8 @@
   EndpointHealthBook health;
   LoadBook loads;
   CacheContents contents;
-  AttemptPlanner planner{registry, health, loads, contents};
+  WeightDeadlines deadlines{Milliseconds(15000)};
+  AttemptPlanner planner{registry, health, loads, contents, deadlines};
   Route route;
   Account account;
   Account isolated;
@@ -306,6 +307,32 @@
   CHECK(scene.Plan().fields.weights == WeightNumber(2));
 }
 
+TEST_CASE("nothing begins on weights past their bound, whoever else is left") {
+  // One engine of four has loaded the named weights when the operator's time is
+  // over, and it is about to restart. Taken last, the other three would answer
+  // with replaced weights just then.
+  Scene scene;
+  const EndpointId loaded("e2");
+  scene.planner.NoteWeights(loaded, kModel, WeightNumber(2));
+  scene.deadlines.OnNamed(kModel, WeightNumber(2), kStart - Seconds(60));
+  CHECK(scene.Plan().endpoint.id == loaded);
+  scene.planner.SetDraining({loaded});
+  scene.health.OnTrouble(loaded, EndpointTrouble::kBroken, kStart);
+  CHECK(scene.Plan().endpoint.id == loaded);
+  CHECK_FALSE(scene.planner.OnlyReplacedWeights(scene.setup, kStart));
+
+  scene.registry.Remove(loaded, RemovalCause::kAnnounced, kStart);
+  CHECK_FALSE(scene.planner.Plan(scene.setup, {}, kStart).has_value());
+  CHECK(scene.planner.OnlyReplacedWeights(scene.setup, kStart));
+  CHECK(scene.planner.ReturnAfter(scene.setup, kStart) ==
+        AttemptPlanner::kReturnAfterLoad);
+  // Requests without a prompt, and those for another model, go on.
+  scene.setup.request.prompt->model = ModelName("m2");
+  CHECK(scene.planner.Plan(scene.setup, {}, kStart).has_value());
+  scene.setup.request.prompt.reset();
+  CHECK(scene.planner.Plan(scene.setup, {}, kStart).has_value());
+}
+
 TEST_CASE("without an endpoint that takes work there is no plan") {
   Scene scene;
   for (int i = 0; i < 4; ++i) {
--- a/carobshift/gateway/exchange.cc
+++ b/carobshift/gateway/exchange.cc
@@ -29,6 +29,8 @@
       return ResultCode::kRequestSuspected;
     case NoAttempt::kNoTime:
       return ResultCode::kDeadlineExceeded;
+    case NoAttempt::kWeightsReplaced:
+      return ResultCode::kWeightsReplaced;
     case NoAttempt::kNone:
     case NoAttempt::kNoEndpoint:
       break;
--- a/carobshift/gateway/exchange.h
+++ b/carobshift/gateway/exchange.h
@@ -68,6 +68,8 @@
   kNone,
   // No endpoint takes work now.
   kNoEndpoint,
+  // Those that take work have weights on which nothing may begin any more.
+  kWeightsReplaced,
   // The repeats allowed are used up.
   kNoAllowance,
   // The caller's time is over.
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -89,14 +89,15 @@
   HttpClient control_client{loop, {}};
   EndpointRegistry registry;
   CacheContents contents;
+  WeightDeadlines deadlines{settings.weights_bound};
   Cluster cluster{loop, settings};
   RequestService requests{
-      loop,     endpoint_client, dialects.request,        registry,
-      contents, metrics,         ServiceOptions(settings)};
+      loop,     endpoint_client, dialects.request, registry,
+      contents, deadlines,       metrics,          ServiceOptions(settings)};
   PeerDatagrams datagrams{loop, settings, cluster};
   LoadSharing load_sharing{loop, cluster, datagrams, requests.loads()};
-  WeightSteward steward{loop,     control_client, settings,
-                        dialects, cluster,        registry};
+  WeightSteward steward{loop,    control_client, settings, dialects,
+                        cluster, registry,       deadlines};
   CacheWatcher caches{loop, control_client, dialects.engine, datagrams,
                       contents};
   StoreKeeper store_keeper{loop, control_client, dialects.engine, registry,
@@ -161,6 +162,10 @@
       [this](RequestFingerprint fingerprint, const std::string& run) {
         cluster.AnnounceCrash(DescribeCrash(fingerprint, run));
       });
+  steward.SetOnLoaded(
+      [this](const auto& endpoint, const auto& model, WeightNumber weights) {
+        requests.NoteWeights(endpoint, model, weights);
+      });
   operator_follower.Start();
   endpoint_follower.Start();
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
@@ -186,9 +191,7 @@
   cluster.OnTick();
   requests.SetLiveEntries(
       std::max<int>(1, static_cast<int>(cluster.Live().size())));
-  std::set<EndpointId> kept_free = steward.Behind(cluster.Draining());
-  kept_free.merge(steward.Overdue());
-  requests.SetDraining(kept_free);
+  requests.SetDraining(steward.Behind(cluster.Draining()));
   for (const std::string& crash : cluster.Crashes()) {
     if (const auto described = ReadCrash(crash))
       requests.NoteCrash(*described);
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -33,6 +33,7 @@
                                const RequestDialect& dialect,
                                EndpointRegistry& registry,
                                CacheContents& contents,
+                               const WeightDeadlines& deadlines,
                                Metrics& metrics,
                                const RequestServiceOptions& options)
     : loop_(loop),
@@ -41,7 +42,7 @@
       registry_(registry),
       metrics_(metrics),
       options_(options),
-      planner_(registry, health_, loads_, contents),
+      planner_(registry, health_, loads_, contents, deadlines),
       allowance_(options.retries) {
   planner_.SetRoomCheck(
       [this](const NetAddress& address) { return client_.HasRoom(address); });
@@ -223,8 +224,11 @@
       crashes_.Refuses(FingerprintOfExchange(exchange), loop_.now()))
     return NoAttempt::kSuspected;
   auto plan = planner_.Plan(setup, wish, loop_.now());
-  if (!plan)
-    return NoAttempt::kNoEndpoint;
+  if (!plan) {
+    return planner_.OnlyReplacedWeights(setup, loop_.now())
+               ? NoAttempt::kWeightsReplaced
+               : NoAttempt::kNoEndpoint;
+  }
   Running& running = runs_.at(&exchange);
   if (!wish.repeat && RefusedUnderLoad(running, setup, *plan))
     return NoAttempt::kOverloaded;
@@ -301,7 +305,7 @@
   const auto found = runs_.find(&exchange);
   if (found != runs_.end() && found->second.return_after)
     return *found->second.return_after;
-  return planner_.ReturnAfter(exchange.setup().service, loop_.now());
+  return planner_.ReturnAfter(exchange.setup(), loop_.now());
 }
 
 void RequestService::OnAttemptReply(Exchange& exchange,
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -53,6 +53,7 @@
                  const RequestDialect& dialect,
                  EndpointRegistry& registry,
                  CacheContents& contents,
+                 const WeightDeadlines& deadlines,
                  Metrics& metrics,
                  const RequestServiceOptions& options);
   ~RequestService() override;
@@ -80,7 +81,13 @@
 
   // Callers are told to connect elsewhere; requests under way go on.
   void BeginStop();
-  // What is known of the engine's weights, from its record or its answers.
+  // What the engine has told this instance, newer than its record.
+  void NoteWeights(const EndpointId& endpoint,
+                   const ModelName& model,
+                   WeightNumber weights) {
+    planner_.NoteWeights(endpoint, model, weights);
+  }
+  // What is known of the engine's weights, from its record or what it told.
   [[nodiscard]] std::optional<WeightNumber> WeightsOf(
       const EndpointRecord& endpoint,
       const ModelName& model) const {
--- a/carobshift/gateway/weight_deadlines.h
+++ b/carobshift/gateway/weight_deadlines.h
@@ -4,11 +4,13 @@
 //   deadlines.OnNamed(model, number, now);
 //   if (deadlines.Overdue(model, weights_of_engine, now)) SendElsewhere();
 //
-// Load pattern: new weights are named while engines lose their orders, so the
-// last ones still have the old weights when the operator's time for the change
-// is over. What begins there from then on is of no use to its caller, and the
-// platform counts it as a fault. So such engines are left out, shortly before
-// the time is over, until they have loaded.
+// Load pattern: new weights are named while engines lose their orders or crash,
+// or the holder of the lease dies, so the last engines still have the old
+// weights when the operator's time for the change is over. What begins there
+// from then on is of no use to its caller, who can't tell, and the platform
+// counts it as a fault. So nothing begins there, shortly before the time is
+// over, until they have loaded. An engine that is only taken last serves just
+// when most others are out of use.
 //
 // Figures: kMargin covers a request on its way, the lag with which an instance
 // hears of newly named weights, and that of an engine's record.
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -52,7 +52,8 @@
                              const GatewaySettings& settings,
                              const Dialects& dialects,
                              Cluster& cluster,
-                             const EndpointRegistry& registry)
+                             const EndpointRegistry& registry,
+                             WeightDeadlines& deadlines)
     : loop_(loop),
       client_(client),
       settings_(settings),
@@ -60,7 +61,7 @@
       cluster_(cluster),
       registry_(registry),
       rollout_(RolloutOptions{}),
-      deadlines_(settings.weights_bound),
+      deadlines_(deadlines),
       stream_(kLeaseStream),
       lease_(LeaseOptionsOf(settings),
              settings.entry,
@@ -108,15 +109,6 @@
   return behind;
 }
 
-std::set<EndpointId> WeightSteward::Overdue() const {
-  std::set<EndpointId> overdue;
-  for (const RolloutEngine& engine : Engines()) {
-    if (deadlines_.Overdue(engine.model, engine.weights, loop_.now()))
-      overdue.insert(engine.id);
-  }
-  return overdue;
-}
-
 // Past the lease's end only while the log doesn't answer: nobody can have
 // succeeded through it unseen for longer than the lease protects, and engines
 // that check fencing bar whoever was succeeded. After a suspension of this
@@ -368,6 +360,8 @@
       LogEvent(
           LogLevel::kInfo, "weights_loaded",
           {{"endpoint", endpoint.value()}, {"weights", found->second.value()}});
+      if (on_loaded_)
+        on_loaded_(endpoint, order->step.model, found->second);
       Drop(endpoint);
       OnTick();
       return;
--- a/carobshift/gateway/weight_steward.h
+++ b/carobshift/gateway/weight_steward.h
@@ -1,7 +1,8 @@
 // Brings engines to the weights that the operator named: seeks the lease when
 // there is something to do, and gives the orders while it holds it.
 //
-//   WeightSteward steward(loop, client, settings, dialects, cluster, registry);
+//   WeightSteward steward(loop, client, settings, dialects, cluster, registry,
+//                         deadlines);
 //   steward.SetTarget(model, number);
 //   steward.OnTick();
 //
@@ -14,6 +15,7 @@
 #ifndef CAROBSHIFT_GATEWAY_WEIGHT_STEWARD_H_
 #define CAROBSHIFT_GATEWAY_WEIGHT_STEWARD_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -43,20 +45,24 @@
                 const GatewaySettings& settings,
                 const Dialects& dialects,
                 Cluster& cluster,
-                const EndpointRegistry& registry);
+                const EndpointRegistry& registry,
+                WeightDeadlines& deadlines);
 
   void SetConfig(std::shared_ptr<const ConfigInForce> config) {
     config_ = std::move(config);
   }
   void SetTarget(const ModelName& model, WeightNumber number);
+  // Called when an engine has told its holder that it has loaded weights, which
+  // is up to a second before its record says so.
+  using OnLoaded =
+      std::function<void(const EndpointId&, const ModelName&, WeightNumber)>;
+  void SetOnLoaded(OnLoaded on_loaded) { on_loaded_ = std::move(on_loaded); }
   void OnTick();
   // Gives no more orders. The lease is not given back: a successor must wait
   // for the whole lease after the last order.
   void Stop() { stopped_ = true; }
 
   [[nodiscard]] bool IsHolder() const { return lease_.IsHolder(); }
-  // Engines whose weights may not be used any more.
-  [[nodiscard]] std::set<EndpointId> Overdue() const;
   // Those of `endpoints` that still have older weights than named.
   [[nodiscard]] std::set<EndpointId> Behind(
       const std::set<EndpointId>& endpoints) const;
@@ -103,7 +109,7 @@
   const EndpointRegistry& registry_;
   std::shared_ptr<const ConfigInForce> config_;
   WeightRollout rollout_;
-  WeightDeadlines deadlines_;
+  WeightDeadlines& deadlines_;
   LogStream stream_;
   Lease lease_;
   HttpFetch lease_call_;
@@ -112,6 +118,7 @@
   bool log_failing_ = false;
   std::map<EndpointId, std::map<ModelName, WeightNumber>> reported_;
   std::map<EndpointId, std::shared_ptr<Order>> orders_;
+  OnLoaded on_loaded_;
   bool stopped_ = false;
   // What the engines looked like when it last changed.
   std::vector<WeightNumber> seen_;
--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -142,10 +142,12 @@
   GatewaySettings settings;
   EndpointRegistry registry;
   Cluster cluster{loop, settings};
+  WeightDeadlines deadlines{settings.weights_bound};
   WeightSteward steward{
       loop,     client,
       settings, Dialects{requests, directory, log_dialect, engine_dialect},
-      cluster,  registry};
+      cluster,  registry,
+      deadlines};
 };
 
 TEST_CASE("an order whose answer is lost is given again soon, and taken once") {
