--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -246,6 +246,34 @@
   CHECK(fixture.second.arrived == before);
 }
 
+TEST_CASE("the log has dropped the lease's first records: orders go on") {
+  // The log keeps records for a while, or forgets its history at once. A
+  // process that has started since then reads the lease's stream from its
+  // beginning and is told that it is gone. It asked for the same records for
+  // ever, so nobody could take the lease any more, and engines kept replaced
+  // weights for good.
+  Fixture fixture;
+  const LogStream stream("carobshift-lease");
+  LeaseRecord former;
+  former.holder = EntryId("entry-2");
+  former.incarnation = Incarnation(7);
+  former.duration = fixture.settings.lease;
+  fixture.log.Append(stream, EncodeLeaseRecord(former));
+  SECTION("all of them") {}
+  SECTION("all but the last") {
+    fixture.log.Compact(stream);
+    former.kind = LeaseRecordKind::kRenew;
+    former.read_up_to = LogOffset(1);
+    fixture.log.Append(stream, EncodeLeaseRecord(former));
+  }
+  if (fixture.log.records(stream).size() == 1)
+    fixture.log.Compact(stream);
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  CHECK(fixture.TickUntil(
+      [&] { return fixture.first.weights == 2 && fixture.second.weights == 2; },
+      Milliseconds(9000)));
+}
+
 TEST_CASE("a stopped instance gives no more orders") {
   Fixture fixture;
   fixture.steward.SetTarget(kModel, WeightNumber(2));
--- a/testing/gateway_process_test.cc
+++ b/testing/gateway_process_test.cc
@@ -227,6 +227,31 @@
                   Milliseconds(2500)));
 }
 
+TEST_CASE(
+    "the log forgets the lease's history: the next weights come as well") {
+  // Weights were brought to all engines under a lease whose records the log has
+  // dropped since. Both instances are killed and start again, and new weights
+  // are named. Without the first record nobody knew where to read on.
+  GatewayCluster cluster({.engines = 1});
+  const auto loaded = [&cluster](int weights) {
+    return WaitUntil(
+        [&] { return cluster.RunsOf(0).at("weights") == weights; });
+  };
+  cluster.NameWeights(2);
+  REQUIRE(loaded(2));
+  cluster.PutReplica(0, "ready");
+  REQUIRE(HttpSend(cluster.platform().address(), "POST",
+                   "/forget?topic=carobshift-lease", {.body = "{}"})
+              .status == 200);
+  for (std::size_t i = 0; i < cluster.gateways(); ++i)
+    cluster.gateway(i).Kill();
+  for (std::size_t i = 0; i < cluster.gateways(); ++i)
+    cluster.StartGateway(i);
+  REQUIRE(WaitUntil([&] { return cluster.Ready(0) && cluster.Ready(1); }));
+  cluster.NameWeights(3);
+  CHECK(loaded(3));
+}
+
 TEST_CASE("an endpoint that leaves gets no new work") {
   GatewayCluster cluster({});
   // The engines are replicas 0 and 1, the desks 2 and 3.
