--- a/carobshift/gateway/dialect.h
+++ b/carobshift/gateway/dialect.h
@@ -114,6 +114,10 @@
   [[nodiscard]] virtual Result<LogBatch> DecodeRead(int status,
                                                     std::string_view body,
                                                     LogOffset from) const = 0;
+  // The lowest offset that is kept, from an answer of which DecodeRead says
+  // kLogRecordExpired; nothing if it can't be read.
+  [[nodiscard]] virtual std::optional<LogOffset> DecodeFirstRetained(
+      std::string_view body) const = 0;
   [[nodiscard]] virtual Result<KeyedPage> DecodeNewest(
       int status,
       std::string_view body) const = 0;
--- a/carobshift/gateway/fake_log.h
+++ b/carobshift/gateway/fake_log.h
@@ -49,6 +49,11 @@
   [[nodiscard]] Result<LogBatch> DecodeRead(int status,
                                             std::string_view body,
                                             LogOffset from) const override;
+  [[nodiscard]] std::optional<LogOffset> DecodeFirstRetained(
+      std::string_view body) const override {
+    const auto json = nlohmann::json::parse(body);
+    return LogOffset(json.at("first").get<std::uint64_t>());
+  }
   [[nodiscard]] Result<KeyedPage> DecodeNewest(
       int status,
       std::string_view body) const override;
@@ -198,8 +203,9 @@
   } else if (call == "read") {
     const std::uint64_t from = std::stoull(argument);
     const bool dropped = from < stream.first;
+    const nlohmann::json gone{{"first", stream.first}};
     connection.SendWhole(ReplyHead(dropped ? 410 : 200),
-                         dropped ? "" : Read(stream, from).dump());
+                         dropped ? gone.dump() : Read(stream, from).dump());
   } else {
     connection.SendWhole(ReplyHead(200), Newest(stream, argument).dump());
     if (on_page_)
--- a/carobshift/gateway/silent_dialects.h
+++ b/carobshift/gateway/silent_dialects.h
@@ -73,6 +73,10 @@
                                       std::string*) const override {
     return {};
   }
+  [[nodiscard]] std::optional<LogOffset> DecodeFirstRetained(
+      std::string_view) const override {
+    return std::nullopt;
+  }
   [[nodiscard]] Result<LogBatch> DecodeRead(int,
                                             std::string_view,
                                             LogOffset) const override {
--- a/carobshift/lease/lease.cc
+++ b/carobshift/lease/lease.cc
@@ -11,6 +11,9 @@
 // The holder renews when this part of its lease is over: two renewals may
 // fail before the lease does.
 constexpr int kRenewDivisor = 3;
+// In order timeouts: an order of the former process may have been held up that
+// long before it was sent, and that long on its way.
+constexpr int kFormerOrdersWait = 2;
 
 }  // namespace
 
@@ -24,14 +27,18 @@
     : options_(options),
       self_(std::move(self)),
       incarnation_(incarnation),
+      started_(now),
       expires_(now),
-      free_at_(now + options.duration + options.clock_drift +
-               options.order_timeout),
+      free_at_(now + WholeWait()),
       next_read_(now) {
   if (options_.mutation == LeaseMutation::kNoSuccessorWait)
     free_at_ = now;
 }
 
+Milliseconds Lease::WholeWait() const {
+  return options_.duration + options_.clock_drift + options_.order_timeout;
+}
+
 LeaseAction Lease::Next(MonotonicTime now) {
   if (now >= next_read_)
     return ReadLog{next_};
@@ -78,7 +85,9 @@
                                       .attempt = attempt,
                                       .read_up_to = next_,
                                       .number = number,
-                                      .duration = options_.duration})};
+                                      .duration = options_.duration,
+                                      .address = options_.address,
+                                      .note = note_})};
 }
 
 void Lease::OnAppended(const Result<LogOffset>& offset, MonotonicTime now) {
@@ -90,7 +99,9 @@
                                  .attempt = attempts_,
                                  .read_up_to = offset.value(),
                                  .number = FencingNumber(0),
-                                 .duration = options_.duration});
+                                 .duration = options_.duration,
+                                 .address = options_.address,
+                                 .note = note_});
     expires_ = sent_[attempts_] + options_.duration;
   }
 }
@@ -99,6 +110,7 @@
   next_read_ = now + kReadInterval;
   if (!batch.ok())
     return;
+  SkipTo(batch.value().first_retained, now);
   for (const LogRecord& record : batch.value().records) {
     if (record.offset >= next_)
       Take(record, now);
@@ -114,16 +126,48 @@
     next_read_ = now;
 }
 
+void Lease::OnDropped(LogOffset first_retained, MonotonicTime now) {
+  settled_ = false;
+  next_read_ = first_retained > next_ ? now : now + kReadInterval;
+  SkipTo(first_retained, now);
+}
+
+void Lease::SkipTo(LogOffset first_retained, MonotonicTime now) {
+  if (first_retained <= next_)
+    return;
+  next_ = first_retained;
+  if (options_.mutation == LeaseMutation::kKeepHolderOverGap)
+    return;
+  fold_.SkipTo(first_retained);
+  // Nobody else can have begun while this holder's time runs.
+  if (IsHolder() && now < expires_)
+    return;
+  fold_.ForgetHolder();
+  expires_ = now;
+  free_at_ = now + WholeWait();
+}
+
+MonotonicTime Lease::FreeAfter(const LeaseHolding& holding,
+                               MonotonicTime now) const {
+  if (!holding.held || options_.mutation == LeaseMutation::kNoSuccessorWait)
+    return now;
+  const bool former_self =
+      !options_.address.empty() && holding.address == options_.address &&
+      holding.holder == self_ && holding.incarnation != incarnation_;
+  if (!former_self)
+    return now + holding.duration + options_.clock_drift +
+           options_.order_timeout;
+  return options_.mutation == LeaseMutation::kNoFormerOrdersWait
+             ? now
+             : started_ + kFormerOrdersWait * options_.order_timeout;
+}
+
 void Lease::Take(const LogRecord& record, MonotonicTime now) {
   const Result<LeaseRecord> decoded = DecodeLeaseRecord(record.payload);
   if (!decoded.ok() || !fold_.Apply(record.offset, decoded.value()))
     return;
   const LeaseHolding& holding = *fold_.holding();
-  free_at_ = holding.held ? now + holding.duration + options_.clock_drift +
-                                options_.order_timeout
-                          : now;
-  if (options_.mutation == LeaseMutation::kNoSuccessorWait)
-    free_at_ = now;
+  free_at_ = FreeAfter(holding, now);
   if (holding.incarnation != incarnation_ || !holding.held) {
     expires_ = now;
     return;
--- a/carobshift/lease/lease.h
+++ b/carobshift/lease/lease.h
@@ -24,6 +24,13 @@
 //   it can't know whether it is only cut off. Endpoints that check fencing may
 //   still be ordered under its number, which a successor's higher one bars;
 //   the others only within the lease.
+// - The log drops old records. A reader behind them would ask for them for ever
+//   and could never hold the lease, nor anybody who starts later. It goes on
+//   from the first that is kept, and forgets the holder that it knew: another
+//   one may have begun in what is gone, and its renewals would not be heard.
+// - The holder's process is killed and starts again. Its former orders are few
+//   and soon over, and it alone has the address bound, so it waits for those
+//   and not for the lease; otherwise nobody would order for seconds.
 // - The process pauses between MayOrder() and the moment the order leaves the
 //   machine. Endpoints that check fencing refuse it. For the others the order
 //   timeout stands twice: in the successor's wait for orders on their way, in
@@ -37,6 +44,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include "carobshift/base/ids.h"
@@ -60,6 +68,10 @@
   kTrustAppendReply,
   // Orders may start with less lease left than they take.
   kNoOrderMargin,
+  // A process that starts again does not wait for its former orders.
+  kNoFormerOrdersWait,
+  // A reader that lost records goes by the holder that it knew.
+  kKeepHolderOverGap,
 };
 
 struct LeaseOptions {
@@ -68,6 +80,9 @@
   Milliseconds order_timeout{1000};
   // How far two steady clocks may run apart during one lease.
   Milliseconds clock_drift{200};
+  // "HOST:PORT" that this process has bound before it seeks the lease, so that
+  // no other process of this entry can run; empty if there is none.
+  std::string address{};
   // For tests only.
   LeaseMutation mutation = LeaseMutation::kNone;
 };
@@ -101,9 +116,15 @@
 
   // The answer to a ReadLog.
   void OnRead(const Result<LogBatch>& batch, MonotonicTime now);
+  // The same when the records asked for are gone: the log keeps those from
+  // `first_retained` on.
+  void OnDropped(LogOffset first_retained, MonotonicTime now);
   // The answer to an AppendLog, an error included.
   void OnAppended(const Result<LogOffset>& offset, MonotonicTime now);
 
+  // What goes into the records that are written from now on.
+  void SetNote(std::string note) { note_ = std::move(note); }
+
   // From now on this entry orders nothing and does not seek the lease; it
   // releases the lease if held. Call it when no order is on its way.
   void Resign() { resigned_ = true; }
@@ -120,6 +141,11 @@
   // End of our own time, on our clock; in the past if not held.
   [[nodiscard]] MonotonicTime expires() const { return expires_; }
   [[nodiscard]] bool IsHolder() const;
+  // Whether all records that there were have been dropped, so that nothing is
+  // known of former holders.
+  [[nodiscard]] bool HistoryGone() const {
+    return !fold_.holding() && next_ > LogOffset(0);
+  }
 
  private:
   // Attempts whose outcome may still come to light; older ones are forgotten
@@ -127,6 +153,13 @@
   static constexpr std::size_t kMaxAttempts = 16;
 
   void Take(const LogRecord& record, MonotonicTime now);
+  // Goes on from the first record kept, if some in between are gone.
+  void SkipTo(LogOffset first_retained, MonotonicTime now);
+  // When the lease is free if this is the last that was written of it.
+  [[nodiscard]] MonotonicTime FreeAfter(const LeaseHolding& holding,
+                                        MonotonicTime now) const;
+  // Longest time for which a holder may act that nothing is known of.
+  [[nodiscard]] Milliseconds WholeWait() const;
   [[nodiscard]] AppendLog Append(LeaseRecordKind kind, MonotonicTime now);
   [[nodiscard]] std::optional<LeaseRecordKind> WantedRecord(
       MonotonicTime now) const;
@@ -142,6 +175,8 @@
   bool resigned_ = false;
   std::uint64_t attempts_ = 0;
   std::map<std::uint64_t, MonotonicTime> sent_;
+  MonotonicTime started_;
+  std::string note_;
   MonotonicTime expires_;
   // Nobody else may hold the lease after this time, as far as we have read.
   MonotonicTime free_at_;
--- a/carobshift/lease/lease_record.cc
+++ b/carobshift/lease/lease_record.cc
@@ -1,5 +1,6 @@
 #include "carobshift/lease/lease_record.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -27,7 +28,9 @@
       {"attempt", record.attempt},
       {"read_up_to", record.read_up_to.value()},
       {"number", record.number.value()},
-      {"duration_ms", record.duration.count()}}
+      {"duration_ms", record.duration.count()},
+      {"address", record.address},
+      {"note", record.note}}
       .dump();
 }
 
@@ -45,33 +48,47 @@
         .attempt = json.at("attempt").get<std::uint64_t>(),
         .read_up_to = LogOffset(json.at("read_up_to").get<std::uint64_t>()),
         .number = FencingNumber(json.at("number").get<std::uint64_t>()),
-        .duration = Milliseconds(duration)};
+        .duration = Milliseconds(duration),
+        .address = json.value("address", ""),
+        .note = json.value("note", "")};
   } catch (const nlohmann::json::exception& error) {
     return Error{ResultCode::kMalformedRequest, error.what()};
   }
 }
 
+void LeaseFold::SkipTo(LogOffset first_retained) {
+  known_from_ = std::max(known_from_, first_retained);
+}
+
 bool LeaseFold::Apply(LogOffset offset, const LeaseRecord& record) {
-  if (holding_ && last_counted_ >= record.read_up_to)
+  if (record.read_up_to < known_from_ ||
+      (holding_ && last_counted_ >= record.read_up_to))
     return false;
   const bool by_holder =
       holding_ && holding_->held && holding_->incarnation == record.incarnation;
   if (record.kind != LeaseRecordKind::kAcquire) {
     // The first record that a reader finds may be a renewal whose acquiring
-    // record is no longer kept.
-    if (holding_ && !by_holder)
+    // record is no longer kept, and even that of a holder who had been
+    // succeeded in what is gone. The higher number tells the successor's
+    // renewals; not heard, it would be displaced while it holds.
+    const bool by_successor = holding_ && record.number > holding_->number;
+    if (holding_ && !by_holder && !by_successor)
       return false;
     holding_ = LeaseHolding{.holder = record.holder,
                             .incarnation = record.incarnation,
                             .number = record.number,
                             .duration = record.duration,
-                            .held = record.kind == LeaseRecordKind::kRenew};
+                            .held = record.kind == LeaseRecordKind::kRenew,
+                            .address = record.address,
+                            .note = record.note};
   } else {
     holding_ = LeaseHolding{.holder = record.holder,
                             .incarnation = record.incarnation,
                             .number = FencingNumber(offset.value()),
                             .duration = record.duration,
-                            .held = true};
+                            .held = true,
+                            .address = record.address,
+                            .note = record.note};
   }
   last_counted_ = offset;
   return true;
--- a/carobshift/lease/lease_record.h
+++ b/carobshift/lease/lease_record.h
@@ -37,6 +37,11 @@
   // For a renewal the number under which the lease is held.
   FencingNumber number{};
   Milliseconds duration{0};
+  // "HOST:PORT" that the writer's process alone has bound; empty if it doesn't
+  // say.
+  std::string address{};
+  // What the writer wants its successors to know; the lease doesn't read it.
+  std::string note{};
   friend bool operator==(const LeaseRecord&, const LeaseRecord&) = default;
 };
 
@@ -53,6 +58,9 @@
   Milliseconds duration{0};
   // False after a release: the next one need not wait.
   bool held = true;
+  // Of the last record that counted.
+  std::string address{};
+  std::string note{};
 };
 
 // The state after all records so far. Thread-compatible.
@@ -60,6 +68,13 @@
  public:
   // Records must come in offset order. Returns whether the record counts.
   bool Apply(LogOffset offset, const LeaseRecord& record);
+  // The records below `first_retained` that were not applied are gone. A later
+  // record whose writer had not read up to there may have been overtaken by one
+  // of them, and doesn't count: a candidate that was paused would believe in a
+  // claim that all others know to have come too late.
+  void SkipTo(LogOffset first_retained);
+  // The holder may have been succeeded in what is gone.
+  void ForgetHolder() { holding_.reset(); }
 
   // Nothing before the first record that counts.
   [[nodiscard]] const std::optional<LeaseHolding>& holding() const {
@@ -69,6 +84,8 @@
  private:
   std::optional<LeaseHolding> holding_;
   LogOffset last_counted_;
+  // All records that count from here on are known.
+  LogOffset known_from_;
 };
 
 }  // namespace carobshift
--- a/carobshift/lease/lease_test.cc
+++ b/carobshift/lease/lease_test.cc
@@ -163,6 +163,118 @@
   CHECK(b.lease.MayOrder(false, later));
 }
 
+constexpr char kAddress[] = "10.0.0.1:7700";
+
+// A process of entry 1 that has started at `start`.
+Lease StartedAgain(std::uint64_t incarnation,
+                   const std::string& address,
+                   MonotonicTime start) {
+  LeaseOptions options;
+  options.address = address;
+  return {options, EntryId("entry-1"), Incarnation(incarnation), start};
+}
+
+// Acts every tenth of a second until it may order; nothing after ten seconds.
+std::optional<MonotonicTime> OrdersFrom(TestLog& log,
+                                        Lease& lease,
+                                        MonotonicTime start) {
+  for (MonotonicTime now = start; now < start + Seconds(10);
+       now += Milliseconds(100)) {
+    for (int step = 0; step < 10; ++step) {
+      const LeaseAction action = lease.Next(now);
+      if (const auto* read = std::get_if<ReadLog>(&action))
+        lease.OnRead(log.Read(read->from), now);
+      else if (const auto* append = std::get_if<AppendLog>(&action))
+        lease.OnAppended(log.Append(append->payload), now);
+    }
+    if (lease.MayOrder(false, now))
+      return now;
+  }
+  return std::nullopt;
+}
+
+// The holder's process is killed and starts again a moment later, with the
+// lease still running in its former name. Waiting for its end, nobody would
+// order for seconds, and engines would keep replaced weights meanwhile.
+TEST_CASE("a holder that starts again waits for its former orders only") {
+  TestLog log;
+  Lease former = StartedAgain(1, kAddress, kStart);
+  REQUIRE(OrdersFrom(log, former, kStart));
+  const LeaseOptions options;
+  SECTION("at the same address") {
+    Lease again = StartedAgain(2, kAddress, kHeld);
+    const auto from = OrdersFrom(log, again, kHeld);
+    REQUIRE(from);
+    CHECK(*from >= kHeld + 2 * options.order_timeout);
+    CHECK(*from <= kHeld + 2 * options.order_timeout + Milliseconds(200));
+    CHECK(again.holding()->number > FencingNumber(0));
+  }
+  // A machine that was replaced under its name: the former may still run.
+  SECTION("at another address") {
+    Lease again = StartedAgain(2, "10.0.0.9:7700", kHeld);
+    const auto from = OrdersFrom(log, again, kHeld);
+    REQUIRE(from);
+    CHECK(*from >= kHeld + options.duration);
+  }
+  SECTION("where no address is known") {
+    Lease again = StartedAgain(2, "", kHeld);
+    const auto from = OrdersFrom(log, again, kHeld);
+    REQUIRE(from);
+    CHECK(*from >= kHeld + options.duration);
+  }
+}
+
+// The log drops what a reader has not read yet, and somebody else has begun to
+// hold in between. Had the reader kept the holder that it knew, it would not
+// hear the new one's renewals, and would claim the lease beside it.
+TEST_CASE("a reader that lost records forgets the holder that it knew") {
+  TestLog log;
+  Candidate a(log, 1);
+  a.RunThrough(kStart, kHeld);
+  Candidate reader(log, 3);
+  reader.lease.OnRead(log.Read(LogOffset(0)), kHeld);
+  REQUIRE(reader.lease.holding()->holder == EntryId("entry-1"));
+  Candidate b(log, 2);
+  const MonotonicTime taken = kHeld + Seconds(6);
+  b.RunThrough(kHeld, taken);
+  REQUIRE(b.lease.MayOrder(false, taken));
+  const std::uint64_t kept = log.records.size();
+  reader.lease.OnDropped(LogOffset(kept), taken);
+  CHECK_FALSE(reader.lease.holding());
+  CHECK(reader.lease.HistoryGone());
+  for (MonotonicTime now = taken; now < taken + Seconds(20);
+       now += Milliseconds(100)) {
+    b.Run(now);
+    reader.Run(now);
+    CHECK(b.lease.MayOrder(false, now));
+    CHECK_FALSE(reader.lease.MayOrder(false, now));
+  }
+  CHECK(reader.lease.holding()->holder == EntryId("entry-2"));
+}
+
+TEST_CASE("a holder that lost records goes on within its time") {
+  TestLog log;
+  Candidate a(log, 1);
+  a.RunThrough(kStart, kHeld);
+  REQUIRE(a.lease.MayOrder(false, kHeld));
+  a.lease.OnDropped(LogOffset(log.records.size() + 5), kHeld);
+  CHECK(a.lease.MayOrder(false, kHeld));
+  a.lease.OnDropped(LogOffset(log.records.size() + 9), kHeld + Seconds(10));
+  CHECK_FALSE(a.lease.MayOrder(true, kHeld + Seconds(10)));
+}
+
+TEST_CASE("what a holder notes is read by those who come after it") {
+  TestLog log;
+  Candidate a(log, 1);
+  a.lease.SetNote("first");
+  a.RunThrough(kStart, kHeld);
+  a.lease.SetNote("second");
+  a.RunThrough(kHeld, kHeld + Seconds(2));
+  Candidate reader(log, 2);
+  reader.lease.OnRead(log.Read(LogOffset(0)), kHeld + Seconds(2));
+  CHECK(reader.lease.holding()->note == "second");
+}
+
 TEST_CASE("lease records survive encoding, and other payloads are refused") {
   const LeaseRecord record{.kind = LeaseRecordKind::kRenew,
                            .holder = EntryId("entry-1"),
@@ -170,7 +282,9 @@
                            .attempt = 4,
                            .read_up_to = LogOffset(17),
                            .number = FencingNumber(3),
-                           .duration = Milliseconds(3000)};
+                           .duration = Milliseconds(3000),
+                           .address = "10.0.0.1:7700",
+                           .note = "\"what\" the next one reads"};
   const auto decoded = DecodeLeaseRecord(EncodeLeaseRecord(record));
   REQUIRE(decoded.ok());
   CHECK(decoded.value() == record);
--- a/fuzz/lease_fuzz.cc
+++ b/fuzz/lease_fuzz.cc
@@ -18,7 +18,7 @@
 namespace carobshift {
 namespace {
 
-constexpr LeaseOptions kOptions;
+const LeaseOptions kOptions;
 constexpr Milliseconds kLogTimeout{500};
 constexpr Milliseconds kOrderInterval{70};
 
@@ -83,6 +83,7 @@
     node.waiting.clear();
     LeaseOptions lease_options = kOptions;
     lease_options.mutation = options_.mutation;
+    lease_options.address = "10.0.0." + std::to_string(index) + ":7700";
     node.lease = std::make_unique<Lease>(
         lease_options, EntryId("entry-" + std::to_string(index)),
         Incarnation(random().Next()), LocalNow(node));
@@ -165,7 +166,15 @@
     }
     const std::uint64_t life = nodes_[index].life;
     simulation_.After(delay, [this, index, from, life] {
-      LogBatch batch{.first_retained = LogOffset(0),
+      if (from < first_retained_) {
+        InLife(index, life, LogDelay(), [this, index, first = first_retained_] {
+          Node& node = nodes_[index];
+          node.lease->OnDropped(first, LocalNow(node));
+          RunLease(index);
+        });
+        return;
+      }
+      LogBatch batch{.first_retained = first_retained_,
                      .next = LogOffset(log_.size()),
                      .records = {}};
       for (std::size_t i = from.value(); i < log_.size(); ++i)
@@ -261,7 +270,11 @@
 
   void Fault() {
     const std::size_t index = random().Below(nodes_.size());
-    switch (random().Below(10)) {
+    switch (random().Below(11)) {
+      case 10:
+        // The log drops its history.
+        first_retained_ = LogOffset(log_.size());
+        break;
       case 0:
         log_down_ = !log_down_;
         break;
@@ -291,6 +304,7 @@
   WorldOptions options_;
   std::vector<Node> nodes_;
   std::vector<std::string> log_;
+  LogOffset first_retained_;
   bool log_down_ = false;
   bool log_slow_ = false;
   bool quiet_ = false;
@@ -337,6 +351,14 @@
   CHECK(Caught({.mutation = LeaseMutation::kNoOrderMargin}));
 }
 
+TEST_CASE("without the wait for a former process's orders it objects") {
+  CHECK(Caught({.mutation = LeaseMutation::kNoFormerOrdersWait}));
+}
+
+TEST_CASE("with the known holder kept over lost records it objects") {
+  CHECK(Caught({.mutation = LeaseMutation::kKeepHolderOverGap}));
+}
+
 // The declaration says that the endpoints check fencing numbers, and they do
 // not.
 TEST_CASE("without fencing at the endpoint the oracle objects") {
