--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -58,8 +58,11 @@
         listener{
             .on_config = [this](auto config) { OnConfig(std::move(config)); },
             .on_weights =
-                [this](const NamedWeights& named) {
-                  steward.SetTarget(named.model, named.number);
+                [this](const NamedWeights& named, NamingTime time) {
+                  if (time == NamingTime::kJustNow)
+                    steward.SetTarget(named.model, named.number);
+                  else
+                    steward.SetFoundTarget(named.model, named.number);
                 },
             .on_endpoints =
                 [this] {
@@ -249,6 +252,8 @@
               static_cast<double>(requests.open_requests()));
   metrics.Set("carobshift_log_lines_dropped", {},
               static_cast<double>(DroppedLogLines()));
+  metrics.Set("carobshift_endpoints_with_overdue_weights", {},
+              static_cast<double>(steward.overdue()));
   metrics.Set("carobshift_live_entries", {},
               static_cast<double>(cluster.Live().size()));
   metrics.Set(
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -22,7 +22,9 @@
   if (auto* config = std::get_if<ServingConfig>(&decoded.value()))
     Apply(std::move(*config), record.offset);
   else
-    listener_.on_weights(std::get<NamedWeights>(decoded.value()));
+    listener_.on_weights(
+        std::get<NamedWeights>(decoded.value()),
+        caught_up_ ? NamingTime::kJustNow : NamingTime::kUnknown);
 }
 
 void OperatorRecords::Apply(ServingConfig config, LogOffset offset) {
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -20,10 +20,18 @@
 
 namespace carobshift {
 
+// When weights were named.
+enum class NamingTime {
+  // Just now: the record came while the log was being followed.
+  kJustNow,
+  // At any time before this process had read the newest records once.
+  kUnknown,
+};
+
 // Who wants to know of changes.
 struct GatewayStateListener {
   std::function<void(std::shared_ptr<const ConfigInForce>)> on_config;
-  std::function<void(const NamedWeights&)> on_weights;
+  std::function<void(const NamedWeights&, NamingTime)> on_weights;
   std::function<void()> on_endpoints;
 };
 
@@ -36,7 +44,9 @@
       : dialect_(dialect), listener_(listener) {}
 
   void OnRecord(const KeyedRecord& record, MonotonicTime now) override;
-  void OnSnapshot(const std::vector<std::string>&, MonotonicTime) override {}
+  void OnSnapshot(const std::vector<std::string>&, MonotonicTime) override {
+    caught_up_ = true;
+  }
   void OnLogLost(std::string_view reason) override;
   void OnLogBack(Milliseconds away, MonotonicTime now) override;
 
@@ -50,6 +60,7 @@
   const LogDialect& dialect_;
   const GatewayStateListener& listener_;
   std::shared_ptr<const ConfigInForce> config_;
+  bool caught_up_ = false;
 };
 
 // The endpoints' own records.
--- a/carobshift/gateway/weight_deadlines.h
+++ b/carobshift/gateway/weight_deadlines.h
@@ -12,6 +12,10 @@
 // over, until they have loaded. An engine that is only taken last serves just
 // when most others are out of use.
 //
+// The time counts from the naming, not from when this process heard of it: one
+// that starts afterwards would use replaced weights for longer by all that it
+// missed. So it takes over what others know (weight_note.h).
+//
 // Figures: kMargin covers a request on its way, the lag with which an instance
 // hears of newly named weights, and that of an engine's record.
 //
@@ -20,14 +24,22 @@
 #ifndef CAROBSHIFT_GATEWAY_WEIGHT_DEADLINES_H_
 #define CAROBSHIFT_GATEWAY_WEIGHT_DEADLINES_H_
 
-#include <deque>
 #include <map>
+#include <vector>
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
 
 namespace carobshift {
 
+// When weights were named, as far as is known; not before.
+struct WeightNaming {
+  ModelName model;
+  WeightNumber number{};
+  MonotonicTime named{};
+  friend bool operator==(const WeightNaming&, const WeightNaming&) = default;
+};
+
 class WeightDeadlines {
  public:
   static constexpr Milliseconds kMargin{1500};
@@ -38,6 +50,13 @@
 
   // Heard at `now`. A number that isn't higher than the last one is ignored.
   void OnNamed(const ModelName& model, WeightNumber number, MonotonicTime now);
+  // Another instance's word. The earlier time of two counts, and numbers below
+  // the newest are taken too: an engine may still have weights from before
+  // them.
+  void Learn(const WeightNaming& naming);
+  [[nodiscard]] bool Knows(const ModelName& model, WeightNumber number) const;
+  // All that are known, by model and number.
+  [[nodiscard]] std::vector<WeightNaming> Namings() const;
   // Whether some newer weights than these were named so long ago that nothing
   // may begin on these any more.
   [[nodiscard]] bool Overdue(const ModelName& model,
@@ -45,13 +64,11 @@
                              MonotonicTime now) const;
 
  private:
-  struct Named {
-    WeightNumber number{};
-    MonotonicTime heard{};
-  };
+  // By number; the highest kMaxNames of each model.
+  using Names = std::map<WeightNumber, MonotonicTime>;
 
   Milliseconds bound_;
-  std::map<ModelName, std::deque<Named>> named_;
+  std::map<ModelName, Names> named_;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/weight_deadlines_test.cc
+++ b/carobshift/gateway/weight_deadlines_test.cc
@@ -37,5 +37,36 @@
                           kStart + kUsable + Seconds(5)));
 }
 
+TEST_CASE("another instance's word makes a naming older, never younger") {
+  // This process started after the naming and can't know its time by itself.
+  WeightDeadlines deadlines(kBound);
+  deadlines.OnNamed(kModel, WeightNumber(3), kStart);
+  deadlines.Learn({kModel, WeightNumber(3), kStart - Seconds(6)});
+  deadlines.Learn({kModel, WeightNumber(3), kStart + Seconds(6)});
+  CHECK(deadlines.Overdue(kModel, WeightNumber(2),
+                          kStart + kUsable - Seconds(6)));
+  CHECK_FALSE(
+      deadlines.Overdue(kModel, WeightNumber(2),
+                        kStart + kUsable - Seconds(6) - Milliseconds(1)));
+  // A number below the newest counts for those who have still older weights.
+  deadlines.Learn({kModel, WeightNumber(2), kStart - Seconds(60)});
+  CHECK(deadlines.Overdue(kModel, WeightNumber(1), kStart));
+  CHECK_FALSE(deadlines.Overdue(kModel, WeightNumber(2), kStart));
+}
+
+TEST_CASE("what is known of namings can be told, and is bounded") {
+  WeightDeadlines deadlines(kBound);
+  for (std::uint64_t number = 1; number <= 2 * WeightDeadlines::kMaxNames;
+       ++number)
+    deadlines.OnNamed(kModel, WeightNumber(number), kStart);
+  const auto namings = deadlines.Namings();
+  REQUIRE(namings.size() == WeightDeadlines::kMaxNames);
+  CHECK(namings.back() ==
+        WeightNaming{kModel, WeightNumber(2 * WeightDeadlines::kMaxNames),
+                     kStart});
+  CHECK(deadlines.Knows(kModel, namings.front().number));
+  CHECK_FALSE(deadlines.Knows(kModel, WeightNumber(1)));
+}
+
 }  // namespace
 }  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/weight_note_test.cc
@@ -0,0 +1,55 @@
+#include "carobshift/gateway/weight_note.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace carobshift {
+namespace {
+
+const MonotonicTime kWriter{Seconds(100)};
+// Another machine's steady clock.
+const MonotonicTime kReader{Seconds(7000)};
+const WallTime kWritten{Seconds(1'700'000'000)};
+const ModelName kModel("m");
+
+Milliseconds AgeAt(MonotonicTime now, const WeightNaming& naming) {
+  return std::chrono::duration_cast<Milliseconds>(now - naming.named);
+}
+
+TEST_CASE("a naming is as old for the reader as for the writer, and older") {
+  const std::string note =
+      EncodeWeightNote({{kModel, WeightNumber(2), kWriter - Seconds(9)},
+                        {kModel, WeightNumber(3), kWriter - Milliseconds(40)}},
+                       kWriter, kWritten);
+  const auto read =
+      DecodeWeightNote(note, kReader, kWritten + Milliseconds(2500));
+  REQUIRE(read.ok());
+  REQUIRE(read.value().size() == 2);
+  CHECK(read.value()[0].number == WeightNumber(2));
+  CHECK(AgeAt(kReader, read.value()[0]) == Milliseconds(11500));
+  CHECK(AgeAt(kReader, read.value()[1]) == Milliseconds(2540));
+}
+
+TEST_CASE("a reader whose calendar clock is behind takes the ages as written") {
+  // The reader's time of day was set back. A naming that looked younger than
+  // the writer knew would let replaced weights be used past their bound.
+  const std::string note = EncodeWeightNote(
+      {{kModel, WeightNumber(2), kWriter - Seconds(9)}}, kWriter, kWritten);
+  const auto read = DecodeWeightNote(note, kReader, kWritten - Seconds(3600));
+  REQUIRE(read.ok());
+  CHECK(AgeAt(kReader, read.value().front()) == Seconds(9));
+}
+
+TEST_CASE("anything else than a whole note is refused") {
+  for (const char* text :
+       {"", "{", "[]", "{}", R"({"written_ms":1})",
+        R"({"written_ms":"1","named":[]})", R"({"written_ms":1,"named":[{}]})",
+        R"({"written_ms":1,"named":[{"model":1,"number":2,"age_ms":3}]})"})
+    CHECK_FALSE(DecodeWeightNote(text, kReader, kWritten).ok());
+  CHECK(DecodeWeightNote(R"({"written_ms":1,"named":[]})", kReader, kWritten)
+            .value()
+            .empty());
+}
+
+}  // namespace
+}  // namespace carobshift
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "carobshift/gateway/weight_note.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -35,6 +36,8 @@
   LeaseOptions options;
   options.duration = settings.lease;
   options.order_timeout = kOrderTimeout;
+  // Its gossip port is bound before the first tick.
+  options.address = NetAddress{settings.host, settings.gossip_port}.ToString();
   return options;
 }
 
@@ -69,15 +72,88 @@
              loop.now()) {}
 
 void WeightSteward::SetTarget(const ModelName& model, WeightNumber number) {
+  RaiseTarget(model, number);
+  deadlines_.OnNamed(model, number, loop_.now());
+}
+
+void WeightSteward::SetFoundTarget(const ModelName& model,
+                                   WeightNumber number) {
+  RaiseTarget(model, number);
+  found_[model] = std::max(found_[model], number);
+  if (history_read_)
+    DateFoundTargets();
+}
+
+void WeightSteward::RaiseTarget(const ModelName& model, WeightNumber number) {
   const auto before = rollout_.Target(model);
   rollout_.SetTarget(model, number);
-  deadlines_.OnNamed(model, number, loop_.now());
   if (before == rollout_.Target(model))
     return;
   LogEvent(LogLevel::kInfo, "weights_named",
            {{"model", model.value()}, {"number", number.value()}});
 }
 
+void WeightSteward::ReadNote() {
+  const auto& holding = lease_.holding();
+  if (!holding || holding->note.empty())
+    return;
+  const auto namings = DecodeWeightNote(holding->note, loop_.now(), WallNow());
+  if (!namings.ok()) {
+    LogEvent(LogLevel::kWarning, "weight_note_unreadable",
+             {{"holder", holding->holder.value()},
+              {"reason", namings.error().message}});
+    return;
+  }
+  for (const WeightNaming& naming : namings.value())
+    deadlines_.Learn(naming);
+}
+
+void WeightSteward::DateFoundTargets() {
+  for (const auto& [model, number] : found_) {
+    const bool noted = deadlines_.Knows(model, number);
+    // Some holder has written a note within a turn of each naming. If what is
+    // kept has none, the naming is younger; if nothing is kept, it may be older
+    // than all that was dropped, and nothing may begin on weights before it.
+    const bool old = !noted && lease_.HistoryGone();
+    if (!noted) {
+      deadlines_.Learn(
+          {model, number,
+           old ? loop_.now() - settings_.weights_bound : loop_.now()});
+    }
+    LogEvent(LogLevel::kInfo, "weights_dated",
+             {{"model", model.value()},
+              {"number", number.value()},
+              {"by", noted ? "note"
+                     : old ? "history_gone"
+                           : "start"}});
+  }
+  found_.clear();
+}
+
+void WeightSteward::NoteOverdue(const std::vector<RolloutEngine>& engines) {
+  std::set<EndpointId> overdue;
+  for (const RolloutEngine& engine : engines) {
+    if (!deadlines_.Overdue(engine.model, engine.weights, loop_.now()))
+      continue;
+    overdue.insert(engine.id);
+    if (overdue_.contains(engine.id))
+      continue;
+    LogEvent(
+        LogLevel::kWarning, "weights_overdue",
+        {{"endpoint", engine.id.value()},
+         {"model", engine.model.value()},
+         {"weights", engine.weights.value()},
+         {"named",
+          rollout_.Target(engine.model).value_or(engine.weights).value()}});
+  }
+  for (const EndpointId& id : overdue_) {
+    if (!overdue.contains(id))
+      LogEvent(LogLevel::kInfo, "weights_no_longer_overdue",
+               {{"endpoint", id.value()}});
+  }
+  overdue_ = std::move(overdue);
+}
+
 std::vector<RolloutEngine> WeightSteward::Engines() const {
   std::vector<RolloutEngine> engines;
   for (const auto& [id, record] : registry_.all()) {
@@ -132,13 +208,13 @@
 }
 
 bool WeightSteward::IsMyTurn(MonotonicTime now) {
-  if (lease_.IsHolder())
-    return true;
   const auto& holding = lease_.holding();
-  const bool other_holds = holding && cluster_.IsLive(holding->holder) &&
-                           holding->holder != settings_.entry;
+  // Whoever held it last goes on, as nobody has to wait for its end; also a
+  // process that has just started in its place.
+  if (holding && holding->holder == settings_.entry)
+    return true;
+  const bool other_holds = holding && cluster_.IsLive(holding->holder);
   std::size_t turns = cluster_.Rank();
-  // Whoever held it last goes on, as nobody has to wait for its end.
   if (other_holds)
     ++turns;
   return now - seen_at_ >= kTurn * static_cast<int>(turns);
@@ -149,8 +225,11 @@
     return;
   const MonotonicTime now = loop_.now();
   const std::vector<RolloutEngine> engines = Engines();
+  NoteOverdue(engines);
   if (!rollout_.HasWork(engines)) {
     seen_.clear();
+    if (!history_read_)
+      ReadAlong();
     return;
   }
   std::vector<WeightNumber> seen;
@@ -163,14 +242,21 @@
   if (IsMyTurn(now)) {
     DriveLease();
     GiveOrders(engines);
-  } else if (IsSuccessor() && !lease_call_.active()) {
-    Perform(lease_.Observe(now));
+  } else if (IsSuccessor() || !history_read_) {
+    ReadAlong();
   }
 }
 
+void WeightSteward::ReadAlong() {
+  if (!lease_call_.active() && loop_.now() >= lease_wait_)
+    Perform(lease_.Observe(loop_.now()));
+}
+
 void WeightSteward::DriveLease() {
   if (lease_call_.active() || loop_.now() < lease_wait_)
     return;
+  lease_.SetNote(
+      EncodeWeightNote(deadlines_.Namings(), loop_.now(), WallNow()));
   Perform(lease_.Next(loop_.now()));
 }
 
@@ -202,16 +288,36 @@
                 : Error{ResultCode::kLogUnavailable,
                         std::string(outcome.reason)};
         log_failing_ = !outcome.status;
-        lease_.OnRead(batch, loop_.now());
+        OnLeaseRead(batch, outcome.body);
         if (held != lease_.IsHolder()) {
+          const auto& holding = lease_.holding();
           LogEvent(LogLevel::kInfo, held ? "lease_lost" : "lease_held",
-                   {{"fencing", lease_.holding()->number.value()}});
+                   {{"fencing", holding ? holding->number.value() : 0}});
         }
-        if (IsMyTurn(loop_.now()))
+        if (rollout_.HasWork(Engines()) && IsMyTurn(loop_.now()))
           DriveLease();
       });
 }
 
+void WeightSteward::OnLeaseRead(const Result<LogBatch>& batch,
+                                std::string_view body) {
+  const MonotonicTime now = loop_.now();
+  if (!batch.ok() && batch.error().code == ResultCode::kLogRecordExpired) {
+    if (const auto first = dialects_.log.DecodeFirstRetained(body)) {
+      LogEvent(LogLevel::kInfo, "lease_records_dropped",
+               {{"first", first->value()}});
+      lease_.OnDropped(*first, now);
+      return;
+    }
+  }
+  lease_.OnRead(batch, now);
+  if (!batch.ok() || !batch.value().records.empty())
+    return;
+  ReadNote();
+  history_read_ = true;
+  DateFoundTargets();
+}
+
 void WeightSteward::AppendLease(const std::string& payload) {
   std::string body;
   const HttpHead head =
--- a/carobshift/gateway/weight_steward.h
+++ b/carobshift/gateway/weight_steward.h
@@ -8,6 +8,10 @@
 //
 // The next one reads along, so that it knows the end of a dead holder's lease.
 //
+// The holder's records tell when weights were named. Every instance reads them
+// when it starts, as it finds the newest number in the operator's record, but
+// neither its time nor the numbers before it.
+//
 // All instances see the same work at the same time. So that they don't race for
 // the lease, the one with the lowest id among those that live seeks it first;
 // each further one waits kTurn longer, and only while nothing has changed.
@@ -20,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include "carobshift/gateway/cluster.h"
@@ -51,7 +56,10 @@
   void SetConfig(std::shared_ptr<const ConfigInForce> config) {
     config_ = std::move(config);
   }
+  // Weights that were named just now.
   void SetTarget(const ModelName& model, WeightNumber number);
+  // Weights that had been named when this process started, nobody says when.
+  void SetFoundTarget(const ModelName& model, WeightNumber number);
   // Called when an engine has told its holder that it has loaded weights, which
   // is up to a second before its record says so.
   using OnLoaded =
@@ -63,6 +71,8 @@
   void Stop() { stopped_ = true; }
 
   [[nodiscard]] bool IsHolder() const { return lease_.IsHolder(); }
+  // Engines with weights on which nothing may begin any more.
+  [[nodiscard]] std::size_t overdue() const { return overdue_.size(); }
   // Those of `endpoints` that still have older weights than named.
   [[nodiscard]] std::set<EndpointId> Behind(
       const std::set<EndpointId>& endpoints) const;
@@ -80,7 +90,19 @@
   [[nodiscard]] bool IsMyTurn(MonotonicTime now);
   // Whether this instance is next if the holder dies.
   [[nodiscard]] bool IsSuccessor() const;
+  void RaiseTarget(const ModelName& model, WeightNumber number);
+  // Takes over what the holder's last record tells of namings.
+  void ReadNote();
+  // Once the lease's stream was read to its end: settles since when the targets
+  // count that were found at the start.
+  void DateFoundTargets();
+  // One log line for each engine that reaches the end of its time, and one when
+  // it has left it.
+  void NoteOverdue(const std::vector<RolloutEngine>& engines);
   void DriveLease();
+  // Reads the lease's stream without seeking the lease.
+  void ReadAlong();
+  void OnLeaseRead(const Result<LogBatch>& batch, std::string_view body);
   void Perform(const LeaseAction& action);
   void ReadLease(LogOffset from);
   void AppendLease(const std::string& payload);
@@ -110,6 +132,11 @@
   std::shared_ptr<const ConfigInForce> config_;
   WeightRollout rollout_;
   WeightDeadlines& deadlines_;
+  // Found at the start, and not yet dated.
+  std::map<ModelName, WeightNumber> found_;
+  // Whether the lease's stream was read to its end once.
+  bool history_read_ = false;
+  std::set<EndpointId> overdue_;
   LogStream stream_;
   Lease lease_;
   HttpFetch lease_call_;
--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -8,6 +8,7 @@
 
 #include "carobshift/gateway/fake_log.h"
 #include "carobshift/gateway/silent_dialects.h"
+#include "carobshift/gateway/weight_note.h"
 
 namespace carobshift {
 namespace {
@@ -274,6 +275,76 @@
       Milliseconds(9000)));
 }
 
+// A former holder's record on the lease's stream, with what it noted.
+void AppendFormerHolder(Fixture& fixture, const std::string& note) {
+  LeaseRecord former;
+  former.holder = EntryId("entry-2");
+  former.incarnation = Incarnation(7);
+  former.duration = fixture.settings.lease;
+  former.note = note;
+  fixture.log.Append(LogStream("carobshift-lease"), EncodeLeaseRecord(former));
+}
+
+bool OverdueNow(const Fixture& fixture) {
+  return fixture.deadlines.Overdue(kModel, WeightNumber(1), MonotonicNow());
+}
+
+TEST_CASE("weights found at the start are as old as the last holder knew") {
+  // An instance starts ten seconds after a naming. By itself it knows only that
+  // the weights were named, and would use older ones for the whole time again.
+  Fixture fixture;
+  const MonotonicTime now = MonotonicNow();
+  const auto note_of_age = [&](Milliseconds age) {
+    return EncodeWeightNote({{kModel, WeightNumber(2), now - age}}, now,
+                            WallNow());
+  };
+  SECTION("past the bound") {
+    AppendFormerHolder(fixture, note_of_age(fixture.settings.weights_bound));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                            Milliseconds(500)));
+  }
+  SECTION("within it") {
+    AppendFormerHolder(fixture, note_of_age(Seconds(1)));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK_FALSE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                                  Milliseconds(500)));
+  }
+  SECTION("found after the stream was read") {
+    AppendFormerHolder(fixture, note_of_age(fixture.settings.weights_bound));
+    fixture.TickUntil([] { return false; }, Milliseconds(300));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK(OverdueNow(fixture));
+  }
+}
+
+TEST_CASE("weights found at the start, and nobody knows since when") {
+  Fixture fixture;
+  // The log has dropped what the holders wrote, which may have been long ago.
+  // An engine that comes back with older weights must not be used.
+  SECTION("the holders' records are gone") {
+    AppendFormerHolder(fixture, "");
+    fixture.log.Compact(LogStream("carobshift-lease"));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                            Milliseconds(500)));
+  }
+  // Nobody has ever ordered, so the weights were named just now.
+  SECTION("there never was a holder") {
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK_FALSE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                                  Milliseconds(500)));
+  }
+  // The last holder knew of no such naming, so it is younger than its record.
+  SECTION("the last holder's note has another number") {
+    AppendFormerHolder(fixture,
+                       EncodeWeightNote({}, MonotonicNow(), WallNow()));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK_FALSE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                                  Milliseconds(500)));
+  }
+}
+
 TEST_CASE("a stopped instance gives no more orders") {
   Fixture fixture;
   fixture.steward.SetTarget(kModel, WeightNumber(2));
