--- a/carobshift/gateway/weight_rollout.cc
+++ b/carobshift/gateway/weight_rollout.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 namespace carobshift {
 
@@ -31,15 +32,17 @@
 
 void WeightRollout::Forget(const std::vector<RolloutEngine>& engines,
                            MonotonicTime now) {
-  std::set<EndpointId> behind;
+  std::set<EndpointId> under_way;
   for (const RolloutEngine& engine : engines) {
-    if (!IsBehind(engine))
-      continue;
-    behind.insert(engine.id);
     const auto found = progress_.find(engine.id);
-    if (found == progress_.end())
+    if (found == progress_.end() || !IsBehind(engine))
       continue;
     Progress& progress = found->second;
+    // It has loaded weights that were replaced meanwhile. Left in its turn it
+    // would load once more before engines that have older ones.
+    if (engine.weights > progress.weights)
+      continue;
+    under_way.insert(engine.id);
     // A newer target came in the middle; the engine is asked again as soon as
     // it is done with the older one.
     const bool outdated = progress.number != *Target(engine.model);
@@ -49,23 +52,44 @@
       progress.number = *Target(engine.model);
       progress.ordered_at.reset();
     }
+    // Nothing is known of a load; the engine waits for an order like before.
+    if (expired && !progress.busy)
+      progress.loading_since.reset();
   }
-  std::erase_if(progress_, [&behind](const auto& entry) {
-    return !behind.contains(entry.first);
+  std::erase_if(progress_, [&under_way](const auto& entry) {
+    return !under_way.contains(entry.first);
   });
 }
 
+bool WeightRollout::HasPlace(const Progress& progress,
+                             MonotonicTime now) const {
+  return progress.ordered_at ||
+         (progress.loading_since &&
+          now - *progress.loading_since < options_.order_life);
+}
+
+bool WeightRollout::IsStuck(const RolloutEngine& engine,
+                            MonotonicTime now) const {
+  const auto found = progress_.find(engine.id);
+  return found != progress_.end() && found->second.loading_since &&
+         !HasPlace(found->second, now);
+}
+
 std::vector<const RolloutEngine*> WeightRollout::WaitingFor(
     const ModelName& model,
-    const std::vector<RolloutEngine>& engines) const {
+    const std::vector<RolloutEngine>& engines,
+    MonotonicTime now) const {
   std::vector<const RolloutEngine*> waiting;
   for (const RolloutEngine& engine : engines) {
     if (engine.model == model && IsBehind(engine))
       waiting.push_back(&engine);
   }
+  const auto rank = [this, now](const RolloutEngine* engine) {
+    return std::make_pair(IsStuck(*engine, now), engine->weights);
+  };
   std::stable_sort(
       waiting.begin(), waiting.end(),
-      [](const auto* a, const auto* b) { return a->weights < b->weights; });
+      [&rank](const auto* a, const auto* b) { return rank(a) < rank(b); });
   return waiting;
 }
 
@@ -79,12 +103,14 @@
 }
 
 WeightRollout::UnderWay WeightRollout::CountUnderWay(
-    const std::vector<const RolloutEngine*>& waiting) const {
+    const std::vector<const RolloutEngine*>& waiting,
+    MonotonicTime now) const {
   UnderWay count;
   for (const RolloutEngine* engine : waiting) {
     const auto found = progress_.find(engine->id);
-    if (found != progress_.end())
-      ++(found->second.ordered_at ? count.loading : count.draining);
+    if (found == progress_.end() || IsStuck(*engine, now))
+      continue;
+    ++(HasPlace(found->second, now) ? count.loading : count.draining);
   }
   return count;
 }
@@ -94,26 +120,36 @@
                              MonotonicTime now,
                              std::vector<RolloutStep>& steps) {
   const WeightNumber number = *Target(model);
-  const auto waiting = WaitingFor(model, engines);
+  const auto waiting = WaitingFor(model, engines, now);
   const int width = WidthFor(model, engines);
-  UnderWay under_way = CountUnderWay(waiting);
+  UnderWay under_way = CountUnderWay(waiting, now);
   for (const RolloutEngine* engine : waiting) {
     const auto found = progress_.find(engine->id);
     if (found == progress_.end()) {
       if (under_way.draining >= width)
         continue;
       ++under_way.draining;
-      progress_[engine->id] = {number, now, std::nullopt, now + options_.drain};
-      steps.push_back({RolloutStepKind::kDrain, engine->id, model, number});
+      Progress& begun = progress_[engine->id];
+      begun.number = number;
+      begun.weights = engine->weights;
+      begun.not_before = now + options_.drain;
+      steps.push_back({RolloutStepKind::kDrain, engine->id, model, number,
+                       engine->weights});
       continue;
     }
     Progress& progress = found->second;
-    const bool may_order = !progress.ordered_at && now >= progress.not_before;
-    if (!may_order || under_way.loading >= width)
+    if (progress.ordered_at || now < progress.not_before)
       continue;
-    ++under_way.loading;
+    if (!HasPlace(progress, now)) {
+      if (under_way.loading >= width)
+        continue;
+      ++under_way.loading;
+    }
     progress.ordered_at = now;
-    steps.push_back({RolloutStepKind::kOrder, engine->id, model, number});
+    if (!progress.loading_since)
+      progress.loading_since = now;
+    steps.push_back(
+        {RolloutStepKind::kOrder, engine->id, model, number, engine->weights});
   }
 }
 
@@ -134,6 +170,27 @@
   if (found == progress_.end())
     return;
   found->second.ordered_at.reset();
+  found->second.loading_since.reset();
+  found->second.busy = false;
+  found->second.not_before = now + wait;
+}
+
+void WeightRollout::OnAccepted(const EndpointId& endpoint, MonotonicTime now) {
+  const auto found = progress_.find(endpoint);
+  if (found == progress_.end())
+    return;
+  found->second.loading_since = now;
+  found->second.busy = false;
+}
+
+void WeightRollout::OnBusy(const EndpointId& endpoint,
+                           Milliseconds wait,
+                           MonotonicTime now) {
+  const auto found = progress_.find(endpoint);
+  if (found == progress_.end())
+    return;
+  found->second.ordered_at.reset();
+  found->second.busy = true;
   found->second.not_before = now + wait;
 }
 
--- a/carobshift/gateway/weight_rollout.h
+++ b/carobshift/gateway/weight_rollout.h
@@ -13,7 +13,11 @@
 // How: a share of a model's engines at a time. The next ones are kept free of
 // new work while their forerunners load, so that they have nothing left to
 // finish when their turn comes. Where engines have different numbers already,
-// those furthest behind go first.
+// those furthest behind go first: an engine's turn ends with any load, also one
+// of weights that were replaced meanwhile, and it queues anew by what it has.
+// An engine that is busy keeps its place among those that load, so that no more
+// than the share load at once, for kOrderLife at most; after that the others go
+// first.
 //
 // Figures: a sixth of the engines at once; by the platform's sheets loads take
 // longer beyond that. kOrderLife is after which an order without effect is
@@ -60,6 +64,9 @@
   EndpointId endpoint;
   ModelName model;
   WeightNumber number{};
+  // What the engine is thought to have. One that reports more has loaded since,
+  // and its turn is over.
+  WeightNumber weights{};
 };
 
 class WeightRollout {
@@ -83,13 +90,26 @@
   void OnOrderFailed(const EndpointId& endpoint,
                      Milliseconds wait,
                      MonotonicTime now);
+  // The engine has accepted the order and loads from now on.
+  void OnAccepted(const EndpointId& endpoint, MonotonicTime now);
+  // The engine loads already, by this order or another one. It keeps a place
+  // among those that load, and is asked again `wait` later.
+  void OnBusy(const EndpointId& endpoint, Milliseconds wait, MonotonicTime now);
+  // The engine has higher weights than its step said: its turn is over.
+  void OnAdvanced(const EndpointId& endpoint) { progress_.erase(endpoint); }
 
  private:
+  // An engine's turn.
   struct Progress {
     WeightNumber number{};
-    // Nothing before the drain has begun.
-    std::optional<MonotonicTime> drained_at;
+    // Those that the engine had when its turn began.
+    WeightNumber weights{};
+    // An order for `number` is under way, or was accepted.
     std::optional<MonotonicTime> ordered_at;
+    // Since when it has been loading, as far as known.
+    std::optional<MonotonicTime> loading_since;
+    // Its last answer was that it is busy.
+    bool busy = false;
     // No order before this.
     MonotonicTime not_before{};
   };
@@ -101,19 +121,28 @@
   };
 
   [[nodiscard]] bool IsBehind(const RolloutEngine& engine) const;
-  // Those behind, the furthest first.
+  // Whether it has a place among those that load.
+  [[nodiscard]] bool HasPlace(const Progress& progress,
+                              MonotonicTime now) const;
+  // Whether it has been busy for so long that its place went to others.
+  [[nodiscard]] bool IsStuck(const RolloutEngine& engine,
+                             MonotonicTime now) const;
+  // Those behind, the furthest first, and the stuck ones last.
   [[nodiscard]] std::vector<const RolloutEngine*> WaitingFor(
       const ModelName& model,
-      const std::vector<RolloutEngine>& engines) const;
+      const std::vector<RolloutEngine>& engines,
+      MonotonicTime now) const;
   // How many of the model's engines may drain, and load, at once.
   [[nodiscard]] int WidthFor(const ModelName& model,
                              const std::vector<RolloutEngine>& engines) const;
   [[nodiscard]] UnderWay CountUnderWay(
-      const std::vector<const RolloutEngine*>& waiting) const;
+      const std::vector<const RolloutEngine*>& waiting,
+      MonotonicTime now) const;
   void AddSteps(const ModelName& model,
                 const std::vector<RolloutEngine>& engines,
                 MonotonicTime now,
                 std::vector<RolloutStep>& steps);
+  // Ends turns that are over, and takes in newer targets.
   void Forget(const std::vector<RolloutEngine>& engines, MonotonicTime now);
 
   RolloutOptions options_;
--- a/carobshift/gateway/weight_rollout_test.cc
+++ b/carobshift/gateway/weight_rollout_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,9 @@
                          });
   }
   [[nodiscard]] std::size_t loading() const { return loads_.size(); }
+  [[nodiscard]] std::size_t most_loading() const { return most_loading_; }
+  // Engines that load say so when they are asked.
+  void TellBusy() { tell_busy_ = true; }
   // Orders to engines that were ahead of others which waited for theirs.
   [[nodiscard]] int overtakings() const { return overtakings_; }
   [[nodiscard]] MonotonicTime now() const { return now_; }
@@ -106,7 +110,10 @@
 
   void Order(const RolloutStep& step) {
     if (loads_.contains(step.endpoint)) {
-      rollout_.OnOrderFailed(step.endpoint, Milliseconds(100), now_);
+      if (tell_busy_)
+        rollout_.OnBusy(step.endpoint, Milliseconds(100), now_);
+      else
+        rollout_.OnOrderFailed(step.endpoint, Milliseconds(100), now_);
       return;
     }
     const auto engine = std::find_if(
@@ -115,6 +122,7 @@
     if (SomeWaitBelow(engine->weights))
       ++overtakings_;
     loads_[step.endpoint] = {step.number, now_ + Seconds(2)};
+    most_loading_ = std::max(most_loading_, loads_.size());
   }
 
   WeightRollout& rollout_;
@@ -122,6 +130,8 @@
   std::map<EndpointId, Load> loads_;
   MonotonicTime now_ = kStart;
   int overtakings_ = 0;
+  std::size_t most_loading_ = 0;
+  bool tell_busy_ = false;
 };
 
 TEST_CASE("engines with the oldest weights go before those brought half way") {
@@ -141,6 +151,129 @@
   CHECK(engines.overtakings() == 0);
 }
 
+TEST_CASE(
+    "newer weights while engines load: no more than before load at once") {
+  // Newer weights are named while two of twelve engines load. These two are
+  // asked again and say that they are busy. Were their places given away, four
+  // would load at once, each for longer, and callers would find a third of the
+  // engines away.
+  WeightRollout rollout({});
+  LoadingEngines engines(rollout, 12);
+  engines.TellBusy();
+  rollout.SetTarget(ModelName("m"), WeightNumber(2));
+  REQUIRE(engines.RunUntil([&] { return engines.loading() == 2; }));
+  rollout.SetTarget(ModelName("m"), WeightNumber(3));
+  REQUIRE(engines.RunUntil([&] { return engines.CountWith(3) == 12; }));
+  CHECK(engines.most_loading() == 2);
+  CHECK(engines.overtakings() == 0);
+}
+
+// The endpoints of `steps` of this kind.
+std::vector<EndpointId> EndpointsOf(const std::vector<RolloutStep>& steps,
+                                    RolloutStepKind kind) {
+  std::vector<EndpointId> endpoints;
+  for (const RolloutStep& step : steps) {
+    if (step.kind == kind)
+      endpoints.push_back(step.endpoint);
+  }
+  return endpoints;
+}
+
+TEST_CASE("an engine that has loaded replaced weights queues anew by them") {
+  // Weights 3 are named while an engine loads 2; the other one still has 1.
+  // The first is free again and could be ordered at once. Callers of the other
+  // one would have weights that were replaced twice for a load longer.
+  const RolloutOptions options;
+  WeightRollout rollout(options);
+  rollout.SetTarget(ModelName("m"), WeightNumber(2));
+  auto engines = Engines(2, 1);
+  (void)rollout.Next(engines, kStart);
+  MonotonicTime now = kStart + options.drain;
+  REQUIRE(EndpointsOf(rollout.Next(engines, now), RolloutStepKind::kOrder) ==
+          std::vector{engines[0].id});
+  rollout.SetTarget(ModelName("m"), WeightNumber(3));
+  engines[0].weights = WeightNumber(2);
+  std::vector<EndpointId> orders;
+  while (orders.empty() && now < kStart + Seconds(2)) {
+    now += Milliseconds(100);
+    orders = EndpointsOf(rollout.Next(engines, now), RolloutStepKind::kOrder);
+  }
+  CHECK(orders == std::vector{engines[1].id});
+}
+
+TEST_CASE("an engine that reports more than thought loses its turn") {
+  // A former holder's order was carried out late, and the engine's record
+  // doesn't say so yet. Ordered all the same, it would load twice before the
+  // other one loads once.
+  const RolloutOptions options;
+  WeightRollout rollout(options);
+  rollout.SetTarget(ModelName("m"), WeightNumber(3));
+  auto engines = Engines(2, 1);
+  (void)rollout.Next(engines, kStart);
+  MonotonicTime now = kStart + options.drain;
+  const auto steps = rollout.Next(engines, now);
+  REQUIRE(EndpointsOf(steps, RolloutStepKind::kOrder) ==
+          std::vector{engines[0].id});
+  CHECK(steps.front().weights == WeightNumber(1));
+  engines[0].weights = WeightNumber(2);
+  rollout.OnAdvanced(engines[0].id);
+  CHECK(EndpointsOf(rollout.Next(engines, now), RolloutStepKind::kDrain) ==
+        std::vector{engines[1].id});
+  now += options.drain;
+  CHECK(EndpointsOf(rollout.Next(engines, now), RolloutStepKind::kOrder) ==
+        std::vector{engines[1].id});
+}
+
+TEST_CASE("an engine that is busy doesn't keep the next from draining") {
+  // Two of twelve engines load, say so again and again, and newer weights have
+  // been named. Counted as waiting for their orders they would keep all others
+  // from being freed, and each of those would lose the time of a drain.
+  const RolloutOptions options;
+  WeightRollout rollout(options);
+  rollout.SetTarget(ModelName("m"), WeightNumber(2));
+  const auto engines = Engines(12, 1);
+  (void)rollout.Next(engines, kStart);
+  const MonotonicTime ordered = kStart + options.drain;
+  REQUIRE(rollout.Next(engines, ordered).size() == 2);
+  rollout.OnBusy(engines[0].id, Milliseconds(100), ordered);
+  rollout.OnBusy(engines[1].id, Milliseconds(100), ordered);
+  const MonotonicTime now = ordered + Milliseconds(50);
+  const auto steps = rollout.Next(engines, now);
+  CHECK(EndpointsOf(steps, RolloutStepKind::kOrder).empty());
+  CHECK(EndpointsOf(steps, RolloutStepKind::kDrain) ==
+        std::vector{engines[2].id, engines[3].id});
+}
+
+TEST_CASE("an engine that stays busy keeps its place for a while only") {
+  // The engine hangs in its load, and says for a minute that it is busy. The
+  // one behind it would keep its old weights for as long.
+  const RolloutOptions options;
+  WeightRollout rollout(options);
+  rollout.SetTarget(ModelName("m"), WeightNumber(2));
+  auto engines = Engines(2, 1);
+  MonotonicTime now = kStart;
+  std::optional<MonotonicTime> second;
+  int asked_after = 0;
+  for (; now < kStart + Seconds(20); now += Milliseconds(100)) {
+    if (second && now - *second >= Seconds(2))
+      engines[1].weights = WeightNumber(2);
+    for (const auto& id :
+         EndpointsOf(rollout.Next(engines, now), RolloutStepKind::kOrder)) {
+      if (id == engines[0].id) {
+        rollout.OnBusy(id, Milliseconds(100), now);
+        asked_after += second ? 1 : 0;
+      } else if (!second) {
+        second = now;
+      }
+    }
+  }
+  REQUIRE(second);
+  CHECK(*second - kStart >= options.order_life);
+  CHECK(*second - kStart <= options.order_life + Seconds(1));
+  // It is asked on, whenever a place is free.
+  CHECK(asked_after > 0);
+}
+
 TEST_CASE("newer weights while an engine loads: it is asked again at once") {
   // The operator names a second version in the middle. Left to the life of the
   // first order, the engine would serve replaced weights for five seconds more.
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -263,12 +263,15 @@
                 ? dialects_.engine.DecodeReport(*outcome.status, outcome.body)
                 : Error{ResultCode::kEndpointFailed,
                         std::string(outcome.reason)};
-        if (!report.ok() || report.value().busy) {
+        if (!report.ok()) {
           rollout_.OnOrderFailed(order->step.endpoint, kAskAgain, loop_.now());
           Drop(order->step.endpoint);
-          return;
+        } else if (report.value().busy) {
+          rollout_.OnBusy(order->step.endpoint, kAskAgain, loop_.now());
+          Drop(order->step.endpoint);
+        } else if (!TakeWeights(order, report.value())) {
+          SendOrder(order, report.value());
         }
-        SendOrder(order, report.value());
       });
 }
 
@@ -310,11 +313,17 @@
            {{"endpoint", endpoint.value()},
             {"status", outcome.status.value_or(0)},
             {"reason", outcome.reason}});
-  const bool refused = outcome.status &&
-                       dialects_.engine.DecodeOrderReply(*outcome.status) !=
-                           OrderOutcome::kAccepted &&
-                       dialects_.engine.DecodeOrderReply(*outcome.status) !=
-                           OrderOutcome::kAlreadyDone;
+  const auto reply =
+      outcome.status
+          ? std::optional(dialects_.engine.DecodeOrderReply(*outcome.status))
+          : std::nullopt;
+  if (reply == OrderOutcome::kConflict) {
+    rollout_.OnBusy(endpoint, kAskAgain, loop_.now());
+    Drop(endpoint);
+    return;
+  }
+  const bool refused = reply && *reply != OrderOutcome::kAccepted &&
+                       *reply != OrderOutcome::kAlreadyDone;
   if (refused) {
     rollout_.OnOrderFailed(endpoint, kAskAgain, loop_.now());
     Drop(endpoint);
@@ -329,9 +338,28 @@
     Drop(endpoint);
     return;
   }
+  rollout_.OnAccepted(endpoint, loop_.now());
   WatchLater(order, kWatchFirst);
 }
 
+bool WeightSteward::TakeWeights(const std::shared_ptr<Order>& order,
+                                const EngineReport& report) {
+  const EndpointId endpoint = order->step.endpoint;
+  const auto found = report.weights.find(order->step.model);
+  if (found == report.weights.end() || found->second <= order->step.weights)
+    return false;
+  reported_[endpoint] = report.weights;
+  rollout_.OnAdvanced(endpoint);
+  LogEvent(
+      LogLevel::kInfo, "weights_loaded",
+      {{"endpoint", endpoint.value()}, {"weights", found->second.value()}});
+  if (on_loaded_)
+    on_loaded_(endpoint, order->step.model, found->second);
+  Drop(endpoint);
+  OnTick();
+  return true;
+}
+
 void WeightSteward::WatchLater(const std::shared_ptr<Order>& order,
                                Milliseconds wait) {
   order->timer = loop_.AddTimer(loop_.now() + wait, [this, order] {
@@ -347,28 +375,14 @@
 
 void WeightSteward::OnWatched(const std::shared_ptr<Order>& order,
                               const FetchOutcome& outcome) {
-  const EndpointId endpoint = order->step.endpoint;
   const Result<EngineReport> report =
       outcome.status
           ? dialects_.engine.DecodeReport(*outcome.status, outcome.body)
           : Error{ResultCode::kEndpointFailed, std::string(outcome.reason)};
-  if (report.ok()) {
-    const auto& weights = report.value().weights;
-    const auto found = weights.find(order->step.model);
-    if (found != weights.end() && found->second >= order->step.number) {
-      reported_[endpoint] = weights;
-      LogEvent(
-          LogLevel::kInfo, "weights_loaded",
-          {{"endpoint", endpoint.value()}, {"weights", found->second.value()}});
-      if (on_loaded_)
-        on_loaded_(endpoint, order->step.model, found->second);
-      Drop(endpoint);
-      OnTick();
-      return;
-    }
-  }
+  if (report.ok() && TakeWeights(order, report.value()))
+    return;
   if (loop_.now() - order->sent > kMaxWatch) {
-    Drop(endpoint);
+    Drop(order->step.endpoint);
     return;
   }
   WatchLater(order, kWatchAgain);
--- a/carobshift/gateway/weight_steward.h
+++ b/carobshift/gateway/weight_steward.h
@@ -91,6 +91,10 @@
                  const EngineReport& report);
   void OnOrderReply(const std::shared_ptr<Order>& order,
                     const FetchOutcome& outcome);
+  // Takes note of an engine that has higher weights than when its order was
+  // decided; false if it hasn't.
+  bool TakeWeights(const std::shared_ptr<Order>& order,
+                   const EngineReport& report);
   // Asks the engine for its weights until it has the ordered ones. Its record
   // tells too, but later, and not at all while this instance doesn't reach the
   // log.
--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -190,6 +190,30 @@
   CHECK(fixture.TickUntil([&] { return fixture.first.weights == 2; }));
 }
 
+TEST_CASE("an engine that is busy keeps its place: the other one has to wait") {
+  // The engine loads by a former holder's order. Were the other one ordered as
+  // well, both would be away at once and every caller refused.
+  Fixture fixture;
+  fixture.first.busy = true;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  CHECK_FALSE(fixture.TickUntil([&] { return fixture.second.arrived > 0; },
+                                Milliseconds(1500)));
+}
+
+TEST_CASE("an engine with more than its record says goes after the others") {
+  // The engine has loaded by a former holder's order, and its record comes late
+  // or not at all. Ordered first, it would load twice while the callers of the
+  // other one wait for a load of weights that were replaced twice.
+  Fixture fixture;
+  fixture.first.weights = 2;
+  fixture.first.accepted = 1;
+  fixture.steward.SetTarget(kModel, WeightNumber(3));
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.first.arrived + fixture.second.arrived > 0; }));
+  CHECK(fixture.first.arrived == 0);
+  CHECK(fixture.TickUntil([&] { return fixture.first.weights == 3; }));
+}
+
 TEST_CASE("the log falls silent: orders go on where engines check fencing") {
   // The log is away for longer than the lease while the operator's new weights
   // are half in place. The engines bar whoever was succeeded, so the holder may
--- a/fuzz/rollout_fuzz.cc
+++ b/fuzz/rollout_fuzz.cc
@@ -1,11 +1,13 @@
 // Engines brought to named weights while they lose orders, answer none, carry
 // orders out seconds late, start again under their old id, and while the
 // operator names newer weights and another instance takes over in the middle.
-// The oracle sees what each engine loads, and when.
+// The oracle sees what each engine loads, and when, and in which order the
+// engines are chosen.
 
 #include <rapidcheck/catch.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <optional>
 #include <string>
 #include <vector>
@@ -60,6 +62,14 @@
     bool loading = false;
     // By number, since the engine's start.
     std::vector<std::uint64_t> loads;
+    // What the rollout has been told or has done: since when the engine could
+    // wait with the weights that it is seen to have; its drain; until when it
+    // has no reason to choose it, as it loads or has failed; and whether it
+    // knows that the engine loads.
+    MonotonicTime waits_since{};
+    std::optional<MonotonicTime> drained_at;
+    MonotonicTime passed_over_until{};
+    bool known_to_load = false;
   };
 
   SeededRandom& random() { return simulation_.random(); }
@@ -79,6 +89,8 @@
         // Another instance takes over and knows nothing of orders under way.
         rollout_ = WeightRollout(RolloutOptions{});
         rollout_.SetTarget(kModel, WeightNumber(target_));
+        for (Engine& engine : engines_)
+          EndTurn(engine);
         return;
       default:
         return;
@@ -92,28 +104,100 @@
     engine.loads.clear();
   }
 
+  Engine& Find(const EndpointId& id) {
+    return *std::find_if(engines_.begin(), engines_.end(),
+                         [&id](const Engine& each) { return each.id == id; });
+  }
+
   void Tick() {
     std::vector<RolloutEngine> seen;
     for (const Engine& engine : engines_)
       seen.push_back({engine.id, kModel, WeightNumber(engine.recorded)});
     for (const RolloutStep& step : rollout_.Next(seen, simulation_.now())) {
-      if (step.kind == RolloutStepKind::kOrder)
+      if (step.kind == RolloutStepKind::kOrder) {
+        CheckSequence(step);
         Order(step);
+      } else {
+        Find(step.endpoint).drained_at = simulation_.now();
+      }
     }
     simulation_.After(kTick, [this] { Tick(); });
   }
 
+  // The record shows other weights than before: the engine queues anew.
+  void Record(Engine& engine, std::uint64_t number) {
+    if (number <= engine.recorded)
+      return;
+    engine.recorded = number;
+    EndTurn(engine);
+  }
+
+  void EndTurn(Engine& engine) {
+    engine.waits_since = simulation_.now();
+    engine.drained_at.reset();
+    engine.passed_over_until = {};
+    engine.known_to_load = false;
+  }
+
+  void PassOverFor(Engine& engine, Milliseconds time) {
+    engine.waits_since = simulation_.now() + time;
+    engine.passed_over_until = engine.waits_since;
+  }
+
+  // Nobody with older weights is passed over but those that load or have just
+  // failed, and those that came to wait after the chosen one's drain began.
+  void CheckSequence(const RolloutStep& step) {
+    const Engine& chosen = Find(step.endpoint);
+    const MonotonicTime now = simulation_.now();
+    for (const Engine& other : engines_) {
+      const bool waits = other.recorded < chosen.recorded && !other.loading &&
+                         now >= other.passed_over_until;
+      if (!waits)
+        continue;
+      const bool came_later =
+          !chosen.drained_at || other.waits_since >= *chosen.drained_at;
+      if (!came_later)
+        violations_.emplace_back("an order passed over older weights");
+    }
+  }
+
+  // No more than the width load as far as the rollout can know.
+  void CheckWidth() {
+    const auto known = static_cast<std::size_t>(std::count_if(
+        engines_.begin(), engines_.end(), [](const Engine& engine) {
+          return engine.loading && engine.known_to_load;
+        }));
+    const auto share =
+        static_cast<double>(engines_.size()) * RolloutOptions{}.share_at_once;
+    if (known > std::max<std::size_t>(1, std::lround(share)))
+      violations_.emplace_back("more engines than the width load");
+  }
+
   // As the steward does: the engine is asked first, and the order counts only
   // if no other was accepted since.
   void Order(const RolloutStep& step) {
     if (step.number != WeightNumber(target_))
       violations_.emplace_back("an order for other weights than the newest");
-    Engine& engine = *std::find_if(
-        engines_.begin(), engines_.end(),
-        [&step](const Engine& each) { return each.id == step.endpoint; });
+    Engine& engine = Find(step.endpoint);
     const bool unanswered = faulty_ && random().Chance(0.4);
-    if (engine.loading || unanswered)
+    if (unanswered) {
       rollout_.OnOrderFailed(step.endpoint, kAskAgain, simulation_.now());
+      PassOverFor(engine, kAskAgain);
+      engine.known_to_load = false;
+    } else if (engine.loading) {
+      rollout_.OnBusy(step.endpoint, kAskAgain, simulation_.now());
+      PassOverFor(engine, kAskAgain);
+      engine.known_to_load = true;
+      CheckWidth();
+    } else if (WeightNumber(engine.weights) > step.weights) {
+      rollout_.OnAdvanced(step.endpoint);
+      Record(engine, engine.weights);
+      return;
+    } else {
+      rollout_.OnAccepted(step.endpoint, simulation_.now());
+      PassOverFor(engine, RolloutOptions{}.order_life);
+      engine.known_to_load = true;
+    }
     if (engine.loading || (unanswered && random().Chance(0.3)))
       return;
     const Milliseconds delay = unanswered && random().Chance(0.5)
@@ -140,15 +224,15 @@
     engine.loads.push_back(number);
     ++engine.orders;
     engine.loading = true;
+    CheckWidth();
     const int life = engine.life;
     simulation_.After(kLoad, [this, &engine, life, number] {
       if (engine.life != life)
         return;
       engine.loading = false;
       engine.weights = number;
-      simulation_.After(kRecordLag, [&engine, number] {
-        engine.recorded = std::max(engine.recorded, number);
-      });
+      simulation_.After(kRecordLag,
+                        [this, &engine, number] { Record(engine, number); });
     });
   }
 
