--- a/carobshift/gateway/attempt_planner_test.cc
+++ b/carobshift/gateway/attempt_planner_test.cc
@@ -307,6 +307,40 @@
   CHECK(scene.Plan().fields.weights == WeightNumber(2));
 }
 
+TEST_CASE("what an engine said before it started again counts no more") {
+  // It has told of new weights, crashes, and is back under its old id with the
+  // weights that it had before. Told to run requests with the new ones only, it
+  // refuses each of them, until it loads.
+  Scene scene;
+  const EndpointId engine("e2");
+  scene.planner.NoteWeights(engine, kModel, WeightNumber(2));
+  EndpointRecord record = *scene.registry.Find(engine);
+  CHECK(scene.planner.WeightsOf(record, kModel) == WeightNumber(2));
+  record.born = EndpointBirth(record.born.value() + 1);
+  scene.registry.Put(record, kStart);
+  CHECK(scene.planner.WeightsOf(record, kModel) == WeightNumber(1));
+  scene.planner.NoteWeights(engine, kModel, WeightNumber(3));
+  CHECK(scene.planner.WeightsOf(record, kModel) == WeightNumber(3));
+}
+
+TEST_CASE("past the bound an engine whose weights nobody knows is left out") {
+  // Its entry names no weights. They may be the replaced ones, and a caller
+  // can't tell.
+  Scene scene;
+  const EndpointId unknown("e2");
+  EndpointRecord record = *scene.registry.Find(unknown);
+  record.weights.clear();
+  scene.registry.Put(record, kStart);
+  for (const char* other : {"e0", "e1", "e3"}) {
+    scene.planner.NoteWeights(EndpointId(other), kModel, WeightNumber(2));
+    scene.health.OnTrouble(EndpointId(other), EndpointTrouble::kBroken, kStart);
+  }
+  // Weights were never named, or lately: anything may run.
+  CHECK(scene.Plan().endpoint.id == unknown);
+  scene.deadlines.OnNamed(kModel, WeightNumber(2), kStart - Seconds(60));
+  CHECK(scene.Plan().endpoint.id != unknown);
+}
+
 TEST_CASE("nothing begins on weights past their bound, whoever else is left") {
   // One engine of four has loaded the named weights when the operator's time is
   // over, and it is about to restart. Taken last, the other three would answer
--- a/carobshift/gateway/crash_record_test.cc
+++ b/carobshift/gateway/crash_record_test.cc
@@ -41,5 +41,29 @@
   CHECK_FALSE(record.Refuses(fingerprint, kStart));
 }
 
+TEST_CASE("told again of runs that a good one has cleared, it stays served") {
+  // Endpoints die and a popular request breaks with them, three times. Then it
+  // runs well. Instances tell each other of broken runs for a minute; counted
+  // again each time, they would keep the request refused for that minute.
+  CrashRecord record;
+  const RequestFingerprint fingerprint(7);
+  for (const char* run : {"r1.1", "r2.1", "r3.1"})
+    record.OnBroken(fingerprint, run, kStart);
+  CHECK(record.Refuses(fingerprint, kStart));
+  record.OnCompleted(fingerprint);
+  for (const char* run : {"r1.1", "r2.1", "r3.1"})
+    record.OnBroken(fingerprint, run, kStart + Milliseconds(100));
+  CHECK_FALSE(record.Refuses(fingerprint, kStart + Milliseconds(100)));
+  // Broken runs after the good one count from one again.
+  record.OnBroken(fingerprint, "r4.1", kStart + Seconds(1));
+  record.OnBroken(fingerprint, "r5.1", kStart + Seconds(1));
+  CHECK_FALSE(record.Refuses(fingerprint, kStart + Seconds(1)));
+  record.OnBroken(fingerprint, "r6.1", kStart + Seconds(1));
+  CHECK(record.Refuses(fingerprint, kStart + Seconds(1)));
+  // Whoever tells of the first runs can't do so longer than this.
+  record.Expire(kStart + Seconds(1) + CrashRecord::kRefusal);
+  CHECK(record.empty());
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/retry_allowance_test.cc
+++ b/carobshift/gateway/retry_allowance_test.cc
@@ -48,5 +48,65 @@
         before);
 }
 
+TEST_CASE("instances that start anew don't spend the extra repeats again") {
+  // Endpoints refuse, all instances have spent what they may, are killed and
+  // start again within the same ten seconds. Each young one knows of no other
+  // yet, takes itself for all, and has forgotten what was spent: together they
+  // would send several times what the platform allows and keep the overload
+  // going.
+  const RetryLimits limits{
+      .share = 0.2, .extra = 54, .window = Milliseconds(10000)};
+  constexpr int kInstances = 7;
+  int requests = 0;
+  int repeats = 0;
+  const auto press = [&](RetryAllowance& instance, MonotonicTime now) {
+    for (int i = 0; i < 20; ++i) {
+      instance.OnRequest(kEngines, now);
+      ++requests;
+    }
+    for (int i = 0; i < 100; ++i)
+      repeats += instance.TrySpend(kEngines, now) ? 1 : 0;
+  };
+  for (int i = 0; i < kInstances; ++i) {
+    RetryAllowance former(limits);
+    former.OnMembers(kInstances, kStart - Seconds(60));
+    former.OnMembers(kInstances, kStart);
+    press(former, kStart);
+  }
+  const int before = repeats;
+  CHECK(before > 0.5 * (limits.share * requests + limits.extra));
+  for (int i = 0; i < kInstances; ++i) {
+    RetryAllowance young(limits);
+    for (const int seen : {1, 1, kInstances, kInstances}) {
+      young.OnMembers(seen, kStart + Seconds(2));
+      press(young, kStart + Seconds(2));
+    }
+  }
+  CHECK(repeats <= limits.share * requests + limits.extra);
+  // Not nothing either: its own requests' share was never spent by others.
+  CHECK(repeats - before > 0.5 * limits.share * requests);
+}
+
+TEST_CASE("an instance has its whole part when its first window is over") {
+  RetryAllowance young(
+      {.share = 0, .extra = 70, .window = Milliseconds(10000)});
+  young.OnMembers(7, kStart);
+  CHECK(young.Left(kEngines, kStart) < RetryAllowance::kSafety * 70 / 7);
+  CHECK(young.Left(kEngines, kStart + Seconds(10)) ==
+        Approx(RetryAllowance::kSafety * 70 / 7));
+}
+
+TEST_CASE("an instance that starts behind a partition isn't all instances") {
+  // It starts while it is cut off from the others, which serve on. Nobody tells
+  // it how many they are.
+  RetryAllowance alone(
+      {.share = 0, .extra = 70, .window = Milliseconds(10000)});
+  alone.OnMembers(1, kStart);
+  alone.OnMembers(1, kStart + Seconds(15));
+  CHECK(alone.Left(kEngines, kStart + Seconds(15)) < 1);
+  alone.OnMembers(1, kStart + RetryAllowance::kMemberMemory);
+  CHECK(alone.Left(kEngines, kStart + RetryAllowance::kMemberMemory) >= 1);
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -274,6 +274,25 @@
       Milliseconds(9000)));
 }
 
+TEST_CASE("an engine that started again with older weights is ordered again") {
+  // It has told its holder of the named weights, crashes, and is back under its
+  // old id with the weights that it had before. Taken by what it told, it would
+  // keep them for good, and its callers would get answers of replaced weights.
+  Fixture fixture;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.first.weights == 2 && fixture.second.weights == 2; },
+      Milliseconds(9000)));
+  fixture.TickUntil([] { return false; }, Milliseconds(2000));
+  fixture.first.weights = 1;
+  fixture.first.accepted = 0;
+  EndpointRecord record = *fixture.registry.Find(EndpointId("engine-1"));
+  record.born = EndpointBirth(record.born.value() + 1);
+  fixture.registry.Put(record, fixture.loop.now());
+  CHECK(fixture.TickUntil([&] { return fixture.first.weights == 2; },
+                          Milliseconds(9000)));
+}
+
 TEST_CASE("a stopped instance gives no more orders") {
   Fixture fixture;
   fixture.steward.SetTarget(kModel, WeightNumber(2));
--- a/carobshift/membership/membership_test.cc
+++ b/carobshift/membership/membership_test.cc
@@ -39,13 +39,21 @@
 
   void Stop(int index) { members_.erase(index); }
 
+  // Nothing reaches it, nor the others from it.
+  void CutOff(int index, bool cut) {
+    if (cut)
+      cut_off_.insert(index);
+    else
+      cut_off_.erase(index);
+  }
+
   void Deliver(std::vector<SendDatagram> queue) {
     while (!queue.empty()) {
       const SendDatagram next = std::move(queue.back());
       queue.pop_back();
       largest_ = std::max(largest_, next.bytes.size());
       const int index = next.to.port - 7000;
-      if (!members_.contains(index))
+      if (!members_.contains(index) || cut_off_.contains(index))
         continue;
       for (SendDatagram& answer :
            members_.at(index).OnDatagram(next.bytes, now_))
@@ -56,8 +64,11 @@
   void Run(Milliseconds duration) {
     for (const MonotonicTime end = now_ + duration; now_ < end;
          now_ += Membership::kTick) {
-      for (auto& [index, member] : members_)
-        Deliver(member.OnTick(now_));
+      for (auto& [index, member] : members_) {
+        std::vector<SendDatagram> sent = member.OnTick(now_);
+        if (!cut_off_.contains(index))
+          Deliver(std::move(sent));
+      }
     }
   }
 
@@ -83,6 +94,7 @@
  private:
   MonotonicTime now_ = kStart;
   std::map<int, Membership> members_;
+  std::set<int> cut_off_;
   std::size_t largest_ = 0;
 };
 
@@ -159,6 +171,62 @@
   CHECK(cluster.RunUntil(Seconds(10), known) <= Seconds(2));
 }
 
+// A request crashes each engine that runs it, and all entries have been told.
+// Then one of them is killed and starts anew. Each fact is told a dozen times
+// and then no more, so the young entry would never hear of it, and would give
+// the request three more engines.
+TEST_CASE("an entry that starts later hears of facts that still hold") {
+  Cluster cluster(7);
+  cluster.Run(Seconds(10));
+  cluster.at(1).PublishFact({.kind = FactKind::kSuspectedRequest,
+                             .subject = "request-1",
+                             .remaining = Seconds(60)},
+                            cluster.now());
+  cluster.Run(Seconds(20));
+  cluster.Start(4, 2);
+  const auto known = [&] {
+    return cluster.at(4).facts().Holds(FactKind::kSuspectedRequest, "request-1",
+                                       cluster.now());
+  };
+  CHECK(cluster.RunUntil(Seconds(10), known) <= Seconds(3));
+}
+
+// The same for an entry that was cut off from the others while they were told.
+// On its return its callers' requests would crash engines that the others
+// spare.
+TEST_CASE("an entry that was cut off hears of facts that still hold") {
+  Cluster cluster(7);
+  cluster.Run(Seconds(10));
+  cluster.CutOff(4, true);
+  cluster.at(1).PublishFact({.kind = FactKind::kSuspectedRequest,
+                             .subject = "request-1",
+                             .remaining = Seconds(60)},
+                            cluster.now());
+  cluster.Run(Seconds(10));
+  cluster.CutOff(4, false);
+  const auto known = [&] {
+    return cluster.at(4).facts().Holds(FactKind::kSuspectedRequest, "request-1",
+                                       cluster.now());
+  };
+  CHECK_FALSE(known());
+  CHECK(cluster.RunUntil(Seconds(10), known) <= Seconds(3));
+}
+
+// Facts that are told again and again must not live on by that.
+TEST_CASE("a fact ends everywhere when its time is over") {
+  Cluster cluster(7);
+  cluster.Run(Seconds(10));
+  cluster.at(1).PublishFact({.kind = FactKind::kSuspectedRequest,
+                             .subject = "request-1",
+                             .remaining = Seconds(20)},
+                            cluster.now());
+  cluster.Run(Seconds(10));
+  cluster.Start(4, 2);
+  cluster.Run(Seconds(11));
+  for (int i = 0; i < 7; ++i)
+    CHECK(cluster.at(i).facts().size() == 0);
+}
+
 // Somebody records datagrams and sends them again: to the same entry, to
 // another one, and to an entry that has restarted and remembers nothing.
 TEST_CASE("recorded datagrams have no effect") {
