--- a/carobshift/gateway/retry_allowance.cc
+++ b/carobshift/gateway/retry_allowance.cc
@@ -30,12 +30,24 @@
 }
 
 void RetryAllowance::OnMembers(int live_entries, MonotonicTime now) {
+  if (!began_)
+    began_ = now;
   if (live_entries < members_ && now - members_seen_ < kMemberMemory)
     return;
   members_ = live_entries;
   members_seen_ = now;
 }
 
+double RetryAllowance::FixedPart(MonotonicTime now) const {
+  if (!began_)
+    return 0;
+  const auto age = now - *began_;
+  if (members_ == 1 && age < kMemberMemory)
+    return 0;
+  const double share = age < limits_.window ? 1 - kSafety : kSafety;
+  return share * limits_.extra / members_;
+}
+
 double RetryAllowance::Left(const ServiceName& service,
                             MonotonicTime now) const {
   const auto found = counts_.find(service);
@@ -45,8 +57,7 @@
   const double repeats = found == counts_.end()
                              ? 0
                              : found->second.repeats.Sum(limits_.window, now);
-  const double allowed =
-      kSafety * (limits_.share * requests + limits_.extra / members_);
+  const double allowed = kSafety * limits_.share * requests + FixedPart(now);
   return allowed - repeats;
 }
 
--- a/carobshift/gateway/retry_allowance.h
+++ b/carobshift/gateway/retry_allowance.h
@@ -16,8 +16,16 @@
 // come and go the part changes; the largest number of members seen within
 // kMemberMemory counts, since those that are only cut off go on spending.
 //
+// A process that has just started doesn't know what the one before it spent in
+// this window. Given its whole part at once, all instances that are killed and
+// start again would spend the fixed number twice, and several times while each
+// still takes itself for all: one would notice an overload that a restart
+// doesn't end. So in its first window it has only its part of what kSafety
+// leaves unused, and nothing of that while it has heard of nobody else.
+//
 // Figures: kSafety leaves a fifth unused, for repeats that arrive in another
-// window than they were counted in; an estimate, not measured.
+// window than they were counted in, and for processes that start; an estimate,
+// not measured.
 //
 // Thread-compatible. State: one ring of kSlots counts a service.
 
@@ -27,6 +35,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
@@ -70,7 +79,7 @@
   explicit RetryAllowance(const RetryLimits& limits) : limits_(limits) {}
 
   void OnRequest(const ServiceName& service, MonotonicTime now);
-  // `live_entries` is at least 1.
+  // `live_entries` is at least 1. The first call tells when this process began.
   void OnMembers(int live_entries, MonotonicTime now);
 
   // Counts a repeat if one is left.
@@ -84,10 +93,14 @@
     WindowCount repeats;
   };
 
+  // This process's part of the fixed number.
+  [[nodiscard]] double FixedPart(MonotonicTime now) const;
+
   RetryLimits limits_;
   std::map<ServiceName, Counts> counts_;
   int members_ = 1;
   MonotonicTime members_seen_{};
+  std::optional<MonotonicTime> began_;
 };
 
 }  // namespace carobshift
