--- a/carobshift/gateway/endpoint_registry.h
+++ b/carobshift/gateway/endpoint_registry.h
@@ -44,6 +44,9 @@
 
   // True if something that matters for routing changed.
   bool Put(const EndpointRecord& record, MonotonicTime now);
+  // `now` is when the log came back if the entry ran out while it was away: the
+  // grace counts from there. An endpoint that stops just before the grace is
+  // over would otherwise be used for as long again.
   bool Remove(const EndpointId& id, RemovalCause cause, MonotonicTime now);
 
   // A complete list: entries that it lacks are removed.
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -51,7 +51,7 @@
   const EndpointId id(record.key);
   const std::uint64_t before = registry_.revision();
   if (!record.value) {
-    registry_.Remove(id, CauseAt(now), now);
+    Remove(id, now);
   } else {
     const Result<EndpointRecord> decoded =
         dialect_.DecodeEndpointRecord(record.key, *record.value);
@@ -87,14 +87,15 @@
   }
   bool changed = false;
   for (const EndpointId& id : missing)
-    changed = registry_.Remove(id, CauseAt(now), now) || changed;
+    changed = Remove(id, now) || changed;
   if (changed)
     listener_.on_endpoints();
 }
 
-RemovalCause EndpointRecords::CauseAt(MonotonicTime now) const {
-  return now < returned_until_ ? RemovalCause::kRanOutDuringOutage
-                               : RemovalCause::kAnnounced;
+bool EndpointRecords::Remove(const EndpointId& id, MonotonicTime now) {
+  if (returned_ && now < *returned_ + EndpointRegistry::kReturnGrace)
+    return registry_.Remove(id, RemovalCause::kRanOutDuringOutage, *returned_);
+  return registry_.Remove(id, RemovalCause::kAnnounced, now);
 }
 
 void EndpointRecords::OnLogLost(std::string_view reason) {
@@ -106,7 +107,7 @@
   LogEvent(LogLevel::kInfo, "log_back",
            {{"stream", "endpoints"}, {"away_ms", away.count()}});
   if (away >= kNoticeableAbsence)
-    returned_until_ = now + EndpointRegistry::kReturnGrace;
+    returned_ = now;
 }
 
 void EndpointRecords::Expire(MonotonicTime now) {
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -72,13 +73,16 @@
   void Expire(MonotonicTime now);
 
  private:
-  [[nodiscard]] RemovalCause CauseAt(MonotonicTime now) const;
+  // What happens to an entry that is missing depends on when the log came
+  // back. True if the registry changed.
+  bool Remove(const EndpointId& id, MonotonicTime now);
 
   const LogDialect& dialect_;
   EndpointRegistry& registry_;
   const GatewayStateListener& listener_;
-  // While this lies ahead, missing entries may be back any moment.
-  MonotonicTime returned_until_{};
+  // The log's last return after a noticeable absence. Entries that are missing
+  // within EndpointRegistry::kReturnGrace from then on may be back any moment.
+  std::optional<MonotonicTime> returned_;
 };
 
 }  // namespace carobshift
