--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -159,19 +159,24 @@
   for (const auto& [id, record] : registry_.all()) {
     if (record.leaving)
       continue;
-    for (const auto& [model, recorded] : record.weights) {
-      WeightNumber number = recorded;
-      if (const auto found = reported_.find(id); found != reported_.end()) {
-        const auto of_model = found->second.find(model);
-        if (of_model != found->second.end())
-          number = std::max(number, of_model->second);
-      }
-      engines.push_back({id, model, number});
-    }
+    for (const auto& [model, recorded] : record.weights)
+      engines.push_back({id, model, WeightsOf(record, model)});
   }
   return engines;
 }
 
+WeightNumber WeightSteward::WeightsOf(const EndpointRecord& record,
+                                      const ModelName& model) const {
+  const WeightNumber recorded = record.weights.at(model);
+  const auto reported = reported_.find(record.id);
+  if (reported == reported_.end() || reported->second.born != record.born)
+    return recorded;
+  const auto told = reported->second.weights.find(model);
+  return told == reported->second.weights.end()
+             ? recorded
+             : std::max(recorded, told->second);
+}
+
 std::set<EndpointId> WeightSteward::Behind(
     const std::set<EndpointId>& endpoints) const {
   std::set<EndpointId> behind;
@@ -358,6 +363,7 @@
   order->step = step;
   order->sent = loop_.now();
   order->address = record->address;
+  order->born = record->born;
   orders_[step.endpoint] = order;
   order->fetch.Start(
       client_, loop_, order->address,
@@ -454,7 +460,7 @@
   const auto found = report.weights.find(order->step.model);
   if (found == report.weights.end() || found->second <= order->step.weights)
     return false;
-  reported_[endpoint] = report.weights;
+  reported_[endpoint] = {order->born, report.weights};
   rollout_.OnAdvanced(endpoint);
   LogEvent(
       LogLevel::kInfo, "weights_loaded",
--- a/carobshift/gateway/weight_steward.h
+++ b/carobshift/gateway/weight_steward.h
@@ -81,12 +81,23 @@
   struct Order {
     RolloutStep step;
     NetAddress address;
+    EndpointBirth born{};
     HttpFetch fetch;
     TimerId timer;
     MonotonicTime sent{};
   };
 
+  // What an engine has told of its weights, newer than its record. It counts
+  // for this start of the engine only: one that starts again under its id may
+  // have older weights, and taken by what it told, it would keep them for good.
+  struct Reported {
+    EndpointBirth born{};
+    std::map<ModelName, WeightNumber> weights;
+  };
+
   [[nodiscard]] std::vector<RolloutEngine> Engines() const;
+  [[nodiscard]] WeightNumber WeightsOf(const EndpointRecord& record,
+                                       const ModelName& model) const;
   [[nodiscard]] bool IsMyTurn(MonotonicTime now);
   // Whether this instance is next if the holder dies.
   [[nodiscard]] bool IsSuccessor() const;
@@ -147,7 +158,7 @@
   MonotonicTime lease_wait_{};
   // The last call for the lease had no answer.
   bool log_failing_ = false;
-  std::map<EndpointId, std::map<ModelName, WeightNumber>> reported_;
+  std::map<EndpointId, Reported> reported_;
   std::map<EndpointId, std::shared_ptr<Order>> orders_;
   OnLoaded on_loaded_;
   bool stopped_ = false;
