--- a/carobshift/gateway/retry_allowance.cc
+++ b/carobshift/gateway/retry_allowance.cc
@@ -42,10 +42,9 @@
   if (!began_)
     return 0;
   const auto age = now - *began_;
-  if (members_ == 1 && age < kMemberMemory)
-    return 0;
-  const double share = age < limits_.window ? 1 - kSafety : kSafety;
-  return share * limits_.extra / members_;
+  const bool unknown = members_ == 1 && age < kMemberMemory;
+  const double share = unknown || age < limits_.window ? 1 - kSafety : kSafety;
+  return share * limits_.extra / (unknown ? kUnknownMembers : members_);
 }
 
 double RetryAllowance::Left(const ServiceName& service,
--- a/carobshift/gateway/retry_allowance.h
+++ b/carobshift/gateway/retry_allowance.h
@@ -21,11 +21,14 @@
 // start again would spend the fixed number twice, and several times while each
 // still takes itself for all: one would notice an overload that a restart
 // doesn't end. So in its first window it has only its part of what kSafety
-// leaves unused, and nothing of that while it has heard of nobody else.
+// leaves unused. While it has heard of nobody else it takes itself for one of
+// kUnknownMembers: it may be cut off from them.
 //
 // Figures: kSafety leaves a fifth unused, for repeats that arrive in another
 // window than they were counted in, and for processes that start; an estimate,
-// not measured.
+// not measured. kUnknownMembers is one too: few enough that a stream which
+// breaks in the first second is resumed, many enough that an instance behind a
+// partition doesn't spend the others' part.
 //
 // Thread-compatible. State: one ring of kSlots counts a service.
 
@@ -75,6 +78,7 @@
  public:
   static constexpr double kSafety = 0.8;
   static constexpr Milliseconds kMemberMemory{60000};
+  static constexpr int kUnknownMembers = 8;
 
   explicit RetryAllowance(const RetryLimits& limits) : limits_(limits) {}
 
