--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -63,7 +63,13 @@
 void AttemptPlanner::NoteWeights(const EndpointId& id,
                                  const ModelName& model,
                                  WeightNumber weights) {
-  noted_[id][model] = weights;
+  const EndpointRecord* const record = registry_.Find(id);
+  if (record == nullptr)
+    return;
+  NotedWeights& noted = noted_[id];
+  if (noted.born != record->born)
+    noted = {record->born, {}};
+  noted.weights[model] = weights;
 }
 
 std::optional<WeightNumber> AttemptPlanner::WeightsOf(
@@ -74,9 +80,9 @@
   if (recorded != endpoint.weights.end())
     known = recorded->second;
   const auto noted = noted_.find(endpoint.id);
-  if (noted != noted_.end()) {
-    const auto of_model = noted->second.find(model);
-    if (of_model != noted->second.end() &&
+  if (noted != noted_.end() && noted->second.born == endpoint.born) {
+    const auto of_model = noted->second.weights.find(model);
+    if (of_model != noted->second.weights.end() &&
         (!known || of_model->second > *known))
       known = of_model->second;
   }
@@ -204,8 +210,8 @@
   if (!setup.request.prompt)
     return false;
   const ModelName& model = setup.request.prompt->model;
-  const auto weights = WeightsOf(record, model);
-  return weights && deadlines_.Overdue(model, *weights, now);
+  return deadlines_.Overdue(
+      model, WeightsOf(record, model).value_or(WeightNumber(0)), now);
 }
 
 bool AttemptPlanner::OnlyReplacedWeights(const ExchangeSetup& setup,
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -101,7 +101,9 @@
   void SetRoomCheck(std::function<bool(const NetAddress&)> has_room) {
     has_room_ = std::move(has_room);
   }
-  // What an endpoint said of its weights, newer than its record.
+  // What an endpoint said of its weights, newer than its record. It counts
+  // until the endpoint starts again: then it has the weights that its record
+  // names.
   void NoteWeights(const EndpointId& id,
                    const ModelName& model,
                    WeightNumber weights);
@@ -149,6 +151,11 @@
   };
   // By part.
   using Sources = std::vector<std::vector<Source>>;
+  // What an endpoint has said since it was born.
+  struct NotedWeights {
+    EndpointBirth born{};
+    std::map<ModelName, WeightNumber> weights;
+  };
 
   [[nodiscard]] Candidate Describe(const ExchangeSetup& setup,
                                    const EndpointRecord& record) const;
@@ -172,6 +179,7 @@
   [[nodiscard]] bool TakesWork(const ExchangeSetup& setup,
                                const EndpointRecord& record) const;
   // Whether the request may not begin on the endpoint's weights any more.
+  // Weights that nobody knows may be the oldest.
   [[nodiscard]] bool Overdue(const ExchangeSetup& setup,
                              const EndpointRecord& record,
                              MonotonicTime now) const;
@@ -202,7 +210,7 @@
   bool store_per_part_ = false;
   std::set<EndpointId> draining_;
   std::function<bool(const NetAddress&)> has_room_;
-  std::map<EndpointId, std::map<ModelName, WeightNumber>> noted_;
+  std::map<EndpointId, NotedWeights> noted_;
   std::map<std::string, MonotonicTime> saves_;
   // Of the plan under way.
   std::map<std::string, Sources> sources_;
