--- a/fuzz/rollout_fuzz.cc
+++ b/fuzz/rollout_fuzz.cc
@@ -155,7 +155,7 @@
       if (!waits)
         continue;
       const bool came_later =
-          !chosen.drained_at || other.waits_since >= *chosen.drained_at;
+          chosen.drained_at && other.waits_since >= *chosen.drained_at;
       if (!came_later)
         violations_.emplace_back("an order passed over older weights");
     }
