--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -59,6 +59,8 @@
   [[nodiscard]] NetAddress address() const { return server_.address(); }
 
   int lose_answers = 0;
+  // Orders that are accepted and forgotten, as by a crash in the load.
+  int forget_orders = 0;
   bool busy = false;
   std::uint64_t weights = 1;
   std::uint64_t accepted = 0;
@@ -83,6 +85,11 @@
       connection.SendWhole(ReplyHead(409), "");
       return;
     }
+    if (forget_orders > 0) {
+      --forget_orders;
+      connection.SendWhole(ReplyHead(202), "");
+      return;
+    }
     ++accepted;
     weights = order.at("weights").get<std::uint64_t>();
     connection.SendWhole(ReplyHead(202), "");
@@ -190,6 +197,18 @@
   CHECK(fixture.TickUntil([&] { return fixture.first.weights == 2; }));
 }
 
+TEST_CASE("an engine that crashes in its load is ordered again soon") {
+  // Engines crash in waves while they load, and are back a second later with
+  // the weights that they had. Left to the life of the lost order, the engine
+  // would keep a place of those that load for five seconds and do nothing,
+  // while its callers and those of the engines behind it have replaced weights.
+  Fixture fixture;
+  fixture.first.forget_orders = 1;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  CHECK(fixture.TickUntil([&] { return fixture.first.weights == 2; },
+                          Milliseconds(3000)));
+}
+
 TEST_CASE("an engine that is busy keeps its place: the other one has to wait") {
   // The engine loads by a former holder's order. Were the other one ordered as
   // well, both would be away at once and every caller refused.
