--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -381,6 +381,18 @@
           : Error{ResultCode::kEndpointFailed, std::string(outcome.reason)};
   if (report.ok() && TakeWeights(order, report.value()))
     return;
+  // It has crashed in its load and is back with its former weights. Waiting for
+  // the end of the order's life would leave its place among those that load
+  // without use for seconds.
+  if (report.ok() && !report.value().busy) {
+    const EndpointId endpoint = order->step.endpoint;
+    LogEvent(LogLevel::kWarning, "load_lost",
+             {{"endpoint", endpoint.value()},
+              {"weights", order->step.number.value()}});
+    rollout_.OnOrderFailed(endpoint, kAskAgain, loop_.now());
+    Drop(endpoint);
+    return;
+  }
   if (loop_.now() - order->sent > kMaxWatch) {
     Drop(order->step.endpoint);
     return;
