--- a/carobshift/gateway/weight_rollout_test.cc
+++ b/carobshift/gateway/weight_rollout_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -244,6 +245,34 @@
         std::vector{engines[2].id, engines[3].id});
 }
 
+TEST_CASE("engines that fail their orders don't keep the next from draining") {
+  // Two of twelve engines have crashed and were replaced by others at their
+  // addresses; for seconds their records still stand and every order is
+  // rejected. Waiting for them, nobody would load, and the operator's time would
+  // be over for the ten engines that are well.
+  const RolloutOptions options;
+  WeightRollout rollout(options);
+  rollout.SetTarget(ModelName("m"), WeightNumber(2));
+  const auto engines = Engines(12, 1);
+  std::set<EndpointId> drained;
+  std::set<EndpointId> ordered;
+  for (MonotonicTime now = kStart; now < kStart + Seconds(2);
+       now += Milliseconds(100)) {
+    for (const RolloutStep& step : rollout.Next(engines, now)) {
+      if (step.kind == RolloutStepKind::kDrain)
+        drained.insert(step.endpoint);
+      else if (step.endpoint == engines[0].id || step.endpoint == engines[1].id)
+        rollout.OnOrderFailed(step.endpoint, Milliseconds(100), now);
+      else
+        ordered.insert(step.endpoint);
+    }
+  }
+  CHECK(ordered.size() == 2);
+  // The two that fail, two that load and two that come next: however many fail,
+  // not all are kept free of work.
+  CHECK(drained.size() <= 6);
+}
+
 TEST_CASE("an engine that stays busy keeps its place for a while only") {
   // The engine hangs in its load, and says for a minute that it is busy. The
   // one behind it would keep its old weights for as long.
