--- a/carobshift/gateway/weight_rollout.cc
+++ b/carobshift/gateway/weight_rollout.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace carobshift {
+namespace {
+
+// Of the wait after a failed order; keeps the product in range.
+constexpr int kMaxDoublings = 8;
+
+}  // namespace
 
 void WeightRollout::SetTarget(const ModelName& model, WeightNumber number) {
   WeightNumber& target = targets_[model];
@@ -110,7 +116,10 @@
     const auto found = progress_.find(engine->id);
     if (found == progress_.end() || IsStuck(*engine, now))
       continue;
-    ++(HasPlace(found->second, now) ? count.loading : count.draining);
+    if (HasPlace(found->second, now))
+      ++count.loading;
+    else
+      ++(found->second.failures > 0 ? count.failing : count.draining);
   }
   return count;
 }
@@ -126,7 +135,8 @@
   for (const RolloutEngine* engine : waiting) {
     const auto found = progress_.find(engine->id);
     if (found == progress_.end()) {
-      if (under_way.draining >= width)
+      if (under_way.draining >= width ||
+          under_way.draining + under_way.failing >= 2 * width)
         continue;
       ++under_way.draining;
       Progress& begun = progress_[engine->id];
@@ -172,7 +182,9 @@
   found->second.ordered_at.reset();
   found->second.loading_since.reset();
   found->second.busy = false;
-  found->second.not_before = now + wait;
+  const int doublings = std::min(found->second.failures++, kMaxDoublings);
+  found->second.not_before =
+      now + std::max(wait, std::min(wait * (1 << doublings), kMaxWait));
 }
 
 void WeightRollout::OnAccepted(const EndpointId& endpoint, MonotonicTime now) {
@@ -181,6 +193,7 @@
     return;
   found->second.loading_since = now;
   found->second.busy = false;
+  found->second.failures = 0;
 }
 
 void WeightRollout::OnBusy(const EndpointId& endpoint,
@@ -191,6 +204,7 @@
     return;
   found->second.ordered_at.reset();
   found->second.busy = true;
+  found->second.failures = 0;
   found->second.not_before = now + wait;
 }
 
--- a/carobshift/gateway/weight_rollout.h
+++ b/carobshift/gateway/weight_rollout.h
@@ -17,7 +17,9 @@
 // of weights that were replaced meanwhile, and it queues anew by what it has.
 // An engine that is busy keeps its place among those that load, so that no more
 // than the share load at once, for kOrderLife at most; after that the others go
-// first.
+// first. Engines that fail their orders are asked on, without keeping others
+// from being freed; as many again as the share at most, since by lost answers
+// all might fail.
 //
 // Figures: a sixth of the engines at once; by the platform's sheets loads take
 // longer beyond that. kOrderLife is after which an order without effect is
@@ -71,6 +73,9 @@
 
 class WeightRollout {
  public:
+  // An engine that crashed is back after one to two seconds.
+  static constexpr Milliseconds kMaxWait{800};
+
   explicit WeightRollout(const RolloutOptions& options) : options_(options) {}
 
   // A lower number than the present target is ignored.
@@ -86,7 +91,9 @@
       const std::vector<RolloutEngine>& engines,
       MonotonicTime now);
   // The order was not accepted, or its fate is unknown: it is given again
-  // `wait` later.
+  // `wait` later, and after further failures each time twice as late, up to
+  // kMaxWait: an engine that is gone must not take the place of those that load
+  // each time that one is free.
   void OnOrderFailed(const EndpointId& endpoint,
                      Milliseconds wait,
                      MonotonicTime now);
@@ -110,6 +117,8 @@
     std::optional<MonotonicTime> loading_since;
     // Its last answer was that it is busy.
     bool busy = false;
+    // Orders that failed since the last that didn't.
+    int failures = 0;
     // No order before this.
     MonotonicTime not_before{};
   };
@@ -118,6 +127,7 @@
   struct UnderWay {
     int draining = 0;
     int loading = 0;
+    int failing = 0;
   };
 
   [[nodiscard]] bool IsBehind(const RolloutEngine& engine) const;
--- a/carobshift/gateway/weight_rollout_test.cc
+++ b/carobshift/gateway/weight_rollout_test.cc
@@ -248,8 +248,8 @@
 TEST_CASE("engines that fail their orders don't keep the next from draining") {
   // Two of twelve engines have crashed and were replaced by others at their
   // addresses; for seconds their records still stand and every order is
-  // rejected. Waiting for them, nobody would load, and the operator's time would
-  // be over for the ten engines that are well.
+  // rejected. Waiting for them, nobody would load, and the operator's time
+  // would be over for the ten engines that are well.
   const RolloutOptions options;
   WeightRollout rollout(options);
   rollout.SetTarget(ModelName("m"), WeightNumber(2));
--- a/fuzz/rollout_fuzz.cc
+++ b/fuzz/rollout_fuzz.cc
@@ -70,6 +70,8 @@
     std::optional<MonotonicTime> drained_at;
     MonotonicTime passed_over_until{};
     bool known_to_load = false;
+    // In a row; the wait grows with them.
+    int failures = 0;
   };
 
   SeededRandom& random() { return simulation_.random(); }
@@ -137,6 +139,7 @@
     engine.drained_at.reset();
     engine.passed_over_until = {};
     engine.known_to_load = false;
+    engine.failures = 0;
   }
 
   void PassOverFor(Engine& engine, Milliseconds time) {
@@ -182,11 +185,12 @@
     const bool unanswered = faulty_ && random().Chance(0.4);
     if (unanswered) {
       rollout_.OnOrderFailed(step.endpoint, kAskAgain, simulation_.now());
-      PassOverFor(engine, kAskAgain);
+      PassOverFor(engine, kAskAgain * (1 << std::min(engine.failures++, 2)));
       engine.known_to_load = false;
     } else if (engine.loading) {
       rollout_.OnBusy(step.endpoint, kAskAgain, simulation_.now());
       PassOverFor(engine, kAskAgain);
+      engine.failures = 0;
       engine.known_to_load = true;
       CheckWidth();
     } else if (WeightNumber(engine.weights) > step.weights) {
@@ -196,6 +200,7 @@
     } else {
       rollout_.OnAccepted(step.endpoint, simulation_.now());
       PassOverFor(engine, RolloutOptions{}.order_life);
+      engine.failures = 0;
       engine.known_to_load = true;
     }
     if (engine.loading || (unanswered && random().Chance(0.3)))
