--- a/testing/gateway_process_test.cc
+++ b/testing/gateway_process_test.cc
@@ -128,9 +128,12 @@
     named_ = MonotonicNow();
   }
   [[nodiscard]] bool WaitFor(Milliseconds after_naming) const {
-    return WaitUntil([&] { return MonotonicNow() - named_ >= after_naming; },
+    return WaitUntil([&] { return SinceNaming() >= after_naming; },
                      after_naming + Seconds(1));
   }
+  [[nodiscard]] Milliseconds SinceNaming() const {
+    return std::chrono::duration_cast<Milliseconds>(MonotonicNow() - named_);
+  }
   void LetLoad() { SetSilence(0); }
 
  private:
@@ -174,6 +177,30 @@
       [&] { return cluster.Send(0, "POST", "/review/1").status == 200; }));
 }
 
+TEST_CASE("a request that waits at an engine doesn't begin past the bound") {
+  // A request was sent to an engine with the old weights while these were still
+  // allowed, and waits there behind others. Left alone, it begins seconds
+  // later, past the bound, and its caller takes the answer for one of the named
+  // weights: in a trial one that had waited for 3.1 s began 11 ms too late.
+  GatewayCluster cluster({.gateways = 1, .weights_bound = kShortBound});
+  StuckEngines engines(cluster);
+  engines.Name();
+  constexpr Milliseconds kQueued{4000};
+  for (std::size_t i = 0; i < cluster.engines(); ++i)
+    SetFault(cluster.replica(i), {{"queue_ms", kQueued.count()}});
+  // An engine takes work until a second and a half before the bound.
+  REQUIRE(engines.WaitFor(kShortBound - Milliseconds(2000)));
+  HttpAnswer answer;
+  {
+    const std::jthread caller(
+        [&] { answer = cluster.Send(0, "POST", "/review/1"); });
+  }
+  CHECK(engines.SinceNaming() < kShortBound + Milliseconds(500));
+  CHECK(answer.status != 200);
+  REQUIRE(engines.WaitFor(kShortBound + kQueued));
+  CHECK(cluster.TotalRuns() == 0);
+}
+
 TEST_CASE("an instance that starts after the naming keeps to its bound") {
   // One instance is killed and starts again while engines still have replaced
   // weights. It counted the operator's time from its own start, and so answered
--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -6,7 +6,9 @@
 // Faults besides the common ones: `break_after` (the connection ends after this
 // many events, once for each time it is set), `order_silence` (orders get no
 // answer and are not carried out, this many times), `crash_body` (a request
-// with this body breaks its connection off as soon as it runs).
+// with this body breaks its connection off as soon as it runs), `queue_ms` (a
+// request waits that long before it runs; it doesn't run if its connection ends
+// meanwhile).
 
 #include <atomic>
 #include <cxxopts.hpp>
@@ -53,6 +55,8 @@
       exchange.ReplyRaw(503, "text/plain", "");
       return;
     }
+    if (!WaitInQueue(exchange))
+      return;
     Note(exchange);
     const std::string crash_body = faults_.Text("crash_body");
     if (!crash_body.empty() && exchange.body() == crash_body) {
@@ -109,6 +113,18 @@
   }
 
  private:
+  // False if the caller has left.
+  bool WaitInQueue(const StandinExchange& exchange) {
+    const MonotonicTime begins =
+        MonotonicNow() + Milliseconds(faults_.Number("queue_ms"));
+    while (MonotonicNow() < begins) {
+      if (exchange.PeerGone())
+        return false;
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+    return true;
+  }
+
   void Note(StandinExchange& exchange) {
     const std::lock_guard lock(mutex_);
     runs_.push_back({{"request", exchange.Header("Request-Id")},
