--- a/carobshift/gateway/exchange.cc
+++ b/carobshift/gateway/exchange.cc
@@ -262,6 +262,14 @@
   OnAttemptFailed({CallFault::kBroken, true, false}, now);
 }
 
+void Exchange::OnTooLateToBegin(MonotonicTime now) {
+  if (!waiting())
+    return;
+  desk_.DropAttempt(*this);
+  // It may have begun this moment, so it counts as a run.
+  OnAttemptFailed({CallFault::kWithdrawn, true, false}, now);
+}
+
 void Exchange::OnDeadline(MonotonicTime now) {
   if (over())
     return;
--- a/carobshift/gateway/exchange.h
+++ b/carobshift/gateway/exchange.h
@@ -154,6 +154,9 @@
   // The endpoint of the attempt has fallen silent. Goes on elsewhere if that is
   // allowed; otherwise waits on.
   void OnEndpointSilent(MonotonicTime now);
+  // Nothing may begin at the endpoint of the attempt any more. An attempt
+  // without a reply is taken back; what may run again goes on elsewhere.
+  void OnTooLateToBegin(MonotonicTime now);
 
   [[nodiscard]] const CallerRequest& request() const { return setup_.request; }
   [[nodiscard]] const ExchangeSetup& setup() const { return setup_; }
@@ -162,6 +165,10 @@
   [[nodiscard]] MonotonicTime deadline() const { return deadline_; }
   [[nodiscard]] bool over() const { return state_ == State::kOver; }
   [[nodiscard]] bool streaming() const { return state_ == State::kStreaming; }
+  // An attempt is under way and its reply has not begun.
+  [[nodiscard]] bool waiting() const {
+    return attempt_active_ && state_ == State::kSent;
+  }
 
  private:
   enum class State { kIdle, kSent, kHolding, kStreaming, kOver };
--- a/carobshift/gateway/exchange_test.cc
+++ b/carobshift/gateway/exchange_test.cc
@@ -359,6 +359,39 @@
   }
 }
 
+TEST_CASE("what waits where nothing may begin any more is taken back") {
+  // The request waits at an engine whose weights were replaced, until the
+  // operator's time for them is over. What may run again goes to another
+  // engine; a plain stream may have begun this moment, and its caller hears
+  // that its outcome is open.
+  SECTION("resumable") {
+    Scene scene(StreamRoute(/*resumable=*/true));
+    scene.exchange->Start(kStart);
+    REQUIRE(scene.exchange->waiting());
+    scene.exchange->OnTooLateToBegin(kStart);
+    CHECK(scene.desk.dropped == 1);
+    CHECK(scene.desk.started == 2);
+    CHECK(scene.desk.wishes.back().repeat);
+    scene.Answer(200, Event(1));
+    CHECK_FALSE(scene.exchange->waiting());
+  }
+  SECTION("not resumable") {
+    Scene scene(StreamRoute(/*resumable=*/false));
+    scene.exchange->Start(kStart);
+    scene.exchange->OnTooLateToBegin(kStart);
+    CHECK(scene.desk.dropped == 1);
+    CHECK(scene.desk.started == 1);
+    CHECK(scene.reply.status == 502);
+  }
+  SECTION("begun") {
+    Scene scene(StreamRoute(/*resumable=*/true));
+    scene.exchange->Start(kStart);
+    scene.Answer(200, Event(1));
+    scene.exchange->OnTooLateToBegin(kStart);
+    CHECK(scene.desk.dropped == 0);
+  }
+}
+
 TEST_CASE("a long answer is handed on before it is whole") {
   Scene scene(BookingRoute());
   scene.exchange->Start(kStart);
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -40,6 +40,7 @@
       client_(client),
       dialect_(dialect),
       registry_(registry),
+      deadlines_(deadlines),
       metrics_(metrics),
       options_(options),
       planner_(registry, health_, loads_, contents, deadlines),
@@ -235,6 +236,7 @@
   if (wish.repeat && !allowance_.TrySpend(setup.service, loop_.now()))
     return NoAttempt::kNoAllowance;
   running.endpoint = plan->endpoint.id;
+  running.weights = plan->fields.weights;
   running.cost = plan->cost;
   running.attempt_began = loop_.now();
   running.attempt = true;
@@ -351,6 +353,13 @@
   const EndpointId& endpoint = runs_.at(&exchange).endpoint;
   if (failure.fault == CallFault::kConnectionLimit)
     return;
+  if (failure.fault == CallFault::kWithdrawn) {
+    // Tells nothing of the endpoint's health, nor of the request.
+    LogEvent(LogLevel::kInfo, "attempt_withdrawn",
+             {{"request", exchange.request().id.value()},
+              {"endpoint", endpoint.value()}});
+    return;
+  }
   if (failure.sent && failure.fault == CallFault::kBroken) {
     const RequestFingerprint fingerprint = FingerprintOfExchange(exchange);
     const std::string run = exchange.request().id.value() + "." +
@@ -405,6 +414,8 @@
                            {"config", setup.config->config().number.value()},
                            {"registry", registry_.revision()}};
   const Running& running = runs_.at(&exchange);
+  if (running.weights)
+    fields["weights"] = running.weights->value();
   if (running.cost > 0)
     fields["cost"] = static_cast<std::int64_t>(running.cost);
   if (summary.resumes > 0)
@@ -420,6 +431,31 @@
   const MonotonicTime now = loop_.now();
   loads_.Expire(now);
   crashes_.Expire(now);
+  LeaveSilentEndpoints(now);
+  WithdrawTooLate(now);
+}
+
+bool RequestService::TooLateToBegin(const Exchange& exchange,
+                                    const Running& running,
+                                    MonotonicTime now) const {
+  const auto& prompt = exchange.request().prompt;
+  // Weights that nobody knows may be the oldest.
+  return prompt && exchange.waiting() &&
+         deadlines_.TooLateToBegin(
+             prompt->model, running.weights.value_or(WeightNumber{}), now);
+}
+
+void RequestService::WithdrawTooLate(MonotonicTime now) {
+  std::vector<std::shared_ptr<ExchangeRun>> late;
+  for (const auto& [exchange, running] : runs_) {
+    if (TooLateToBegin(*exchange, running, now))
+      late.push_back(running.run);
+  }
+  for (const auto& run : late)
+    run->exchange().OnTooLateToBegin(now);
+}
+
+void RequestService::LeaveSilentEndpoints(MonotonicTime now) {
   // The youngest word of each endpoint with streams under way.
   std::unordered_map<EndpointId, MonotonicTime> heard;
   for (const auto& [exchange, running] : runs_) {
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -124,6 +124,8 @@
     HttpServerConnection* connection = nullptr;
     EndpointId endpoint;
     RequestFootprint footprint;
+    // That the attempt names to its endpoint; nothing if they aren't known.
+    std::optional<WeightNumber> weights;
     // Of the attempt; zero once the endpoint has read the prompt.
     double unread = 0;
     double cost = 0;
@@ -149,11 +151,19 @@
                                       const ExchangeSetup& setup,
                                       const AttemptPlan& plan);
   void SetConnectionLimits();
+  // Leaves endpoints that have fallen silent.
+  void LeaveSilentEndpoints(MonotonicTime now);
+  // Takes back what waits for weights on which nothing may begin any more.
+  void WithdrawTooLate(MonotonicTime now);
+  [[nodiscard]] bool TooLateToBegin(const Exchange& exchange,
+                                    const Running& running,
+                                    MonotonicTime now) const;
 
   EventLoop& loop_;
   HttpClient& client_;
   const RequestDialect& dialect_;
   EndpointRegistry& registry_;
+  const WeightDeadlines& deadlines_;
   Metrics& metrics_;
   RequestServiceOptions options_;
   EndpointHealthBook health_;
--- a/carobshift/gateway/weight_deadlines.cc
+++ b/carobshift/gateway/weight_deadlines.cc
@@ -35,15 +35,14 @@
   return namings;
 }
 
-bool WeightDeadlines::Overdue(const ModelName& model,
-                              WeightNumber weights,
-                              MonotonicTime now) const {
+bool WeightDeadlines::NamedBefore(const ModelName& model,
+                                  WeightNumber weights,
+                                  MonotonicTime time) const {
   const auto names = named_.find(model);
   if (names == named_.end())
     return false;
-  return std::any_of(
-      names->second.upper_bound(weights), names->second.end(),
-      [&](const auto& name) { return now - name.second >= bound_ - kMargin; });
+  return std::any_of(names->second.upper_bound(weights), names->second.end(),
+                     [time](const auto& name) { return name.second <= time; });
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/weight_deadlines.h
+++ b/carobshift/gateway/weight_deadlines.h
@@ -16,8 +16,12 @@
 // that starts afterwards would use replaced weights for longer by all that it
 // missed. So it takes over what others know (weight_note.h).
 //
+// What was sent in time may still wait at its engine. Near the bound it is
+// taken back, if no answer has begun.
+//
 // Figures: kMargin covers a request on its way, the lag with which an instance
-// hears of newly named weights, and that of an engine's record.
+// hears of newly named weights, and that of an engine's record. kLastMargin
+// covers two ticks until an attempt is taken back and its way to the engine.
 //
 // Thread-compatible. State: the last kMaxNames names of each model.
 
@@ -43,6 +47,7 @@
 class WeightDeadlines {
  public:
   static constexpr Milliseconds kMargin{1500};
+  static constexpr Milliseconds kLastMargin{400};
   static constexpr std::size_t kMaxNames = 16;
 
   // `bound`: from the naming on, as the platform states it.
@@ -61,12 +66,25 @@
   // may begin on these any more.
   [[nodiscard]] bool Overdue(const ModelName& model,
                              WeightNumber weights,
-                             MonotonicTime now) const;
+                             MonotonicTime now) const {
+    return NamedBefore(model, weights, now - (bound_ - kMargin));
+  }
+  // Whether what waits for these weights must not begin any more.
+  [[nodiscard]] bool TooLateToBegin(const ModelName& model,
+                                    WeightNumber weights,
+                                    MonotonicTime now) const {
+    return NamedBefore(model, weights, now - (bound_ - kLastMargin));
+  }
 
  private:
   // By number; the highest kMaxNames of each model.
   using Names = std::map<WeightNumber, MonotonicTime>;
 
+  // Whether some newer weights than these were named by `time`.
+  [[nodiscard]] bool NamedBefore(const ModelName& model,
+                                 WeightNumber weights,
+                                 MonotonicTime time) const;
+
   Milliseconds bound_;
   std::map<ModelName, Names> named_;
 };
--- a/carobshift/gateway/weight_deadlines_test.cc
+++ b/carobshift/gateway/weight_deadlines_test.cc
@@ -24,6 +24,17 @@
   CHECK_FALSE(deadlines.Overdue(ModelName("other"), WeightNumber(1), over));
 }
 
+TEST_CASE("what waits may begin a little longer than what is sent anew") {
+  WeightDeadlines deadlines(kBound);
+  deadlines.OnNamed(kModel, WeightNumber(2), kStart);
+  const MonotonicTime last = kStart + kBound - WeightDeadlines::kLastMargin;
+  CHECK(deadlines.Overdue(kModel, WeightNumber(1), last - Milliseconds(1)));
+  CHECK_FALSE(deadlines.TooLateToBegin(kModel, WeightNumber(1),
+                                       last - Milliseconds(1)));
+  CHECK(deadlines.TooLateToBegin(kModel, WeightNumber(1), last));
+  CHECK_FALSE(deadlines.TooLateToBegin(kModel, WeightNumber(2), last));
+}
+
 TEST_CASE("each naming counts from itself") {
   // Named again before the first was in place everywhere: an engine that has
   // the first has time until the second's own bound.
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -36,6 +36,8 @@
       return "connection_broken";
     case CallFault::kMalformed:
       return "malformed_reply";
+    case CallFault::kWithdrawn:
+      return "withdrawn";
   }
   return "unknown";
 }
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -46,6 +46,8 @@
   kBroken,
   // What came is no reply.
   kMalformed,
+  // The caller's own side took it back before a reply began.
+  kWithdrawn,
 };
 
 // For logs.
