--- a/carobshift/gateway/crash_record.cc
+++ b/carobshift/gateway/crash_record.cc
@@ -38,12 +38,16 @@
                                     }));
   }
   Record& record = records_[fingerprint];
-  if (record.runs.insert(run).second)
+  if (!record.cleared.contains(run) && record.runs.insert(run).second)
     record.last = now;
 }
 
 void CrashRecord::OnCompleted(RequestFingerprint fingerprint) {
-  records_.erase(fingerprint);
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end())
+    return;
+  found->second.cleared.merge(found->second.runs);
+  found->second.runs.clear();
 }
 
 bool CrashRecord::Refuses(RequestFingerprint fingerprint,
@@ -56,7 +60,7 @@
 
 void CrashRecord::Expire(MonotonicTime now) {
   std::erase_if(records_, [now](const auto& entry) {
-    return now - entry.second.last >= kRefusal;
+    return now - entry.second.last >= kMemory;
   });
 }
 
--- a/carobshift/gateway/crash_record.h
+++ b/carobshift/gateway/crash_record.h
@@ -11,7 +11,10 @@
 // How: a request is known by its path, account and content. Its runs that ended
 // with a broken connection are counted, over all instances; a run that ends
 // well clears it, so that a popular request which was merely there when
-// endpoints died stays served. At kCrashesToRefuse it is refused for kRefusal.
+// endpoints died stays served. Instances tell each other of a broken run for as
+// long as kRefusal, so a run that was cleared is remembered: counted again each
+// time it is told, it would keep such a request refused all the same. At
+// kCrashesToRefuse it is refused for kRefusal.
 //
 // Figures: three broken runs without one that ends well are taken for no
 // accident; if one run in five broke by itself, three in a row would be one in
@@ -46,6 +49,8 @@
  public:
   static constexpr std::size_t kCrashesToRefuse = 3;
   static constexpr Milliseconds kRefusal{60000};
+  // Longer than others tell of a run, by what their news are late.
+  static constexpr Milliseconds kMemory = kRefusal + Milliseconds(2000);
   static constexpr std::size_t kMaxRecords = 512;
 
   // One broken run. `run` tells it from every other one, so that hearing of it
@@ -53,6 +58,7 @@
   void OnBroken(RequestFingerprint fingerprint,
                 const std::string& run,
                 MonotonicTime now);
+  // A run that ended well. An endpoint's word that it didn't run is none.
   void OnCompleted(RequestFingerprint fingerprint);
 
   [[nodiscard]] bool Refuses(RequestFingerprint fingerprint,
@@ -64,6 +70,8 @@
  private:
   struct Record {
     std::set<std::string> runs;
+    // Broken runs before one that ended well.
+    std::set<std::string> cleared;
     MonotonicTime last{};
   };
   std::map<RequestFingerprint, Record> records_;
--- a/carobshift/gateway/crash_record_test.cc
+++ b/carobshift/gateway/crash_record_test.cc
@@ -62,6 +62,8 @@
   CHECK(record.Refuses(fingerprint, kStart + Seconds(1)));
   // Whoever tells of the first runs can't do so longer than this.
   record.Expire(kStart + Seconds(1) + CrashRecord::kRefusal);
+  CHECK_FALSE(record.empty());
+  record.Expire(kStart + Seconds(1) + CrashRecord::kMemory);
   CHECK(record.empty());
 }
 
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -238,6 +238,7 @@
   running.cost = plan->cost;
   running.attempt_began = loop_.now();
   running.attempt = true;
+  running.not_run = false;
   health_.OnStart(plan->endpoint.id);
   running.unread = plan->unread;
   loads_.OnStart(plan->endpoint.id, running.footprint, running.unread);
@@ -312,6 +313,7 @@
                                     const ReplyFacts& facts) {
   Running& running = runs_.at(&exchange);
   NoteRead(running);
+  running.not_run = facts.not_run;
   if (!facts.not_run) {
     overload_.OnFirstToken(exchange.setup().service, running.cost,
                            loop_.now() - running.attempt_began);
@@ -341,7 +343,10 @@
 
 void RequestService::OnAttemptEnd(Exchange& exchange) {
   EndAttempt(exchange);
-  if (!crashes_.empty())
+  // A full endpoint's refusal tells nothing of what the request does to those
+  // that run it. Taken for a good run, it would let the request crash three
+  // more.
+  if (!crashes_.empty() && !runs_.at(&exchange).not_run)
     crashes_.OnCompleted(FingerprintOfExchange(exchange));
 }
 
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -129,6 +129,8 @@
     double cost = 0;
     MonotonicTime attempt_began{};
     bool attempt = false;
+    // The endpoint said that it didn't run the attempt.
+    bool not_run = false;
     // Set when it was refused under load.
     std::optional<Milliseconds> return_after;
   };
