--- a/carobshift/gateway/store_cleaner.cc
+++ b/carobshift/gateway/store_cleaner.cc
@@ -56,6 +56,8 @@
     obsolete_.emplace(scope, now);
 }
 
+void StoreCleaner::OnListHeard(MonotonicTime, MonotonicTime) {}
+
 std::vector<FreeOrder> StoreCleaner::Next(
     const std::vector<CacheHolder>& stores,
     const CacheContents& contents,
--- a/carobshift/gateway/store_cleaner.h
+++ b/carobshift/gateway/store_cleaner.h
@@ -61,6 +61,8 @@
   static constexpr std::size_t kPartsPerOrder = 1000;
 
   void SetObsolete(const std::set<std::string>& scopes, MonotonicTime now);
+  // When the list of engines was last heard. To be called before SetObsolete.
+  void OnListHeard(MonotonicTime heard, MonotonicTime now);
 
   // At most one order a store.
   [[nodiscard]] std::vector<FreeOrder> Next(
--- a/carobshift/gateway/store_cleaner_test.cc
+++ b/carobshift/gateway/store_cleaner_test.cc
@@ -85,6 +85,30 @@
   CHECK(cleaner.Next({kStore}, contents, kSettledTime).empty());
 }
 
+TEST_CASE("nothing is freed by a list of engines that is old") {
+  // The instance that frees is suspended, or the log turns it away. Meanwhile
+  // an engine that had crashed is back with the older weights, and the others
+  // send it requests that fetch those parts. Freed by what this instance last
+  // knew, they would give a prompt torn memory.
+  StoreCleaner cleaner;
+  const auto scopes = ObsoleteScopes(Engines({3, 3}), {});
+  const auto tick = [&](MonotonicTime heard, MonotonicTime now) {
+    cleaner.OnListHeard(heard, now);
+    cleaner.SetObsolete(scopes, now);
+    return !cleaner.Next({kStore}, Stored(now), now).empty();
+  };
+  CHECK_FALSE(tick(kStart, kStart));
+  CHECK_FALSE(tick(kStart, kSettledTime));
+  // Heard of again, it counts from now.
+  CHECK_FALSE(tick(kSettledTime, kSettledTime));
+  for (int second = 1; second < 5; ++second) {
+    const MonotonicTime now = kSettledTime + Seconds(second);
+    CHECK_FALSE(tick(now - Milliseconds(1500), now));
+  }
+  const MonotonicTime later = kSettledTime + StoreCleaner::kSettled;
+  CHECK(tick(later, later));
+}
+
 TEST_CASE("an isolated account's parts become obsolete like the others") {
   const AccountId walled("walled");
   const auto scopes = ObsoleteScopes(Engines({2}), {walled});
