--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -209,6 +209,7 @@
   control_client.CloseIdle(loop.now());
   WatchCaches();
   store_keeper.OnTick(/*acts=*/cluster.Rank() == 0 && !stop_began,
+                      endpoint_follower.last_answer(),
                       [this](const auto& endpoint, const auto& model) {
                         return requests.WeightsOf(endpoint, model);
                       });
--- a/carobshift/gateway/store_cleaner.cc
+++ b/carobshift/gateway/store_cleaner.cc
@@ -52,11 +52,17 @@
   std::erase_if(obsolete_, [&scopes](const auto& entry) {
     return !scopes.contains(entry.first);
   });
+  if (list_old_)
+    return;
   for (const std::string& scope : scopes)
     obsolete_.emplace(scope, now);
 }
 
-void StoreCleaner::OnListHeard(MonotonicTime, MonotonicTime) {}
+void StoreCleaner::OnListHeard(MonotonicTime heard, MonotonicTime now) {
+  if (now - heard >= kListOld)
+    obsolete_.clear();
+  list_old_ = now - heard >= kListOld;
+}
 
 std::vector<FreeOrder> StoreCleaner::Next(
     const std::vector<CacheHolder>& stores,
--- a/carobshift/gateway/store_cleaner.h
+++ b/carobshift/gateway/store_cleaner.h
@@ -15,11 +15,15 @@
 // would give a prompt a torn memory. A fetch names the engine's weights, and an
 // engine with others refuses it. So a scope is obsolete only if every engine
 // that could have the model tells of newer weights, and its parts are freed
-// only when that has held for kSettled.
+// only when that has held for kSettled. Time in which the list of engines
+// wasn't heard doesn't count: an engine may be back with older weights, and
+// only the other instances know.
 //
 // Figures: kSettled covers a fetch under way (a second), an engine's record (up
 // to two) and an engine that has left the list and is still sent to for two
-// seconds. kPartsPerOrder keeps an order below a hundred kilobytes.
+// seconds. kListOld is above the time between two reads of the list that
+// nothing is written to. kPartsPerOrder keeps an order below a hundred
+// kilobytes.
 //
 // Thread-compatible. State: one entry an obsolete scope.
 
@@ -58,6 +62,7 @@
 class StoreCleaner {
  public:
   static constexpr Milliseconds kSettled{5000};
+  static constexpr Milliseconds kListOld{2500};
   static constexpr std::size_t kPartsPerOrder = 1000;
 
   void SetObsolete(const std::set<std::string>& scopes, MonotonicTime now);
@@ -73,6 +78,7 @@
  private:
   // Since when each scope has been obsolete without a break.
   std::map<std::string, MonotonicTime> obsolete_;
+  bool list_old_ = false;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/store_keeper.cc
+++ b/carobshift/gateway/store_keeper.cc
@@ -40,9 +40,12 @@
   return isolated;
 }
 
-void StoreKeeper::OnTick(bool acts, const WeightsOf& weights_of) {
-  if (config_ == nullptr)
+void StoreKeeper::OnTick(bool acts,
+                         const std::optional<MonotonicTime>& list_heard,
+                         const WeightsOf& weights_of) {
+  if (config_ == nullptr || !list_heard)
     return;
+  cleaner_.OnListHeard(*list_heard, loop_.now());
   // Watched by all, so that whoever comes to be the first knows since when.
   cleaner_.SetObsolete(ObsoleteScopes(Engines(weights_of), IsolatedAccounts()),
                        loop_.now());
