--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -293,6 +293,26 @@
                           Milliseconds(9000)));
 }
 
+TEST_CASE("an engine whose entry names no weights is ordered too") {
+  // Its entry is broken in part. Nobody knows its weights, so past the bound it
+  // gets no prompts; without an order it would get none for good.
+  Fixture fixture;
+  ServingConfig config;
+  DeclaredService service;
+  service.name = ServiceName("engines");
+  service.engine.emplace();
+  service.engine->models = {kModel};
+  config.services[service.name] = service;
+  fixture.steward.SetConfig(std::make_shared<ConfigInForce>(config));
+  EndpointRecord record = *fixture.registry.Find(EndpointId("engine-1"));
+  record.service = service.name;
+  record.weights.clear();
+  fixture.registry.Put(record, fixture.loop.now());
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  CHECK(fixture.TickUntil([&] { return fixture.first.weights == 2; },
+                          Milliseconds(9000)));
+}
+
 TEST_CASE("a stopped instance gives no more orders") {
   Fixture fixture;
   fixture.steward.SetTarget(kModel, WeightNumber(2));
