--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -208,10 +208,12 @@
   endpoint_client.CloseIdle(loop.now());
   control_client.CloseIdle(loop.now());
   WatchCaches();
-  store_keeper.OnTick(/*acts=*/cluster.Rank() == 0 && !stop_began,
-                      [this](const auto& endpoint, const auto& model) {
-                        return requests.WeightsOf(endpoint, model);
-                      });
+  store_keeper.OnTick(
+      /*acts=*/cluster.Rank() == 0 && !stop_began,
+      [this](const auto& endpoint, const auto& model) {
+        return requests.WeightsOf(endpoint, model);
+      },
+      loop.now());
 }
 
 void Gateway::Parts::WatchCaches() {
--- a/carobshift/gateway/store_keeper.cc
+++ b/carobshift/gateway/store_keeper.cc
@@ -40,12 +40,14 @@
   return isolated;
 }
 
-void StoreKeeper::OnTick(bool acts, const WeightsOf& weights_of) {
+void StoreKeeper::OnTick(bool acts,
+                         const WeightsOf& weights_of,
+                         MonotonicTime now) {
   if (config_ == nullptr)
     return;
   // Watched by all, so that whoever comes to be the first knows since when.
   cleaner_.SetObsolete(ObsoleteScopes(Engines(weights_of), IsolatedAccounts()),
-                       loop_.now());
+                       now);
   if (!acts)
     return;
   std::vector<CacheHolder> stores;
@@ -57,7 +59,7 @@
     stores.push_back(holder);
     addresses[holder] = service.store->address;
   }
-  for (const FreeOrder& order : cleaner_.Next(stores, contents_, loop_.now()))
+  for (const FreeOrder& order : cleaner_.Next(stores, contents_, now))
     Send(order, addresses.at(order.store));
 }
 
--- a/carobshift/gateway/store_keeper.h
+++ b/carobshift/gateway/store_keeper.h
@@ -2,7 +2,7 @@
 //
 //   StoreKeeper keeper(loop, client, dialect, registry, contents);
 //   keeper.SetConfig(config);
-//   keeper.OnTick(is_first, weights_of);
+//   keeper.OnTick(is_first, weights_of, loop.now());
 //
 // One instance does it, the first of those that live. Should two believe to be
 // the first, parts are freed twice, which changes nothing.
@@ -45,7 +45,7 @@
     config_ = std::move(config);
   }
   // A few times a second at most. `acts`: whether this instance is the one.
-  void OnTick(bool acts, const WeightsOf& weights_of);
+  void OnTick(bool acts, const WeightsOf& weights_of, MonotonicTime now);
 
  private:
   [[nodiscard]] std::vector<ScopedEngine> Engines(
--- /dev/null
+++ b/carobshift/gateway/store_keeper_test.cc
@@ -0,0 +1,392 @@
+#include "carobshift/gateway/store_keeper.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "carobshift/gateway/attempt_planner.h"
+#include "carobshift/gateway/silent_dialects.h"
+#include "carobshift/net/loopback_server.h"
+
+namespace carobshift {
+namespace {
+
+const ModelName kModel("m");
+const ModelName kUndeclaredModel("undeclared");
+const AccountId kIsolated("isolated");
+const AccountId kShared("shared");
+const ServiceName kEngines("engines");
+const CacheHolder kStore("store");
+const CacheHolder kOtherStore("other-store");
+constexpr std::uint64_t kEpoch = 7;
+constexpr Tokens kPartTokens = 100;
+
+// What a store is told to free, as JSON.
+class FakeEngineDialect : public SilentEngineDialect {
+ public:
+  [[nodiscard]] HttpHead EncodeFree(const std::vector<StoreEvent>& parts,
+                                    std::uint64_t epoch,
+                                    std::string* body) const override {
+    auto json =
+        nlohmann::json{{"epoch", epoch}, {"parts", nlohmann::json::array()}};
+    for (const StoreEvent& part : parts)
+      json["parts"].push_back(part.part);
+    *body = json.dump();
+    HttpHead head;
+    head.method = "POST";
+    head.target = "/free";
+    return head;
+  }
+  [[nodiscard]] bool DecodeFreeReply(int status) const override {
+    return status == 200;
+  }
+};
+
+// Keeps the calls that reach it.
+class FakeStore {
+ public:
+  explicit FakeStore(EventLoop& loop)
+      : server_(loop, [this](auto& connection, const auto& request) {
+          calls.push_back(nlohmann::json::parse(request.body));
+          if (!silent)
+            connection.SendWhole(ReplyHead(status), "");
+        }) {}
+
+  [[nodiscard]] NetAddress address() const { return server_.address(); }
+
+  bool silent = false;
+  int status = 200;
+  std::vector<nlohmann::json> calls;
+
+ private:
+  LoopbackServer server_;
+};
+
+DeclaredService StoreService(const CacheHolder& holder,
+                             const FakeStore& store) {
+  DeclaredService service;
+  service.name = ServiceName(holder.value());
+  service.store.emplace();
+  service.store->address = store.address();
+  service.store->managed = true;
+  return service;
+}
+
+Account AccountOf(const AccountId& name, bool isolated) {
+  Account account;
+  account.name = name;
+  account.isolated = isolated;
+  return account;
+}
+
+// Two engines with weights 5 and two managed stores. The keeper is told the
+// time, so that a test needs not wait for it.
+struct Fixture {
+  Fixture() {
+    DeclaredService engines;
+    engines.name = kEngines;
+    engines.engine.emplace();
+    engines.engine->models = {kModel};
+    Declare(engines);
+    Declare(StoreService(kStore, store));
+    Declare(StoreService(kOtherStore, other_store));
+    config.accounts = {AccountOf(kIsolated, /*isolated=*/true),
+                       AccountOf(kShared, /*isolated=*/false)};
+    PutEngine("engine-1", WeightNumber(5));
+    PutEngine("engine-2", WeightNumber(5));
+    Apply();
+  }
+
+  void Declare(const DeclaredService& service) {
+    config.services[service.name] = service;
+  }
+  void Apply() { keeper.SetConfig(std::make_shared<ConfigInForce>(config)); }
+
+  // An engine that tells of no weights is being started.
+  void PutEngine(const std::string& id, std::optional<WeightNumber> weights) {
+    EndpointRecord record;
+    record.id = EndpointId(id);
+    record.service = kEngines;
+    if (weights)
+      record.weights[kModel] = *weights;
+    registry.Put(record, now);
+  }
+
+  // The holder tells of a part of a prompt that it stores.
+  void Store(const CacheHolder& holder,
+             std::uint64_t weights,
+             const std::string& part,
+             const std::optional<AccountId>& account = std::nullopt,
+             const ModelName& model = kModel) {
+    Tell(holder, {{true, CacheScope(model, WeightNumber(weights), account),
+                   part, kPartTokens}});
+  }
+  void Tell(const CacheHolder& holder, std::vector<StoreEvent> events) {
+    StoreEvents told;
+    told.epoch = kEpoch;
+    told.next = contents.next(holder) + events.size();
+    told.events = std::move(events);
+    contents.OnEvents(holder, told, now);
+  }
+
+  // `passed` later, with the stores' readers still answering.
+  void Tick(Milliseconds passed, bool acts = true) {
+    now += passed;
+    Tell(kStore, {});
+    Tell(kOtherStore, {});
+    keeper.OnTick(
+        acts,
+        [](const EndpointRecord& engine,
+           const ModelName& model) -> std::optional<WeightNumber> {
+          const auto found = engine.weights.find(model);
+          if (found == engine.weights.end())
+            return std::nullopt;
+          return found->second;
+        },
+        now);
+  }
+  // What is obsolete now is freed by the second tick, if it stays so.
+  void TickUntilSettled(bool acts = true) {
+    Tick(Milliseconds(0), acts);
+    Tick(StoreCleaner::kSettled, acts);
+  }
+  // Long enough for a call that was begun to be answered.
+  void RunShortly() { RunFor(loop, Milliseconds(100)); }
+
+  EventLoop loop;
+  HttpClient client{loop, {}};
+  FakeStore store{loop};
+  FakeStore other_store{loop};
+  FakeEngineDialect dialect;
+  EndpointRegistry registry;
+  CacheContents contents;
+  ServingConfig config;
+  MonotonicTime now = MonotonicNow();
+  StoreKeeper keeper{loop, client, dialect, registry, contents};
+};
+
+using Names = std::vector<std::string>;
+
+// The parts that the one call of the store named, sorted.
+Names OnlyCall(const FakeStore& store) {
+  REQUIRE(store.calls.size() == 1);
+  Names parts = store.calls[0].at("parts").get<Names>();
+  std::sort(parts.begin(), parts.end());
+  return parts;
+}
+
+TEST_CASE("parts of replaced weights are freed by one call, and no others") {
+  // A managed store drops nothing by itself. If the parts of replaced weights
+  // stayed, it would be full after two or three namings, and engines would read
+  // whole sessions again.
+  Fixture fixture;
+  fixture.Store(kStore, 4, "old-a");
+  fixture.Store(kStore, 3, "old-b");
+  fixture.Store(kStore, 5, "current");
+  fixture.Store(kOtherStore, 4, "elsewhere");
+  fixture.TickUntilSettled();
+  RunUntil(fixture.loop, [&] {
+    return fixture.contents.size(kStore) == 1 &&
+           fixture.contents.size(kOtherStore) == 0;
+  });
+  CHECK(OnlyCall(fixture.store) == Names{"old-a", "old-b"});
+  CHECK(OnlyCall(fixture.other_store) == Names{"elsewhere"});
+  CHECK(fixture.store.calls[0].at("epoch") == kEpoch);
+  CHECK(fixture.contents.Parts(kStore).at(0).part == "current");
+  // What was freed is not freed again.
+  fixture.Tick(Milliseconds(500));
+  fixture.RunShortly();
+  CHECK(fixture.store.calls.size() == 1);
+}
+
+TEST_CASE("a store that refuses to free is asked again") {
+  // The store has started anew between what its reader heard and the call, or
+  // it is overloaded. Taken for freed, the parts would stay for good; an
+  // operator would see a store that is full of what nobody can read.
+  Fixture fixture;
+  fixture.Store(kStore, 4, "old");
+  fixture.store.status = 409;
+  fixture.TickUntilSettled();
+  RunUntil(fixture.loop, [&] { return fixture.store.calls.size() == 1; });
+  fixture.RunShortly();
+  CHECK(fixture.contents.size(kStore) == 1);
+  fixture.store.status = 200;
+  fixture.Tick(Milliseconds(500));
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 0; });
+  CHECK(fixture.store.calls.size() == 2);
+}
+
+TEST_CASE("a store that doesn't answer gets one call at a time") {
+  // A store hangs. Were it called at each tick, calls to it would use up the
+  // connections to the log and the other stores; were it waited for without an
+  // end, its parts would stay until the instance is restarted.
+  Fixture fixture;
+  fixture.Store(kStore, 4, "old");
+  fixture.store.silent = true;
+  fixture.TickUntilSettled();
+  RunUntil(fixture.loop, [&] { return fixture.store.calls.size() == 1; });
+  // Another one is served meanwhile.
+  fixture.Store(kOtherStore, 4, "elsewhere");
+  for (int i = 0; i < 3; ++i) {
+    fixture.Tick(Milliseconds(500));
+    fixture.RunShortly();
+  }
+  CHECK(fixture.store.calls.size() == 1);
+  CHECK(fixture.other_store.calls.size() == 1);
+  // The call is given up after a second and made again.
+  fixture.store.silent = false;
+  RunFor(fixture.loop, Milliseconds(1100));
+  CHECK(fixture.contents.size(kStore) == 1);
+  fixture.Tick(Milliseconds(500));
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 0; });
+  CHECK(fixture.store.calls.size() == 2);
+}
+
+TEST_CASE("an instance that comes to be the first knows since when") {
+  // The first instance stops shortly after new weights are in place. The next
+  // one goes on at once; one that began to count only then would leave the
+  // store full for as long again.
+  Fixture fixture;
+  fixture.Store(kStore, 4, "old");
+  fixture.TickUntilSettled(/*acts=*/false);
+  fixture.RunShortly();
+  CHECK(fixture.store.calls.empty());
+  fixture.Tick(Milliseconds(500), /*acts=*/true);
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 0; });
+}
+
+TEST_CASE("nothing is freed that an engine may still fetch") {
+  // An engine reads a part while it is freed: a prompt gets a torn memory, and
+  // the caller an answer that is wrong without a sign of it.
+  Fixture fixture;
+  fixture.Store(kStore, 4, "old");
+  SECTION("an engine still has the old weights") {
+    fixture.PutEngine("engine-2", WeightNumber(4));
+  }
+  SECTION("an engine has not told its weights yet") {
+    fixture.PutEngine("engine-2", std::nullopt);
+  }
+  fixture.TickUntilSettled();
+  fixture.RunShortly();
+  CHECK(fixture.store.calls.empty());
+  // Its newer weights count from when they are told.
+  fixture.PutEngine("engine-2", WeightNumber(5));
+  fixture.Tick(Milliseconds(500));
+  fixture.Tick(StoreCleaner::kSettled - Milliseconds(500));
+  fixture.RunShortly();
+  CHECK(fixture.store.calls.empty());
+  fixture.Tick(Milliseconds(500));
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 0; });
+}
+
+TEST_CASE("an engine that comes back with old weights begins the wait anew") {
+  Fixture fixture;
+  fixture.Store(kStore, 4, "old");
+  fixture.Tick(Milliseconds(0));
+  fixture.PutEngine("engine-3", WeightNumber(4));
+  fixture.Tick(Milliseconds(1000));
+  fixture.PutEngine("engine-3", WeightNumber(5));
+  fixture.Tick(Milliseconds(1000));
+  fixture.Tick(StoreCleaner::kSettled - Milliseconds(1000));
+  fixture.RunShortly();
+  CHECK(fixture.store.calls.empty());
+  fixture.Tick(Milliseconds(1000));
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 0; });
+}
+
+TEST_CASE("weights of a model that is no longer declared count as well") {
+  // The operator took a model off the declaration, and its engine still has it.
+  Fixture fixture;
+  EndpointRecord record = *fixture.registry.Find(EndpointId("engine-1"));
+  record.weights[kUndeclaredModel] = WeightNumber(3);
+  fixture.registry.Put(record, fixture.now);
+  fixture.Store(kStore, 2, "old", std::nullopt, kUndeclaredModel);
+  fixture.Store(kStore, 3, "in-use", std::nullopt, kUndeclaredModel);
+  fixture.TickUntilSettled();
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 1; });
+  CHECK(OnlyCall(fixture.store) == Names{"old"});
+}
+
+TEST_CASE("endpoints that are no engines hold up nothing") {
+  // A stored part is nothing to an endpoint of another kind, nor to one of a
+  // service that the operator has taken off. Neither tells weights; waited for,
+  // the store would fill up.
+  Fixture fixture;
+  DeclaredService desks;
+  desks.name = ServiceName("desks");
+  fixture.Declare(desks);
+  fixture.Apply();
+  for (const char* service : {"desks", "undeclared"}) {
+    EndpointRecord record;
+    record.id = EndpointId(service);
+    record.service = ServiceName(service);
+    record.weights[kModel] = WeightNumber(1);
+    fixture.registry.Put(record, fixture.now);
+  }
+  fixture.Store(kStore, 4, "old");
+  fixture.TickUntilSettled();
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 0; });
+}
+
+TEST_CASE("an isolated account's old parts are freed with the others") {
+  // They lie under scopes of their own. Without them a store that serves mostly
+  // isolated accounts would fill up.
+  Fixture fixture;
+  fixture.Store(kStore, 4, "old", kIsolated);
+  fixture.Store(kStore, 5, "current", kIsolated);
+  // No such scope is made; nothing is known of it.
+  fixture.Store(kStore, 4, "strange", kShared);
+  fixture.TickUntilSettled();
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 2; });
+  CHECK(OnlyCall(fixture.store) == Names{"old"});
+}
+
+TEST_CASE("stores that drop parts by themselves are left alone") {
+  Fixture fixture;
+  DeclaredService service = StoreService(kStore, fixture.store);
+  service.store->managed = false;
+  fixture.Declare(service);
+  fixture.Apply();
+  fixture.Store(kStore, 4, "old");
+  fixture.Store(kOtherStore, 4, "old");
+  fixture.TickUntilSettled();
+  RunUntil(fixture.loop,
+           [&] { return fixture.contents.size(kOtherStore) == 0; });
+  fixture.RunShortly();
+  CHECK(fixture.store.calls.empty());
+}
+
+TEST_CASE("more parts than one call takes are freed by several") {
+  Fixture fixture;
+  constexpr std::size_t kRest = 3;
+  for (std::size_t i = 0; i < StoreCleaner::kPartsPerOrder + kRest; ++i)
+    fixture.Store(kStore, 4, "old-" + std::to_string(i));
+  fixture.TickUntilSettled();
+  RunUntil(fixture.loop,
+           [&] { return fixture.contents.size(kStore) == kRest; });
+  fixture.Tick(Milliseconds(500));
+  RunUntil(fixture.loop, [&] { return fixture.contents.size(kStore) == 0; });
+  CHECK(fixture.store.calls.size() == 2);
+}
+
+TEST_CASE("without a configuration nothing is freed") {
+  Fixture fixture;
+  StoreKeeper keeper(fixture.loop, fixture.client, fixture.dialect,
+                     fixture.registry, fixture.contents);
+  fixture.Store(kStore, 4, "old");
+  keeper.OnTick(
+      /*acts=*/true, [](const auto&, const auto&) { return WeightNumber(5); },
+      fixture.now);
+  keeper.OnTick(
+      /*acts=*/true, [](const auto&, const auto&) { return WeightNumber(5); },
+      fixture.now + StoreCleaner::kSettled);
+  fixture.RunShortly();
+  CHECK(fixture.store.calls.empty());
+}
+
+}  // namespace
+}  // namespace carobshift
