--- /dev/null
+++ b/carobshift/gateway/fake_sink.h
@@ -0,0 +1,50 @@
+// For tests: what a KeyedFollower tells, kept in its order.
+//
+//   FakeSink sink;
+//   KeyedFollower follower(loop, client, log.address(), dialect, stream,
+//                          QuickFollowerOptions(), sink);
+//   CHECK(sink.told == std::vector<std::string>{"a=1", "b=(removed)"});
+
+#ifndef CAROBSHIFT_GATEWAY_FAKE_SINK_H_
+#define CAROBSHIFT_GATEWAY_FAKE_SINK_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carobshift/gateway/keyed_follower.h"
+
+namespace carobshift {
+
+class FakeSink : public KeyedFollowerSink {
+ public:
+  void OnRecord(const KeyedRecord& record, MonotonicTime) override {
+    told.push_back(record.key + "=" + record.value.value_or("(removed)"));
+  }
+  void OnSnapshot(const std::vector<std::string>& present,
+                  MonotonicTime) override {
+    snapshots.push_back(present);
+  }
+  void OnLogLost(std::string_view) override { ++lost; }
+  void OnLogBack(Milliseconds, MonotonicTime) override { ++back; }
+
+  std::vector<std::string> told;
+  std::vector<std::vector<std::string>> snapshots;
+  int lost = 0;
+  int back = 0;
+};
+
+// A silent log is noticed within a fifth of a second.
+inline KeyedFollowerOptions QuickFollowerOptions() {
+  KeyedFollowerOptions options;
+  options.wait = Milliseconds(100);
+  options.slack = Milliseconds(100);
+  options.pace = Milliseconds(10);
+  options.first_retry = Milliseconds(20);
+  options.longest_retry = Milliseconds(40);
+  return options;
+}
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_FAKE_SINK_H_
--- a/carobshift/gateway/keyed_follower_test.cc
+++ b/carobshift/gateway/keyed_follower_test.cc
@@ -5,39 +5,11 @@
 #include <vector>
 
 #include "carobshift/gateway/fake_log.h"
+#include "carobshift/gateway/fake_sink.h"
 
 namespace carobshift {
 namespace {
 
-// Keeps what it is told, in its order.
-class FakeSink : public KeyedFollowerSink {
- public:
-  void OnRecord(const KeyedRecord& record, MonotonicTime) override {
-    told.push_back(record.key + "=" + record.value.value_or("(removed)"));
-  }
-  void OnSnapshot(const std::vector<std::string>& present,
-                  MonotonicTime) override {
-    snapshots.push_back(present);
-  }
-  void OnLogLost(std::string_view) override { ++lost; }
-  void OnLogBack(Milliseconds, MonotonicTime) override { ++back; }
-
-  std::vector<std::string> told;
-  std::vector<std::vector<std::string>> snapshots;
-  int lost = 0;
-  int back = 0;
-};
-
-KeyedFollowerOptions QuickOptions() {
-  KeyedFollowerOptions options;
-  options.wait = Milliseconds(100);
-  options.slack = Milliseconds(100);
-  options.pace = Milliseconds(10);
-  options.first_retry = Milliseconds(20);
-  options.longest_retry = Milliseconds(40);
-  return options;
-}
-
 struct Fixture {
   EventLoop loop;
   HttpClient client{loop, {}};
@@ -45,8 +17,9 @@
   FakeLogDialect dialect;
   LogStream stream = dialect.EndpointStream();
   FakeSink sink;
-  KeyedFollower follower{loop,   client,         log.address(), dialect,
-                         stream, QuickOptions(), sink};
+  KeyedFollower follower{loop,    client, log.address(),
+                         dialect, stream, QuickFollowerOptions(),
+                         sink};
 
   ~Fixture() { follower.Stop(); }
 };
--- a/carobshift/gateway/peer_sync.cc
+++ b/carobshift/gateway/peer_sync.cc
@@ -83,8 +83,13 @@
 }
 
 void PeerSync::OnAnswer(const MemberInfo& peer, const FetchOutcome& outcome) {
-  if (outcome.status != 200)
+  if (outcome.status != 200) {
+    LogEvent(LogLevel::kInfo, "peer_without_state",
+             {{"peer", peer.id.value()},
+              {"status", outcome.status.value_or(0)},
+              {"reason", outcome.reason}});
     return;
+  }
   const Result<PeerState> state = DecodePeerState(outcome.body, secret_);
   if (!state.ok()) {
     LogEvent(LogLevel::kWarning, "peer_state_rejected",
--- /dev/null
+++ b/carobshift/gateway/peer_sync_test.cc
@@ -0,0 +1,514 @@
+#include "carobshift/gateway/peer_sync.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "carobshift/base/digest.h"
+#include "carobshift/gateway/fake_log.h"
+#include "carobshift/gateway/fake_sink.h"
+#include "carobshift/gateway/peer_state_codec.h"
+
+namespace carobshift {
+namespace {
+
+// Instances find each other at one port number on different hosts. Below the
+// ports that the system hands out by itself.
+constexpr std::uint16_t kGossipPort = 21000;
+constexpr std::uint16_t kPeerPort = 21001;
+
+// Loopback addresses that no other process uses: test processes run side by
+// side.
+std::string HostOf(int number) {
+  const int pid = getpid();
+  return "127." + std::to_string(number) + "." +
+         std::to_string(pid >> 8 & 255) + "." + std::to_string(pid & 255);
+}
+
+EntryId EntryOf(int number) {
+  return EntryId("entry-" + std::to_string(number));
+}
+
+// Of the instance with this number; all know the first one.
+GatewaySettings SettingsOf(int number) {
+  GatewaySettings settings;
+  settings.entry = EntryOf(number);
+  settings.host = HostOf(number);
+  settings.gossip_port = kGossipPort;
+  settings.peer_port = kPeerPort;
+  settings.seed_hosts = {HostOf(1)};
+  // The secret comes from it; nobody calls it.
+  settings.log = {"127.0.0.1", 1};
+  return settings;
+}
+
+// An instance with a log of its own for each stream, so that it alone can be
+// cut off from one.
+struct Instance {
+  // `sync_settings`: as the one that is tested is told them.
+  Instance(EventLoop& loop,
+           const GatewaySettings& its_settings,
+           const GatewaySettings& sync_settings)
+      : settings(its_settings),
+        operator_log(loop),
+        endpoint_log(loop),
+        client(loop, {}),
+        cluster(loop, settings),
+        operators(loop,
+                  client,
+                  operator_log.address(),
+                  dialect,
+                  dialect.OperatorStream(),
+                  QuickFollowerOptions(),
+                  operator_sink),
+        endpoints(loop,
+                  client,
+                  endpoint_log.address(),
+                  dialect,
+                  dialect.EndpointStream(),
+                  QuickFollowerOptions(),
+                  endpoint_sink),
+        sync(loop, client, sync_settings, cluster, operators, endpoints) {}
+  Instance(EventLoop& loop, int number)
+      : Instance(loop, SettingsOf(number), SettingsOf(number)) {}
+  ~Instance() {
+    operators.Stop();
+    endpoints.Stop();
+    cluster.Stop();
+  }
+
+  void Start() {
+    REQUIRE(cluster.Start().ok());
+    REQUIRE(sync.Start().ok());
+    operators.Start();
+    endpoints.Start();
+  }
+  void Tick() {
+    cluster.OnTick();
+    sync.OnTick();
+  }
+  void SetLogMode(FakeLogMode mode) {
+    operator_log.SetMode(mode);
+    endpoint_log.SetMode(mode);
+  }
+  void Declare(const std::string& record) {
+    operator_log.Append(dialect.OperatorStream(), record);
+  }
+  void List(const std::string& record) {
+    endpoint_log.Append(dialect.EndpointStream(), record);
+  }
+
+  GatewaySettings settings;
+  FakeLog operator_log;
+  FakeLog endpoint_log;
+  FakeLogDialect dialect;
+  HttpClient client;
+  Cluster cluster;
+  FakeSink operator_sink;
+  FakeSink endpoint_sink;
+  KeyedFollower operators;
+  KeyedFollower endpoints;
+  PeerSync sync;
+};
+
+// A live member that answers questions as the test says.
+struct FakePeer {
+  using Answer = std::function<void(HttpServerConnection&)>;
+
+  FakePeer(EventLoop& loop, int number, Answer its_answer)
+      : answer(std::move(its_answer)),
+        server(
+            loop,
+            [this](auto& connection, const auto&) {
+              ++questions;
+              answer(connection);
+            },
+            {},
+            HostOf(number)),
+        cluster(loop, WithPeerPort(SettingsOf(number), server.address().port)) {
+  }
+  ~FakePeer() { cluster.Stop(); }
+
+  static GatewaySettings WithPeerPort(GatewaySettings settings,
+                                      std::uint16_t port) {
+    settings.peer_port = port;
+    return settings;
+  }
+
+  Answer answer;
+  int questions = 0;
+  LoopbackServer server;
+  Cluster cluster;
+};
+
+// Answers with this body.
+FakePeer::Answer Whole(int status, const std::string& body) {
+  return [status, body](HttpServerConnection& connection) {
+    connection.SendWhole(ReplyHead(status), body);
+  };
+}
+
+std::string StateOf(const PeerState& state) {
+  return EncodePeerState(state, SharedSecret(SettingsOf(1)));
+}
+
+PeerState OneRecord(const std::string& value, std::uint64_t offset) {
+  return {{{"config", value, LogOffset(offset)}}, {}};
+}
+
+struct Fixture {
+  Instance& Add(int number) {
+    return *instances.emplace_back(std::make_unique<Instance>(loop, number));
+  }
+  FakePeer& AddFake(int number, FakePeer::Answer answer) {
+    FakePeer& peer = *fakes.emplace_back(
+        std::make_unique<FakePeer>(loop, number, std::move(answer)));
+    REQUIRE(peer.cluster.Start().ok());
+    return peer;
+  }
+
+  bool TickUntil(const std::function<bool()>& done,
+                 Milliseconds longest = Milliseconds(5000)) {
+    const MonotonicTime end = MonotonicNow() + longest;
+    while (!done()) {
+      if (MonotonicNow() >= end)
+        return false;
+      for (const auto& instance : instances)
+        instance->Tick();
+      for (const auto& fake : fakes)
+        fake->cluster.OnTick();
+      RunFor(loop, Milliseconds(10));
+    }
+    return true;
+  }
+  void TickFor(Milliseconds time) {
+    TickUntil([] { return false; }, time);
+  }
+  // Until the first instance knows all others.
+  void Join() {
+    REQUIRE(TickUntil([this] {
+      return instances.front()->cluster.Live().size() ==
+             instances.size() + fakes.size();
+    }));
+  }
+
+  EventLoop loop;
+  std::vector<std::unique_ptr<Instance>> instances;
+  std::vector<std::unique_ptr<FakePeer>> fakes;
+};
+
+using Told = std::vector<std::string>;
+
+TEST_CASE("the log is away from the start: a peer tells what holds") {
+  // An instance starts while the log is down. Its callers are turned away until
+  // it knows a configuration and endpoints, which every other instance knows.
+  Fixture fixture;
+  Instance& peer = fixture.Add(2);
+  peer.Declare("config=1");
+  peer.List("engine=1");
+  peer.Start();
+  REQUIRE(fixture.TickUntil([&] { return peer.endpoints.caught_up(); }));
+  Instance& starting = fixture.Add(1);
+  SECTION("it says nothing") {
+    starting.SetLogMode(FakeLogMode::kSilent);
+  }
+  SECTION("it refuses") {
+    starting.SetLogMode(FakeLogMode::kTurnsAway);
+  }
+  starting.Start();
+  const MonotonicTime began = MonotonicNow();
+  REQUIRE(
+      fixture.TickUntil([&] { return !starting.endpoint_sink.told.empty(); }));
+  CHECK(MonotonicNow() - began < Milliseconds(2000));
+  CHECK(starting.operator_sink.told == Told{"config=1"});
+  CHECK(starting.endpoint_sink.told == Told{"engine=1"});
+}
+
+TEST_CASE("the log falls silent for one instance: a peer tells what is new") {
+  // The log turns one instance away while the operator goes on. Callers would
+  // be served by a key that was taken back, and sent to an endpoint that left.
+  Fixture fixture;
+  Instance& cut_off = fixture.Add(1);
+  Instance& peer = fixture.Add(2);
+  for (Instance* instance : {&cut_off, &peer}) {
+    instance->Declare("config=1");
+    instance->List("engine=1");
+    instance->Start();
+  }
+  fixture.Join();
+  REQUIRE(fixture.TickUntil([&] { return cut_off.endpoints.caught_up(); }));
+  cut_off.SetLogMode(FakeLogMode::kSilent);
+  const MonotonicTime silent_since = MonotonicNow();
+  peer.Declare("config=2");
+  peer.List("engine");
+  REQUIRE(fixture.TickUntil(
+      [&] { return cut_off.endpoint_sink.told.size() == 2; }));
+  CHECK(MonotonicNow() - silent_since <
+        PeerSync::kSilence + PeerSync::kAskAgain + Milliseconds(400));
+  CHECK(cut_off.operator_sink.told == Told{"config=1", "config=2"});
+  CHECK(cut_off.endpoint_sink.told == Told{"engine=1", "engine=(removed)"});
+  // When the log is back, what was learnt is not told again.
+  cut_off.Declare("config=2");
+  cut_off.List("engine");
+  cut_off.SetLogMode(FakeLogMode::kServes);
+  const MonotonicTime back_since = MonotonicNow();
+  REQUIRE(fixture.TickUntil(
+      [&] { return cut_off.operators.last_answer() > back_since; }));
+  fixture.TickFor(Milliseconds(300));
+  CHECK(cut_off.operator_sink.told.size() == 2);
+  CHECK(cut_off.endpoint_sink.told.size() == 2);
+}
+
+TEST_CASE("one of the two streams alone falls silent: a peer is asked") {
+  // The log serves one stream and not the other. Judged by the one that
+  // answers, the instance would never hear of the other's changes.
+  Fixture fixture;
+  Instance& cut_off = fixture.Add(1);
+  FakePeer& peer = fixture.AddFake(2, Whole(200, StateOf(OneRecord("2", 9))));
+  SECTION("the endpoints'") {
+    cut_off.endpoint_log.SetMode(FakeLogMode::kSilent);
+  }
+  SECTION("the operator's") {
+    cut_off.operator_log.SetMode(FakeLogMode::kSilent);
+  }
+  cut_off.Start();
+  REQUIRE(fixture.TickUntil([&] { return peer.questions > 0; }));
+  CHECK(fixture.TickUntil(
+      [&] { return cut_off.operator_sink.told == Told{"config=2"}; }));
+}
+
+TEST_CASE("while the log answers no peer is asked") {
+  // A question fetches all records. Asked by each instance all the time, it
+  // would cost a deployment more than its requests do.
+  Fixture fixture;
+  Instance& instance = fixture.Add(1);
+  FakePeer& peer = fixture.AddFake(2, Whole(200, StateOf(OneRecord("2", 9))));
+  instance.Declare("config=1");
+  instance.Start();
+  fixture.Join();
+  fixture.TickFor(PeerSync::kSilence + Milliseconds(500));
+  CHECK(peer.questions == 0);
+  CHECK(instance.operator_sink.told == Told{"config=1"});
+}
+
+TEST_CASE("what a peer can't have said changes nothing") {
+  // Something else listens at a peer's port, a peer has another version, or
+  // somebody without the secret answers. Believed, a stranger could name the
+  // keys that callers are let in by.
+  Fixture fixture;
+  Instance& instance = fixture.Add(1);
+  instance.SetLogMode(FakeLogMode::kTurnsAway);
+  const std::string state = StateOf(OneRecord("2", 9));
+  FakePeer::Answer answer;
+  SECTION("garbage") {
+    answer = Whole(200, "garbage");
+  }
+  SECTION("nothing") {
+    answer = Whole(200, "");
+  }
+  SECTION("a state that was cut off") {
+    answer = Whole(200, state.substr(0, state.size() - 1));
+  }
+  SECTION("a state under another secret") {
+    answer = Whole(200, EncodePeerState(OneRecord("2", 9), "other secret"));
+  }
+  SECTION("bytes under the secret that are no state") {
+    answer = Whole(200, Seal("garbage", SharedSecret(SettingsOf(1))));
+  }
+  SECTION("an error with a body") {
+    answer = Whole(500, state);
+  }
+  SECTION("a connection that breaks off") {
+    answer = [](HttpServerConnection& connection) { connection.BreakOff(); };
+  }
+  FakePeer& peer = fixture.AddFake(2, answer);
+  instance.Start();
+  REQUIRE(fixture.TickUntil([&] { return peer.questions > 0; }));
+  const int before = peer.questions;
+  const MonotonicTime since = MonotonicNow();
+  fixture.TickFor(Milliseconds(1000));
+  // It goes on asking, and no faster for being refused.
+  const auto most = 1 + (MonotonicNow() - since) / PeerSync::kAskAgain;
+  CHECK(peer.questions > before);
+  CHECK(peer.questions - before <= most);
+  CHECK(instance.operator_sink.told.empty());
+  CHECK(instance.endpoint_sink.told.empty());
+  peer.answer = Whole(200, state);
+  CHECK(fixture.TickUntil(
+      [&] { return instance.operator_sink.told == Told{"config=2"}; }));
+}
+
+TEST_CASE("a peer that hangs is given up and the next one asked") {
+  // The peer that is asked first has stopped without an end of its connections.
+  // Waited for, it would keep an instance from serving while others know all.
+  Fixture fixture;
+  Instance& instance = fixture.Add(1);
+  instance.SetLogMode(FakeLogMode::kTurnsAway);
+  FakePeer& hanging = fixture.AddFake(2, [](HttpServerConnection&) {});
+  instance.Start();
+  REQUIRE(fixture.TickUntil([&] { return hanging.questions > 0; }));
+  fixture.AddFake(3, Whole(200, StateOf(OneRecord("2", 9))));
+  CHECK(fixture.TickUntil(
+      [&] { return instance.operator_sink.told == Told{"config=2"}; },
+      Milliseconds(3500)));
+}
+
+TEST_CASE("the newest record of each key wins, whoever tells it") {
+  // Two peers are behind the log by different times. Taken in the order of the
+  // answers, an older configuration would come back each time its turn comes.
+  Fixture fixture;
+  Instance& instance = fixture.Add(1);
+  instance.SetLogMode(FakeLogMode::kTurnsAway);
+  PeerState newer = OneRecord("2", 9);
+  newer.endpoint_records = {{"engine", std::nullopt, LogOffset(8)}};
+  PeerState older = OneRecord("1", 3);
+  older.endpoint_records = {{"engine", "1", LogOffset(7)},
+                            {"desk", "1", LogOffset(6)}};
+  FakePeer& first = fixture.AddFake(2, Whole(200, StateOf(newer)));
+  FakePeer& second = fixture.AddFake(3, Whole(200, StateOf(older)));
+  SECTION("the newer one is asked first") {}
+  SECTION("the older one is asked first") {
+    std::swap(first.answer, second.answer);
+  }
+  instance.Start();
+  REQUIRE(fixture.TickUntil(
+      [&] { return first.questions >= 2 && second.questions >= 2; }));
+  fixture.TickFor(Milliseconds(100));
+  const Told& configs = instance.operator_sink.told;
+  CHECK(configs.back() == "config=2");
+  CHECK(std::count(configs.begin(), configs.end(), "config=1") <= 1);
+  CHECK(std::count(configs.begin(), configs.end(), "config=2") == 1);
+  const Told& endpoints = instance.endpoint_sink.told;
+  CHECK(std::count(endpoints.begin(), endpoints.end(), "desk=1") == 1);
+  const auto removed =
+      std::find(endpoints.begin(), endpoints.end(), "engine=(removed)");
+  REQUIRE(removed != endpoints.end());
+  CHECK(std::find(removed, endpoints.end(), "engine=1") == endpoints.end());
+}
+
+TEST_CASE("an instance without a peer waits until one comes") {
+  // The first instance of a deployment starts while the log is down.
+  Fixture fixture;
+  Instance& alone = fixture.Add(1);
+  alone.SetLogMode(FakeLogMode::kTurnsAway);
+  alone.Start();
+  fixture.TickFor(PeerSync::kSilenceAtStart + 2 * PeerSync::kAskAgain);
+  CHECK(alone.operator_sink.told.empty());
+  fixture.AddFake(2, Whole(200, StateOf(OneRecord("2", 9))));
+  CHECK(fixture.TickUntil(
+      [&] { return alone.operator_sink.told == Told{"config=2"}; }));
+}
+
+TEST_CASE("an instance asks the others and never itself") {
+  // It knows nothing that it could learn. Of a deployment's two instances one
+  // would lose every other question, and its callers half a second each time.
+  Fixture fixture;
+  Instance& instance = fixture.Add(1);
+  FakePeer& peer = fixture.AddFake(2, Whole(503, ""));
+  int own_questions = 0;
+  QueryService own_port(fixture.loop, [&own_questions](const HttpHead&) {
+    ++own_questions;
+    return QueryAnswer{503, {}, {}};
+  });
+  REQUIRE(own_port.Listen({HostOf(1), kPeerPort}).ok());
+  // Its own answers are given by the test.
+  REQUIRE(instance.cluster.Start().ok());
+  REQUIRE(fixture.TickUntil([&] { return peer.questions >= 3; }));
+  CHECK(own_questions == 0);
+}
+
+// The reply of `instance` to a question, as status and body.
+struct Reply {
+  std::optional<int> status;
+  std::string body;
+};
+Reply AskFor(Fixture& fixture,
+             const Instance& instance,
+             const std::string& target) {
+  const NetAddress address{instance.settings.host, instance.settings.peer_port};
+  HttpClient client(fixture.loop, {});
+  HttpFetch fetch;
+  Reply reply;
+  HttpHead head;
+  head.method = "GET";
+  head.target = target;
+  fetch.Start(client, fixture.loop, address,
+              SerializeRequest(head, address, ""), {},
+              [&reply](const FetchOutcome& outcome) {
+                reply = {outcome.status, outcome.body};
+              });
+  RunUntil(fixture.loop, [&] { return !fetch.active(); });
+  return reply;
+}
+
+std::string TargetUnder(const std::string& secret) {
+  return "/state/" + HexEncode(HmacSha256(secret, "peer state"));
+}
+
+TEST_CASE("who doesn't know the secret is told nothing") {
+  // The state holds the keys of all client accounts. An instance of another
+  // deployment, or anybody who reaches the port, must not read them.
+  Fixture fixture;
+  Instance& instance = fixture.Add(1);
+  const std::string target = TargetUnder(SharedSecret(instance.settings));
+  instance.Declare("config=1");
+  instance.Start();
+  RunUntil(fixture.loop, [&] { return instance.endpoints.caught_up(); });
+  RunUntil(fixture.loop, [&] { return instance.operators.caught_up(); });
+  const Reply whole = AskFor(fixture, instance, target);
+  CHECK(whole.status == 200);
+  const auto state =
+      DecodePeerState(whole.body, SharedSecret(instance.settings));
+  REQUIRE(state.ok());
+  REQUIRE(state.value().operator_records.size() == 1);
+  CHECK(state.value().operator_records[0].value == "1");
+  for (const std::string& other :
+       {TargetUnder("other secret"), std::string("/state/"), std::string("/"),
+        target.substr(0, target.size() - 1), target + "0"}) {
+    const Reply reply = AskFor(fixture, instance, other);
+    CHECK(reply.status == 403);
+    CHECK(reply.body.empty());
+  }
+}
+
+TEST_CASE("an instance that knows no configuration says so") {
+  // Told an empty state, the one that asked would count it as an answer.
+  Fixture fixture;
+  Instance& instance = fixture.Add(1);
+  instance.SetLogMode(FakeLogMode::kTurnsAway);
+  instance.Start();
+  const Reply reply =
+      AskFor(fixture, instance, TargetUnder(SharedSecret(instance.settings)));
+  CHECK(reply.status == 503);
+  CHECK(reply.body.empty());
+}
+
+TEST_CASE("an instance with another secret learns nothing") {
+  // Two deployments share hosts, and one has been given the other's seed hosts
+  // by mistake. It must not serve by the other's configuration.
+  Fixture fixture;
+  Instance& peer = fixture.Add(2);
+  peer.Declare("config=1");
+  peer.Start();
+  REQUIRE(fixture.TickUntil([&] { return peer.operators.caught_up(); }));
+  GatewaySettings other_secret = SettingsOf(1);
+  other_secret.log = {"127.0.0.1", 2};
+  Instance& stranger = *fixture.instances.emplace_back(
+      std::make_unique<Instance>(fixture.loop, SettingsOf(1), other_secret));
+  stranger.SetLogMode(FakeLogMode::kTurnsAway);
+  stranger.Start();
+  REQUIRE(
+      fixture.TickUntil([&] { return stranger.cluster.Live().size() == 2; }));
+  fixture.TickFor(PeerSync::kSilenceAtStart + 3 * PeerSync::kAskAgain);
+  CHECK(stranger.operator_sink.told.empty());
+}
+
+}  // namespace
+}  // namespace carobshift
--- a/carobshift/net/loopback_server.h
+++ b/carobshift/net/loopback_server.h
@@ -29,10 +29,14 @@
   using Answer =
       std::function<void(HttpServerConnection&, const HttpServerRequest&)>;
 
-  LoopbackServer(EventLoop& loop, Answer answer, HttpServerLimits limits = {})
-      : answer_(std::move(answer)) {
+  // `host`: a loopback address.
+  LoopbackServer(EventLoop& loop,
+                 Answer answer,
+                 HttpServerLimits limits = {},
+                 std::string host = "127.0.0.1")
+      : answer_(std::move(answer)), host_(std::move(host)) {
     auto opened = TcpListener::Open(
-        loop, {"127.0.0.1", 0},
+        loop, {host_, 0},
         [this, &loop, limits](const Poco::Net::StreamSocket& socket) {
           ++accepted;
           connections.push_back(
@@ -47,9 +51,7 @@
       connection->BreakOff();
   }
 
-  [[nodiscard]] NetAddress address() const {
-    return {"127.0.0.1", listener->port()};
-  }
+  [[nodiscard]] NetAddress address() const { return {host_, listener->port()}; }
 
   void OnRequest(const std::shared_ptr<HttpServerConnection>& connection,
                  HttpServerRequest request) override {
@@ -70,6 +72,7 @@
 
  private:
   Answer answer_;
+  std::string host_;
 };
 
 // Runs the loop until `done`; fails the test if that takes too long.
