--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -211,11 +211,13 @@
   endpoint_client.CloseIdle(loop.now());
   control_client.CloseIdle(loop.now());
   WatchCaches();
-  store_keeper.OnTick(/*acts=*/cluster.Rank() == 0 && !stop_began,
-                      endpoint_follower.last_answer(),
-                      [this](const auto& endpoint, const auto& model) {
-                        return requests.WeightsOf(endpoint, model);
-                      });
+  store_keeper.OnTick(
+      /*acts=*/cluster.Rank() == 0 && !stop_began,
+      endpoint_follower.last_answer(),
+      [this](const auto& endpoint, const auto& model) {
+        return requests.WeightsOf(endpoint, model);
+      },
+      loop.now());
 }
 
 void Gateway::Parts::WatchCaches() {
--- a/carobshift/gateway/store_keeper.cc
+++ b/carobshift/gateway/store_keeper.cc
@@ -42,13 +42,14 @@
 
 void StoreKeeper::OnTick(bool acts,
                          const std::optional<MonotonicTime>& list_heard,
-                         const WeightsOf& weights_of) {
+                         const WeightsOf& weights_of,
+                         MonotonicTime now) {
   if (config_ == nullptr || !list_heard)
     return;
-  cleaner_.OnListHeard(*list_heard, loop_.now());
+  cleaner_.OnListHeard(*list_heard, now);
   // Watched by all, so that whoever comes to be the first knows since when.
   cleaner_.SetObsolete(ObsoleteScopes(Engines(weights_of), IsolatedAccounts()),
-                       loop_.now());
+                       now);
   if (!acts)
     return;
   std::vector<CacheHolder> stores;
@@ -60,7 +61,7 @@
     stores.push_back(holder);
     addresses[holder] = service.store->address;
   }
-  for (const FreeOrder& order : cleaner_.Next(stores, contents_, loop_.now()))
+  for (const FreeOrder& order : cleaner_.Next(stores, contents_, now))
     Send(order, addresses.at(order.store));
 }
 
--- a/carobshift/gateway/store_keeper.h
+++ b/carobshift/gateway/store_keeper.h
@@ -2,7 +2,7 @@
 //
 //   StoreKeeper keeper(loop, client, dialect, registry, contents);
 //   keeper.SetConfig(config);
-//   keeper.OnTick(is_first, list_heard, weights_of);
+//   keeper.OnTick(is_first, list_heard, weights_of, loop.now());
 //
 // One instance does it, the first of those that live. Should two believe to be
 // the first, parts are freed twice, which changes nothing.
@@ -48,7 +48,8 @@
   // `list_heard`: when the log last told of the endpoints, if ever.
   void OnTick(bool acts,
               const std::optional<MonotonicTime>& list_heard,
-              const WeightsOf& weights_of);
+              const WeightsOf& weights_of,
+              MonotonicTime now);
 
  private:
   [[nodiscard]] std::vector<ScopedEngine> Engines(
