--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -159,15 +159,32 @@
   for (const auto& [id, record] : registry_.all()) {
     if (record.leaving)
       continue;
-    for (const auto& [model, recorded] : record.weights)
+    for (const ModelName& model : ModelsOf(record))
       engines.push_back({id, model, WeightsOf(record, model)});
   }
   return engines;
 }
 
+std::set<ModelName> WeightSteward::ModelsOf(
+    const EndpointRecord& record) const {
+  std::set<ModelName> models;
+  for (const auto& [model, number] : record.weights)
+    models.insert(model);
+  const DeclaredService* const service =
+      config_ == nullptr ? nullptr
+                         : config_->config().FindService(record.service);
+  if (service != nullptr && service->engine)
+    models.insert(service->engine->models.begin(),
+                  service->engine->models.end());
+  return models;
+}
+
 WeightNumber WeightSteward::WeightsOf(const EndpointRecord& record,
                                       const ModelName& model) const {
-  const WeightNumber recorded = record.weights.at(model);
+  const auto named = record.weights.find(model);
+  // Those that nobody knows may be the oldest.
+  const WeightNumber recorded =
+      named == record.weights.end() ? WeightNumber{} : named->second;
   const auto reported = reported_.find(record.id);
   if (reported == reported_.end() || reported->second.born != record.born)
     return recorded;
--- a/carobshift/gateway/weight_steward.h
+++ b/carobshift/gateway/weight_steward.h
@@ -96,6 +96,10 @@
   };
 
   [[nodiscard]] std::vector<RolloutEngine> Engines() const;
+  // Those of its record, and those that its service declares: an engine whose
+  // record is broken in part would keep replaced weights for good.
+  [[nodiscard]] std::set<ModelName> ModelsOf(
+      const EndpointRecord& record) const;
   [[nodiscard]] WeightNumber WeightsOf(const EndpointRecord& record,
                                        const ModelName& model) const;
   [[nodiscard]] bool IsMyTurn(MonotonicTime now);
