--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -101,6 +101,12 @@
   void SetRoomCheck(std::function<bool(const NetAddress&)> has_room) {
     has_room_ = std::move(has_room);
   }
+  // How long a request waits at a service's endpoint behind that much, in the
+  // unit of placement. Nothing waits if this is never called.
+  void SetWaitEstimate(
+      std::function<Milliseconds(const ServiceName&, double)> wait) {
+    wait_ = std::move(wait);
+  }
   // What an endpoint said of its weights, newer than its record. It counts
   // until the endpoint starts again: then it has the weights that its record
   // names.
@@ -210,6 +216,7 @@
   bool store_per_part_ = false;
   std::set<EndpointId> draining_;
   std::function<bool(const NetAddress&)> has_room_;
+  std::function<Milliseconds(const ServiceName&, double)> wait_;
   std::map<EndpointId, NotedWeights> noted_;
   std::map<std::string, MonotonicTime> saves_;
   // Of the plan under way.
--- a/carobshift/gateway/attempt_planner_test.cc
+++ b/carobshift/gateway/attempt_planner_test.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/attempt_planner.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <map>
 #include <string>
 
@@ -367,6 +368,39 @@
   CHECK(scene.planner.Plan(scene.setup, {}, kStart).has_value());
 }
 
+TEST_CASE("nothing is queued where it would begin past the weights' bound") {
+  // Two seconds before the operator's time is over, one engine has loaded the
+  // named weights and the others haven't. Two of them have so much to read that
+  // a new request would wait for three seconds. Counted from when it is sent,
+  // it is in time; it begins on replaced weights past the bound, and its caller
+  // takes the answer for one of the named weights.
+  Scene scene;
+  const EndpointId loaded("e2");
+  const EndpointId idle("e3");
+  scene.planner.SetWaitEstimate([](const ServiceName&, double ahead) {
+    return Milliseconds(std::llround(ahead / 50));
+  });
+  scene.planner.NoteWeights(loaded, kModel, WeightNumber(2));
+  for (const char* busy : {"e0", "e1"})
+    scene.loads.OnStart(EndpointId(busy), {}, 150'000);
+  for (const EndpointId& id : {loaded, idle})
+    scene.loads.OnStart(id, {}, 200'000);
+  const MonotonicTime named =
+      kStart + Seconds(2) - Milliseconds(15000) + WeightDeadlines::kMargin;
+  scene.deadlines.OnNamed(kModel, WeightNumber(2), named);
+  CHECK(scene.Plan().endpoint.id == loaded);
+
+  // With nothing to wait for, the old weights are in time.
+  scene.loads.OnRead(idle, 200'000);
+  CHECK(scene.Plan().endpoint.id == idle);
+
+  // Nobody is left who would begin in time.
+  scene.registry.Remove(loaded, RemovalCause::kAnnounced, kStart);
+  scene.registry.Remove(idle, RemovalCause::kAnnounced, kStart);
+  CHECK_FALSE(scene.planner.Plan(scene.setup, {}, kStart).has_value());
+  CHECK(scene.planner.OnlyReplacedWeights(scene.setup, kStart));
+}
+
 TEST_CASE("without an endpoint that takes work there is no plan") {
   Scene scene;
   for (int i = 0; i < 4; ++i) {
