--- a/carobshift/gateway/weight_deadlines_test.cc
+++ b/carobshift/gateway/weight_deadlines_test.cc
@@ -68,5 +68,14 @@
   CHECK_FALSE(deadlines.Knows(kModel, WeightNumber(1)));
 }
 
+TEST_CASE("a short bound leaves some time for the change") {
+  // The operator allows a second. Were the margin taken off it whole, every
+  // engine would be left out at the naming itself, and all callers refused
+  // until the first have loaded.
+  WeightDeadlines deadlines(Milliseconds(1000));
+  deadlines.OnNamed(kModel, WeightNumber(2), kStart);
+  CHECK_FALSE(deadlines.Overdue(kModel, WeightNumber(1), kStart));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/weight_rollout_test.cc
+++ b/carobshift/gateway/weight_rollout_test.cc
@@ -248,8 +248,8 @@
 TEST_CASE("engines that fail their orders don't keep the next from draining") {
   // Two of twelve engines have crashed and were replaced by others at their
   // addresses; for seconds their records still stand and every order is
-  // rejected. Waiting for them, nobody would load, and the operator's time would
-  // be over for the ten engines that are well.
+  // rejected. Waiting for them, nobody would load, and the operator's time
+  // would be over for the ten engines that are well.
   const RolloutOptions options;
   WeightRollout rollout(options);
   rollout.SetTarget(ModelName("m"), WeightNumber(2));
@@ -371,5 +371,29 @@
   CHECK(now - kStart < Seconds(2));
 }
 
+TEST_CASE("an engine with two models that are both named gets one order") {
+  // Weights of both models of the same engine are named. If the turn of one
+  // takes the other's for its own, the order is given anew at each tick and the
+  // one under way is broken off, as long as both are behind.
+  WeightRollout rollout({});
+  const EndpointId id("e0");
+  const std::vector<RolloutEngine> engines = {
+      {id, ModelName("a"), WeightNumber(5)},
+      {id, ModelName("b"), WeightNumber(1)}};
+  rollout.SetTarget(ModelName("a"), WeightNumber(6));
+  rollout.SetTarget(ModelName("b"), WeightNumber(2));
+  int orders = 0;
+  for (MonotonicTime now = kStart; now < kStart + Milliseconds(1800);
+       now += Milliseconds(100)) {
+    for (const RolloutStep& step : rollout.Next(engines, now)) {
+      if (step.kind != RolloutStepKind::kOrder)
+        continue;
+      ++orders;
+      rollout.OnAccepted(id, now);
+    }
+  }
+  CHECK(orders == 1);
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -408,6 +408,63 @@
                           Milliseconds(9000)));
 }
 
+TEST_CASE("weights found at the start have a bound while the log is away") {
+  // An instance starts while the log is away and hears of the naming from
+  // another one. Until it has read the holders' records it would know no bound
+  // at all, and its callers would get answers of replaced weights for as long
+  // as the log doesn't answer.
+  Fixture fixture;
+  fixture.log.SetMode(FakeLogMode::kSilent);
+  fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+  fixture.TickUntil([] { return false; }, Milliseconds(300));
+  CHECK(fixture.deadlines.Overdue(
+      kModel, WeightNumber(1),
+      MonotonicNow() + fixture.settings.weights_bound));
+}
+
+TEST_CASE("weights named in the middle of a lease are noted at once") {
+  // The holder is killed shortly after a naming. An instance that starts before
+  // the next holder has written finds nothing of this naming in the last note
+  // and counts the bound from its own start, seconds too late.
+  Fixture fixture;
+  fixture.settings.lease = Milliseconds(1500);
+  fixture.first.busy = true;
+  fixture.second.busy = true;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  const LogStream stream("carobshift-lease");
+  REQUIRE(fixture.TickUntil([&] { return fixture.steward.IsHolder(); }));
+  const std::size_t before = fixture.log.records(stream).size();
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.log.records(stream).size() > before; }));
+  fixture.steward.SetTarget(kModel, WeightNumber(3));
+  CHECK(fixture.TickUntil(
+      [&] {
+        const auto record =
+            DecodeLeaseRecord(fixture.log.records(stream).back());
+        const auto note =
+            DecodeWeightNote(record.value().note, MonotonicNow(), WallNow());
+        return note.ok() && !note.value().empty() &&
+               note.value().back().number == WeightNumber(3);
+      },
+      Milliseconds(250)));
+}
+
+TEST_CASE("another machine's clock doesn't age a naming that was just heard") {
+  // The holder's calendar clock is a minute behind this one, or this one has
+  // been set forward since the note was written. Both have heard the naming a
+  // moment ago. Taken for a minute older, it would make every engine refuse its
+  // callers until the first have loaded.
+  Fixture fixture;
+  fixture.first.busy = true;
+  fixture.second.busy = true;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  const MonotonicTime now = MonotonicNow();
+  AppendFormerHolder(fixture, EncodeWeightNote({{kModel, WeightNumber(2), now}},
+                                               now, WallNow() - Seconds(60)));
+  CHECK_FALSE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                                Milliseconds(500)));
+}
+
 TEST_CASE("a stopped instance gives no more orders") {
   Fixture fixture;
   fixture.steward.SetTarget(kModel, WeightNumber(2));
--- a/carobshift/lease/lease_test.cc
+++ b/carobshift/lease/lease_test.cc
@@ -297,5 +297,43 @@
     CHECK_FALSE(DecodeLeaseRecord(text).ok());
 }
 
+// A renewal was held up on its way, and lands behind a record that its writer
+// had not read and that the log has dropped since. A reader that starts after
+// that leaves the renewal out; all others go by it. If its own claim then
+// counts for itself alone, the former holder renews by its own reading beside
+// it, and both order until one has read the other's next record.
+TEST_CASE(
+    "a reader that lost records believes in no claim that others refuse") {
+  const auto record = [](LeaseRecordKind kind, std::uint64_t incarnation,
+                         std::uint64_t read_up_to) {
+    LeaseRecord made;
+    made.kind = kind;
+    made.holder = EntryId("entry-" + std::to_string(incarnation));
+    made.incarnation = Incarnation(incarnation);
+    made.read_up_to = LogOffset(read_up_to);
+    made.duration = Milliseconds(3000);
+    return made;
+  };
+  const std::vector<LeaseRecord> records = {
+      record(LeaseRecordKind::kAcquire, 1, 0),
+      // Comes too late beside the first.
+      record(LeaseRecordKind::kAcquire, 2, 0),
+      // Held up on its way.
+      record(LeaseRecordKind::kRenew, 1, 1),
+      // Written by a reader from offset 2 on, before it had read the renewal.
+      record(LeaseRecordKind::kAcquire, 3, 2)};
+  LeaseFold whole;
+  LeaseFold late;
+  late.SkipTo(LogOffset(2));
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    whole.Apply(LogOffset(i), records[i]);
+    if (i >= 2)
+      late.Apply(LogOffset(i), records[i]);
+  }
+  REQUIRE(whole.holding());
+  REQUIRE(late.holding());
+  CHECK(whole.holding()->incarnation == late.holding()->incarnation);
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -10,6 +10,8 @@
 #include "carobshift/net/http_fetch.h"
 #include "carobshift/net/http_server_connection.h"
 #include "carobshift/net/loopback_server.h"
+#include "carobshift/net/tcp_listener.h"
+#include "carobshift/net/udp_port.h"
 
 namespace carobshift {
 namespace {
@@ -326,5 +328,24 @@
   CHECK_FALSE(fetch.active());
 }
 
+TEST_CASE("an address that one process has bound can't be bound again") {
+  // An instance is started twice by mistake, or again while the first one still
+  // runs. The lease's holder takes an address that it could bind for a proof
+  // that its former process has ended; if both can bind it, both order.
+  EventLoop loop;
+  const auto listener =
+      TcpListener::Open(loop, {"127.0.0.1", 0}, [](const auto&) {});
+  REQUIRE(listener.ok());
+  const NetAddress address{"127.0.0.1", listener.value()->port()};
+  SECTION("callers' port") {
+    CHECK_FALSE(TcpListener::Open(loop, address, [](const auto&) {}).ok());
+  }
+  SECTION("datagrams' port") {
+    const auto first = UdpPort::Open(loop, address, [](auto&&...) {});
+    REQUIRE(first.ok());
+    CHECK_FALSE(UdpPort::Open(loop, address, [](auto&&...) {}).ok());
+  }
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/testing/gateway_process_test.cc
+++ b/testing/gateway_process_test.cc
@@ -208,6 +208,23 @@
   CheckRefusedForWeights(cluster, 1);
 }
 
+TEST_CASE("an instance that was suspended at the naming keeps to its bound") {
+  // One instance's machine stands still when new weights are named, and goes on
+  // shortly before the bound. It hears of the naming then, takes it for one
+  // that was made just now, and answers with replaced weights for as long as it
+  // stood still, while the other instances leave these engines out.
+  GatewayCluster cluster({.gateways = 3, .weights_bound = kShortBound});
+  const std::size_t last = cluster.gateways() - 1;
+  StuckEngines engines(cluster);
+  cluster.gateway(last).Signal(SIGSTOP);
+  engines.Name();
+  REQUIRE(engines.WaitFor(kShortBound / 2));
+  cluster.gateway(last).Signal(SIGCONT);
+  REQUIRE(engines.WaitFor(kShortBound));
+  CheckRefusedForWeights(cluster, 0);
+  CheckRefusedForWeights(cluster, last);
+}
+
 TEST_CASE("the holder's process is killed: once it runs again it orders on") {
   // The instance that brings engines to new weights is killed in the middle and
   // starts again within a second. It waited for the end of its own former lease
