--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -465,6 +465,35 @@
                                 Milliseconds(500)));
 }
 
+TEST_CASE("a guess at a naming's time gives way to the holder's word") {
+  // The log forgets its history in the middle of a rollout, and an instance
+  // starts before the holder's next record. It takes the naming for older than
+  // the bound, as it must; a second later the holder says that it is a second
+  // old. Keeping to its guess, the instance would refuse the callers of all
+  // engines that still wait for their turn, and as a holder make others do so.
+  Fixture fixture;
+  fixture.first.busy = true;
+  fixture.second.busy = true;
+  AppendFormerHolder(fixture, "");
+  const LogStream stream("carobshift-lease");
+  fixture.log.Compact(stream);
+  fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+  REQUIRE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                            Milliseconds(500)));
+  LeaseRecord renewal;
+  renewal.kind = LeaseRecordKind::kRenew;
+  renewal.holder = EntryId("entry-2");
+  renewal.incarnation = Incarnation(7);
+  renewal.read_up_to = LogOffset(fixture.log.records(stream).size());
+  renewal.duration = fixture.settings.lease;
+  const MonotonicTime now = MonotonicNow();
+  renewal.note = EncodeWeightNote({{kModel, WeightNumber(2), now - Seconds(1)}},
+                                  now, WallNow());
+  fixture.log.Append(stream, EncodeLeaseRecord(renewal));
+  CHECK(fixture.TickUntil([&] { return !OverdueNow(fixture); },
+                          Milliseconds(1000)));
+}
+
 TEST_CASE("a stopped instance gives no more orders") {
   Fixture fixture;
   fixture.steward.SetTarget(kModel, WeightNumber(2));
