--- a/carobshift/gateway/weight_rollout_test.cc
+++ b/carobshift/gateway/weight_rollout_test.cc
@@ -527,5 +527,29 @@
   CHECK(waves.late() <= Seconds(4));
 }
 
+TEST_CASE("an engine with two models that are both named gets one order") {
+  // Weights of both models of the same engine are named. If the turn of one
+  // takes the other's for its own, the order is given anew at each tick and the
+  // one under way is broken off, as long as both are behind.
+  WeightRollout rollout({});
+  const EndpointId id("e0");
+  const std::vector<RolloutEngine> engines = {
+      {id, ModelName("a"), WeightNumber(5)},
+      {id, ModelName("b"), WeightNumber(1)}};
+  rollout.SetTarget(ModelName("a"), WeightNumber(6));
+  rollout.SetTarget(ModelName("b"), WeightNumber(2));
+  int orders = 0;
+  for (MonotonicTime now = kStart; now < kStart + Milliseconds(1800);
+       now += Milliseconds(100)) {
+    for (const RolloutStep& step : rollout.Next(engines, now)) {
+      if (step.kind != RolloutStepKind::kOrder)
+        continue;
+      ++orders;
+      rollout.OnAccepted(id, now);
+    }
+  }
+  CHECK(orders == 1);
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -428,6 +428,95 @@
                           Milliseconds(9000)));
 }
 
+TEST_CASE("weights found at the start have a bound while the log is away") {
+  // An instance starts while the log is away and hears of the naming from
+  // another one. Until it has read the holders' records it would know no bound
+  // at all, and its callers would get answers of replaced weights for as long
+  // as the log doesn't answer.
+  Fixture fixture;
+  fixture.log.SetMode(FakeLogMode::kSilent);
+  fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+  fixture.TickUntil([] { return false; }, Milliseconds(300));
+  CHECK(fixture.deadlines.Overdue(
+      kModel, WeightNumber(1),
+      MonotonicNow() + fixture.settings.weights_bound));
+}
+
+TEST_CASE("weights named in the middle of a lease are noted at once") {
+  // The holder is killed shortly after a naming. An instance that starts before
+  // the next holder has written finds nothing of this naming in the last note
+  // and counts the bound from its own start, seconds too late.
+  Fixture fixture;
+  fixture.settings.lease = Milliseconds(1500);
+  fixture.first.busy = true;
+  fixture.second.busy = true;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  const LogStream stream("carobshift-lease");
+  REQUIRE(fixture.TickUntil([&] { return fixture.steward.IsHolder(); }));
+  const std::size_t before = fixture.log.records(stream).size();
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.log.records(stream).size() > before; }));
+  fixture.steward.SetTarget(kModel, WeightNumber(3));
+  CHECK(fixture.TickUntil(
+      [&] {
+        const auto record =
+            DecodeLeaseRecord(fixture.log.records(stream).back());
+        const auto note =
+            DecodeWeightNote(record.value().note, MonotonicNow(), WallNow());
+        return note.ok() && !note.value().empty() &&
+               note.value().back().number == WeightNumber(3);
+      },
+      Milliseconds(250)));
+}
+
+TEST_CASE("another machine's clock doesn't age a naming that was just heard") {
+  // The holder's calendar clock is some seconds behind this one, or this one
+  // has been set forward since the note was written. Both have heard the naming
+  // a moment ago. Taken for seconds older, it would make this instance refuse
+  // the callers of engines whose turn to load is still to come.
+  Fixture fixture;
+  fixture.first.busy = true;
+  fixture.second.busy = true;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  const MonotonicTime now = MonotonicNow();
+  AppendFormerHolder(fixture, EncodeWeightNote({{kModel, WeightNumber(2), now}},
+                                               now, WallNow() - Seconds(6)));
+  fixture.TickUntil([] { return false; }, Milliseconds(500));
+  const Milliseconds usable =
+      fixture.settings.weights_bound - WeightDeadlines::kMargin;
+  CHECK_FALSE(fixture.deadlines.Overdue(kModel, WeightNumber(1),
+                                        now + usable - Seconds(1)));
+}
+
+TEST_CASE("a guess at a naming's time gives way to the holder's word") {
+  // The log forgets its history in the middle of a rollout, and an instance
+  // starts before the holder's next record. It takes the naming for older than
+  // the bound, as it must; a second later the holder says that it is a second
+  // old. Keeping to its guess, the instance would refuse the callers of all
+  // engines that still wait for their turn, and as a holder make others do so.
+  Fixture fixture;
+  fixture.first.busy = true;
+  fixture.second.busy = true;
+  AppendFormerHolder(fixture, "");
+  const LogStream stream("carobshift-lease");
+  fixture.log.Compact(stream);
+  fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+  REQUIRE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                            Milliseconds(500)));
+  LeaseRecord renewal;
+  renewal.kind = LeaseRecordKind::kRenew;
+  renewal.holder = EntryId("entry-2");
+  renewal.incarnation = Incarnation(7);
+  renewal.read_up_to = LogOffset(fixture.log.records(stream).size());
+  renewal.duration = fixture.settings.lease;
+  const MonotonicTime now = MonotonicNow();
+  renewal.note = EncodeWeightNote({{kModel, WeightNumber(2), now - Seconds(1)}},
+                                  now, WallNow());
+  fixture.log.Append(stream, EncodeLeaseRecord(renewal));
+  CHECK(fixture.TickUntil([&] { return !OverdueNow(fixture); },
+                          Milliseconds(1000)));
+}
+
 TEST_CASE("a stopped instance gives no more orders") {
   Fixture fixture;
   fixture.steward.SetTarget(kModel, WeightNumber(2));
