--- a/carobshift/gateway/weight_rollout.cc
+++ b/carobshift/gateway/weight_rollout.cc
@@ -116,10 +116,15 @@
     const auto found = progress_.find(engine->id);
     if (found == progress_.end() || IsStuck(*engine, now))
       continue;
-    if (HasPlace(found->second, now))
+    const Progress& progress = found->second;
+    if (HasPlace(progress, now)) {
       ++count.loading;
-    else
-      ++(found->second.failures > 0 ? count.failing : count.draining);
+      if (progress.loading_since &&
+          now - *progress.loading_since < options_.drain_after)
+        ++count.begun;
+    } else {
+      ++(progress.failures > 0 ? count.failing : count.draining);
+    }
   }
   return count;
 }
@@ -135,7 +140,7 @@
   for (const RolloutEngine* engine : waiting) {
     const auto found = progress_.find(engine->id);
     if (found == progress_.end()) {
-      if (under_way.draining >= width ||
+      if (under_way.draining + under_way.begun >= width ||
           under_way.draining + under_way.failing >= 2 * width)
         continue;
       ++under_way.draining;
--- a/carobshift/gateway/weight_rollout.h
+++ b/carobshift/gateway/weight_rollout.h
@@ -11,15 +11,15 @@
 // few at once.
 //
 // How: a share of a model's engines at a time. The next ones are kept free of
-// new work while their forerunners load, so that they have nothing left to
-// finish when their turn comes. Where engines have different numbers already,
-// those furthest behind go first: an engine's turn ends with any load, also one
-// of weights that were replaced meanwhile, and it queues anew by what it has.
-// An engine that is busy keeps its place among those that load, so that no more
-// than the share load at once, for kOrderLife at most; after that the others go
-// first. Engines that fail their orders are asked on, without keeping others
-// from being freed; as many again as the share at most, since by lost answers
-// all might fail.
+// new work towards the end of their forerunners' loads, so that they have
+// nothing left to finish when their turn comes. Where engines have different
+// numbers already, those furthest behind go first: an engine's turn ends with
+// any load, also one of weights that were replaced meanwhile, and it queues
+// anew by what it has. An engine that is busy keeps its place among those that
+// load, so that no more than the share load at once, for kOrderLife at most;
+// after that the others go first. Engines that fail their orders are asked on,
+// without keeping others from being freed; as many again as the share at most,
+// since by lost answers all might fail.
 //
 // Figures: a sixth of the engines at once, and no more when time is short: it
 // would be no sooner. Beyond two at once loads get longer in proportion; twelve
@@ -48,8 +48,17 @@
 
 struct RolloutOptions {
   double share_at_once = 1.0 / 6;
-  // For which an engine is kept free of new work before its order.
+  // For which an engine is kept free of new work before its order, at least.
   Milliseconds drain{250};
+  // For which nobody is kept free yet in the place of an engine that has begun
+  // to load. The shortest load takes longer with the drain on top. Kept free
+  // from its forerunner's order on, the next engine would serve nobody for a
+  // load more than it has to, and a third of the engines would be out of use,
+  // seen by callers as refusals. Gain, weights named three times within 16 s,
+  // twelve engines and nine, means of five runs: worth earned 0.569 instead of
+  // 0.532, and 0.452 instead of 0.431; the last engine loads no later with
+  // twelve, 0.2 s later with nine.
+  Milliseconds drain_after{900};
   Milliseconds order_life{5000};
 };
 
@@ -133,6 +142,8 @@
   struct UnderWay {
     int draining = 0;
     int loading = 0;
+    // Of those that load, the ones which will do so for a while yet.
+    int begun = 0;
     int failing = 0;
   };
 
