--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -24,6 +24,9 @@
 
 constexpr Milliseconds kTick{100};
 constexpr Milliseconds kIdleSweep{1000};
+// Without a tick for this long the process was suspended or starved. Below it a
+// naming looks younger than it is by less than the margin of its bound.
+constexpr Milliseconds kHeldUp{500};
 // Callers ask again after this. Shorter answers notice a dead instance sooner
 // and cost a call each time.
 constexpr Milliseconds kAddressLife{2000};
@@ -59,7 +62,7 @@
             .on_config = [this](auto config) { OnConfig(std::move(config)); },
             .on_weights =
                 [this](const NamedWeights& named, NamingTime time) {
-                  if (time == NamingTime::kJustNow)
+                  if (time == NamingTime::kJustNow && !HeldUp())
                     steward.SetTarget(named.model, named.number);
                   else
                     steward.SetFoundTarget(named.model, named.number);
@@ -131,6 +134,11 @@
                               return AnswerMetrics(question);
                             }};
   std::shared_ptr<TcpListener> caller_listener;
+  // Whether this process did not run for a while: what comes now may have been
+  // written long ago.
+  [[nodiscard]] bool HeldUp() const { return loop.now() - last_tick > kHeldUp; }
+
+  MonotonicTime last_tick = loop.now();
   MonotonicTime next_sweep{};
   std::optional<MonotonicTime> stop_began;
 };
@@ -189,6 +197,9 @@
 }
 
 void Gateway::Parts::OnTick() {
+  if (HeldUp())
+    operator_records.OnGap(loop.now());
+  last_tick = loop.now();
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
   FlushLogOutput();
   cluster.OnTick();
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -7,7 +7,7 @@
 
 namespace carobshift {
 
-void OperatorRecords::OnRecord(const KeyedRecord& record, MonotonicTime) {
+void OperatorRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
   if (!record.value)
     return;
   Result<OperatorRecord> decoded =
@@ -24,7 +24,7 @@
   else
     listener_.on_weights(
         std::get<NamedWeights>(decoded.value()),
-        caught_up_ ? NamingTime::kJustNow : NamingTime::kUnknown);
+        Follows(now) ? NamingTime::kJustNow : NamingTime::kUnknown);
 }
 
 void OperatorRecords::Apply(ServingConfig config, LogOffset offset) {
@@ -40,11 +40,14 @@
 }
 
 void OperatorRecords::OnLogLost(std::string_view reason) {
+  lost_ = true;
   LogEvent(LogLevel::kWarning, "log_lost",
            {{"stream", "operator"}, {"reason", reason}});
 }
 
-void OperatorRecords::OnLogBack(Milliseconds away, MonotonicTime) {
+void OperatorRecords::OnLogBack(Milliseconds away, MonotonicTime now) {
+  lost_ = false;
+  OnGap(now);
   LogEvent(LogLevel::kInfo, "log_back",
            {{"stream", "operator"}, {"away_ms", away.count()}});
 }
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -25,7 +25,8 @@
 enum class NamingTime {
   // Just now: the record came while the log was being followed.
   kJustNow,
-  // At any time before this process had read the newest records once.
+  // At any time before this process had read the newest records once, or while
+  // it didn't hear the log.
   kUnknown,
 };
 
@@ -40,6 +41,10 @@
 // higher than the one in force is left out, so that none is ever taken back.
 class OperatorRecords : public KeyedFollowerSink {
  public:
+  // After an absence, for which records that were missed may still come: two
+  // calls with their longest wait.
+  static constexpr Milliseconds kCatchUp{2000};
+
   OperatorRecords(const LogDialect& dialect,
                   const GatewayStateListener& listener)
       : dialect_(dialect), listener_(listener) {}
@@ -50,6 +55,8 @@
   }
   void OnLogLost(std::string_view reason) override;
   void OnLogBack(Milliseconds away, MonotonicTime now) override;
+  // This process was suspended, or held up, until `now`.
+  void OnGap(MonotonicTime now) { missed_until_ = now + kCatchUp; }
 
   [[nodiscard]] const std::shared_ptr<const ConfigInForce>& config() const {
     return config_;
@@ -61,7 +68,15 @@
   const LogDialect& dialect_;
   const GatewayStateListener& listener_;
   std::shared_ptr<const ConfigInForce> config_;
+  // Whether the record that comes now was written just now.
+  [[nodiscard]] bool Follows(MonotonicTime now) const {
+    return caught_up_ && !lost_ && now >= missed_until_;
+  }
+
   bool caught_up_ = false;
+  bool lost_ = false;
+  // Records that come before this may have been written during an absence.
+  MonotonicTime missed_until_{};
 };
 
 // The endpoints' own records.
--- a/carobshift/gateway/weight_deadlines.h
+++ b/carobshift/gateway/weight_deadlines.h
@@ -28,6 +28,7 @@
 #ifndef CAROBSHIFT_GATEWAY_WEIGHT_DEADLINES_H_
 #define CAROBSHIFT_GATEWAY_WEIGHT_DEADLINES_H_
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -36,11 +37,23 @@
 
 namespace carobshift {
 
+// Whence the time of a naming is known; each goes before the ones above it.
+enum class NamingSource {
+  // Not known. What is assumed must give way to anybody's word.
+  kGuess,
+  // From another instance, by its note.
+  kTold,
+  // The naming came while this process followed the log. Calendar clocks that
+  // differ can't make it older.
+  kHeard,
+};
+
 // When weights were named, as far as is known; not before.
 struct WeightNaming {
   ModelName model;
   WeightNumber number{};
   MonotonicTime named{};
+  NamingSource source = NamingSource::kTold;
   friend bool operator==(const WeightNaming&, const WeightNaming&) = default;
 };
 
@@ -48,6 +61,9 @@
  public:
   static constexpr Milliseconds kMargin{1500};
   static constexpr Milliseconds kLastMargin{400};
+  // Of a short bound, the part that a margin takes at most; with all of it
+  // taken every engine would be left out at the naming itself.
+  static constexpr int kMarginDivisor = 4;
   static constexpr std::size_t kMaxNames = 16;
 
   // `bound`: from the naming on, as the platform states it.
@@ -55,11 +71,13 @@
 
   // Heard at `now`. A number that isn't higher than the last one is ignored.
   void OnNamed(const ModelName& model, WeightNumber number, MonotonicTime now);
-  // Another instance's word. The earlier time of two counts, and numbers below
-  // the newest are taken too: an engine may still have weights from before
-  // them.
+  // Takes over what goes before what is known; of two from the same source the
+  // earlier time counts. Numbers below the newest are taken too: an engine may
+  // still have weights from before them.
   void Learn(const WeightNaming& naming);
-  [[nodiscard]] bool Knows(const ModelName& model, WeightNumber number) const;
+  // Whether the time of some naming is a guess.
+  [[nodiscard]] bool HasGuess() const;
+  [[nodiscard]] bool IsGuess(const ModelName& model, WeightNumber number) const;
   // All that are known, by model and number.
   [[nodiscard]] std::vector<WeightNaming> Namings() const;
   // Whether some newer weights than these were named so long ago that nothing
@@ -67,18 +85,26 @@
   [[nodiscard]] bool Overdue(const ModelName& model,
                              WeightNumber weights,
                              MonotonicTime now) const {
-    return NamedBefore(model, weights, now - (bound_ - kMargin));
+    return NamedBefore(model, weights, now - UsableFor(kMargin));
   }
   // Whether what waits for these weights must not begin any more.
   [[nodiscard]] bool TooLateToBegin(const ModelName& model,
                                     WeightNumber weights,
                                     MonotonicTime now) const {
-    return NamedBefore(model, weights, now - (bound_ - kLastMargin));
+    return NamedBefore(model, weights, now - UsableFor(kLastMargin));
   }
 
  private:
+  struct Known {
+    MonotonicTime named{};
+    NamingSource source = NamingSource::kGuess;
+  };
   // By number; the highest kMaxNames of each model.
-  using Names = std::map<WeightNumber, MonotonicTime>;
+  using Names = std::map<WeightNumber, Known>;
+
+  [[nodiscard]] Milliseconds UsableFor(Milliseconds margin) const {
+    return bound_ - std::min(margin, bound_ / kMarginDivisor);
+  }
 
   // Whether some newer weights than these were named by `time`.
   [[nodiscard]] bool NamedBefore(const ModelName& model,
--- a/carobshift/gateway/weight_note.cc
+++ b/carobshift/gateway/weight_note.cc
@@ -14,7 +14,8 @@
         std::chrono::duration_cast<Milliseconds>(now - naming.named);
     named.push_back({{"model", naming.model.value()},
                      {"number", naming.number.value()},
-                     {"age_ms", age.count()}});
+                     {"age_ms", age.count()},
+                     {"guess", naming.source == NamingSource::kGuess}});
   }
   return nlohmann::json{{"written_ms", wall_now.time_since_epoch().count()},
                         {"named", std::move(named)}}
@@ -34,7 +35,9 @@
       const Milliseconds age(named.at("age_ms").get<std::int64_t>());
       namings.push_back({ModelName(named.at("model").get<std::string>()),
                          WeightNumber(named.at("number").get<std::uint64_t>()),
-                         now - age - since});
+                         now - age - since,
+                         named.at("guess").get<bool>() ? NamingSource::kGuess
+                                                       : NamingSource::kTold});
     }
     return namings;
   } catch (const nlohmann::json::exception& error) {
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -74,14 +74,18 @@
 void WeightSteward::SetTarget(const ModelName& model, WeightNumber number) {
   RaiseTarget(model, number);
   deadlines_.OnNamed(model, number, loop_.now());
+  lease_.RenewSoon();
+  lease_wait_ = {};
 }
 
 void WeightSteward::SetFoundTarget(const ModelName& model,
                                    WeightNumber number) {
   RaiseTarget(model, number);
   found_[model] = std::max(found_[model], number);
-  if (history_read_)
-    DateFoundTargets();
+  // Until more is known it counts from here, and the holders' records are read
+  // to their end again.
+  deadlines_.Learn({model, number, loop_.now(), NamingSource::kGuess});
+  history_read_ = false;
 }
 
 void WeightSteward::RaiseTarget(const ModelName& model, WeightNumber number) {
@@ -95,7 +99,9 @@
 
 void WeightSteward::ReadNote() {
   const auto& holding = lease_.holding();
-  if (!holding || holding->note.empty())
+  // What this process noted itself it knows better.
+  if (!holding || holding->note.empty() ||
+      holding->incarnation == cluster_.incarnation())
     return;
   const auto namings = DecodeWeightNote(holding->note, loop_.now(), WallNow());
   if (!namings.ok()) {
@@ -110,15 +116,14 @@
 
 void WeightSteward::DateFoundTargets() {
   for (const auto& [model, number] : found_) {
-    const bool noted = deadlines_.Knows(model, number);
+    const bool noted = !deadlines_.IsGuess(model, number);
     // Some holder has written a note within a turn of each naming. If what is
     // kept has none, the naming is younger; if nothing is kept, it may be older
     // than all that was dropped, and nothing may begin on weights before it.
     const bool old = !noted && lease_.HistoryGone();
-    if (!noted) {
-      deadlines_.Learn(
-          {model, number,
-           old ? loop_.now() - settings_.weights_bound : loop_.now()});
+    if (old) {
+      deadlines_.Learn({model, number, loop_.now() - settings_.weights_bound,
+                        NamingSource::kGuess});
     }
     LogEvent(LogLevel::kInfo, "weights_dated",
              {{"model", model.value()},
@@ -264,7 +269,7 @@
   if (IsMyTurn(now)) {
     DriveLease();
     GiveOrders(engines);
-  } else if (IsSuccessor() || !history_read_) {
+  } else if (IsSuccessor() || !history_read_ || deadlines_.HasGuess()) {
     ReadAlong();
   }
 }
--- a/carobshift/lease/lease.cc
+++ b/carobshift/lease/lease.cc
@@ -40,6 +40,8 @@
 }
 
 LeaseAction Lease::Next(MonotonicTime now) {
+  if (renew_soon_ && settled_ && IsHolder() && !resigned_)
+    return Append(LeaseRecordKind::kRenew, now);
   if (now >= next_read_)
     return ReadLog{next_};
   if (settled_) {
@@ -73,6 +75,7 @@
 
 AppendLog Lease::Append(LeaseRecordKind kind, MonotonicTime now) {
   settled_ = false;
+  renew_soon_ = false;
   const std::uint64_t attempt = ++attempts_;
   sent_[attempt] = now;
   if (sent_.size() > kMaxAttempts)
--- a/carobshift/lease/lease.h
+++ b/carobshift/lease/lease.h
@@ -124,6 +124,9 @@
 
   // What goes into the records that are written from now on.
   void SetNote(std::string note) { note_ = std::move(note); }
+  // A holder renews at once: its note says something new, which a successor
+  // would lack if this process were killed before its next renewal.
+  void RenewSoon() { renew_soon_ = true; }
 
   // From now on this entry orders nothing and does not seek the lease; it
   // releases the lease if held. Call it when no order is on its way.
@@ -177,6 +180,7 @@
   std::map<std::uint64_t, MonotonicTime> sent_;
   MonotonicTime started_;
   std::string note_;
+  bool renew_soon_ = false;
   MonotonicTime expires_;
   // Nobody else may hold the lease after this time, as far as we have read.
   MonotonicTime free_at_;
--- a/carobshift/net/tcp_listener.cc
+++ b/carobshift/net/tcp_listener.cc
@@ -14,8 +14,10 @@
   std::shared_ptr<TcpListener> listener(
       new TcpListener(loop, std::move(on_accept)));
   try {
+    // The address may be in use by connections that are closing, but by no
+    // other listener.
     listener->socket_.bind(Poco::Net::SocketAddress(address.host, address.port),
-                           true);
+                           /*reuseAddress=*/true, /*reusePort=*/false);
     listener->socket_.listen(kBacklog);
     listener->socket_.setBlocking(false);
     listener->port_ = listener->socket_.address().port();
--- a/carobshift/net/udp_port.cc
+++ b/carobshift/net/udp_port.cc
@@ -17,8 +17,10 @@
                                                OnDatagram on_datagram) {
   std::shared_ptr<UdpPort> port(new UdpPort(loop, std::move(on_datagram)));
   try {
+    // Not shared: two processes of one instance would both believe to be the
+    // only one, and take the same lease.
     port->socket_.bind(Poco::Net::SocketAddress(address.host, address.port),
-                       true);
+                       /*reuseAddress=*/false, /*reusePort=*/false);
     port->socket_.setBlocking(false);
   } catch (const Poco::Exception& e) {
     return Error{
