--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -159,15 +159,30 @@
   return found->second;
 }
 
+double AttemptPlanner::Ahead(const RequestFootprint& footprint,
+                             const EndpointRecord& record,
+                             const EngineTraits& engine) const {
+  const EndpointLoad load = loads_.Total(record.id);
+  double ahead = load.unread;
+  const double room = kMemoryShare * static_cast<double>(engine.memory_tokens);
+  const double over = load.tokens + loads_.Added(record.id, footprint) - room;
+  if (room > 0 && over > 0)
+    ahead += kOverMemoryCost * over;
+  const double without_place = load.requests + 1 - record.slots;
+  if (without_place > 0)
+    ahead += kNoPlaceCost * without_place;
+  return ahead;
+}
+
 void AttemptPlanner::Measure(const ExchangeSetup& setup,
                              const RequestFootprint& footprint,
                              Candidate& candidate,
                              MonotonicTime now) {
   const EndpointRecord& record = *candidate.record;
-  const EndpointLoad load = loads_.Total(record.id);
   const auto engine = engines_.find(record.service);
   if (engine == engines_.end() || !setup.request.prompt) {
-    candidate.cost = load.requests * kRequestCost / record.slots;
+    candidate.cost =
+        loads_.Total(record.id).requests * kRequestCost / record.slots;
     return;
   }
   const PromptTraits& prompt = *setup.request.prompt;
@@ -187,15 +202,7 @@
       fetched += tokens;
   }
   candidate.unread = std::max(0.0, unread);
-  candidate.ahead = load.unread;
-  const double room =
-      kMemoryShare * static_cast<double>(engine->second.memory_tokens);
-  const double over = load.tokens + loads_.Added(record.id, footprint) - room;
-  if (room > 0 && over > 0)
-    candidate.ahead += kOverMemoryCost * over;
-  const double without_place = load.requests + 1 - record.slots;
-  if (without_place > 0)
-    candidate.ahead += kNoPlaceCost * without_place;
+  candidate.ahead = Ahead(footprint, record, engine->second);
   candidate.cost = candidate.ahead + candidate.unread + kFetchCost * fetched;
 }
 
@@ -210,8 +217,23 @@
   if (!setup.request.prompt)
     return false;
   const ModelName& model = setup.request.prompt->model;
-  return deadlines_.Overdue(
-      model, WeightsOf(record, model).value_or(WeightNumber(0)), now);
+  const WeightNumber weights =
+      WeightsOf(record, model).value_or(WeightNumber(0));
+  // Most of the time no weights are being replaced; then nothing of the queues
+  // has to be added up.
+  if (!deadlines_.Overdue(model, weights, now + kLongestWait))
+    return false;
+  const Milliseconds wait = std::min(WaitAt(setup, record), kLongestWait);
+  return deadlines_.Overdue(model, weights, now + wait);
+}
+
+Milliseconds AttemptPlanner::WaitAt(const ExchangeSetup& setup,
+                                    const EndpointRecord& record) const {
+  const auto engine = engines_.find(record.service);
+  if (!wait_ || engine == engines_.end())
+    return Milliseconds(0);
+  const RequestFootprint footprint = RequestFootprint::Of(setup.request);
+  return wait_(record.service, Ahead(footprint, record, engine->second));
 }
 
 bool AttemptPlanner::OnlyReplacedWeights(const ExchangeSetup& setup,
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -80,6 +80,10 @@
   // sheets a load takes one to two seconds, and one is under way.
   static constexpr Milliseconds kReturnAfterLoad{1000};
 
+  // No request waits longer at an engine: callers of the platform's sheets
+  // leave after a quarter of it.
+  static constexpr Milliseconds kLongestWait{60'000};
+
   AttemptPlanner(const EndpointRegistry& registry,
                  const EndpointHealthBook& health,
                  const LoadBook& loads,
@@ -165,6 +169,13 @@
 
   [[nodiscard]] Candidate Describe(const ExchangeSetup& setup,
                                    const EndpointRecord& record) const;
+  // What stands before the request there, without its own prompt.
+  [[nodiscard]] double Ahead(const RequestFootprint& footprint,
+                             const EndpointRecord& record,
+                             const EngineTraits& engine) const;
+  // How long that takes.
+  [[nodiscard]] Milliseconds WaitAt(const ExchangeSetup& setup,
+                                    const EndpointRecord& record) const;
   // Sets the candidate's unread tokens and its costs.
   void Measure(const ExchangeSetup& setup,
                const RequestFootprint& footprint,
@@ -184,7 +195,9 @@
       const EndpointRecord& reader);
   [[nodiscard]] bool TakesWork(const ExchangeSetup& setup,
                                const EndpointRecord& record) const;
-  // Whether the request may not begin on the endpoint's weights any more.
+  // Whether the request may not begin on the endpoint's weights any more by the
+  // time at which its turn comes there. If it were looked at only when it is
+  // sent, a request behind a long queue would begin seconds past the bound.
   // Weights that nobody knows may be the oldest.
   [[nodiscard]] bool Overdue(const ExchangeSetup& setup,
                              const EndpointRecord& record,
--- a/carobshift/gateway/overload_guard.cc
+++ b/carobshift/gateway/overload_guard.cc
@@ -34,6 +34,11 @@
   estimate += kGain * (sample - estimate);
 }
 
+Milliseconds OverloadGuard::ExpectedWait(const ServiceName& service,
+                                         double ahead) const {
+  return Milliseconds(std::llround(ahead * MillisecondsPerToken(service)));
+}
+
 OverloadVerdict OverloadGuard::Judge(const OverloadQuestion& question) const {
   OverloadVerdict verdict;
   const double expected =
--- a/carobshift/gateway/overload_guard.h
+++ b/carobshift/gateway/overload_guard.h
@@ -78,6 +78,9 @@
                     Microseconds waited);
 
   [[nodiscard]] OverloadVerdict Judge(const OverloadQuestion& question) const;
+  // How long a request waits behind that much.
+  [[nodiscard]] Milliseconds ExpectedWait(const ServiceName& service,
+                                          double ahead) const;
   [[nodiscard]] double MillisecondsPerToken(const ServiceName& service) const;
 
  private:
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -46,6 +46,9 @@
       allowance_(options.retries) {
   planner_.SetRoomCheck(
       [this](const NetAddress& address) { return client_.HasRoom(address); });
+  planner_.SetWaitEstimate([this](const ServiceName& service, double ahead) {
+    return overload_.ExpectedWait(service, ahead);
+  });
 }
 
 RequestService::~RequestService() {
