--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -80,6 +80,10 @@
   // sheets a load takes one to two seconds, and one is under way.
   static constexpr Milliseconds kReturnAfterLoad{1000};
 
+  // No request waits longer at an engine: callers of the platform's sheets
+  // leave after a quarter of it.
+  static constexpr Milliseconds kLongestWait{60'000};
+
   AttemptPlanner(const EndpointRegistry& registry,
                  const EndpointHealthBook& health,
                  const LoadBook& loads,
@@ -101,7 +105,15 @@
   void SetRoomCheck(std::function<bool(const NetAddress&)> has_room) {
     has_room_ = std::move(has_room);
   }
-  // What an endpoint said of its weights, newer than its record.
+  // How long a request waits at a service's endpoint behind that much, in the
+  // unit of placement. Nothing waits if this is never called.
+  void SetWaitEstimate(
+      std::function<Milliseconds(const ServiceName&, double)> wait) {
+    wait_ = std::move(wait);
+  }
+  // What an endpoint said of its weights, newer than its record. It counts
+  // until the endpoint starts again: then it has the weights that its record
+  // names.
   void NoteWeights(const EndpointId& id,
                    const ModelName& model,
                    WeightNumber weights);
@@ -149,9 +161,21 @@
   };
   // By part.
   using Sources = std::vector<std::vector<Source>>;
+  // What an endpoint has said since it was born.
+  struct NotedWeights {
+    EndpointBirth born{};
+    std::map<ModelName, WeightNumber> weights;
+  };
 
   [[nodiscard]] Candidate Describe(const ExchangeSetup& setup,
                                    const EndpointRecord& record) const;
+  // What stands before the request there, without its own prompt.
+  [[nodiscard]] double Ahead(const RequestFootprint& footprint,
+                             const EndpointRecord& record,
+                             const EngineTraits& engine) const;
+  // How long that takes.
+  [[nodiscard]] Milliseconds WaitAt(const ExchangeSetup& setup,
+                                    const EndpointRecord& record) const;
   // Sets the candidate's unread tokens and its costs.
   void Measure(const ExchangeSetup& setup,
                const RequestFootprint& footprint,
@@ -171,7 +195,10 @@
       const EndpointRecord& reader);
   [[nodiscard]] bool TakesWork(const ExchangeSetup& setup,
                                const EndpointRecord& record) const;
-  // Whether the request may not begin on the endpoint's weights any more.
+  // Whether the request may not begin on the endpoint's weights any more by the
+  // time at which its turn comes there. If it were looked at only when it is
+  // sent, a request behind a long queue would begin seconds past the bound.
+  // Weights that nobody knows may be the oldest.
   [[nodiscard]] bool Overdue(const ExchangeSetup& setup,
                              const EndpointRecord& record,
                              MonotonicTime now) const;
@@ -202,7 +229,8 @@
   bool store_per_part_ = false;
   std::set<EndpointId> draining_;
   std::function<bool(const NetAddress&)> has_room_;
-  std::map<EndpointId, std::map<ModelName, WeightNumber>> noted_;
+  std::function<Milliseconds(const ServiceName&, double)> wait_;
+  std::map<EndpointId, NotedWeights> noted_;
   std::map<std::string, MonotonicTime> saves_;
   // Of the plan under way.
   std::map<std::string, Sources> sources_;
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -20,10 +21,18 @@
 
 namespace carobshift {
 
+// When weights were named.
+enum class NamingTime {
+  // Just now: the record came while the log was being followed.
+  kJustNow,
+  // At any time before this process had read the newest records once.
+  kUnknown,
+};
+
 // Who wants to know of changes.
 struct GatewayStateListener {
   std::function<void(std::shared_ptr<const ConfigInForce>)> on_config;
-  std::function<void(const NamedWeights&)> on_weights;
+  std::function<void(const NamedWeights&, NamingTime)> on_weights;
   std::function<void()> on_endpoints;
 };
 
@@ -36,7 +45,9 @@
       : dialect_(dialect), listener_(listener) {}
 
   void OnRecord(const KeyedRecord& record, MonotonicTime now) override;
-  void OnSnapshot(const std::vector<std::string>&, MonotonicTime) override {}
+  void OnSnapshot(const std::vector<std::string>&, MonotonicTime) override {
+    caught_up_ = true;
+  }
   void OnLogLost(std::string_view reason) override;
   void OnLogBack(Milliseconds away, MonotonicTime now) override;
 
@@ -50,6 +61,7 @@
   const LogDialect& dialect_;
   const GatewayStateListener& listener_;
   std::shared_ptr<const ConfigInForce> config_;
+  bool caught_up_ = false;
 };
 
 // The endpoints' own records.
@@ -72,13 +84,16 @@
   void Expire(MonotonicTime now);
 
  private:
-  [[nodiscard]] RemovalCause CauseAt(MonotonicTime now) const;
+  // What happens to an entry that is missing depends on when the log came
+  // back. True if the registry changed.
+  bool Remove(const EndpointId& id, MonotonicTime now);
 
   const LogDialect& dialect_;
   EndpointRegistry& registry_;
   const GatewayStateListener& listener_;
-  // While this lies ahead, missing entries may be back any moment.
-  MonotonicTime returned_until_{};
+  // The log's last return after a noticeable absence. Entries that are missing
+  // within EndpointRegistry::kReturnGrace from then on may be back any moment.
+  std::optional<MonotonicTime> returned_;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "carobshift/gateway/weight_note.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -35,6 +36,8 @@
   LeaseOptions options;
   options.duration = settings.lease;
   options.order_timeout = kOrderTimeout;
+  // Its gossip port is bound before the first tick.
+  options.address = NetAddress{settings.host, settings.gossip_port}.ToString();
   return options;
 }
 
@@ -69,33 +72,111 @@
              loop.now()) {}
 
 void WeightSteward::SetTarget(const ModelName& model, WeightNumber number) {
+  RaiseTarget(model, number);
+  deadlines_.OnNamed(model, number, loop_.now());
+}
+
+void WeightSteward::SetFoundTarget(const ModelName& model,
+                                   WeightNumber number) {
+  RaiseTarget(model, number);
+  found_[model] = std::max(found_[model], number);
+  if (history_read_)
+    DateFoundTargets();
+}
+
+void WeightSteward::RaiseTarget(const ModelName& model, WeightNumber number) {
   const auto before = rollout_.Target(model);
   rollout_.SetTarget(model, number);
-  deadlines_.OnNamed(model, number, loop_.now());
   if (before == rollout_.Target(model))
     return;
   LogEvent(LogLevel::kInfo, "weights_named",
            {{"model", model.value()}, {"number", number.value()}});
 }
 
+void WeightSteward::ReadNote() {
+  const auto& holding = lease_.holding();
+  if (!holding || holding->note.empty())
+    return;
+  const auto namings = DecodeWeightNote(holding->note, loop_.now(), WallNow());
+  if (!namings.ok()) {
+    LogEvent(LogLevel::kWarning, "weight_note_unreadable",
+             {{"holder", holding->holder.value()},
+              {"reason", namings.error().message}});
+    return;
+  }
+  for (const WeightNaming& naming : namings.value())
+    deadlines_.Learn(naming);
+}
+
+void WeightSteward::DateFoundTargets() {
+  for (const auto& [model, number] : found_) {
+    const bool noted = deadlines_.Knows(model, number);
+    // Some holder has written a note within a turn of each naming. If what is
+    // kept has none, the naming is younger; if nothing is kept, it may be older
+    // than all that was dropped, and nothing may begin on weights before it.
+    const bool old = !noted && lease_.HistoryGone();
+    if (!noted) {
+      deadlines_.Learn(
+          {model, number,
+           old ? loop_.now() - settings_.weights_bound : loop_.now()});
+    }
+    LogEvent(LogLevel::kInfo, "weights_dated",
+             {{"model", model.value()},
+              {"number", number.value()},
+              {"by", noted ? "note"
+                     : old ? "history_gone"
+                           : "start"}});
+  }
+  found_.clear();
+}
+
+void WeightSteward::NoteOverdue(const std::vector<RolloutEngine>& engines) {
+  std::set<EndpointId> overdue;
+  for (const RolloutEngine& engine : engines) {
+    if (!deadlines_.Overdue(engine.model, engine.weights, loop_.now()))
+      continue;
+    overdue.insert(engine.id);
+    if (overdue_.contains(engine.id))
+      continue;
+    LogEvent(
+        LogLevel::kWarning, "weights_overdue",
+        {{"endpoint", engine.id.value()},
+         {"model", engine.model.value()},
+         {"weights", engine.weights.value()},
+         {"named",
+          rollout_.Target(engine.model).value_or(engine.weights).value()}});
+  }
+  for (const EndpointId& id : overdue_) {
+    if (!overdue.contains(id))
+      LogEvent(LogLevel::kInfo, "weights_no_longer_overdue",
+               {{"endpoint", id.value()}});
+  }
+  overdue_ = std::move(overdue);
+}
+
 std::vector<RolloutEngine> WeightSteward::Engines() const {
   std::vector<RolloutEngine> engines;
   for (const auto& [id, record] : registry_.all()) {
     if (record.leaving)
       continue;
-    for (const auto& [model, recorded] : record.weights) {
-      WeightNumber number = recorded;
-      if (const auto found = reported_.find(id); found != reported_.end()) {
-        const auto of_model = found->second.find(model);
-        if (of_model != found->second.end())
-          number = std::max(number, of_model->second);
-      }
-      engines.push_back({id, model, number});
-    }
+    for (const auto& [model, recorded] : record.weights)
+      engines.push_back({id, model, WeightsOf(record, model)});
   }
   return engines;
 }
 
+WeightNumber WeightSteward::WeightsOf(const EndpointRecord& record,
+                                      const ModelName& model) const {
+  const WeightNumber recorded = record.weights.at(model);
+  const auto reported = reported_.find(record.id);
+  if (reported == reported_.end() || reported->second.born != record.born)
+    return recorded;
+  const auto told = reported->second.weights.find(model);
+  return told == reported->second.weights.end()
+             ? recorded
+             : std::max(recorded, told->second);
+}
+
 std::set<EndpointId> WeightSteward::Behind(
     const std::set<EndpointId>& endpoints) const {
   std::set<EndpointId> behind;
@@ -132,13 +213,13 @@
 }
 
 bool WeightSteward::IsMyTurn(MonotonicTime now) {
-  if (lease_.IsHolder())
-    return true;
   const auto& holding = lease_.holding();
-  const bool other_holds = holding && cluster_.IsLive(holding->holder) &&
-                           holding->holder != settings_.entry;
+  // Whoever held it last goes on, as nobody has to wait for its end; also a
+  // process that has just started in its place.
+  if (holding && holding->holder == settings_.entry)
+    return true;
+  const bool other_holds = holding && cluster_.IsLive(holding->holder);
   std::size_t turns = cluster_.Rank();
-  // Whoever held it last goes on, as nobody has to wait for its end.
   if (other_holds)
     ++turns;
   return now - seen_at_ >= kTurn * static_cast<int>(turns);
@@ -149,8 +230,11 @@
     return;
   const MonotonicTime now = loop_.now();
   const std::vector<RolloutEngine> engines = Engines();
+  NoteOverdue(engines);
   if (!rollout_.HasWork(engines)) {
     seen_.clear();
+    if (!history_read_)
+      ReadAlong();
     return;
   }
   std::vector<WeightNumber> seen;
@@ -163,14 +247,21 @@
   if (IsMyTurn(now)) {
     DriveLease();
     GiveOrders(engines);
-  } else if (IsSuccessor() && !lease_call_.active()) {
-    Perform(lease_.Observe(now));
+  } else if (IsSuccessor() || !history_read_) {
+    ReadAlong();
   }
 }
 
+void WeightSteward::ReadAlong() {
+  if (!lease_call_.active() && loop_.now() >= lease_wait_)
+    Perform(lease_.Observe(loop_.now()));
+}
+
 void WeightSteward::DriveLease() {
   if (lease_call_.active() || loop_.now() < lease_wait_)
     return;
+  lease_.SetNote(
+      EncodeWeightNote(deadlines_.Namings(), loop_.now(), WallNow()));
   Perform(lease_.Next(loop_.now()));
 }
 
@@ -202,16 +293,36 @@
                 : Error{ResultCode::kLogUnavailable,
                         std::string(outcome.reason)};
         log_failing_ = !outcome.status;
-        lease_.OnRead(batch, loop_.now());
+        OnLeaseRead(batch, outcome.body);
         if (held != lease_.IsHolder()) {
+          const auto& holding = lease_.holding();
           LogEvent(LogLevel::kInfo, held ? "lease_lost" : "lease_held",
-                   {{"fencing", lease_.holding()->number.value()}});
+                   {{"fencing", holding ? holding->number.value() : 0}});
         }
-        if (IsMyTurn(loop_.now()))
+        if (rollout_.HasWork(Engines()) && IsMyTurn(loop_.now()))
           DriveLease();
       });
 }
 
+void WeightSteward::OnLeaseRead(const Result<LogBatch>& batch,
+                                std::string_view body) {
+  const MonotonicTime now = loop_.now();
+  if (!batch.ok() && batch.error().code == ResultCode::kLogRecordExpired) {
+    if (const auto first = dialects_.log.DecodeFirstRetained(body)) {
+      LogEvent(LogLevel::kInfo, "lease_records_dropped",
+               {{"first", first->value()}});
+      lease_.OnDropped(*first, now);
+      return;
+    }
+  }
+  lease_.OnRead(batch, now);
+  if (!batch.ok() || !batch.value().records.empty())
+    return;
+  ReadNote();
+  history_read_ = true;
+  DateFoundTargets();
+}
+
 void WeightSteward::AppendLease(const std::string& payload) {
   std::string body;
   const HttpHead head =
@@ -252,6 +363,7 @@
   order->step = step;
   order->sent = loop_.now();
   order->address = record->address;
+  order->born = record->born;
   orders_[step.endpoint] = order;
   order->fetch.Start(
       client_, loop_, order->address,
@@ -263,12 +375,15 @@
                 ? dialects_.engine.DecodeReport(*outcome.status, outcome.body)
                 : Error{ResultCode::kEndpointFailed,
                         std::string(outcome.reason)};
-        if (!report.ok() || report.value().busy) {
+        if (!report.ok()) {
           rollout_.OnOrderFailed(order->step.endpoint, kAskAgain, loop_.now());
           Drop(order->step.endpoint);
-          return;
+        } else if (report.value().busy) {
+          rollout_.OnBusy(order->step.endpoint, kAskAgain, loop_.now());
+          Drop(order->step.endpoint);
+        } else if (!TakeWeights(order, report.value())) {
+          SendOrder(order, report.value());
         }
-        SendOrder(order, report.value());
       });
 }
 
@@ -310,11 +425,17 @@
            {{"endpoint", endpoint.value()},
             {"status", outcome.status.value_or(0)},
             {"reason", outcome.reason}});
-  const bool refused = outcome.status &&
-                       dialects_.engine.DecodeOrderReply(*outcome.status) !=
-                           OrderOutcome::kAccepted &&
-                       dialects_.engine.DecodeOrderReply(*outcome.status) !=
-                           OrderOutcome::kAlreadyDone;
+  const auto reply =
+      outcome.status
+          ? std::optional(dialects_.engine.DecodeOrderReply(*outcome.status))
+          : std::nullopt;
+  if (reply == OrderOutcome::kConflict) {
+    rollout_.OnBusy(endpoint, kAskAgain, loop_.now());
+    Drop(endpoint);
+    return;
+  }
+  const bool refused = reply && *reply != OrderOutcome::kAccepted &&
+                       *reply != OrderOutcome::kAlreadyDone;
   if (refused) {
     rollout_.OnOrderFailed(endpoint, kAskAgain, loop_.now());
     Drop(endpoint);
@@ -329,9 +450,28 @@
     Drop(endpoint);
     return;
   }
+  rollout_.OnAccepted(endpoint, loop_.now());
   WatchLater(order, kWatchFirst);
 }
 
+bool WeightSteward::TakeWeights(const std::shared_ptr<Order>& order,
+                                const EngineReport& report) {
+  const EndpointId endpoint = order->step.endpoint;
+  const auto found = report.weights.find(order->step.model);
+  if (found == report.weights.end() || found->second <= order->step.weights)
+    return false;
+  reported_[endpoint] = {order->born, report.weights};
+  rollout_.OnAdvanced(endpoint);
+  LogEvent(
+      LogLevel::kInfo, "weights_loaded",
+      {{"endpoint", endpoint.value()}, {"weights", found->second.value()}});
+  if (on_loaded_)
+    on_loaded_(endpoint, order->step.model, found->second);
+  Drop(endpoint);
+  OnTick();
+  return true;
+}
+
 void WeightSteward::WatchLater(const std::shared_ptr<Order>& order,
                                Milliseconds wait) {
   order->timer = loop_.AddTimer(loop_.now() + wait, [this, order] {
@@ -347,28 +487,26 @@
 
 void WeightSteward::OnWatched(const std::shared_ptr<Order>& order,
                               const FetchOutcome& outcome) {
-  const EndpointId endpoint = order->step.endpoint;
   const Result<EngineReport> report =
       outcome.status
           ? dialects_.engine.DecodeReport(*outcome.status, outcome.body)
           : Error{ResultCode::kEndpointFailed, std::string(outcome.reason)};
-  if (report.ok()) {
-    const auto& weights = report.value().weights;
-    const auto found = weights.find(order->step.model);
-    if (found != weights.end() && found->second >= order->step.number) {
-      reported_[endpoint] = weights;
-      LogEvent(
-          LogLevel::kInfo, "weights_loaded",
-          {{"endpoint", endpoint.value()}, {"weights", found->second.value()}});
-      if (on_loaded_)
-        on_loaded_(endpoint, order->step.model, found->second);
-      Drop(endpoint);
-      OnTick();
-      return;
-    }
+  if (report.ok() && TakeWeights(order, report.value()))
+    return;
+  // It has crashed in its load and is back with its former weights. Waiting for
+  // the end of the order's life would leave its place among those that load
+  // without use for seconds.
+  if (report.ok() && !report.value().busy) {
+    const EndpointId endpoint = order->step.endpoint;
+    LogEvent(LogLevel::kWarning, "load_lost",
+             {{"endpoint", endpoint.value()},
+              {"weights", order->step.number.value()}});
+    rollout_.OnOrderFailed(endpoint, kAskAgain, loop_.now());
+    Drop(endpoint);
+    return;
   }
   if (loop_.now() - order->sent > kMaxWatch) {
-    Drop(endpoint);
+    Drop(order->step.endpoint);
     return;
   }
   WatchLater(order, kWatchAgain);
--- a/carobshift/gateway/weight_steward_test.cc
+++ b/carobshift/gateway/weight_steward_test.cc
@@ -8,6 +8,7 @@
 
 #include "carobshift/gateway/fake_log.h"
 #include "carobshift/gateway/silent_dialects.h"
+#include "carobshift/gateway/weight_note.h"
 
 namespace carobshift {
 namespace {
@@ -59,6 +60,8 @@
   [[nodiscard]] NetAddress address() const { return server_.address(); }
 
   int lose_answers = 0;
+  // Orders that are accepted and forgotten, as by a crash in the load.
+  int forget_orders = 0;
   bool busy = false;
   std::uint64_t weights = 1;
   std::uint64_t accepted = 0;
@@ -83,6 +86,11 @@
       connection.SendWhole(ReplyHead(409), "");
       return;
     }
+    if (forget_orders > 0) {
+      --forget_orders;
+      connection.SendWhole(ReplyHead(202), "");
+      return;
+    }
     ++accepted;
     weights = order.at("weights").get<std::uint64_t>();
     connection.SendWhole(ReplyHead(202), "");
@@ -190,6 +198,42 @@
   CHECK(fixture.TickUntil([&] { return fixture.first.weights == 2; }));
 }
 
+TEST_CASE("an engine that crashes in its load is ordered again soon") {
+  // Engines crash in waves while they load, and are back a second later with
+  // the weights that they had. Left to the life of the lost order, the engine
+  // would keep a place of those that load for five seconds and do nothing,
+  // while its callers and those of the engines behind it have replaced weights.
+  Fixture fixture;
+  fixture.first.forget_orders = 1;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  CHECK(fixture.TickUntil([&] { return fixture.first.weights == 2; },
+                          Milliseconds(3000)));
+}
+
+TEST_CASE("an engine that is busy keeps its place: the other one has to wait") {
+  // The engine loads by a former holder's order. Were the other one ordered as
+  // well, both would be away at once and every caller refused.
+  Fixture fixture;
+  fixture.first.busy = true;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  CHECK_FALSE(fixture.TickUntil([&] { return fixture.second.arrived > 0; },
+                                Milliseconds(1500)));
+}
+
+TEST_CASE("an engine with more than its record says goes after the others") {
+  // The engine has loaded by a former holder's order, and its record comes late
+  // or not at all. Ordered first, it would load twice while the callers of the
+  // other one wait for a load of weights that were replaced twice.
+  Fixture fixture;
+  fixture.first.weights = 2;
+  fixture.first.accepted = 1;
+  fixture.steward.SetTarget(kModel, WeightNumber(3));
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.first.arrived + fixture.second.arrived > 0; }));
+  CHECK(fixture.first.arrived == 0);
+  CHECK(fixture.TickUntil([&] { return fixture.first.weights == 3; }));
+}
+
 TEST_CASE("the log falls silent: orders go on where engines check fencing") {
   // The log is away for longer than the lease while the operator's new weights
   // are half in place. The engines bar whoever was succeeded, so the holder may
@@ -274,6 +318,96 @@
       Milliseconds(9000)));
 }
 
+// A former holder's record on the lease's stream, with what it noted.
+void AppendFormerHolder(Fixture& fixture, const std::string& note) {
+  LeaseRecord former;
+  former.holder = EntryId("entry-2");
+  former.incarnation = Incarnation(7);
+  former.duration = fixture.settings.lease;
+  former.note = note;
+  fixture.log.Append(LogStream("carobshift-lease"), EncodeLeaseRecord(former));
+}
+
+bool OverdueNow(const Fixture& fixture) {
+  return fixture.deadlines.Overdue(kModel, WeightNumber(1), MonotonicNow());
+}
+
+TEST_CASE("weights found at the start are as old as the last holder knew") {
+  // An instance starts ten seconds after a naming. By itself it knows only that
+  // the weights were named, and would use older ones for the whole time again.
+  Fixture fixture;
+  const MonotonicTime now = MonotonicNow();
+  const auto note_of_age = [&](Milliseconds age) {
+    return EncodeWeightNote({{kModel, WeightNumber(2), now - age}}, now,
+                            WallNow());
+  };
+  SECTION("past the bound") {
+    AppendFormerHolder(fixture, note_of_age(fixture.settings.weights_bound));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                            Milliseconds(500)));
+  }
+  SECTION("within it") {
+    AppendFormerHolder(fixture, note_of_age(Seconds(1)));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK_FALSE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                                  Milliseconds(500)));
+  }
+  SECTION("found after the stream was read") {
+    AppendFormerHolder(fixture, note_of_age(fixture.settings.weights_bound));
+    fixture.TickUntil([] { return false; }, Milliseconds(300));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK(OverdueNow(fixture));
+  }
+}
+
+TEST_CASE("weights found at the start, and nobody knows since when") {
+  Fixture fixture;
+  // The log has dropped what the holders wrote, which may have been long ago.
+  // An engine that comes back with older weights must not be used.
+  SECTION("the holders' records are gone") {
+    AppendFormerHolder(fixture, "");
+    fixture.log.Compact(LogStream("carobshift-lease"));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                            Milliseconds(500)));
+  }
+  // Nobody has ever ordered, so the weights were named just now.
+  SECTION("there never was a holder") {
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK_FALSE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                                  Milliseconds(500)));
+  }
+  // The last holder knew of no such naming, so it is younger than its record.
+  SECTION("the last holder's note has another number") {
+    AppendFormerHolder(fixture,
+                       EncodeWeightNote({}, MonotonicNow(), WallNow()));
+    fixture.steward.SetFoundTarget(kModel, WeightNumber(2));
+    CHECK_FALSE(fixture.TickUntil([&] { return OverdueNow(fixture); },
+                                  Milliseconds(500)));
+  }
+}
+
+TEST_CASE("an engine that started again with older weights is ordered again") {
+  // It has told its holder of the named weights, crashes, and is back under
+  // its old id with the weights that it had before. Taken by what it told, it
+  // would keep them for good, and its callers would get answers of replaced
+  // weights.
+  Fixture fixture;
+  fixture.steward.SetTarget(kModel, WeightNumber(2));
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.first.weights == 2 && fixture.second.weights == 2; },
+      Milliseconds(9000)));
+  fixture.TickUntil([] { return false; }, Milliseconds(2000));
+  fixture.first.weights = 1;
+  fixture.first.accepted = 0;
+  EndpointRecord record = *fixture.registry.Find(EndpointId("engine-1"));
+  record.born = EndpointBirth(record.born.value() + 1);
+  fixture.registry.Put(record, fixture.loop.now());
+  CHECK(fixture.TickUntil([&] { return fixture.first.weights == 2; },
+                          Milliseconds(9000)));
+}
+
 TEST_CASE("a stopped instance gives no more orders") {
   Fixture fixture;
   fixture.steward.SetTarget(kModel, WeightNumber(2));
