--- /dev/null
+++ b/testing/gateway_trace_process_test.cc
@@ -0,0 +1,134 @@
+// From a request's id to the cause of its answer, by the gateways' log lines
+// alone.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/cluster.h"
+#include "testing/gateway_cluster.h"
+
+namespace carobshift {
+namespace {
+
+using nlohmann::json;
+
+// Waits until the log tells of the request's end, and returns its lines.
+std::vector<json> LinesOf(const GatewayCluster& cluster,
+                          const std::string& request) {
+  std::vector<json> lines;
+  CHECK(WaitUntil([&] {
+    lines = cluster.LogLines("request", request);
+    return !lines.empty() && (lines.back().at("event") == "request_done" ||
+                              lines.back().at("event") == "request_rejected");
+  }));
+  return lines;
+}
+
+TEST_CASE("from its id: a booking whose desk is gone") {
+  // All desks are gone. The caller complains with the request's id; the
+  // instance's log names the attempts, why each failed and what was answered.
+  GatewayCluster cluster({.desks = 1});
+  cluster.replica(2).Kill();
+  const HttpAnswer answer = cluster.Send(0, "POST", "/book/1");
+  CHECK(answer.status == 503);
+  CHECK_FALSE(answer.Header("Retry-After").empty());
+  const auto lines = LinesOf(cluster, cluster.LastRequestId());
+  REQUIRE(lines.size() >= 2);
+  for (const json& line : lines)
+    CHECK(line.at("endpoint") == "desk-0");
+  CHECK(lines.front().at("event") == "attempt_failed");
+  CHECK(lines.front().at("fault") == "not_connected");
+  CHECK(lines.back().at("status") == 503);
+}
+
+TEST_CASE("from its id: a prompt that was refused under load") {
+  // Engines are slow to read two very long prompts, and a question that comes
+  // meanwhile is turned away. Its lines tell how much stood before it, how long
+  // that takes and what its target was.
+  GatewayCluster cluster({});
+  for (std::size_t i = 0; i < 2; ++i)
+    SetFaults(cluster.replica(i), {{"delay_ms", 1500}});
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 2; ++i) {
+    callers.emplace_back([&cluster, i] {
+      const std::string part = "d" + std::to_string(i) + ":79000";
+      const HttpAnswer answer =
+          HttpSend(cluster.CallersOf(0), "POST", "/review/1",
+                   {.headers = {{"Host", "api.example"},
+                                {"Request-Id", "long-" + std::to_string(i)},
+                                {"Deadline-Ms", "5000"},
+                                {"X-Api-Key", GatewayCluster::kKey},
+                                {"Model", "m1"},
+                                {"Token-Counts", "79200,50"},
+                                {"Prompt-Prefix", "aa:200," + part}}});
+      (void)answer;
+    });
+  }
+  const bool both_open =
+      WaitUntil([&] { return cluster.State(0).at("open_requests") == 2; });
+  const HttpAnswer answer = cluster.Send(0, "POST", "/review/1");
+  for (std::thread& caller : callers)
+    caller.join();
+  CHECK(both_open);
+  CHECK(answer.status == 503);
+  CHECK_FALSE(answer.Header("Retry-After").empty());
+  const auto lines = LinesOf(cluster, cluster.LastRequestId());
+  REQUIRE(lines.size() == 2);
+  const json& refusal = lines.front();
+  CHECK(refusal.at("event") == "refused_under_load");
+  CHECK(refusal.at("ahead") >= 79000);
+  CHECK(refusal.at("expected_ms") > refusal.at("target_ms"));
+  CHECK(lines.back().at("code") == "overloaded");
+  CHECK(lines.back().at("attempts") == 0);
+}
+
+TEST_CASE("from its id: an answer that broke off when its engine died") {
+  // An engine dies while it streams an answer that may not be resumed. The
+  // lines name the engine, and that its connection broke after the answer had
+  // begun.
+  GatewayCluster cluster({.events = 8});
+  for (std::size_t i = 0; i < 2; ++i)
+    SetFaults(cluster.replica(i), {{"break_after", 3}});
+  const HttpAnswer answer = cluster.Send(0, "POST", "/ask/1");
+  CHECK((!answer.failure.empty() || answer.closed_by_peer));
+  const auto lines = LinesOf(cluster, cluster.LastRequestId());
+  REQUIRE(lines.size() == 2);
+  const json& failed = lines.front();
+  const json& done = lines.back();
+  CHECK(failed.at("event") == "attempt_failed");
+  CHECK(failed.at("fault") == "connection_broken");
+  CHECK(failed.at("sent") == true);
+  CHECK(done.at("code") == "endpoint_failed");
+  CHECK(done.at("status") == 200);
+  CHECK(done.contains("first_ms"));
+  CHECK(done.at("endpoint") == failed.at("endpoint"));
+}
+
+TEST_CASE("from its id: 401 after a key was taken away") {
+  // The operator takes a key away. The caller's lines name the configuration by
+  // which it was rejected, and that configuration's own line tells since when
+  // and from which place of the operator's stream the instance has it.
+  GatewayCluster cluster({});
+  cluster.PutConfig(5, /*with_key=*/false);
+  CHECK(WaitUntil(
+      [&] { return cluster.Send(0, "POST", "/book/1").status == 401; }));
+  const auto lines = LinesOf(cluster, cluster.LastRequestId());
+  REQUIRE(lines.size() == 1);
+  CHECK(lines.front().at("event") == "request_rejected");
+  CHECK(lines.front().at("code") == "unauthenticated");
+  const auto by_number = cluster.LogLines("config", lines.front().at("config"));
+  const auto in_force =
+      std::find_if(by_number.begin(), by_number.end(), [&](const json& line) {
+        return line.at("event") == "config_in_force" &&
+               line.at("process") == lines.front().at("process");
+      });
+  REQUIRE(in_force != by_number.end());
+  CHECK(in_force->contains("offset"));
+  CHECK(in_force->at("config") == 5);
+}
+
+}  // namespace
+}  // namespace carobshift
