--- a/testing/engine_options.cc
+++ b/testing/engine_options.cc
@@ -2,6 +2,8 @@
 
 #include <cxxopts.hpp>
 
+#include "testing/standin_server.h"
+
 namespace carobshift {
 namespace {
 
@@ -30,7 +32,7 @@
 }
 
 cxxopts::ParseResult ParseFlags(int argc, char** argv) {
-  cxxopts::Options options("standin_engine");
+  cxxopts::Options options = StandinOptions("standin_engine");
   const auto text = [](const char* fallback) {
     return cxxopts::value<std::string>()->default_value(fallback);
   };
@@ -38,7 +40,6 @@
     return cxxopts::value<double>()->default_value(fallback);
   };
   auto add = options.add_options();
-  add("listen", "HOST:PORT", text("127.0.0.1:0"));
   add("step-us", "base time of a step", number("8000"));
   add("prefill-us", "time of a prefilled token", number("100"));
   add("decode-us", "time of a decoding sequence in a step", number("20"));
--- a/testing/standin_list.cc
+++ b/testing/standin_list.cc
@@ -80,10 +80,7 @@
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("standin_list");
-  options.add_options()(
-      "listen", "HOST:PORT",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
+  cxxopts::Options options = carobshift::StandinOptions("standin_list");
   const auto flags = options.parse(argc, argv);
   carobshift::StandinServer server;
   carobshift::List list(server.faults());
--- a/testing/standin_log.cc
+++ b/testing/standin_log.cc
@@ -101,12 +101,9 @@
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("standin_log");
-  options.add_options()(
-      "listen", "HOST:PORT",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-      "appends-per-second", "rate cap",
-      cxxopts::value<double>()->default_value("500"));
+  cxxopts::Options options = carobshift::StandinOptions("standin_log");
+  options.add_options()("appends-per-second", "rate cap",
+                        cxxopts::value<double>()->default_value("500"));
   const auto flags = options.parse(argc, argv);
   carobshift::StandinServer server;
   carobshift::Log log(server.faults(),
--- a/testing/standin_plain.cc
+++ b/testing/standin_plain.cc
@@ -58,12 +58,9 @@
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("standin_plain");
-  options.add_options()(
-      "listen", "HOST:PORT",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-      "work-ms", "time of a call",
-      cxxopts::value<double>()->default_value("5"));
+  cxxopts::Options options = carobshift::StandinOptions("standin_plain");
+  options.add_options()("work-ms", "time of a call",
+                        cxxopts::value<double>()->default_value("5"));
   const auto flags = options.parse(argc, argv);
   carobshift::StandinServer server;
   carobshift::PlainService service(
--- a/testing/standin_platform.cc
+++ b/testing/standin_platform.cc
@@ -143,10 +143,7 @@
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("standin_platform");
-  options.add_options()(
-      "listen", "HOST:PORT",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
+  cxxopts::Options options = carobshift::StandinOptions("standin_platform");
   const auto flags = options.parse(argc, argv);
   carobshift::StandinServer server;
   carobshift::PlatformLog log;
--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -162,11 +162,8 @@
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("standin_replica");
-  options.add_options()(
-      "listen", "HOST:PORT",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-      "id", "its id", cxxopts::value<std::string>())(
+  cxxopts::Options options = carobshift::StandinOptions("standin_replica");
+  options.add_options()("id", "its id", cxxopts::value<std::string>())(
       "model", "empty for a plain service",
       cxxopts::value<std::string>()->default_value(""))(
       "events", "in a stream", cxxopts::value<int>()->default_value("5"))(
--- a/testing/standin_server.cc
+++ b/testing/standin_server.cc
@@ -179,6 +179,14 @@
   response_.setKeepAlive(false);
 }
 
+cxxopts::Options StandinOptions(const std::string& name) {
+  cxxopts::Options options(name);
+  options.add_options()(
+      "listen", "HOST:PORT",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
+  return options;
+}
+
 void StandinServer::Route(std::string method,
                           std::string pattern,
                           StandinHandler handler) {
--- a/testing/standin_server.h
+++ b/testing/standin_server.h
@@ -1,11 +1,13 @@
 // What all stand-ins share: routes over Poco's HTTP server, faults switched by
 // POST /faults, and a main function.
 //
+//   cxxopts::Options options = StandinOptions("standin_x");
+//   const auto flags = options.parse(argc, argv);
 //   StandinServer server;
 //   server.Route("GET", "/status", [](StandinExchange& x) {
 //     x.Reply({{"used", 0}});
 //   });
-//   return server.Run("127.0.0.1:0");
+//   return server.Run(flags["listen"].as<std::string>());
 //
 // Faults that every stand-in knows, as fields of the JSON object posted:
 // `silent` (true: no answer while set), `delay_ms` (before each request),
@@ -18,6 +20,7 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <cxxopts.hpp>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -91,6 +94,10 @@
   bool lose_reply_ = false;
 };
 
+// The flag that all stand-ins have: `listen`, by default at a port that the
+// system chooses.
+[[nodiscard]] cxxopts::Options StandinOptions(const std::string& name);
+
 using StandinHandler = std::function<void(StandinExchange&)>;
 
 class StandinServer {
--- a/testing/standin_store.cc
+++ b/testing/standin_store.cc
@@ -218,14 +218,11 @@
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("standin_store");
+  cxxopts::Options options = carobshift::StandinOptions("standin_store");
   const auto number = [](const char* fallback) {
     return cxxopts::value<double>()->default_value(fallback);
   };
-  options.add_options()(
-      "listen", "HOST:PORT",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-      "memory-bytes", "memory tier", number("67108864"))(
+  options.add_options()("memory-bytes", "memory tier", number("67108864"))(
       "capacity-bytes", "both tiers", number("268435456"))(
       "link-bytes-per-second", "0: no limit", number("100000000"))(
       "disk-bytes-per-second", "disk tier", number("50000000"));
--- a/testing/standin_weights.cc
+++ b/testing/standin_weights.cc
@@ -6,12 +6,9 @@
 #include "testing/standin_server.h"
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("standin_weights");
-  options.add_options()(
-      "listen", "HOST:PORT",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-      "bytes-per-second", "of one fetch",
-      cxxopts::value<double>()->default_value("1000000"));
+  cxxopts::Options options = carobshift::StandinOptions("standin_weights");
+  options.add_options()("bytes-per-second", "of one fetch",
+                        cxxopts::value<double>()->default_value("1000000"));
   const auto flags = options.parse(argc, argv);
   const double rate = flags["bytes-per-second"].as<double>();
   constexpr double kFullRateFetches = 2;
