--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,9 @@
 build: packages $(BUILD)/CMakeCache.txt
 	cmake --build $(BUILD) -j $(JOBS)
 
-demo: build
+# Builds no more than it runs.
+demo: packages $(BUILD)/CMakeCache.txt
+	cmake --build $(BUILD) -j $(JOBS) --target carobshift_demo
 	$(BUILD)/bin/carobshift_demo
 
 check: packages
