--- a/testing/gateway_process_test.cc
+++ b/testing/gateway_process_test.cc
@@ -30,7 +30,8 @@
 // For what shows only after a time, in which nothing else can be seen.
 void LetPass(Milliseconds time) {
   const MonotonicTime end = MonotonicNow() + time;
-  REQUIRE(WaitUntil([end] { return MonotonicNow() >= end; }, time + Seconds(1)));
+  REQUIRE(
+      WaitUntil([end] { return MonotonicNow() >= end; }, time + Seconds(1)));
 }
 
 TEST_CASE("a thin day: requests, streams, refusals and addresses") {
