--- a/carobshift/gateway/log_events_page_test.cc
+++ b/carobshift/gateway/log_events_page_test.cc
@@ -4,7 +4,6 @@
 #include <fstream>
 #include <iterator>
 #include <map>
-#include <regex>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,15 +18,21 @@
   return std::string(std::istreambuf_iterator<char>(in), {});
 }
 
-// What `pattern` captures wherever it occurs.
-std::set<std::string> Captures(const std::string& text,
-                               const std::string& pattern) {
-  const std::regex regex(pattern);
-  std::set<std::string> captured;
-  for (std::sregex_iterator it(text.begin(), text.end(), regex), end; it != end;
-       ++it)
-    captured.insert((*it)[1]);
-  return captured;
+// The names of small letters that stand between `before` and `after`.
+std::set<std::string> NamesBetween(const std::string& text,
+                                   const std::string& before,
+                                   const std::string& after) {
+  std::set<std::string> names;
+  for (std::size_t at = text.find(before); at != std::string::npos;
+       at = text.find(before, at + 1)) {
+    const std::size_t begin = at + before.size();
+    const std::size_t end =
+        text.find_first_not_of("abcdefghijklmnopqrstuvwxyz_", begin);
+    if (end != std::string::npos && end > begin &&
+        text.compare(end, after.size(), after) == 0)
+      names.insert(text.substr(begin, end - begin));
+  }
+  return names;
 }
 
 // The events that the gateway's sources log, each with the fields of its
@@ -46,10 +51,10 @@
       const std::string whole = text.substr(at, text.find(';', at) - at);
       const std::size_t fields = whole.find("{{");
       for (const std::string& event :
-           Captures(whole.substr(0, fields), "\"([a-z_]+)\"")) {
+           NamesBetween(whole.substr(0, fields), "\"", "\"")) {
         std::set<std::string>& known = events[event];
         if (fields != std::string::npos)
-          known.merge(Captures(whole.substr(fields), "\\{\"([a-z_]+)\","));
+          known.merge(NamesBetween(whole.substr(fields), "{\"", "\","));
       }
     }
   }
@@ -71,9 +76,9 @@
       continue;
     const std::size_t third = line.find('|', second + 1);
     const auto fields =
-        Captures(line.substr(second, third - second), "`([a-z_]+)`");
+        NamesBetween(line.substr(second, third - second), "`", "`");
     for (const std::string& event :
-         Captures(line.substr(0, second), "`([a-z_]+)`"))
+         NamesBetween(line.substr(0, second), "`", "`"))
       events[event] = fields;
   }
   return events;
