An engine's turn in a rollout belongs to one of its models

Cause: turns were kept by engine; with two models named, each model's step took the other's turn for its own and gave the order anew at each tick (15 orders in 1.8 s where one is due; the known red test).

--- a/carobshift/gateway/weight_rollout.cc
+++ b/carobshift/gateway/weight_rollout.cc
@@ -31,6 +31,19 @@
   return target && engine.weights < *target;
 }
 
+const WeightRollout::Progress* WeightRollout::TurnOf(
+    const RolloutEngine& engine) const {
+  const auto found = progress_.find(engine.id);
+  if (found == progress_.end() || found->second.model != engine.model)
+    return nullptr;
+  return &found->second;
+}
+
+bool WeightRollout::HasOtherTurn(const RolloutEngine& engine) const {
+  const auto found = progress_.find(engine.id);
+  return found != progress_.end() && found->second.model != engine.model;
+}
+
 bool WeightRollout::HasWork(const std::vector<RolloutEngine>& engines) const {
   return std::any_of(engines.begin(), engines.end(),
                      [this](const auto& engine) { return IsBehind(engine); });
@@ -40,10 +53,9 @@
                            MonotonicTime now) {
   std::set<EndpointId> under_way;
   for (const RolloutEngine& engine : engines) {
-    const auto found = progress_.find(engine.id);
-    if (found == progress_.end() || !IsBehind(engine))
+    if (TurnOf(engine) == nullptr || !IsBehind(engine))
       continue;
-    Progress& progress = found->second;
+    Progress& progress = progress_.at(engine.id);
     // It has loaded weights that were replaced meanwhile. Left in its turn it
     // would load once more before engines that have older ones.
     if (engine.weights > progress.weights)
@@ -76,9 +88,8 @@
 
 bool WeightRollout::IsStuck(const RolloutEngine& engine,
                             MonotonicTime now) const {
-  const auto found = progress_.find(engine.id);
-  return found != progress_.end() && found->second.loading_since &&
-         !HasPlace(found->second, now);
+  const Progress* const turn = TurnOf(engine);
+  return turn != nullptr && turn->loading_since && !HasPlace(*turn, now);
 }
 
 std::vector<const RolloutEngine*> WeightRollout::WaitingFor(
@@ -113,10 +124,10 @@
     MonotonicTime now) const {
   UnderWay count;
   for (const RolloutEngine* engine : waiting) {
-    const auto found = progress_.find(engine->id);
-    if (found == progress_.end() || IsStuck(*engine, now))
+    const Progress* const turn = TurnOf(*engine);
+    if (turn == nullptr || IsStuck(*engine, now))
       continue;
-    const Progress& progress = found->second;
+    const Progress& progress = *turn;
     if (HasPlace(progress, now)) {
       ++count.loading;
       if (progress.loading_since &&
@@ -138,13 +149,15 @@
   const int width = WidthFor(model, engines);
   UnderWay under_way = CountUnderWay(waiting, now);
   for (const RolloutEngine* engine : waiting) {
-    const auto found = progress_.find(engine->id);
-    if (found == progress_.end()) {
+    if (HasOtherTurn(*engine))
+      continue;
+    if (TurnOf(*engine) == nullptr) {
       if (under_way.draining + under_way.begun >= width ||
           under_way.draining + under_way.failing >= 2 * width)
         continue;
       ++under_way.draining;
       Progress& begun = progress_[engine->id];
+      begun.model = model;
       begun.number = number;
       begun.weights = engine->weights;
       begun.not_before = now + options_.drain;
@@ -152,7 +165,7 @@
                        engine->weights});
       continue;
     }
-    Progress& progress = found->second;
+    Progress& progress = progress_.at(engine->id);
     if (progress.ordered_at || now < progress.not_before)
       continue;
     if (!HasPlace(progress, now)) {
--- a/carobshift/gateway/weight_rollout.h
+++ b/carobshift/gateway/weight_rollout.h
@@ -121,8 +121,12 @@
   void OnAdvanced(const EndpointId& endpoint) { progress_.erase(endpoint); }
 
  private:
-  // An engine's turn.
+  // An engine's turn, for one of its models at a time: an engine that carries
+  // out one order refuses others. Were the turn taken for that of another of
+  // its models, the order would be given anew at each tick and break off the
+  // one under way.
   struct Progress {
+    ModelName model;
     WeightNumber number{};
     // Those that the engine had when its turn began.
     WeightNumber weights{};
@@ -148,6 +152,10 @@
   };
 
   [[nodiscard]] bool IsBehind(const RolloutEngine& engine) const;
+  // The engine's turn for this model; null if it has none.
+  [[nodiscard]] const Progress* TurnOf(const RolloutEngine& engine) const;
+  // Whether its turn is another model's.
+  [[nodiscard]] bool HasOtherTurn(const RolloutEngine& engine) const;
   // Whether it has a place among those that load.
   [[nodiscard]] bool HasPlace(const Progress& progress,
                               MonotonicTime now) const;
