Instances that are leaving are asked for what they know, and the last one hands it on

Cause: when all instances are stopped and started in turn while the store is silent, those that stay have just started; Cluster::Live leaves out the ones that are leaving, so the newcomers ask each other in a circle (peer_without_state) and every caller is refused for want of a configuration. Ruled out: the state itself is at hand, leaving instances live 2.4 s and more. Change: PeersToAsk takes all that live and prefers those that have a configuration; an instance that is leaving doesn't end while it is the last that knows and the log is silent (MustHandOn).

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/keyed_follower.h"
 #include "carobshift/gateway/load_sharing.h"
+#include "carobshift/gateway/peer_choice.h"
 #include "carobshift/gateway/peer_sync.h"
 #include "carobshift/gateway/query_service.h"
 #include "carobshift/gateway/request_service.h"
@@ -324,7 +325,9 @@
   const Milliseconds last = settings.stop_grace - kStopMargin;
   if (passed >= last)
     return true;
-  return passed >= kStopAccepting && requests.open_requests() == 0;
+  return passed >= kStopAccepting && requests.open_requests() == 0 &&
+         !MustHandOn(cluster.membership().Members(), settings.entry,
+                     peer_sync.LogSilent());
 }
 
 Gateway::Gateway(const GatewaySettings& settings, const Dialects& dialects)
--- /dev/null
+++ b/carobshift/gateway/peer_choice.cc
@@ -0,0 +1,54 @@
+#include "carobshift/gateway/peer_choice.h"
+
+#include <algorithm>
+
+namespace carobshift {
+namespace {
+
+bool Lives(const MemberRecord& member) {
+  return member.state == MemberState::kAlive;
+}
+
+bool HasConfig(const MemberRecord& member) {
+  return member.config_version > ConfigVersion(0);
+}
+
+}  // namespace
+
+std::vector<MemberInfo> PeersToAsk(const std::vector<MemberRecord>& members,
+                                   const EntryId& self) {
+  std::vector<MemberInfo> knowing;
+  std::vector<MemberInfo> all;
+  for (const MemberRecord& member : members) {
+    if (!Lives(member) || member.info.id == self)
+      continue;
+    all.push_back(member.info);
+    if (HasConfig(member))
+      knowing.push_back(member.info);
+  }
+  std::vector<MemberInfo>& chosen = knowing.empty() ? all : knowing;
+  std::sort(chosen.begin(), chosen.end(),
+            [](const auto& a, const auto& b) { return a.id < b.id; });
+  return chosen;
+}
+
+bool MustHandOn(const std::vector<MemberRecord>& members,
+                const EntryId& self,
+                bool log_silent) {
+  if (!log_silent)
+    return false;
+  bool others = false;
+  for (const MemberRecord& member : members) {
+    if (!Lives(member) || member.info.id == self)
+      continue;
+    others = true;
+    if (!HasConfig(member))
+      continue;
+    // It stays, or it is the one that waits.
+    if (!member.info.leaving || member.info.id < self)
+      return false;
+  }
+  return others;
+}
+
+}  // namespace carobshift
--- a/carobshift/gateway/peer_sync.cc
+++ b/carobshift/gateway/peer_sync.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/gateway/peer_choice.h"
 #include "carobshift/gateway/peer_state_codec.h"
 #include "carobshift/telemetry/event_log.h"
 
@@ -57,14 +58,16 @@
   return loop_.now() - *follower.last_answer() > kSilence;
 }
 
+bool PeerSync::LogSilent() const {
+  return IsSilent(operators_) || IsSilent(endpoints_);
+}
+
 void PeerSync::OnTick() {
-  if (fetch_.active() || loop_.now() < next_ ||
-      (!IsSilent(operators_) && !IsSilent(endpoints_)))
+  if (fetch_.active() || loop_.now() < next_ || !LogSilent())
     return;
   next_ = loop_.now() + kAskAgain;
-  std::vector<MemberInfo> peers = cluster_.Live();
-  std::erase_if(peers,
-                [this](const auto& member) { return member.id == self_; });
+  const std::vector<MemberInfo> peers =
+      PeersToAsk(cluster_.membership().Members(), self_);
   if (!peers.empty())
     Ask(peers[turn_++ % peers.size()]);
 }
--- a/carobshift/gateway/peer_sync.h
+++ b/carobshift/gateway/peer_sync.h
@@ -45,6 +45,8 @@
   // Answers the others' questions.
   [[nodiscard]] Status Start();
   void OnTick();
+  // The log doesn't answer this instance, for one of the two streams at least.
+  [[nodiscard]] bool LogSilent() const;
 
  private:
   [[nodiscard]] bool IsSilent(const KeyedFollower& follower) const;
--- a/carobshift/gateway/peer_sync_test.cc
+++ b/carobshift/gateway/peer_sync_test.cc
@@ -393,6 +393,26 @@
   CHECK(std::find(removed, endpoints.end(), "engine=1") == endpoints.end());
 }
 
+TEST_CASE("a peer that is leaving is asked like the others") {
+  // All instances are stopped and started in turn while the log is down. Those
+  // that stay have just started; only those that leave know a configuration. If
+  // they aren't asked, every caller is turned away until the log is back.
+  Fixture fixture;
+  Instance& leaving = fixture.Add(2);
+  leaving.Declare("config=1");
+  leaving.Start();
+  REQUIRE(
+      fixture.TickUntil([&] { return !leaving.operator_sink.told.empty(); }));
+  leaving.cluster.SetConfigNumber(1);
+  leaving.cluster.Leave();
+  Instance& starting = fixture.Add(1);
+  starting.SetLogMode(FakeLogMode::kSilent);
+  starting.Start();
+  CHECK(fixture.TickUntil(
+      [&] { return starting.operator_sink.told == Told{"config=1"}; },
+      Milliseconds(2500)));
+}
+
 TEST_CASE("an instance without a peer waits until one comes") {
   // The first instance of a deployment starts while the log is down.
   Fixture fixture;
