Of many instances one in each zone reads the log, and tells the others what changes

Change: beyond twelve instances one of each availability zone reads (record_readers); the others ask it every 0.4 s for what has changed (record_listener), turn to another reader when it fails, and read the log themselves when nobody knows anything newer than 1.2 s. Deployments of up to twelve instances read as before.

--- a/carobshift/gateway/fake_log.h
+++ b/carobshift/gateway/fake_log.h
@@ -87,15 +87,23 @@
 
   explicit FakeLog(EventLoop& loop)
       : server_(loop, [this](auto& connection, const auto& request) {
+          ++calls_;
+          if (on_call_)
+            on_call_();
           Serve(connection, request);
         }) {}
 
   [[nodiscard]] NetAddress address() const { return server_.address(); }
   void SetMode(FakeLogMode mode) { mode_ = mode; }
+  [[nodiscard]] int calls() const { return calls_; }
   // Called after each page that was sent.
   void SetOnPage(std::function<void()> on_page) {
     on_page_ = std::move(on_page);
   }
+  // Called when a call has come, before it is answered.
+  void SetOnCall(std::function<void()> on_call) {
+    on_call_ = std::move(on_call);
+  }
   void Append(const LogStream& stream, const std::string& payload) {
     streams_[stream.value()].records.push_back(payload);
   }
@@ -121,8 +129,10 @@
   static nlohmann::json Newest(const Stream& stream, const std::string& after);
 
   std::map<std::string, Stream> streams_;
+  int calls_ = 0;
   FakeLogMode mode_ = FakeLogMode::kServes;
   std::function<void()> on_page_;
+  std::function<void()> on_call_;
   LoopbackServer server_;
 };
 
--- a/carobshift/gateway/fake_sink.h
+++ b/carobshift/gateway/fake_sink.h
@@ -18,8 +18,9 @@
 
 class FakeSink : public KeyedFollowerSink {
  public:
-  void OnRecord(const KeyedRecord& record, MonotonicTime) override {
+  bool OnRecord(const KeyedRecord& record, MonotonicTime) override {
     told.push_back(record.key + "=" + record.value.value_or("(removed)"));
+    return changes;
   }
   void OnSnapshot(const std::vector<std::string>& present,
                   MonotonicTime) override {
@@ -30,6 +31,8 @@
 
   std::vector<std::string> told;
   std::vector<std::vector<std::string>> snapshots;
+  // What OnRecord() answers.
+  bool changes = true;
   int lost = 0;
   int back = 0;
 };
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -12,6 +12,7 @@
 #include "carobshift/gateway/peer_choice.h"
 #include "carobshift/gateway/peer_sync.h"
 #include "carobshift/gateway/query_service.h"
+#include "carobshift/gateway/record_listener.h"
 #include "carobshift/gateway/request_service.h"
 #include "carobshift/gateway/store_keeper.h"
 #include "carobshift/gateway/weight_steward.h"
@@ -127,6 +128,13 @@
                                   endpoint_records};
   PeerSync peer_sync{loop,    control_client,    settings,
                      cluster, operator_follower, endpoint_follower};
+  RecordListener record_listener{
+      loop,
+      control_client,
+      {cluster.membership().self(), [this] { return cluster.Live(); },
+       SharedSecret(settings)},
+      operator_follower,
+      endpoint_follower};
   QueryService queries{
       loop, [this](const HttpHead& question) { return Answer(question); }};
   QueryService directory{
@@ -168,6 +176,9 @@
     return status;
   if (Status status = datagrams.Start(); !status.ok())
     return status;
+  peer_sync.SetOtherAnswer([this](const HttpHead& question) {
+    return record_listener.Answer(question);
+  });
   if (Status status = peer_sync.Start(); !status.ok())
     return status;
   requests.SetOnCrash(
@@ -214,6 +225,7 @@
   requests.OnTick();
   load_sharing.OnTick();
   caches.OnTick();
+  record_listener.OnTick();
   peer_sync.OnTick();
   endpoint_records.Expire(loop.now());
   steward.OnTick();
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -7,9 +7,9 @@
 
 namespace carobshift {
 
-void OperatorRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
+bool OperatorRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
   if (!record.value)
-    return;
+    return true;
   Result<OperatorRecord> decoded =
       dialect_.DecodeOperatorRecord(record.key, *record.value);
   if (!decoded.ok()) {
@@ -17,7 +17,7 @@
              {{"key", record.key},
               {"offset", record.offset.value()},
               {"reason", decoded.error().message}});
-    return;
+    return true;
   }
   if (auto* config = std::get_if<ServingConfig>(&decoded.value()))
     Apply(std::move(*config), record.offset);
@@ -25,6 +25,7 @@
     listener_.on_weights(
         std::get<NamedWeights>(decoded.value()),
         Follows(now) ? NamingTime::kJustNow : NamingTime::kUnknown);
+  return true;
 }
 
 void OperatorRecords::Apply(ServingConfig config, LogOffset offset) {
@@ -52,7 +53,7 @@
            {{"stream", "operator"}, {"away_ms", away.count()}});
 }
 
-void EndpointRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
+bool EndpointRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
   const EndpointId id(record.key);
   const std::uint64_t before = registry_.revision();
   if (!record.value) {
@@ -68,8 +69,10 @@
       registry_.Remove(id, RemovalCause::kAnnounced, now);
     }
   }
+  // A removal counts also while the entry has its grace: those that are told
+  // of it give it theirs.
   if (registry_.revision() == before)
-    return;
+    return !record.value;
   const EndpointRecord* const known = registry_.Find(id);
   LogEvent(LogLevel::kInfo, "endpoint_changed",
            {{"endpoint", record.key},
@@ -80,6 +83,7 @@
             {"offset", record.offset.value()},
             {"registry", registry_.revision()}});
   listener_.on_endpoints();
+  return true;
 }
 
 void EndpointRecords::OnSnapshot(const std::vector<std::string>& present,
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -49,7 +49,7 @@
                   const GatewayStateListener& listener)
       : dialect_(dialect), listener_(listener) {}
 
-  void OnRecord(const KeyedRecord& record, MonotonicTime now) override;
+  bool OnRecord(const KeyedRecord& record, MonotonicTime now) override;
   void OnSnapshot(const std::vector<std::string>&, MonotonicTime) override {
     caught_up_ = true;
   }
@@ -91,7 +91,7 @@
                   const GatewayStateListener& listener)
       : dialect_(dialect), registry_(registry), listener_(listener) {}
 
-  void OnRecord(const KeyedRecord& record, MonotonicTime now) override;
+  bool OnRecord(const KeyedRecord& record, MonotonicTime now) override;
   void OnSnapshot(const std::vector<std::string>& present,
                   MonotonicTime now) override;
   void OnLogLost(std::string_view reason) override;
--- a/carobshift/gateway/keyed_follower.cc
+++ b/carobshift/gateway/keyed_follower.cc
@@ -13,6 +13,9 @@
 // hundreds.
 constexpr Milliseconds kPageTimeout{1500};
 constexpr Milliseconds kConnectTimeout{400};
+// Between two answers of the log to those that tell of it; beyond it entries
+// may have run out unseen.
+constexpr Milliseconds kNoticeableGap{1500};
 
 }  // namespace
 
@@ -29,7 +32,8 @@
       dialect_(dialect),
       stream_(std::move(stream)),
       options_(options),
-      sink_(sink) {}
+      sink_(sink),
+      wait_(options.wait) {}
 
 void KeyedFollower::Start() {
   started_ = loop_.now();
@@ -95,24 +99,28 @@
   if (stopped_)
     return;
   const MonotonicTime asked = loop_.now();
+  const LogOffset from = next_;
   fetch_.Start(
       client_, loop_, log_,
-      SerializeRequest(dialect_.EncodeRead(stream_, next_, options_.wait), log_,
-                       ""),
-      CallOptions(options_.wait + options_.slack),
-      [this, asked](const FetchOutcome& outcome) { OnBatch(outcome, asked); });
+      SerializeRequest(dialect_.EncodeRead(stream_, next_, wait_), log_, ""),
+      CallOptions(wait_ + options_.slack),
+      [this, from, asked](const FetchOutcome& outcome) {
+        OnBatch(outcome, from, asked);
+      });
 }
 
-void KeyedFollower::OnBatch(const FetchOutcome& outcome, MonotonicTime asked) {
+void KeyedFollower::OnBatch(const FetchOutcome& outcome,
+                            LogOffset from,
+                            MonotonicTime asked) {
   if (!outcome.status) {
     OnFailure(outcome.reason);
     return;
   }
   const Result<LogBatch> batch =
-      dialect_.DecodeRead(*outcome.status, outcome.body, next_);
+      dialect_.DecodeRead(*outcome.status, outcome.body, from);
   if (!batch.ok() && batch.error().code == ResultCode::kLogRecordExpired) {
     LogEvent(LogLevel::kInfo, "log_records_expired",
-             {{"stream", stream_.value()}, {"from", next_.value()}});
+             {{"stream", stream_.value()}, {"from", from.value()}});
     ReadPage();
     return;
   }
@@ -138,15 +146,18 @@
 }
 
 bool KeyedFollower::Tell(const KeyedRecord& record) {
-  const auto [known, first] = newest_.emplace(record.key, record);
+  const auto [found, first] =
+      newest_.emplace(record.key, Known{record, record.offset});
+  Known& known = found->second;
   if (!first) {
-    if (record.offset <= known->second.offset)
+    if (record.offset <= known.record.offset)
       return false;
-    known->second = record;
+    known.record = record;
   }
+  if (sink_.OnRecord(record, loop_.now()))
+    known.changed = record.offset;
   if (!record.value)
     ForgetOldRemovals();
-  sink_.OnRecord(record, loop_.now());
   return true;
 }
 
@@ -154,11 +165,13 @@
 void KeyedFollower::NoteMissing() {
   const std::set<std::string> present(present_.begin(), present_.end());
   const LogOffset last(next_.value() == 0 ? 0 : next_.value() - 1);
-  for (auto& [key, record] : newest_) {
-    if (present.contains(key) || record.offset > last)
+  for (auto& [key, known] : newest_) {
+    if (present.contains(key) || known.record.offset > last)
       continue;
-    record.value.reset();
-    record.offset = last;
+    known.record.value.reset();
+    known.record.offset = last;
+    // Whoever has heard of all before next_ has not heard of this.
+    known.changed = next_;
   }
 }
 
@@ -167,7 +180,7 @@
 void KeyedFollower::ForgetOldRemovals() {
   constexpr std::uint64_t kRemovalsKept = 5000;
   std::erase_if(newest_, [this](const auto& entry) {
-    const KeyedRecord& record = entry.second;
+    const KeyedRecord& record = entry.second.record;
     return !record.value &&
            record.offset.value() + kRemovalsKept < next_.value();
   });
@@ -175,11 +188,40 @@
 
 std::vector<KeyedRecord> KeyedFollower::Newest() const {
   std::vector<KeyedRecord> records;
-  for (const auto& [key, record] : newest_)
-    records.push_back(record);
+  for (const auto& [key, known] : newest_)
+    records.push_back(known.record);
   return records;
 }
 
+std::vector<KeyedRecord> KeyedFollower::ChangedSince(LogOffset since) const {
+  std::vector<KeyedRecord> records;
+  for (const auto& [key, known] : newest_) {
+    if (known.changed >= since)
+      records.push_back(known.record);
+  }
+  return records;
+}
+
+void KeyedFollower::OnHeard(LogOffset next, MonotonicTime answered) {
+  next_ = std::max(next_, next);
+  const MonotonicTime before = last_answer_.value_or(started_);
+  if (answered <= before)
+    return;
+  last_answer_ = answered;
+  const auto away = std::chrono::duration_cast<Milliseconds>(answered - before);
+  if (!lost_ && away < kNoticeableGap)
+    return;
+  if (!std::exchange(lost_, false))
+    sink_.OnLogLost("no instance tells of it");
+  sink_.OnLogBack(away, loop_.now());
+}
+
+void KeyedFollower::SetResting(bool resting) {
+  resting_ = resting && caught_up_;
+  if (!resting_ && std::exchange(idle_, false))
+    ReadOn();
+}
+
 std::size_t KeyedFollower::Learn(const std::vector<KeyedRecord>& records) {
   std::size_t learnt = 0;
   for (const KeyedRecord& record : records)
@@ -215,6 +257,9 @@
 void KeyedFollower::Again(Milliseconds wait, void (KeyedFollower::*read)()) {
   if (stopped_)
     return;
+  idle_ = resting_ && caught_up_;
+  if (idle_)
+    return;
   timer_ =
       loop_.AddTimer(loop_.now() + wait, [this, read] { (this->*read)(); });
 }
--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/keyed_follower.h
@@ -20,6 +20,7 @@
 #ifndef CAROBSHIFT_GATEWAY_KEYED_FOLLOWER_H_
 #define CAROBSHIFT_GATEWAY_KEYED_FOLLOWER_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -47,8 +48,9 @@
 class KeyedFollowerSink {
  public:
   virtual ~KeyedFollowerSink() = default;
-  // A record that is newer than all told of its key.
-  virtual void OnRecord(const KeyedRecord& record, MonotonicTime now) = 0;
+  // A record that is newer than all told of its key. False if nothing has
+  // changed by it, as by a heartbeat; then other instances aren't told.
+  virtual bool OnRecord(const KeyedRecord& record, MonotonicTime now) = 0;
   // All newest records were told; keys not in `present` are gone.
   virtual void OnSnapshot(const std::vector<std::string>& present,
                           MonotonicTime now) = 0;
@@ -74,6 +76,18 @@
   [[nodiscard]] std::vector<KeyedRecord> Newest() const;
   // Takes what another instance knows. Returns how many records were news.
   std::size_t Learn(const std::vector<KeyedRecord>& records);
+  // The newest record of each key that has changed at `since` or later.
+  [[nodiscard]] std::vector<KeyedRecord> ChangedSince(LogOffset since) const;
+  // Another instance has told all changes before `next`, as the log answered it
+  // at `answered`.
+  void OnHeard(LogOffset next, MonotonicTime answered);
+  // While resting it doesn't read the log, as another instance tells what
+  // changes there. It rests only once it has read the newest records.
+  void SetResting(bool resting);
+  // Shortens the wait of a read; nothing for that of the options.
+  void SetLongestWait(std::optional<Milliseconds> wait) {
+    wait_ = std::min(options_.wait, wait.value_or(options_.wait));
+  }
 
   // When the log last answered; nothing before the first answer.
   [[nodiscard]] std::optional<MonotonicTime> last_answer() const {
@@ -84,10 +98,20 @@
   [[nodiscard]] bool caught_up() const { return caught_up_; }
 
  private:
+  struct Known {
+    KeyedRecord record;
+    // Where it last changed.
+    LogOffset changed;
+  };
+
   void ReadPage();
   void OnPage(const FetchOutcome& outcome);
   void ReadOn();
-  void OnBatch(const FetchOutcome& outcome, MonotonicTime asked);
+  // `from`: where the read began. Another instance's word may have moved next_
+  // meanwhile, and the records count from where they were read.
+  void OnBatch(const FetchOutcome& outcome,
+               LogOffset from,
+               MonotonicTime asked);
   void OnAnswer();
   void OnFailure(std::string_view reason);
   void Again(Milliseconds wait, void (KeyedFollower::*read)());
@@ -106,7 +130,11 @@
   KeyedFollowerSink& sink_;
   HttpFetch fetch_;
   TimerId timer_;
+  Milliseconds wait_;
   bool stopped_ = false;
+  bool resting_ = false;
+  // No read is under way or planned.
+  bool idle_ = false;
   bool caught_up_ = false;
   bool lost_ = false;
   // Of the page being read.
@@ -114,7 +142,7 @@
   std::optional<LogOffset> snapshot_end_;
   std::vector<std::string> present_;
   LogOffset next_;
-  std::map<std::string, KeyedRecord> newest_;
+  std::map<std::string, Known> newest_;
   std::optional<MonotonicTime> last_answer_;
   MonotonicTime started_{};
   Milliseconds retry_{0};
--- a/carobshift/gateway/keyed_follower_test.cc
+++ b/carobshift/gateway/keyed_follower_test.cc
@@ -127,5 +127,34 @@
   CHECK(fixture.sink.told.back() == "a=3");
 }
 
+TEST_CASE("a read that is overtaken by a peer's word skips nothing") {
+  // A peer tells of changes while a read of the log waits. If the read's
+  // records were numbered from where the peer's word ends, every later record
+  // would be taken for an older one: the instance would keep a replaced
+  // configuration.
+  Fixture fixture;
+  fixture.log.Append(fixture.stream, "a=1");
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.follower.caught_up(); });
+  bool overtaken = false;
+  fixture.log.SetOnCall([&] {
+    if (overtaken)
+      return;
+    overtaken = true;
+    fixture.log.Append(fixture.stream, "b=1");
+    fixture.log.Append(fixture.stream, "a=2");
+    fixture.follower.OnHeard(LogOffset(3), fixture.loop.now());
+    fixture.follower.Learn(
+        {{"b", "1", LogOffset(1)}, {"a", "2", LogOffset(2)}});
+  });
+  RunUntil(fixture.loop, [&] { return overtaken; });
+  RunFor(fixture.loop, Milliseconds(60));
+  fixture.log.Append(fixture.stream, "a=3");
+  fixture.log.Append(fixture.stream, "b");
+  RunFor(fixture.loop, Milliseconds(60));
+  CHECK(fixture.sink.told ==
+        std::vector<std::string>{"a=1", "b=1", "a=2", "a=3", "b=(removed)"});
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/peer_state_codec.cc
+++ b/carobshift/gateway/peer_state_codec.cc
@@ -61,6 +61,25 @@
   return records;
 }
 
+void WriteChanges(cereal::PortableBinaryOutputArchive& archive,
+                  const StreamChanges& changes) {
+  WriteRecords(archive, changes.records);
+  archive(changes.next.value(), static_cast<std::int64_t>(changes.age.count()));
+}
+
+StreamChanges ReadChanges(cereal::PortableBinaryInputArchive& archive) {
+  StreamChanges changes;
+  changes.records = ReadRecords(archive);
+  std::uint64_t next = 0;
+  std::int64_t age = 0;
+  archive(next, age);
+  if (age < 0)
+    throw cereal::Exception("an answer of the future");
+  changes.next = LogOffset(next);
+  changes.age = Milliseconds(age);
+  return changes;
+}
+
 }  // namespace
 
 std::string EncodePeerState(const PeerState& state, const std::string& secret) {
@@ -90,4 +109,32 @@
   return state;
 }
 
+std::string EncodePeerChanges(const PeerChanges& changes,
+                              const std::string& secret) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    WriteChanges(archive, changes.operators);
+    WriteChanges(archive, changes.endpoints);
+  }
+  return Seal(out.str(), secret);
+}
+
+Result<PeerChanges> DecodePeerChanges(std::string_view bytes,
+                                      const std::string& secret) {
+  const auto body = Unseal(bytes, secret);
+  if (!body)
+    return Error{ResultCode::kPeerRejected, "peer changes not authenticated"};
+  PeerChanges changes;
+  try {
+    std::istringstream in{std::string(*body)};
+    cereal::PortableBinaryInputArchive archive(in);
+    changes.operators = ReadChanges(archive);
+    changes.endpoints = ReadChanges(archive);
+  } catch (const std::exception& e) {
+    return Error{ResultCode::kPeerRejected, e.what()};
+  }
+  return changes;
+}
+
 }  // namespace carobshift
--- a/carobshift/gateway/peer_state_codec.h
+++ b/carobshift/gateway/peer_state_codec.h
@@ -22,12 +22,32 @@
   std::vector<KeyedRecord> endpoint_records;
 };
 
+// What has changed in one stream since a position that was asked for.
+struct StreamChanges {
+  std::vector<KeyedRecord> records;
+  // The next position to ask for.
+  LogOffset next;
+  // Since the log last answered the sender.
+  Milliseconds age{0};
+};
+
+struct PeerChanges {
+  StreamChanges operators;
+  StreamChanges endpoints;
+};
+
 [[nodiscard]] std::string EncodePeerState(const PeerState& state,
                                           const std::string& secret);
 // kPeerRejected for anything else than a whole state under the same secret.
 [[nodiscard]] Result<PeerState> DecodePeerState(std::string_view bytes,
                                                 const std::string& secret);
 
+[[nodiscard]] std::string EncodePeerChanges(const PeerChanges& changes,
+                                            const std::string& secret);
+// The same for changes. No age is below zero.
+[[nodiscard]] Result<PeerChanges> DecodePeerChanges(std::string_view bytes,
+                                                    const std::string& secret);
+
 }  // namespace carobshift
 
 #endif  // CAROBSHIFT_GATEWAY_PEER_STATE_CODEC_H_
--- a/carobshift/gateway/peer_sync.cc
+++ b/carobshift/gateway/peer_sync.cc
@@ -44,8 +44,10 @@
 QueryAnswer PeerSync::Answer(const HttpHead& question) const {
   constexpr int kForbidden = 403;
   constexpr int kUnavailable = 503;
-  if (!ConstantTimeEqual(question.target, Path()))
-    return {kForbidden, {}, {}};
+  if (!ConstantTimeEqual(question.target, Path())) {
+    const auto other = other_ ? other_(question) : std::nullopt;
+    return other.value_or(QueryAnswer{kForbidden, {}, {}});
+  }
   PeerState state{operators_.Newest(), endpoints_.Newest()};
   if (state.operator_records.empty())
     return {kUnavailable, {}, {}};
--- a/carobshift/gateway/peer_sync.h
+++ b/carobshift/gateway/peer_sync.h
@@ -13,7 +13,10 @@
 #ifndef CAROBSHIFT_GATEWAY_PEER_SYNC_H_
 #define CAROBSHIFT_GATEWAY_PEER_SYNC_H_
 
+#include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "carobshift/base/result.h"
 #include "carobshift/gateway/cluster.h"
@@ -42,6 +45,10 @@
            KeyedFollower& operators,
            KeyedFollower& endpoints);
 
+  // Answers questions at the same port that aren't for whole states.
+  using OtherAnswer =
+      std::function<std::optional<QueryAnswer>(const HttpHead&)>;
+  void SetOtherAnswer(OtherAnswer other) { other_ = std::move(other); }
   // Answers the others' questions.
   [[nodiscard]] Status Start();
   void OnTick();
@@ -64,6 +71,7 @@
   NetAddress address_;
   EntryId self_;
   std::string secret_;
+  OtherAnswer other_;
   QueryService queries_;
   HttpFetch fetch_;
   MonotonicTime started_{};
--- /dev/null
+++ b/carobshift/gateway/record_listener_test.cc
@@ -0,0 +1,279 @@
+#include "carobshift/gateway/record_listener.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "carobshift/gateway/fake_log.h"
+#include "carobshift/gateway/fake_sink.h"
+#include "carobshift/gateway/record_readers.h"
+
+namespace carobshift {
+namespace {
+
+using Told = std::vector<std::string>;
+
+const std::string kSecret = "secret";
+
+// An instance with logs of its own, so that it alone can be cut off.
+struct Instance {
+  Instance(EventLoop& loop,
+           std::string host,
+           MemberInfo self,
+           std::function<std::vector<MemberInfo>()> live)
+      : operator_log(loop),
+        endpoint_log(loop),
+        client(loop, {}),
+        operators(loop,
+                  client,
+                  operator_log.address(),
+                  dialect,
+                  dialect.OperatorStream(),
+                  QuickFollowerOptions(),
+                  operator_sink),
+        endpoints(loop,
+                  client,
+                  endpoint_log.address(),
+                  dialect,
+                  dialect.EndpointStream(),
+                  QuickFollowerOptions(),
+                  endpoint_sink),
+        listener(loop,
+                 client,
+                 {std::move(self), std::move(live), kSecret},
+                 operators,
+                 endpoints),
+        server(
+            loop,
+            [this](HttpServerConnection& connection,
+                   const HttpServerRequest& request) {
+              ++questions;
+              if (hangs)
+                return;
+              const auto answer = listener.Answer(request.head);
+              REQUIRE(answer);
+              HttpHead head;
+              head.status = answer->status;
+              connection.SendWhole(std::move(head), answer->body);
+            },
+            {},
+            std::move(host)) {}
+  ~Instance() {
+    operators.Stop();
+    endpoints.Stop();
+  }
+
+  void Start() {
+    operators.Start();
+    endpoints.Start();
+  }
+  void SetLogMode(FakeLogMode mode) {
+    operator_log.SetMode(mode);
+    endpoint_log.SetMode(mode);
+  }
+  void Declare(const std::string& record) {
+    operator_log.Append(dialect.OperatorStream(), record);
+  }
+  void List(const std::string& record) {
+    endpoint_log.Append(dialect.EndpointStream(), record);
+  }
+  [[nodiscard]] bool CaughtUp() const {
+    return operators.caught_up() && endpoints.caught_up();
+  }
+
+  FakeLog operator_log;
+  FakeLog endpoint_log;
+  FakeLogDialect dialect;
+  HttpClient client;
+  FakeSink operator_sink;
+  FakeSink endpoint_sink;
+  KeyedFollower operators;
+  KeyedFollower endpoints;
+  RecordListener listener;
+  int questions = 0;
+  bool hangs = false;
+  LoopbackServer server;
+};
+
+MemberInfo Member(int number) {
+  MemberInfo info;
+  info.id = EntryId("entry-" + std::to_string(number));
+  info.zone = ZoneName("zone");
+  return info;
+}
+
+// Thirty instances, of which the two readers and one that asks them exist.
+struct Fixture {
+  Fixture() {
+    for (int i = 0; i < 30; ++i)
+      members.push_back(Member(i));
+    const auto readers = LogReaders(members);
+    REQUIRE(readers.size() == 2);
+    const auto listening =
+        std::find_if(members.begin(), members.end(), [&](const auto& member) {
+          return member.id != readers[0].id && member.id != readers[1].id;
+        });
+    self = *listening;
+    const auto order = InOrderFor(self, readers);
+    first = Add(order[0]);
+    second = Add(order[1]);
+    asking = Add(self);
+    for (Instance* instance : {first, second, asking}) {
+      instance->Declare("config=1");
+      instance->List("engine=1");
+      instance->Start();
+    }
+    REQUIRE(TickUntil([this] { return asking->listener.listens(); }));
+    // The reads that were under way end.
+    TickFor(Milliseconds(300));
+  }
+
+  Instance* Add(const MemberInfo& info) {
+    instances.push_back(std::make_unique<Instance>(loop, "127.0.0.1", info,
+                                                   [this] { return members; }));
+    Instance* const added = instances.back().get();
+    for (MemberInfo& member : members) {
+      if (member.id != info.id)
+        continue;
+      member.host = added->server.address().host;
+      member.peer_port = added->server.address().port;
+    }
+    return added;
+  }
+  bool TickUntil(const std::function<bool()>& done,
+                 Milliseconds longest = Milliseconds(5000)) {
+    const MonotonicTime end = MonotonicNow() + longest;
+    while (!done()) {
+      if (MonotonicNow() >= end)
+        return false;
+      for (const auto& instance : instances)
+        instance->listener.OnTick();
+      RunFor(loop, Milliseconds(10));
+    }
+    return true;
+  }
+  void TickFor(Milliseconds time) {
+    TickUntil([] { return false; }, time);
+  }
+
+  EventLoop loop;
+  std::vector<MemberInfo> members;
+  MemberInfo self;
+  std::vector<std::unique_ptr<Instance>> instances;
+  Instance* first = nullptr;
+  Instance* second = nullptr;
+  Instance* asking = nullptr;
+};
+
+TEST_CASE("an instance that asks a reader doesn't read the log") {
+  // Each call to the log has a price, and ninety instances would make hundreds
+  // of calls a second for the same records.
+  Fixture fixture;
+  const int calls = fixture.asking->operator_log.calls() +
+                    fixture.asking->endpoint_log.calls();
+  fixture.first->Declare("config=2");
+  fixture.first->List("engine");
+  REQUIRE(fixture.TickUntil([&] {
+    return fixture.asking->operator_sink.told.back() == "config=2" &&
+           fixture.asking->endpoint_sink.told.back() == "engine=(removed)";
+  }));
+  fixture.TickFor(Milliseconds(1500));
+  CHECK(fixture.asking->operator_log.calls() +
+            fixture.asking->endpoint_log.calls() ==
+        calls);
+  CHECK(fixture.asking->operator_sink.lost == 0);
+}
+
+TEST_CASE("heartbeats aren't passed on") {
+  // Ninety endpoints write once a second each. Passed on to eighty instances,
+  // their records would fill a small instance's link.
+  Fixture fixture;
+  fixture.first->endpoint_sink.changes = false;
+  fixture.first->List("engine=2");
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.first->endpoint_sink.told.back() == "engine=2"; }));
+  fixture.TickFor(2 * RecordListener::kAskEvery);
+  CHECK(fixture.asking->endpoint_sink.told == Told{"engine=1"});
+  // What changes next comes with all that the record says by then.
+  fixture.first->endpoint_sink.changes = true;
+  fixture.first->List("engine=3");
+  CHECK(fixture.TickUntil([&] {
+    return fixture.asking->endpoint_sink.told == Told{"engine=1", "engine=3"};
+  }));
+}
+
+TEST_CASE("a reader that hangs is left for the next one") {
+  // The reader's process is suspended, and its connections stay open. Callers
+  // would be sent to an endpoint that has left meanwhile.
+  Fixture fixture;
+  fixture.first->hangs = true;
+  fixture.second->List("engine");
+  CHECK(fixture.TickUntil(
+      [&] {
+        return fixture.asking->endpoint_sink.told.back() == "engine=(removed)";
+      },
+      Milliseconds(1700)));
+}
+
+TEST_CASE("a reader that the log turns away is left for the next one") {
+  // It answers, but with what it knew seconds ago.
+  Fixture fixture;
+  fixture.first->SetLogMode(FakeLogMode::kTurnsAway);
+  fixture.TickFor(RecordListener::kTrust);
+  fixture.second->List("engine");
+  CHECK(fixture.TickUntil(
+      [&] {
+        return fixture.asking->endpoint_sink.told.back() == "engine=(removed)";
+      },
+      Milliseconds(1700)));
+}
+
+TEST_CASE("without a reader that knows, an instance reads the log itself") {
+  // All readers have died, and gossip doesn't tell yet.
+  Fixture fixture;
+  fixture.first->hangs = true;
+  fixture.second->hangs = true;
+  fixture.asking->List("engine");
+  CHECK(fixture.TickUntil(
+      [&] {
+        return fixture.asking->endpoint_sink.told.back() == "engine=(removed)";
+      },
+      RecordListener::kTrust + Milliseconds(600)));
+  // And rests again when one of them answers.
+  fixture.first->hangs = false;
+  fixture.TickFor(Milliseconds(1500));
+  const int calls = fixture.asking->endpoint_log.calls();
+  fixture.TickFor(Milliseconds(1500));
+  CHECK(fixture.asking->endpoint_log.calls() == calls);
+}
+
+TEST_CASE("an absence of the log is noticed through the readers") {
+  // Entries of endpoints run out while the log is away, and are missing when it
+  // returns, although the endpoints live. They have a grace then, which counts
+  // from the return; an instance that isn't told of it refuses all callers.
+  Fixture fixture;
+  for (const auto& instance : fixture.instances)
+    instance->SetLogMode(FakeLogMode::kTurnsAway);
+  fixture.TickFor(Milliseconds(2500));
+  for (const auto& instance : fixture.instances)
+    instance->SetLogMode(FakeLogMode::kServes);
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.asking->endpoint_sink.back > 0; }));
+  CHECK(fixture.asking->endpoint_sink.lost > 0);
+  CHECK(fixture.asking->operator_sink.back > 0);
+}
+
+TEST_CASE("who doesn't know the secret gets no records") {
+  // They hold the keys of all callers.
+  Fixture fixture;
+  HttpHead question;
+  question.method = "GET";
+  question.target = "/changes/0000/0/0";
+  CHECK_FALSE(fixture.first->listener.Answer(question));
+}
+
+}  // namespace
+}  // namespace carobshift
