A prompt waits for its fetches for six times what reading the parts would take

Tests: attempt_planner_test 'what is read in a moment', load_replay_test 'a short question doesn't wait for a busy link' (both fail on the commit before).

--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -401,7 +401,20 @@
       fields.save_to[i] = store->address;
   }
   if (const auto clock = contents_.ClockAt(now))
-    fields.fetch_until = *clock + kLongestFetchLife;
+    fields.fetch_until = *clock + FetchLife(setup, candidate);
+}
+
+Milliseconds AttemptPlanner::FetchLife(const ExchangeSetup& setup,
+                                       const Candidate& candidate) const {
+  if (!wait_)
+    return kLongestFetchLife;
+  const std::vector<PromptPart>& parts = setup.request.prompt->parts;
+  double tokens = 0;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+    tokens += static_cast<double>(parts[i].tokens);
+  return std::clamp(
+      wait_(setup.service, candidate.ahead + kFetchPatience * tokens),
+      kLeastFetchLife, kLongestFetchLife);
 }
 
 bool AttemptPlanner::NoteSave(const std::string& scope,
