--- a/carobshift/gateway/peer_datagrams.cc
+++ b/carobshift/gateway/peer_datagrams.cc
@@ -1,13 +1,22 @@
 #include "carobshift/gateway/peer_datagrams.h"
 
 #include "carobshift/base/digest.h"
+#include "carobshift/gateway/datagram_routes.h"
 
 namespace carobshift {
+namespace {
+
+// In the first byte, beside the kind.
+constexpr std::uint8_t kPassOn = 0x80;
+
+}  // namespace
 
 std::string SealDatagram(PeerDatagramKind kind,
                          std::string_view payload,
-                         const std::string& secret) {
-  std::string body(1, static_cast<char>(kind));
+                         const std::string& secret,
+                         bool pass_on) {
+  std::string body(1, static_cast<char>(static_cast<std::uint8_t>(kind) |
+                                        (pass_on ? kPassOn : std::uint8_t{0})));
   body += payload;
   return Seal(body, secret);
 }
@@ -17,8 +26,10 @@
   const auto body = Unseal(bytes, secret);
   if (!body)
     return std::nullopt;
-  return PeerDatagram{static_cast<PeerDatagramKind>(body->front()),
-                      body->substr(1)};
+  const auto first = static_cast<std::uint8_t>(body->front());
+  return PeerDatagram{static_cast<PeerDatagramKind>(
+                          first & static_cast<std::uint8_t>(~kPassOn)),
+                      (first & kPassOn) != 0, body->substr(1)};
 }
 
 PeerDatagrams::PeerDatagrams(EventLoop& loop,
@@ -40,8 +51,17 @@
 
 void PeerDatagrams::OnDatagram(std::string_view bytes) {
   // Anything else is dropped: whatever is sent here is repeated.
-  if (const auto datagram = OpenDatagram(bytes, secret_))
-    Deliver(datagram->kind, datagram->payload);
+  const auto datagram = OpenDatagram(bytes, secret_);
+  if (!datagram)
+    return;
+  if (datagram->pass_on) {
+    const std::string plain =
+        SealDatagram(datagram->kind, datagram->payload, secret_);
+    for (const MemberInfo& member :
+         ZoneOf(cluster_.membership().self(), cluster_.Live()))
+      port_->Send(member.peer_address(), plain);
+  }
+  Deliver(datagram->kind, datagram->payload);
 }
 
 void PeerDatagrams::Deliver(PeerDatagramKind kind, std::string_view payload) {
@@ -58,11 +78,12 @@
 
 void PeerDatagrams::SendToOthers(PeerDatagramKind kind,
                                  std::string_view payload) {
-  const std::string bytes = SealDatagram(kind, payload, secret_);
-  for (const MemberInfo& member : cluster_.Live()) {
-    if (member.incarnation != cluster_.incarnation())
-      port_->Send(member.peer_address(), bytes);
-  }
+  const std::string plain = SealDatagram(kind, payload, secret_);
+  const std::string passed =
+      SealDatagram(kind, payload, secret_, /*pass_on=*/true);
+  for (const DatagramRoute& route :
+       RoutesFor(cluster_.membership().self(), cluster_.Live(), ++turn_))
+    port_->Send(route.to, route.passes_on ? passed : plain);
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/peer_datagrams.h
+++ b/carobshift/gateway/peer_datagrams.h
@@ -35,12 +35,15 @@
 
 struct PeerDatagram {
   PeerDatagramKind kind = PeerDatagramKind::kLoadReport;
+  // To be sent to the others of the receiver's zone.
+  bool pass_on = false;
   std::string_view payload;
 };
 
 [[nodiscard]] std::string SealDatagram(PeerDatagramKind kind,
                                        std::string_view payload,
-                                       const std::string& secret);
+                                       const std::string& secret,
+                                       bool pass_on = false);
 // Nothing for bytes that were not sealed under the same secret. The payload
 // points into `bytes`.
 [[nodiscard]] std::optional<PeerDatagram> OpenDatagram(
@@ -61,7 +64,8 @@
   }
   // Hands a payload to its kind's handler, if there is one.
   void Deliver(PeerDatagramKind kind, std::string_view payload);
-  // To every live instance but this one. Any of them may be lost.
+  // To every live instance but this one, by way of others where there are many
+  // (datagram_routes.h). Any of them may be lost.
   void SendToOthers(PeerDatagramKind kind, std::string_view payload);
   // To one instance, at its peer address. It may be lost.
   void SendTo(const NetAddress& peer,
@@ -77,6 +81,8 @@
   std::string secret_;
   std::shared_ptr<UdpPort> port_;
   std::map<PeerDatagramKind, Handler> handlers_;
+  // Of datagrams for everybody.
+  std::uint64_t turn_ = 0;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/peer_datagrams_test.cc
+++ b/carobshift/gateway/peer_datagrams_test.cc
@@ -14,6 +14,21 @@
   CHECK(datagram->payload == "payload");
 }
 
+TEST_CASE("a datagram tells whether it is to be passed on") {
+  const auto plain = OpenDatagram(
+      SealDatagram(PeerDatagramKind::kCacheNews, "p", "secret"), "secret");
+  REQUIRE(plain);
+  CHECK_FALSE(plain->pass_on);
+  const auto passed =
+      OpenDatagram(SealDatagram(PeerDatagramKind::kCacheNews, "p", "secret",
+                                /*pass_on=*/true),
+                   "secret");
+  REQUIRE(passed);
+  CHECK(passed->pass_on);
+  CHECK(passed->kind == PeerDatagramKind::kCacheNews);
+  CHECK(passed->payload == "p");
+}
+
 TEST_CASE("bytes of anybody else are refused") {
   std::string bytes =
       SealDatagram(PeerDatagramKind::kLoadReport, "payload", "secret");
