--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -65,7 +65,7 @@
   // are a fifth of a second old, and outputs differ from their estimate.
   static constexpr double kMemoryShare = 0.9;
   // A token over an engine's memory, in tokens to be read: the request waits
-  // until as many are freed. An estimate, not measured.
+  // until as many are freed.
   static constexpr double kOverMemoryCost = 4;
   // Each request beyond an engine's places, in tokens to be read: more than
   // placement's tolerance, so that it goes where a place is free.
--- a/carobshift/gateway/cache_relay.h
+++ b/carobshift/gateway/cache_relay.h
@@ -9,9 +9,7 @@
 // Load pattern: an engine serves a dozen event readers, and each read costs
 // both sides a call. With twenty instances the later ones would know nothing of
 // what engines hold and let each returning session be read again; with eighty,
-// all together would spend more on reading events than on requests. Gain, 21
-// instances before 12 engines at full load for 34 seconds: shared tokens read
-// again 1.6 million instead of 6.7, processor time 28 s instead of 30.
+// all together would spend more on reading events than on requests.
 //
 // How: up to a holder's limit every instance reads its events. Beyond it the
 // first two by rendezvous hashing of holder and instance do, and the first of
--- a/carobshift/gateway/weight_rollout.h
+++ b/carobshift/gateway/weight_rollout.h
@@ -21,16 +21,9 @@
 // without keeping others from being freed; as many again as the share at most,
 // since by lost answers all might fail.
 //
-// Figures: a sixth of the engines at once, and no more when time is short: it
-// would be no sooner. Beyond two at once loads get longer in proportion; twelve
-// engines that take 1.8 s alone, from the order to the report, means of five
-// deployments under load: two at once 1.9 s, three 2.9 s, four 3.6 s. All
-// twelve had weights that were named once after 11.9 to 13.1 s with two at
-// once, 11.8 to 12.2 s with three and 12.4 to 12.9 s with four; of those named
-// three seconds before others the last after 16, 21 to 28 and 22 to 26 s, while
-// the share of requests' worth earned fell from 0.54 to 0.46 and 0.33.
-// kOrderLife is after which an order without effect is given again: a load
-// takes up to two seconds and the engine finishes its runs first.
+// A sixth of the engines at once, and no more when time is short: loads slow
+// each other down, so a wider rollout ends no sooner and serves fewer callers
+// meanwhile (docs/CAPACITY.md).
 //
 // Thread-compatible. Not a lease: whoever calls it must hold one.
 
@@ -51,14 +44,12 @@
   // For which an engine is kept free of new work before its order, at least.
   Milliseconds drain{250};
   // For which nobody is kept free yet in the place of an engine that has begun
-  // to load. The shortest load takes longer with the drain on top. Kept free
-  // from its forerunner's order on, the next engine would serve nobody for a
-  // load more than it has to, and a third of the engines would be out of use,
-  // seen by callers as refusals. Gain, weights named three times within 16 s,
-  // twelve engines and nine, means of five runs: worth earned 0.569 instead of
-  // 0.532, and 0.452 instead of 0.431; the last engine loads no later with
-  // twelve, 0.2 s later with nine.
+  // to load. Kept free from its forerunner's order on, the next engine would
+  // serve nobody for a load more than it has to, and a third of the engines
+  // would be out of use, seen by callers as refusals.
   Milliseconds drain_after{900};
+  // After which an order without effect is given again: a load takes up to two
+  // seconds, and the engine finishes its runs first.
   Milliseconds order_life{5000};
 };
 
--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -12,9 +12,7 @@
 constexpr Milliseconds kLeaseCallTimeout{900};
 // An engine answers within a few milliseconds. One that has not by then has
 // lost the answer, or will carry the order out later; waiting longer keeps
-// another engine from loading. Gain, twelve engines that lose every other order
-// while two sets of weights are named: all loaded 16.6 s after the last naming
-// instead of 18.4.
+// another engine from loading.
 constexpr Milliseconds kAnswerTimeout{150};
 // After which an order that was sent has reached its engine or is lost, for the
 // successor's wait: TCP sends a lost segment again after 200 ms.
