Instances that start together find each other in two seconds, and read holders a few at a time

The logs show connections to engines failing by the hundred from 0.5 to 3 s after the start (cache_reader_lost 1,468, attempt_failed 755): each instance takes itself for alone, reads the events of all 109 holders at once and goes through its whole list after each of 94 records; and by regular gossip ninety instances need more than twenty seconds to find each other (membership_test, red before), so loads are placed blindly for as long. Change: gossip goes out at up to forty datagrams a second while new members are met and for a second after (Membership::kHurryPerSecond); a watcher begins to read eight holders in a tick, stores first (CacheWatcher::kStartsPerTick); what follows from a change of endpoints is done once for all records of a batch.

--- a/carobshift/gateway/cache_watcher.cc
+++ b/carobshift/gateway/cache_watcher.cc
@@ -81,8 +81,7 @@
     reader = std::make_unique<Reader>();
     reader->watched = watched;
     reader->role = role;
-    if (role != CacheReaderRole::kListener)
-      Read(*reader);
+    reader->started = role == CacheReaderRole::kListener;
   }
   std::erase_if(readers_, [&](const auto& entry) {
     if (wanted.contains(entry.first))
@@ -92,6 +91,24 @@
     contents_.Forget(entry.first);
     return true;
   });
+  StartReaders();
+}
+
+void CacheWatcher::StartReaders() {
+  StartReaders(/*listed=*/true);
+  StartReaders(/*listed=*/false);
+}
+
+void CacheWatcher::StartReaders(bool listed) {
+  for (auto& [holder, reader] : readers_) {
+    if (starts_left_ == 0)
+      return;
+    if (reader->started || reader->watched.listed != listed)
+      continue;
+    reader->started = true;
+    --starts_left_;
+    Read(*reader);
+  }
 }
 
 void CacheWatcher::SetRole(Reader& reader, CacheReaderRole role) {
@@ -103,12 +120,15 @@
   if (role == CacheReaderRole::kListener) {
     loop_.CancelTimer(reader.timer);
     reader.fetch.Cancel();
+    reader.started = true;
   } else if (before == CacheReaderRole::kListener) {
-    Read(reader);
+    reader.started = false;
   }
 }
 
 void CacheWatcher::OnTick() {
+  starts_left_ = kStartsPerTick;
+  StartReaders();
   if (loop_.now() < next_news_)
     return;
   next_news_ = loop_.now() + CacheRelay::PeriodFor(instances_);
--- a/carobshift/gateway/cache_watcher.h
+++ b/carobshift/gateway/cache_watcher.h
@@ -39,6 +39,12 @@
 
 class CacheWatcher {
  public:
+  // Holders that begin to be read in a tick. An instance that has just started
+  // knows of no other and would read all of a hundred at once: its connections
+  // and those of ninety like it take seconds, in which callers wait. Within a
+  // second it has heard of the others and has two or three left to read.
+  static constexpr int kStartsPerTick = 8;
+
   CacheWatcher(EventLoop& loop,
                HttpClient& client,
                const EngineDialect& dialect,
@@ -60,10 +66,15 @@
     HttpFetch fetch;
     TimerId timer;
     bool reachable = true;
+    // Its first read has been made, or it hears news.
+    bool started = false;
     CacheReaderRole role = CacheReaderRole::kReader;
   };
 
   void SetRole(Reader& reader, CacheReaderRole role);
+  // Begins to read holders that wait for it, stores first: they hold most.
+  void StartReaders();
+  void StartReaders(bool listed);
   void OnNews(std::string_view payload);
   void Read(Reader& reader);
   void List(Reader& reader);
@@ -81,6 +92,7 @@
   std::map<CacheHolder, std::unique_ptr<Reader>> readers_;
   CacheRelay relay_;
   std::size_t instances_ = 1;
+  int starts_left_ = kStartsPerTick;
   MonotonicTime next_news_{};
 };
 
--- a/carobshift/gateway/cache_watcher_test.cc
+++ b/carobshift/gateway/cache_watcher_test.cc
@@ -68,6 +68,7 @@
       });
       return;
     }
+    first_reads += request.head.target == "/events/0" ? 1 : 0;
     connection.SendWhole(ReplyHead(200),
                          request.head.target == "/events/0" ? "first" : "none");
   }
@@ -93,6 +94,7 @@
   CacheWatcher watcher{loop, client, dialect, datagrams, contents};
   Milliseconds list_time{0};
   int lists = 0;
+  int first_reads = 0;
 };
 
 // The last two of these instances read from the store, or the first.
@@ -134,6 +136,36 @@
   CHECK(fixture.lists == 1);
 }
 
+TEST_CASE("an instance that starts doesn't read a hundred holders at once") {
+  // All instances start together, and each thinks at first that it is alone. If
+  // each reads from all engines, thousands of connections come about at once,
+  // engines turn readers away, and callers wait for seconds.
+  Fixture fixture;
+  const EntryId& self = fixture.settings.entry;
+  std::vector<WatchedHolder> holders;
+  for (int i = 0; i < 100; ++i) {
+    holders.push_back({CacheHolder("engine-" + std::to_string(i)),
+                       fixture.store.address(), /*readers=*/4,
+                       /*listed=*/false});
+  }
+  fixture.watcher.SetHolders(holders, {self}, self);
+  RunFor(fixture.loop, Milliseconds(50));
+  CHECK(fixture.first_reads == CacheWatcher::kStartsPerTick);
+  fixture.watcher.OnTick();
+  RunFor(fixture.loop, Milliseconds(50));
+  CHECK(fixture.first_reads == 2 * CacheWatcher::kStartsPerTick);
+  // Once it has heard of the others it has few left to read.
+  std::vector<EntryId> live = {self};
+  for (int i = 0; i < 80; ++i)
+    live.emplace_back("other-" + std::to_string(i));
+  fixture.watcher.SetHolders(holders, live, self);
+  for (int i = 0; i < 5; ++i) {
+    fixture.watcher.OnTick();
+    RunFor(fixture.loop, Milliseconds(20));
+  }
+  CHECK(fixture.first_reads < 4 * CacheWatcher::kStartsPerTick);
+}
+
 TEST_CASE("a listener whose readers have gone reads for itself") {
   Fixture fixture;
   const EntryId& self = fixture.settings.entry;
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -70,15 +70,14 @@
                   else
                     steward.SetFoundTarget(named.model, named.number);
                 },
-            .on_endpoints =
-                [this] {
-                  requests.OnEndpointsChanged();
-                  WatchCaches();
-                }} {}
+            .on_endpoints = [this] { OnEndpoints(); }} {}
 
   Status Start();
   Status Listen();
   void OnTick();
+  // Once for all records of a batch: an instance that starts reads a hundred of
+  // them, and to go through the whole list after each would take it seconds.
+  void OnEndpoints();
   void WatchCaches();
   void OnConfig(std::shared_ptr<const ConfigInForce> config);
   void BeginStop();
@@ -153,6 +152,7 @@
   // written long ago.
   [[nodiscard]] bool HeldUp() const { return loop.now() - last_tick > kHeldUp; }
 
+  bool endpoints_changed = false;
   MonotonicTime last_tick = loop.now();
   MonotonicTime next_sweep{};
   std::optional<MonotonicTime> stop_began;
@@ -252,6 +252,16 @@
       loop.now());
 }
 
+void Gateway::Parts::OnEndpoints() {
+  if (std::exchange(endpoints_changed, true))
+    return;
+  loop.AddTimer(loop.now(), [this] {
+    endpoints_changed = false;
+    requests.OnEndpointsChanged();
+    WatchCaches();
+  });
+}
+
 void Gateway::Parts::WatchCaches() {
   const auto& config = operator_records.config();
   if (config == nullptr)
--- a/carobshift/membership/membership.cc
+++ b/carobshift/membership/membership.cc
@@ -43,7 +43,8 @@
       guard_(seed),
       last_tick_(now),
       next_probe_(now),
-      next_rejoin_(now) {}
+      next_rejoin_(now),
+      met_(now) {}
 
 void Membership::SetSeeds(std::vector<NetAddress> seeds) {
   if (seeds.size() > MemberTable::kMaxMembers)
@@ -158,13 +159,19 @@
        ++probe_number_, EntryId(), now);
 }
 
+bool Membership::Hurries(MonotonicTime now) const {
+  return members_met_ > 0 && now - met_ < kHurryFor;
+}
+
 // A leaving endpoint must get no new work from any entry within two seconds,
 // which the regular pings alone would not reach at 420 entries.
 void Membership::SendUrgent(MonotonicTime now) {
   const std::chrono::duration<double> elapsed = now - last_tick_;
-  urgent_tokens_ = std::min<double>(
-      kUrgentFanout, urgent_tokens_ + elapsed.count() * kUrgentPerSecond);
-  if (!urgent_)
+  const bool hurries = Hurries(now);
+  const double rate = hurries ? kHurryPerSecond : kUrgentPerSecond;
+  urgent_tokens_ =
+      std::min<double>(kUrgentFanout, urgent_tokens_ + elapsed.count() * rate);
+  if (!urgent_ && !hurries)
     return;
   std::vector<EntryId> receivers = table_.IdsInState(MemberState::kAlive);
   while (urgent_tokens_ >= 1.0 && !receivers.empty()) {
@@ -249,6 +256,9 @@
     table_.Merge(record, now);
   for (const Fact& fact : message.facts)
     PublishFact(fact, now);
+  if (table_.LiveCount() > members_met_)
+    met_ = now;
+  members_met_ = std::max(members_met_, table_.LiveCount());
 }
 
 void Membership::OnPing(const GossipMessage& message, MonotonicTime now) {
--- a/carobshift/membership/membership.h
+++ b/carobshift/membership/membership.h
@@ -80,6 +80,13 @@
   static constexpr std::size_t kFillBytes = 1000;
   static constexpr int kUrgentFanout = 3;
   static constexpr double kUrgentPerSecond = 4.0;
+  // While members are met that were not known, so many datagrams a second go to
+  // others, and for kHurryFor after that. When all entries start at once, each
+  // knows two others, and by regular pings alone it would take ninety of them a
+  // quarter of a minute to find each other; until then each decides as if it
+  // were alone. News of members spread by themselves and end this everywhere.
+  static constexpr double kHurryPerSecond = 40.0;
+  static constexpr Milliseconds kHurryFor{1000};
 
   // `self.version` should be the calendar clock in milliseconds; `seed` from
   // the system's random source.
@@ -140,6 +147,8 @@
   void FollowProbe(MonotonicTime now);
   void TryToRejoin(MonotonicTime now);
   void SendUrgent(MonotonicTime now);
+  // Whether members were met a short time ago.
+  [[nodiscard]] bool Hurries(MonotonicTime now) const;
   std::optional<EntryId> NextTarget();
 
   void OnPing(const GossipMessage& message, MonotonicTime now);
@@ -180,6 +189,9 @@
   MonotonicTime next_rejoin_;
   bool urgent_ = false;
   double urgent_tokens_ = kUrgentFanout;
+  // Since when no new member was met; the number of members then.
+  MonotonicTime met_;
+  std::size_t members_met_ = 0;
   // What is known of a sender that seems to be behind; sent back with the
   // answer.
   std::optional<MemberRecord> correction_;
--- a/carobshift/membership/membership_test.cc
+++ b/carobshift/membership/membership_test.cc
@@ -105,6 +105,15 @@
   CHECK(cluster.largest() <= kMaxDatagramBytes);
 }
 
+// All instances lose power and start again together, and each knows two others
+// only. Until they have found each other, loads are unknown and each places
+// work as if it were alone: callers wait behind each other for seconds.
+TEST_CASE("ninety entries that start at once find each other in two seconds") {
+  Cluster cluster(90);
+  CHECK(cluster.RunUntil(Seconds(20), [&] { return cluster.AllSee(90); }) <=
+        Seconds(2));
+}
+
 // An entry's machine loses power. Until the others know, callers are sent to
 // it and wait for their connection to fail.
 TEST_CASE("a dead entry is found within the stated bound") {
