--- a/benchmarks/gateway/load_replay.h
+++ b/benchmarks/gateway/load_replay.h
@@ -141,7 +141,6 @@
   std::vector<MemberInfo> members_;
   std::vector<Route> routes_;
   StoreCleaner cleaner_;
-  int lost_engines_ = 0;
   std::uint64_t calls_ = 0;
 };
 
