--- a/carobshift/gateway/peer_datagrams_test.cc
+++ b/carobshift/gateway/peer_datagrams_test.cc
@@ -15,14 +15,14 @@
 }
 
 TEST_CASE("a datagram tells whether it is to be passed on") {
-  const auto plain = OpenDatagram(
-      SealDatagram(PeerDatagramKind::kCacheNews, "p", "secret"), "secret");
+  const std::string once =
+      SealDatagram(PeerDatagramKind::kCacheNews, "p", "secret");
+  const auto plain = OpenDatagram(once, "secret");
   REQUIRE(plain);
   CHECK_FALSE(plain->pass_on);
-  const auto passed =
-      OpenDatagram(SealDatagram(PeerDatagramKind::kCacheNews, "p", "secret",
-                                /*pass_on=*/true),
-                   "secret");
+  const std::string further = SealDatagram(PeerDatagramKind::kCacheNews, "p",
+                                           "secret", /*pass_on=*/true);
+  const auto passed = OpenDatagram(further, "secret");
   REQUIRE(passed);
   CHECK(passed->pass_on);
   CHECK(passed->kind == PeerDatagramKind::kCacheNews);
