--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -299,6 +299,12 @@
               static_cast<double>(DroppedLogLines()));
   metrics.Set("carobshift_endpoints_with_overdue_weights", {},
               static_cast<double>(steward.overdue()));
+  metrics.Set("carobshift_log_bytes_read", {{"stream", "operator"}},
+              static_cast<double>(operator_follower.bytes_read()));
+  metrics.Set("carobshift_log_bytes_read", {{"stream", "endpoints"}},
+              static_cast<double>(endpoint_follower.bytes_read()));
+  metrics.Set("carobshift_peer_bytes_told", {},
+              static_cast<double>(peer_sync.bytes_told()));
   metrics.Set("carobshift_live_entries", {},
               static_cast<double>(cluster.Live().size()));
   metrics.Set(
--- a/carobshift/gateway/keyed_follower.cc
+++ b/carobshift/gateway/keyed_follower.cc
@@ -56,6 +56,7 @@
 void KeyedFollower::ReadPage() {
   if (stopped_)
     return;
+  asked_ = loop_.now();
   fetch_.Start(
       client_, loop_, log_,
       SerializeRequest(dialect_.EncodeNewest(stream_, after_), log_, ""),
@@ -64,14 +65,15 @@
 }
 
 void KeyedFollower::OnPage(const FetchOutcome& outcome) {
+  bytes_read_ += outcome.received;
   if (!outcome.status) {
-    OnFailure(outcome.reason);
+    OnFailure(outcome, outcome.reason);
     return;
   }
   const Result<KeyedPage> page =
       dialect_.DecodeNewest(*outcome.status, outcome.body);
   if (!page.ok()) {
-    OnFailure(page.error().message);
+    OnFailure(outcome, page.error().message);
     return;
   }
   OnAnswer();
@@ -98,22 +100,19 @@
 void KeyedFollower::ReadOn() {
   if (stopped_)
     return;
-  const MonotonicTime asked = loop_.now();
+  asked_ = loop_.now();
   const LogOffset from = next_;
   fetch_.Start(
       client_, loop_, log_,
       SerializeRequest(dialect_.EncodeRead(stream_, next_, wait_), log_, ""),
       CallOptions(wait_ + options_.slack),
-      [this, from, asked](const FetchOutcome& outcome) {
-        OnBatch(outcome, from, asked);
-      });
+      [this, from](const FetchOutcome& outcome) { OnBatch(outcome, from); });
 }
 
-void KeyedFollower::OnBatch(const FetchOutcome& outcome,
-                            LogOffset from,
-                            MonotonicTime asked) {
+void KeyedFollower::OnBatch(const FetchOutcome& outcome, LogOffset from) {
+  bytes_read_ += outcome.received;
   if (!outcome.status) {
-    OnFailure(outcome.reason);
+    OnFailure(outcome, outcome.reason);
     return;
   }
   const Result<LogBatch> batch =
@@ -125,7 +124,7 @@
     return;
   }
   if (!batch.ok()) {
-    OnFailure(batch.error().message);
+    OnFailure(outcome, batch.error().message);
     return;
   }
   OnAnswer();
@@ -140,7 +139,7 @@
   }
   next_ = std::max(next_, batch.value().next);
   const auto passed =
-      std::chrono::duration_cast<Milliseconds>(loop_.now() - asked);
+      std::chrono::duration_cast<Milliseconds>(loop_.now() - asked_);
   Again(std::max(Milliseconds(0), options_.pace - passed),
         &KeyedFollower::ReadOn);
 }
@@ -240,7 +239,16 @@
       loop_.now());
 }
 
-void KeyedFollower::OnFailure(std::string_view reason) {
+void KeyedFollower::OnFailure(const FetchOutcome& outcome,
+                              std::string_view reason) {
+  const auto passed =
+      std::chrono::duration_cast<Milliseconds>(loop_.now() - asked_);
+  LogEvent(LogLevel::kInfo, "log_read_failed",
+           {{"stream", stream_.value()},
+            {"from", next_.value()},
+            {"reason", reason},
+            {"received", outcome.received},
+            {"ms", passed.count()}});
   if (!std::exchange(lost_, true))
     sink_.OnLogLost(reason);
   retry_ = retry_ == Milliseconds(0)
--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/keyed_follower.h
@@ -94,6 +94,8 @@
     return last_answer_;
   }
   [[nodiscard]] LogOffset next() const { return next_; }
+  // Received from the log so far, also by reads that failed.
+  [[nodiscard]] std::uint64_t bytes_read() const { return bytes_read_; }
   // Whether the newest records have been read once.
   [[nodiscard]] bool caught_up() const { return caught_up_; }
 
@@ -109,11 +111,9 @@
   void ReadOn();
   // `from`: where the read began. Another instance's word may have moved next_
   // meanwhile, and the records count from where they were read.
-  void OnBatch(const FetchOutcome& outcome,
-               LogOffset from,
-               MonotonicTime asked);
+  void OnBatch(const FetchOutcome& outcome, LogOffset from);
   void OnAnswer();
-  void OnFailure(std::string_view reason);
+  void OnFailure(const FetchOutcome& outcome, std::string_view reason);
   void Again(Milliseconds wait, void (KeyedFollower::*read)());
   // False if it isn't newer than what was told of its key.
   bool Tell(const KeyedRecord& record);
@@ -145,6 +145,9 @@
   std::map<std::string, Known> newest_;
   std::optional<MonotonicTime> last_answer_;
   MonotonicTime started_{};
+  // Of the read that is under way.
+  MonotonicTime asked_{};
+  std::uint64_t bytes_read_ = 0;
   Milliseconds retry_{0};
 };
 
--- a/carobshift/gateway/peer_sync.cc
+++ b/carobshift/gateway/peer_sync.cc
@@ -92,7 +92,8 @@
     LogEvent(LogLevel::kInfo, "peer_without_state",
              {{"peer", peer.id.value()},
               {"status", outcome.status.value_or(0)},
-              {"reason", outcome.reason}});
+              {"reason", outcome.reason},
+              {"received", outcome.received}});
     return;
   }
   const Result<PeerState> state = DecodePeerState(outcome.body, secret_);
--- a/carobshift/gateway/peer_sync.h
+++ b/carobshift/gateway/peer_sync.h
@@ -54,6 +54,10 @@
   void OnTick();
   // The log doesn't answer this instance, for one of the two streams at least.
   [[nodiscard]] bool LogSilent() const;
+  // Records and changes told to other instances so far.
+  [[nodiscard]] std::uint64_t bytes_told() const {
+    return queries_.bytes_told();
+  }
 
  private:
   [[nodiscard]] bool IsSilent(const KeyedFollower& follower) const;
--- a/carobshift/gateway/query_service.h
+++ b/carobshift/gateway/query_service.h
@@ -8,6 +8,7 @@
 #ifndef CAROBSHIFT_GATEWAY_QUERY_SERVICE_H_
 #define CAROBSHIFT_GATEWAY_QUERY_SERVICE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,6 +36,8 @@
 
   [[nodiscard]] Status Listen(const NetAddress& address);
   void Close();
+  // Bodies of all answers so far.
+  [[nodiscard]] std::uint64_t bytes_told() const { return bytes_told_; }
 
  private:
   void OnRequest(const std::shared_ptr<HttpServerConnection>& connection,
@@ -46,6 +49,7 @@
 
   EventLoop& loop_;
   Answer answer_;
+  std::uint64_t bytes_told_ = 0;
   std::shared_ptr<TcpListener> listener_;
   std::unordered_map<HttpServerConnection*,
                      std::shared_ptr<HttpServerConnection>>
--- a/carobshift/gateway/record_listener.cc
+++ b/carobshift/gateway/record_listener.cc
@@ -156,13 +156,14 @@
 void RecordListener::OnAnswer(const MemberInfo& reader,
                               const FetchOutcome& outcome) {
   if (outcome.status != kOk) {
-    TurnAway(reader, outcome.status ? "it knows nothing" : outcome.reason);
+    TurnAway(reader, outcome,
+             outcome.status ? "it knows nothing" : outcome.reason);
     return;
   }
   const Result<PeerChanges> changes =
       DecodePeerChanges(outcome.body, identity_.secret);
   if (!changes.ok()) {
-    TurnAway(reader, changes.error().message);
+    TurnAway(reader, outcome, changes.error().message);
     return;
   }
   Take(operators_, changes.value().operators, loop_.now());
@@ -171,17 +172,20 @@
   // things, and would stay with a reader that is of no use.
   if (std::max(changes.value().operators.age, changes.value().endpoints.age) >
       kTrust)
-    TurnAway(reader, "the log doesn't answer it");
+    TurnAway(reader, outcome, "the log doesn't answer it");
 }
 
 void RecordListener::TurnAway(const MemberInfo& reader,
+                              const FetchOutcome& outcome,
                               std::string_view reason) {
   ++turn_;
   turned_ = loop_.now();
   // The next one is asked at once: time has been lost already.
   next_ = loop_.now();
   LogEvent(LogLevel::kInfo, "reader_left",
-           {{"reader", reader.id.value()}, {"reason", reason}});
+           {{"reader", reader.id.value()},
+            {"reason", reason},
+            {"received", outcome.received}});
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/record_listener.h
+++ b/carobshift/gateway/record_listener.h
@@ -74,7 +74,9 @@
   void Ask(const MemberInfo& reader);
   void OnAnswer(const MemberInfo& reader, const FetchOutcome& outcome);
   // The next question goes to another reader.
-  void TurnAway(const MemberInfo& reader, std::string_view reason);
+  void TurnAway(const MemberInfo& reader,
+                const FetchOutcome& outcome,
+                std::string_view reason);
   [[nodiscard]] bool IsFresh(const KeyedFollower& follower) const;
   // The path of the question, which only who knows the secret can write.
   [[nodiscard]] std::string Path() const;
--- a/carobshift/net/http_fetch.cc
+++ b/carobshift/net/http_fetch.cc
@@ -25,6 +25,7 @@
     Finish({.status = std::nullopt,
             .body = {},
             .sent = true,
+            .received = body_.size(),
             .reason = "timeout"});
   });
   call_ = client.Start(address, std::move(bytes), options.call, this);
@@ -54,13 +55,16 @@
   Finish({.status = std::nullopt,
           .body = {},
           .sent = true,
+          .received = body_.size(),
           .reason = "reply too large"});
 }
 
 void HttpFetch::OnReplyEnd() {
+  const std::size_t received = body_.size();
   Finish({.status = status_,
           .body = std::move(body_),
           .sent = true,
+          .received = received,
           .reason = {}});
 }
 
@@ -68,6 +72,7 @@
   Finish({.status = std::nullopt,
           .body = {},
           .sent = failure.sent,
+          .received = body_.size(),
           .reason = CallFaultName(failure.fault)});
 }
 
--- a/carobshift/net/http_fetch.h
+++ b/carobshift/net/http_fetch.h
@@ -31,6 +31,8 @@
   std::string body;
   // False if no byte of the call can have reached the peer.
   bool sent = true;
+  // Bytes of the reply's body that came, also where it isn't whole.
+  std::size_t received = 0;
   // Of the failure, for logs.
   std::string_view reason;
 };
