--- a/carobshift/gateway/fake_log.h
+++ b/carobshift/gateway/fake_log.h
@@ -86,7 +86,8 @@
   static constexpr std::size_t kPageSize = 2;
 
   explicit FakeLog(EventLoop& loop)
-      : server_(loop, [this](auto& connection, const auto& request) {
+      : loop_(loop),
+        server_(loop, [this](auto& connection, const auto& request) {
           ++calls_;
           if (on_call_)
             on_call_();
@@ -96,6 +97,8 @@
   [[nodiscard]] NetAddress address() const { return server_.address(); }
   void SetMode(FakeLogMode mode) { mode_ = mode; }
   [[nodiscard]] int calls() const { return calls_; }
+  // Answers that tell of records come piece by piece, as over a slow link.
+  void SetPace(const ReplyPace& pace) { pace_ = pace; }
   // Called after each page that was sent.
   void SetOnPage(std::function<void()> on_page) {
     on_page_ = std::move(on_page);
@@ -127,10 +130,13 @@
              const HttpServerRequest& request);
   static nlohmann::json Read(const Stream& stream, std::uint64_t from);
   static nlohmann::json Newest(const Stream& stream, const std::string& after);
+  void Send(HttpServerConnection& connection, const nlohmann::json& answer);
 
+  EventLoop& loop_;
   std::map<std::string, Stream> streams_;
   int calls_ = 0;
   FakeLogMode mode_ = FakeLogMode::kServes;
+  std::optional<ReplyPace> pace_;
   std::function<void()> on_page_;
   std::function<void()> on_call_;
   LoopbackServer server_;
@@ -214,15 +220,28 @@
     const std::uint64_t from = std::stoull(argument);
     const bool dropped = from < stream.first;
     const nlohmann::json gone{{"first", stream.first}};
-    connection.SendWhole(ReplyHead(dropped ? 410 : 200),
-                         dropped ? gone.dump() : Read(stream, from).dump());
+    if (dropped)
+      connection.SendWhole(ReplyHead(410), gone.dump());
+    else
+      Send(connection, Read(stream, from));
   } else {
-    connection.SendWhole(ReplyHead(200), Newest(stream, argument).dump());
+    Send(connection, Newest(stream, argument));
     if (on_page_)
       on_page_();
   }
 }
 
+inline void FakeLog::Send(HttpServerConnection& connection,
+                          const nlohmann::json& answer) {
+  const bool tells =
+      !answer.value("records", answer.value("items", nlohmann::json::array()))
+           .empty();
+  if (pace_ && tells)
+    SendSlowly(loop_, connection, ReplyHead(200), answer.dump(), *pace_);
+  else
+    connection.SendWhole(ReplyHead(200), answer.dump());
+}
+
 inline nlohmann::json FakeLog::Read(const Stream& stream, std::uint64_t from) {
   nlohmann::json records = nlohmann::json::array();
   for (std::uint64_t i = from; i < stream.records.size(); ++i)
--- a/carobshift/gateway/keyed_follower_test.cc
+++ b/carobshift/gateway/keyed_follower_test.cc
@@ -88,6 +88,56 @@
   CHECK(fixture.sink.back == 1);
 }
 
+TEST_CASE("a record that takes longer than a read may wait is read once") {
+  // A configuration of megabytes over a small link: cut off by a time limit and
+  // begun anew each time, it would never be in force, and the link stays full.
+  Fixture fixture;
+  fixture.log.Append(fixture.stream, "a=1");
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.follower.caught_up(); });
+  const ReplyPace pace{.pieces = 20, .pause = Milliseconds(30)};
+  REQUIRE(pace.Length() >
+          QuickFollowerOptions().wait + QuickFollowerOptions().slack);
+  fixture.log.SetPace(pace);
+  fixture.log.Append(fixture.stream, "a=" + std::string(2000, 'x'));
+  const MonotonicTime began = MonotonicNow();
+  const auto has_it = [&] { return fixture.sink.told.size() == 2; };
+  while (!has_it() && MonotonicNow() < began + 3 * pace.Length())
+    RunFor(fixture.loop, Milliseconds(20));
+  CHECK(has_it());
+  CHECK(fixture.sink.lost == 0);
+}
+
+TEST_CASE("a list that takes longer than a call may wait is read once") {
+  // An instance starts, and the newest records come over a small link.
+  Fixture fixture;
+  const ReplyPace pace{.pieces = 20, .pause = Milliseconds(100)};
+  fixture.log.SetPace(pace);
+  fixture.log.Append(fixture.stream, "a=" + std::string(2000, 'x'));
+  fixture.follower.Start();
+  const MonotonicTime began = MonotonicNow();
+  while (!fixture.follower.caught_up() &&
+         MonotonicNow() < began + 2 * pace.Length())
+    RunFor(fixture.loop, Milliseconds(20));
+  CHECK(fixture.follower.caught_up());
+  CHECK(fixture.sink.lost == 0);
+}
+
+TEST_CASE("an answer that stops midway is given up and asked for again") {
+  // The connection goes silent within an answer; waited for without end, the
+  // instance would keep a replaced configuration.
+  Fixture fixture;
+  fixture.log.Append(fixture.stream, "a=1");
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.follower.caught_up(); });
+  fixture.log.SetPace({.pieces = 2, .pause = Milliseconds(60000)});
+  fixture.log.Append(fixture.stream, "a=" + std::string(2000, 'x'));
+  RunUntil(fixture.loop, [&] { return fixture.sink.lost == 1; });
+  fixture.log.SetPace({.pieces = 2, .pause = Milliseconds(10)});
+  RunUntil(fixture.loop, [&] { return fixture.sink.told.size() == 2; });
+  CHECK(fixture.sink.back == 1);
+}
+
 TEST_CASE("a list that breaks off midway begins anew") {
   // Turned away between two pages. Going on at the second page later would miss
   // what changed on the first one meanwhile.
--- a/carobshift/gateway/peer_sync_test.cc
+++ b/carobshift/gateway/peer_sync_test.cc
@@ -266,6 +266,43 @@
   CHECK(cut_off.endpoint_sink.told.size() == 2);
 }
 
+TEST_CASE("a state that takes longer than a question may wait is taken") {
+  // A configuration of megabytes comes from a peer with a small link.
+  Fixture fixture;
+  Instance& cut_off = fixture.Add(1);
+  const ReplyPace pace{.pieces = 20, .pause = Milliseconds(50)};
+  const std::string state = StateOf(OneRecord(std::string(2000, 'x'), 9));
+  fixture.AddFake(2, [&](HttpServerConnection& connection) {
+    SendSlowly(fixture.loop, connection, ReplyHead(200), state, pace);
+  });
+  cut_off.SetLogMode(FakeLogMode::kTurnsAway);
+  cut_off.Start();
+  fixture.Join();
+  CHECK(fixture.TickUntil(
+      [&] { return !cut_off.operator_sink.told.empty(); },
+      PeerSync::kSilenceAtStart + PeerSync::kAskAgain + 2 * pace.Length()));
+}
+
+TEST_CASE("an instance whose log tells it much asks no peer meanwhile") {
+  // Its link is full with what the log tells; the same from a peer would take
+  // twice as long.
+  Fixture fixture;
+  Instance& instance = fixture.Add(1);
+  FakePeer& peer = fixture.AddFake(2, Whole(200, StateOf(OneRecord("2", 0))));
+  instance.Declare("config=1");
+  instance.Start();
+  fixture.Join();
+  REQUIRE(fixture.TickUntil([&] { return instance.operators.caught_up(); }));
+  const int asked = peer.questions;
+  const ReplyPace pace{.pieces = 40, .pause = Milliseconds(50)};
+  instance.operator_log.SetPace(pace);
+  instance.Declare("config=" + std::string(2000, 'x'));
+  CHECK(
+      fixture.TickUntil([&] { return instance.operator_sink.told.size() == 2; },
+                        2 * pace.Length()));
+  CHECK(peer.questions == asked);
+}
+
 TEST_CASE("one of the two streams alone falls silent: a peer is asked") {
   // The log serves one stream and not the other. Judged by the one that
   // answers, the instance would never hear of the other's changes.
--- a/carobshift/gateway/record_listener_test.cc
+++ b/carobshift/gateway/record_listener_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,16 +49,21 @@
                  endpoints),
         server(
             loop,
-            [this](HttpServerConnection& connection,
-                   const HttpServerRequest& request) {
+            [this, &loop](HttpServerConnection& connection,
+                          const HttpServerRequest& request) {
               ++questions;
               if (hangs)
                 return;
               const auto answer = listener.Answer(request.head);
               REQUIRE(answer);
+              told_bytes += answer->body.size();
               HttpHead head;
               head.status = answer->status;
-              connection.SendWhole(std::move(head), answer->body);
+              if (pace)
+                SendSlowly(loop, connection, std::move(head), answer->body,
+                           *pace);
+              else
+                connection.SendWhole(std::move(head), answer->body);
             },
             {},
             std::move(host)) {}
@@ -94,6 +100,8 @@
   KeyedFollower endpoints;
   RecordListener listener;
   int questions = 0;
+  std::size_t told_bytes = 0;
+  std::optional<ReplyPace> pace;
   bool hangs = false;
   LoopbackServer server;
 };
@@ -205,6 +213,43 @@
   }));
 }
 
+TEST_CASE("changes that take longer than a question may wait are taken") {
+  // Many endpoints change at once, and the reader's link is small.
+  Fixture fixture;
+  fixture.first->pace = ReplyPace{.pieces = 20, .pause = Milliseconds(50)};
+  fixture.second->hangs = true;
+  fixture.first->List("engine");
+  CHECK(fixture.TickUntil(
+      [&] {
+        return fixture.asking->endpoint_sink.told.back() == "engine=(removed)";
+      },
+      RecordListener::kAskEvery + 2 * fixture.first->pace->Length()));
+}
+
+TEST_CASE("a large configuration doesn't come by way of a reader's link") {
+  // A reader with a small link that sends a configuration of megabytes to each
+  // of thirty instances takes longer than the time in which it must be in
+  // force, and whoever gives up asks for all of it again.
+  Fixture fixture;
+  const std::string large = "config=" + std::string(200'000, 'x');
+  const std::size_t told = fixture.first->told_bytes;
+  for (const auto& instance : fixture.instances)
+    instance->Declare(large);
+  CHECK(fixture.TickUntil(
+      [&] { return fixture.asking->operator_sink.told.back() == large; }));
+  CHECK(fixture.first->told_bytes - told < large.size() / 10);
+}
+
+TEST_CASE("a listener has a configuration that no reader knows of yet") {
+  // The readers die or lag as the operator declares; whoever is in touch with
+  // the log must not depend on them.
+  Fixture fixture;
+  fixture.asking->Declare("config=2");
+  CHECK(fixture.TickUntil(
+      [&] { return fixture.asking->operator_sink.told.back() == "config=2"; },
+      Milliseconds(800)));
+}
+
 TEST_CASE("a reader that hangs is left for the next one") {
   // The reader's process is suspended, and its connections stay open. Callers
   // would be sent to an endpoint that has left meanwhile.
--- a/carobshift/net/loopback_server.h
+++ b/carobshift/net/loopback_server.h
@@ -99,6 +99,53 @@
   return head;
 }
 
+// How a slow link hands on a reply.
+struct ReplyPace {
+  std::size_t pieces = 1;
+  // Between two pieces.
+  Milliseconds pause{0};
+
+  // From the first piece to the last one.
+  [[nodiscard]] Milliseconds Length() const {
+    return pause * static_cast<int>(pieces - 1);
+  }
+};
+
+namespace internal {
+
+inline void SendPieces(EventLoop& loop,
+                       const std::weak_ptr<HttpServerConnection>& to,
+                       std::string rest,
+                       std::size_t piece,
+                       Milliseconds pause) {
+  const auto connection = to.lock();
+  if (connection == nullptr)
+    return;
+  connection->SendPiece(rest.substr(0, piece));
+  if (rest.size() <= piece) {
+    connection->EndStream();
+    return;
+  }
+  loop.AddTimer(loop.now() + pause,
+                [&loop, to, rest = rest.substr(piece), piece, pause] {
+                  SendPieces(loop, to, rest, piece, pause);
+                });
+}
+
+}  // namespace internal
+
+// Sends the body piece by piece; `body` isn't empty.
+inline void SendSlowly(EventLoop& loop,
+                       HttpServerConnection& connection,
+                       HttpHead head,
+                       const std::string& body,
+                       const ReplyPace& pace) {
+  connection.BeginStream(std::move(head));
+  const std::size_t piece = (body.size() + pace.pieces - 1) / pace.pieces;
+  internal::SendPieces(loop, connection.weak_from_this(), body, piece,
+                       pace.pause);
+}
+
 }  // namespace carobshift
 
 #endif  // CAROBSHIFT_NET_LOOPBACK_SERVER_H_
