A call is given up when its peer is silent, not when its reply is long

What callers saw: routes that had been added were refused as unknown (404) for ten seconds and more. Cause: a configuration of a megabyte takes 0.84 s over a link of 10 Mbit/s, and a read of it was cut off at 0.7 s (readers) or 1.1 s (others, beside the endpoints' stream and questions to peers on the same link), thrown away and begun anew, so it never ended, and the links stayed full with what was thrown away. Class: a limit on the whole time of a transfer whose size others decide. Change: HttpFetch limits the time to the reply's head, the pause between two pieces (1 s), and, against peers that send byte by byte, 15 s in all. It serves reads, lists, questions and states alike; orders to engines keep their short limits for both.

--- a/carobshift/gateway/weight_steward.cc
+++ b/carobshift/gateway/weight_steward.cc
@@ -43,6 +43,7 @@
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = timeout;
+  options.stall = timeout;
   return options;
 }
 
--- a/carobshift/net/http_fetch.cc
+++ b/carobshift/net/http_fetch.cc
@@ -1,5 +1,6 @@
 #include "carobshift/net/http_fetch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carobshift {
@@ -20,14 +21,9 @@
   done_ = std::move(done);
   status_ = 0;
   body_.clear();
-  timer_ = loop.AddTimer(loop.now() + options.timeout, [this] {
-    call_->Cancel();
-    Finish({.status = std::nullopt,
-            .body = {},
-            .sent = true,
-            .received = body_.size(),
-            .reason = "timeout"});
-  });
+  quiet_until_ = loop.now() + options.timeout;
+  ends_.reset();
+  ArmTimer();
   call_ = client.Start(address, std::move(bytes), options.call, this);
 }
 
@@ -40,13 +36,38 @@
   call_.reset();
 }
 
+void HttpFetch::ArmTimer() {
+  const MonotonicTime at =
+      ends_ ? std::min(quiet_until_, *ends_) : quiet_until_;
+  timer_ = loop_->AddTimer(at, [this] { OnTimer(); });
+}
+
+void HttpFetch::OnTimer() {
+  const MonotonicTime now = loop_->now();
+  if (now < quiet_until_ && (!ends_ || now < *ends_)) {
+    ArmTimer();
+    return;
+  }
+  call_->Cancel();
+  Finish({.status = std::nullopt,
+          .body = {},
+          .sent = true,
+          .received = body_.size(),
+          .reason = "timeout"});
+}
+
 ReplyVerdict HttpFetch::OnReplyHead(const HttpHead& head,
                                     const HttpMessageInfo&) {
   status_ = head.status;
+  quiet_until_ = loop_->now() + options_.stall;
+  ends_ = loop_->now() + options_.longest;
+  loop_->CancelTimer(timer_);
+  ArmTimer();
   return ReplyVerdict::kTake;
 }
 
 void HttpFetch::OnReplyBody(std::string_view bytes) {
+  quiet_until_ = loop_->now() + options_.stall;
   if (body_.size() + bytes.size() <= options_.max_body) {
     body_.append(bytes);
     return;
--- a/carobshift/net/http_fetch.h
+++ b/carobshift/net/http_fetch.h
@@ -4,6 +4,10 @@
 //                [this](const FetchOutcome& outcome) { ... });
 //
 // One call at a time; starting another, or destroying it, cancels the first.
+//
+// A call is given up when the peer is silent, not when its reply is long: a
+// reply that is cut off for its length is asked for again from its first byte,
+// and over a small link it would never be whole.
 
 #ifndef CAROBSHIFT_NET_HTTP_FETCH_H_
 #define CAROBSHIFT_NET_HTTP_FETCH_H_
@@ -20,8 +24,13 @@
 
 struct FetchOptions {
   HttpCallOptions call;
-  // From the start to the end of the reply.
+  // From the start to the reply's head.
   Milliseconds timeout{2000};
+  // From the head on, between two pieces of the reply.
+  Milliseconds stall{1000};
+  // From the head to the end: a peer that sends byte by byte must not hold a
+  // call for ever.
+  Milliseconds longest{15000};
   std::size_t max_body = std::size_t{8} << 20;
 };
 
@@ -54,6 +63,8 @@
              Done done);
   void Cancel();
   [[nodiscard]] bool active() const { return done_ != nullptr; }
+  // A reply with a body is on its way.
+  [[nodiscard]] bool receiving() const { return active() && !body_.empty(); }
 
  private:
   ReplyVerdict OnReplyHead(const HttpHead& head,
@@ -61,12 +72,17 @@
   void OnReplyBody(std::string_view bytes) override;
   void OnReplyEnd() override;
   void OnCallFailed(const CallFailure& failure) override;
+  void ArmTimer();
+  void OnTimer();
   void Finish(FetchOutcome outcome);
 
   EventLoop* loop_ = nullptr;
   std::shared_ptr<ClientCall> call_;
   TimerId timer_;
   FetchOptions options_;
+  // Without another piece of the reply, or in any case, it is given up then.
+  MonotonicTime quiet_until_{};
+  std::optional<MonotonicTime> ends_;
   Done done_;
   int status_ = 0;
   std::string body_;
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -328,6 +328,39 @@
   CHECK_FALSE(fetch.active());
 }
 
+TEST_CASE("a fetch goes on as long as pieces of the reply come") {
+  // Cut off for its length, a long reply over a small link would be asked for
+  // again for ever.
+  EventLoop loop;
+  const std::string body(2000, 'x');
+  ReplyPace pace{.pieces = 10, .pause = Milliseconds(40)};
+  LoopbackServer server(loop, [&](auto& connection, const auto&) {
+    SendSlowly(loop, connection, ReplyHead(200), body, pace);
+  });
+  HttpClient client(loop, {});
+  HttpFetch fetch;
+  std::optional<FetchOutcome> outcome;
+  FetchOptions options{
+      .call = {}, .timeout = Milliseconds(100), .stall = Milliseconds(100)};
+  SECTION("to its end") {}
+  SECTION("but not if the peer falls silent") {
+    pace = {.pieces = 2, .pause = Milliseconds(60000)};
+  }
+  SECTION("but not for ever") {
+    options.longest = Milliseconds(200);
+  }
+  const bool whole = pace.pieces == 10 && options.longest > pace.Length();
+  const MonotonicTime began = MonotonicNow();
+  fetch.Start(client, loop, server.address(), Get("/"), options,
+              [&](const FetchOutcome& given) { outcome = given; });
+  RunUntil(loop, [&] { return outcome.has_value(); });
+  CHECK(outcome->status.has_value() == whole);
+  CHECK(outcome->received > 0);
+  CHECK((outcome->received == body.size()) == whole);
+  CHECK((outcome->reason == "timeout") == !whole);
+  CHECK(MonotonicNow() - began < Milliseconds(1000));
+}
+
 TEST_CASE("an address that one process has bound can't be bound again") {
   // An instance is started twice by mistake, or again while the first one still
   // runs. The lease's holder takes an address that it could bind for a proof
