An answer of the log that is on its way is no silence

An instance whose read of the log lasted over 1.2 s took the log for silent and asked a peer for the same records, over the link that was full with them.

--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/keyed_follower.h
@@ -96,6 +96,8 @@
   [[nodiscard]] LogOffset next() const { return next_; }
   // Received from the log so far, also by reads that failed.
   [[nodiscard]] std::uint64_t bytes_read() const { return bytes_read_; }
+  // The log is telling something now, however long it takes.
+  [[nodiscard]] bool receiving() const { return fetch_.receiving(); }
   // Whether the newest records have been read once.
   [[nodiscard]] bool caught_up() const { return caught_up_; }
 
--- a/carobshift/gateway/peer_sync.cc
+++ b/carobshift/gateway/peer_sync.cc
@@ -55,6 +55,8 @@
 }
 
 bool PeerSync::IsSilent(const KeyedFollower& follower) const {
+  if (follower.receiving())
+    return false;
   if (!follower.last_answer())
     return loop_.now() - started_ > kSilenceAtStart;
   return loop_.now() - *follower.last_answer() > kSilence;
