A full send buffer is no failure of the connection

What callers saw: an instance that the log didn't answer, or that asked a reader, got no configuration above 64 KB from any other instance, whatever their links. Cause: Poco::Net::StreamSocket::sendBytes() throws for a non-blocking socket whose buffer is full ('Operation would block'), and TcpConnection took that for the connection's end; a reply of more than the first window broke off there. Where buffers are large, as on loopback with 4 MB, no test met it. It held for callers that read slowly and for long prompts too: the handling of unsent bytes never ran. Class: an error code taken whole, 'not now' for 'never'. Looked for elsewhere: receiveBytes() returns -1 for it (tried), UDP drops, the frames between entries use blocking sockets. Change: send() on the socket's descriptor, with EAGAIN and EINTR told apart.

--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 
 namespace carobshift {
 namespace {
@@ -80,17 +81,19 @@
 
 void TcpConnection::Flush() {
   while (unsent() > 0) {
-    int sent = -1;
-    try {
-      sent = socket_.sendBytes(out_.data() + out_at_,
-                               static_cast<int>(unsent()), MSG_NOSIGNAL);
-    } catch (const Poco::Exception&) {
+    // Not by sendBytes(), which throws the same for a full buffer, which is no
+    // failure, as for one.
+    const ssize_t sent = ::send(socket_.impl()->sockfd(), out_.data() + out_at_,
+                                unsent(), MSG_NOSIGNAL);
+    if (sent < 0 && errno == EINTR)
+      continue;
+    if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      break;
+    if (sent <= 0) {
       // Reading finds the reason and what the peer had sent before it.
       FailLater();
       return;
     }
-    if (sent <= 0)
-      break;
     out_at_ += static_cast<std::size_t>(sent);
   }
   if (unsent() == 0) {
