--- a/carobshift/gateway/fake_log.h
+++ b/carobshift/gateway/fake_log.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -30,9 +31,10 @@
  public:
   [[nodiscard]] HttpHead EncodeRead(const LogStream& stream,
                                     LogOffset from,
-                                    Milliseconds) const override {
-    return Call("GET",
-                "/read/" + stream.value() + "/" + std::to_string(from.value()));
+                                    Milliseconds wait) const override {
+    return Call("GET", "/read/" + stream.value() + "/" +
+                           std::to_string(from.value()) + "/" +
+                           std::to_string(wait.count()));
   }
   [[nodiscard]] HttpHead EncodeNewest(
       const LogStream& stream,
@@ -109,6 +111,7 @@
   }
   void Append(const LogStream& stream, const std::string& payload) {
     streams_[stream.value()].records.push_back(payload);
+    AnswerWaiting(stream.value());
   }
   // Drops all records but the newest of each key.
   void Compact(const LogStream& stream) {
@@ -126,14 +129,33 @@
     std::uint64_t first = 0;
   };
 
+  // A read that waits for records.
+  struct Waiting {
+    std::weak_ptr<HttpServerConnection> connection;
+    std::string stream;
+    std::uint64_t from = 0;
+  };
+
   void Serve(HttpServerConnection& connection,
              const HttpServerRequest& request);
+  void ServeRead(HttpServerConnection& connection,
+                 const std::string& name,
+                 const std::string& argument);
+  // The reads of the stream that wait are answered in the loop's next round.
+  void AnswerWaiting(const std::string& name);
+  void AnswerRead(HttpServerConnection& connection,
+                  const std::string& name,
+                  std::uint64_t from);
   static nlohmann::json Read(const Stream& stream, std::uint64_t from);
   static nlohmann::json Newest(const Stream& stream, const std::string& after);
   void Send(HttpServerConnection& connection, const nlohmann::json& answer);
 
   EventLoop& loop_;
   std::map<std::string, Stream> streams_;
+  std::map<std::uint64_t, Waiting> waiting_;
+  std::uint64_t next_waiting_ = 0;
+  // Timers end with the log.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   int calls_ = 0;
   FakeLogMode mode_ = FakeLogMode::kServes;
   std::optional<ReplyPace> pace_;
@@ -210,20 +232,15 @@
   const std::size_t second = target.find('/', 1);
   const std::size_t third = target.find('/', second + 1);
   const std::string call = target.substr(1, second - 1);
-  Stream& stream = streams_[target.substr(second + 1, third - second - 1)];
+  const std::string name = target.substr(second + 1, third - second - 1);
+  Stream& stream = streams_[name];
   const std::string argument = target.substr(third + 1);
   if (call == "append") {
     stream.records.push_back(request.body);
     const nlohmann::json answer{{"offset", stream.records.size() - 1}};
     connection.SendWhole(ReplyHead(200), answer.dump());
   } else if (call == "read") {
-    const std::uint64_t from = std::stoull(argument);
-    const bool dropped = from < stream.first;
-    const nlohmann::json gone{{"first", stream.first}};
-    if (dropped)
-      connection.SendWhole(ReplyHead(410), gone.dump());
-    else
-      Send(connection, Read(stream, from));
+    ServeRead(connection, name, argument);
   } else {
     Send(connection, Newest(stream, argument));
     if (on_page_)
@@ -231,6 +248,62 @@
   }
 }
 
+// `argument`: "FROM/WAIT", the wait in milliseconds.
+inline void FakeLog::ServeRead(HttpServerConnection& connection,
+                               const std::string& name,
+                               const std::string& argument) {
+  const std::uint64_t from = std::stoull(argument);
+  const Milliseconds wait(std::stoll(argument.substr(argument.find('/') + 1)));
+  const Stream& stream = streams_[name];
+  if (from < stream.records.size() || wait.count() == 0) {
+    AnswerRead(connection, name, from);
+    return;
+  }
+  const std::uint64_t number = next_waiting_++;
+  waiting_[number] = {connection.weak_from_this(), name, from};
+  loop_.AddTimer(loop_.now() + wait,
+                 [this, number, alive = std::weak_ptr<bool>(alive_)] {
+                   if (alive.expired() || !waiting_.contains(number))
+                     return;
+                   const Waiting read = waiting_.extract(number).mapped();
+                   if (const auto open = read.connection.lock())
+                     AnswerRead(*open, read.stream, read.from);
+                 });
+}
+
+inline void FakeLog::AnswerWaiting(const std::string& name) {
+  loop_.AddTimer(loop_.now(),
+                 [this, name, alive = std::weak_ptr<bool>(alive_)] {
+                   if (alive.expired())
+                     return;
+                   for (auto read = waiting_.begin(); read != waiting_.end();) {
+                     if (read->second.stream != name) {
+                       ++read;
+                       continue;
+                     }
+                     const Waiting found = read->second;
+                     read = waiting_.erase(read);
+                     if (const auto open = found.connection.lock())
+                       AnswerRead(*open, found.stream, found.from);
+                   }
+                 });
+}
+
+inline void FakeLog::AnswerRead(HttpServerConnection& connection,
+                                const std::string& name,
+                                std::uint64_t from) {
+  const Stream& stream = streams_[name];
+  const nlohmann::json gone{{"first", stream.first}};
+  if (mode_ == FakeLogMode::kSilent)
+    return;
+  if (mode_ == FakeLogMode::kTurnsAway)
+    connection.SendWhole(ReplyHead(503), "");
+  else if (from < stream.first)
+    connection.SendWhole(ReplyHead(410), gone.dump());
+  else
+    Send(connection, Read(stream, from));
+}
+
 inline void FakeLog::Send(HttpServerConnection& connection,
                           const nlohmann::json& answer) {
   const bool tells =
