Each instance reads the operator's stream itself; readers don't hand on large records

With 4,200 routes no reader had the version, so no listener that went by them had it either. Class: one small link carries what all need, at the moment at which all need it. Change: a listener's read of the operator's stream waits at the log for up to 20 s, so a change comes at once and without any reader. Readers' answers bring operator's records up to 8 KB as before, and how far the reader has read: a listener whose own read hangs begins it anew. Weighed: the record in answers, compressed and by way of a tree of instances (more to fail, seconds of delay through hops); a pointer told by readers (depends on them). Given up: a call a listener each 20 s, and each instance's read of each version.

--- a/carobshift/gateway/keyed_follower.cc
+++ b/carobshift/gateway/keyed_follower.cc
@@ -57,6 +57,7 @@
   if (stopped_)
     return;
   asked_ = loop_.now();
+  reads_patiently_ = false;
   fetch_.Start(
       client_, loop_, log_,
       SerializeRequest(dialect_.EncodeNewest(stream_, after_), log_, ""),
@@ -102,10 +103,12 @@
     return;
   asked_ = loop_.now();
   const LogOffset from = next_;
+  reads_patiently_ = patient_;
+  const Milliseconds wait = patient_ ? options_.patient_wait : wait_;
   fetch_.Start(
       client_, loop_, log_,
-      SerializeRequest(dialect_.EncodeRead(stream_, next_, wait_), log_, ""),
-      CallOptions(wait_ + options_.slack),
+      SerializeRequest(dialect_.EncodeRead(stream_, next_, wait), log_, ""),
+      CallOptions(wait + options_.slack),
       [this, from](const FetchOutcome& outcome) { OnBatch(outcome, from); });
 }
 
@@ -215,6 +218,14 @@
   sink_.OnLogBack(away, loop_.now());
 }
 
+void KeyedFollower::SetPatient(bool patient) {
+  patient_ = patient;
+  if (patient_ || !reads_patiently_ || !fetch_.active() || fetch_.receiving())
+    return;
+  fetch_.Cancel();
+  ReadOn();
+}
+
 void KeyedFollower::SetResting(bool resting) {
   resting_ = resting && caught_up_;
   if (!resting_ && std::exchange(idle_, false))
--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/keyed_follower.h
@@ -36,6 +36,9 @@
   // silent connection is noticed well within the time in which a change must be
   // in force.
   Milliseconds wait{800};
+  // The same while another instance would tell that a record was written; the
+  // log is called the less often.
+  Milliseconds patient_wait{20000};
   Milliseconds slack{300};
   // Between two reads, so that a busy stream is read in batches: each call has
   // a price.
@@ -84,6 +87,9 @@
   // While resting it doesn't read the log, as another instance tells what
   // changes there. It rests only once it has read the newest records.
   void SetResting(bool resting);
+  // While patient, reads wait for Options::patient_wait. A patient read that
+  // brings nothing yet is begun anew when it ends.
+  void SetPatient(bool patient);
   // Shortens the wait of a read; nothing for that of the options.
   void SetLongestWait(std::optional<Milliseconds> wait) {
     wait_ = std::min(options_.wait, wait.value_or(options_.wait));
@@ -135,6 +141,9 @@
   Milliseconds wait_;
   bool stopped_ = false;
   bool resting_ = false;
+  bool patient_ = false;
+  // Of the read that is under way.
+  bool reads_patiently_ = false;
   // No read is under way or planned.
   bool idle_ = false;
   bool caught_up_ = false;
--- a/carobshift/gateway/peer_state_codec.cc
+++ b/carobshift/gateway/peer_state_codec.cc
@@ -64,18 +64,21 @@
 void WriteChanges(cereal::PortableBinaryOutputArchive& archive,
                   const StreamChanges& changes) {
   WriteRecords(archive, changes.records);
-  archive(changes.next.value(), static_cast<std::int64_t>(changes.age.count()));
+  archive(changes.next.value(), changes.end.value(),
+          static_cast<std::int64_t>(changes.age.count()));
 }
 
 StreamChanges ReadChanges(cereal::PortableBinaryInputArchive& archive) {
   StreamChanges changes;
   changes.records = ReadRecords(archive);
   std::uint64_t next = 0;
+  std::uint64_t end = 0;
   std::int64_t age = 0;
-  archive(next, age);
+  archive(next, end, age);
   if (age < 0)
     throw cereal::Exception("an answer of the future");
   changes.next = LogOffset(next);
+  changes.end = LogOffset(end);
   changes.age = Milliseconds(age);
   return changes;
 }
--- a/carobshift/gateway/peer_state_codec.h
+++ b/carobshift/gateway/peer_state_codec.h
@@ -25,8 +25,11 @@
 // What has changed in one stream since a position that was asked for.
 struct StreamChanges {
   std::vector<KeyedRecord> records;
-  // The next position to ask for.
+  // The next position to ask for: that which was asked for if a record was left
+  // out.
   LogOffset next;
+  // How far the sender has read.
+  LogOffset end;
   // Since the log last answered the sender.
   Milliseconds age{0};
 };
--- a/carobshift/gateway/record_listener.cc
+++ b/carobshift/gateway/record_listener.cc
@@ -52,7 +52,13 @@
                         MonotonicTime now) {
   StreamChanges changes;
   changes.records = follower.ChangedSince(since);
-  changes.next = follower.next();
+  const std::size_t left_out =
+      std::erase_if(changes.records, [](const KeyedRecord& record) {
+        return record.value &&
+               record.value->size() > RecordListener::kLargestTold;
+      });
+  changes.end = follower.next();
+  changes.next = left_out > 0 ? since : changes.end;
   changes.age =
       std::chrono::duration_cast<Milliseconds>(now - *follower.last_answer());
   return changes;
@@ -61,7 +67,9 @@
 void Take(KeyedFollower& follower,
           const StreamChanges& changes,
           MonotonicTime now) {
-  follower.OnHeard(changes.next, now - changes.age);
+  // Without all records the sender's word isn't as good as the log's.
+  if (changes.next == changes.end)
+    follower.OnHeard(changes.next, now - changes.age);
   follower.Learn(changes.records);
 }
 
@@ -127,13 +135,14 @@
 void RecordListener::OnTick() {
   const std::vector<MemberInfo> readers = LogReaders(identity_.live());
   TakeRole(readers);
-  operators_.SetResting(listens_ && IsFresh(operators_));
+  operators_.SetPatient(listens_ && IsFresh(operators_) && !IsBehind());
   endpoints_.SetResting(listens_ && IsFresh(endpoints_));
   if (!listens_ || fetch_.active() || loop_.now() < next_)
     return;
   next_ = loop_.now() + kAskEvery;
   if (loop_.now() - turned_ > kStayAway)
     turn_ = 0;
+  readers_ = readers.size();
   const auto ordered = InOrderFor(identity_.self, readers);
   Ask(ordered[turn_ % ordered.size()]);
 }
@@ -166,12 +175,13 @@
     TurnAway(reader, outcome, changes.error().message);
     return;
   }
+  told_end_ = std::max(told_end_, changes.value().operators.end);
   Take(operators_, changes.value().operators, loop_.now());
   Take(endpoints_, changes.value().endpoints, loop_.now());
   // Not by what is known here: while this instance helps itself it knows newer
-  // things, and would stay with a reader that is of no use.
-  if (std::max(changes.value().operators.age, changes.value().endpoints.age) >
-      kTrust)
+  // things, and would stay with a reader that is of no use. A reader whose link
+  // is full with a configuration is no reason: the next one's is as well.
+  if (changes.value().endpoints.age > kTrust)
     TurnAway(reader, outcome, "the log doesn't answer it");
 }
 
@@ -180,8 +190,10 @@
                               std::string_view reason) {
   ++turn_;
   turned_ = loop_.now();
-  // The next one is asked at once: time has been lost already.
-  next_ = loop_.now();
+  // The next one is asked at once: time has been lost already. But not in
+  // circles, if none of them knows.
+  if (turn_ % readers_ != 0)
+    next_ = loop_.now();
   LogEvent(LogLevel::kInfo, "reader_left",
            {{"reader", reader.id.value()},
             {"reason", reason},
--- a/carobshift/gateway/record_listener.h
+++ b/carobshift/gateway/record_listener.h
@@ -1,10 +1,16 @@
-// Keeps an instance that doesn't read the log itself up to date by asking one
-// that does, and answers those that ask this one.
+// Keeps an instance that doesn't read the endpoints' stream of the log itself
+// up to date by asking one that does, and answers those that ask this one.
 //
 //   RecordListener listener(loop, client, identity, operators, endpoints);
 //   listener.OnTick();
 //   if (const auto answer = listener.Answer(question)) Send(*answer);
 //
+// The operator's stream is read by each instance, in reads that wait long: it
+// changes seldom, and a configuration may be larger than a reader's link can
+// carry to all of its zone in time. A reader's answer tells how far it has
+// read, so that an instance whose own read hangs notices, and brings what is
+// small.
+//
 // What can go wrong, and what is done:
 // - The reader dies, hangs, or the log turns it away. Its answers stop or tell
 //   an old time; the next question goes to another reader.
@@ -48,6 +54,8 @@
   // Longest time since the log answered whoever was asked; beyond it this
   // instance reads for itself. A reader's reads end within half of it.
   static constexpr Milliseconds kTrust{1200};
+  // Larger records aren't told in answers; whoever lacks one reads the log.
+  static constexpr std::size_t kLargestTold = std::size_t{8} << 10;
   // How long a reader's read waits at the log for a record: short, since its
   // answer is what those that ask go by.
   static constexpr Milliseconds kReaderWait{400};
@@ -78,6 +86,8 @@
                 const FetchOutcome& outcome,
                 std::string_view reason);
   [[nodiscard]] bool IsFresh(const KeyedFollower& follower) const;
+  // A reader has told of operator's records that aren't known here yet.
+  [[nodiscard]] bool IsBehind() const { return told_end_ > operators_.next(); }
   // The path of the question, which only who knows the secret can write.
   [[nodiscard]] std::string Path() const;
 
@@ -89,8 +99,11 @@
   HttpFetch fetch_;
   bool listens_ = false;
   MonotonicTime next_{};
+  // How far any reader has read the operator's stream.
+  LogOffset told_end_;
   // How many readers were turned away from, and when last.
   std::size_t turn_ = 0;
+  std::size_t readers_ = 0;
   MonotonicTime turned_{};
 };
 
