A peer tells once what an instance lacks, and not all ask the same one first

Class: everything again at each question, and all at the same place. Change: a question for a state tells how far the asker knows both streams, by the log or by peers, and only what has changed since comes back; each instance begins elsewhere in the order of its peers. Positions in paths have one copy, stream_positions.

--- a/carobshift/gateway/keyed_follower.cc
+++ b/carobshift/gateway/keyed_follower.cc
@@ -188,13 +188,6 @@
   });
 }
 
-std::vector<KeyedRecord> KeyedFollower::Newest() const {
-  std::vector<KeyedRecord> records;
-  for (const auto& [key, known] : newest_)
-    records.push_back(known.record);
-  return records;
-}
-
 std::vector<KeyedRecord> KeyedFollower::ChangedSince(LogOffset since) const {
   std::vector<KeyedRecord> records;
   for (const auto& [key, known] : newest_) {
--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/keyed_follower.h
@@ -75,8 +75,8 @@
   void Start();
   void Stop();
 
-  // The newest record known of each key; removed keys have no value.
-  [[nodiscard]] std::vector<KeyedRecord> Newest() const;
+  // Whether any record is known, from the log or from another instance.
+  [[nodiscard]] bool knows_any() const { return !newest_.empty(); }
   // Takes what another instance knows. Returns how many records were news.
   std::size_t Learn(const std::vector<KeyedRecord>& records);
   // The newest record of each key that has changed at `since` or later.
--- a/carobshift/gateway/peer_state_codec.cc
+++ b/carobshift/gateway/peer_state_codec.cc
@@ -91,6 +91,7 @@
     cereal::PortableBinaryOutputArchive archive(out);
     WriteRecords(archive, state.operator_records);
     WriteRecords(archive, state.endpoint_records);
+    archive(state.next.operators.value(), state.next.endpoints.value());
   }
   return Seal(out.str(), secret);
 }
@@ -106,6 +107,10 @@
     cereal::PortableBinaryInputArchive archive(in);
     state.operator_records = ReadRecords(archive);
     state.endpoint_records = ReadRecords(archive);
+    std::uint64_t operators = 0;
+    std::uint64_t endpoints = 0;
+    archive(operators, endpoints);
+    state.next = {LogOffset(operators), LogOffset(endpoints)};
   } catch (const std::exception& e) {
     return Error{ResultCode::kPeerRejected, e.what()};
   }
--- a/carobshift/gateway/peer_state_codec.h
+++ b/carobshift/gateway/peer_state_codec.h
@@ -13,13 +13,17 @@
 
 #include "carobshift/base/result.h"
 #include "carobshift/gateway/dialect.h"
+#include "carobshift/gateway/stream_positions.h"
 
 namespace carobshift {
 
-// The newest record of each key that the sender knows, as they were written.
+// The newest record of each key that the sender knows and that has changed
+// since the positions that were asked for, as they were written.
 struct PeerState {
   std::vector<KeyedRecord> operator_records;
   std::vector<KeyedRecord> endpoint_records;
+  // The next positions to ask for.
+  StreamPositions next;
 };
 
 // What has changed in one stream since a position that was asked for.
--- a/carobshift/gateway/peer_state_codec_test.cc
+++ b/carobshift/gateway/peer_state_codec_test.cc
@@ -8,7 +8,8 @@
 TEST_CASE("records survive their way to a peer, removed ones too") {
   const PeerState state{{{"config", "{}", LogOffset(7)}},
                         {{"e1", std::nullopt, LogOffset(9)},
-                         {"e2", std::string("a\0b", 3), LogOffset(3)}}};
+                         {"e2", std::string("a\0b", 3), LogOffset(3)}},
+                        {LogOffset(8), LogOffset(10)}};
   const auto decoded =
       DecodePeerState(EncodePeerState(state, "secret"), "secret");
   REQUIRE(decoded.ok());
@@ -17,6 +18,8 @@
   REQUIRE(decoded.value().endpoint_records.size() == 2);
   CHECK_FALSE(decoded.value().endpoint_records[0].value.has_value());
   CHECK(decoded.value().endpoint_records[1].value == std::string("a\0b", 3));
+  CHECK(decoded.value().next.operators == LogOffset(8));
+  CHECK(decoded.value().next.endpoints == LogOffset(10));
 }
 
 TEST_CASE("a state of anybody else is refused") {
--- a/carobshift/gateway/peer_sync.cc
+++ b/carobshift/gateway/peer_sync.cc
@@ -1,5 +1,7 @@
 #include "carobshift/gateway/peer_sync.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "carobshift/base/digest.h"
@@ -31,7 +33,8 @@
       secret_(SharedSecret(settings)),
       queries_(loop,
                [this](const HttpHead& question) { return Answer(question); }),
-      started_(loop.now()) {}
+      started_(loop.now()),
+      turn_(FastHash("peer asked first\n" + self_.value())) {}
 
 Status PeerSync::Start() {
   return queries_.Listen(address_);
@@ -44,16 +47,26 @@
 QueryAnswer PeerSync::Answer(const HttpHead& question) const {
   constexpr int kForbidden = 403;
   constexpr int kUnavailable = 503;
-  if (!ConstantTimeEqual(question.target, Path())) {
+  const std::string path = Path();
+  const std::string_view target = question.target;
+  const auto since =
+      ReadPathEnd(target.substr(std::min(path.size(), target.size())));
+  if (!since || !ConstantTimeEqual(target.substr(0, path.size()), path)) {
     const auto other = other_ ? other_(question) : std::nullopt;
     return other.value_or(QueryAnswer{kForbidden, {}, {}});
   }
-  PeerState state{operators_.Newest(), endpoints_.Newest()};
-  if (state.operator_records.empty())
+  if (!operators_.knows_any())
     return {kUnavailable, {}, {}};
+  const PeerState state{operators_.ChangedSince(since->operators),
+                        endpoints_.ChangedSince(since->endpoints), Known()};
   return {200, "application/octet-stream", EncodePeerState(state, secret_)};
 }
 
+StreamPositions PeerSync::Known() const {
+  return {std::max(told_.operators, operators_.next()),
+          std::max(told_.endpoints, endpoints_.next())};
+}
+
 bool PeerSync::IsSilent(const KeyedFollower& follower) const {
   if (follower.receiving())
     return false;
@@ -79,7 +92,7 @@
 void PeerSync::Ask(const MemberInfo& peer) {
   HttpHead head;
   head.method = "GET";
-  head.target = Path();
+  head.target = Path() + ToPathEnd(Known());
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = kCallTimeout;
@@ -104,6 +117,8 @@
              {{"peer", peer.id.value()}, {"reason", state.error().message}});
     return;
   }
+  told_ = {std::max(told_.operators, state.value().next.operators),
+           std::max(told_.endpoints, state.value().next.endpoints)};
   const std::size_t learnt = operators_.Learn(state.value().operator_records) +
                              endpoints_.Learn(state.value().endpoint_records);
   if (learnt > 0) {
--- a/carobshift/gateway/peer_sync.h
+++ b/carobshift/gateway/peer_sync.h
@@ -23,6 +23,7 @@
 #include "carobshift/gateway/gateway_settings.h"
 #include "carobshift/gateway/keyed_follower.h"
 #include "carobshift/gateway/query_service.h"
+#include "carobshift/gateway/stream_positions.h"
 #include "carobshift/net/http_fetch.h"
 
 namespace carobshift {
@@ -64,6 +65,8 @@
   [[nodiscard]] QueryAnswer Answer(const HttpHead& question) const;
   void Ask(const MemberInfo& peer);
   void OnAnswer(const MemberInfo& peer, const FetchOutcome& outcome);
+  // How far this instance knows the streams, by the log or by peers.
+  [[nodiscard]] StreamPositions Known() const;
   // The path of the question, which only who knows the secret can write.
   [[nodiscard]] std::string Path() const;
 
@@ -80,7 +83,10 @@
   HttpFetch fetch_;
   MonotonicTime started_{};
   MonotonicTime next_{};
-  std::size_t turn_ = 0;
+  // Peers have told all before.
+  StreamPositions told_;
+  // Starts elsewhere on each instance, so that not all ask the same peer.
+  std::size_t turn_;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/peer_sync_test.cc
+++ b/carobshift/gateway/peer_sync_test.cc
@@ -160,7 +160,7 @@
 }
 
 PeerState OneRecord(const std::string& value, std::uint64_t offset) {
-  return {{{"config", value, LogOffset(offset)}}, {}};
+  return {{{"config", value, LogOffset(offset)}}, {}, {}};
 }
 
 struct Fixture {
@@ -303,6 +303,71 @@
   CHECK(peer.questions == asked);
 }
 
+TEST_CASE("a peer tells once what an instance lacks") {
+  // The log turns a third of all instances away. If each of them got all
+  // records at each question, their links would be full with what they know.
+  Fixture fixture;
+  Instance& cut_off = fixture.Add(1);
+  Instance& peer = fixture.Add(2);
+  for (Instance* instance : {&cut_off, &peer}) {
+    instance->Declare("config=1");
+    instance->Start();
+  }
+  fixture.Join();
+  REQUIRE(fixture.TickUntil([&] { return peer.operators.caught_up(); }));
+  cut_off.SetLogMode(FakeLogMode::kSilent);
+  const std::string large(100'000, 'x');
+  peer.Declare("config=" + large);
+  REQUIRE(fixture.TickUntil(
+      [&] { return cut_off.operator_sink.told.back() == "config=" + large; }));
+  const std::uint64_t told = peer.sync.bytes_told();
+  fixture.TickFor(4 * PeerSync::kAskAgain);
+  CHECK(peer.sync.bytes_told() > told);
+  CHECK(peer.sync.bytes_told() - told < large.size() / 10);
+}
+
+TEST_CASE("instances that are cut off don't all ask the same peer first") {
+  // Ninety of them would fill its link, and wait for each other there.
+  Fixture fixture;
+  for (int number = 1; number <= 6; ++number)
+    fixture.Add(number).SetLogMode(FakeLogMode::kSilent);
+  for (int number = 7; number <= 9; ++number) {
+    FakePeer& peer = fixture.AddFake(number, [](HttpServerConnection&) {});
+    peer.cluster.SetConfigNumber(1);
+  }
+  for (const auto& instance : fixture.instances)
+    REQUIRE(instance->cluster.Start().ok());
+  const auto knows_all = [&](const auto& instance) {
+    return instance->cluster.Serving().size() == fixture.fakes.size();
+  };
+  const auto cluster_tick = [&] {
+    for (const auto& instance : fixture.instances)
+      instance->cluster.OnTick();
+    for (const auto& fake : fixture.fakes)
+      fake->cluster.OnTick();
+    RunFor(fixture.loop, Milliseconds(10));
+  };
+  const MonotonicTime end = MonotonicNow() + Milliseconds(5000);
+  while (!std::all_of(fixture.instances.begin(), fixture.instances.end(),
+                      knows_all) &&
+         MonotonicNow() < end)
+    cluster_tick();
+  for (const auto& instance : fixture.instances)
+    REQUIRE(knows_all(instance));
+  RunFor(fixture.loop, PeerSync::kSilenceAtStart);
+  int asked = 0;
+  int most = 0;
+  for (const auto& instance : fixture.instances)
+    instance->sync.OnTick();
+  RunFor(fixture.loop, Milliseconds(200));
+  for (const auto& fake : fixture.fakes) {
+    asked += fake->questions;
+    most = std::max(most, fake->questions);
+  }
+  CHECK(asked == 6);
+  CHECK(most < asked);
+}
+
 TEST_CASE("one of the two streams alone falls silent: a peer is asked") {
   // The log serves one stream and not the other. Judged by the one that
   // answers, the instance would never hear of the other's changes.
@@ -505,10 +570,15 @@
   return reply;
 }
 
-std::string TargetUnder(const std::string& secret) {
+std::string PathUnder(const std::string& secret) {
   return "/state/" + HexEncode(HmacSha256(secret, "peer state"));
 }
 
+// Asks for all records.
+std::string TargetUnder(const std::string& secret) {
+  return PathUnder(secret) + ToPathEnd({});
+}
+
 TEST_CASE("who doesn't know the secret is told nothing") {
   // The state holds the keys of all client accounts. An instance of another
   // deployment, or anybody who reaches the port, must not read them.
@@ -526,9 +596,13 @@
   REQUIRE(state.ok());
   REQUIRE(state.value().operator_records.size() == 1);
   CHECK(state.value().operator_records[0].value == "1");
+  const std::string path = PathUnder(SharedSecret(instance.settings));
+  const std::string end = ToPathEnd({});
   for (const std::string& other :
        {TargetUnder("other secret"), std::string("/state/"), std::string("/"),
-        target.substr(0, target.size() - 1), target + "0"}) {
+        "/state" + end, path, path + '/', path + "/0", target + '/',
+        target + "x", path.substr(0, path.size() - 1) + end, path + '0' + end,
+        path.substr(0, path.size() - 1), path + '0'}) {
     const Reply reply = AskFor(fixture, instance, other);
     CHECK(reply.status == 403);
     CHECK(reply.body.empty());
--- a/carobshift/gateway/record_listener.cc
+++ b/carobshift/gateway/record_listener.cc
@@ -1,13 +1,13 @@
 #include "carobshift/gateway/record_listener.h"
 
 #include <algorithm>
-#include <charconv>
 #include <string_view>
 #include <utility>
 
 #include "carobshift/base/digest.h"
 #include "carobshift/gateway/peer_state_codec.h"
 #include "carobshift/gateway/record_readers.h"
+#include "carobshift/gateway/stream_positions.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -18,35 +18,6 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 
-// The numbers of "/A/B", where the question's path ends.
-struct Positions {
-  LogOffset operators;
-  LogOffset endpoints;
-};
-
-std::optional<LogOffset> TakeOffset(std::string_view& text) {
-  if (text.empty() || text.front() != '/')
-    return std::nullopt;
-  text.remove_prefix(1);
-  std::uint64_t value = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc())
-    return std::nullopt;
-  text.remove_prefix(static_cast<std::size_t>(end - text.data()));
-  return LogOffset(value);
-}
-
-std::optional<Positions> ReadPositions(std::string_view text) {
-  const auto operators = TakeOffset(text);
-  if (!operators)
-    return std::nullopt;
-  const auto endpoints = TakeOffset(text);
-  if (!endpoints || !text.empty())
-    return std::nullopt;
-  return Positions{*operators, *endpoints};
-}
-
 StreamChanges ChangesOf(const KeyedFollower& follower,
                         LogOffset since,
                         MonotonicTime now) {
@@ -97,7 +68,7 @@
   const std::string_view target = question.target;
   if (!ConstantTimeEqual(target.substr(0, path.size()), path))
     return std::nullopt;
-  const auto since = ReadPositions(target.substr(path.size()));
+  const auto since = ReadPathEnd(target.substr(path.size()));
   if (!since)
     return QueryAnswer{kBadRequest, {}, {}};
   if (!operators_.caught_up() || !endpoints_.caught_up())
@@ -150,8 +121,7 @@
 void RecordListener::Ask(const MemberInfo& reader) {
   HttpHead head;
   head.method = "GET";
-  head.target = Path() + '/' + std::to_string(operators_.next().value()) + '/' +
-                std::to_string(endpoints_.next().value());
+  head.target = Path() + ToPathEnd({operators_.next(), endpoints_.next()});
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = kCallTimeout;
