A log whose answers come late is given more time

A call that ends without a byte of an answer has twice the limit next time: lists up to 6 s, reads 0.3 s more, as they must still notice a silent log within the bound. keyed_follower_test 'a log whose answers come late*' (list answered after 1.8 s, limit 1.5 s) was red before, never caught up; three calls at most now.

--- a/carobshift/gateway/fake_log.h
+++ b/carobshift/gateway/fake_log.h
@@ -93,12 +93,17 @@
           ++calls_;
           if (on_call_)
             on_call_();
-          Serve(connection, request);
+          if (delay_.count() == 0)
+            Serve(connection, request);
+          else
+            ServeLater(connection, request);
         }) {}
 
   [[nodiscard]] NetAddress address() const { return server_.address(); }
   void SetMode(FakeLogMode mode) { mode_ = mode; }
   [[nodiscard]] int calls() const { return calls_; }
+  // Calls are answered only after this.
+  void SetDelay(Milliseconds delay) { delay_ = delay; }
   // Answers that tell of records come piece by piece, as over a slow link.
   void SetPace(const ReplyPace& pace) { pace_ = pace; }
   // Called after each page that was sent.
@@ -138,6 +143,8 @@
 
   void Serve(HttpServerConnection& connection,
              const HttpServerRequest& request);
+  void ServeLater(HttpServerConnection& connection,
+                  const HttpServerRequest& request);
   void ServeRead(HttpServerConnection& connection,
                  const std::string& name,
                  const std::string& argument);
@@ -159,6 +166,7 @@
   int calls_ = 0;
   FakeLogMode mode_ = FakeLogMode::kServes;
   std::optional<ReplyPace> pace_;
+  Milliseconds delay_{0};
   std::function<void()> on_page_;
   std::function<void()> on_call_;
   LoopbackServer server_;
@@ -248,6 +256,17 @@
   }
 }
 
+inline void FakeLog::ServeLater(HttpServerConnection& connection,
+                                const HttpServerRequest& request) {
+  loop_.AddTimer(loop_.now() + delay_,
+                 [this, request, to = connection.weak_from_this(),
+                  alive = std::weak_ptr<bool>(alive_)] {
+                   const auto open = to.lock();
+                   if (open != nullptr && !alive.expired())
+                     Serve(*open, request);
+                 });
+}
+
 // `argument`: "FROM/WAIT", the wait in milliseconds.
 inline void FakeLog::ServeRead(HttpServerConnection& connection,
                                const std::string& name,
--- a/carobshift/gateway/keyed_follower.cc
+++ b/carobshift/gateway/keyed_follower.cc
@@ -13,6 +13,8 @@
 // hundreds.
 constexpr Milliseconds kPageTimeout{1500};
 constexpr Milliseconds kConnectTimeout{400};
+// Without the newest records an instance can't do anything but wait for them.
+constexpr Milliseconds kMostTimeForPage{6000};
 // Between two answers of the log to those that tell of it; beyond it entries
 // may have run out unseen.
 constexpr Milliseconds kNoticeableGap{1500};
@@ -49,7 +51,7 @@
 FetchOptions KeyedFollower::CallOptions(Milliseconds wait) const {
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
-  options.timeout = wait;
+  options.timeout = wait + more_time_;
   return options;
 }
 
@@ -236,6 +238,7 @@
   const MonotonicTime before = last_answer_.value_or(started_);
   last_answer_ = loop_.now();
   retry_ = Milliseconds(0);
+  more_time_ = Milliseconds(0);
   if (!std::exchange(lost_, false))
     return;
   sink_.OnLogBack(
@@ -258,6 +261,8 @@
   retry_ = retry_ == Milliseconds(0)
                ? options_.first_retry
                : std::min(options_.longest_retry, retry_ * 2);
+  if (!outcome.status && outcome.received == 0)
+    GiveMoreTime();
   // Pages begin anew: what was read of them may be outdated when the log is
   // back.
   after_.reset();
@@ -266,6 +271,15 @@
   Again(retry_, caught_up_ ? &KeyedFollower::ReadOn : &KeyedFollower::ReadPage);
 }
 
+void KeyedFollower::GiveMoreTime() {
+  // A read must notice a silent log within the time in which a change must be
+  // in force.
+  const Milliseconds most =
+      caught_up_ ? options_.slack : kMostTimeForPage - kPageTimeout;
+  const Milliseconds first = caught_up_ ? options_.slack : kPageTimeout;
+  more_time_ = std::min(most, std::max(2 * more_time_, first));
+}
+
 void KeyedFollower::Again(Milliseconds wait, void (KeyedFollower::*read)()) {
   if (stopped_)
     return;
--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/keyed_follower.h
@@ -8,7 +8,8 @@
 // It reads the newest records once, then every record from there on by reads
 // that wait. What can go wrong, and what is done:
 // - The connection goes silent. A read has a time limit a little above its
-//   wait, so the silence is noticed and the read made anew.
+//   wait, so the silence is noticed and the read made anew. The next call has
+//   more time, in case the log is slow and not silent.
 // - The log has dropped the records that come next (compaction). The newest
 //   records are read again; until they are there, what was known holds.
 // - Pages of the newest records are no snapshot, and reading from their end
@@ -122,6 +123,8 @@
   void OnBatch(const FetchOutcome& outcome, LogOffset from);
   void OnAnswer();
   void OnFailure(const FetchOutcome& outcome, std::string_view reason);
+  // After a call without a single byte of an answer.
+  void GiveMoreTime();
   void Again(Milliseconds wait, void (KeyedFollower::*read)());
   // False if it isn't newer than what was told of its key.
   bool Tell(const KeyedRecord& record);
@@ -160,6 +163,8 @@
   MonotonicTime asked_{};
   std::uint64_t bytes_read_ = 0;
   Milliseconds retry_{0};
+  // Added to the time limit of a call.
+  Milliseconds more_time_{0};
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/keyed_follower_test.cc
+++ b/carobshift/gateway/keyed_follower_test.cc
@@ -123,6 +123,22 @@
   CHECK(fixture.sink.lost == 0);
 }
 
+TEST_CASE("a log whose answers come late is given more time") {
+  // Ninety instances that start at once ask for the newest records together,
+  // and each waits for the others. Calls that are given up and made again only
+  // add to it, and no instance gets a configuration.
+  Fixture fixture;
+  fixture.log.Append(fixture.stream, "a=1");
+  fixture.log.SetDelay(Milliseconds(1800));
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.follower.caught_up(); });
+  CHECK(fixture.log.calls() <= 3);
+  // Reads from there on as well.
+  fixture.log.SetDelay(Milliseconds(250));
+  fixture.log.Append(fixture.stream, "a=2");
+  RunUntil(fixture.loop, [&] { return fixture.sink.told.size() == 2; });
+}
+
 TEST_CASE("an answer that stops midway is given up and asked for again") {
   // The connection goes silent within an answer; waited for without end, the
   // instance would keep a replaced configuration.
