--- a/carobshift/gateway/record_listener_test.cc
+++ b/carobshift/gateway/record_listener_test.cc
@@ -4,12 +4,10 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/fake_log.h"
-#include "carobshift/gateway/fake_sink.h"
+#include "carobshift/gateway/listening_instance.h"
 #include "carobshift/gateway/record_readers.h"
 
 namespace carobshift {
@@ -17,107 +15,11 @@
 
 using Told = std::vector<std::string>;
 
-const std::string kSecret = "secret";
-
-// An instance with logs of its own, so that it alone can be cut off.
-struct Instance {
-  Instance(EventLoop& loop,
-           std::string host,
-           MemberInfo self,
-           std::function<std::vector<MemberInfo>()> live)
-      : operator_log(loop),
-        endpoint_log(loop),
-        client(loop, {}),
-        operators(loop,
-                  client,
-                  operator_log.address(),
-                  dialect,
-                  dialect.OperatorStream(),
-                  QuickFollowerOptions(),
-                  operator_sink),
-        endpoints(loop,
-                  client,
-                  endpoint_log.address(),
-                  dialect,
-                  dialect.EndpointStream(),
-                  QuickFollowerOptions(),
-                  endpoint_sink),
-        listener(loop,
-                 client,
-                 {std::move(self), std::move(live), kSecret},
-                 operators,
-                 endpoints),
-        server(
-            loop,
-            [this, &loop](HttpServerConnection& connection,
-                          const HttpServerRequest& request) {
-              ++questions;
-              if (hangs)
-                return;
-              const auto answer = listener.Answer(request.head);
-              REQUIRE(answer);
-              told_bytes += answer->body.size();
-              HttpHead head;
-              head.status = answer->status;
-              if (pace)
-                SendSlowly(loop, connection, std::move(head), answer->body,
-                           *pace);
-              else
-                connection.SendWhole(std::move(head), answer->body);
-            },
-            {},
-            std::move(host)) {}
-  ~Instance() {
-    operators.Stop();
-    endpoints.Stop();
-  }
-
-  void Start() {
-    operators.Start();
-    endpoints.Start();
-  }
-  void SetLogMode(FakeLogMode mode) {
-    operator_log.SetMode(mode);
-    endpoint_log.SetMode(mode);
-  }
-  void Declare(const std::string& record) {
-    operator_log.Append(dialect.OperatorStream(), record);
-  }
-  void List(const std::string& record) {
-    endpoint_log.Append(dialect.EndpointStream(), record);
-  }
-  [[nodiscard]] bool CaughtUp() const {
-    return operators.caught_up() && endpoints.caught_up();
-  }
-
-  FakeLog operator_log;
-  FakeLog endpoint_log;
-  FakeLogDialect dialect;
-  HttpClient client;
-  FakeSink operator_sink;
-  FakeSink endpoint_sink;
-  KeyedFollower operators;
-  KeyedFollower endpoints;
-  RecordListener listener;
-  int questions = 0;
-  std::size_t told_bytes = 0;
-  std::optional<ReplyPace> pace;
-  bool hangs = false;
-  LoopbackServer server;
-};
-
-MemberInfo Member(int number) {
-  MemberInfo info;
-  info.id = EntryId("entry-" + std::to_string(number));
-  info.zone = ZoneName("zone");
-  return info;
-}
-
 // Thirty instances, of which the two readers and one that asks them exist.
 struct Fixture {
   Fixture() {
     for (int i = 0; i < 30; ++i)
-      members.push_back(Member(i));
+      members.push_back(MemberNumber(i));
     const auto readers = LogReaders(members);
     REQUIRE(readers.size() == 2);
     const auto listening =
@@ -129,7 +31,7 @@
     first = Add(order[0]);
     second = Add(order[1]);
     asking = Add(self);
-    for (Instance* instance : {first, second, asking}) {
+    for (ListeningInstance* instance : {first, second, asking}) {
       instance->Declare("config=1");
       instance->List("engine=1");
       instance->Start();
@@ -139,10 +41,10 @@
     TickFor(Milliseconds(300));
   }
 
-  Instance* Add(const MemberInfo& info) {
-    instances.push_back(std::make_unique<Instance>(loop, "127.0.0.1", info,
-                                                   [this] { return members; }));
-    Instance* const added = instances.back().get();
+  ListeningInstance* Add(const MemberInfo& info) {
+    instances.push_back(std::make_unique<ListeningInstance>(
+        loop, "127.0.0.1", info, [this] { return members; }));
+    ListeningInstance* const added = instances.back().get();
     for (MemberInfo& member : members) {
       if (member.id != info.id)
         continue;
@@ -170,10 +72,10 @@
   EventLoop loop;
   std::vector<MemberInfo> members;
   MemberInfo self;
-  std::vector<std::unique_ptr<Instance>> instances;
-  Instance* first = nullptr;
-  Instance* second = nullptr;
-  Instance* asking = nullptr;
+  std::vector<std::unique_ptr<ListeningInstance>> instances;
+  ListeningInstance* first = nullptr;
+  ListeningInstance* second = nullptr;
+  ListeningInstance* asking = nullptr;
 };
 
 TEST_CASE("an instance that asks a reader doesn't read the log") {
