--- a/carobshift/gateway/record_listener_test.cc
+++ b/carobshift/gateway/record_listener_test.cc
@@ -152,6 +152,21 @@
       Milliseconds(800)));
 }
 
+TEST_CASE("a listener whose own read hangs notices by a reader's word") {
+  // Its connection to the log has gone silent; the read would wait for seconds
+  // more, and callers of a new route would be refused meanwhile.
+  Fixture fixture;
+  fixture.asking->SetLogMode(FakeLogMode::kSilent);
+  const std::string large = "config=" + std::string(200'000, 'x');
+  for (const auto& instance : fixture.instances)
+    instance->Declare(large);
+  fixture.TickFor(Milliseconds(100));
+  fixture.asking->SetLogMode(FakeLogMode::kServes);
+  CHECK(fixture.TickUntil(
+      [&] { return fixture.asking->operator_sink.told.back() == large; },
+      RecordListener::kTrust - Milliseconds(200)));
+}
+
 TEST_CASE("a reader that hangs is left for the next one") {
   // The reader's process is suspended, and its connections stay open. Callers
   // would be sent to an endpoint that has left meanwhile.
