--- a/carobshift/gateway/keyed_follower_test.cc
+++ b/carobshift/gateway/keyed_follower_test.cc
@@ -139,6 +139,23 @@
   RunUntil(fixture.loop, [&] { return fixture.sink.told.size() == 2; });
 }
 
+TEST_CASE("a list is asked for again soon after a silent log is back") {
+  // A call that was made while the log was silent never ends. Waited for as
+  // long as for a slow log, it would keep an instance from hearing of endpoints
+  // that leave.
+  Fixture fixture;
+  fixture.log.Append(fixture.stream, "a=1");
+  fixture.log.SetMode(FakeLogMode::kSilent);
+  fixture.follower.Start();
+  RunFor(fixture.loop, Milliseconds(5000));
+  fixture.log.SetMode(FakeLogMode::kServes);
+  const MonotonicTime back = MonotonicNow();
+  while (!fixture.follower.caught_up() &&
+         MonotonicNow() < back + Milliseconds(8000))
+    RunFor(fixture.loop, Milliseconds(20));
+  CHECK(MonotonicNow() - back < Milliseconds(2500));
+}
+
 TEST_CASE("an answer that stops midway is given up and asked for again") {
   // The connection goes silent within an answer; waited for without end, the
   // instance would keep a replaced configuration.
