Timer queue: what a callback owns may cancel the timer that is due next

Cause: RunDue() looked up the next entry before the callback it had run was let go. The request service lets go of a request that has ended in a timer of its own; if that was the last hold on it, its destructor cancels the request's deadline. Where that deadline was the next entry in the queue, the queue went on with a freed one: it ran the deadline's callback and freed the entry again. That needs a loop that is behind (several timers due at once) and requests that end at their deadline, which is what callers do after all instances were gone. Cancel() had the same fault for a callback that owns its own timer.

Ruled out by reading: http_client, http_fetch, tcp_connection, the server's connections; objects are held while their calls run.

Class: a container is changed by the destructor of what is taken out of it. The queue now takes an entry out, forgets its id and only then runs it or lets it go; it holds no iterator meanwhile. The rule stands in the header.

Tests, each failing before (SIGSEGV, SIGABRT, SIGSEGV): "a callback that is let go may cancel the timer due next", "a cancelled callback may cancel itself as it is let go", and 100 random orders of timers that add and cancel others while they run and as they are let go ("no timer runs twice or after it was cancelled").

--- a/carobshift/net/timer_queue.cc
+++ b/carobshift/net/timer_queue.cc
@@ -11,29 +11,43 @@
   return TimerId(id);
 }
 
+TimerQueue::~TimerQueue() {
+  const auto timers = std::exchange(timers_, {});
+  times_.clear();
+}
+
 void TimerQueue::Cancel(TimerId id) {
   const auto found = times_.find(id.value());
   if (found == times_.end())
     return;
-  timers_.erase(Key(found->second, id.value()));
+  const Key key(found->second, id.value());
   times_.erase(found);
+  // Let go at the end, when the queue no longer knows the timer.
+  const auto released = timers_.extract(key);
 }
 
 void TimerQueue::RunDue(MonotonicTime now) {
   const std::uint64_t last_known = last_id_;
-  auto next = timers_.begin();
-  while (next != timers_.end() && next->first.first <= now) {
-    const Key key = next->first;
-    if (key.second > last_known) {
-      ++next;
-      continue;
-    }
-    const Callback callback = std::move(next->second);
-    timers_.erase(next);
-    times_.erase(key.second);
-    callback();
-    next = timers_.begin();
+  while (const auto key = NextDue(now, last_known))
+    RunOne(*key);
+}
+
+std::optional<TimerQueue::Key> TimerQueue::NextDue(
+    MonotonicTime now,
+    std::uint64_t last_known) const {
+  for (const auto& [key, callback] : timers_) {
+    if (key.first > now)
+      break;
+    if (key.second <= last_known)
+      return key;
   }
+  return std::nullopt;
+}
+
+void TimerQueue::RunOne(const Key& key) {
+  const auto due = timers_.extract(key);
+  times_.erase(key.second);
+  due.mapped()();
 }
 
 std::optional<MonotonicTime> TimerQueue::Next() const {
--- a/carobshift/net/timer_queue.h
+++ b/carobshift/net/timer_queue.h
@@ -5,6 +5,9 @@
 //   timers.Cancel(id);
 //   timers.RunDue(now);
 //
+// A callback, and the destructor of what it owns, may add and cancel timers:
+// neither runs while the queue is in the middle of a change.
+//
 // Thread-compatible.
 
 #ifndef CAROBSHIFT_NET_TIMER_QUEUE_H_
@@ -28,6 +31,11 @@
  public:
   using Callback = std::function<void()>;
 
+  TimerQueue() = default;
+  ~TimerQueue();
+  TimerQueue(const TimerQueue&) = delete;
+  TimerQueue& operator=(const TimerQueue&) = delete;
+
   TimerId Add(MonotonicTime at, Callback callback);
 
   // Unknown ids, such as those of timers that have run, are ignored.
@@ -44,6 +52,11 @@
  private:
   using Key = std::pair<MonotonicTime, std::uint64_t>;
 
+  // The first timer that is due and was added up to `last_known`.
+  [[nodiscard]] std::optional<Key> NextDue(MonotonicTime now,
+                                           std::uint64_t last_known) const;
+  void RunOne(const Key& key);
+
   std::map<Key, Callback> timers_;
   std::unordered_map<std::uint64_t, MonotonicTime> times_;
   std::uint64_t last_id_ = 0;
--- a/carobshift/net/timer_queue_test.cc
+++ b/carobshift/net/timer_queue_test.cc
@@ -1,7 +1,12 @@
 #include "carobshift/net/timer_queue.h"
 
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace carobshift {
 namespace {
@@ -60,5 +65,149 @@
   CHECK(timers.size() == 0);
 }
 
+// What a callback owns, such as a request with a deadline of its own.
+class CancelsWhenGone {
+ public:
+  CancelsWhenGone(TimerQueue& timers, TimerId other)
+      : timers_(timers), other_(other) {}
+  ~CancelsWhenGone() { timers_.Cancel(other_); }
+  CancelsWhenGone(const CancelsWhenGone&) = delete;
+  CancelsWhenGone& operator=(const CancelsWhenGone&) = delete;
+
+ private:
+  TimerQueue& timers_;
+  TimerId other_;
+};
+
+TEST_CASE("a callback that is let go may cancel the timer due next") {
+  // Guards against the queue going on with an entry that the release of a
+  // callback's last request has just removed: memory is freed twice, and the
+  // process ends.
+  TimerQueue timers;
+  bool ran = false;
+  const TimerId next =
+      timers.Add(kStart + Milliseconds(1), [&] { ran = true; });
+  timers.Add(kStart,
+             [owned = std::make_shared<CancelsWhenGone>(timers, next)] {});
+  timers.RunDue(kStart + Milliseconds(2));
+  CHECK_FALSE(ran);
+  CHECK(timers.size() == 0);
+}
+
+TEST_CASE("a cancelled callback may cancel itself as it is let go") {
+  // Guards against an entry being removed twice.
+  TimerQueue timers;
+  const auto id = std::make_shared<TimerId>();
+  struct CancelsItself {
+    TimerQueue& timers;
+    std::shared_ptr<TimerId> id;
+    ~CancelsItself() { timers.Cancel(*id); }
+  };
+  auto owned = std::make_shared<CancelsItself>(timers, id);
+  *id = timers.Add(kStart, [owned] {});
+  owned.reset();
+  timers.Cancel(*id);
+  CHECK(timers.size() == 0);
+}
+
+// A queue whose callbacks cancel and add timers while they run, and cancel one
+// more as they are let go, each drawn at random.
+class RandomTimers {
+ public:
+  explicit RandomTimers(std::uint64_t seed) : state_(seed) {}
+  RandomTimers(const RandomTimers&) = delete;
+  RandomTimers& operator=(const RandomTimers&) = delete;
+
+  void Run() {
+    constexpr int kRounds = 40;
+    for (int round = 0; round < kRounds; ++round) {
+      for (int i = 0; i < kAddedPerRound; ++i)
+        Add();
+      Cancel(DrawId());
+      now_ += Milliseconds(static_cast<std::int64_t>(Draw(kMostAhead)));
+      running_ = true;
+      timers_.RunDue(now_);
+      running_ = false;
+      RC_ASSERT(std::none_of(
+          planned_.begin(), planned_.end(), [this](const Planned& timer) {
+            return timer.live && timer.at <= now_ && !timer.added_while_running;
+          }));
+      for (Planned& timer : planned_)
+        timer.added_while_running = false;
+    }
+  }
+
+ private:
+  static constexpr int kAddedPerRound = 6;
+  static constexpr std::uint64_t kMostAhead = 8;
+  static constexpr std::size_t kMostTimers = 2000;
+
+  struct Planned {
+    MonotonicTime at;
+    bool live = true;
+    bool added_while_running = false;
+  };
+  struct CancelsOne {
+    RandomTimers& timers;
+    std::size_t index;
+    ~CancelsOne() { timers.Cancel(index); }
+  };
+
+  std::uint64_t Draw(std::uint64_t bound) {
+    constexpr std::uint64_t kMultiplier = 6364136223846793005ULL;
+    constexpr std::uint64_t kIncrement = 1442695040888963407ULL;
+    constexpr int kHighBits = 33;
+    state_ = state_ * kMultiplier + kIncrement;
+    return (state_ >> kHighBits) % bound;
+  }
+  std::size_t DrawId() {
+    return planned_.empty() ? 0
+                            : static_cast<std::size_t>(Draw(planned_.size()));
+  }
+
+  void Add() {
+    if (planned_.size() >= kMostTimers)
+      return;
+    const std::size_t index = planned_.size();
+    const MonotonicTime at =
+        now_ + Milliseconds(static_cast<std::int64_t>(Draw(kMostAhead)));
+    planned_.push_back({at, true, running_});
+    // Half of the time one that was added a little before, so near in time.
+    const std::size_t other =
+        Draw(2) == 0 ? DrawId() : index - std::min<std::size_t>(index, Draw(4));
+    const auto owned = std::make_shared<CancelsOne>(*this, other);
+    ids_.push_back(timers_.Add(at, [this, index, owned] { OnTimer(index); }));
+  }
+
+  void Cancel(std::size_t index) {
+    if (index >= ids_.size())
+      return;
+    planned_[index].live = false;
+    timers_.Cancel(ids_[index]);
+  }
+
+  void OnTimer(std::size_t index) {
+    RC_ASSERT(planned_[index].live);
+    RC_ASSERT(planned_[index].at <= now_);
+    planned_[index].live = false;
+    if (Draw(2) == 0)
+      Add();
+    if (Draw(3) == 0)
+      Cancel(DrawId());
+  }
+
+  std::uint64_t state_;
+  MonotonicTime now_ = kStart;
+  bool running_ = false;
+  std::vector<Planned> planned_;
+  std::vector<TimerId> ids_;
+  TimerQueue timers_;
+};
+
+TEST_CASE("no timer runs twice or after it was cancelled") {
+  rc::prop("whatever callbacks do while they run and as they are let go",
+           [](std::uint64_t seed) { RandomTimers(seed).Run(); });
+}
+
 }  // namespace
 }  // namespace carobshift
