Cache watcher: a holder that goes leaves no read behind

An instance could end itself (SIGSEGV) after an engine or store had gone or come back at another address.

Cause: a listener's listing that ended after the instance had come to read for itself set the timer of the next read, while the holder was still waiting for its turn to be read first. When the turn came, a second chain of reads began and overwrote the first one's timer; on the holder's end only the second was cancelled, and the first read with the freed reader.

A reader has one timer: a read, and the setting of the next one, cancel it.

Test "a holder that goes leaves no read behind": SIGSEGV before, passes after; the 21 cases of readers and listeners pass.

--- a/carobshift/gateway/cache_watcher.cc
+++ b/carobshift/gateway/cache_watcher.cc
@@ -159,6 +159,8 @@
 }
 
 void CacheWatcher::Read(Reader& reader) {
+  // An earlier read may be due as well; it must not outlive the reader.
+  loop_.CancelTimer(reader.timer);
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = CacheContents::kReaderWait + kSlack;
@@ -241,6 +243,7 @@
   // Whoever hears news of the holder has only listed it.
   if (reader.role == CacheReaderRole::kListener)
     return;
+  loop_.CancelTimer(reader.timer);
   reader.timer =
       loop_.AddTimer(loop_.now() + wait, [this, &reader] { Read(reader); });
 }
--- a/carobshift/gateway/cache_watcher_test.cc
+++ b/carobshift/gateway/cache_watcher_test.cc
@@ -177,5 +177,33 @@
   RunUntil(fixture.loop, [&] { return fixture.Knows(); });
 }
 
+TEST_CASE("a holder that goes leaves no read behind") {
+  // Guards against a read that is due for a holder that is gone: it would be
+  // made with freed memory, and the process end.
+  Fixture fixture;
+  const EntryId& self = fixture.settings.entry;
+  const auto listening = LiveWith(CacheReaderRole::kListener, self);
+  // A store's list is under way as the instance comes to read for itself, while
+  // so many others are to be read first that the store's turn is not come.
+  std::vector<WatchedHolder> holders;
+  for (int i = 0; i < CacheWatcher::kStartsPerTick; ++i) {
+    holders.push_back({CacheHolder("a" + std::to_string(i)),
+                       fixture.store.address(), /*readers=*/0,
+                       /*listed=*/true});
+  }
+  holders.push_back(fixture.Holders().front());
+  fixture.watcher.SetHolders(holders, listening, self);
+  fixture.OnNewsAfterGap();
+  fixture.watcher.SetHolders(holders, {self}, self);
+  RunFor(fixture.loop, Milliseconds(40));
+  CHECK(fixture.lists == 1);
+  fixture.watcher.OnTick();
+  RunFor(fixture.loop, Milliseconds(20));
+  fixture.watcher.SetHolders({}, {self}, self);
+  const std::size_t before = fixture.store.bodies.size();
+  RunFor(fixture.loop, Milliseconds(300));
+  CHECK(fixture.store.bodies.size() == before);
+}
+
 }  // namespace
 }  // namespace carobshift
