Loads of peers are kept as a running sum

A report takes its sender's former loads off the sums and adds the new ones; a peer that runs out is taken off. Reported loads are whole numbers, so nothing drifts. What one report costs no longer depends on the number of peers.

Test: 100 random orders of reports, late ones and peers that run out, against sums worked out anew ("what peers have running is the sum of their newest reports").

--- a/carobshift/gateway/load_book.cc
+++ b/carobshift/gateway/load_book.cc
@@ -81,28 +81,44 @@
   Peer& peer = peers_[report.sender];
   if (peer.report.sequence >= report.sequence)
     return;
+  TakeAway(peer.report);
   peer = {report, now + report.period * kReportLife};
-  SumPeers();
+  Add(report);
 }
 
 void LoadBook::Expire(MonotonicTime now) {
   std::erase_if(keepers_, [now](const auto& entry) {
     return now - entry.second.at >= kKeeperLife;
   });
-  if (std::erase_if(peers_, [now](const auto& entry) {
-        return now >= entry.second.expires;
-      }) > 0)
-    SumPeers();
+  std::erase_if(peers_, [this, now](const auto& entry) {
+    const bool over = now >= entry.second.expires;
+    if (over)
+      TakeAway(entry.second.report);
+    return over;
+  });
 }
 
-void LoadBook::SumPeers() {
-  theirs_.clear();
-  for (const auto& [sender, peer] : peers_) {
-    for (const auto& [endpoint, load] : peer.report.loads) {
-      theirs_[endpoint].tokens += load.tokens;
-      theirs_[endpoint].requests += load.requests;
-      theirs_[endpoint].unread += load.unread;
-    }
+// Reported loads are whole numbers, so sums come back to zero.
+void LoadBook::Add(const LoadReport& report) {
+  for (const auto& [endpoint, load] : report.loads) {
+    EndpointLoad& sum = theirs_[endpoint];
+    sum.tokens += load.tokens;
+    sum.requests += load.requests;
+    sum.unread += load.unread;
+  }
+}
+
+void LoadBook::TakeAway(const LoadReport& report) {
+  for (const auto& [endpoint, load] : report.loads) {
+    const auto found = theirs_.find(endpoint);
+    if (found == theirs_.end())
+      continue;
+    EndpointLoad& sum = found->second;
+    sum.tokens -= load.tokens;
+    sum.requests -= load.requests;
+    sum.unread -= load.unread;
+    if (sum.tokens <= 0 && sum.requests <= 0 && sum.unread <= 0)
+      theirs_.erase(found);
   }
 }
 
--- a/carobshift/gateway/load_book.h
+++ b/carobshift/gateway/load_book.h
@@ -114,7 +114,8 @@
 
   std::unordered_map<EndpointId, OwnLoad> own_;
   std::unordered_map<Incarnation, Peer> peers_;
-  // Sum over the peers.
+  // Sum over the peers. Kept up with each report: added up anew, its cost would
+  // grow with the square of the number of instances.
   std::unordered_map<std::uint64_t, EndpointLoad> theirs_;
 
   struct KeeperWord {
@@ -124,7 +125,9 @@
   std::unordered_map<std::uint64_t, KeeperWord> keepers_;
   std::function<void(const EndpointId&)> on_change_;
 
-  void SumPeers();
+  // Adds the peer's loads to the sums, or takes them away.
+  void Add(const LoadReport& report);
+  void TakeAway(const LoadReport& report);
   void Changed(const EndpointId& endpoint) const {
     if (on_change_)
       on_change_(endpoint);
--- a/carobshift/gateway/load_book_test.cc
+++ b/carobshift/gateway/load_book_test.cc
@@ -1,6 +1,10 @@
 #include "carobshift/gateway/load_book.h"
 
+#include <rapidcheck/catch.h>
+
 #include <catch2/catch.hpp>
+#include <map>
+#include <vector>
 
 #include "carobshift/base/digest.h"
 
@@ -9,6 +13,8 @@
 
 const MonotonicTime kStart{Seconds(100)};
 
+constexpr Milliseconds kPeriod{200};
+
 CallerRequest PromptRequest(Tokens own, Tokens output) {
   CallerRequest request;
   PromptTraits prompt;
@@ -55,5 +61,52 @@
   CHECK(book.Total(engine).tokens == Approx(0));
 }
 
+TEST_CASE("what peers have running is the sum of their newest reports") {
+  rc::prop("whatever order reports come and run out in", [] {
+    struct Newest {
+      LoadReport report;
+      MonotonicTime at;
+    };
+    LoadBook book;
+    std::map<std::uint64_t, Newest> newest;
+    MonotonicTime now = kStart;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      now += Milliseconds(*rc::gen::inRange(0, 300));
+      LoadReport report;
+      report.sender = Incarnation(*rc::gen::inRange<std::uint64_t>(1, 5));
+      report.sequence = *rc::gen::inRange<std::uint64_t>(1, 20);
+      report.period = kPeriod;
+      for (const char* const id : {"e1", "e2", "e3"}) {
+        if (*rc::gen::arbitrary<bool>())
+          report.loads[FastHash(id)] = {
+              static_cast<double>(*rc::gen::inRange(0, 9000)),
+              static_cast<double>(*rc::gen::inRange(0, 9)), 0};
+      }
+      book.OnPeerReport(report, now);
+      Newest& known = newest[report.sender.value()];
+      if (report.sequence > known.report.sequence)
+        known = {report, now};
+      book.Expire(now);
+      std::erase_if(newest, [now](const auto& entry) {
+        return now - entry.second.at >= kPeriod * LoadBook::kReportLife;
+      });
+      for (const char* const id : {"e1", "e2", "e3"}) {
+        double tokens = 0;
+        double requests = 0;
+        for (const auto& [sender, of_peer] : newest) {
+          const auto load = of_peer.report.loads.find(FastHash(id));
+          if (load == of_peer.report.loads.end())
+            continue;
+          tokens += load->second.tokens;
+          requests += load->second.requests;
+        }
+        RC_ASSERT(book.Total(EndpointId(id)).tokens == tokens);
+        RC_ASSERT(book.Total(EndpointId(id)).requests == requests);
+      }
+    }
+  });
+}
+
 }  // namespace
 }  // namespace carobshift
