What an instance works out from its members, it works out once a change

The live members are kept until a record changes (Membership::revision()); the log's readers and the cache readers hash each member once. Ranks of cache readers are combined from the two hashes, so roles fall to other instances than before; readers of different versions overlap for the seconds of a rollout, as they do when members come and go.

--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -337,10 +337,10 @@
 }
 
 void LoadReplay::AssignRoles() {
-  for (const auto& [holder, model] : by_name_) {
-    std::vector<CacheReaderRole>& roles = roles_[holder];
-    for (const EntryId& id : live_)
-      roles.push_back(RoleFor(holder, options_.event_readers, live_, id));
+  for (const EntryId& id : live_) {
+    const CacheReaderRoles of_instance(live_, id);
+    for (const auto& [holder, model] : by_name_)
+      roles_[holder].push_back(of_instance.Of(holder, options_.event_readers));
   }
 }
 
--- a/carobshift/gateway/cache_relay.cc
+++ b/carobshift/gateway/cache_relay.cc
@@ -31,19 +31,26 @@
 
 }  // namespace
 
-CacheReaderRole RoleFor(const CacheHolder& holder,
-                        int limit,
-                        const std::vector<EntryId>& live,
-                        const EntryId& self) {
-  if (limit <= 0 || live.size() <= static_cast<std::size_t>(limit))
+CacheReaderRoles::CacheReaderRoles(const std::vector<EntryId>& live,
+                                   const EntryId& self)
+    : self_(FastHash(self.value())) {
+  others_.reserve(live.size());
+  for (const EntryId& entry : live) {
+    if (entry != self)
+      others_.push_back(FastHash(entry.value()));
+  }
+}
+
+CacheReaderRole CacheReaderRoles::Of(const CacheHolder& holder,
+                                     int limit) const {
+  if (limit <= 0 || others_.size() < static_cast<std::size_t>(limit))
     return CacheReaderRole::kReader;
-  const auto rank = [&holder](const EntryId& entry) {
-    return FastHash(holder.value() + '\n' + entry.value());
-  };
-  const std::uint64_t own = rank(self);
-  const auto before =
-      std::count_if(live.begin(), live.end(),
-                    [&](const EntryId& entry) { return rank(entry) > own; });
+  const std::uint64_t hash = FastHash(holder.value());
+  const std::uint64_t own = CombineHashes(hash, self_);
+  const auto before = std::count_if(others_.begin(), others_.end(),
+                                    [hash, own](std::uint64_t other) {
+                                      return CombineHashes(hash, other) > own;
+                                    });
   if (before == 0)
     return CacheReaderRole::kTeller;
   return before == 1 ? CacheReaderRole::kReader : CacheReaderRole::kListener;
--- a/carobshift/gateway/cache_relay.h
+++ b/carobshift/gateway/cache_relay.h
@@ -1,7 +1,8 @@
 // Who reads a holder's cache events where not every instance may, and what the
 // reader tells the others.
 //
-//   if (ReadsEvents(holder, limit, live, self)) ...   // or hears news of it
+//   const CacheReaderRoles roles(live, self);
+//   if (roles.Of(holder, limit) != CacheReaderRole::kListener) ...
 //   CacheRelay relay;
 //   relay.OnRead(holder, since, events);
 //   for (const CacheNews& news : relay.Take()) Send(EncodeCacheNews(news));
@@ -45,12 +46,19 @@
   kTeller,
 };
 
-// `limit`: readers that the holder serves, 0 for any number. `live` includes
-// `self`.
-[[nodiscard]] CacheReaderRole RoleFor(const CacheHolder& holder,
-                                      int limit,
-                                      const std::vector<EntryId>& live,
-                                      const EntryId& self);
+// Which part an instance has for each holder, among those that live.
+class CacheReaderRoles {
+ public:
+  // `live` includes `self`.
+  CacheReaderRoles(const std::vector<EntryId>& live, const EntryId& self);
+
+  // `limit`: readers that the holder serves, 0 for any number.
+  [[nodiscard]] CacheReaderRole Of(const CacheHolder& holder, int limit) const;
+
+ private:
+  std::vector<std::uint64_t> others_;
+  std::uint64_t self_;
+};
 
 class CacheRelay {
  public:
--- a/carobshift/gateway/cache_relay_test.cc
+++ b/carobshift/gateway/cache_relay_test.cc
@@ -64,7 +64,8 @@
   // engine is read by two of them, and by other ones than the next engine.
   const auto few = Instances(12);
   for (const EntryId& self : few)
-    CHECK(RoleFor(kEngine, 12, few, self) == CacheReaderRole::kReader);
+    CHECK(CacheReaderRoles(few, self).Of(kEngine, 12) ==
+          CacheReaderRole::kReader);
   const auto many = Instances(20);
   std::map<EntryId, int> tells;
   for (int i = 0; i < 60; ++i) {
@@ -72,7 +73,7 @@
     int tellers = 0;
     int readers = 0;
     for (const EntryId& self : many) {
-      const CacheReaderRole role = RoleFor(engine, 12, many, self);
+      const CacheReaderRole role = CacheReaderRoles(many, self).Of(engine, 12);
       readers += role == CacheReaderRole::kReader ? 1 : 0;
       if (role != CacheReaderRole::kTeller)
         continue;
@@ -90,14 +91,15 @@
   EntryId reader;
   EntryId teller;
   for (const EntryId& self : live) {
-    const CacheReaderRole role = RoleFor(kEngine, 12, live, self);
+    const CacheReaderRole role = CacheReaderRoles(live, self).Of(kEngine, 12);
     if (role == CacheReaderRole::kReader)
       reader = self;
     if (role == CacheReaderRole::kTeller)
       teller = self;
   }
   std::erase(live, teller);
-  CHECK(RoleFor(kEngine, 12, live, reader) == CacheReaderRole::kTeller);
+  CHECK(CacheReaderRoles(live, reader).Of(kEngine, 12) ==
+        CacheReaderRole::kTeller);
 }
 
 TEST_CASE("a listener learns what the teller reads") {
--- a/carobshift/gateway/cache_watcher.cc
+++ b/carobshift/gateway/cache_watcher.cc
@@ -67,11 +67,12 @@
                               const std::vector<EntryId>& live,
                               const EntryId& self) {
   instances_ = live.size();
+  const CacheReaderRoles roles(live, self);
   std::set<CacheHolder> wanted;
   for (const WatchedHolder& watched : holders) {
     wanted.insert(watched.holder);
     auto& reader = readers_[watched.holder];
-    const auto role = RoleFor(watched.holder, watched.readers, live, self);
+    const auto role = roles.Of(watched.holder, watched.readers);
     if (reader != nullptr && reader->watched.address == watched.address) {
       SetRole(*reader, role);
       continue;
--- a/carobshift/gateway/cache_watcher_test.cc
+++ b/carobshift/gateway/cache_watcher_test.cc
@@ -102,7 +102,7 @@
   for (int i = 0;; ++i) {
     std::vector<EntryId> live = {self, EntryId("a" + std::to_string(i)),
                                  EntryId("b" + std::to_string(i))};
-    if (RoleFor(kStore, 1, live, self) == role)
+    if (CacheReaderRoles(live, self).Of(kStore, 1) == role)
       return live;
   }
 }
--- a/carobshift/gateway/cluster.cc
+++ b/carobshift/gateway/cluster.cc
@@ -90,16 +90,19 @@
   OnTick();
 }
 
-std::vector<MemberInfo> Cluster::Live() const {
-  std::vector<MemberInfo> live = membership_.Live();
-  std::sort(live.begin(), live.end(),
+const std::vector<MemberInfo>& Cluster::Live() const {
+  if (live_revision_ == membership_.revision())
+    return live_;
+  live_ = membership_.Live();
+  std::sort(live_.begin(), live_.end(),
             [](const auto& a, const auto& b) { return a.id < b.id; });
-  return live;
+  live_revision_ = membership_.revision();
+  return live_;
 }
 
 std::vector<MemberInfo> Cluster::Serving() const {
   std::vector<MemberInfo> serving;
-  std::vector<MemberInfo> live = Live();
+  const std::vector<MemberInfo>& live = Live();
   for (const MemberInfo& member : live) {
     const MemberRecord* const record = membership_.Find(member.id);
     if (record != nullptr && record->config_version.value() > 0)
@@ -109,7 +112,7 @@
 }
 
 std::size_t Cluster::Rank() const {
-  const std::vector<MemberInfo> live = Live();
+  const std::vector<MemberInfo>& live = Live();
   const auto self =
       std::find_if(live.begin(), live.end(), [this](const auto& member) {
         return member.id == membership_.self().id;
@@ -118,7 +121,7 @@
 }
 
 bool Cluster::IsLive(const EntryId& id) const {
-  const std::vector<MemberInfo> live = membership_.Live();
+  const std::vector<MemberInfo>& live = Live();
   return std::any_of(live.begin(), live.end(),
                      [&id](const auto& member) { return member.id == id; });
 }
--- a/carobshift/gateway/cluster.h
+++ b/carobshift/gateway/cluster.h
@@ -8,6 +8,7 @@
 #define CAROBSHIFT_GATEWAY_CLUSTER_H_
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -40,7 +41,8 @@
   void Leave();
 
   // Alive and not leaving, this instance included unless it leaves; by id.
-  [[nodiscard]] std::vector<MemberInfo> Live() const;
+  // Valid until the next datagram or tick.
+  [[nodiscard]] const std::vector<MemberInfo>& Live() const;
   // Those of them that have a configuration, or all if none has.
   [[nodiscard]] std::vector<MemberInfo> Serving() const;
   // This instance's place among Live(), from 0.
@@ -72,6 +74,9 @@
   Incarnation incarnation_;
   Membership membership_;
   std::shared_ptr<UdpPort> port_;
+  // Of the members at live_revision_; asked for with each datagram.
+  mutable std::vector<MemberInfo> live_;
+  mutable std::optional<std::uint64_t> live_revision_;
   std::uint64_t facts_told_ = 0;
   MonotonicTime crash_second_{};
   int crashes_told_ = 0;
--- a/carobshift/gateway/record_readers.cc
+++ b/carobshift/gateway/record_readers.cc
@@ -14,26 +14,39 @@
   return FastHash("log reader\n" + member.id.value());
 }
 
+// Each member is hashed once, and not at each comparison.
+struct Ranked {
+  std::uint64_t rank = 0;
+  const MemberInfo* member = nullptr;
+
+  friend bool operator<(const Ranked& a, const Ranked& b) {
+    return std::tie(a.rank, a.member->id) < std::tie(b.rank, b.member->id);
+  }
+};
+
 }  // namespace
 
 std::vector<MemberInfo> LogReaders(const std::vector<MemberInfo>& live) {
   if (live.size() <= kMostReaders)
     return {};
-  std::vector<MemberInfo> ranked = live;
-  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-    return std::tuple(RankOf(a), a.id) < std::tuple(RankOf(b), b.id);
-  });
+  std::vector<Ranked> ranked;
+  ranked.reserve(live.size());
+  for (const MemberInfo& member : live)
+    ranked.push_back({RankOf(member), &member});
+  std::sort(ranked.begin(), ranked.end());
   std::vector<MemberInfo> readers;
-  std::vector<MemberInfo> others;
+  std::vector<const MemberInfo*> others;
   std::set<ZoneName> served;
-  for (const MemberInfo& member : ranked) {
-    const bool first_of_zone = served.insert(member.zone).second;
-    (first_of_zone ? readers : others).push_back(member);
+  for (const Ranked& one : ranked) {
+    if (served.insert(one.member->zone).second)
+      readers.push_back(*one.member);
+    else
+      others.push_back(one.member);
   }
-  for (const MemberInfo& member : others) {
+  for (const MemberInfo* const member : others) {
     if (readers.size() >= kLeastReaders)
       break;
-    readers.push_back(member);
+    readers.push_back(*member);
   }
   return readers;
 }
--- a/carobshift/membership/member_table.cc
+++ b/carobshift/membership/member_table.cc
@@ -30,6 +30,7 @@
   const auto it = others_.find(heard.info.id);
   if (it == others_.end()) {
     MakeRoom();
+    ++revision_;
     others_[heard.info.id] = {.record = heard, .changed = now};
     return;
   }
@@ -40,9 +41,11 @@
       same_life ? std::max(known.record.config_version, heard.config_version)
                 : heard.config_version;
   if (Supersedes(heard, known.record)) {
+    ++revision_;
     known = {.record = heard, .changed = now};
     known.record.config_version = config;
   } else if (same_life && config > known.record.config_version) {
+    ++revision_;
     known.record.config_version = config;
     known.sends = 0;
   }
@@ -59,6 +62,7 @@
     return;
   if (mutation_ == MemberMutation::kNoRefutation)
     return;
+  ++revision_;
   self_.info.version = Next(heard.info.version);
 }
 
@@ -66,6 +70,7 @@
   const auto it = others_.find(id);
   if (it == others_.end() || it->second.record.state != MemberState::kAlive)
     return;
+  ++revision_;
   it->second.record.state = MemberState::kSuspect;
   it->second.changed = now;
   it->second.sends = 0;
@@ -78,11 +83,12 @@
         now - entry.changed < timeout ||
         mutation_ == MemberMutation::kNoSuspicionTimeout)
       continue;
+    ++revision_;
     entry.record.state = MemberState::kDead;
     entry.changed = now;
     entry.sends = 0;
   }
-  std::erase_if(others_, [now](const auto& item) {
+  revision_ += std::erase_if(others_, [now](const auto& item) {
     return item.second.record.state == MemberState::kDead &&
            now - item.second.changed >= kDeadLife;
   });
@@ -96,12 +102,14 @@
 void MemberTable::SetOwnConfig(ConfigVersion version) {
   if (version <= self_.config_version)
     return;
+  ++revision_;
   self_.config_version = version;
 }
 
 void MemberTable::SetOwnLeaving() {
   if (self_.info.leaving)
     return;
+  ++revision_;
   self_.info.leaving = true;
   self_.info.version = Next(self_.info.version);
 }
--- a/carobshift/membership/member_table.h
+++ b/carobshift/membership/member_table.h
@@ -8,6 +8,7 @@
 #define CAROBSHIFT_MEMBERSHIP_MEMBER_TABLE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -64,6 +65,8 @@
   void SetOwnLeaving();
 
   [[nodiscard]] const MemberRecord& self() const { return self_; }
+  // Rises with each change of a record or of who is known.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
   // The record that others hold against the member at this address, if any:
   // it must hear of it to contradict.
   [[nodiscard]] const MemberRecord* FindAccused(
@@ -100,6 +103,7 @@
   void MakeRoom();
 
   MemberMutation mutation_;
+  std::uint64_t revision_ = 0;
   MemberRecord self_;
   std::map<EntryId, Entry> others_;
   // Where the moving window goes on.
--- a/carobshift/membership/membership.h
+++ b/carobshift/membership/membership.h
@@ -114,6 +114,8 @@
   void Leave();
 
   [[nodiscard]] const MemberInfo& self() const { return table_.self().info; }
+  // Rises with each change of what the next three return.
+  [[nodiscard]] std::uint64_t revision() const { return table_.revision(); }
   // This entry first, then all known others, by id, dead ones included.
   [[nodiscard]] std::vector<MemberRecord> Members() const;
   // Members to name in address answers: alive and not leaving; this entry
