A process that a fatal signal ends tells where it was

The last line of such a process is `fatal_signal` with the signal, the address at which the program is loaded and the stack.

Test: a gateway process is sent SIGABRT; the line is there and the exit is by that signal.

--- a/carobshift/cmd/gateway_command.cc
+++ b/carobshift/cmd/gateway_command.cc
@@ -12,6 +12,7 @@
 #include "carobshift/cmd/exit_codes.h"
 #include "carobshift/gateway/gateway.h"
 #include "carobshift/telemetry/event_log.h"
+#include "carobshift/telemetry/fatal_signal.h"
 #include "carobshift/telemetry/log_output.h"
 #include "platform/platform_dialects.h"
 #include "platform/settings_file.h"
@@ -82,6 +83,7 @@
     return Fail(ExitCode::kUsage, settings.error().message);
   ConfigureEventLog(flags.log_level, settings.value().entry.value());
   BufferLogOutput();
+  InstallFatalSignalLine(settings.value().entry.value());
   const PlatformDialects platform;
   Gateway gateway(settings.value(), platform.dialects());
   if (const Status status = gateway.Start(); !status.ok())
--- a/testing/gateway_process_test.cc
+++ b/testing/gateway_process_test.cc
@@ -437,5 +437,18 @@
   CHECK(cluster.TotalRuns() == runs);
 }
 
+TEST_CASE("a process that a fatal signal ends tells where it was") {
+  // Guards against an end without a trace, as by corrupted memory.
+  GatewayCluster cluster({});
+  Process& gateway = cluster.gateway(0);
+  gateway.Signal(SIGABRT);
+  REQUIRE(gateway.WaitForExit(Seconds(5)) == -SIGABRT);
+  const std::vector<json> lines = cluster.LogLines("event", "fatal_signal");
+  REQUIRE(lines.size() == 1);
+  CHECK(lines.front().at("signal") == SIGABRT);
+  CHECK(lines.front().at("stack").size() >= 2);
+  CHECK(lines.front().at("base").get<std::string>().starts_with("0x"));
+}
+
 }  // namespace
 }  // namespace carobshift
