Many instances place prompts among engines they were told of, and don't report

Beyond twelve instances every prompt asks four engines' keepers for their load. An engine whose keeper didn't answer in time stayed in the choice with no work at all, or with what reports of the last 13 s said; and the reports, one from each instance to each every 3.25 s at 195, cost sixty datagrams a second for figures that are older than any prompt's reading, by which all crowded to the same booking desks.

Now the prompt is placed among those that were told of (all, if none was), and beyond twelve nobody reports. request_done says how many were `asked` and `told`.

--- a/carobshift/gateway/load_scout.cc
+++ b/carobshift/gateway/load_scout.cc
@@ -70,11 +70,10 @@
     tally_.OnUpdate(update.value(), loop_.now());
 }
 
-void LoadScout::Ask(const std::vector<EndpointId>& endpoints,
-                    std::function<void()> done) {
+void LoadScout::Ask(const std::vector<EndpointId>& endpoints, Done done) {
   const std::uint64_t number = ++last_question_;
   std::map<const MemberInfo*, LoadQuestion> by_keeper;
-  Question question{{}, std::move(done), {}};
+  Question question{endpoints, {}, std::move(done), {}};
   for (const EndpointId& id : endpoints) {
     const std::uint64_t endpoint = FastHash(id.value());
     const MemberInfo* const keeper = KeeperOf(endpoint, members_);
@@ -93,7 +92,7 @@
     asked.endpoints.push_back(endpoint);
   }
   if (question.open.empty()) {
-    question.done();
+    question.done(endpoints);
     return;
   }
   question.timer = loop_.AddTimer(loop_.now() + kLongestWait,
@@ -140,10 +139,15 @@
   const auto found = questions_.find(number);
   if (found == questions_.end())
     return;
-  loop_.CancelTimer(found->second.timer);
-  const std::function<void()> done = std::move(found->second.done);
+  const Question question = std::move(found->second);
   questions_.erase(found);
-  done();
+  loop_.CancelTimer(question.timer);
+  std::vector<EndpointId> told;
+  for (const EndpointId& id : question.endpoints) {
+    if (!question.open.contains(FastHash(id.value())))
+      told.push_back(id);
+  }
+  question.done(told);
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/load_scout.h
+++ b/carobshift/gateway/load_scout.h
@@ -3,12 +3,13 @@
 //
 //   LoadScout scout(loop, identity, datagrams, book);
 //   scout.OnTick();
-//   if (scout.active()) scout.Ask(endpoints, [] { Place(); });
-//   else Place();
+//   if (scout.active())
+//     scout.Ask(endpoints, [](const auto& told) { PlaceAmong(told); });
 //
 // What can go wrong: the keeper is dead, suspended or slow, or a datagram is
-// lost. The work is placed after kLongestWait by what has come until then; the
-// time is felt by nobody, and a wrong choice costs speed only.
+// lost. The work is placed after kLongestWait among those that were told of
+// until then; the time is felt by nobody. An endpoint that nobody tells of is
+// left out, since it would seem to have no work.
 
 #ifndef CAROBSHIFT_GATEWAY_LOAD_SCOUT_H_
 #define CAROBSHIFT_GATEWAY_LOAD_SCOUT_H_
@@ -54,16 +55,19 @@
   void OnTick();
   // Whether so many instances live that asking is worth it.
   [[nodiscard]] bool active() const { return members_.size() > kMostReporters; }
+  // Gets the endpoints that keepers have told of, in the order of the question.
+  using Done = std::function<void(const std::vector<EndpointId>& told)>;
+
   // Calls `done` when all keepers have answered, or after kLongestWait; at once
   // if there is nobody to ask. What they tell is in the book by then.
-  void Ask(const std::vector<EndpointId>& endpoints,
-           std::function<void()> done);
+  void Ask(const std::vector<EndpointId>& endpoints, Done done);
 
  private:
   struct Question {
-    // Hashes of the endpoints that have not been answered.
+    std::vector<EndpointId> endpoints;
+    // Hashes of those that have not been answered.
     std::set<std::uint64_t> open;
-    std::function<void()> done;
+    Done done;
     TimerId timer;
   };
 
--- a/carobshift/gateway/load_scout_test.cc
+++ b/carobshift/gateway/load_scout_test.cc
@@ -102,12 +102,12 @@
   fixture.at(0).book.OnStart(engine, footprint, 700);
   RunFor(fixture.loop, Milliseconds(5));
   bool done = false;
-  fixture.at(1).scout.Ask({engine}, [&] { done = true; });
+  fixture.at(1).scout.Ask({engine}, [&](const auto&) { done = true; });
   RunUntil(fixture.loop, [&] { return done; });
   CHECK(fixture.at(1).book.Total(engine).unread == Approx(700));
   // The first one isn't told of its own.
   done = false;
-  fixture.at(0).scout.Ask({engine}, [&] { done = true; });
+  fixture.at(0).scout.Ask({engine}, [&](const auto&) { done = true; });
   RunUntil(fixture.loop, [&] { return done; });
   CHECK(fixture.at(0).book.Total(engine).unread == Approx(700));
 }
@@ -118,7 +118,7 @@
   fixture.at(0).book.OnStart(engine, RequestFootprint::Of(Prompt()), 700);
   RunFor(fixture.loop, Milliseconds(5));
   bool done = false;
-  fixture.at(1).scout.Ask({engine}, [&] { done = true; });
+  fixture.at(1).scout.Ask({engine}, [&](const auto&) { done = true; });
   CHECK(done);
   CHECK(fixture.at(1).book.Total(engine).unread == Approx(700));
 }
@@ -134,10 +134,16 @@
   RunFor(fixture.loop, Milliseconds(5));
   bool done = false;
   const MonotonicTime asked = MonotonicNow();
-  fixture.at(1).scout.Ask({dark, engine}, [&] { done = true; });
+  std::vector<EndpointId> told;
+  fixture.at(1).scout.Ask({dark, engine}, [&](const auto& endpoints) {
+    done = true;
+    told = endpoints;
+  });
   CHECK_FALSE(done);
   RunUntil(fixture.loop, [&] { return done; });
   CHECK(MonotonicNow() - asked >= LoadScout::kLongestWait);
+  // The endpoint that nobody told of would seem to be idle.
+  CHECK(told == std::vector<EndpointId>{engine});
   // What the other keeper said counts.
   CHECK(fixture.at(1).book.Total(engine).unread == Approx(700));
 }
@@ -145,7 +151,7 @@
 TEST_CASE("with nobody to ask work is placed at once") {
   Fixture fixture;
   bool done = false;
-  fixture.at(0).scout.Ask({}, [&] { done = true; });
+  fixture.at(0).scout.Ask({}, [&](const auto&) { done = true; });
   CHECK(done);
   fixture.members.resize(3);
   fixture.at(0).scout.OnTick();
--- a/carobshift/gateway/load_sharing.cc
+++ b/carobshift/gateway/load_sharing.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/load_sharing.h"
 
 #include "carobshift/gateway/load_report_codec.h"
+#include "carobshift/gateway/load_scout.h"
 
 namespace carobshift {
 
@@ -21,6 +22,9 @@
 void LoadSharing::OnTick() {
   if (loop_.now() < next_)
     return;
+  // Beyond that many the keepers are asked instead (load_scout.h).
+  if (cluster_.Live().size() > LoadScout::kMostReporters)
+    return;
   const Milliseconds period = LoadBook::PeriodFor(cluster_.Live().size());
   next_ = loop_.now() + period;
   datagrams_.SendToOthers(PeerDatagramKind::kLoadReport,
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -184,12 +184,16 @@
     return;
   }
   Running& running = runs_.at(&run->exchange());
-  running.shortlist = planner_.Shortlist(setup, loop_.now());
-  scout_->Ask(running.shortlist, [weak = std::weak_ptr(run)] {
+  const std::vector<EndpointId> shortlist =
+      planner_.Shortlist(setup, loop_.now());
+  running.asked = shortlist.size();
+  scout_->Ask(shortlist, [this, weak = std::weak_ptr(run)](const auto& told) {
     const auto asking = weak.lock();
     // Its caller may have left meanwhile.
-    if (asking != nullptr && !asking->exchange().over())
-      asking->Start();
+    if (asking == nullptr || asking->exchange().over())
+      return;
+    runs_.at(&asking->exchange()).shortlist = told;
+    asking->Start();
   });
 }
 
@@ -448,6 +452,8 @@
     fields["ahead"] = static_cast<std::int64_t>(running.ahead);
     fields["to_read"] = static_cast<std::int64_t>(running.to_read);
     fields["sources"] = running.sources;
+    fields["asked"] = running.asked;
+    fields["told"] = running.shortlist.size();
     fields["pause_ms"] =
         std::chrono::duration_cast<Milliseconds>(running.run->longest_pause())
             .count();
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -128,7 +128,9 @@
     HttpServerConnection* connection = nullptr;
     EndpointId endpoint;
     RequestFootprint footprint;
-    // The endpoints whose load was asked for, to place it among.
+    // How many endpoints' loads were asked for, and those that were told, to
+    // place it among.
+    std::size_t asked = 0;
     std::vector<EndpointId> shortlist;
     // That the attempt names to its endpoint; nothing if they aren't known.
     std::optional<WeightNumber> weights;
