--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -33,6 +33,12 @@
   return FastHash(part != nullptr ? part->id : request.id.value());
 }
 
+int CountNamed(const std::vector<std::optional<NetAddress>>& holders) {
+  return static_cast<int>(
+      std::count_if(holders.begin(), holders.end(),
+                    [](const auto& holder) { return holder.has_value(); }));
+}
+
 }  // namespace
 
 std::string CacheScope(const ModelName& model,
@@ -368,9 +374,8 @@
   if (setup.request.prompt) {
     plan.cost = chosen.cost;
     plan.ahead = chosen.ahead;
-    plan.sources = static_cast<int>(std::count_if(
-        plan.fields.fetch_from.begin(), plan.fields.fetch_from.end(),
-        [](const auto& source) { return source.has_value(); }));
+    plan.sources = CountNamed(plan.fields.fetch_from);
+    plan.saves = CountNamed(plan.fields.save_to);
   }
   return plan;
 }
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -48,8 +48,10 @@
   double cost = 0;
   // The part of it that is other requests' or lacks memory.
   double ahead = 0;
-  // Parts of the prompt that the endpoint may fetch.
+  // Parts of the prompt that the endpoint may fetch, and that it is to keep in
+  // a store.
   int sources = 0;
+  int saves = 0;
 };
 
 // The text under which an endpoint finds cached parts. `account` only where it
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -264,6 +264,7 @@
   running.ahead = plan->ahead;
   running.to_read = plan->unread;
   running.sources = plan->sources;
+  running.saves = plan->saves;
   running.attempt_began = loop_.now();
   running.attempt = true;
   running.not_run = false;
@@ -452,6 +453,7 @@
     fields["ahead"] = static_cast<std::int64_t>(running.ahead);
     fields["to_read"] = static_cast<std::int64_t>(running.to_read);
     fields["sources"] = running.sources;
+    fields["saves"] = running.saves;
     fields["asked"] = running.asked;
     fields["told"] = running.shortlist.size();
     fields["pause_ms"] =
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -140,8 +140,9 @@
     double ahead = 0;
     // What the endpoint was thought to have to read when it got the prompt.
     double to_read = 0;
-    // Parts for which a holder was named to fetch them from.
+    // Parts for which a holder was named to fetch them from, or to keep them.
     int sources = 0;
+    int saves = 0;
     MonotonicTime attempt_began{};
     bool attempt = false;
     // The endpoint said that it didn't run the attempt.
