--- a/carobshift/telemetry/fatal_signal.cc
+++ b/carobshift/telemetry/fatal_signal.cc
@@ -12,6 +12,7 @@
 #include <cstdint>
 
 // Defined by the linker: where the program is loaded.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" const char __executable_start;
 
 namespace carobshift {
