--- a/carobshift/net/timer_queue_test.cc
+++ b/carobshift/net/timer_queue_test.cc
@@ -103,7 +103,7 @@
     std::shared_ptr<TimerId> id;
     ~CancelsItself() { timers.Cancel(*id); }
   };
-  auto owned = std::make_shared<CancelsItself>(timers, id);
+  std::shared_ptr<CancelsItself> owned(new CancelsItself{timers, id});
   *id = timers.Add(kStart, [owned] {});
   owned.reset();
   timers.Cancel(*id);
@@ -175,7 +175,7 @@
     // Half of the time one that was added a little before, so near in time.
     const std::size_t other =
         Draw(2) == 0 ? DrawId() : index - std::min<std::size_t>(index, Draw(4));
-    const auto owned = std::make_shared<CancelsOne>(*this, other);
+    const std::shared_ptr<CancelsOne> owned(new CancelsOne{*this, other});
     ids_.push_back(timers_.Add(at, [this, index, owned] { OnTimer(index); }));
   }
 
