Cache news: an engine's long run isn't told whole

Cause: there engines are told of as well, and each of eighty tellings in a third of a second filled two or more datagrams instead of one, about the 10 Mbit/s of a small instance's link (worked out), so callers' requests waited behind news.

Of an engine again one datagram a telling: both runs if they fit, else the newest one, else a gap.

Test: "what an engine takes in fills one datagram at most".

--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -365,7 +365,7 @@
     const StoreEvents events = model->log().After(since, now);
     instance.contents.OnEvents(holder, events, now);
     if (role == CacheReaderRole::kTeller)
-      instance.relay.OnRead(holder, since, events);
+      instance.relay.OnRead(holder, since, events, /*whole=*/false);
   }
   for (const CacheNews& news : instance.relay.Take(instance.contents, now))
     simulation_.After(kDatagramTime, [this, news] { Tell(news); });
--- a/carobshift/gateway/cache_relay.cc
+++ b/carobshift/gateway/cache_relay.cc
@@ -93,33 +93,46 @@
 
 void CacheRelay::OnRead(const CacheHolder& holder,
                         std::uint64_t since,
-                        const StoreEvents& events) {
+                        const StoreEvents& events,
+                        bool whole) {
   HolderNews read{holder, since, events};
   read.events.clock.reset();
   const auto [found, first] = runs_.try_emplace(holder);
   Runs& runs = found->second;
+  runs.whole = whole;
   // A holder that has restarted counts its events from the start.
   if (!first && runs.fresh.events.epoch != events.epoch)
     read.since = 0;
   runs.fresh = first ? std::move(read) : Join(runs.fresh, read);
 }
 
+std::optional<HolderNews> CacheRelay::NextInOne(const Runs& runs) {
+  const bool joins = runs.told && Joins(*runs.told, runs.fresh);
+  HolderNews joined = joins ? Join(*runs.told, runs.fresh) : runs.fresh;
+  joined.repeated = joins;
+  if (BytesOf(joined) <= kMaxNewsBytes)
+    return joined;
+  return std::nullopt;
+}
+
 std::vector<HolderNews> CacheRelay::Next(Runs& runs) {
-  if (runs.fresh.events.events.size() > kMostRunEvents) {
+  constexpr std::size_t kMostInOne =
+      (kMaxNewsBytes - kHolderBytes) / kCacheEventBytes;
+  const std::size_t most = runs.whole ? kMostRunEvents : kMostInOne;
+  if (runs.fresh.events.events.size() > most) {
     runs.fresh.events.events.clear();
     runs.fresh.events.gap = true;
   }
   std::vector<HolderNews> pieces;
-  const bool joins = runs.told && Joins(*runs.told, runs.fresh);
-  HolderNews joined = joins ? Join(*runs.told, runs.fresh) : runs.fresh;
-  joined.repeated = joins;
-  if (joins && BytesOf(joined) > kMaxNewsBytes) {
-    runs.told->repeated = true;
-    Cut(*runs.told, pieces);
-    pieces.back().more = true;
-    Cut(runs.fresh, pieces);
+  if (auto in_one = NextInOne(runs)) {
+    pieces.push_back(std::move(*in_one));
   } else {
-    Cut(joined, pieces);
+    if (runs.whole && runs.told && Joins(*runs.told, runs.fresh)) {
+      runs.told->repeated = true;
+      Cut(*runs.told, pieces);
+      pieces.back().more = true;
+    }
+    Cut(runs.fresh, pieces);
   }
   HolderNews rest{runs.fresh.holder, runs.fresh.events.next, {}};
   rest.events.epoch = runs.fresh.events.epoch;
--- a/carobshift/gateway/cache_relay.h
+++ b/carobshift/gateway/cache_relay.h
@@ -22,7 +22,9 @@
 //
 // Datagrams get lost. Each piece of news therefore repeats the one before it;
 // whoever misses two in a row sees that the runs don't join and takes it for a
-// gap. A run that one datagram doesn't hold is cut into several.
+// gap. A run of a store that one datagram doesn't hold is cut into several. Of
+// an engine only the newest is told then, or a gap: engines are many and change
+// often, and all of it would fill the link of a small instance.
 //
 // Thread-compatible. State: two runs of events for each holder.
 
@@ -75,10 +77,11 @@
 
   [[nodiscard]] static Milliseconds PeriodFor(std::size_t instances);
 
-  // What a read after `since` has brought.
+  // What a read after `since` has brought. `whole`: long runs are told as well.
   void OnRead(const CacheHolder& holder,
               std::uint64_t since,
-              const StoreEvents& events);
+              const StoreEvents& events,
+              bool whole);
   // This instance no longer tells of the holder.
   void Drop(const CacheHolder& holder) { runs_.erase(holder); }
 
@@ -92,8 +95,11 @@
     // The run before, told once already.
     std::optional<HolderNews> told;
     HolderNews fresh;
+    bool whole = false;
   };
 
+  // The runs as one, if that fits a datagram.
+  [[nodiscard]] static std::optional<HolderNews> NextInOne(const Runs& runs);
   // What is told of a holder now, each of a size for one datagram.
   [[nodiscard]] static std::vector<HolderNews> Next(Runs& runs);
 
--- a/carobshift/gateway/cache_relay_test.cc
+++ b/carobshift/gateway/cache_relay_test.cc
@@ -38,7 +38,7 @@
   }
   void Read(const StoreEvents& events, std::uint64_t since) {
     teller.OnEvents(kEngine, events, kStart);
-    relay.OnRead(kEngine, since, events);
+    relay.OnRead(kEngine, since, events, whole);
   }
   void Tell(bool lost = false) {
     for (const CacheNews& news : relay.Take(teller, kStart)) {
@@ -57,6 +57,8 @@
   CacheContents teller;
   CacheContents listener;
   CacheRelay relay;
+  // Whether long runs are told as well.
+  bool whole = false;
 };
 
 TEST_CASE("up to its limit a holder is read by all, beyond it by two") {
@@ -209,7 +211,7 @@
   for (int i = 0; i < 100; ++i) {
     const CacheHolder holder("engine-" + std::to_string(i));
     contents.OnEvents(holder, Stores(kFirst, 0), kStart);
-    relay.OnRead(holder, 0, Stores(kFirst, 0));
+    relay.OnRead(holder, 0, Stores(kFirst, 0), /*whole=*/false);
   }
   std::size_t holders = 0;
   for (const CacheNews& news : relay.Take(contents, kStart)) {
@@ -249,6 +251,7 @@
   // and a store takes in more parts than one datagram holds.
   constexpr std::size_t kNone = 99;
   Scene scene;
+  scene.whole = true;
   scene.Read(ManyStored(0, 50), 0);
   TellMany(scene, kNone);
   CHECK(scene.listener.size(kEngine) == 50);
@@ -263,6 +266,18 @@
   CHECK_FALSE(scene.listener.NeedsListing(kEngine));
 }
 
+TEST_CASE("what an engine takes in fills one datagram at most") {
+  // Guards against small links that are full of news: each of a hundred engines
+  // changes more in a telling than a datagram holds, and callers' requests then
+  // wait behind it.
+  Scene scene;
+  for (int telling = 0; telling < 5; ++telling) {
+    scene.Read(ManyStored(telling * 50, 50),
+               static_cast<std::uint64_t>(telling) * 50);
+    CHECK(scene.relay.Take(scene.teller, kStart).size() == 1);
+  }
+}
+
 TEST_CASE("a listener believes nothing older than a gap of its teller") {
   // Guards against a part that the store has dropped meanwhile being fetched
   // while it is written anew.
--- a/carobshift/gateway/cache_watcher.cc
+++ b/carobshift/gateway/cache_watcher.cc
@@ -199,7 +199,8 @@
   }
   contents_.OnEvents(reader.watched.holder, events.value(), loop_.now());
   if (reader.role == CacheReaderRole::kTeller)
-    relay_.OnRead(reader.watched.holder, since, events.value());
+    relay_.OnRead(reader.watched.holder, since, events.value(),
+                  /*whole=*/reader.watched.listed);
   if (reader.watched.listed && contents_.NeedsListing(reader.watched.holder))
     List(reader);
   else
