Prompts are counted by size within their kind, and a refusal tells what it waits for

Cause: nobody could see whether large prompts are starved. request_done told neither a prompt's size nor its place in its kind, and refused_under_load summed up what is to be read for others and what the prompt's own memory lacks.

Change: PromptSizes keeps the mean size of each route's prompts; request_done tells tokens and size, carobshift_prompts_total counts route, size and outcome, refused_under_load tells reading and need. QueueAhead keeps apart what was one sum; the sums that decide are the same as before.

--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -225,7 +225,7 @@
   const OverloadVerdict verdict =
       plan ? instance.guard.Judge(
                  {.service = kEngines,
-                  .ahead = plan->ahead,
+                  .ahead = plan->ahead.Total(),
                   .latency_target = call->setup.route->latency_target,
                   .urgency = call->setup.route->priority,
                   .hash = simulation_.random().Next()})
--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -167,18 +167,19 @@
   return found->second;
 }
 
-double AttemptPlanner::Ahead(const RequestFootprint& footprint,
-                             const EndpointRecord& record,
-                             const EngineTraits& engine) const {
+QueueAhead AttemptPlanner::Ahead(const RequestFootprint& footprint,
+                                 const EndpointRecord& record,
+                                 const EngineTraits& engine) const {
   const EndpointLoad load = loads_.Total(record.id);
-  double ahead = load.unread;
-  const double room = kMemoryShare * static_cast<double>(engine.memory_tokens);
-  const double over = load.tokens + loads_.Added(record.id, footprint) - room;
-  if (room > 0 && over > 0)
-    ahead += kOverMemoryCost * over;
+  QueueAhead ahead;
+  ahead.reading = load.unread;
   const double without_place = load.requests + 1 - record.slots;
   if (without_place > 0)
-    ahead += kNoPlaceCost * without_place;
+    ahead.reading += kNoPlaceCost * without_place;
+  ahead.need = loads_.Added(record.id, footprint);
+  const double room = kMemoryShare * static_cast<double>(engine.memory_tokens);
+  if (room > 0)
+    ahead.free_memory = room - load.tokens;
   return ahead;
 }
 
@@ -211,7 +212,8 @@
   }
   candidate.unread = std::max(0.0, unread);
   candidate.ahead = Ahead(footprint, record, engine->second);
-  candidate.cost = candidate.ahead + candidate.unread + kFetchCost * fetched;
+  candidate.cost =
+      candidate.ahead.Total() + candidate.unread + kFetchCost * fetched;
 }
 
 bool AttemptPlanner::TakesWork(const ExchangeSetup& setup,
@@ -241,7 +243,8 @@
   if (!wait_ || engine == engines_.end())
     return Milliseconds(0);
   const RequestFootprint footprint = RequestFootprint::Of(setup.request);
-  return wait_(record.service, Ahead(footprint, record, engine->second));
+  return wait_(record.service,
+               Ahead(footprint, record, engine->second).Total());
 }
 
 bool AttemptPlanner::OnlyReplacedWeights(const ExchangeSetup& setup,
@@ -307,7 +310,7 @@
       continue;
     Candidate candidate = Describe(setup, record);
     Measure(setup, footprint, candidate, now);
-    const double own_cost = candidate.cost - candidate.ahead;
+    const double own_cost = candidate.cost - candidate.ahead.Total();
     least = std::min(least, own_cost);
     ranked.push_back(
         {own_cost, CombineHashes(FastHash(id.value()), session), id});
@@ -418,7 +421,7 @@
   for (std::size_t i = 0; i + 1 < parts.size(); ++i)
     tokens += static_cast<double>(parts[i].tokens);
   return std::clamp(
-      wait_(setup.service, candidate.ahead + kFetchPatience * tokens),
+      wait_(setup.service, candidate.ahead.Total() + kFetchPatience * tokens),
       kLeastFetchLife, kLongestFetchLife);
 }
 
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -34,6 +34,7 @@
 #include "carobshift/gateway/exchange.h"
 #include "carobshift/gateway/load_book.h"
 #include "carobshift/gateway/placement.h"
+#include "carobshift/gateway/queue_ahead.h"
 #include "carobshift/gateway/weight_deadlines.h"
 
 namespace carobshift {
@@ -47,7 +48,7 @@
   // requests without a prompt.
   double cost = 0;
   // The part of it that is other requests' or lacks memory.
-  double ahead = 0;
+  QueueAhead ahead;
   // Parts of the prompt that the endpoint may fetch, and that it is to keep in
   // a store.
   int sources = 0;
@@ -66,9 +67,6 @@
   // difference between what is counted here and what the engine holds: reports
   // are a fifth of a second old, and outputs differ from their estimate.
   static constexpr double kMemoryShare = 0.9;
-  // A token over an engine's memory, in tokens to be read: the request waits
-  // until as many are freed.
-  static constexpr double kOverMemoryCost = 4;
   // Each request beyond an engine's places, in tokens to be read: more than
   // placement's tolerance, so that it goes where a place is free.
   static constexpr double kNoPlaceCost = 2000;
@@ -183,7 +181,7 @@
     std::optional<WeightNumber> weights;
     double unread = 0;
     double cost = 0;
-    double ahead = 0;
+    QueueAhead ahead;
   };
   struct Choice {
     Candidate candidate;
@@ -206,9 +204,9 @@
   [[nodiscard]] Candidate Describe(const ExchangeSetup& setup,
                                    const EndpointRecord& record) const;
   // What stands before the request there, without its own prompt.
-  [[nodiscard]] double Ahead(const RequestFootprint& footprint,
-                             const EndpointRecord& record,
-                             const EngineTraits& engine) const;
+  [[nodiscard]] QueueAhead Ahead(const RequestFootprint& footprint,
+                                 const EndpointRecord& record,
+                                 const EngineTraits& engine) const;
   // How long that takes.
   [[nodiscard]] Milliseconds WaitAt(const ExchangeSetup& setup,
                                     const EndpointRecord& record) const;
--- a/carobshift/gateway/load_book.cc
+++ b/carobshift/gateway/load_book.cc
@@ -21,6 +21,13 @@
   return footprint;
 }
 
+Tokens RequestFootprint::AllTokens() const {
+  Tokens tokens = own_tokens;
+  for (const PromptPart& part : shared)
+    tokens += part.tokens;
+  return tokens;
+}
+
 Milliseconds LoadBook::PeriodFor(std::size_t instances) {
   constexpr double kMillisecondsPerSecond = 1000;
   const auto fair = Milliseconds(
--- a/carobshift/gateway/load_book.h
+++ b/carobshift/gateway/load_book.h
@@ -45,6 +45,8 @@
   std::vector<PromptPart> shared;
 
   [[nodiscard]] static RequestFootprint Of(const CallerRequest& request);
+  // Where no part of it is shared with what is there.
+  [[nodiscard]] Tokens AllTokens() const;
 };
 
 struct EndpointLoad {
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -75,6 +75,11 @@
 void RequestService::SetConfig(std::shared_ptr<const ConfigInForce> config) {
   config_ = std::move(config);
   planner_.SetConfig(config_->config());
+  std::unordered_set<std::string> routes;
+  for (const Route& route : config_->config().routes)
+    routes.insert(route.name);
+  sizes_.Keep(
+      [&routes](const std::string& kind) { return routes.contains(kind); });
   SetConnectionLimits();
 }
 
@@ -174,6 +179,10 @@
   running.connection = connection.get();
   running.footprint = RequestFootprint::Of(exchange->request());
   by_connection_[connection.get()] = exchange;
+  if (exchange->request().prompt) {
+    sizes_.OnPrompt(route->name,
+                    static_cast<double>(running.footprint.AllTokens()));
+  }
   Begin(run);
 }
 
@@ -313,7 +322,7 @@
                                       const AttemptPlan& plan) {
   const OverloadVerdict verdict = overload_.Judge(
       {.service = setup.service,
-       .ahead = plan.ahead,
+       .ahead = plan.ahead.Total(),
        .latency_target = setup.route->latency_target,
        .urgency = plan.fields.urgency.value_or(setup.route->priority),
        .hash = FastHash(setup.request.id.value())});
@@ -322,7 +331,9 @@
   running.return_after = verdict.return_after;
   LogEvent(LogLevel::kInfo, "refused_under_load",
            {{"request", setup.request.id.value()},
-            {"ahead", static_cast<std::int64_t>(plan.ahead)},
+            {"ahead", static_cast<std::int64_t>(plan.ahead.Total())},
+            {"reading", static_cast<std::int64_t>(plan.ahead.reading)},
+            {"need", static_cast<std::int64_t>(plan.ahead.need)},
             {"endpoint", plan.endpoint.id.value()},
             {"urgency", plan.fields.urgency.value_or(setup.route->priority)},
             {"expected_ms", verdict.expected.count()},
@@ -450,7 +461,7 @@
     fields["weights"] = running.weights->value();
   if (running.cost > 0) {
     fields["cost"] = static_cast<std::int64_t>(running.cost);
-    fields["ahead"] = static_cast<std::int64_t>(running.ahead);
+    fields["ahead"] = static_cast<std::int64_t>(running.ahead.Total());
     fields["to_read"] = static_cast<std::int64_t>(running.to_read);
     fields["sources"] = running.sources;
     fields["saves"] = running.saves;
@@ -460,6 +471,14 @@
         std::chrono::duration_cast<Milliseconds>(running.run->longest_pause())
             .count();
   }
+  if (exchange.request().prompt) {
+    const Tokens tokens = running.footprint.AllTokens();
+    const SizeBand size =
+        sizes_.BandOf(setup.route->name, static_cast<double>(tokens));
+    fields["tokens"] = tokens;
+    fields["size"] = SizeBandName(size);
+    CountPrompt(exchange, size);
+  }
   if (summary.resumes > 0)
     fields["resumes"] = summary.resumes;
   if (summary.first_byte)
@@ -469,6 +488,23 @@
   LogEvent(LogLevel::kInfo, "request_done", std::move(fields));
 }
 
+void RequestService::CountPrompt(const Exchange& exchange, SizeBand size) {
+  const ExchangeSummary& summary = exchange.summary();
+  const ExchangeSetup& setup = exchange.setup();
+  std::string_view outcome = "failed";
+  if (summary.status == kUnavailable)
+    outcome = "refused";
+  else if (summary.completed && summary.first_byte)
+    outcome = *summary.first_byte - setup.arrived <= setup.route->latency_target
+                  ? "in_target"
+                  : "late";
+  metrics_.Add("carobshift_prompts_total",
+               {{"route", setup.route->name},
+                {"size", SizeBandName(size)},
+                {"outcome", outcome}},
+               1);
+}
+
 void RequestService::OnTick() {
   const MonotonicTime now = loop_.now();
   loads_.Expire(now);
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -28,6 +28,7 @@
 #include "carobshift/gateway/load_book.h"
 #include "carobshift/gateway/load_scout.h"
 #include "carobshift/gateway/overload_guard.h"
+#include "carobshift/gateway/prompt_sizes.h"
 #include "carobshift/gateway/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_server_connection.h"
@@ -137,7 +138,7 @@
     // Of the attempt; zero once the endpoint has read the prompt.
     double unread = 0;
     double cost = 0;
-    double ahead = 0;
+    QueueAhead ahead;
     // What the endpoint was thought to have to read when it got the prompt.
     double to_read = 0;
     // Parts for which a holder was named to fetch them from, or to keep them.
@@ -160,6 +161,8 @@
   // Starts the exchange, for a prompt after the loads were asked for.
   void Begin(const std::shared_ptr<ExchangeRun>& run);
   void LogEnd(Exchange& exchange);
+  // Counts a prompt by its size within its kind and by what came of it.
+  void CountPrompt(const Exchange& exchange, SizeBand size);
   [[nodiscard]] static RequestFingerprint FingerprintOfExchange(
       const Exchange& exchange);
   void EndAttempt(Exchange& exchange);
@@ -187,6 +190,7 @@
   EndpointHealthBook health_;
   LoadBook loads_;
   OverloadGuard overload_;
+  PromptSizes sizes_;
   CrashRecord crashes_;
   OnCrash on_crash_;
   AttemptPlanner planner_;
