Red test: the largest prompts of a kind are refused where memory is short

Replays long prompts of very unequal sizes before engines whose memory they fill, at 6 and at 85 instances, and judges by what callers receive by size.

--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -151,23 +151,12 @@
       Microseconds(static_cast<std::int64_t>(gap * kMicrosecondsPerSecond)),
       [this, kind] {
         ArriveLater(kind);
-        const KindLoad& load = options_.kinds[kind];
         const auto call = std::make_shared<Call>();
         call->kind = kind;
         call->arrived = simulation_.now();
         CallerRequest& request = call->setup.request;
         request.id = RequestId("r" + std::to_string(++calls_));
-        const std::string session =
-            std::to_string(kind) + "-" +
-            std::to_string(simulation_.random().Below(
-                static_cast<std::uint64_t>(load.sessions)));
-        request.prompt =
-            PromptTraits{kModel,
-                         kSystemTokens + load.session_tokens + load.own_tokens,
-                         load.output_tokens,
-                         {{"system", kSystemTokens},
-                          {"session-" + session, load.session_tokens},
-                          {request.id.value(), load.own_tokens}}};
+        request.prompt = DrawPrompt(kind, request.id);
         call->setup.route = &routes_[kind];
         call->setup.service = kEngines;
         ++result_.kinds[kind].asked;
@@ -175,6 +164,63 @@
       });
 }
 
+Tokens LoadReplay::DrawSize(const KindLoad& load,
+                            Tokens mean,
+                            SeededRandom& random) {
+  if (load.size_spread == 0)
+    return mean;
+  // The sum of twelve uniform numbers is nearly normal, with a deviation of 1.
+  constexpr int kTerms = 12;
+  double normal = -kTerms / 2.0;
+  for (int i = 0; i < kTerms; ++i)
+    normal += static_cast<double>(random.Next() >> 11) * 0x1.0p-53;
+  const double spread = load.size_spread;
+  const double factor = std::exp(spread * normal - spread * spread / 2);
+  return std::max<Tokens>(1, std::llround(static_cast<double>(mean) * factor));
+}
+
+PromptTraits LoadReplay::DrawPrompt(std::size_t kind,
+                                    const RequestId& request) {
+  const KindLoad& load = options_.kinds[kind];
+  const std::string session = "session-" + std::to_string(kind) + "-" +
+                              std::to_string(simulation_.random().Below(
+                                  static_cast<std::uint64_t>(load.sessions)));
+  SeededRandom of_session(FastHash(session));
+  const Tokens session_tokens = DrawSize(load, load.session_tokens, of_session);
+  const Tokens own_tokens =
+      DrawSize(load, load.own_tokens, simulation_.random());
+  return {kModel,
+          kSystemTokens + session_tokens + own_tokens,
+          load.output_tokens,
+          {{"system", kSystemTokens},
+           {session, session_tokens},
+           {request.value(), own_tokens}}};
+}
+
+void LoadReplay::NoteOutcome(const Call& call, bool served) {
+  result_.kinds[call.kind].outcomes.push_back(
+      {call.setup.request.prompt->prompt_tokens, served});
+}
+
+double KindResult::ServedBetween(double from, double to) const {
+  std::vector<SizedOutcome> ordered = outcomes;
+  std::stable_sort(ordered.begin(), ordered.end(),
+                   [](const SizedOutcome& a, const SizedOutcome& b) {
+                     return a.prompt_tokens < b.prompt_tokens;
+                   });
+  const auto place = [&ordered](double share) {
+    return static_cast<std::ptrdiff_t>(share *
+                                       static_cast<double>(ordered.size()));
+  };
+  const auto first = ordered.begin() + place(from);
+  const auto last = ordered.begin() + place(to);
+  if (first == last)
+    return 0;
+  const auto served = std::count_if(
+      first, last, [](const SizedOutcome& one) { return one.served; });
+  return static_cast<double>(served) / static_cast<double>(last - first);
+}
+
 void LoadReplay::Ask(const std::shared_ptr<Call>& call) {
   Serve(*instances_[simulation_.random().Below(instances_.size())], call);
 }
@@ -236,6 +282,7 @@
   }
   if (std::exchange(call->came_back, true)) {
     ++result_.kinds[call->kind].refused;
+    NoteOutcome(*call, /*served=*/false);
     return;
   }
   simulation_.After(verdict.return_after, [this, call] { Ask(call); });
@@ -263,6 +310,7 @@
          KindResult& kind = result_.kinds[call->kind];
          ++(waited <= call->setup.route->latency_target ? kind.in_target
                                                         : kind.late);
+         NoteOutcome(*call, /*served=*/true);
          result_.longest_wait =
              std::max(result_.longest_wait,
                       std::chrono::duration_cast<Milliseconds>(waited));
--- a/benchmarks/gateway/load_replay.h
+++ b/benchmarks/gateway/load_replay.h
@@ -33,6 +33,9 @@
   Tokens own_tokens = 300;
   Tokens output_tokens = 40;
   Milliseconds target{800};
+  // Standard deviation of the logarithm of the sizes of sessions and of own
+  // parts; 0 for prompts that are all alike.
+  double size_spread = 0;
 };
 
 struct ReplayOptions {
@@ -53,16 +56,28 @@
   bool gives_up_fetches = true;
 };
 
+// What came of one prompt.
+struct SizedOutcome {
+  Tokens prompt_tokens = 0;
+  // Its answer has begun, in time or late.
+  bool served = false;
+};
+
 struct KindResult {
   int asked = 0;
   int in_target = 0;
   int late = 0;
   // Refused twice: when it came and when it came back.
   int refused = 0;
+  // One for each prompt that was served or refused.
+  std::vector<SizedOutcome> outcomes;
 
   [[nodiscard]] double InTarget() const {
     return asked == 0 ? 0 : static_cast<double>(in_target) / asked;
   }
+  // Share served of those whose place in the order of sizes is between these
+  // shares of all, the largest last.
+  [[nodiscard]] double ServedBetween(double from, double to) const;
 };
 
 struct ReplayResult {
@@ -104,6 +119,13 @@
 
   void AddHolders();
   void ArriveLater(std::size_t kind);
+  // A size of the kind's spread around `mean`.
+  [[nodiscard]] static Tokens DrawSize(const KindLoad& load,
+                                       Tokens mean,
+                                       SeededRandom& random);
+  [[nodiscard]] PromptTraits DrawPrompt(std::size_t kind,
+                                        const RequestId& request);
+  void NoteOutcome(const Call& call, bool served);
   void Ask(const std::shared_ptr<Call>& call);
   void Serve(Instance& instance, const std::shared_ptr<Call>& call);
   void Place(Instance& instance,
--- a/benchmarks/gateway/load_replay_test.cc
+++ b/benchmarks/gateway/load_replay_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <cstdlib>
+#include <utility>
 
 namespace carobshift {
 namespace {
@@ -22,8 +23,12 @@
               result.counts.without_room, result.most_running,
               static_cast<long long>(result.longest_wait.count()));
   for (const KindResult& kind : result.kinds) {
-    std::printf(" %d asked %.3f in target %d late %d refused;", kind.asked,
-                kind.InTarget(), kind.late, kind.refused);
+    std::printf(
+        " %d asked %.3f in target %d late %d refused, served of the largest "
+        "tenth %.3f, of the next fifth %.3f, of all %.3f;",
+        kind.asked, kind.InTarget(), kind.late, kind.refused,
+        kind.ServedBetween(0.9, 1), kind.ServedBetween(0.7, 0.9),
+        kind.ServedBetween(0, 1));
   }
   std::printf("\n");
 }
@@ -51,6 +56,28 @@
   return options;
 }
 
+// More long prompts, of very unequal sizes, than the engines' memory holds.
+ReplayOptions UnequalPrompts(int instances, int engines) {
+  ReplayOptions options;
+  options.instances = instances;
+  options.engines = engines;
+  options.store_capacity = 20'000'000;
+  options.engine.memory = 150'000;
+  options.engine.token_time = Milliseconds(25);
+  options.kinds = {{.per_second = 12.0 * engines,
+                    .sessions = 40 * engines,
+                    .session_tokens = 600,
+                    .own_tokens = 200,
+                    .output_tokens = 70},
+                   {.per_second = 5.5 * engines,
+                    .sessions = 30 * engines,
+                    .session_tokens = 8600,
+                    .own_tokens = 2900,
+                    .output_tokens = 100,
+                    .size_spread = 0.6}};
+  return options;
+}
+
 }  // namespace
 
 // Sessions return every few seconds and don't fit into the engines' memory
@@ -234,4 +261,23 @@
   }
 }
 
+// Guards against refusal by a prompt's own size: where memory was short, the
+// largest prompts of a kind were refused and smaller ones let in all day.
+TEST_CASE("the largest prompts of a kind are served like the others") {
+  for (const auto& [instances, engines] :
+       {std::pair(6, 6), std::pair(85, 60)}) {
+    for (const std::uint64_t seed : kSeeds) {
+      INFO(instances << " instances, seed " << seed);
+      LoadReplay replay(UnequalPrompts(instances, engines), seed);
+      const ReplayResult result = replay.Run(Seconds(15));
+      Print("unequal prompts", result);
+      const KindResult& prompts = result.kinds[1];
+      const double all = prompts.ServedBetween(0, 1);
+      CHECK(prompts.refused > 0);
+      CHECK(prompts.ServedBetween(0.9, 1) >= all / 2);
+      CHECK(prompts.ServedBetween(0.7, 0.9) >= all / 2);
+    }
+  }
+}
+
 }  // namespace carobshift
