Whether a prompt is refused goes by its kind's need of memory, not by its own

Callers saw: at a deployment with 85 instances, of the largest tenth of the long prompts less than half as many were served as of the whole kind.

Cause: AttemptPlanner::Ahead adds four times what the request's own memory lacks at an endpoint, and the overload guard took the sum for other requests' work. Where memory is short, an engine that lets in a prompt of 6,000 tokens refused one of 24,000, and when it came back it was refused again: smaller ones had taken what became free. Class: a decision on whom to serve that compares the request's whole need with what is free now.

Change: the door judges by what a prompt of the kind's mean size would need there, for the share of the prompt that isn't there yet. Placement, the bound of weights and the life of fetches still go by the request's own need. The pressure on a kind stays about what it was, and within the kind size doesn't matter.

--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -33,10 +33,11 @@
   EndpointRegistry registry;
   EndpointHealthBook health;
   LoadBook loads;
+  PromptSizes sizes;
   CacheContents contents;
   // No weights are named in these loads.
   WeightDeadlines deadlines{Milliseconds(15000)};
-  AttemptPlanner planner{registry, health, loads, contents, deadlines};
+  AttemptPlanner planner{registry, health, loads, sizes, contents, deadlines};
   OverloadGuard guard;
   CacheRelay relay;
   LoadTally tally;
@@ -53,6 +54,7 @@
   result_.kinds.resize(options.kinds.size());
   routes_.resize(options.kinds.size());
   for (std::size_t i = 0; i < options.kinds.size(); ++i) {
+    routes_[i].name = std::to_string(i);
     routes_[i].latency_target = options.kinds[i].target;
     routes_[i].priority = static_cast<int>(i);
     routes_[i].prompts = true;
@@ -222,7 +224,12 @@
 }
 
 void LoadReplay::Ask(const std::shared_ptr<Call>& call) {
-  Serve(*instances_[simulation_.random().Below(instances_.size())], call);
+  Instance& instance =
+      *instances_[simulation_.random().Below(instances_.size())];
+  const auto footprint = RequestFootprint::Of(call->setup.request);
+  instance.sizes.OnPrompt(call->setup.route->name,
+                          static_cast<double>(footprint.AllTokens()));
+  Serve(instance, call);
 }
 
 bool LoadReplay::AsksKeepers() const {
@@ -271,7 +278,7 @@
   const OverloadVerdict verdict =
       plan ? instance.guard.Judge(
                  {.service = kEngines,
-                  .ahead = plan->ahead.Total(),
+                  .ahead = plan->ahead_of_mean.Total(),
                   .latency_target = call->setup.route->latency_target,
                   .urgency = call->setup.route->priority,
                   .hash = simulation_.random().Next()})
--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -377,6 +377,11 @@
   if (setup.request.prompt) {
     plan.cost = chosen.cost;
     plan.ahead = chosen.ahead;
+    plan.ahead_of_mean = chosen.ahead;
+    plan.ahead_of_mean.need = sizes_.NeedOfMean(
+        setup.route->name,
+        static_cast<double>(RequestFootprint::Of(setup.request).AllTokens()),
+        chosen.ahead.need);
     plan.sources = CountNamed(plan.fields.fetch_from);
     plan.saves = CountNamed(plan.fields.save_to);
   }
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -2,8 +2,9 @@
 // placement.h, its weights, the scope of its cached parts, the holders that
 // parts are fetched from and the stores that they are kept in.
 //
-//   AttemptPlanner planner(registry, health, loads, contents, deadlines);
-//   const std::optional<AttemptPlan> plan = planner.Plan(setup, wish, now);
+//   AttemptPlanner planner(registry, health, loads, sizes, contents,
+//   deadlines); const std::optional<AttemptPlan> plan = planner.Plan(setup,
+//   wish, now);
 //
 // What must hold: no request may run on KV cache that was made by other
 // weights, nor, for an isolated account, by another account. The scope of the
@@ -34,6 +35,7 @@
 #include "carobshift/gateway/exchange.h"
 #include "carobshift/gateway/load_book.h"
 #include "carobshift/gateway/placement.h"
+#include "carobshift/gateway/prompt_sizes.h"
 #include "carobshift/gateway/queue_ahead.h"
 #include "carobshift/gateway/weight_deadlines.h"
 
@@ -49,6 +51,10 @@
   double cost = 0;
   // The part of it that is other requests' or lacks memory.
   QueueAhead ahead;
+  // What would stand before a prompt of its kind's mean size there. Whether the
+  // request is refused goes by this: by its own need, the largest of a kind
+  // would be refused first and hardly ever be served.
+  QueueAhead ahead_of_mean;
   // Parts of the prompt that the endpoint may fetch, and that it is to keep in
   // a store.
   int sources = 0;
@@ -100,11 +106,13 @@
   AttemptPlanner(const EndpointRegistry& registry,
                  const EndpointHealthBook& health,
                  const LoadBook& loads,
+                 const PromptSizes& sizes,
                  const CacheContents& contents,
                  const WeightDeadlines& deadlines)
       : registry_(registry),
         health_(health),
         loads_(loads),
+        sizes_(sizes),
         contents_(contents),
         deadlines_(deadlines) {}
 
@@ -259,6 +267,7 @@
   const EndpointRegistry& registry_;
   const EndpointHealthBook& health_;
   const LoadBook& loads_;
+  const PromptSizes& sizes_;
   const CacheContents& contents_;
   const WeightDeadlines& deadlines_;
   std::map<ServiceName, EngineTraits> engines_;
--- a/carobshift/gateway/attempt_planner_benchmark.cc
+++ b/carobshift/gateway/attempt_planner_benchmark.cc
@@ -49,7 +49,8 @@
     fill(record.id.value(), i + 1);
   }
   const WeightDeadlines deadlines{Milliseconds(15000)};
-  AttemptPlanner planner(registry, health, loads, contents, deadlines);
+  const PromptSizes sizes;
+  AttemptPlanner planner(registry, health, loads, sizes, contents, deadlines);
   planner.SetConfig(config);
   Route route;
   ExchangeSetup setup;
--- a/carobshift/gateway/attempt_planner_test.cc
+++ b/carobshift/gateway/attempt_planner_test.cc
@@ -82,9 +82,10 @@
   EndpointRegistry registry;
   EndpointHealthBook health;
   LoadBook loads;
+  PromptSizes sizes;
   CacheContents contents;
   WeightDeadlines deadlines{Milliseconds(15000)};
-  AttemptPlanner planner{registry, health, loads, contents, deadlines};
+  AttemptPlanner planner{registry, health, loads, sizes, contents, deadlines};
   Route route;
   Account account;
   Account isolated;
--- a/carobshift/gateway/overload_guard.h
+++ b/carobshift/gateway/overload_guard.h
@@ -16,8 +16,11 @@
 // is beyond a share of the latency target, the request is refused at once, not
 // run, with the time after which the backlog is gone. The least urgent are
 // refused first, so that their backlog doesn't reach those before them. The
-// request's own prompt doesn't count: long prompts would be refused first and
-// hardly ever be served.
+// request's own size doesn't count, neither what is to be read of it nor what
+// it needs of memory: the largest prompts of a kind would be refused first and
+// hardly ever be served. Where memory is short, the need of a mean prompt of
+// the kind stands for it, so that those refused are no others than those let
+// in.
 //
 // Figures: of the target, the most urgent may wait for kMostUrgentShare, each
 // step of urgency below for kShareStep less, nobody for less than kLeastShare;
@@ -41,8 +44,8 @@
 
 struct OverloadQuestion {
   ServiceName service;
-  // What stands before the request at the best place, without its own prompt,
-  // in the unit of placement.
+  // What stands before a prompt of the request's kind at the best place,
+  // without its own reading, in the unit of placement.
   double ahead = 0;
   Milliseconds latency_target{0};
   // 0 is the most urgent.
--- a/carobshift/gateway/prompt_sizes.cc
+++ b/carobshift/gateway/prompt_sizes.cc
@@ -27,6 +27,13 @@
   return found == means_.end() ? 0 : found->second;
 }
 
+double PromptSizes::NeedOfMean(const std::string& kind,
+                               double tokens,
+                               double need) const {
+  const double mean = Mean(kind);
+  return mean > 0 && tokens > 0 ? need * mean / tokens : need;
+}
+
 SizeBand PromptSizes::BandOf(const std::string& kind, double tokens) const {
   constexpr double kSmallShare = 0.5;
   constexpr double kLargestShare = 1.5;
--- a/carobshift/gateway/prompt_sizes.h
+++ b/carobshift/gateway/prompt_sizes.h
@@ -39,6 +39,11 @@
   void OnPrompt(const std::string& kind, double tokens);
   // 0 for a kind of which none has come.
   [[nodiscard]] double Mean(const std::string& kind) const;
+  // What a prompt of the kind's mean size would need where one of `tokens`
+  // needs `need`, as the rest of it is there.
+  [[nodiscard]] double NeedOfMean(const std::string& kind,
+                                  double tokens,
+                                  double need) const;
   [[nodiscard]] SizeBand BandOf(const std::string& kind, double tokens) const;
   // Forgets the kinds that no longer are any.
   void Keep(const std::function<bool(const std::string&)>& is_kind);
--- a/carobshift/gateway/prompt_sizes_test.cc
+++ b/carobshift/gateway/prompt_sizes_test.cc
@@ -27,6 +27,15 @@
   CHECK(sizes.BandOf("review", 7000) == SizeBand::kUnderMean);
 }
 
+TEST_CASE("the need of a mean prompt leaves out the share that is there") {
+  PromptSizes sizes;
+  sizes.OnPrompt("review", 12'000);
+  CHECK(sizes.NeedOfMean("review", 24'000, 24'000) == 12'000);
+  CHECK(sizes.NeedOfMean("review", 6000, 6000) == 12'000);
+  CHECK(sizes.NeedOfMean("review", 24'000, 6000) == 3000);
+  CHECK(sizes.NeedOfMean("question", 800, 500) == 500);
+}
+
 TEST_CASE("kinds that no route names any more are forgotten") {
   PromptSizes sizes;
   sizes.OnPrompt("review", 7000);
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -43,7 +43,7 @@
       deadlines_(deadlines),
       metrics_(metrics),
       options_(options),
-      planner_(registry, health_, loads_, contents, deadlines),
+      planner_(registry, health_, loads_, sizes_, contents, deadlines),
       allowance_(options.retries) {
   planner_.SetRoomCheck(
       [this](const NetAddress& address) { return client_.HasRoom(address); });
@@ -322,7 +322,7 @@
                                       const AttemptPlan& plan) {
   const OverloadVerdict verdict = overload_.Judge(
       {.service = setup.service,
-       .ahead = plan.ahead.Total(),
+       .ahead = plan.ahead_of_mean.Total(),
        .latency_target = setup.route->latency_target,
        .urgency = plan.fields.urgency.value_or(setup.route->priority),
        .hash = FastHash(setup.request.id.value())});
@@ -331,9 +331,10 @@
   running.return_after = verdict.return_after;
   LogEvent(LogLevel::kInfo, "refused_under_load",
            {{"request", setup.request.id.value()},
-            {"ahead", static_cast<std::int64_t>(plan.ahead.Total())},
+            {"ahead", static_cast<std::int64_t>(plan.ahead_of_mean.Total())},
             {"reading", static_cast<std::int64_t>(plan.ahead.reading)},
             {"need", static_cast<std::int64_t>(plan.ahead.need)},
+            {"mean_need", static_cast<std::int64_t>(plan.ahead_of_mean.need)},
             {"endpoint", plan.endpoint.id.value()},
             {"urgency", plan.fields.urgency.value_or(setup.route->priority)},
             {"expected_ms", verdict.expected.count()},
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -189,8 +189,8 @@
   RequestServiceOptions options_;
   EndpointHealthBook health_;
   LoadBook loads_;
-  OverloadGuard overload_;
   PromptSizes sizes_;
+  OverloadGuard overload_;
   CrashRecord crashes_;
   OnCrash on_crash_;
   AttemptPlanner planner_;
