--- a/carobshift/gateway/caller_request.h
+++ b/carobshift/gateway/caller_request.h
@@ -38,6 +38,9 @@
 // The id of an event in a stream; events count upwards.
 using EventNumber = StrongType<struct EventNumberTag, std::uint64_t>;
 
+// Requests a second.
+using RequestRate = StrongType<struct RequestRateTag, double>;
+
 struct CallerRequest {
   RequestId id;
   std::string method;
@@ -87,6 +90,10 @@
   bool misdirected = false;
   std::optional<EndpointId> endpoint;
   std::optional<WeightNumber> weights;
+  // That the endpoint takes from all instances together.
+  std::optional<RequestRate> rate_limit;
+  // It names a limit that can't be read, or is no rate.
+  bool bad_rate_limit = false;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -297,6 +297,8 @@
               static_cast<double>(requests.open_requests()));
   metrics.Set("carobshift_log_lines_dropped", {},
               static_cast<double>(DroppedLogLines()));
+  metrics.Set("carobshift_limited_endpoints", {},
+              static_cast<double>(requests.limited_endpoints()));
   metrics.Set("carobshift_endpoints_with_overdue_weights", {},
               static_cast<double>(steward.overdue()));
   metrics.Set("carobshift_log_bytes_read", {{"stream", "operator"}},
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -101,6 +101,7 @@
     client_.ForgetAddress(address);
     health_.Forget(id);
     planner_.ForgetWeights(id);
+    limits_.Forget(id);
   }
   addresses_ = std::move(now_known);
   SetConnectionLimits();
@@ -359,6 +360,7 @@
     overload_.OnFirstToken(exchange.setup().service, running.cost,
                            loop_.now() - running.attempt_began);
   }
+  NoteLimit(running, facts);
   const EndpointId& endpoint = running.endpoint;
   const auto& prompt = exchange.request().prompt;
   if (facts.weights && prompt)
@@ -373,6 +375,27 @@
     health_.OnAnswer(endpoint);
 }
 
+void RequestService::NoteLimit(const Running& running,
+                               const ReplyFacts& facts) {
+  if (facts.misdirected)
+    return;
+  if (facts.bad_rate_limit) {
+    LogEvent(LogLevel::kWarning, "endpoint_limit_unreadable",
+             {{"endpoint", running.endpoint.value()}});
+    return;
+  }
+  // An endpoint that runs nothing doesn't always say why.
+  if (facts.not_run && !facts.rate_limit)
+    return;
+  const LimitStatement statement{facts.rate_limit, running.attempt_began};
+  if (!limits_.OnAnswer(running.endpoint, statement, loop_.now()))
+    return;
+  LogEvent(LogLevel::kInfo, "endpoint_limit",
+           {{"endpoint", running.endpoint.value()},
+            {"limited", facts.rate_limit.has_value()},
+            {"per_second", facts.rate_limit.value_or(RequestRate(0)).value()}});
+}
+
 RequestFingerprint RequestService::FingerprintOfExchange(
     const Exchange& exchange) {
   const ExchangeSetup& setup = exchange.setup();
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -29,6 +29,7 @@
 #include "carobshift/gateway/load_scout.h"
 #include "carobshift/gateway/overload_guard.h"
 #include "carobshift/gateway/prompt_sizes.h"
+#include "carobshift/gateway/rate_limits.h"
 #include "carobshift/gateway/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_server_connection.h"
@@ -98,6 +99,8 @@
       const ModelName& model) const {
     return planner_.WeightsOf(endpoint, model);
   }
+  // Endpoints that name a limit of requests a second.
+  [[nodiscard]] std::size_t limited_endpoints() const { return limits_.size(); }
   [[nodiscard]] std::size_t open_requests() const { return runs_.size(); }
   [[nodiscard]] std::size_t open_connections() const {
     return connections_.size();
@@ -165,6 +168,8 @@
   void CountPrompt(const Exchange& exchange, SizeBand size);
   [[nodiscard]] static RequestFingerprint FingerprintOfExchange(
       const Exchange& exchange);
+  // What the attempt's answer says of its endpoint's limit.
+  void NoteLimit(const Running& running, const ReplyFacts& facts);
   void EndAttempt(Exchange& exchange);
   void NoteRead(Running& running);
   // Whether a request that has not been sent yet is to be refused.
@@ -190,6 +195,7 @@
   EndpointHealthBook health_;
   LoadBook loads_;
   PromptSizes sizes_;
+  RateLimits limits_;
   OverloadGuard overload_;
   CrashRecord crashes_;
   OnCrash on_crash_;
