--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -8,7 +8,7 @@
 // answer and are not carried out, this many times), `crash_body` (a request
 // with this body breaks its connection off as soon as it runs), `queue_ms` (a
 // request waits that long before it runs; it doesn't run if its connection ends
-// meanwhile).
+// meanwhile), `limit` (the text that its answers name as Server-Limit).
 
 #include <atomic>
 #include <cxxopts.hpp>
@@ -40,6 +40,9 @@
   void Run(StandinExchange& exchange) {
     const std::string request = exchange.Header("Request-Id");
     exchange.SetHeader("Instance-Id", options_.id);
+    const std::string limit = faults_.Text("limit");
+    if (!limit.empty())
+      exchange.SetHeader("Server-Limit", limit);
     if (exchange.Header("Expect-Instance") != options_.id) {
       exchange.ReplyRaw(421, "text/plain", "");
       return;
@@ -132,7 +135,10 @@
                      {"key", exchange.Header("X-Api-Key")},
                      {"scope", exchange.Header("Cache-Salt")},
                      {"after", exchange.Header("Last-Event-Id")},
-                     {"body", exchange.body()}});
+                     {"body", exchange.body()},
+                     {"at_ms", std::chrono::duration_cast<Milliseconds>(
+                                   MonotonicNow().time_since_epoch())
+                                   .count()}});
   }
 
   void Stream(StandinExchange& exchange) {
