All instances together keep to the limit that an endpoint names

Callers saw nothing themselves; an endpoint that said it takes three requests a second got two to three times as many, from all instances.

Cause: nothing went by what it names. Class: what an endpoint says of itself and nobody reads.

Change: RateLimits. The first few instances by rendezvous hashing (the limit and three more, so that a part stays above half a request a second) use such an endpoint, each with an equal part and no two requests closer than that allows; all others leave it out at once, also as a last resort. Nobody is asked for leave, so nothing waits. LimitSharing tells the others of a change at once; the first by rank repeats it once a second with its age, so those that get no answers from the endpoint know of the limit and its end. Ended, it doubles every second for five seconds. Where every endpoint of a service is limited, a request is refused at once, not run, with the time after which an instance may send. A limit holds for one life of an endpoint.

Weighed: an equal share for each instance (195 full shares of a sixtieth come as 195 requests at once); leave handed out by a keeper (a round trip for each request, and nothing can be sent while the keeper is dead).

--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -32,12 +32,14 @@
   EntryId id;
   EndpointRegistry registry;
   EndpointHealthBook health;
+  RateLimits limits;
   LoadBook loads;
   PromptSizes sizes;
   CacheContents contents;
   // No weights are named in these loads.
   WeightDeadlines deadlines{Milliseconds(15000)};
-  AttemptPlanner planner{registry, health, loads, sizes, contents, deadlines};
+  AttemptPlanner planner{registry, health,   limits,   loads,
+                         sizes,    contents, deadlines};
   OverloadGuard guard;
   CacheRelay relay;
   LoadTally tally;
--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -16,6 +16,7 @@
 // For callers that are told to come back while no endpoint is known at all.
 constexpr Milliseconds kReturnWithoutEndpoints{500};
 constexpr Milliseconds kLeastReturn{100};
+constexpr Milliseconds kLongestReturn{3000};
 // A request in progress at a service without prompts, in the unit of placement:
 // above its tolerance, so that such services spread by load alone.
 constexpr double kRequestCost = 10'000;
@@ -221,6 +222,14 @@
   return record.service == setup.service && !record.leaving;
 }
 
+bool AttemptPlanner::Allowed(const ExchangeSetup& setup,
+                             const EndpointRecord& record,
+                             MonotonicTime now) const {
+  return TakesWork(setup, record) &&
+         limits_.MaySend(EndpointLife::Of(record), now) &&
+         !Overdue(setup, record, now);
+}
+
 bool AttemptPlanner::Overdue(const ExchangeSetup& setup,
                              const EndpointRecord& record,
                              MonotonicTime now) const {
@@ -260,6 +269,19 @@
   return some;
 }
 
+bool AttemptPlanner::OnlyRateLimited(const ExchangeSetup& setup,
+                                     MonotonicTime now) const {
+  bool some = false;
+  for (const auto& [id, record] : registry_.all()) {
+    if (!TakesWork(setup, record) || Overdue(setup, record, now))
+      continue;
+    if (limits_.MaySend(EndpointLife::Of(record), now))
+      return false;
+    some = true;
+  }
+  return some;
+}
+
 bool AttemptPlanner::Avoided(const EndpointRecord& record,
                              const AttemptWish& wish,
                              MonotonicTime now) const {
@@ -305,8 +327,7 @@
   std::vector<Ranked> ranked;
   double least = std::numeric_limits<double>::max();
   for (const auto& [id, record] : registry_.all()) {
-    if (!TakesWork(setup, record) || Overdue(setup, record, now) ||
-        Avoided(record, {}, now))
+    if (!Allowed(setup, record, now) || Avoided(record, {}, now))
       continue;
     Candidate candidate = Describe(setup, record);
     Measure(setup, footprint, candidate, now);
@@ -342,7 +363,7 @@
   for (const auto& [id, record] : registry_.all()) {
     const bool asked = among.empty() ||
                        std::find(among.begin(), among.end(), id) != among.end();
-    if (!asked || !TakesWork(setup, record) || Overdue(setup, record, now))
+    if (!asked || !Allowed(setup, record, now))
       continue;
     Candidate candidate = Describe(setup, record);
     Measure(setup, footprint, candidate, now);
@@ -453,11 +474,14 @@
   for (const auto& [id, record] : registry_.all()) {
     if (!TakesWork(setup, record) || Overdue(setup, record, now))
       continue;
-    const Milliseconds wait = health_.AvoidedFor(id, now);
+    const Milliseconds wait =
+        std::max(health_.AvoidedFor(id, now),
+                 limits_.WaitFor(EndpointLife::Of(record), now));
     if (!soonest || wait < *soonest)
       soonest = wait;
   }
-  return std::max(kLeastReturn, soonest.value_or(kReturnWithoutEndpoints));
+  return std::clamp(soonest.value_or(kReturnWithoutEndpoints), kLeastReturn,
+                    kLongestReturn);
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -2,9 +2,9 @@
 // placement.h, its weights, the scope of its cached parts, the holders that
 // parts are fetched from and the stores that they are kept in.
 //
-//   AttemptPlanner planner(registry, health, loads, sizes, contents,
-//   deadlines); const std::optional<AttemptPlan> plan = planner.Plan(setup,
-//   wish, now);
+//   AttemptPlanner planner(registry, health, limits, loads, sizes, contents,
+//                          deadlines);
+//   const std::optional<AttemptPlan> plan = planner.Plan(setup, wish, now);
 //
 // What must hold: no request may run on KV cache that was made by other
 // weights, nor, for an isolated account, by another account. The scope of the
@@ -37,6 +37,7 @@
 #include "carobshift/gateway/placement.h"
 #include "carobshift/gateway/prompt_sizes.h"
 #include "carobshift/gateway/queue_ahead.h"
+#include "carobshift/gateway/rate_limits.h"
 #include "carobshift/gateway/weight_deadlines.h"
 
 namespace carobshift {
@@ -105,12 +106,14 @@
 
   AttemptPlanner(const EndpointRegistry& registry,
                  const EndpointHealthBook& health,
+                 const RateLimits& limits,
                  const LoadBook& loads,
                  const PromptSizes& sizes,
                  const CacheContents& contents,
                  const WeightDeadlines& deadlines)
       : registry_(registry),
         health_(health),
+        limits_(limits),
         loads_(loads),
         sizes_(sizes),
         contents_(contents),
@@ -160,6 +163,9 @@
   // Whether the second is why there is no plan.
   [[nodiscard]] bool OnlyReplacedWeights(const ExchangeSetup& setup,
                                          MonotonicTime now) const;
+  // Whether there is no plan because endpoints take no more requests a second.
+  [[nodiscard]] bool OnlyRateLimited(const ExchangeSetup& setup,
+                                     MonotonicTime now) const;
   // How long until some endpoint of the service is worth another try.
   [[nodiscard]] Milliseconds ReturnAfter(const ExchangeSetup& setup,
                                          MonotonicTime now) const;
@@ -237,6 +243,10 @@
       const EndpointRecord& reader);
   [[nodiscard]] bool TakesWork(const ExchangeSetup& setup,
                                const EndpointRecord& record) const;
+  // Whether the request may be sent there now.
+  [[nodiscard]] bool Allowed(const ExchangeSetup& setup,
+                             const EndpointRecord& record,
+                             MonotonicTime now) const;
   // Whether the request may not begin on the endpoint's weights any more by the
   // time at which its turn comes there. If it were looked at only when it is
   // sent, a request behind a long queue would begin seconds past the bound.
@@ -266,6 +276,7 @@
 
   const EndpointRegistry& registry_;
   const EndpointHealthBook& health_;
+  const RateLimits& limits_;
   const LoadBook& loads_;
   const PromptSizes& sizes_;
   const CacheContents& contents_;
--- a/carobshift/gateway/attempt_planner_benchmark.cc
+++ b/carobshift/gateway/attempt_planner_benchmark.cc
@@ -50,7 +50,9 @@
   }
   const WeightDeadlines deadlines{Milliseconds(15000)};
   const PromptSizes sizes;
-  AttemptPlanner planner(registry, health, loads, sizes, contents, deadlines);
+  const RateLimits limits;
+  AttemptPlanner planner(registry, health, limits, loads, sizes, contents,
+                         deadlines);
   planner.SetConfig(config);
   Route route;
   ExchangeSetup setup;
--- a/carobshift/gateway/attempt_planner_test.cc
+++ b/carobshift/gateway/attempt_planner_test.cc
@@ -81,11 +81,13 @@
   ServingConfig config;
   EndpointRegistry registry;
   EndpointHealthBook health;
+  RateLimits limits;
   LoadBook loads;
   PromptSizes sizes;
   CacheContents contents;
   WeightDeadlines deadlines{Milliseconds(15000)};
-  AttemptPlanner planner{registry, health, loads, sizes, contents, deadlines};
+  AttemptPlanner planner{registry, health,   limits,   loads,
+                         sizes,    contents, deadlines};
   Route route;
   Account account;
   Account isolated;
@@ -483,5 +485,33 @@
   CHECK(life() == AttemptPlanner::kLeastFetchLife);
 }
 
+// Guards against a last resort: an endpoint that is left out by its limit was
+// sent to when all others had failed lately.
+TEST_CASE("an endpoint whose limit is used up gets nothing, whoever is left") {
+  Scene scene;
+  const auto limit = [&scene](const std::string& id) {
+    scene.limits.OnAnswer({EndpointId(id), EndpointBirth()},
+                          {RequestRate(2), kStart}, kStart);
+  };
+  limit("e0");
+  limit("e1");
+  scene.health.OnStart(EndpointId("e2"));
+  scene.health.OnTrouble(EndpointId("e2"), EndpointTrouble::kBroken, kStart);
+  scene.health.OnStart(EndpointId("e3"));
+  scene.health.OnTrouble(EndpointId("e3"), EndpointTrouble::kBroken, kStart);
+  for (const EndpointId& id : scene.planner.Shortlist(scene.setup, kStart))
+    CHECK(id > EndpointId("e1"));
+  CHECK(scene.Plan().endpoint.id > EndpointId("e1"));
+  CHECK_FALSE(scene.planner.OnlyRateLimited(scene.setup, kStart));
+  limit("e2");
+  limit("e3");
+  CHECK_FALSE(scene.planner.Plan(scene.setup, {}, kStart).has_value());
+  CHECK(scene.planner.OnlyRateLimited(scene.setup, kStart));
+  CHECK_FALSE(scene.planner.OnlyReplacedWeights(scene.setup, kStart));
+  const Milliseconds wait = scene.planner.ReturnAfter(scene.setup, kStart);
+  CHECK(wait >= Milliseconds(500));
+  CHECK(wait <= Milliseconds(3000));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -8,6 +8,7 @@
 #include "carobshift/gateway/cluster.h"
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/keyed_follower.h"
+#include "carobshift/gateway/limit_sharing.h"
 #include "carobshift/gateway/load_scout.h"
 #include "carobshift/gateway/load_sharing.h"
 #include "carobshift/gateway/peer_choice.h"
@@ -109,6 +110,7 @@
       datagrams,
       requests.loads()};
   LoadSharing load_sharing{loop, cluster, datagrams, requests.loads()};
+  LimitSharing limit_sharing{loop, cluster, datagrams, requests.limits()};
   WeightSteward steward{loop,    control_client, settings, dialects,
                         cluster, registry,       deadlines};
   CacheWatcher caches{loop, control_client, dialects.engine, datagrams,
@@ -232,6 +234,7 @@
   requests.OnTick();
   load_scout.OnTick();
   load_sharing.OnTick();
+  limit_sharing.OnTick();
   caches.OnTick();
   record_listener.OnTick();
   peer_sync.OnTick();
--- a/carobshift/gateway/peer_datagrams.h
+++ b/carobshift/gateway/peer_datagrams.h
@@ -32,6 +32,7 @@
   kLoadUpdate = 3,
   kLoadQuestion = 4,
   kLoadAnswer = 5,
+  kLimitNews = 6,
 };
 
 struct PeerDatagram {
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -43,7 +43,7 @@
       deadlines_(deadlines),
       metrics_(metrics),
       options_(options),
-      planner_(registry, health_, loads_, sizes_, contents, deadlines),
+      planner_(registry, health_, limits_, loads_, sizes_, contents, deadlines),
       allowance_(options.retries) {
   planner_.SetRoomCheck(
       [this](const NetAddress& address) { return client_.HasRoom(address); });
@@ -259,16 +259,14 @@
     return NoAttempt::kSuspected;
   Running& running = runs_.at(&exchange);
   auto plan = planner_.Plan(setup, wish, loop_.now(), running.shortlist);
-  if (!plan) {
-    return planner_.OnlyReplacedWeights(setup, loop_.now())
-               ? NoAttempt::kWeightsReplaced
-               : NoAttempt::kNoEndpoint;
-  }
+  if (!plan)
+    return WhyNoPlan(setup);
   if (!wish.repeat && RefusedUnderLoad(running, setup, *plan))
     return NoAttempt::kOverloaded;
   if (wish.repeat && !allowance_.TrySpend(setup.service, loop_.now()))
     return NoAttempt::kNoAllowance;
   running.endpoint = plan->endpoint.id;
+  running.born = plan->endpoint.born;
   running.weights = plan->fields.weights;
   running.cost = plan->cost;
   running.ahead = plan->ahead;
@@ -279,6 +277,7 @@
   running.attempt = true;
   running.not_run = false;
   health_.OnStart(plan->endpoint.id);
+  limits_.OnSend(EndpointLife::Of(plan->endpoint), loop_.now());
   running.unread = plan->unread;
   loads_.OnStart(plan->endpoint.id, running.footprint, running.unread);
   HttpCallOptions options;
@@ -294,6 +293,14 @@
   return NoAttempt::kNone;
 }
 
+NoAttempt RequestService::WhyNoPlan(const ExchangeSetup& setup) const {
+  const MonotonicTime now = loop_.now();
+  if (planner_.OnlyReplacedWeights(setup, now))
+    return NoAttempt::kWeightsReplaced;
+  return planner_.OnlyRateLimited(setup, now) ? NoAttempt::kOverloaded
+                                              : NoAttempt::kNoEndpoint;
+}
+
 void RequestService::EndAttempt(Exchange& exchange) {
   Running& running = runs_.at(&exchange);
   if (!running.attempt)
@@ -388,7 +395,8 @@
   if (facts.not_run && !facts.rate_limit)
     return;
   const LimitStatement statement{facts.rate_limit, running.attempt_began};
-  if (!limits_.OnAnswer(running.endpoint, statement, loop_.now()))
+  const EndpointLife life{running.endpoint, running.born};
+  if (!limits_.OnAnswer(life, statement, loop_.now()))
     return;
   LogEvent(LogLevel::kInfo, "endpoint_limit",
            {{"endpoint", running.endpoint.value()},
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -84,6 +84,7 @@
   // To be called about every kTick.
   void OnTick();
   [[nodiscard]] LoadBook& loads() { return loads_; }
+  [[nodiscard]] RateLimits& limits() { return limits_; }
 
   // Callers are told to connect elsewhere; requests under way go on.
   void BeginStop();
@@ -131,6 +132,7 @@
     std::shared_ptr<ExchangeRun> run;
     HttpServerConnection* connection = nullptr;
     EndpointId endpoint;
+    EndpointBirth born{};
     RequestFootprint footprint;
     // How many endpoints' loads were asked for, and those that were told, to
     // place it among.
@@ -168,6 +170,8 @@
   void CountPrompt(const Exchange& exchange, SizeBand size);
   [[nodiscard]] static RequestFingerprint FingerprintOfExchange(
       const Exchange& exchange);
+  // Why there is no plan.
+  [[nodiscard]] NoAttempt WhyNoPlan(const ExchangeSetup& setup) const;
   // What the attempt's answer says of its endpoint's limit.
   void NoteLimit(const Running& running, const ReplyFacts& facts);
   void EndAttempt(Exchange& exchange);
@@ -193,9 +197,9 @@
   Metrics& metrics_;
   RequestServiceOptions options_;
   EndpointHealthBook health_;
+  RateLimits limits_;
   LoadBook loads_;
   PromptSizes sizes_;
-  RateLimits limits_;
   OverloadGuard overload_;
   CrashRecord crashes_;
   OnCrash on_crash_;
--- /dev/null
+++ b/fuzz/rate_limit_fuzz.cc
@@ -0,0 +1,199 @@
+// Instances that keep the limit of one endpoint together, while its limit
+// changes, news get lost or come late and instances start anew.
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "carobshift/gateway/rate_limits.h"
+#include "fuzz/simulation.h"
+
+namespace carobshift {
+namespace {
+
+const EndpointLife kEndpoint{EndpointId("endpoint"), EndpointBirth(1)};
+constexpr Milliseconds kTick{100};
+constexpr Milliseconds kAnswerTime{20};
+constexpr Milliseconds kWindow{4000};
+// From a limit's naming, its change or an instance's start until all must keep
+// to it.
+constexpr Milliseconds kNotice{3000};
+
+struct WorldOptions {
+  int instances = 6;
+  // Requests that could go to the endpoint, of all instances together.
+  double per_second = 400;
+  double news_lost = 0;
+  Milliseconds news_late{10};
+};
+
+class World {
+ public:
+  World(const WorldOptions& options, std::uint64_t seed)
+      : options_(options), simulation_(seed) {
+    for (int i = 0; i < options.instances; ++i) {
+      MemberInfo& member = members_.emplace_back();
+      member.id = EntryId("entry-" + std::to_string(i));
+      instances_.push_back(std::make_shared<RateLimits>());
+    }
+    Tick();
+    Ask();
+  }
+
+  // Nothing for no limit.
+  void NameLimit(std::optional<RequestRate> rate) {
+    Judge();
+    rate_ = rate;
+    JudgeFromNotice();
+  }
+  void Restart(std::size_t instance) {
+    Judge();
+    instances_[instance] = std::make_shared<RateLimits>();
+    JudgeFromNotice();
+  }
+  void RunFor(Milliseconds time) {
+    simulation_.RunFor(time);
+    Judge();
+  }
+  // Requests sent in the last `time`.
+  [[nodiscard]] int SentIn(Milliseconds time) const {
+    return static_cast<int>(std::count_if(
+        sends_.begin(), sends_.end(), [this, time](MonotonicTime sent) {
+          return sent >= simulation_.now() - time;
+        }));
+  }
+
+  SeededRandom& random() { return simulation_.random(); }
+
+ private:
+  void Ask() {
+    constexpr double kMicrosecondsPerSecond = 1e6;
+    simulation_.After(Microseconds(static_cast<std::int64_t>(
+                          kMicrosecondsPerSecond / options_.per_second)),
+                      [this] { Ask(); });
+    const auto instance = instances_[random().Below(instances_.size())];
+    const MonotonicTime now = simulation_.now();
+    if (!instance->MaySend(kEndpoint, now))
+      return;
+    instance->OnSend(kEndpoint, now);
+    sends_.push_back(now);
+    simulation_.After(kAnswerTime / 2, [this, instance, now] {
+      // The endpoint says what holds when the request reaches it.
+      simulation_.After(kAnswerTime / 2, [this, instance, now, rate = rate_] {
+        instance->OnAnswer(kEndpoint, {rate, now}, simulation_.now());
+      });
+    });
+  }
+
+  void Tick() {
+    simulation_.After(kTick, [this] { Tick(); });
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+      RateLimits& limits = *instances_[i];
+      limits.OnMembers(members_, members_[i].id, simulation_.now());
+      limits.Expire(simulation_.now());
+      for (const LimitNews& news : limits.TakeNews(simulation_.now()))
+        Tell(i, news);
+    }
+  }
+
+  void Tell(std::size_t from, const LimitNews& news) {
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+      if (i == from || random().Chance(options_.news_lost))
+        continue;
+      simulation_.After(options_.news_late, [this, news, to = instances_[i]] {
+        to->OnNews(news, simulation_.now());
+      });
+    }
+  }
+
+  void JudgeFromNotice() {
+    sends_.clear();
+    judged_from_ = simulation_.now() + kNotice;
+  }
+
+  // No window since all had notice has more than the platform allows.
+  void Judge() const {
+    if (!rate_)
+      return;
+    constexpr double kMillisecondsPerSecond = 1000;
+    const double rate = rate_->value();
+    const double allowed = 1.5 * rate * static_cast<double>(kWindow.count()) /
+                               kMillisecondsPerSecond +
+                           5;
+    for (auto first =
+             std::lower_bound(sends_.begin(), sends_.end(), judged_from_);
+         first != sends_.end(); ++first) {
+      const auto last = std::lower_bound(first, sends_.end(), *first + kWindow);
+      INFO("limit " << rate << ", " << instances_.size() << " instances");
+      REQUIRE(static_cast<double>(last - first) <= allowed);
+    }
+  }
+
+  WorldOptions options_;
+  Simulation simulation_;
+  std::vector<MemberInfo> members_;
+  std::vector<std::shared_ptr<RateLimits>> instances_;
+  std::optional<RequestRate> rate_;
+  MonotonicTime judged_from_{};
+  std::vector<MonotonicTime> sends_;
+};
+
+// Guards against many instances that each keep a part of the limit and exceed
+// it together.
+TEST_CASE("1 to 195 instances keep one limit together and make use of it") {
+  for (const int instances : {1, 6, 18, 30, 85, 195}) {
+    for (const double rate : {0.0, 0.3, 1.0, 3.0, 20.0, 80.0}) {
+      INFO(instances << " instances, limit " << rate);
+      World world({.instances = instances}, /*seed=*/7);
+      world.RunFor(Seconds(12));
+      world.NameLimit(RequestRate(rate));
+      world.RunFor(Seconds(30));
+      const double used = world.SentIn(Seconds(20)) / 20.0;
+      CHECK(used > 0);
+      CHECK(used >= 0.6 * rate);
+    }
+  }
+}
+
+// Guards against an endpoint that all turn to at once when its limit ends.
+TEST_CASE("what a limit held back comes back by degrees") {
+  World world({.instances = 30}, /*seed=*/7);
+  world.RunFor(Seconds(12));
+  world.NameLimit(RequestRate(3));
+  world.RunFor(Seconds(12));
+  world.NameLimit(std::nullopt);
+  world.RunFor(Milliseconds(1500));
+  CHECK(world.SentIn(Seconds(1)) < 30);
+  world.RunFor(Seconds(15));
+  CHECK(world.SentIn(Seconds(1)) > 300);
+}
+
+// Guards against a limit that holds only while nothing changes.
+TEST_CASE("a limit is kept while it changes, news are lost and some restart") {
+  rc::prop("sums of any window stay within the limit", [] {
+    WorldOptions options;
+    options.instances = *rc::gen::element(1, 2, 6, 12, 30, 85);
+    options.news_lost = *rc::gen::element(0.0, 0.1, 0.4);
+    options.news_late = Milliseconds(*rc::gen::inRange(1, 300));
+    World world(options, *rc::gen::arbitrary<std::uint64_t>());
+    world.RunFor(Seconds(12));
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(5, rc::gen::inRange(0, 6));
+    for (const int step : steps) {
+      constexpr double kRates[] = {0, 1.5, 3, 12, 60};
+      if (step < 5)
+        world.NameLimit(RequestRate(kRates[step]));
+      else
+        world.Restart(world.random().Below(
+            static_cast<std::uint64_t>(options.instances)));
+      world.RunFor(Milliseconds(4000 + world.random().Below(5000)));
+    }
+  });
+}
+
+}  // namespace
+}  // namespace carobshift
