Rate limits: one look-up of an endpoint's entry

A const and a mutable look-up, the second by const_cast, become one. No behaviour changes; rate_limit_fuzz, gateway_test '*limit*' and gateway_process_test '*limit*' pass.

--- a/carobshift/gateway/rate_limits.cc
+++ b/carobshift/gateway/rate_limits.cc
@@ -80,20 +80,18 @@
                                    RateAt(limit, now)));
 }
 
-const RateLimits::Limit* RateLimits::Find(const EndpointLife& endpoint) const {
+template <typename Limits>
+auto RateLimits::FindIn(Limits& limits, const EndpointLife& endpoint)
+    -> decltype(&limits.begin()->second) {
   // Most of the time there is none, and every candidate is asked about.
-  if (limits_.empty())
+  if (limits.empty())
     return nullptr;
-  const auto found = limits_.find(HashOf(endpoint.id));
-  if (found == limits_.end() || found->second.born != endpoint.born)
+  const auto found = limits.find(HashOf(endpoint.id));
+  if (found == limits.end() || found->second.born != endpoint.born)
     return nullptr;
   return &found->second;
 }
 
-RateLimits::Limit* RateLimits::Known(const EndpointLife& endpoint) {
-  return const_cast<Limit*>(Find(endpoint));
-}
-
 RateLimits::Limit* RateLimits::Open(std::uint64_t endpoint,
                                     EndpointBirth born) {
   const auto [found, fresh] = limits_.try_emplace(endpoint);
@@ -146,7 +144,7 @@
   if (statement.named) {
     changed = SetRate(hash, endpoint.born, *statement.named, now, now);
   } else {
-    Limit* const limit = Known(endpoint);
+    Limit* const limit = FindIn(limits_, endpoint);
     changed =
         limit != nullptr && statement.sent > limit->said && End(*limit, now);
   }
@@ -167,7 +165,7 @@
 }
 
 void RateLimits::OnSend(const EndpointLife& endpoint, MonotonicTime now) {
-  if (Limit* const limit = Known(endpoint))
+  if (Limit* const limit = FindIn(limits_, endpoint))
     limit->next = now + IntervalAt(*limit, now);
 }
 
@@ -205,14 +203,14 @@
 
 bool RateLimits::MaySend(const EndpointLife& endpoint,
                          MonotonicTime now) const {
-  const Limit* const limit = Find(endpoint);
+  const Limit* const limit = FindIn(limits_, endpoint);
   return limit == nullptr ||
          (limit->rank < UsersAt(*limit, now) && now >= limit->next);
 }
 
 Milliseconds RateLimits::WaitFor(const EndpointLife& endpoint,
                                  MonotonicTime now) const {
-  const Limit* const limit = Find(endpoint);
+  const Limit* const limit = FindIn(limits_, endpoint);
   if (limit == nullptr)
     return Milliseconds(0);
   // Another instance may send there sooner; each of them does within this.
--- a/carobshift/gateway/rate_limits.h
+++ b/carobshift/gateway/rate_limits.h
@@ -142,8 +142,9 @@
   };
 
   // Null if there is none of this life of the endpoint.
-  [[nodiscard]] const Limit* Find(const EndpointLife& endpoint) const;
-  [[nodiscard]] Limit* Known(const EndpointLife& endpoint);
+  template <typename Limits>
+  [[nodiscard]] static auto FindIn(Limits& limits, const EndpointLife& endpoint)
+      -> decltype(&limits.begin()->second);
   // A new entry, or the one of the same life; null if a later life is known.
   [[nodiscard]] Limit* Open(std::uint64_t endpoint, EndpointBirth born);
   // True if that is another limit than was known.
