What is told of a request that ended has a file of its own

No decision changes.

Measure: gateway_test 'docs*,*limit*,*prompt is*', gateway_process_test '*limit*,a thin*'.

--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -22,10 +22,6 @@
 // differently stay below the limit together.
 constexpr double kConnectionShare = 0.9;
 
-std::int64_t MillisecondsSince(MonotonicTime since, MonotonicTime now) {
-  return std::chrono::duration_cast<Milliseconds>(now - since).count();
-}
-
 }  // namespace
 
 RequestService::RequestService(EventLoop& loop,
@@ -196,7 +192,7 @@
   Running& running = runs_.at(&run->exchange());
   const std::vector<EndpointId> shortlist =
       planner_.Shortlist(setup, loop_.now());
-  running.asked = shortlist.size();
+  running.trace.asked = shortlist.size();
   scout_->Ask(shortlist, [this, weak = std::weak_ptr(run)](const auto& told) {
     const auto asking = weak.lock();
     // Its caller may have left meanwhile.
@@ -267,12 +263,12 @@
     return NoAttempt::kNoAllowance;
   running.endpoint = plan->endpoint.id;
   running.born = plan->endpoint.born;
-  running.weights = plan->fields.weights;
-  running.cost = plan->cost;
-  running.ahead = plan->ahead;
-  running.to_read = plan->unread;
-  running.sources = plan->sources;
-  running.saves = plan->saves;
+  running.trace.attempt = {.weights = plan->fields.weights,
+                           .cost = plan->cost,
+                           .ahead = plan->ahead,
+                           .to_read = plan->unread,
+                           .sources = plan->sources,
+                           .saves = plan->saves};
   running.attempt_began = loop_.now();
   running.attempt = true;
   running.not_run = false;
@@ -364,7 +360,7 @@
   NoteRead(running);
   running.not_run = facts.not_run;
   if (!facts.not_run) {
-    overload_.OnFirstToken(exchange.setup().service, running.cost,
+    overload_.OnFirstToken(exchange.setup().service, running.trace.attempt.cost,
                            loop_.now() - running.attempt_began);
   }
   NoteLimit(running, facts);
@@ -460,8 +456,8 @@
 }
 
 void RequestService::OnExchangeEnd(Exchange& exchange) {
-  LogEnd(exchange);
   const auto found = runs_.find(&exchange);
+  Report(exchange, found->second);
   const auto run = found->second.run;
   by_connection_.erase(found->second.connection);
   runs_.erase(found);
@@ -469,72 +465,16 @@
   loop_.AddTimer(loop_.now(), [run] {});
 }
 
-void RequestService::LogEnd(Exchange& exchange) {
-  const ExchangeSummary& summary = exchange.summary();
-  const ExchangeSetup& setup = exchange.setup();
-  const MonotonicTime now = loop_.now();
-  metrics_.Add("carobshift_requests_total",
-               {{"service", setup.service.value()},
-                {"code", ResultCodeName(summary.code)}},
-               1);
-  metrics_.Observe("carobshift_request_seconds",
-                   {{"service", setup.service.value()}}, now - setup.arrived);
-  nlohmann::json fields = {{"request", setup.request.id.value()},
-                           {"route", setup.route->name},
-                           {"status", summary.status},
-                           {"code", ResultCodeName(summary.code)},
-                           {"endpoint", summary.last_endpoint.value()},
-                           {"attempts", summary.attempts},
-                           {"ms", MillisecondsSince(setup.arrived, now)},
-                           {"config", setup.config->config().number.value()},
-                           {"registry", registry_.revision()}};
-  const Running& running = runs_.at(&exchange);
-  if (running.weights)
-    fields["weights"] = running.weights->value();
-  if (running.cost > 0) {
-    fields["cost"] = static_cast<std::int64_t>(running.cost);
-    fields["ahead"] = static_cast<std::int64_t>(running.ahead.Total());
-    fields["to_read"] = static_cast<std::int64_t>(running.to_read);
-    fields["sources"] = running.sources;
-    fields["saves"] = running.saves;
-    fields["asked"] = running.asked;
-    fields["told"] = running.shortlist.size();
-    fields["pause_ms"] =
-        std::chrono::duration_cast<Milliseconds>(running.run->longest_pause())
-            .count();
-  }
-  if (exchange.request().prompt) {
-    const Tokens tokens = running.footprint.AllTokens();
-    const SizeBand size =
-        sizes_.BandOf(setup.route->name, static_cast<double>(tokens));
-    fields["tokens"] = tokens;
-    fields["size"] = SizeBandName(size);
-    CountPrompt(exchange, size);
-  }
-  if (summary.resumes > 0)
-    fields["resumes"] = summary.resumes;
-  if (summary.first_byte)
-    fields["first_ms"] = MillisecondsSince(setup.arrived, *summary.first_byte);
-  if (setup.account != nullptr)
-    fields["account"] = setup.account->name.value();
-  LogEvent(LogLevel::kInfo, "request_done", std::move(fields));
-}
-
-void RequestService::CountPrompt(const Exchange& exchange, SizeBand size) {
-  const ExchangeSummary& summary = exchange.summary();
-  const ExchangeSetup& setup = exchange.setup();
-  std::string_view outcome = "failed";
-  if (summary.status == kUnavailable)
-    outcome = "refused";
-  else if (summary.completed && summary.first_byte)
-    outcome = *summary.first_byte - setup.arrived <= setup.route->latency_target
-                  ? "in_target"
-                  : "late";
-  metrics_.Add("carobshift_prompts_total",
-               {{"route", setup.route->name},
-                {"size", SizeBandName(size)},
-                {"outcome", outcome}},
-               1);
+void RequestService::Report(const Exchange& exchange,
+                            const Running& running) const {
+  RequestTrace trace = running.trace;
+  trace.told = running.shortlist.size();
+  trace.longest_pause = running.run->longest_pause();
+  trace.registry_revision = registry_.revision();
+  trace.tokens = running.footprint.AllTokens();
+  trace.size = sizes_.BandOf(exchange.setup().route->name,
+                             static_cast<double>(trace.tokens));
+  ReportEnd(exchange, trace, loop_.now(), metrics_);
 }
 
 void RequestService::OnTick() {
@@ -552,7 +492,8 @@
   // Weights that nobody knows may be the oldest.
   return prompt && exchange.waiting() &&
          deadlines_.TooLateToBegin(
-             prompt->model, running.weights.value_or(WeightNumber{}), now);
+             prompt->model,
+             running.trace.attempt.weights.value_or(WeightNumber{}), now);
 }
 
 void RequestService::WithdrawTooLate(MonotonicTime now) {
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -30,6 +30,7 @@
 #include "carobshift/gateway/overload_guard.h"
 #include "carobshift/gateway/prompt_sizes.h"
 #include "carobshift/gateway/rate_limits.h"
+#include "carobshift/gateway/request_report.h"
 #include "carobshift/gateway/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_server_connection.h"
@@ -134,21 +135,11 @@
     EndpointId endpoint;
     EndpointBirth born{};
     RequestFootprint footprint;
-    // How many endpoints' loads were asked for, and those that were told, to
-    // place it among.
-    std::size_t asked = 0;
+    // Endpoints whose loads were told, to place it among.
     std::vector<EndpointId> shortlist;
-    // That the attempt names to its endpoint; nothing if they aren't known.
-    std::optional<WeightNumber> weights;
     // Of the attempt; zero once the endpoint has read the prompt.
     double unread = 0;
-    double cost = 0;
-    QueueAhead ahead;
-    // What the endpoint was thought to have to read when it got the prompt.
-    double to_read = 0;
-    // Parts for which a holder was named to fetch them from, or to keep them.
-    int sources = 0;
-    int saves = 0;
+    RequestTrace trace;
     MonotonicTime attempt_began{};
     bool attempt = false;
     // The endpoint said that it didn't run the attempt.
@@ -165,9 +156,7 @@
               RunState run_state);
   // Starts the exchange, for a prompt after the loads were asked for.
   void Begin(const std::shared_ptr<ExchangeRun>& run);
-  void LogEnd(Exchange& exchange);
-  // Counts a prompt by its size within its kind and by what came of it.
-  void CountPrompt(const Exchange& exchange, SizeBand size);
+  void Report(const Exchange& exchange, const Running& running) const;
   [[nodiscard]] static RequestFingerprint FingerprintOfExchange(
       const Exchange& exchange);
   // Why there is no plan.
