An instance that leaves uses no limit, also beside one other that starts

Found on reading: the rank of an instance that leaves was the number of those that stay, which is below the number of users where the only other one is unknown or few. It has no rank now. Two header examples that the formatter had run together are readable again.

Measure: rate_limits_test 'an instance that leaves' fails before (a leaving instance beside one other may send) and passes; rate_limit_fuzz passes.

--- a/carobshift/gateway/queue_ahead.h
+++ b/carobshift/gateway/queue_ahead.h
@@ -1,7 +1,7 @@
 // What stands before a request at an endpoint, told apart by what it waits for.
 //
-//   const QueueAhead ahead{.reading = 4000, .free_memory = 9000, .need =
-//   12000}; const double cost = ahead.Total();  // 4000 and four times 3000
+//   const QueueAhead ahead{4000, /*free_memory=*/9000, /*need=*/12'000};
+//   const double cost = ahead.Total();  // 4000 and four times 3000
 
 #ifndef CAROBSHIFT_GATEWAY_QUEUE_AHEAD_H_
 #define CAROBSHIFT_GATEWAY_QUEUE_AHEAD_H_
--- a/carobshift/gateway/rate_limits.cc
+++ b/carobshift/gateway/rate_limits.cc
@@ -39,12 +39,12 @@
 }
 
 std::size_t RateLimits::RankAt(std::uint64_t endpoint) const {
-  const std::uint64_t own = RankingHash(endpoint, self_);
-  const bool among =
-      std::find(members_.begin(), members_.end(), self_) != members_.end();
   // One that leaves uses nothing, unless nobody else is there.
-  if (!among)
-    return members_.size();
+  if (members_.empty())
+    return 0;
+  if (std::find(members_.begin(), members_.end(), self_) == members_.end())
+    return kNoRank;
+  const std::uint64_t own = RankingHash(endpoint, self_);
   return static_cast<std::size_t>(std::count_if(
       members_.begin(), members_.end(), [endpoint, own](const EntryId& member) {
         return RankingHash(endpoint, member) > own;
--- a/carobshift/gateway/rate_limits.h
+++ b/carobshift/gateway/rate_limits.h
@@ -4,8 +4,9 @@
 //   RateLimits limits;
 //   limits.OnMembers(live, self, now);
 //   limits.OnAnswer(endpoint, {.named = rate, .sent = sent}, now);
-//   if (limits.MaySend(endpoint, now)) { Send(); limits.OnSend(endpoint, now);
-//   } Tell(limits.TakeNews(now));
+//   if (limits.MaySend(endpoint, now))
+//     limits.OnSend(endpoint, now);
+//   Tell(limits.TakeNews(now));
 //
 // Load pattern: an endpoint in need takes three requests a second, and two
 // hundred instances know of it. Shares of a sixtieth of a request a second are
@@ -31,13 +32,14 @@
 // An instance that knows nobody yet takes itself for one of kUnknownMembers.
 //
 // Thread-compatible. State: one entry for each endpoint that names a limit, and
-// a hash for each member.
+// the id of each member.
 
 #ifndef CAROBSHIFT_GATEWAY_RATE_LIMITS_H_
 #define CAROBSHIFT_GATEWAY_RATE_LIMITS_H_
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -127,6 +129,9 @@
   [[nodiscard]] std::size_t size() const;
 
  private:
+  static constexpr std::size_t kNoRank =
+      std::numeric_limits<std::size_t>::max();
+
   struct Limit {
     EndpointBirth born{};
     RequestRate rate{};
@@ -134,7 +139,7 @@
     MonotonicTime said{};
     // Since when it names none, or nobody has heard of it.
     std::optional<MonotonicTime> ended;
-    // How many members come before this instance.
+    // How many members come before this instance; kNoRank if it leaves.
     std::size_t rank = 0;
     // From then on this instance may send its next request.
     MonotonicTime next{};
--- a/carobshift/gateway/rate_limits_test.cc
+++ b/carobshift/gateway/rate_limits_test.cc
@@ -172,6 +172,8 @@
   limits.OnMembers(others, EntryId("leaving"), kStart);
   limits.OnAnswer(kEngine, Named(3, kStart), kStart);
   CHECK_FALSE(limits.MaySend(kEngine, kStart + Seconds(5)));
+  limits.OnMembers(Members(1), EntryId("leaving"), kStart);
+  CHECK_FALSE(limits.MaySend(kEngine, kStart + Seconds(5)));
   limits.OnMembers({}, EntryId("leaving"), kStart);
   CHECK(limits.MaySend(kEngine, kStart + Seconds(5)));
 }
