Those that a limit turns away don't come back together

Cause, found on reading: everything that one instance refused at one moment for a limit was told the same time, so all came back at once, one was served and the rest refused again.

--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -16,6 +16,7 @@
 // For callers that are told to come back while no endpoint is known at all.
 constexpr Milliseconds kReturnWithoutEndpoints{500};
 constexpr Milliseconds kLeastReturn{100};
+// Before it is scattered.
 constexpr Milliseconds kLongestReturn{3000};
 // A request in progress at a service without prompts, in the unit of placement:
 // above its tolerance, so that such services spread by load alone.
@@ -34,6 +35,16 @@
   return FastHash(part != nullptr ? part->id : request.id.value());
 }
 
+// From `wait` to twice as long, by the request: all that a limit turns away in
+// one moment would come back as one, and one of them be served.
+Milliseconds Scattered(Milliseconds wait, const ExchangeSetup& setup) {
+  constexpr std::uint64_t kSteps = 1024;
+  const auto step =
+      static_cast<std::int64_t>(FastHash(setup.request.id.value()) % kSteps);
+  const Milliseconds least = std::min(wait, kLongestReturn);
+  return least + least * step / kSteps;
+}
+
 int CountNamed(const std::vector<std::optional<NetAddress>>& holders) {
   return static_cast<int>(
       std::count_if(holders.begin(), holders.end(),
@@ -474,14 +485,13 @@
   for (const auto& [id, record] : registry_.all()) {
     if (!TakesWork(setup, record) || Overdue(setup, record, now))
       continue;
-    const Milliseconds wait =
-        std::max(health_.AvoidedFor(id, now),
-                 limits_.WaitFor(EndpointLife::Of(record), now));
+    const Milliseconds wait = std::max(
+        health_.AvoidedFor(id, now),
+        Scattered(limits_.WaitFor(EndpointLife::Of(record), now), setup));
     if (!soonest || wait < *soonest)
       soonest = wait;
   }
-  return std::clamp(soonest.value_or(kReturnWithoutEndpoints), kLeastReturn,
-                    kLongestReturn);
+  return std::max(kLeastReturn, soonest.value_or(kReturnWithoutEndpoints));
 }
 
 }  // namespace carobshift
