--- a/carobshift/gateway/rate_limits.h
+++ b/carobshift/gateway/rate_limits.h
@@ -8,7 +8,7 @@
 //     limits.OnSend(endpoint, now);
 //   Tell(limits.TakeNews(now));
 //
-// Load pattern: an endpoint in need takes three requests a second, and two
+// Load pattern: an overloaded endpoint takes three requests a second, and two
 // hundred instances know of it. Shares of a sixtieth of a request a second are
 // none: each instance that has waited long enough may send one, and all do so
 // at once.
@@ -18,7 +18,7 @@
 // closer than its part allows; all others leave it out. A whole limit and three
 // instances more keep a part above half a request a second, and the sum over
 // any time `t` at or below `t` times the limit and one request for each of
-// them. Nobody is asked for leave, so nothing waits, and a lost datagram costs
+// them. No permits are asked for, so nothing waits, and a lost datagram costs
 // nothing but news.
 //
 // Those that leave the endpoint out get no answers from it and hear of the
