--- a/carobshift/gateway/keyed_follower.cc
+++ b/carobshift/gateway/keyed_follower.cc
@@ -97,7 +97,8 @@
   next_ = *std::exchange(snapshot_end_, std::nullopt);
   caught_up_ = true;
   MarkMissingRemoved();
-  sink_.OnSnapshot(std::exchange(snapshot_keys_, {}), loop_.now());
+  snapshot_keys_.clear();
+  sink_.OnSnapshot(PresentKeys(), loop_.now());
   ReadNext();
 }
 
@@ -182,6 +183,15 @@
   }
 }
 
+std::vector<std::string> KeyedFollower::PresentKeys() const {
+  std::vector<std::string> present;
+  for (const auto& [key, known] : newest_) {
+    if (known.record.value)
+      present.push_back(key);
+  }
+  return present;
+}
+
 // Tombstones keep a peer from bringing removed keys back. After
 // kTombstoneRetentionRecords further records of the stream every peer has
 // learned of the removal.
--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/keyed_follower.h
@@ -57,7 +57,7 @@
   // not sent it.
   virtual bool OnRecord(const KeyedRecord& record, MonotonicTime now) = 0;
   // Called when the snapshot is complete. Keys that are not in `present` are
-  // gone.
+  // gone. `present` includes keys of newer records that peers have supplied.
   virtual void OnSnapshot(const std::vector<std::string>& present,
                           MonotonicTime now) = 0;
   virtual void OnLogLost(std::string_view reason) = 0;
@@ -135,6 +135,7 @@
   // its key.
   bool Apply(const KeyedRecord& record);
   void MarkMissingRemoved();
+  [[nodiscard]] std::vector<std::string> PresentKeys() const;
   void PruneTombstones();
   [[nodiscard]] FetchOptions ReadOptions(Milliseconds wait) const;
 
--- a/carobshift/gateway/keyed_follower_test.cc
+++ b/carobshift/gateway/keyed_follower_test.cc
@@ -241,5 +241,20 @@
         std::vector<std::string>{"a=1", "b=1", "a=2", "a=3", "b=(removed)"});
 }
 
+// Guards against an evacuation that is dropped since a peer told of it while
+// an older snapshot was being read.
+TEST_CASE("a peer's record that is newer than the snapshot is part of it") {
+  Fixture fixture;
+  for (const char* record : {"a=1", "b=1", "c=1"})
+    fixture.log.Append(fixture.stream, record);
+  fixture.log.SetOnPage([&] {
+    fixture.follower.MergePeerRecords({{"d", "1", LogOffset(9)}});
+  });
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.sink.snapshots.size() == 1; });
+  CHECK(fixture.sink.snapshots.back() ==
+        std::vector<std::string>{"a", "b", "c", "d"});
+}
+
 }  // namespace
 }  // namespace carobshift
