--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -33,12 +33,16 @@
   EndpointRegistry registry;
   EndpointHealthTable health;
   RateLimits limits;
+  ColdStartLimits cold_starts{{}};
+  ZoneEvacuations evacuations;
+  ZoneRegions regions;
+  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts};
   LoadTracker loads;
   PromptSizes sizes;
   CacheContents contents;
   // The replay announces no weight deadlines.
   WeightDeadlines deadlines{Milliseconds(15000)};
-  AttemptPlanner planner{registry, health,   limits,   loads,
+  AttemptPlanner planner{registry, health,   eligibility, loads,
                          sizes,    contents, deadlines};
   OverloadGuard guard;
   CacheRelay relay;
--- a/carobshift/base/result_code.cc
+++ b/carobshift/base/result_code.cc
@@ -40,6 +40,8 @@
     Row{ResultCode::kHomeUnreachable, "home_unreachable", 502},
     Row{ResultCode::kEndpointRefused, "endpoint_refused", 502},
     Row{ResultCode::kWeightsReplaced, "weights_replaced", 503},
+    Row{ResultCode::kZoneEvacuated, "zone_evacuated", 503},
+    Row{ResultCode::kRegionNotAllowed, "region_not_allowed", 503},
     Row{ResultCode::kLogUnavailable, "log_unavailable", 503},
     Row{ResultCode::kLogOutcomeUnknown, "log_outcome_unknown", 503},
     Row{ResultCode::kLogRecordExpired, "log_record_expired", 410},
--- a/carobshift/base/result_code.h
+++ b/carobshift/base/result_code.h
@@ -46,6 +46,8 @@
   kHomeUnreachable = 306,
   kEndpointRefused = 307,
   kWeightsReplaced = 308,
+  kZoneEvacuated = 309,
+  kRegionNotAllowed = 310,
   // 4xx: services of the platform.
   kLogUnavailable = 400,
   kLogOutcomeUnknown = 401,
--- a/carobshift/gateway/address_choice.cc
+++ b/carobshift/gateway/address_choice.cc
@@ -1,21 +1,53 @@
 #include "carobshift/gateway/address_choice.h"
 
+#include <functional>
+
 namespace carobshift {
+namespace {
 
-std::vector<NetAddress> ChooseAddresses(const std::vector<MemberInfo>& serving,
-                                        const ZoneName& zone) {
-  std::vector<NetAddress> all;
-  std::vector<NetAddress> in_zone;
+std::vector<NetAddress> AddressesWhere(
+    const std::vector<MemberInfo>& serving,
+    const std::function<bool(const MemberInfo&)>& included) {
+  std::vector<NetAddress> addresses;
   for (const MemberInfo& member : serving) {
-    all.push_back(member.http_address());
-    if (member.zone == zone)
-      in_zone.push_back(member.http_address());
+    if (addresses.size() < kMaxAddresses && included(member))
+      addresses.push_back(member.http_address());
   }
-  std::vector<NetAddress>& chosen =
-      in_zone.size() < kMinAddressesInZone ? all : in_zone;
-  if (chosen.size() > kMaxAddresses)
-    chosen.resize(kMaxAddresses);
-  return chosen;
+  return addresses;
+}
+
+}  // namespace
+
+std::vector<RegionName> RegionsOfHost(const ServingConfig& config,
+                                      const std::string& host) {
+  std::vector<RegionName> regions;
+  for (const Route& route : config.routes) {
+    if (route.host == host && !route.allowed_regions.empty())
+      regions = CommonRegions(regions, route.allowed_regions);
+  }
+  return regions;
+}
+
+std::vector<NetAddress> ChooseAddresses(const std::vector<MemberInfo>& serving,
+                                        const AddressQuestion& question,
+                                        const std::vector<RegionName>& allowed,
+                                        const ZoneRegions& regions) {
+  std::vector<NetAddress> chosen = AddressesWhere(
+      serving,
+      [&](const MemberInfo& member) { return member.zone == question.zone; });
+  if (chosen.size() >= kMinAddressesInZone)
+    return chosen;
+  const auto region = regions.RegionOf(question.zone);
+  const RegionName caller_region = region.value_or(question.region);
+  chosen = AddressesWhere(serving, [&](const MemberInfo& member) {
+    const auto of_member = regions.RegionOf(member.zone);
+    return !of_member || *of_member == caller_region;
+  });
+  if (!chosen.empty())
+    return chosen;
+  return AddressesWhere(serving, [&](const MemberInfo& member) {
+    return regions.Allows(allowed, member.zone);
+  });
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -1,9 +1,7 @@
 #include "carobshift/gateway/attempt_planner.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
-#include <cstdio>
 #include <limits>
 #include <utility>
 
@@ -23,13 +21,6 @@
 // services spread by load alone.
 constexpr double kRequestCost = 10'000;
 
-std::string Hex(std::uint64_t value) {
-  std::array<char, 20> text;
-  const int size = std::snprintf(text.data(), text.size(), "%016llx",
-                                 static_cast<unsigned long long>(value));
-  return {text.data(), static_cast<std::size_t>(size)};
-}
-
 std::uint64_t SessionHash(const CallerRequest& request) {
   const PromptPart* const part =
       request.prompt ? request.prompt->SessionPart() : nullptr;
@@ -55,15 +46,6 @@
 
 }  // namespace
 
-std::string CacheScope(const ModelName& model,
-                       WeightNumber weights,
-                       const std::optional<AccountId>& account) {
-  std::string text = model.value() + '\n' + std::to_string(weights.value());
-  if (account)
-    text += '\n' + account->value();
-  return Hex(FastHash(text));
-}
-
 void AttemptPlanner::SetConfig(const ServingConfig& config) {
   stores_.clear();
   engines_.clear();
@@ -124,11 +106,8 @@
     candidate.scope = "unshared-" + setup.request.id.value();
     return candidate;
   }
-  std::optional<AccountId> isolated;
-  if (setup.account != nullptr && setup.account->isolated)
-    isolated = setup.account->name;
-  candidate.scope =
-      CacheScope(setup.request.prompt->model, *candidate.weights, isolated);
+  candidate.scope = CacheScope(setup.request.prompt->model, *candidate.weights,
+                               AudienceOf(*setup.route, setup.account));
   return candidate;
 }
 
@@ -233,15 +212,17 @@
 }
 
 bool AttemptPlanner::AcceptsWork(const ExchangeSetup& setup,
-                                 const EndpointRecord& record) const {
-  return record.service == setup.service && !record.leaving;
+                                 const EndpointRecord& record,
+                                 MonotonicTime now) const {
+  const SendObstacle obstacle = eligibility_.ObstacleAt(setup, record, now);
+  return obstacle == SendObstacle::kNone ||
+         obstacle == SendObstacle::kRateUsedUp;
 }
 
 bool AttemptPlanner::CanSend(const ExchangeSetup& setup,
                              const EndpointRecord& record,
                              MonotonicTime now) const {
-  return AcceptsWork(setup, record) &&
-         limits_.MaySend(EndpointIncarnation::Of(record), now) &&
+  return eligibility_.ObstacleAt(setup, record, now) == SendObstacle::kNone &&
          !WeightsOverdue(setup, record, now);
 }
 
@@ -277,7 +258,7 @@
                                         MonotonicTime now) const {
   bool some = false;
   for (const auto& [id, record] : registry_.all()) {
-    if (!AcceptsWork(setup, record))
+    if (!AcceptsWork(setup, record, now))
       continue;
     if (!WeightsOverdue(setup, record, now))
       return false;
@@ -286,17 +267,19 @@
   return some;
 }
 
-bool AttemptPlanner::OnlyRateLimited(const ExchangeSetup& setup,
-                                     MonotonicTime now) const {
-  bool some = false;
+SendObstacle AttemptPlanner::ObstacleTo(const ExchangeSetup& setup,
+                                        MonotonicTime now) const {
+  SendObstacle least = SendObstacle::kNotServing;
   for (const auto& [id, record] : registry_.all()) {
-    if (!AcceptsWork(setup, record) || WeightsOverdue(setup, record, now))
+    if (WeightsOverdue(setup, record, now))
       continue;
-    if (limits_.MaySend(EndpointIncarnation::Of(record), now))
-      return false;
-    some = true;
+    const SendObstacle obstacle = eligibility_.ObstacleAt(setup, record, now);
+    if (obstacle == SendObstacle::kNone)
+      return obstacle;
+    // Later values pass sooner.
+    least = std::max(least, obstacle);
   }
-  return some;
+  return least;
 }
 
 bool AttemptPlanner::IsAvoided(const EndpointRecord& record,
@@ -440,6 +423,10 @@
   fields.fetch_from.resize(parts);
   fields.save_to.resize(parts);
   const Sources& sources = SourcesOf(prompt, candidate.scope, now);
+  std::vector<StoreChoice> stores = stores_;
+  std::erase_if(stores, [&](const StoreChoice& store) {
+    return !eligibility_.MaySaveIn(setup, store.zone);
+  });
   for (std::size_t i = 0; i + 1 < parts; ++i) {
     const PromptPart& part = prompt.parts[i];
     // A source is also named for a part that the engine is believed to hold: if
@@ -448,7 +435,7 @@
     if (const Source* source = NearestSource(sources[i], *candidate.record))
       fields.fetch_from[i] = source->address;
     const StoreChoice* const store = ChooseStore(
-        stores_, store_per_part_ ? part.id : prompt.SessionPart()->id);
+        stores, store_per_part_ ? part.id : prompt.SessionPart()->id);
     if (store != nullptr && contents_.IsTrusted(store->holder, now) &&
         !contents_.HoldsComplete(store->holder, candidate.scope, part, now) &&
         TryMarkSaved(candidate.scope, part.id, now))
@@ -492,12 +479,11 @@
     return kRetryAfterWeightLoad;
   std::optional<Milliseconds> shortest;
   for (const auto& [id, record] : registry_.all()) {
-    if (!AcceptsWork(setup, record) || WeightsOverdue(setup, record, now))
+    if (!AcceptsWork(setup, record, now) || WeightsOverdue(setup, record, now))
       continue;
-    const Milliseconds wait = std::max(
-        health_.RemainingPause(id, now),
-        AddJitter(limits_.WaitFor(EndpointIncarnation::Of(record), now),
-                  setup));
+    const Milliseconds wait =
+        std::max(health_.RemainingPause(id, now),
+                 AddJitter(eligibility_.RateWaitAt(record, now), setup));
     if (!shortest || wait < *shortest)
       shortest = wait;
   }
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -3,8 +3,8 @@
 // scope of the cached parts, the holders to fetch parts from and the stores to
 // save them in.
 //
-//   AttemptPlanner planner(registry, health, limits, loads, sizes, contents,
-//                          deadlines);
+//   AttemptPlanner planner(registry, health, eligibility, loads, sizes,
+//                          contents, deadlines);
 //   const std::optional<AttemptPlan> plan = planner.Plan(setup, wish, now);
 //
 // Invariants: a request never runs on KV cache that was computed with other
@@ -31,7 +31,9 @@
 #include <vector>
 
 #include "carobshift/gateway/cache_contents.h"
+#include "carobshift/gateway/cache_scope.h"
 #include "carobshift/gateway/caller_request.h"
+#include "carobshift/gateway/endpoint_eligibility.h"
 #include "carobshift/gateway/endpoint_health.h"
 #include "carobshift/gateway/endpoint_registry.h"
 #include "carobshift/gateway/exchange.h"
@@ -39,7 +41,6 @@
 #include "carobshift/gateway/placement.h"
 #include "carobshift/gateway/prompt_sizes.h"
 #include "carobshift/gateway/queue_ahead.h"
-#include "carobshift/gateway/rate_limits.h"
 #include "carobshift/gateway/weight_deadlines.h"
 
 namespace carobshift {
@@ -64,12 +65,6 @@
   int save_count = 0;
 };
 
-// Returns the key prefix under which an endpoint finds cached parts. `account`
-// is set only for accounts that share no cache.
-[[nodiscard]] std::string CacheScope(const ModelName& model,
-                                     WeightNumber weights,
-                                     const std::optional<AccountId>& account);
-
 class AttemptPlanner {
  public:
   // Share of an engine's memory that prompts are placed into. The rest covers
@@ -113,14 +108,14 @@
 
   AttemptPlanner(const EndpointRegistry& registry,
                  const EndpointHealthTable& health,
-                 const RateLimits& limits,
+                 const EndpointEligibility& eligibility,
                  const LoadTracker& loads,
                  const PromptSizes& sizes,
                  const CacheContents& contents,
                  const WeightDeadlines& deadlines)
       : registry_(registry),
         health_(health),
-        limits_(limits),
+        eligibility_(eligibility),
         loads_(loads),
         sizes_(sizes),
         contents_(contents),
@@ -178,10 +173,11 @@
   // Returns whether there is no plan because all endpoints run overdue weights.
   [[nodiscard]] bool OnlyOverdueWeights(const ExchangeSetup& setup,
                                         MonotonicTime now) const;
-  // Returns whether there is no plan because the rate limits of the endpoints
-  // are used up.
-  [[nodiscard]] bool OnlyRateLimited(const ExchangeSetup& setup,
-                                     MonotonicTime now) const;
+  // Returns the obstacle at all endpoints without overdue weights; if they
+  // differ, the one that passes soonest. Returns kNone if a request may be sent
+  // to one of them now, and kNotServing if the service has none.
+  [[nodiscard]] SendObstacle ObstacleTo(const ExchangeSetup& setup,
+                                        MonotonicTime now) const;
   // Returns the time until an endpoint of the service is worth another try.
   [[nodiscard]] Milliseconds RetryAfter(const ExchangeSetup& setup,
                                         MonotonicTime now) const;
@@ -262,8 +258,11 @@
   [[nodiscard]] static const Source* NearestSource(
       const std::vector<Source>& sources,
       const EndpointRecord& reader);
+  // Returns whether the endpoint takes the request now, or when its rates
+  // permit.
   [[nodiscard]] bool AcceptsWork(const ExchangeSetup& setup,
-                                 const EndpointRecord& record) const;
+                                 const EndpointRecord& record,
+                                 MonotonicTime now) const;
   // Returns whether the request may be sent to the endpoint now.
   [[nodiscard]] bool CanSend(const ExchangeSetup& setup,
                              const EndpointRecord& record,
@@ -297,7 +296,7 @@
 
   const EndpointRegistry& registry_;
   const EndpointHealthTable& health_;
-  const RateLimits& limits_;
+  const EndpointEligibility& eligibility_;
   const LoadTracker& loads_;
   const PromptSizes& sizes_;
   const CacheContents& contents_;
--- a/carobshift/gateway/attempt_planner_benchmark.cc
+++ b/carobshift/gateway/attempt_planner_benchmark.cc
@@ -25,7 +25,7 @@
   EndpointHealthTable health;
   LoadTracker loads;
   CacheContents contents;
-  const std::string scope = CacheScope(model, WeightNumber(1), std::nullopt);
+  const std::string scope = CacheScope(model, WeightNumber(1), {});
   const auto fill = [&](const std::string& holder, int seed) {
     StoreEvents events;
     for (int i = 0; i < kPartsPerHolder; ++i) {
@@ -52,7 +52,12 @@
   const WeightDeadlines deadlines{Milliseconds(15000)};
   const PromptSizes sizes;
   const RateLimits limits;
-  AttemptPlanner planner(registry, health, limits, loads, sizes, contents,
+  const ColdStartLimits cold_starts{{}};
+  const ZoneEvacuations evacuations;
+  const ZoneRegions regions;
+  const EndpointEligibility eligibility(evacuations, regions, limits,
+                                        cold_starts);
+  AttemptPlanner planner(registry, health, eligibility, loads, sizes, contents,
                          deadlines);
   planner.SetConfig(config);
   Route route;
--- a/carobshift/gateway/attempt_planner_test.cc
+++ b/carobshift/gateway/attempt_planner_test.cc
@@ -38,6 +38,7 @@
       EndpointRecord record;
       record.id = EndpointId("e" + std::to_string(i));
       record.service = kEngines;
+      record.zone = ZoneName("z");
       record.slots = 64;
       record.address = {"10.0.0." + std::to_string(i), 80};
       record.weights[kModel] = WeightNumber(1);
@@ -82,11 +83,16 @@
   EndpointRegistry registry;
   EndpointHealthTable health;
   RateLimits limits;
+  ColdStartLimits cold_starts{{}};
+  ZoneEvacuations evacuations;
+  ZoneRegions regions{{{ZoneName("z"), RegionName("north")},
+                       {ZoneName("y"), RegionName("south")}}};
+  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts};
   LoadTracker loads;
   PromptSizes sizes;
   CacheContents contents;
   WeightDeadlines deadlines{Milliseconds(15000)};
-  AttemptPlanner planner{registry, health,   limits,   loads,
+  AttemptPlanner planner{registry, health,   eligibility, loads,
                          sizes,    contents, deadlines};
   Route route;
   Account account;
@@ -96,11 +102,12 @@
 
 TEST_CASE(
     "cached parts of other weights or of an isolated account can't match") {
-  const std::string scope = CacheScope(kModel, WeightNumber(1), std::nullopt);
-  CHECK(scope != CacheScope(kModel, WeightNumber(2), std::nullopt));
-  CHECK(scope != CacheScope(ModelName("m2"), WeightNumber(1), std::nullopt));
-  CHECK(scope != CacheScope(kModel, WeightNumber(1), AccountId("walled")));
-  CHECK(scope == CacheScope(kModel, WeightNumber(1), std::nullopt));
+  const std::string scope = CacheScope(kModel, WeightNumber(1), {});
+  CHECK(scope != CacheScope(kModel, WeightNumber(2), {}));
+  CHECK(scope != CacheScope(ModelName("m2"), WeightNumber(1), {}));
+  CHECK(scope !=
+        CacheScope(kModel, WeightNumber(1), {AccountId("walled"), {}}));
+  CHECK(scope == CacheScope(kModel, WeightNumber(1), {}));
 }
 
 TEST_CASE("an attempt names its endpoint, its weights and the cache's scope") {
@@ -108,13 +115,12 @@
   const AttemptPlan plan = fixture.Plan();
   CHECK(plan.fields.endpoint == plan.endpoint.id);
   CHECK(plan.fields.weights == WeightNumber(1));
-  CHECK(plan.fields.cache_scope ==
-        CacheScope(kModel, WeightNumber(1), std::nullopt));
+  CHECK(plan.fields.cache_scope == CacheScope(kModel, WeightNumber(1), {}));
   // The account's priority takes precedence over the route's.
   CHECK(plan.fields.urgency == 1);
   fixture.setup.account = &fixture.isolated;
   CHECK(fixture.Plan().fields.cache_scope ==
-        CacheScope(kModel, WeightNumber(1), AccountId("walled")));
+        CacheScope(kModel, WeightNumber(1), {AccountId("walled"), {}}));
   CHECK(fixture.Plan().fields.urgency == 2);
 }
 
@@ -137,8 +143,7 @@
   // One engine holds the session's parts. At any endpoint they are cached or
   // fetched.
   PlannerFixture fixture;
-  fixture.AddCachedParts("e2",
-                         CacheScope(kModel, WeightNumber(1), std::nullopt));
+  fixture.AddCachedParts("e2", CacheScope(kModel, WeightNumber(1), {}));
   for (int i = 0; i < 20; ++i) {
     fixture.setup.request.id = RequestId("r" + std::to_string(i));
     const AttemptPlan plan = fixture.Plan();
@@ -151,8 +156,7 @@
 
 TEST_CASE("a session goes to its holder if nobody else is freer") {
   PlannerFixture fixture;
-  fixture.AddCachedParts("e2",
-                         CacheScope(kModel, WeightNumber(1), std::nullopt));
+  fixture.AddCachedParts("e2", CacheScope(kModel, WeightNumber(1), {}));
   for (int i = 0; i < 4; ++i) {
     if (i != 2)
       fixture.loads.OnStart(EndpointId("e" + std::to_string(i)), {}, 5'000);
@@ -165,7 +169,7 @@
   // reports it arrives later. Without a source the engine would prefill the
   // whole session again, which takes ten times as long as a fetch.
   PlannerFixture fixture;
-  const std::string scope = CacheScope(kModel, WeightNumber(1), std::nullopt);
+  const std::string scope = CacheScope(kModel, WeightNumber(1), {});
   fixture.AddCachedParts("e2", scope);
   fixture.AddCachedParts("store-b", scope);
   for (int i = 0; i < 4; ++i) {
@@ -183,7 +187,7 @@
   // A peer's report is half a second old, and an engine under load evicts a
   // part sooner; a store keeps it.
   PlannerFixture fixture;
-  const std::string scope = CacheScope(kModel, WeightNumber(1), std::nullopt);
+  const std::string scope = CacheScope(kModel, WeightNumber(1), {});
   for (int i = 0; i < 4; ++i) {
     if (i != 3)
       fixture.loads.OnStart(EndpointId("e" + std::to_string(i)), {}, 30'000);
@@ -206,7 +210,7 @@
   // Between zones a transfer takes twice as long; a store's link is slower than
   // any engine's.
   PlannerFixture fixture;
-  const std::string scope = CacheScope(kModel, WeightNumber(1), std::nullopt);
+  const std::string scope = CacheScope(kModel, WeightNumber(1), {});
   for (int i = 0; i < 4; ++i) {
     EndpointRecord record =
         *fixture.registry.Find(EndpointId("e" + std::to_string(i)));
@@ -236,8 +240,7 @@
   // goes to an idle engine, which fetches the session's parts from there over a
   // link that is ten times as fast as prefill.
   PlannerFixture fixture;
-  fixture.AddCachedParts("e2",
-                         CacheScope(kModel, WeightNumber(1), std::nullopt));
+  fixture.AddCachedParts("e2", CacheScope(kModel, WeightNumber(1), {}));
   fixture.loads.OnStart(EndpointId("e2"), {}, 30'000);
   const AttemptPlan plan = fixture.Plan();
   CHECK(plan.endpoint.id != EndpointId("e2"));
@@ -250,8 +253,7 @@
 TEST_CASE("an engine whose memory is full is left to what it runs") {
   // One more prompt would wait until others end, or evict one of them.
   PlannerFixture fixture;
-  fixture.AddCachedParts("e2",
-                         CacheScope(kModel, WeightNumber(1), std::nullopt));
+  fixture.AddCachedParts("e2", CacheScope(kModel, WeightNumber(1), {}));
   RequestFootprint running;
   running.own_tokens = 95'000;
   fixture.loads.OnStart(EndpointId("e2"), running, 0);
@@ -301,8 +303,7 @@
 
 TEST_CASE("engines that load weights or failed lately come last") {
   PlannerFixture fixture;
-  fixture.AddCachedParts("e2",
-                         CacheScope(kModel, WeightNumber(1), std::nullopt));
+  fixture.AddCachedParts("e2", CacheScope(kModel, WeightNumber(1), {}));
   SECTION("loading") {
     fixture.planner.SetDraining({EndpointId("e2")});
   }
@@ -434,8 +435,7 @@
   // One engine holds the conversation. If its load weren't queried, the prompt
   // would be prefilled again at an idle engine each time.
   PlannerFixture fixture;
-  fixture.AddCachedParts("e2",
-                         CacheScope(kModel, WeightNumber(1), std::nullopt));
+  fixture.AddCachedParts("e2", CacheScope(kModel, WeightNumber(1), {}));
   for (int i = 4; i < 30; ++i) {
     EndpointRecord record = *fixture.registry.Find(EndpointId("e0"));
     record.id = EndpointId("e" + std::to_string(i));
@@ -519,11 +519,13 @@
   for (const EndpointId& id : fixture.planner.Shortlist(fixture.setup, kStart))
     CHECK(id > EndpointId("e1"));
   CHECK(fixture.Plan().endpoint.id > EndpointId("e1"));
-  CHECK_FALSE(fixture.planner.OnlyRateLimited(fixture.setup, kStart));
+  CHECK(fixture.planner.ObstacleTo(fixture.setup, kStart) ==
+        SendObstacle::kNone);
   limit("e2");
   limit("e3");
   CHECK_FALSE(fixture.planner.Plan(fixture.setup, {}, kStart).has_value());
-  CHECK(fixture.planner.OnlyRateLimited(fixture.setup, kStart));
+  CHECK(fixture.planner.ObstacleTo(fixture.setup, kStart) ==
+        SendObstacle::kRateUsedUp);
   CHECK_FALSE(fixture.planner.OnlyOverdueWeights(fixture.setup, kStart));
   // Requests that are refused together aren't retried together.
   std::set<Milliseconds> waits;
@@ -536,5 +538,89 @@
   CHECK(*waits.rbegin() <= Milliseconds(6000));
 }
 
+// Two engines in each of two zones, which lie in two regions.
+class TwoZoneFixture : public PlannerFixture {
+ public:
+  TwoZoneFixture() {
+    for (const char* id : {"e2", "e3"}) {
+      EndpointRecord record = *registry.Find(EndpointId(id));
+      record.zone = ZoneName("y");
+      registry.Put(record, kStart);
+    }
+  }
+  [[nodiscard]] std::set<ZoneName> ZonesUsed() {
+    std::set<ZoneName> zones;
+    for (int i = 0; i < 40; ++i) {
+      setup.request.id = RequestId("r" + std::to_string(i));
+      setup.request.prompt->parts[1].id = "session" + std::to_string(i);
+      const std::vector<EndpointId> shortlist =
+          planner.Shortlist(setup, kStart);
+      for (const EndpointId& id : shortlist)
+        zones.insert(registry.Find(id)->zone);
+      if (const auto plan = planner.Plan(setup, {}, kStart))
+        zones.insert(plan->endpoint.zone);
+    }
+    return zones;
+  }
+};
+
+// Guards against requests that still go to a zone which the operator has
+// evacuated, as first attempts, retries or resumed streams.
+TEST_CASE("nothing is placed in an evacuated zone, whoever is left") {
+  TwoZoneFixture fixture;
+  CHECK(fixture.ZonesUsed().size() == 2);
+  fixture.evacuations.Set(ZoneName("z"), true, kStart);
+  CHECK(fixture.ZonesUsed() == std::set{ZoneName("y")});
+  // A retry whose only untried endpoints are in the evacuated zone.
+  const std::set<EndpointId> tried = {EndpointId("e2"), EndpointId("e3")};
+  const auto retry = fixture.planner.Plan(
+      fixture.setup, {.tried = &tried, .last_event = EventNumber(7)}, kStart);
+  REQUIRE(retry.has_value());
+  CHECK(retry->endpoint.zone == ZoneName("y"));
+  fixture.evacuations.Set(ZoneName("y"), true, kStart);
+  CHECK(fixture.ZonesUsed().empty());
+  CHECK(fixture.planner.ObstacleTo(fixture.setup, kStart) ==
+        SendObstacle::kZoneEvacuated);
+}
+
+// Guards against sessions that are read again since only an evacuated zone
+// holds their cache.
+TEST_CASE("an evacuated zone's cache is fetched but nothing is saved there") {
+  TwoZoneFixture fixture;
+  fixture.AddCachedParts("e0", CacheScope(kModel, WeightNumber(1), {}));
+  fixture.evacuations.Set(ZoneName("z"), true, kStart);
+  const AttemptPlan plan = fixture.Plan();
+  CHECK(plan.endpoint.zone == ZoneName("y"));
+  CHECK(plan.prefill_tokens == Approx(1000));
+  REQUIRE(plan.fields.fetch_from.size() == 3);
+  CHECK(plan.fields.fetch_from[1] == NetAddress{"10.0.0.0", 80});
+  // Both stores are in zone z.
+  CHECK(plan.save_count == 0);
+}
+
+// Guards against requests and KV cache that leave the allowed regions.
+TEST_CASE("requests stay in the regions that route and account allow") {
+  TwoZoneFixture fixture;
+  fixture.route.allowed_regions = {RegionName("south"), RegionName("north")};
+  fixture.account.allowed_regions = {RegionName("south")};
+  CHECK(fixture.ZonesUsed() == std::set{ZoneName("y")});
+  CHECK(fixture.Plan().save_count == 0);
+  fixture.account.allowed_regions = {RegionName("west")};
+  CHECK(fixture.ZonesUsed().empty());
+  CHECK(fixture.planner.ObstacleTo(fixture.setup, kStart) ==
+        SendObstacle::kRegionNotAllowed);
+}
+
+// Guards against endpoints that return empty and idle, are the best choice for
+// every request, and crash.
+TEST_CASE("a cold endpoint is left out until its next request is due") {
+  TwoZoneFixture fixture;
+  fixture.cold_starts.OnStatement(*fixture.registry.Find(EndpointId("e0")),
+                                  Milliseconds(3000), kStart);
+  fixture.cold_starts.OnStatement(*fixture.registry.Find(EndpointId("e1")),
+                                  Milliseconds(3000), kStart);
+  CHECK(fixture.ZonesUsed() == std::set{ZoneName("y")});
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/caller_request.h
+++ b/carobshift/gateway/caller_request.h
@@ -101,6 +101,10 @@
   std::optional<RequestRate> rate_limit;
   // The reply names a rate limit that can't be parsed or isn't a valid rate.
   bool bad_rate_limit = false;
+  // How long the endpoint stays cold, if the reply states it.
+  std::optional<Milliseconds> cold_remaining;
+  // The reply states a cold time that isn't a valid one.
+  bool bad_cold_time = false;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/dialect.h
+++ b/carobshift/gateway/dialect.h
@@ -45,6 +45,9 @@
 
 // A caller's query for the instance addresses to use.
 struct AddressQuestion {
+  // The host that the caller will send its requests to.
+  std::string host;
+  RegionName region;
   ZoneName zone;
 };
 
@@ -138,6 +141,10 @@
   [[nodiscard]] virtual Result<OperatorRecord> DecodeOperatorRecord(
       const std::string& key,
       std::string_view value) const = 0;
+  // Returns the availability zone that an operator's record with this key
+  // evacuates while it exists, whatever its value; nullopt for other records.
+  [[nodiscard]] virtual std::optional<ZoneName> EvacuatedZone(
+      std::string_view key) const = 0;
   [[nodiscard]] virtual Result<EndpointRecord> DecodeEndpointRecord(
       const std::string& key,
       std::string_view value) const = 0;
--- /dev/null
+++ b/carobshift/gateway/endpoint_eligibility.cc
@@ -0,0 +1,40 @@
+#include "carobshift/gateway/endpoint_eligibility.h"
+
+#include <algorithm>
+
+namespace carobshift {
+
+SendObstacle EndpointEligibility::ObstacleAt(const ExchangeSetup& setup,
+                                             const EndpointRecord& endpoint,
+                                             MonotonicTime now) const {
+  if (endpoint.service != setup.service || endpoint.leaving)
+    return SendObstacle::kNotServing;
+  if (!InAllowedRegion(setup, endpoint.zone))
+    return SendObstacle::kRegionNotAllowed;
+  if (evacuations_.Contains(endpoint.zone))
+    return SendObstacle::kZoneEvacuated;
+  if (!limits_.MaySend(EndpointIncarnation::Of(endpoint), now) ||
+      !cold_starts_.MaySend(endpoint, now))
+    return SendObstacle::kRateUsedUp;
+  return SendObstacle::kNone;
+}
+
+Milliseconds EndpointEligibility::RateWaitAt(const EndpointRecord& endpoint,
+                                             MonotonicTime now) const {
+  return std::max(limits_.WaitFor(EndpointIncarnation::Of(endpoint), now),
+                  cold_starts_.WaitFor(endpoint, now));
+}
+
+bool EndpointEligibility::MaySaveIn(const ExchangeSetup& setup,
+                                    const ZoneName& zone) const {
+  return !evacuations_.Contains(zone) && InAllowedRegion(setup, zone);
+}
+
+bool EndpointEligibility::InAllowedRegion(const ExchangeSetup& setup,
+                                          const ZoneName& zone) const {
+  return regions_.Allows(setup.route->allowed_regions, zone) &&
+         (setup.account == nullptr ||
+          regions_.Allows(setup.account->allowed_regions, zone));
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/endpoint_eligibility.h
@@ -0,0 +1,72 @@
+// EndpointEligibility decides whether a request may be sent to an endpoint at
+// all, by the endpoint's state, the operator's evacuations, the regions that
+// the route and the client account allow, and the rates that the endpoint
+// bears. Placement (attempt_planner.h) chooses among the eligible endpoints.
+//
+//   EndpointEligibility eligibility(evacuations, regions, limits, cold_starts);
+//   if (eligibility.ObstacleAt(setup, record, now) == SendObstacle::kNone)
+//     candidates.push_back(record);
+//
+// Holds no state of its own. Reads the tables passed to the constructor, which
+// must outlive it. Thread-compatible.
+
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINT_ELIGIBILITY_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINT_ELIGIBILITY_H_
+
+#include "carobshift/gateway/cold_start_limits.h"
+#include "carobshift/gateway/endpoint_record.h"
+#include "carobshift/gateway/exchange.h"
+#include "carobshift/gateway/rate_limits.h"
+#include "carobshift/gateway/zone_evacuations.h"
+#include "carobshift/gateway/zone_regions.h"
+
+namespace carobshift {
+
+// Why a request may not be sent to an endpoint, ordered from the lasting
+// reasons to those that pass by themselves.
+enum class SendObstacle {
+  kNone,
+  // The endpoint belongs to another service or is leaving.
+  kNotServing,
+  kRegionNotAllowed,
+  kZoneEvacuated,
+  // The endpoint's rate limit, or what it bears while it is cold, is used up.
+  kRateUsedUp,
+};
+
+class EndpointEligibility {
+ public:
+  EndpointEligibility(const ZoneEvacuations& evacuations,
+                      const ZoneRegions& regions,
+                      const RateLimits& limits,
+                      const ColdStartLimits& cold_starts)
+      : evacuations_(evacuations),
+        regions_(regions),
+        limits_(limits),
+        cold_starts_(cold_starts) {}
+
+  // Returns the most lasting obstacle.
+  [[nodiscard]] SendObstacle ObstacleAt(const ExchangeSetup& setup,
+                                        const EndpointRecord& endpoint,
+                                        MonotonicTime now) const;
+  // Returns the time until the endpoint's rates permit the request; zero if
+  // they do now.
+  [[nodiscard]] Milliseconds RateWaitAt(const EndpointRecord& endpoint,
+                                        MonotonicTime now) const;
+  // Returns whether the request's KV cache may be saved in a store in `zone`.
+  [[nodiscard]] bool MaySaveIn(const ExchangeSetup& setup,
+                               const ZoneName& zone) const;
+
+ private:
+  [[nodiscard]] bool InAllowedRegion(const ExchangeSetup& setup,
+                                     const ZoneName& zone) const;
+
+  const ZoneEvacuations& evacuations_;
+  const ZoneRegions& regions_;
+  const RateLimits& limits_;
+  const ColdStartLimits& cold_starts_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINT_ELIGIBILITY_H_
--- /dev/null
+++ b/carobshift/gateway/endpoint_eligibility_test.cc
@@ -0,0 +1,82 @@
+#include "carobshift/gateway/endpoint_eligibility.h"
+
+#include <catch2/catch.hpp>
+
+namespace carobshift {
+namespace {
+
+const MonotonicTime kNow{Seconds(100)};
+const ServiceName kService("desks");
+const ZoneName kZone("a");
+const RegionName kWest("west");
+const RegionName kNorth("north");
+
+struct Fixture {
+  Fixture() {
+    setup.route = &route;
+    setup.account = &account;
+    setup.service = kService;
+    endpoint.id = EndpointId("e1");
+    endpoint.service = kService;
+    endpoint.zone = kZone;
+  }
+  [[nodiscard]] SendObstacle Obstacle() const {
+    return eligibility.ObstacleAt(setup, endpoint, kNow);
+  }
+
+  ZoneEvacuations evacuations;
+  ZoneRegions regions{{{kZone, kWest}}};
+  RateLimits limits;
+  ColdStartLimits cold_starts{{}};
+  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts};
+  Route route;
+  Account account;
+  ExchangeSetup setup;
+  EndpointRecord endpoint;
+};
+
+TEST_CASE("an endpoint that is leaving or of another service gets nothing") {
+  Fixture fixture;
+  CHECK(fixture.Obstacle() == SendObstacle::kNone);
+  fixture.endpoint.leaving = true;
+  CHECK(fixture.Obstacle() == SendObstacle::kNotServing);
+  fixture.endpoint.leaving = false;
+  fixture.endpoint.service = ServiceName("other");
+  CHECK(fixture.Obstacle() == SendObstacle::kNotServing);
+}
+
+TEST_CASE("an endpoint in an evacuated zone gets no request and no cache") {
+  Fixture fixture;
+  fixture.evacuations.Set(kZone, true, kNow);
+  CHECK(fixture.Obstacle() == SendObstacle::kZoneEvacuated);
+  CHECK_FALSE(fixture.eligibility.MaySaveIn(fixture.setup, kZone));
+  fixture.evacuations.Set(kZone, false, kNow);
+  CHECK(fixture.Obstacle() == SendObstacle::kNone);
+  CHECK(fixture.eligibility.MaySaveIn(fixture.setup, kZone));
+}
+
+// Guards against a request that leaves the regions of its account because its
+// route allows more, or the other way round.
+TEST_CASE("the regions of the route and of the account both bind") {
+  Fixture fixture;
+  fixture.route.allowed_regions = {kWest, kNorth};
+  fixture.account.allowed_regions = {kWest};
+  CHECK(fixture.Obstacle() == SendObstacle::kNone);
+  fixture.account.allowed_regions = {kNorth};
+  CHECK(fixture.Obstacle() == SendObstacle::kRegionNotAllowed);
+  CHECK_FALSE(fixture.eligibility.MaySaveIn(fixture.setup, kZone));
+  fixture.account.allowed_regions = {};
+  fixture.route.allowed_regions = {kNorth};
+  CHECK(fixture.Obstacle() == SendObstacle::kRegionNotAllowed);
+}
+
+TEST_CASE("a cold endpoint gets requests only at its pace") {
+  Fixture fixture;
+  fixture.cold_starts.OnStatement(fixture.endpoint, Milliseconds(2000), kNow);
+  CHECK(fixture.Obstacle() == SendObstacle::kRateUsedUp);
+  CHECK(fixture.eligibility.RateWaitAt(fixture.endpoint, kNow) >
+        Milliseconds(0));
+}
+
+}  // namespace
+}  // namespace carobshift
--- a/carobshift/gateway/endpoint_record.h
+++ b/carobshift/gateway/endpoint_record.h
@@ -27,6 +27,10 @@
   // True if the endpoint has announced that it is stopping.
   bool leaving = false;
   std::map<ModelName, WeightNumber> weights;
+  // How long the endpoint stays cold, counted from when it wrote the record.
+  Milliseconds cold_remaining{0};
+  // The record states a time that isn't a valid one; it counts as zero.
+  bool bad_cold_time = false;
 
   friend bool operator==(const EndpointRecord&,
                          const EndpointRecord&) = default;
--- a/carobshift/gateway/exchange.cc
+++ b/carobshift/gateway/exchange.cc
@@ -31,6 +31,10 @@
       return ResultCode::kDeadlineExceeded;
     case AttemptError::kWeightsReplaced:
       return ResultCode::kWeightsReplaced;
+    case AttemptError::kZoneEvacuated:
+      return ResultCode::kZoneEvacuated;
+    case AttemptError::kRegionNotAllowed:
+      return ResultCode::kRegionNotAllowed;
     case AttemptError::kNone:
     case AttemptError::kNoEndpoint:
       break;
--- a/carobshift/gateway/exchange.h
+++ b/carobshift/gateway/exchange.h
@@ -72,6 +72,10 @@
   kNone,
   // No endpoint accepts requests.
   kNoEndpoint,
+  // All endpoints are in evacuated availability zones, or in regions that are
+  // not allowed for the request.
+  kZoneEvacuated,
+  kRegionNotAllowed,
   // The endpoints that accept requests have replaced weights, on which no new
   // request may start.
   kWeightsReplaced,
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include "carobshift/gateway/address_choice.h"
 #include "carobshift/gateway/cache_watcher.h"
 #include "carobshift/gateway/cluster.h"
+#include "carobshift/gateway/cold_start_sharing.h"
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/keyed_follower.h"
 #include "carobshift/gateway/limit_sharing.h"
@@ -49,6 +50,7 @@
 RequestServiceOptions ServiceOptions(const GatewaySettings& settings) {
   RequestServiceOptions options;
   options.retries = settings.retries;
+  options.cold_start = settings.cold_start;
   return options;
 }
 
@@ -74,7 +76,15 @@
                     rollout_controller.SetInitialTarget(named.model,
                                                         named.number);
                 },
-            .on_endpoints = [this] { OnEndpoints(); }} {}
+            .on_endpoints = [this] { OnEndpoints(); },
+            .on_evacuation =
+                [this](const ZoneName& zone, bool evacuated) {
+                  OnEvacuation(zone, evacuated);
+                },
+            .on_cold_endpoint =
+                [this](const EndpointRecord& endpoint) {
+                  requests.OnColdEndpoint(endpoint);
+                }} {}
 
   Status Start();
   Status Listen();
@@ -83,6 +93,7 @@
   // reads about a hundred records, and an update after each of them would take
   // seconds.
   void OnEndpoints();
+  void OnEvacuation(const ZoneName& zone, bool evacuated);
   void WatchCaches();
   void OnConfig(std::shared_ptr<const ServingConfigSnapshot> config);
   void BeginStop();
@@ -103,10 +114,19 @@
   EndpointRegistry registry;
   CacheContents contents;
   WeightDeadlines deadlines{settings.weights_replacement_bound};
+  ZoneEvacuations evacuations;
+  ZoneRegions regions{settings.regions};
   Cluster cluster{loop, settings};
-  RequestService requests{
-      loop,     endpoint_client, dialects.request, registry,
-      contents, deadlines,       metrics,          ServiceOptions(settings)};
+  RequestService requests{loop,
+                          endpoint_client,
+                          dialects.request,
+                          registry,
+                          contents,
+                          deadlines,
+                          evacuations,
+                          regions,
+                          metrics,
+                          ServiceOptions(settings)};
   PeerDatagrams datagrams{loop, settings, cluster};
   LoadQueryService load_query_service{
       loop,
@@ -115,13 +135,15 @@
       requests.loads()};
   LoadSharing load_sharing{loop, cluster, datagrams, requests.loads()};
   LimitSharing limit_sharing{loop, cluster, datagrams, requests.limits()};
+  ColdStartSharing cold_start_sharing{loop, cluster, datagrams, registry,
+                                      requests.cold_starts()};
   WeightRolloutController rollout_controller{
       loop, control_client, settings, dialects, cluster, registry, deadlines};
   CacheWatcher caches{loop, control_client, dialects.engine, datagrams,
                       contents};
   StoreReclaimer store_reclaimer{loop, control_client, dialects.engine,
                                  registry, contents};
-  OperatorRecords operator_records{dialects.log, listener};
+  OperatorRecords operator_records{dialects.log, evacuations, listener};
   EndpointRecords endpoint_records{dialects.log, registry, listener};
   KeyedFollower operator_follower{loop,
                                   control_client,
@@ -199,6 +221,10 @@
       [this](RequestFingerprint fingerprint, const std::string& run) {
         cluster.AnnounceCrash(EncodeCrashReport(fingerprint, run));
       });
+  requests.SetOnColdStatement(
+      [this](const EndpointRecord& endpoint, Milliseconds remaining) {
+        cold_start_sharing.OnStatement(endpoint, remaining);
+      });
   rollout_controller.SetOnLoaded(
       [this](const auto& endpoint, const auto& model, WeightNumber weights) {
         requests.OnWeightsReported(endpoint, model, weights);
@@ -243,6 +269,7 @@
   load_query_service.OnTick();
   load_sharing.OnTick();
   limit_sharing.OnTick();
+  cold_start_sharing.OnTick();
   caches.OnTick();
   record_listener.OnTick();
   peer_sync.OnTick();
@@ -273,6 +300,21 @@
   });
 }
 
+void Gateway::Impl::OnEvacuation(const ZoneName& zone, bool evacuated) {
+  if (!evacuated) {
+    requests.OnEvacuationEnd(zone);
+    return;
+  }
+  const bool known = std::any_of(
+      registry.all().begin(), registry.all().end(),
+      [&zone](const auto& entry) { return entry.second.zone == zone; });
+  if (!known) {
+    LogEvent(LogLevel::kWarning, "evacuated_zone_without_endpoints",
+             {{"availability_zone", zone.value()},
+              {"registry", registry.revision()}});
+  }
+}
+
 void Gateway::Impl::WatchCaches() {
   const auto& config = operator_records.config();
   if (config == nullptr)
@@ -292,7 +334,12 @@
   const auto wanted = dialects.directory.DecodeAddressQuestion(question);
   if (!wanted)
     return {404, {}, {}};
-  const auto addresses = ChooseAddresses(cluster.Serving(), wanted->zone);
+  const auto& config = operator_records.config();
+  std::vector<RegionName> allowed;
+  if (config != nullptr)
+    allowed = RegionsOfHost(config->config(), wanted->host);
+  const auto addresses =
+      ChooseAddresses(cluster.Serving(), *wanted, allowed, regions);
   if (addresses.empty())
     return {503, {}, {}};
   return {200, "application/json",
@@ -309,6 +356,11 @@
               static_cast<double>(DroppedLogLines()));
   metrics.Set("carobshift_limited_endpoints", {},
               static_cast<double>(requests.limited_endpoints()));
+  metrics.Set(
+      "carobshift_cold_endpoints", {},
+      static_cast<double>(requests.cold_starts().ColdUntil(loop.now()).size()));
+  metrics.Set("carobshift_evacuated_zones", {},
+              static_cast<double>(evacuations.all().size()));
   metrics.Set("carobshift_endpoints_with_overdue_weights", {},
               static_cast<double>(rollout_controller.overdue()));
   metrics.Set("carobshift_log_bytes_read", {{"stream", "operator"}},
@@ -326,16 +378,30 @@
 }
 
 std::string Gateway::Impl::StateDumpText() const {
+  const auto millis = [](auto time) {
+    return std::chrono::duration_cast<Milliseconds>(time).count();
+  };
+  const auto cold_until = requests.cold_starts().ColdUntil(loop.now());
+  nlohmann::json evacuated = nlohmann::json::array();
+  for (const auto& [zone, begun] : evacuations.all()) {
+    evacuated.push_back({{"availability_zone", zone.value()},
+                         {"age_ms", millis(loop.now() - begun)}});
+  }
   nlohmann::json endpoints = nlohmann::json::array();
   for (const auto& [id, record] : registry.all()) {
+    const auto cold = cold_until.find(id);
     nlohmann::json weights = nlohmann::json::object();
     for (const auto& [model, number] : record.weights)
       weights[model.value()] = number.value();
-    endpoints.push_back({{"id", id.value()},
-                         {"service", record.service.value()},
-                         {"address", record.address.ToString()},
-                         {"leaving", record.leaving},
-                         {"weights", weights}});
+    endpoints.push_back(
+        {{"id", id.value()},
+         {"service", record.service.value()},
+         {"address", record.address.ToString()},
+         {"availability_zone", record.zone.value()},
+         {"leaving", record.leaving},
+         {"cold_ms",
+          cold == cold_until.end() ? 0 : millis(cold->second - loop.now())},
+         {"weights", weights}});
   }
   nlohmann::json members = nlohmann::json::array();
   for (const MemberInfo& member : cluster.Live())
@@ -345,6 +411,7 @@
       {"config", config == nullptr ? 0 : config->config().number.value()},
       {"registry", registry.revision()},
       {"endpoints", endpoints},
+      {"evacuated_zones", evacuated},
       {"members", members},
       {"open_requests", requests.open_requests()},
       {"lease_holder", rollout_controller.IsHolder()},
--- a/carobshift/gateway/gateway_settings.h
+++ b/carobshift/gateway/gateway_settings.h
@@ -5,12 +5,14 @@
 #define CAROBSHIFT_GATEWAY_GATEWAY_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/units.h"
+#include "carobshift/gateway/cold_start_limits.h"
 #include "carobshift/gateway/retry_allowance.h"
 
 namespace carobshift {
@@ -18,6 +20,8 @@
 struct GatewaySettings {
   EntryId entry;
   ZoneName zone;
+  // The region of each availability zone.
+  std::map<ZoneName, RegionName> regions;
   std::string host;
   // Listening addresses for callers' requests, for readiness checks and for
   // address queries.
@@ -34,6 +38,7 @@
   std::uint16_t metrics_port = 0;
 
   RetryLimits retries;
+  ColdStartOptions cold_start;
   Milliseconds lease{3000};
   // Once new weights are named, the time after which no request may start on
   // older weights.
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -8,6 +8,10 @@
 namespace carobshift {
 
 bool OperatorRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
+  if (const auto zone = dialect_.EvacuatedZone(record.key)) {
+    SetEvacuated(*zone, record.value.has_value(), now);
+    return true;
+  }
   if (!record.value)
     return true;
   Result<OperatorRecord> decoded =
@@ -28,6 +32,30 @@
   return true;
 }
 
+void OperatorRecords::OnSnapshot(const std::vector<std::string>& present,
+                                 MonotonicTime now) {
+  snapshot_read_ = true;
+  std::set<ZoneName> evacuated;
+  for (const std::string& key : present) {
+    if (auto zone = dialect_.EvacuatedZone(key))
+      evacuated.insert(std::move(*zone));
+  }
+  for (const ZoneName& zone : evacuations_.Missing(evacuated))
+    SetEvacuated(zone, false, now);
+}
+
+void OperatorRecords::SetEvacuated(const ZoneName& zone,
+                                   bool evacuated,
+                                   MonotonicTime now) {
+  if (!evacuations_.Set(zone, evacuated, now))
+    return;
+  LogEvent(LogLevel::kWarning, "zone_evacuation",
+           {{"availability_zone", zone.value()},
+            {"evacuated", evacuated},
+            {"zones_evacuated", evacuations_.all().size()}});
+  listener_.on_evacuation(zone, evacuated);
+}
+
 void OperatorRecords::Apply(ServingConfig config, LogOffset offset) {
   if (config_ != nullptr && config.number <= config_->config().number)
     return;
@@ -62,7 +90,7 @@
     const Result<EndpointRecord> decoded =
         dialect_.DecodeEndpointRecord(record.key, *record.value);
     if (decoded.ok()) {
-      registry_.Put(decoded.value(), now);
+      Put(decoded.value(), now);
     } else {
       LogEvent(LogLevel::kWarning, "endpoint_record_unreadable",
                {{"endpoint", record.key}, {"reason", decoded.error().message}});
@@ -86,6 +114,17 @@
   return true;
 }
 
+void EndpointRecords::Put(const EndpointRecord& endpoint, MonotonicTime now) {
+  registry_.Put(endpoint, now);
+  if (endpoint.bad_cold_time) {
+    LogEvent(LogLevel::kWarning, "endpoint_cold_time_unreadable",
+             {{"endpoint", endpoint.id.value()}});
+  }
+  // Also for a record that changes nothing else: its time counts from now.
+  if (endpoint.cold_remaining > Milliseconds(0))
+    listener_.on_cold_endpoint(endpoint);
+}
+
 void EndpointRecords::OnSnapshot(const std::vector<std::string>& present,
                                  MonotonicTime now) {
   const std::set<std::string> listed(present.begin(), present.end());
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -1,7 +1,7 @@
 // Applies the log records of the operator and of the endpoints to the
 // configuration and to the endpoint registry.
 //
-//   OperatorRecords operators(dialects.log, listener);
+//   OperatorRecords operators(dialects.log, evacuations, listener);
 //   KeyedFollower follower(..., operators);
 //   EndpointRecords endpoints(dialects.log, registry, listener);
 
@@ -18,6 +18,7 @@
 #include "carobshift/gateway/endpoint_registry.h"
 #include "carobshift/gateway/keyed_follower.h"
 #include "carobshift/gateway/serving_config.h"
+#include "carobshift/gateway/zone_evacuations.h"
 
 namespace carobshift {
 
@@ -36,11 +37,15 @@
   std::function<void(std::shared_ptr<const ServingConfigSnapshot>)> on_config;
   std::function<void(const NamedWeights&, NamingAge)> on_weights;
   std::function<void()> on_endpoints;
+  // The evacuation of a zone has begun or ended.
+  std::function<void(const ZoneName&, bool evacuated)> on_evacuation;
+  // An endpoint's record has arrived that states that the endpoint is cold.
+  std::function<void(const EndpointRecord&)> on_cold_endpoint;
 };
 
-// Applies configurations and named weights. Ignores a configuration whose
-// number isn't higher than the one in force, so that a configuration is never
-// reverted.
+// Applies configurations, named weights and evacuations. Ignores a
+// configuration whose number isn't higher than the one in force, so that a
+// configuration is never reverted.
 class OperatorRecords : public KeyedFollowerSink {
  public:
   // Time after an outage or a process pause in which records written meanwhile
@@ -48,13 +53,13 @@
   static constexpr Milliseconds kCatchUpTime{2000};
 
   OperatorRecords(const LogDialect& dialect,
+                  ZoneEvacuations& evacuations,
                   const GatewayStateListener& listener)
-      : dialect_(dialect), listener_(listener) {}
+      : dialect_(dialect), evacuations_(evacuations), listener_(listener) {}
 
   bool OnRecord(const KeyedRecord& record, MonotonicTime now) override;
-  void OnSnapshot(const std::vector<std::string>&, MonotonicTime) override {
-    snapshot_read_ = true;
-  }
+  void OnSnapshot(const std::vector<std::string>& present,
+                  MonotonicTime now) override;
   void OnLogLost(std::string_view reason) override;
   void OnLogRecovered(Milliseconds away, MonotonicTime now) override;
   // This process was suspended or delayed until `now`.
@@ -68,9 +73,11 @@
   }
 
  private:
+  void SetEvacuated(const ZoneName& zone, bool evacuated, MonotonicTime now);
   void Apply(ServingConfig config, LogOffset offset);
 
   const LogDialect& dialect_;
+  ZoneEvacuations& evacuations_;
   const GatewayStateListener& listener_;
   std::shared_ptr<const ServingConfigSnapshot> config_;
   // True if a record that arrives at `now` has just been written.
@@ -105,6 +112,7 @@
   void Expire(MonotonicTime now);
 
  private:
+  void Put(const EndpointRecord& endpoint, MonotonicTime now);
   // Removes an entry. The time at which it takes effect depends on when the log
   // last recovered. Returns true if the registry changed.
   bool Remove(const EndpointId& id, MonotonicTime now);
--- a/carobshift/gateway/gateway_state_test.cc
+++ b/carobshift/gateway/gateway_state_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "carobshift/gateway/stub_dialects.h"
 
@@ -40,6 +42,8 @@
       .on_config = [](auto) {},
       .on_weights = [](const auto&, NamingAge) {},
       .on_endpoints = [] {},
+      .on_evacuation = [](const auto&, bool) {},
+      .on_cold_endpoint = [](const auto&) {},
   };
   EndpointRegistry registry;
   EndpointRecords records{dialect, registry, listener};
@@ -80,5 +84,67 @@
   CHECK(fixture.Knows("e2", end));
 }
 
+class EvacuationDialect : public StubLogDialect {
+ public:
+  [[nodiscard]] std::optional<ZoneName> EvacuatedZone(
+      std::string_view key) const override {
+    if (!key.starts_with("evacuate/"))
+      return std::nullopt;
+    return ZoneName(std::string(key.substr(9)));
+  }
+};
+
+struct EvacuationFixture {
+  void Write(const std::string& key) {
+    records.OnRecord({.key = key, .value = "{}", .offset = LogOffset(1)},
+                     kStart);
+  }
+  void Remove(const std::string& key) {
+    records.OnRecord(
+        {.key = key, .value = std::nullopt, .offset = LogOffset(2)}, kStart);
+  }
+
+  EvacuationDialect dialect;
+  std::vector<std::pair<ZoneName, bool>> changes;
+  GatewayStateListener listener{
+      .on_config = [](auto) {},
+      .on_weights = [](const auto&, NamingAge) {},
+      .on_endpoints = [] {},
+      .on_evacuation =
+          [this](const auto& zone, bool evacuated) {
+            changes.emplace_back(zone, evacuated);
+          },
+      .on_cold_endpoint = [](const auto&) {},
+  };
+  ZoneEvacuations evacuations;
+  OperatorRecords records{dialect, evacuations, listener};
+};
+
+TEST_CASE("an evacuation lasts from its record to the record's removal") {
+  EvacuationFixture fixture;
+  fixture.Write("evacuate/a");
+  fixture.Write("evacuate/a");
+  fixture.Write("evacuate/b");
+  CHECK(fixture.evacuations.all().size() == 2);
+  fixture.Remove("evacuate/a");
+  fixture.Remove("evacuate/c");
+  CHECK_FALSE(fixture.evacuations.Contains(ZoneName("a")));
+  CHECK(fixture.changes ==
+        std::vector<std::pair<ZoneName, bool>>{{ZoneName("a"), true},
+                                               {ZoneName("b"), true},
+                                               {ZoneName("a"), false}});
+}
+
+// Guards against a zone that stays evacuated since the log dropped the record
+// of the end before this instance read it.
+TEST_CASE("an evacuation whose record is not in the snapshot has ended") {
+  EvacuationFixture fixture;
+  fixture.Write("evacuate/a");
+  fixture.Write("evacuate/b");
+  fixture.records.OnSnapshot({"config", "evacuate/b"}, kStart);
+  CHECK_FALSE(fixture.evacuations.Contains(ZoneName("a")));
+  CHECK(fixture.evacuations.Contains(ZoneName("b")));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/obsolete_part_selector.cc
+++ b/carobshift/gateway/obsolete_part_selector.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "carobshift/gateway/attempt_planner.h"
-
 namespace carobshift {
 namespace {
 
@@ -30,8 +28,9 @@
 
 }  // namespace
 
-std::set<std::string> ObsoleteScopes(const std::vector<ScopedEngine>& engines,
-                                     const std::vector<AccountId>& isolated) {
+std::set<std::string> ObsoleteScopes(
+    const std::vector<ScopedEngine>& engines,
+    const std::vector<CacheAudience>& audiences) {
   std::set<std::string> scopes;
   for (const auto& [model, oldest] : OldestWeights(engines)) {
     if (!oldest)
@@ -40,9 +39,9 @@
     const std::uint64_t begin = end > kVersionsBack ? end - kVersionsBack : 0;
     for (std::uint64_t number = begin; number < end; ++number) {
       const WeightNumber weights(number);
-      scopes.insert(CacheScope(model, weights, std::nullopt));
-      for (const AccountId& account : isolated)
-        scopes.insert(CacheScope(model, weights, account));
+      scopes.insert(CacheScope(model, weights, {}));
+      for (const CacheAudience& audience : audiences)
+        scopes.insert(CacheScope(model, weights, audience));
     }
   }
   return scopes;
--- a/carobshift/gateway/obsolete_part_selector.h
+++ b/carobshift/gateway/obsolete_part_selector.h
@@ -37,6 +37,7 @@
 #include <vector>
 
 #include "carobshift/gateway/cache_contents.h"
+#include "carobshift/gateway/cache_scope.h"
 
 namespace carobshift {
 
@@ -47,10 +48,11 @@
 };
 
 // Returns the scopes of weights older than those of every engine of their
-// model. `isolated` are the accounts that have their own scopes.
+// model, for `audiences` and for requests that are bound to no account or
+// region.
 [[nodiscard]] std::set<std::string> ObsoleteScopes(
     const std::vector<ScopedEngine>& engines,
-    const std::vector<AccountId>& isolated);
+    const std::vector<CacheAudience>& audiences);
 
 // Parts of one store to free by one call, valid only for this epoch of the
 // store.
--- a/carobshift/gateway/obsolete_part_selector_test.cc
+++ b/carobshift/gateway/obsolete_part_selector_test.cc
@@ -15,7 +15,7 @@
 const CacheHolder kStore("store");
 
 std::string Scope(std::uint64_t weights) {
-  return CacheScope(kModel, WeightNumber(weights), std::nullopt);
+  return CacheScope(kModel, WeightNumber(weights), {});
 }
 
 std::vector<ScopedEngine> Engines(std::vector<std::uint64_t> weights) {
@@ -115,10 +115,11 @@
 
 TEST_CASE("an isolated account's parts become obsolete like the others") {
   const AccountId walled("walled");
-  const auto scopes = ObsoleteScopes(Engines({2}), {walled});
+  const auto scopes = ObsoleteScopes(Engines({2}), {{walled, {}}});
   CHECK(scopes.contains(Scope(1)));
-  CHECK(scopes.contains(CacheScope(kModel, WeightNumber(1), walled)));
-  CHECK_FALSE(scopes.contains(CacheScope(kModel, WeightNumber(2), walled)));
+  CHECK(scopes.contains(CacheScope(kModel, WeightNumber(1), {walled, {}})));
+  CHECK_FALSE(
+      scopes.contains(CacheScope(kModel, WeightNumber(2), {walled, {}})));
 }
 
 TEST_CASE("a model's weights say nothing of another model's") {
--- a/carobshift/gateway/peer_datagrams.h
+++ b/carobshift/gateway/peer_datagrams.h
@@ -34,6 +34,7 @@
   kLoadQuery = 4,
   kLoadAnswer = 5,
   kLimitUpdate = 6,
+  kColdStartUpdate = 7,
 };
 
 struct PeerDatagram {
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -30,6 +30,8 @@
                                EndpointRegistry& registry,
                                CacheContents& contents,
                                const WeightDeadlines& deadlines,
+                               const ZoneEvacuations& evacuations,
+                               const ZoneRegions& regions,
                                Metrics& metrics,
                                const RequestServiceOptions& options)
     : loop_(loop),
@@ -39,7 +41,15 @@
       deadlines_(deadlines),
       metrics_(metrics),
       options_(options),
-      planner_(registry, health_, limits_, loads_, sizes_, contents, deadlines),
+      cold_starts_(options.cold_start),
+      eligibility_(evacuations, regions, limits_, cold_starts_),
+      planner_(registry,
+               health_,
+               eligibility_,
+               loads_,
+               sizes_,
+               contents,
+               deadlines),
       allowance_(options.retries) {
   planner_.SetConnectionCheck([this](const NetAddress& address) {
     return client_.HasFreeConnection(address);
@@ -73,6 +83,7 @@
     std::shared_ptr<const ServingConfigSnapshot> config) {
   config_ = std::move(config);
   planner_.SetConfig(config_->config());
+  cold_starts_.SetConfig(config_->config());
   std::unordered_set<std::string> routes;
   for (const Route& route : config_->config().routes)
     routes.insert(route.name);
@@ -100,6 +111,7 @@
     health_.Remove(id);
     planner_.DropReportedWeights(id);
     limits_.Remove(id);
+    cold_starts_.Remove(id);
   }
   addresses_ = std::move(now_known);
   SetConnectionLimits();
@@ -279,6 +291,7 @@
   running.not_run = false;
   health_.OnStart(plan->endpoint.id);
   limits_.OnSend(EndpointIncarnation::Of(plan->endpoint), loop_.now());
+  cold_starts_.OnSend(plan->endpoint, loop_.now());
   running.prefill_tokens = plan->prefill_tokens;
   loads_.OnStart(plan->endpoint.id, running.footprint, running.prefill_tokens);
   HttpCallOptions options;
@@ -299,8 +312,40 @@
   const MonotonicTime now = loop_.now();
   if (planner_.OnlyOverdueWeights(setup, now))
     return AttemptError::kWeightsReplaced;
-  return planner_.OnlyRateLimited(setup, now) ? AttemptError::kOverloaded
-                                              : AttemptError::kNoEndpoint;
+  switch (planner_.ObstacleTo(setup, now)) {
+    case SendObstacle::kRateUsedUp:
+      return AttemptError::kOverloaded;
+    case SendObstacle::kZoneEvacuated:
+      return AttemptError::kZoneEvacuated;
+    case SendObstacle::kRegionNotAllowed:
+      return AttemptError::kRegionNotAllowed;
+    case SendObstacle::kNone:
+    case SendObstacle::kNotServing:
+      break;
+  }
+  return AttemptError::kNoEndpoint;
+}
+
+void RequestService::OnColdEndpoint(const EndpointRecord& endpoint) {
+  if (!cold_starts_.OnStatement(endpoint, endpoint.cold_remaining, loop_.now()))
+    return;
+  LogEvent(LogLevel::kInfo, "endpoint_cold",
+           {{"endpoint", endpoint.id.value()},
+            {"remaining_ms", endpoint.cold_remaining.count()}});
+}
+
+void RequestService::OnEvacuationEnd(const ZoneName& zone) {
+  int cold = 0;
+  for (const auto& [id, record] : registry_.all()) {
+    if (record.zone != zone)
+      continue;
+    cold += cold_starts_.OnStatement(
+                record, cold_starts_.ColdTimeOf(record.service), loop_.now())
+                ? 1
+                : 0;
+  }
+  LogEvent(LogLevel::kInfo, "zone_cold",
+           {{"availability_zone", zone.value()}, {"endpoints", cold}});
 }
 
 void RequestService::EndAttempt(Exchange& exchange) {
@@ -371,6 +416,7 @@
                            loop_.now() - running.attempt_began);
   }
   NoteLimit(running, facts);
+  NoteColdTime(running, facts);
   const EndpointId& endpoint = running.endpoint;
   const auto& prompt = exchange.request().prompt;
   if (facts.weights && prompt)
@@ -407,6 +453,23 @@
             {"per_second", facts.rate_limit.value_or(RequestRate(0)).value()}});
 }
 
+void RequestService::NoteColdTime(const Running& running,
+                                  const ReplyMetadata& facts) {
+  if (facts.misdirected)
+    return;
+  if (facts.bad_cold_time) {
+    LogEvent(LogLevel::kWarning, "endpoint_cold_time_unreadable",
+             {{"endpoint", running.endpoint.value()}});
+    return;
+  }
+  const EndpointRecord* const record = registry_.Find(running.endpoint);
+  if (!facts.cold_remaining || record == nullptr ||
+      record->start_time != running.start_time)
+    return;
+  if (on_cold_statement_)
+    on_cold_statement_(*record, *facts.cold_remaining);
+}
+
 RequestFingerprint RequestService::FingerprintOfExchange(
     const Exchange& exchange) {
   const ExchangeSetup& setup = exchange.setup();
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -21,8 +21,10 @@
 
 #include "carobshift/gateway/attempt_planner.h"
 #include "carobshift/gateway/cache_contents.h"
+#include "carobshift/gateway/cold_start_limits.h"
 #include "carobshift/gateway/crash_record.h"
 #include "carobshift/gateway/dialect.h"
+#include "carobshift/gateway/endpoint_eligibility.h"
 #include "carobshift/gateway/endpoint_health.h"
 #include "carobshift/gateway/endpoint_registry.h"
 #include "carobshift/gateway/exchange_run.h"
@@ -34,6 +36,8 @@
 #include "carobshift/gateway/request_report.h"
 #include "carobshift/gateway/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
+#include "carobshift/gateway/zone_evacuations.h"
+#include "carobshift/gateway/zone_regions.h"
 #include "carobshift/net/http_server_connection.h"
 #include "carobshift/telemetry/metrics.h"
 
@@ -41,6 +45,7 @@
 
 struct RequestServiceOptions {
   RetryLimits retries;
+  ColdStartOptions cold_start;
   // Connecting to an endpoint takes a round trip of a few milliseconds. If it
   // takes longer than this, the connection attempt was lost or the endpoint is
   // unreachable.
@@ -62,6 +67,8 @@
                  EndpointRegistry& registry,
                  CacheContents& contents,
                  const WeightDeadlines& deadlines,
+                 const ZoneEvacuations& evacuations,
+                 const ZoneRegions& regions,
                  Metrics& metrics,
                  const RequestServiceOptions& options);
   ~RequestService() override;
@@ -81,6 +88,18 @@
   void OnPeerCrashReport(const CrashReport& crash) {
     crashes_.OnBroken(crash.fingerprint, crash.run, loop_.now());
   }
+  // Called with each cold time that an endpoint states in an answer, to
+  // announce it to the other instances.
+  using OnColdStatement =
+      std::function<void(const EndpointRecord&, Milliseconds remaining)>;
+  void SetOnColdStatement(OnColdStatement on_cold_statement) {
+    on_cold_statement_ = std::move(on_cold_statement);
+  }
+  // An endpoint's record states that the endpoint is cold.
+  void OnColdEndpoint(const EndpointRecord& endpoint);
+  // The evacuation of a zone has ended. Its endpoints may have become cold
+  // without a statement that has arrived here.
+  void OnEvacuationEnd(const ZoneName& zone);
   // Sets the source of load reports that are requested before a prompt is
   // placed. Without it, no reports are requested.
   void SetLoadQueryService(LoadQueryService* load_query_service) {
@@ -92,6 +111,10 @@
   void OnTick();
   [[nodiscard]] LoadTracker& loads() { return loads_; }
   [[nodiscard]] RateLimits& limits() { return limits_; }
+  [[nodiscard]] ColdStartLimits& cold_starts() { return cold_starts_; }
+  [[nodiscard]] const ColdStartLimits& cold_starts() const {
+    return cold_starts_;
+  }
 
   // Tells callers to connect elsewhere; requests in progress continue.
   void BeginStop();
@@ -170,6 +193,8 @@
   // Returns why the planner found no endpoint.
   [[nodiscard]] AttemptError ClassifyPlanFailure(
       const ExchangeSetup& setup) const;
+  // Records the endpoint's cold time as given in the reply to the attempt.
+  void NoteColdTime(const Running& running, const ReplyMetadata& facts);
   // Records the endpoint's rate limit as given in the reply to the attempt.
   void NoteLimit(const Running& running, const ReplyMetadata& facts);
   void EndAttempt(Exchange& exchange);
@@ -198,11 +223,14 @@
   RequestServiceOptions options_;
   EndpointHealthTable health_;
   RateLimits limits_;
+  ColdStartLimits cold_starts_;
+  EndpointEligibility eligibility_;
   LoadTracker loads_;
   PromptSizes sizes_;
   OverloadGuard overload_;
   CrashRecord crashes_;
   OnCrash on_crash_;
+  OnColdStatement on_cold_statement_;
   AttemptPlanner planner_;
   RetryAllowance allowance_;
   LoadQueryService* load_query_service_ = nullptr;
--- a/carobshift/gateway/serving_config.h
+++ b/carobshift/gateway/serving_config.h
@@ -58,6 +58,9 @@
   int priority = 0;
   // Maximum number of endpoints to which one request may be sent.
   int max_attempts = 1;
+  // Regions in which requests may be served and their KV cache kept; empty if
+  // all are allowed.
+  std::vector<RegionName> allowed_regions;
 
   // Returns whether the request may be sent again after it may have run.
   [[nodiscard]] bool MayRunAgain() const { return idempotent || resumable; }
@@ -84,11 +87,21 @@
   int event_readers = 0;
 };
 
+// How a service's endpoints bear requests just after their start.
+struct ColdStartTraits {
+  // How long an endpoint is cold after its start; zero if it never is.
+  Milliseconds duration{0};
+  // Requests that a cold endpoint bears in a second, from all instances
+  // together.
+  double requests_per_second = 0;
+};
+
 struct DeclaredService {
   ServiceName name;
   std::string health_path;
   // Open connections an endpoint accepts, from all callers together.
   int connection_limit = 0;
+  ColdStartTraits cold_start;
   std::optional<EngineTraits> engine;
   std::optional<StoreTraits> store;
 };
@@ -99,6 +112,8 @@
   std::optional<int> priority;
   // True if the account shares no cached prompt parts with other accounts.
   bool isolated = false;
+  // As for a route. If both list regions, only those in both lists are allowed.
+  std::vector<RegionName> allowed_regions;
 };
 
 // Limits on what callers may send and how long they may take.
--- a/carobshift/gateway/store_reclaimer.cc
+++ b/carobshift/gateway/store_reclaimer.cc
@@ -31,15 +31,6 @@
   return engines;
 }
 
-std::vector<AccountId> StoreReclaimer::IsolatedAccounts() const {
-  std::vector<AccountId> isolated;
-  for (const Account& account : config_->config().accounts) {
-    if (account.isolated)
-      isolated.push_back(account.name);
-  }
-  return isolated;
-}
-
 void StoreReclaimer::OnTick(bool frees_parts,
                             const std::optional<MonotonicTime>& list_refreshed,
                             const WeightsOf& weights_of,
@@ -50,7 +41,7 @@
   // Updated on every instance, so that the next first instance knows since when
   // each scope has been obsolete.
   part_selector_.SetObsolete(
-      ObsoleteScopes(Engines(weights_of), IsolatedAccounts()), now);
+      ObsoleteScopes(Engines(weights_of), AudiencesOf(config_->config())), now);
   if (!frees_parts)
     return;
   std::vector<CacheHolder> stores;
--- a/carobshift/gateway/store_reclaimer.h
+++ b/carobshift/gateway/store_reclaimer.h
@@ -55,7 +55,6 @@
  private:
   [[nodiscard]] std::vector<ScopedEngine> Engines(
       const WeightsOf& weights_of) const;
-  [[nodiscard]] std::vector<AccountId> IsolatedAccounts() const;
   void Send(const FreeOrder& order, const NetAddress& address);
 
   EventLoop& loop_;
--- a/carobshift/gateway/store_reclaimer_test.cc
+++ b/carobshift/gateway/store_reclaimer_test.cc
@@ -124,8 +124,9 @@
              const std::string& part,
              const std::optional<AccountId>& account = std::nullopt,
              const ModelName& model = kModel) {
-    Report(holder, {{true, CacheScope(model, WeightNumber(weights), account),
-                     part, kPartTokens}});
+    Report(holder,
+           {{true, CacheScope(model, WeightNumber(weights), {account, {}}),
+             part, kPartTokens}});
   }
   void Report(const CacheHolder& holder, std::vector<StoreEvent> events) {
     StoreEvents reported;
--- a/carobshift/gateway/stub_dialects.h
+++ b/carobshift/gateway/stub_dialects.h
@@ -99,6 +99,10 @@
       std::string_view) const override {
     return Unsupported();
   }
+  [[nodiscard]] std::optional<ZoneName> EvacuatedZone(
+      std::string_view) const override {
+    return std::nullopt;
+  }
   [[nodiscard]] Result<EndpointRecord> DecodeEndpointRecord(
       const std::string&,
       std::string_view) const override {
