--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -17,6 +17,7 @@
 #include "carobshift/gateway/query_service.h"
 #include "carobshift/gateway/record_listener.h"
 #include "carobshift/gateway/request_service.h"
+#include "carobshift/gateway/state_dump.h"
 #include "carobshift/gateway/store_reclaimer.h"
 #include "carobshift/gateway/weight_rollout_controller.h"
 #include "carobshift/net/tcp_listener.h"
@@ -378,45 +379,17 @@
 }
 
 std::string Gateway::Impl::StateDumpText() const {
-  const auto millis = [](auto time) {
-    return std::chrono::duration_cast<Milliseconds>(time).count();
-  };
-  const auto cold_until = requests.cold_starts().ColdUntil(loop.now());
-  nlohmann::json evacuated = nlohmann::json::array();
-  for (const auto& [zone, begun] : evacuations.all()) {
-    evacuated.push_back({{"availability_zone", zone.value()},
-                         {"age_ms", millis(loop.now() - begun)}});
-  }
-  nlohmann::json endpoints = nlohmann::json::array();
-  for (const auto& [id, record] : registry.all()) {
-    const auto cold = cold_until.find(id);
-    nlohmann::json weights = nlohmann::json::object();
-    for (const auto& [model, number] : record.weights)
-      weights[model.value()] = number.value();
-    endpoints.push_back(
-        {{"id", id.value()},
-         {"service", record.service.value()},
-         {"address", record.address.ToString()},
-         {"availability_zone", record.zone.value()},
-         {"leaving", record.leaving},
-         {"cold_ms",
-          cold == cold_until.end() ? 0 : millis(cold->second - loop.now())},
-         {"weights", weights}});
-  }
-  nlohmann::json members = nlohmann::json::array();
-  for (const MemberInfo& member : cluster.Live())
-    members.push_back(member.id.value());
   const auto& config = operator_records.config();
-  return nlohmann::json{
-      {"config", config == nullptr ? 0 : config->config().number.value()},
-      {"registry", registry.revision()},
-      {"endpoints", endpoints},
-      {"evacuated_zones", evacuated},
-      {"members", members},
-      {"open_requests", requests.open_requests()},
-      {"lease_holder", rollout_controller.IsHolder()},
-      {"stopping", stop_began.has_value()}}
-      .dump();
+  return EncodeStateDump(
+      {.config = config == nullptr ? nullptr : &config->config(),
+       .registry = registry,
+       .evacuations = evacuations,
+       .cold_starts = requests.cold_starts(),
+       .members = cluster.Live(),
+       .open_requests = requests.open_requests(),
+       .lease_holder = rollout_controller.IsHolder(),
+       .stopping = stop_began.has_value()},
+      loop.now());
 }
 
 // The instance becomes unready and leaves the address answers at once. It
--- /dev/null
+++ b/carobshift/gateway/state_dump.cc
@@ -0,0 +1,62 @@
+#include "carobshift/gateway/state_dump.h"
+
+#include <nlohmann/json.hpp>
+
+namespace carobshift {
+namespace {
+
+using nlohmann::json;
+
+std::int64_t MillisecondsOf(Microseconds time) {
+  return std::chrono::duration_cast<Milliseconds>(time).count();
+}
+
+json Endpoints(const StateDumpView& view, MonotonicTime now) {
+  const auto cold_until = view.cold_starts.ColdUntil(now);
+  json endpoints = json::array();
+  for (const auto& [id, record] : view.registry.all()) {
+    json weights = json::object();
+    for (const auto& [model, number] : record.weights)
+      weights[model.value()] = number.value();
+    const auto cold = cold_until.find(id);
+    const std::int64_t cold_time =
+        cold == cold_until.end() ? 0 : MillisecondsOf(cold->second - now);
+    endpoints.push_back({{"id", id.value()},
+                         {"service", record.service.value()},
+                         {"address", record.address.ToString()},
+                         {"availability_zone", record.zone.value()},
+                         {"leaving", record.leaving},
+                         {"cold_ms", cold_time},
+                         {"weights", weights}});
+  }
+  return endpoints;
+}
+
+json EvacuatedZones(const ZoneEvacuations& evacuations, MonotonicTime now) {
+  json zones = json::array();
+  for (const auto& [zone, begun] : evacuations.all()) {
+    zones.push_back({{"availability_zone", zone.value()},
+                     {"age_ms", MillisecondsOf(now - begun)}});
+  }
+  return zones;
+}
+
+}  // namespace
+
+std::string EncodeStateDump(const StateDumpView& view, MonotonicTime now) {
+  json members = json::array();
+  for (const MemberInfo& member : view.members)
+    members.push_back(member.id.value());
+  return json{
+      {"config", view.config == nullptr ? 0 : view.config->number.value()},
+      {"registry", view.registry.revision()},
+      {"endpoints", Endpoints(view, now)},
+      {"evacuated_zones", EvacuatedZones(view.evacuations, now)},
+      {"members", members},
+      {"open_requests", view.open_requests},
+      {"lease_holder", view.lease_holder},
+      {"stopping", view.stopping}}
+      .dump();
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/state_dump.h
@@ -0,0 +1,38 @@
+// Encodes what an instance knows as JSON, for operators who look into it.
+//
+//   const std::string text = EncodeStateDump(view, loop.now());
+
+#ifndef CAROBSHIFT_GATEWAY_STATE_DUMP_H_
+#define CAROBSHIFT_GATEWAY_STATE_DUMP_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "carobshift/gateway/cold_start_limits.h"
+#include "carobshift/gateway/endpoint_registry.h"
+#include "carobshift/gateway/serving_config.h"
+#include "carobshift/gateway/zone_evacuations.h"
+#include "carobshift/membership/member.h"
+
+namespace carobshift {
+
+// Refers to the tables of one instance, which must outlive it.
+struct StateDumpView {
+  // Null before the first configuration.
+  const ServingConfig* config = nullptr;
+  const EndpointRegistry& registry;
+  const ZoneEvacuations& evacuations;
+  const ColdStartLimits& cold_starts;
+  const std::vector<MemberInfo>& members;
+  std::size_t open_requests = 0;
+  bool lease_holder = false;
+  bool stopping = false;
+};
+
+[[nodiscard]] std::string EncodeStateDump(const StateDumpView& view,
+                                          MonotonicTime now);
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_STATE_DUMP_H_
--- /dev/null
+++ b/carobshift/gateway/state_dump_test.cc
@@ -0,0 +1,40 @@
+#include "carobshift/gateway/state_dump.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace carobshift {
+namespace {
+
+TEST_CASE("the state dump shows evacuated zones and cold endpoints") {
+  const MonotonicTime now{Seconds(100)};
+  EndpointRegistry registry;
+  EndpointRecord record;
+  record.id = EndpointId("e1");
+  record.zone = ZoneName("a");
+  record.weights[ModelName("m")] = WeightNumber(2);
+  registry.Put(record, now);
+  ZoneEvacuations evacuations;
+  evacuations.Set(ZoneName("b"), true, now);
+  ColdStartLimits cold_starts{{}};
+  cold_starts.OnStatement(record, Milliseconds(3000), now);
+  const std::vector<MemberInfo> members(2);
+  const auto dump =
+      nlohmann::json::parse(EncodeStateDump({.registry = registry,
+                                             .evacuations = evacuations,
+                                             .cold_starts = cold_starts,
+                                             .members = members},
+                                            now + Milliseconds(500)));
+  CHECK(dump["config"] == 0);
+  CHECK(dump["members"].size() == 2);
+  const auto& endpoint = dump["endpoints"][0];
+  CHECK(endpoint["availability_zone"] == "a");
+  CHECK(endpoint["cold_ms"] == 2500);
+  CHECK(endpoint["weights"]["m"] == 2);
+  const auto& zone = dump["evacuated_zones"][0];
+  CHECK(zone["availability_zone"] == "b");
+  CHECK(zone["age_ms"] == 500);
+}
+
+}  // namespace
+}  // namespace carobshift
