--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -12,6 +12,7 @@
 #include "carobshift/gateway/limit_sharing.h"
 #include "carobshift/gateway/load_query_service.h"
 #include "carobshift/gateway/load_sharing.h"
+#include "carobshift/gateway/member_discovery.h"
 #include "carobshift/gateway/peer_choice.h"
 #include "carobshift/gateway/peer_sync.h"
 #include "carobshift/gateway/query_service.h"
@@ -95,6 +96,8 @@
   // seconds.
   void OnEndpoints();
   void OnEvacuation(const ZoneName& zone, bool evacuated);
+  void OnMembers();
+  // Does nothing before the other instances are known.
   void WatchCaches();
   void OnConfig(std::shared_ptr<const ServingConfigSnapshot> config);
   void BeginStop();
@@ -183,6 +186,8 @@
     return loop.now() - last_tick > kPauseThreshold;
   }
 
+  MemberDiscovery discovery;
+  bool members_settled = false;
   bool endpoints_changed = false;
   MonotonicTime last_tick = loop.now();
   MonotonicTime next_sweep{};
@@ -258,6 +263,7 @@
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
   FlushLogOutput();
   cluster.OnTick();
+  OnMembers();
   requests.SetLiveInstances(
       std::max<int>(1, static_cast<int>(cluster.Live().size())));
   requests.SetDraining(
@@ -301,6 +307,13 @@
   });
 }
 
+void Gateway::Impl::OnMembers() {
+  discovery.OnMembers(cluster.Live().size(), loop.now());
+  if (!std::exchange(members_settled, discovery.IsSettled(loop.now())) &&
+      members_settled)
+    WatchCaches();
+}
+
 void Gateway::Impl::OnEvacuation(const ZoneName& zone, bool evacuated) {
   if (!evacuated) {
     requests.OnEvacuationEnd(zone);
@@ -318,7 +331,7 @@
 
 void Gateway::Impl::WatchCaches() {
   const auto& config = operator_records.config();
-  if (config == nullptr)
+  if (config == nullptr || !discovery.IsSettled(loop.now()))
     return;
   std::vector<EntryId> live;
   for (const MemberInfo& member : cluster.Live())
