--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -6,14 +6,12 @@
 
 #include "carobshift/base/digest.h"
 #include "carobshift/gateway/failure_reply.h"
+#include "carobshift/gateway/request_resolver.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 // By this time the instance, or another one, is expected to be ready.
 constexpr Milliseconds kRetryAfterWithoutConfig{300};
@@ -145,40 +143,25 @@
     HttpServerRequest received) {
   Result<CallerRequest> decoded = dialect_.DecodeRequest(received.head);
   if (!decoded.ok()) {
-    Reject(*connection, RequestId(), kBadRequest, decoded.error().code,
-           RunState::kNotRun);
+    Reject(*connection, RequestId(), decoded.error().code);
     return;
   }
   CallerRequest& request = decoded.value();
   request.body = std::move(received.body);
-  if (config_ == nullptr) {
-    Reject(*connection, request.id, kUnavailable, ResultCode::kNoConfig,
-           RunState::kNotRun);
-    return;
-  }
-  const Route* const route =
-      config_->routes().Find(request.host, request.target);
-  if (route == nullptr) {
-    Reject(*connection, request.id, kNotFound, ResultCode::kUnknownRoute,
-           RunState::kNotRun);
-    return;
-  }
-  const Account* account = nullptr;
-  if (!config_->config().accounts.empty() && !request.key.empty())
-    account = config_->AccountOfKey(request.key);
-  if (account == nullptr && !route->anonymous &&
-      !config_->config().accounts.empty()) {
-    Reject(*connection, request.id, kUnauthorized, ResultCode::kUnauthenticated,
-           RunState::kNotRun);
+  const Result<ResolvedRequest> resolved =
+      ResolveRequest(config_.get(), request);
+  if (!resolved.ok()) {
+    Reject(*connection, request.id, resolved.error().code);
     return;
   }
+  const Route* const route = resolved.value().route;
   const ServiceName service =
       ChooseService(*route, FastHash(request.id.value()));
   allowance_.OnRequest(service, loop_.now());
   ExchangeSetup setup{.request = std::move(request),
                       .config = config_,
                       .route = route,
-                      .account = account,
+                      .account = resolved.value().account,
                       .service = service,
                       .arrived = loop_.now()};
   AttemptRunner& attempt_runner = *this;
@@ -221,9 +204,8 @@
 
 void RequestService::Reject(HttpServerConnection& connection,
                             const RequestId& id,
-                            int status,
-                            ResultCode code,
-                            RunState run_state) {
+                            ResultCode code) {
+  const int status = HttpStatusOf(code);
   metrics_.Add("carobshift_rejected_total", {{"code", ResultCodeName(code)}},
                1);
   LogEvent(
@@ -235,8 +217,9 @@
   std::optional<Milliseconds> retry_after;
   if (status == kUnavailable)
     retry_after = kRetryAfterWithoutConfig;
-  connection.SendCompleteReply(FailureHead(status, retry_after),
-                               FailureBody(code, RunStateName(run_state)));
+  connection.SendCompleteReply(
+      FailureHead(status, retry_after),
+      FailureBody(code, RunStateName(RunState::kNotRun)));
 }
 
 void RequestService::OnMalformed(int status) {
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -179,12 +179,10 @@
     std::optional<Milliseconds> retry_after;
   };
 
-  // Answers a request without an exchange.
+  // Answers a request without an exchange. It has not run.
   void Reject(HttpServerConnection& connection,
               const RequestId& id,
-              int status,
-              ResultCode code,
-              RunState run_state);
+              ResultCode code);
   // Starts the exchange; for a prompt, after load reports have been requested.
   void Begin(const std::shared_ptr<ExchangeRun>& run);
   void Report(const Exchange& exchange, const Running& running) const;
