--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -268,21 +268,36 @@
     Place(instance, call, {});
     return;
   }
-  const auto shortlist =
+  const LoadShortlist shortlist =
       instance.planner.Shortlist(call->setup, simulation_.now());
   simulation_.After(2 * kDatagramDelay, [this, &instance, call, shortlist] {
-    for (const EndpointId& id : shortlist) {
-      const std::uint64_t endpoint = FastHash(id.value());
-      instance.loads.OnAggregateLoad(
-          endpoint,
-          AggregatorAt(endpoint).load_aggregator.Others(
-              endpoint, instance.incarnation(), simulation_.now()),
-          simulation_.now());
+    QueryLoads(instance, shortlist.first);
+    if (!options_.queries_twice || shortlist.second.empty() ||
+        !instance.planner.NeedsSecondQuery(call->setup, shortlist.first)) {
+      Place(instance, call, shortlist.first);
+      return;
     }
-    Place(instance, call, shortlist);
+    simulation_.After(2 * kDatagramDelay, [this, &instance, call, shortlist] {
+      QueryLoads(instance, shortlist.second);
+      std::vector<EndpointId> both = shortlist.first;
+      both.insert(both.end(), shortlist.second.begin(), shortlist.second.end());
+      Place(instance, call, both);
+    });
   });
 }
 
+void LoadReplay::QueryLoads(Instance& instance,
+                            const std::vector<EndpointId>& endpoints) {
+  for (const EndpointId& id : endpoints) {
+    const std::uint64_t endpoint = FastHash(id.value());
+    instance.loads.OnAggregateLoad(
+        endpoint,
+        AggregatorAt(endpoint).load_aggregator.Others(
+            endpoint, instance.incarnation(), simulation_.now()),
+        simulation_.now());
+  }
+}
+
 void LoadReplay::Place(Instance& instance,
                        const std::shared_ptr<Call>& call,
                        const std::vector<EndpointId>& shortlist) {
--- a/benchmarks/gateway/load_replay.h
+++ b/benchmarks/gateway/load_replay.h
@@ -53,6 +53,8 @@
   bool relays_cache_events = true;
   bool frees_stores = true;
   bool queries_aggregators = true;
+  // Queries further engines if the first ones have a queue.
+  bool queries_twice = true;
   bool abandons_slow_fetches = true;
 };
 
@@ -130,6 +132,8 @@
                                         const RequestId& request);
   void RecordOutcome(const Call& call, bool served);
   void SendToInstance(const std::shared_ptr<Call>& call);
+  // Copies the aggregated load of `endpoints` to the instance.
+  void QueryLoads(Instance& instance, const std::vector<EndpointId>& endpoints);
   void Serve(Instance& instance, const std::shared_ptr<Call>& call);
   void Place(Instance& instance,
              const std::shared_ptr<Call>& call,
--- a/benchmarks/gateway/load_replay_test.cc
+++ b/benchmarks/gateway/load_replay_test.cc
@@ -296,4 +296,28 @@
   }
 }
 
+// A quarter of the engines is gone, and the others are nearly full. Guards
+// against prompts that are refused or late since the few engines that were
+// queried have a queue, while others have none.
+TEST_CASE("a prompt that finds queues at four engines is offered to others") {
+  for (const std::uint64_t seed : kSeeds) {
+    INFO("seed " << seed);
+    ReplayOptions options = UnequalPrompts(62, 68);
+    options.engine.kv_capacity = 115'000;
+    options.request_classes[0].per_second = 323;
+    options.request_classes[1].per_second = 350;
+    options.request_classes[1].output_tokens = 42;
+    options.queries_twice = false;
+    const ReplayResult once = LoadReplay(options, seed).Run(Seconds(10));
+    options.queries_twice = true;
+    const ReplayResult twice = LoadReplay(options, seed).Run(Seconds(10));
+    Print("queries once", once);
+    Print("queries twice", twice);
+    const RequestClassResult& before = once.request_classes[1];
+    const RequestClassResult& after = twice.request_classes[1];
+    CHECK(after.InTarget() > before.InTarget());
+    CHECK(after.ServedBetween(0, 1) > before.ServedBetween(0, 1));
+  }
+}
+
 }  // namespace carobshift
--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -314,8 +314,8 @@
   return fields;
 }
 
-std::vector<EndpointId> AttemptPlanner::Shortlist(const ExchangeSetup& setup,
-                                                  MonotonicTime now) {
+LoadShortlist AttemptPlanner::Shortlist(const ExchangeSetup& setup,
+                                        MonotonicTime now) {
   struct Ranked {
     double own_cost = 0;
     std::uint64_t hash = 0;
@@ -345,14 +345,28 @@
   std::sort(
       ranked.begin(), ranked.end(),
       [&order](const auto& a, const auto& b) { return order(a) < order(b); });
-  std::vector<EndpointId> shortlist;
+  LoadShortlist shortlist;
   for (const Ranked& one : ranked) {
-    if (shortlist.size() < kShortlistSize)
-      shortlist.push_back(one.id);
+    if (shortlist.first.size() < kShortlistSize)
+      shortlist.first.push_back(one.id);
+    else if (shortlist.second.size() < kShortlistSize)
+      shortlist.second.push_back(one.id);
   }
   return shortlist;
 }
 
+bool AttemptPlanner::NeedsSecondQuery(
+    const ExchangeSetup& setup,
+    std::span<const EndpointId> queried) const {
+  const auto limit = std::chrono::duration_cast<Milliseconds>(
+      setup.route->latency_target * kSecondQueryShare);
+  return std::none_of(
+      queried.begin(), queried.end(), [&](const EndpointId& id) {
+        const EndpointRecord* const record = registry_.Find(id);
+        return record != nullptr && ExpectedWaitAt(setup, *record) <= limit;
+      });
+}
+
 std::optional<AttemptPlanner::Choice> AttemptPlanner::Choose(
     const ExchangeSetup& setup,
     const AttemptParams& wish,
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/attempt_planner.h
@@ -65,6 +65,17 @@
   int save_count = 0;
 };
 
+// The endpoints whose load is queried before a request is placed.
+//
+// Load pattern: a quarter of the engines is gone and the others are four fifths
+// full. For one prompt in five, all four engines that are queried have a queue;
+// it would be refused while engines that weren't queried are idle.
+struct LoadShortlist {
+  std::vector<EndpointId> first;
+  // Queried if the request would have to wait at all of the first ones.
+  std::vector<EndpointId> second;
+};
+
 class AttemptPlanner {
  public:
   // Share of an engine's memory that prompts are placed into. The rest covers
@@ -101,7 +112,9 @@
   // give up after a quarter of it.
   static constexpr Milliseconds kMaxEngineWait{60'000};
 
+  // Number of endpoints in each part of a shortlist.
   static constexpr std::size_t kShortlistSize = 4;
+  static constexpr double kSecondQueryShare = 0.25;
   // In tokens to prefill. Smaller differences in cost between two engines don't
   // matter to the caller.
   static constexpr double kShortlistCostStep = 500;
@@ -154,12 +167,17 @@
 
   // Returns the endpoints whose current load should be queried before the
   // request is placed: those at which its own prompt costs least, and among
-  // equals always the same ones for a session. At most kShortlistSize.
-  // Placement by the exact load of a few endpoints spreads work nearly as well
-  // as by that of all, and the cost of the queries doesn't depend on the number
-  // of endpoints.
-  [[nodiscard]] std::vector<EndpointId> Shortlist(const ExchangeSetup& setup,
-                                                  MonotonicTime now);
+  // equals always the same ones for a session. Placement by the exact load of a
+  // few endpoints spreads work nearly as well as by that of all, and the cost
+  // of the queries doesn't depend on the number of endpoints.
+  [[nodiscard]] LoadShortlist Shortlist(const ExchangeSetup& setup,
+                                        MonotonicTime now);
+  // Returns whether the second part of the shortlist should be queried too,
+  // because the request would wait at each of the `queried` endpoints for more
+  // than kSecondQueryShare of its latency target.
+  [[nodiscard]] bool NeedsSecondQuery(
+      const ExchangeSetup& setup,
+      std::span<const EndpointId> queried) const;
 
   // Returns nullopt if no endpoint of the service accepts work, or if all that
   // do are rate limited or run weights on which no request may begin any more.
--- a/carobshift/gateway/attempt_planner_test.cc
+++ b/carobshift/gateway/attempt_planner_test.cc
@@ -441,18 +441,18 @@
     record.id = EndpointId("e" + std::to_string(i));
     fixture.registry.Put(record, kStart);
   }
-  const auto shortlist = fixture.planner.Shortlist(fixture.setup, kStart);
+  const auto shortlist = fixture.planner.Shortlist(fixture.setup, kStart).first;
   REQUIRE(shortlist.size() == AttemptPlanner::kShortlistSize);
   CHECK(shortlist.front() == EndpointId("e2"));
   // The next request of the conversation gets the same endpoints.
   fixture.setup.request.id = RequestId("r2");
-  CHECK(fixture.planner.Shortlist(fixture.setup, kStart) == shortlist);
+  CHECK(fixture.planner.Shortlist(fixture.setup, kStart).first == shortlist);
 }
 
 TEST_CASE("an engine that takes no work now is not asked") {
   PlannerFixture fixture;
   fixture.planner.SetDraining({EndpointId("e0"), EndpointId("e3")});
-  const auto shortlist = fixture.planner.Shortlist(fixture.setup, kStart);
+  const auto shortlist = fixture.planner.Shortlist(fixture.setup, kStart).first;
   CHECK(shortlist.size() == 2);
   CHECK(std::find(shortlist.begin(), shortlist.end(), EndpointId("e0")) ==
         shortlist.end());
@@ -516,7 +516,8 @@
   fixture.health.OnStart(EndpointId("e3"));
   fixture.health.OnFailure(EndpointId("e3"), EndpointFailure::kConnectionBroken,
                            kStart);
-  for (const EndpointId& id : fixture.planner.Shortlist(fixture.setup, kStart))
+  for (const EndpointId& id :
+       fixture.planner.Shortlist(fixture.setup, kStart).first)
     CHECK(id > EndpointId("e1"));
   CHECK(fixture.Plan().endpoint.id > EndpointId("e1"));
   CHECK(fixture.planner.ObstacleTo(fixture.setup, kStart) ==
@@ -554,7 +555,7 @@
       setup.request.id = RequestId("r" + std::to_string(i));
       setup.request.prompt->parts[1].id = "session" + std::to_string(i);
       const std::vector<EndpointId> shortlist =
-          planner.Shortlist(setup, kStart);
+          planner.Shortlist(setup, kStart).first;
       for (const EndpointId& id : shortlist)
         zones.insert(registry.Find(id)->zone);
       if (const auto plan = planner.Plan(setup, {}, kStart))
@@ -622,5 +623,35 @@
   CHECK(fixture.ZonesUsed() == std::set{ZoneName("y")});
 }
 
+// Guards against a prompt that is refused since the few engines that were
+// queried have a queue, while others are idle.
+TEST_CASE("further engines are queried if all of the first ones have a queue") {
+  PlannerFixture fixture;
+  for (int i = 4; i < 30; ++i) {
+    EndpointRecord record = *fixture.registry.Find(EndpointId("e0"));
+    record.id = EndpointId("e" + std::to_string(i));
+    fixture.registry.Put(record, kStart);
+  }
+  fixture.planner.SetWaitEstimate([](const ServiceName&, double cost) {
+    return Milliseconds(static_cast<std::int64_t>(cost) / 100);
+  });
+  const LoadShortlist shortlist =
+      fixture.planner.Shortlist(fixture.setup, kStart);
+  REQUIRE(shortlist.second.size() == AttemptPlanner::kShortlistSize);
+  for (const EndpointId& id : shortlist.second) {
+    CHECK(std::find(shortlist.first.begin(), shortlist.first.end(), id) ==
+          shortlist.first.end());
+  }
+  // A quarter of the target of 800 ms is 20,000 tokens.
+  const RequestFootprint footprint =
+      RequestFootprint::Of(fixture.setup.request);
+  for (const EndpointId& id : shortlist.first)
+    fixture.loads.OnStart(id, footprint, 19'000);
+  CHECK_FALSE(fixture.planner.NeedsSecondQuery(fixture.setup, shortlist.first));
+  for (const EndpointId& id : shortlist.first)
+    fixture.loads.OnStart(id, footprint, 19'000);
+  CHECK(fixture.planner.NeedsSecondQuery(fixture.setup, shortlist.first));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request_service.cc
@@ -187,18 +187,29 @@
     run->Start();
     return;
   }
-  Running& running = runs_.at(&run->exchange());
-  const std::vector<EndpointId> shortlist =
-      planner_.Shortlist(setup, loop_.now());
-  running.trace.loads_requested = shortlist.size();
+  const LoadShortlist shortlist = planner_.Shortlist(setup, loop_.now());
+  QueryLoads(run, shortlist.first, [this, run, second = shortlist.second] {
+    const Running& running = runs_.at(&run->exchange());
+    const ExchangeSetup& setup = run->exchange().setup();
+    if (second.empty() || !planner_.NeedsSecondQuery(setup, running.shortlist))
+      run->Start();
+    else
+      QueryLoads(run, second, [run] { run->Start(); });
+  });
+}
+
+void RequestService::QueryLoads(const std::shared_ptr<ExchangeRun>& run,
+                                const std::vector<EndpointId>& endpoints,
+                                const std::function<void()>& done) {
+  runs_.at(&run->exchange()).trace.loads_requested += endpoints.size();
   load_query_service_->Query(
-      shortlist, [this, weak = std::weak_ptr(run)](const auto& reported) {
-        const auto pending = weak.lock();
+      endpoints, [this, run, done](const auto& reported) {
         // The caller may have disconnected in the meantime.
-        if (pending == nullptr || pending->exchange().over())
+        if (run->exchange().over())
           return;
-        runs_.at(&pending->exchange()).shortlist = reported;
-        pending->Start();
+        std::vector<EndpointId>& known = runs_.at(&run->exchange()).shortlist;
+        known.insert(known.end(), reported.begin(), reported.end());
+        done();
       });
 }
 
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request_service.h
@@ -185,6 +185,11 @@
               ResultCode code);
   // Starts the exchange; for a prompt, after load reports have been requested.
   void Begin(const std::shared_ptr<ExchangeRun>& run);
+  // Queries the load of `endpoints` and adds those that were answered to the
+  // shortlist. Doesn't call `done` if the caller has disconnected by then.
+  void QueryLoads(const std::shared_ptr<ExchangeRun>& run,
+                  const std::vector<EndpointId>& endpoints,
+                  const std::function<void()>& done);
   void Report(const Exchange& exchange, const Running& running) const;
   [[nodiscard]] static RequestFingerprint FingerprintOfExchange(
       const Exchange& exchange);
--- a/scripts/site_variants.py
+++ b/scripts/site_variants.py
@@ -174,6 +174,16 @@
     )
 
 
+def two_regions(site):
+    """The last zone in a region of its own; two kinds of request stay in one."""
+    first = site["zones"][0]["region"]
+    site["zones"][-1]["region"] = "elsewhere"
+    prompts = [c for c in site["classes"] if c.get("stream")]
+    prompts[0]["homes"] = [first]
+    plain = [c for c in site["classes"] if not c.get("stream")]
+    plain[0]["homes"] = ["elsewhere"]
+
+
 VARIANTS = [
     one_zone,
     two_instances,
@@ -182,6 +192,7 @@
     other_bounds,
     no_stores,
     plain_services,
+    two_regions,
 ]
 
 
