--- a/carobshift/gateway/cache_contents.cc
+++ b/carobshift/gateway/cache_contents.cc
@@ -39,7 +39,8 @@
     holder.parts.clear();
   // The gap may have contained removals. The next listing restores the state.
   if (events.gap) {
-    holder.parts.clear();
+    if (!holder.managed)
+      holder.parts.clear();
     holder.listed = false;
   }
   holder.known = true;
--- a/carobshift/gateway/cache_contents.h
+++ b/carobshift/gateway/cache_contents.h
@@ -68,6 +68,13 @@
   // some megabytes.
   static constexpr std::size_t kMaxParts = 20'000;
 
+  // Sets whether the holder is a managed store, which drops parts only when it
+  // is told to or restarts. Its known parts stay valid when events are missing:
+  // what it was told to drop are parts of weights that no engine has. Without
+  // this call a holder may drop parts at any time.
+  void SetManaged(const CacheHolder& holder, bool managed) {
+    holders_[holder].managed = managed;
+  }
   // Returns the sequence number that the reader passes to its next read.
   [[nodiscard]] std::uint64_t next(const CacheHolder& holder) const;
 
@@ -126,6 +133,7 @@
     bool known = false;
     bool from_peer = false;
     bool listed = true;
+    bool managed = false;
     MonotonicTime heard{};
     // Number of tokens held of each part, by Key().
     std::unordered_map<std::string, Tokens> parts;
--- a/carobshift/gateway/cache_contents_test.cc
+++ b/carobshift/gateway/cache_contents_test.cc
@@ -83,5 +83,24 @@
   CHECK(ChooseStore({}, "part") == nullptr);
 }
 
+// Guards against sessions that are prefilled again while their parts lie in a
+// store, since a datagram with other parts was lost.
+TEST_CASE("a managed store's parts stay known when events are missing") {
+  CacheContents contents;
+  const CacheHolder store("store");
+  contents.SetManaged(store, true);
+  contents.OnEvents(store, EventsOf({{true, "s", "a", 100}}), kStart);
+  StoreEvents gap = EventsOf({});
+  gap.gap = true;
+  contents.OnEvents(store, gap, kStart);
+  CHECK(contents.HoldsComplete(store, "s", {"a", 100}, kStart));
+  CHECK(contents.NeedsListing(store));
+  // A store that has restarted is empty.
+  StoreEvents restarted = EventsOf({});
+  restarted.epoch += 1;
+  contents.OnEvents(store, restarted, kStart);
+  CHECK_FALSE(contents.HoldsComplete(store, "s", {"a", 100}, kStart));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/cache_watcher.cc
+++ b/carobshift/gateway/cache_watcher.cc
@@ -38,7 +38,8 @@
   for (const auto& [name, service] : config.services) {
     if (service.store) {
       holders.push_back({CacheHolder(name.value()), service.store->address,
-                         service.store->event_readers, /*listed=*/true});
+                         service.store->event_readers, /*listed=*/true,
+                         service.store->managed});
     }
   }
   for (const auto& [id, record] : registry.all()) {
@@ -76,6 +77,7 @@
     if (!watched.listed && live.size() > kMaxInstancesForEngines)
       continue;
     wanted.insert(watched.holder);
+    contents_.SetManaged(watched.holder, watched.managed);
     auto& reader = readers_[watched.holder];
     const auto role = roles.RoleFor(watched.holder, watched.readers);
     if (reader != nullptr && reader->watched.address == watched.address) {
--- a/carobshift/gateway/cache_watcher.h
+++ b/carobshift/gateway/cache_watcher.h
@@ -33,6 +33,8 @@
   // Whether its contents are listed when events are missing. Only stores are
   // listed, because listing stalls an engine's work.
   bool listed = false;
+  // Whether it is a store that drops no part by itself.
+  bool managed = false;
 };
 
 [[nodiscard]] std::vector<WatchedHolder> HoldersOf(
