Cold starts: pace of endpoints known before the configuration; obstacles of overdue endpoints

An endpoint that stated its coldness before the first configuration kept the pace of a service without a declared rate, one request a second. A zone whose endpoints also had overdue weights was reported as no_endpoint instead of zone_evacuated. Found in reading the diff; a test for the first.

--- a/carobshift/gateway/attempt_planner.cc
+++ b/carobshift/gateway/attempt_planner.cc
@@ -271,9 +271,9 @@
                                         MonotonicTime now) const {
   SendObstacle least = SendObstacle::kNotServing;
   for (const auto& [id, record] : registry_.all()) {
-    if (WeightsOverdue(setup, record, now))
-      continue;
     const SendObstacle obstacle = eligibility_.ObstacleAt(setup, record, now);
+    if (AcceptsWork(setup, record, now) && WeightsOverdue(setup, record, now))
+      continue;
     if (obstacle == SendObstacle::kNone)
       return obstacle;
     // Later values pass sooner.
--- a/carobshift/gateway/cold_start_limits.cc
+++ b/carobshift/gateway/cold_start_limits.cc
@@ -22,6 +22,10 @@
   services_.clear();
   for (const auto& [name, service] : config.services)
     services_[name] = service.cold_start;
+  // Endpoints may have stated that they are cold before the first
+  // configuration.
+  for (auto& [id, endpoint] : cold_)
+    endpoint.pace = PaceOf(endpoint.service);
 }
 
 void ColdStartLimits::OnMembers(const std::vector<MemberInfo>& live,
@@ -107,11 +111,11 @@
   }
   const Pace pace = PaceOf(endpoint.service);
   entry = {.start_time = endpoint.start_time,
+           .service = endpoint.service,
            .zone = endpoint.zone,
            .until = until,
-           .users = pace.users,
-           .rank = RankAt(endpoint.id, endpoint.zone),
-           .interval = pace.interval};
+           .pace = pace,
+           .rank = RankAt(endpoint.id, endpoint.zone)};
   // The users' first requests are spread over one interval.
   entry.next_send =
       now + pace.interval * static_cast<std::int64_t>(entry.rank.value_or(0)) /
@@ -123,7 +127,7 @@
                              MonotonicTime now) {
   const auto found = cold_.find(endpoint.id);
   if (found != cold_.end())
-    found->second.next_send = now + found->second.interval;
+    found->second.next_send = now + found->second.pace.interval;
 }
 
 void ColdStartLimits::Expire(MonotonicTime now) {
@@ -153,8 +157,13 @@
   const ColdEndpoint* const cold = FindCold(endpoint, now);
   if (cold == nullptr)
     return true;
-  return HasJoined(now) && cold->rank && *cold->rank < cold->users &&
-         now >= cold->next_send;
+  return IsUser(*cold, now) && now >= cold->next_send;
+}
+
+bool ColdStartLimits::IsUser(const ColdEndpoint& endpoint,
+                             MonotonicTime now) const {
+  return HasJoined(now) && endpoint.rank &&
+         *endpoint.rank < endpoint.pace.users;
 }
 
 Milliseconds ColdStartLimits::WaitFor(const EndpointRecord& endpoint,
@@ -164,9 +173,8 @@
     return Milliseconds(0);
   const Milliseconds remaining =
       std::chrono::ceil<Milliseconds>(cold->until - now);
-  const bool user = HasJoined(now) && cold->rank && *cold->rank < cold->users;
-  if (!user)
-    return std::min(remaining, CeilMilliseconds(cold->interval));
+  if (!IsUser(*cold, now))
+    return std::min(remaining, CeilMilliseconds(cold->pace.interval));
   return std::max(Milliseconds(0),
                   std::chrono::ceil<Milliseconds>(cold->next_send - now));
 }
--- a/carobshift/gateway/cold_start_limits.h
+++ b/carobshift/gateway/cold_start_limits.h
@@ -113,16 +113,21 @@
       MonotonicTime now) const;
 
  private:
+  struct Pace {
+    // Number of instances that use an endpoint.
+    std::size_t users = 1;
+    // Interval between two requests of one user.
+    Microseconds interval{0};
+  };
   struct ColdEndpoint {
     EndpointStartTime start_time{};
+    ServiceName service;
     ZoneName zone;
     MonotonicTime until{};
-    // Number of members that use the endpoint, and that rank before this
-    // instance; the rank is nullopt if this instance is leaving.
-    std::size_t users = 1;
+    Pace pace;
+    // Number of members that rank before this instance; nullopt if this
+    // instance is leaving.
     std::optional<std::size_t> rank;
-    // Interval between two requests of one user.
-    Microseconds interval{0};
     // When this instance may send its next request.
     MonotonicTime next_send{};
   };
@@ -130,14 +135,12 @@
     ZoneName zone;
     MonotonicTime last_live{};
   };
-  struct Pace {
-    std::size_t users = 1;
-    Microseconds interval{0};
-  };
-
   // Returns null unless this incarnation of the endpoint is cold.
   [[nodiscard]] const ColdEndpoint* FindCold(const EndpointRecord& endpoint,
                                              MonotonicTime now) const;
+  // Returns whether this instance is one of the endpoint's users.
+  [[nodiscard]] bool IsUser(const ColdEndpoint& endpoint,
+                            MonotonicTime now) const;
   [[nodiscard]] Pace PaceOf(const ServiceName& service) const;
   [[nodiscard]] std::optional<std::size_t> RankAt(const EndpointId& endpoint,
                                                   const ZoneName& zone) const;
--- a/carobshift/gateway/cold_start_limits_test.cc
+++ b/carobshift/gateway/cold_start_limits_test.cc
@@ -107,6 +107,18 @@
   CHECK(limits.MaySend(endpoint, kStart + Milliseconds(1000)));
 }
 
+TEST_CASE("an endpoint that was cold before the configuration is paced by it") {
+  const auto members = Members(2);
+  ColdStartLimits limits(kOptions);
+  limits.OnMembers(members, members[0].id,
+                   kStart - ColdStartLimits::kJoinDelay);
+  const EndpointRecord endpoint = Endpoint();
+  limits.OnStatement(endpoint, Milliseconds(9000), kStart);
+  limits.SetConfig(Config());
+  limits.OnSend(endpoint, kStart);
+  CHECK(limits.WaitFor(endpoint, kStart) < Milliseconds(500));
+}
+
 // Guards against an instance that has just started and ranks itself among the
 // few members that it knows.
 TEST_CASE("an instance uses no cold endpoint before the others know it") {
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -309,9 +309,10 @@
 
 void Gateway::Impl::OnMembers() {
   discovery.OnMembers(cluster.Live().size(), loop.now());
-  if (!std::exchange(members_settled, discovery.IsSettled(loop.now())) &&
-      members_settled)
-    WatchCaches();
+  if (members_settled || !discovery.IsSettled(loop.now()))
+    return;
+  members_settled = true;
+  WatchCaches();
 }
 
 void Gateway::Impl::OnEvacuation(const ZoneName& zone, bool evacuated) {
@@ -331,7 +332,7 @@
 
 void Gateway::Impl::WatchCaches() {
   const auto& config = operator_records.config();
-  if (config == nullptr || !discovery.IsSettled(loop.now()))
+  if (config == nullptr || !members_settled)
     return;
   std::vector<EntryId> live;
   for (const MemberInfo& member : cluster.Live())
