--- a/carobshift/gateway/cold_start_limits.h
+++ b/carobshift/gateway/cold_start_limits.h
@@ -24,7 +24,9 @@
 // No messages are exchanged for a request, and a partition doesn't raise the
 // sum: a member that can't be reached keeps its rank for kMemberRetention, and
 // an instance that has just started uses no cold endpoint until the others can
-// have learned of it.
+// have learned of it. Instances that start during a partition know their side
+// only; more than two of them that reach the same endpoint as the other side
+// does can exceed the bound.
 //
 // The time until which an endpoint is cold is never shortened, since records
 // and peers' reports arrive late and in any order.
