--- a/benchmarks/gateway/holder_model.h
+++ b/benchmarks/gateway/holder_model.h
@@ -17,7 +17,7 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/attempt_planner.h"
+#include "carobshift/gateway/placement/attempt_planner.h"
 #include "fuzz/simulation.h"
 
 namespace carobshift {
--- a/benchmarks/gateway/load_replay.h
+++ b/benchmarks/gateway/load_replay.h
@@ -18,10 +18,10 @@
 #include <vector>
 
 #include "benchmarks/gateway/holder_model.h"
-#include "carobshift/gateway/cache_relay.h"
-#include "carobshift/gateway/load_query_service.h"
-#include "carobshift/gateway/obsolete_part_selector.h"
-#include "carobshift/gateway/overload_guard.h"
+#include "carobshift/gateway/cache/cache_relay.h"
+#include "carobshift/gateway/cache/obsolete_part_selector.h"
+#include "carobshift/gateway/load/load_query_service.h"
+#include "carobshift/gateway/placement/overload_guard.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/cache_contents.h
+++ b/carobshift/gateway/cache/cache_contents.h
@@ -16,8 +16,8 @@
 // Thread-compatible. State: one entry per stored part, bounded by the holders'
 // memory and by kMaxParts.
 
-#ifndef CAROBSHIFT_GATEWAY_CACHE_CONTENTS_H_
-#define CAROBSHIFT_GATEWAY_CACHE_CONTENTS_H_
+#ifndef CAROBSHIFT_GATEWAY_CACHE_CACHE_CONTENTS_H_
+#define CAROBSHIFT_GATEWAY_CACHE_CACHE_CONTENTS_H_
 
 #include <cstdint>
 #include <optional>
@@ -164,4 +164,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_CACHE_CONTENTS_H_
+#endif  // CAROBSHIFT_GATEWAY_CACHE_CACHE_CONTENTS_H_
--- a/carobshift/gateway/cache_contents_test.cc
+++ b/carobshift/gateway/cache/cache_contents_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cache_contents.h"
+#include "carobshift/gateway/cache/cache_contents.h"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/carobshift/gateway/cache_relay.cc
+++ b/carobshift/gateway/cache/cache_relay.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cache_relay.h"
+#include "carobshift/gateway/cache/cache_relay.h"
 
 #include <algorithm>
 #include <utility>
--- a/carobshift/gateway/cache_relay.h
+++ b/carobshift/gateway/cache/cache_relay.h
@@ -32,15 +32,15 @@
 //
 // Thread-compatible. State: two ranges of events for each holder.
 
-#ifndef CAROBSHIFT_GATEWAY_CACHE_RELAY_H_
-#define CAROBSHIFT_GATEWAY_CACHE_RELAY_H_
+#ifndef CAROBSHIFT_GATEWAY_CACHE_CACHE_RELAY_H_
+#define CAROBSHIFT_GATEWAY_CACHE_CACHE_RELAY_H_
 
 #include <map>
 #include <optional>
 #include <vector>
 
 #include "carobshift/base/ids.h"
-#include "carobshift/gateway/cache_update.h"
+#include "carobshift/gateway/cache/cache_update.h"
 
 namespace carobshift {
 
@@ -120,4 +120,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_CACHE_RELAY_H_
+#endif  // CAROBSHIFT_GATEWAY_CACHE_CACHE_RELAY_H_
--- a/carobshift/gateway/cache_scope.cc
+++ b/carobshift/gateway/cache/cache_scope.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cache_scope.h"
+#include "carobshift/gateway/cache/cache_scope.h"
 
 #include <algorithm>
 #include <array>
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
-#include "carobshift/gateway/zone_regions.h"
+#include "carobshift/gateway/endpoints/zone_regions.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/gateway/cache_scope.h
+++ b/carobshift/gateway/cache/cache_scope.h
@@ -6,8 +6,8 @@
 //
 // Pure functions, and therefore thread-safe.
 
-#ifndef CAROBSHIFT_GATEWAY_CACHE_SCOPE_H_
-#define CAROBSHIFT_GATEWAY_CACHE_SCOPE_H_
+#ifndef CAROBSHIFT_GATEWAY_CACHE_CACHE_SCOPE_H_
+#define CAROBSHIFT_GATEWAY_CACHE_CACHE_SCOPE_H_
 
 #include <optional>
 #include <string>
@@ -45,4 +45,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_CACHE_SCOPE_H_
+#endif  // CAROBSHIFT_GATEWAY_CACHE_CACHE_SCOPE_H_
--- a/carobshift/gateway/cache_scope_test.cc
+++ b/carobshift/gateway/cache/cache_scope_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cache_scope.h"
+#include "carobshift/gateway/cache/cache_scope.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/carobshift/gateway/cache_update.cc
+++ b/carobshift/gateway/cache/cache_update.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cache_update.h"
+#include "carobshift/gateway/cache/cache_update.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
--- a/carobshift/gateway/cache_update.h
+++ b/carobshift/gateway/cache/cache_update.h
@@ -5,8 +5,8 @@
 //   std::string payload = EncodeCacheUpdate(update);
 //   Result<CacheUpdate> update = DecodeCacheUpdate(payload);
 
-#ifndef CAROBSHIFT_GATEWAY_CACHE_UPDATE_H_
-#define CAROBSHIFT_GATEWAY_CACHE_UPDATE_H_
+#ifndef CAROBSHIFT_GATEWAY_CACHE_CACHE_UPDATE_H_
+#define CAROBSHIFT_GATEWAY_CACHE_CACHE_UPDATE_H_
 
 #include <cstdint>
 #include <optional>
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/cache_contents.h"
+#include "carobshift/gateway/cache/cache_contents.h"
 
 namespace carobshift {
 
@@ -34,4 +34,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_CACHE_UPDATE_H_
+#endif  // CAROBSHIFT_GATEWAY_CACHE_CACHE_UPDATE_H_
--- a/carobshift/gateway/cache_watcher.cc
+++ b/carobshift/gateway/cache/cache_watcher.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cache_watcher.h"
+#include "carobshift/gateway/cache/cache_watcher.h"
 
 #include <set>
 #include <utility>
--- a/carobshift/gateway/cache_watcher.h
+++ b/carobshift/gateway/cache/cache_watcher.h
@@ -6,19 +6,19 @@
 //   watcher.SetHolders(HoldersOf(config, registry), live, self);
 //   watcher.OnTick();
 
-#ifndef CAROBSHIFT_GATEWAY_CACHE_WATCHER_H_
-#define CAROBSHIFT_GATEWAY_CACHE_WATCHER_H_
+#ifndef CAROBSHIFT_GATEWAY_CACHE_CACHE_WATCHER_H_
+#define CAROBSHIFT_GATEWAY_CACHE_CACHE_WATCHER_H_
 
 #include <map>
 #include <memory>
 #include <vector>
 
-#include "carobshift/gateway/cache_contents.h"
-#include "carobshift/gateway/cache_relay.h"
+#include "carobshift/gateway/cache/cache_contents.h"
+#include "carobshift/gateway/cache/cache_relay.h"
 #include "carobshift/gateway/dialect.h"
-#include "carobshift/gateway/endpoint_registry.h"
-#include "carobshift/gateway/list_backoff.h"
-#include "carobshift/gateway/peer_datagrams.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
+#include "carobshift/gateway/instances/peer_datagrams.h"
+#include "carobshift/gateway/records/list_backoff.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_fetch.h"
 
@@ -115,4 +115,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_CACHE_WATCHER_H_
+#endif  // CAROBSHIFT_GATEWAY_CACHE_CACHE_WATCHER_H_
--- a/carobshift/gateway/obsolete_part_selector.cc
+++ b/carobshift/gateway/cache/obsolete_part_selector.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/obsolete_part_selector.h"
+#include "carobshift/gateway/cache/obsolete_part_selector.h"
 
 #include <algorithm>
 
--- a/carobshift/gateway/obsolete_part_selector.h
+++ b/carobshift/gateway/cache/obsolete_part_selector.h
@@ -27,8 +27,8 @@
 //
 // Thread-compatible. State: one entry per obsolete scope.
 
-#ifndef CAROBSHIFT_GATEWAY_OBSOLETE_PART_SELECTOR_H_
-#define CAROBSHIFT_GATEWAY_OBSOLETE_PART_SELECTOR_H_
+#ifndef CAROBSHIFT_GATEWAY_CACHE_OBSOLETE_PART_SELECTOR_H_
+#define CAROBSHIFT_GATEWAY_CACHE_OBSOLETE_PART_SELECTOR_H_
 
 #include <map>
 #include <optional>
@@ -36,8 +36,8 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/cache_contents.h"
-#include "carobshift/gateway/cache_scope.h"
+#include "carobshift/gateway/cache/cache_contents.h"
+#include "carobshift/gateway/cache/cache_scope.h"
 
 namespace carobshift {
 
@@ -87,4 +87,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_OBSOLETE_PART_SELECTOR_H_
+#endif  // CAROBSHIFT_GATEWAY_CACHE_OBSOLETE_PART_SELECTOR_H_
--- a/carobshift/gateway/obsolete_part_selector_test.cc
+++ b/carobshift/gateway/cache/obsolete_part_selector_test.cc
@@ -1,10 +1,10 @@
-#include "carobshift/gateway/obsolete_part_selector.h"
+#include "carobshift/gateway/cache/obsolete_part_selector.h"
 
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/attempt_planner.h"
+#include "carobshift/gateway/placement/attempt_planner.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/gateway/store_reclaimer.cc
+++ b/carobshift/gateway/cache/store_reclaimer.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/store_reclaimer.h"
+#include "carobshift/gateway/cache/store_reclaimer.h"
 
 #include <set>
 
--- a/carobshift/gateway/store_reclaimer.h
+++ b/carobshift/gateway/cache/store_reclaimer.h
@@ -7,8 +7,8 @@
 // Only the first of the live instances frees parts. If two instances both act
 // as the first, parts are freed twice, which has no effect.
 
-#ifndef CAROBSHIFT_GATEWAY_STORE_RECLAIMER_H_
-#define CAROBSHIFT_GATEWAY_STORE_RECLAIMER_H_
+#ifndef CAROBSHIFT_GATEWAY_CACHE_STORE_RECLAIMER_H_
+#define CAROBSHIFT_GATEWAY_CACHE_STORE_RECLAIMER_H_
 
 #include <functional>
 #include <map>
@@ -16,9 +16,9 @@
 #include <optional>
 #include <vector>
 
+#include "carobshift/gateway/cache/obsolete_part_selector.h"
 #include "carobshift/gateway/dialect.h"
-#include "carobshift/gateway/endpoint_registry.h"
-#include "carobshift/gateway/obsolete_part_selector.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_fetch.h"
 
@@ -70,4 +70,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_STORE_RECLAIMER_H_
+#endif  // CAROBSHIFT_GATEWAY_CACHE_STORE_RECLAIMER_H_
--- a/carobshift/gateway/store_reclaimer_test.cc
+++ b/carobshift/gateway/cache/store_reclaimer_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/store_reclaimer.h"
+#include "carobshift/gateway/cache/store_reclaimer.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/attempt_planner.h"
+#include "carobshift/gateway/placement/attempt_planner.h"
 #include "carobshift/gateway/stub_dialects.h"
 #include "carobshift/net/loopback_server.h"
 
--- a/carobshift/gateway/dialect.h
+++ b/carobshift/gateway/dialect.h
@@ -18,8 +18,8 @@
 #include "carobshift/base/ids.h"
 #include "carobshift/base/result.h"
 #include "carobshift/external/log_service.h"
-#include "carobshift/gateway/caller_request.h"
-#include "carobshift/gateway/endpoint_record.h"
+#include "carobshift/gateway/endpoints/endpoint_record.h"
+#include "carobshift/gateway/request/caller_request.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_message.h"
 
--- a/carobshift/gateway/cold_start_limits.h
+++ b/carobshift/gateway/endpoints/cold_start_limits.h
@@ -33,8 +33,8 @@
 //
 // Thread-compatible. Holds one entry for each cold endpoint and each member.
 
-#ifndef CAROBSHIFT_GATEWAY_COLD_START_LIMITS_H_
-#define CAROBSHIFT_GATEWAY_COLD_START_LIMITS_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_COLD_START_LIMITS_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_COLD_START_LIMITS_H_
 
 #include <cstddef>
 #include <map>
@@ -43,7 +43,7 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
-#include "carobshift/gateway/endpoint_record.h"
+#include "carobshift/gateway/endpoints/endpoint_record.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/membership/member.h"
 
@@ -161,4 +161,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_COLD_START_LIMITS_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_COLD_START_LIMITS_H_
--- a/carobshift/gateway/cold_start_limits_test.cc
+++ b/carobshift/gateway/endpoints/cold_start_limits_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cold_start_limits.h"
+#include "carobshift/gateway/endpoints/cold_start_limits.h"
 
 #include <rapidcheck.h>
 
--- a/carobshift/gateway/cold_start_sharing.cc
+++ b/carobshift/gateway/endpoints/cold_start_sharing.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cold_start_sharing.h"
+#include "carobshift/gateway/endpoints/cold_start_sharing.h"
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
--- a/carobshift/gateway/cold_start_sharing.h
+++ b/carobshift/gateway/endpoints/cold_start_sharing.h
@@ -6,18 +6,18 @@
 //   sharing.OnStatement(record, remaining);
 //   sharing.OnTick();
 
-#ifndef CAROBSHIFT_GATEWAY_COLD_START_SHARING_H_
-#define CAROBSHIFT_GATEWAY_COLD_START_SHARING_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_COLD_START_SHARING_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_COLD_START_SHARING_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/cluster.h"
-#include "carobshift/gateway/cold_start_limits.h"
-#include "carobshift/gateway/endpoint_registry.h"
-#include "carobshift/gateway/peer_datagrams.h"
+#include "carobshift/gateway/endpoints/cold_start_limits.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
+#include "carobshift/gateway/instances/cluster.h"
+#include "carobshift/gateway/instances/peer_datagrams.h"
 
 namespace carobshift {
 
@@ -69,4 +69,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_COLD_START_SHARING_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_COLD_START_SHARING_H_
--- a/carobshift/gateway/endpoint_eligibility.h
+++ b/carobshift/gateway/endpoints/endpoint_eligibility.h
@@ -10,15 +10,15 @@
 // Holds no state of its own. Reads the tables passed to the constructor, which
 // must outlive it. Thread-compatible.
 
-#ifndef CAROBSHIFT_GATEWAY_ENDPOINT_ELIGIBILITY_H_
-#define CAROBSHIFT_GATEWAY_ENDPOINT_ELIGIBILITY_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_ELIGIBILITY_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_ELIGIBILITY_H_
 
-#include "carobshift/gateway/cold_start_limits.h"
-#include "carobshift/gateway/endpoint_record.h"
-#include "carobshift/gateway/exchange.h"
-#include "carobshift/gateway/rate_limits.h"
-#include "carobshift/gateway/zone_evacuations.h"
-#include "carobshift/gateway/zone_regions.h"
+#include "carobshift/gateway/endpoints/cold_start_limits.h"
+#include "carobshift/gateway/endpoints/endpoint_record.h"
+#include "carobshift/gateway/endpoints/rate_limits.h"
+#include "carobshift/gateway/endpoints/zone_evacuations.h"
+#include "carobshift/gateway/endpoints/zone_regions.h"
+#include "carobshift/gateway/request/exchange.h"
 
 namespace carobshift {
 
@@ -69,4 +69,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_ENDPOINT_ELIGIBILITY_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_ELIGIBILITY_H_
--- a/carobshift/gateway/endpoint_eligibility_test.cc
+++ b/carobshift/gateway/endpoints/endpoint_eligibility_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/endpoint_eligibility.h"
+#include "carobshift/gateway/endpoints/endpoint_eligibility.h"
 
 #include <catch2/catch.hpp>
 
--- a/carobshift/gateway/endpoint_health.cc
+++ b/carobshift/gateway/endpoints/endpoint_health.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/endpoint_health.h"
+#include "carobshift/gateway/endpoints/endpoint_health.h"
 
 #include <algorithm>
 
--- a/carobshift/gateway/endpoint_health.h
+++ b/carobshift/gateway/endpoints/endpoint_health.h
@@ -19,8 +19,8 @@
 //
 // Thread-compatible. Holds one entry for each endpoint that was used.
 
-#ifndef CAROBSHIFT_GATEWAY_ENDPOINT_HEALTH_H_
-#define CAROBSHIFT_GATEWAY_ENDPOINT_HEALTH_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_HEALTH_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_HEALTH_H_
 
 #include <unordered_map>
 
@@ -75,4 +75,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_ENDPOINT_HEALTH_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_HEALTH_H_
--- a/carobshift/gateway/endpoint_record.h
+++ b/carobshift/gateway/endpoints/endpoint_record.h
@@ -1,7 +1,7 @@
 // An endpoint's own record in the log: one entry of the instance list.
 
-#ifndef CAROBSHIFT_GATEWAY_ENDPOINT_RECORD_H_
-#define CAROBSHIFT_GATEWAY_ENDPOINT_RECORD_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_RECORD_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_RECORD_H_
 
 #include <cstdint>
 #include <map>
@@ -38,4 +38,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_ENDPOINT_RECORD_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_RECORD_H_
--- a/carobshift/gateway/endpoint_registry.h
+++ b/carobshift/gateway/endpoints/endpoint_registry.h
@@ -19,15 +19,15 @@
 //
 // Thread-compatible.
 
-#ifndef CAROBSHIFT_GATEWAY_ENDPOINT_REGISTRY_H_
-#define CAROBSHIFT_GATEWAY_ENDPOINT_REGISTRY_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_REGISTRY_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_REGISTRY_H_
 
 #include <functional>
 #include <map>
 #include <set>
 #include <vector>
 
-#include "carobshift/gateway/endpoint_record.h"
+#include "carobshift/gateway/endpoints/endpoint_record.h"
 
 namespace carobshift {
 
@@ -79,4 +79,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_ENDPOINT_REGISTRY_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_REGISTRY_H_
--- a/carobshift/gateway/endpoint_registry_test.cc
+++ b/carobshift/gateway/endpoints/endpoint_registry_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/endpoint_registry.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
 
 #include <catch2/catch.hpp>
 #include <string>
--- a/carobshift/gateway/limit_sharing.cc
+++ b/carobshift/gateway/endpoints/limit_sharing.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/limit_sharing.h"
+#include "carobshift/gateway/endpoints/limit_sharing.h"
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
--- a/carobshift/gateway/limit_sharing.h
+++ b/carobshift/gateway/endpoints/limit_sharing.h
@@ -4,17 +4,17 @@
 //   LimitSharing sharing(loop, cluster, datagrams, limits);
 //   sharing.OnTick();
 
-#ifndef CAROBSHIFT_GATEWAY_LIMIT_SHARING_H_
-#define CAROBSHIFT_GATEWAY_LIMIT_SHARING_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_LIMIT_SHARING_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_LIMIT_SHARING_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/cluster.h"
-#include "carobshift/gateway/peer_datagrams.h"
-#include "carobshift/gateway/rate_limits.h"
+#include "carobshift/gateway/endpoints/rate_limits.h"
+#include "carobshift/gateway/instances/cluster.h"
+#include "carobshift/gateway/instances/peer_datagrams.h"
 
 namespace carobshift {
 
@@ -49,4 +49,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LIMIT_SHARING_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_LIMIT_SHARING_H_
--- a/carobshift/gateway/limit_sharing_test.cc
+++ b/carobshift/gateway/endpoints/limit_sharing_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/limit_sharing.h"
+#include "carobshift/gateway/endpoints/limit_sharing.h"
 
 #include <catch2/catch.hpp>
 #include <limits>
--- a/carobshift/gateway/rate_limits.h
+++ b/carobshift/gateway/endpoints/rate_limits.h
@@ -37,8 +37,8 @@
 // Thread-compatible. Holds one entry for each endpoint that states a limit, and
 // the id of each member.
 
-#ifndef CAROBSHIFT_GATEWAY_RATE_LIMITS_H_
-#define CAROBSHIFT_GATEWAY_RATE_LIMITS_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_RATE_LIMITS_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_RATE_LIMITS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -49,8 +49,8 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
-#include "carobshift/gateway/caller_request.h"
-#include "carobshift/gateway/endpoint_record.h"
+#include "carobshift/gateway/endpoints/endpoint_record.h"
+#include "carobshift/gateway/request/caller_request.h"
 #include "carobshift/membership/member.h"
 
 namespace carobshift {
@@ -196,4 +196,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_RATE_LIMITS_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_RATE_LIMITS_H_
--- a/carobshift/gateway/rate_limits_test.cc
+++ b/carobshift/gateway/endpoints/rate_limits_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/rate_limits.h"
+#include "carobshift/gateway/endpoints/rate_limits.h"
 
 #include <catch2/catch.hpp>
 #include <string>
--- a/carobshift/gateway/zone_evacuations.cc
+++ b/carobshift/gateway/endpoints/zone_evacuations.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/zone_evacuations.h"
+#include "carobshift/gateway/endpoints/zone_evacuations.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/zone_regions.cc
+++ b/carobshift/gateway/endpoints/zone_regions.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/zone_regions.h"
+#include "carobshift/gateway/endpoints/zone_regions.h"
 
 #include <algorithm>
 #include <iterator>
--- a/carobshift/gateway/zone_regions.h
+++ b/carobshift/gateway/endpoints/zone_regions.h
@@ -6,8 +6,8 @@
 //
 // Immutable, and therefore thread-safe.
 
-#ifndef CAROBSHIFT_GATEWAY_ZONE_REGIONS_H_
-#define CAROBSHIFT_GATEWAY_ZONE_REGIONS_H_
+#ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_ZONE_REGIONS_H_
+#define CAROBSHIFT_GATEWAY_ENDPOINTS_ZONE_REGIONS_H_
 
 #include <map>
 #include <optional>
@@ -43,4 +43,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_ZONE_REGIONS_H_
+#endif  // CAROBSHIFT_GATEWAY_ENDPOINTS_ZONE_REGIONS_H_
--- a/carobshift/gateway/zone_regions_test.cc
+++ b/carobshift/gateway/endpoints/zone_regions_test.cc
@@ -1,8 +1,8 @@
-#include "carobshift/gateway/zone_regions.h"
+#include "carobshift/gateway/endpoints/zone_regions.h"
 
 #include <catch2/catch.hpp>
 
-#include "carobshift/gateway/zone_evacuations.h"
+#include "carobshift/gateway/endpoints/zone_evacuations.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/gateway/gateway_settings.h
+++ b/carobshift/gateway/gateway_settings.h
@@ -12,8 +12,8 @@
 #include "carobshift/base/ids.h"
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/units.h"
-#include "carobshift/gateway/cold_start_limits.h"
-#include "carobshift/gateway/retry_allowance.h"
+#include "carobshift/gateway/endpoints/cold_start_limits.h"
+#include "carobshift/gateway/request/retry_allowance.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -15,10 +15,10 @@
 #include <string>
 
 #include "carobshift/gateway/dialect.h"
-#include "carobshift/gateway/endpoint_registry.h"
-#include "carobshift/gateway/keyed_follower.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
+#include "carobshift/gateway/endpoints/zone_evacuations.h"
+#include "carobshift/gateway/records/keyed_follower.h"
 #include "carobshift/gateway/serving_config.h"
-#include "carobshift/gateway/zone_evacuations.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/address_choice.h
+++ b/carobshift/gateway/instances/address_choice.h
@@ -3,16 +3,16 @@
 //   std::vector<NetAddress> answer =
 //       ChooseAddresses(serving, question, allowed_regions, regions);
 
-#ifndef CAROBSHIFT_GATEWAY_ADDRESS_CHOICE_H_
-#define CAROBSHIFT_GATEWAY_ADDRESS_CHOICE_H_
+#ifndef CAROBSHIFT_GATEWAY_INSTANCES_ADDRESS_CHOICE_H_
+#define CAROBSHIFT_GATEWAY_INSTANCES_ADDRESS_CHOICE_H_
 
 #include <vector>
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/net_address.h"
 #include "carobshift/gateway/dialect.h"
+#include "carobshift/gateway/endpoints/zone_regions.h"
 #include "carobshift/gateway/serving_config.h"
-#include "carobshift/gateway/zone_regions.h"
 #include "carobshift/membership/member.h"
 
 namespace carobshift {
@@ -42,4 +42,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_ADDRESS_CHOICE_H_
+#endif  // CAROBSHIFT_GATEWAY_INSTANCES_ADDRESS_CHOICE_H_
--- a/carobshift/gateway/address_choice_test.cc
+++ b/carobshift/gateway/instances/address_choice_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/address_choice.h"
+#include "carobshift/gateway/instances/address_choice.h"
 
 #include <catch2/catch.hpp>
 #include <string>
--- a/carobshift/gateway/cluster.cc
+++ b/carobshift/gateway/instances/cluster.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/cluster.h"
+#include "carobshift/gateway/instances/cluster.h"
 
 #include <algorithm>
 
--- a/carobshift/gateway/cluster.h
+++ b/carobshift/gateway/instances/cluster.h
@@ -4,8 +4,8 @@
 //   cluster.Start();
 //   for (const MemberInfo& member : cluster.Live()) ...
 
-#ifndef CAROBSHIFT_GATEWAY_CLUSTER_H_
-#define CAROBSHIFT_GATEWAY_CLUSTER_H_
+#ifndef CAROBSHIFT_GATEWAY_INSTANCES_CLUSTER_H_
+#define CAROBSHIFT_GATEWAY_INSTANCES_CLUSTER_H_
 
 #include <memory>
 #include <optional>
@@ -90,4 +90,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_CLUSTER_H_
+#endif  // CAROBSHIFT_GATEWAY_INSTANCES_CLUSTER_H_
--- a/carobshift/gateway/datagram_routes.cc
+++ b/carobshift/gateway/instances/datagram_routes.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/datagram_routes.h"
+#include "carobshift/gateway/instances/datagram_routes.h"
 
 #include <bit>
 #include <map>
--- a/carobshift/gateway/datagram_routes.h
+++ b/carobshift/gateway/instances/datagram_routes.h
@@ -24,8 +24,8 @@
 // slow, its zone or group misses about one datagram in two dozen; updates are
 // sent twice to cover this.
 
-#ifndef CAROBSHIFT_GATEWAY_DATAGRAM_ROUTES_H_
-#define CAROBSHIFT_GATEWAY_DATAGRAM_ROUTES_H_
+#ifndef CAROBSHIFT_GATEWAY_INSTANCES_DATAGRAM_ROUTES_H_
+#define CAROBSHIFT_GATEWAY_INSTANCES_DATAGRAM_ROUTES_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -73,4 +73,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_DATAGRAM_ROUTES_H_
+#endif  // CAROBSHIFT_GATEWAY_INSTANCES_DATAGRAM_ROUTES_H_
--- a/carobshift/gateway/member_discovery.cc
+++ b/carobshift/gateway/instances/member_discovery.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/member_discovery.h"
+#include "carobshift/gateway/instances/member_discovery.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/member_discovery.h
+++ b/carobshift/gateway/instances/member_discovery.h
@@ -14,8 +14,8 @@
 //
 // Thread-compatible.
 
-#ifndef CAROBSHIFT_GATEWAY_MEMBER_DISCOVERY_H_
-#define CAROBSHIFT_GATEWAY_MEMBER_DISCOVERY_H_
+#ifndef CAROBSHIFT_GATEWAY_INSTANCES_MEMBER_DISCOVERY_H_
+#define CAROBSHIFT_GATEWAY_INSTANCES_MEMBER_DISCOVERY_H_
 
 #include <cstddef>
 #include <optional>
@@ -45,4 +45,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_MEMBER_DISCOVERY_H_
+#endif  // CAROBSHIFT_GATEWAY_INSTANCES_MEMBER_DISCOVERY_H_
--- a/carobshift/gateway/peer_choice.cc
+++ b/carobshift/gateway/instances/peer_choice.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/peer_choice.h"
+#include "carobshift/gateway/instances/peer_choice.h"
 
 #include <algorithm>
 
--- a/carobshift/gateway/peer_choice.h
+++ b/carobshift/gateway/instances/peer_choice.h
@@ -14,8 +14,8 @@
 // one with a configuration doesn't shut down before an instance that stays has
 // it.
 
-#ifndef CAROBSHIFT_GATEWAY_PEER_CHOICE_H_
-#define CAROBSHIFT_GATEWAY_PEER_CHOICE_H_
+#ifndef CAROBSHIFT_GATEWAY_INSTANCES_PEER_CHOICE_H_
+#define CAROBSHIFT_GATEWAY_INSTANCES_PEER_CHOICE_H_
 
 #include <vector>
 
@@ -41,4 +41,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_PEER_CHOICE_H_
+#endif  // CAROBSHIFT_GATEWAY_INSTANCES_PEER_CHOICE_H_
--- a/carobshift/gateway/peer_datagrams.h
+++ b/carobshift/gateway/instances/peer_datagrams.h
@@ -8,8 +8,8 @@
 //   datagrams.Start();
 //   datagrams.SendToOthers(PeerDatagramKind::kLoadReport, payloads);
 
-#ifndef CAROBSHIFT_GATEWAY_PEER_DATAGRAMS_H_
-#define CAROBSHIFT_GATEWAY_PEER_DATAGRAMS_H_
+#ifndef CAROBSHIFT_GATEWAY_INSTANCES_PEER_DATAGRAMS_H_
+#define CAROBSHIFT_GATEWAY_INSTANCES_PEER_DATAGRAMS_H_
 
 #include <cstdint>
 #include <functional>
@@ -21,9 +21,9 @@
 #include <vector>
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/cluster.h"
-#include "carobshift/gateway/datagram_routes.h"
 #include "carobshift/gateway/gateway_settings.h"
+#include "carobshift/gateway/instances/cluster.h"
+#include "carobshift/gateway/instances/datagram_routes.h"
 #include "carobshift/net/udp_port.h"
 
 namespace carobshift {
@@ -99,4 +99,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_PEER_DATAGRAMS_H_
+#endif  // CAROBSHIFT_GATEWAY_INSTANCES_PEER_DATAGRAMS_H_
--- a/carobshift/gateway/peer_datagrams_test.cc
+++ b/carobshift/gateway/instances/peer_datagrams_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/peer_datagrams.h"
+#include "carobshift/gateway/instances/peer_datagrams.h"
 
 #include <catch2/catch.hpp>
 
--- a/carobshift/gateway/load_aggregator.cc
+++ b/carobshift/gateway/load/load_aggregator.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/load_aggregator.h"
+#include "carobshift/gateway/load/load_aggregator.h"
 
 #include <iterator>
 
--- a/carobshift/gateway/load_aggregator.h
+++ b/carobshift/gateway/load/load_aggregator.h
@@ -23,8 +23,8 @@
 //
 // Thread-compatible. Holds one entry for each sender and endpoint with work.
 
-#ifndef CAROBSHIFT_GATEWAY_LOAD_AGGREGATOR_H_
-#define CAROBSHIFT_GATEWAY_LOAD_AGGREGATOR_H_
+#ifndef CAROBSHIFT_GATEWAY_LOAD_LOAD_AGGREGATOR_H_
+#define CAROBSHIFT_GATEWAY_LOAD_LOAD_AGGREGATOR_H_
 
 #include <cstdint>
 #include <map>
@@ -32,7 +32,7 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
-#include "carobshift/gateway/load_tracker.h"
+#include "carobshift/gateway/load/load_tracker.h"
 #include "carobshift/membership/member.h"
 
 namespace carobshift {
@@ -83,4 +83,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LOAD_AGGREGATOR_H_
+#endif  // CAROBSHIFT_GATEWAY_LOAD_LOAD_AGGREGATOR_H_
--- a/carobshift/gateway/load_query_codec.cc
+++ b/carobshift/gateway/load/load_query_codec.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/load_query_codec.h"
+#include "carobshift/gateway/load/load_query_codec.h"
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
--- a/carobshift/gateway/load_query_codec.h
+++ b/carobshift/gateway/load/load_query_codec.h
@@ -6,8 +6,8 @@
 //
 // Decoding returns kPeerRejected if the payload is incomplete or malformed.
 
-#ifndef CAROBSHIFT_GATEWAY_LOAD_QUERY_CODEC_H_
-#define CAROBSHIFT_GATEWAY_LOAD_QUERY_CODEC_H_
+#ifndef CAROBSHIFT_GATEWAY_LOAD_LOAD_QUERY_CODEC_H_
+#define CAROBSHIFT_GATEWAY_LOAD_LOAD_QUERY_CODEC_H_
 
 #include <cstdint>
 #include <map>
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/load_aggregator.h"
+#include "carobshift/gateway/load/load_aggregator.h"
 
 namespace carobshift {
 
@@ -45,4 +45,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LOAD_QUERY_CODEC_H_
+#endif  // CAROBSHIFT_GATEWAY_LOAD_LOAD_QUERY_CODEC_H_
--- a/carobshift/gateway/load_query_service.cc
+++ b/carobshift/gateway/load/load_query_service.cc
@@ -1,9 +1,9 @@
-#include "carobshift/gateway/load_query_service.h"
+#include "carobshift/gateway/load/load_query_service.h"
 
 #include <utility>
 
 #include "carobshift/base/digest.h"
-#include "carobshift/gateway/load_query_codec.h"
+#include "carobshift/gateway/load/load_query_codec.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/load_query_service.h
+++ b/carobshift/gateway/load/load_query_service.h
@@ -12,8 +12,8 @@
 // by then; callers don't notice a delay this short. An endpoint without an
 // answer is left out, since it would seem to be idle.
 
-#ifndef CAROBSHIFT_GATEWAY_LOAD_QUERY_SERVICE_H_
-#define CAROBSHIFT_GATEWAY_LOAD_QUERY_SERVICE_H_
+#ifndef CAROBSHIFT_GATEWAY_LOAD_LOAD_QUERY_SERVICE_H_
+#define CAROBSHIFT_GATEWAY_LOAD_LOAD_QUERY_SERVICE_H_
 
 #include <cstdint>
 #include <functional>
@@ -22,9 +22,9 @@
 #include <string_view>
 #include <vector>
 
-#include "carobshift/gateway/load_aggregator.h"
-#include "carobshift/gateway/load_tracker.h"
-#include "carobshift/gateway/peer_datagrams.h"
+#include "carobshift/gateway/instances/peer_datagrams.h"
+#include "carobshift/gateway/load/load_aggregator.h"
+#include "carobshift/gateway/load/load_tracker.h"
 #include "carobshift/net/event_loop.h"
 
 namespace carobshift {
@@ -99,4 +99,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LOAD_QUERY_SERVICE_H_
+#endif  // CAROBSHIFT_GATEWAY_LOAD_LOAD_QUERY_SERVICE_H_
--- a/carobshift/gateway/load_query_service_test.cc
+++ b/carobshift/gateway/load/load_query_service_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/load_query_service.h"
+#include "carobshift/gateway/load/load_query_service.h"
 
 #include <unistd.h>
 
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "carobshift/base/digest.h"
-#include "carobshift/gateway/cluster.h"
-#include "carobshift/gateway/load_query_codec.h"
+#include "carobshift/gateway/instances/cluster.h"
+#include "carobshift/gateway/load/load_query_codec.h"
 #include "carobshift/net/loopback_server.h"
 
 namespace carobshift {
--- a/carobshift/gateway/load_report_codec.cc
+++ b/carobshift/gateway/load/load_report_codec.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/load_report_codec.h"
+#include "carobshift/gateway/load/load_report_codec.h"
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
--- a/carobshift/gateway/load_report_codec.h
+++ b/carobshift/gateway/load/load_report_codec.h
@@ -3,14 +3,14 @@
 //   std::string payload = EncodeLoadReport(report);
 //   Result<LoadReport> report = DecodeLoadReport(payload);
 
-#ifndef CAROBSHIFT_GATEWAY_LOAD_REPORT_CODEC_H_
-#define CAROBSHIFT_GATEWAY_LOAD_REPORT_CODEC_H_
+#ifndef CAROBSHIFT_GATEWAY_LOAD_LOAD_REPORT_CODEC_H_
+#define CAROBSHIFT_GATEWAY_LOAD_LOAD_REPORT_CODEC_H_
 
 #include <string>
 #include <string_view>
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/load_tracker.h"
+#include "carobshift/gateway/load/load_tracker.h"
 
 namespace carobshift {
 
@@ -24,4 +24,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LOAD_REPORT_CODEC_H_
+#endif  // CAROBSHIFT_GATEWAY_LOAD_LOAD_REPORT_CODEC_H_
--- a/carobshift/gateway/load_sharing.cc
+++ b/carobshift/gateway/load/load_sharing.cc
@@ -1,7 +1,7 @@
-#include "carobshift/gateway/load_sharing.h"
+#include "carobshift/gateway/load/load_sharing.h"
 
-#include "carobshift/gateway/load_query_service.h"
-#include "carobshift/gateway/load_report_codec.h"
+#include "carobshift/gateway/load/load_query_service.h"
+#include "carobshift/gateway/load/load_report_codec.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/load_sharing.h
+++ b/carobshift/gateway/load/load_sharing.h
@@ -3,14 +3,14 @@
 //   LoadSharing sharing(loop, cluster, datagrams, load_tracker);
 //   sharing.OnTick();
 
-#ifndef CAROBSHIFT_GATEWAY_LOAD_SHARING_H_
-#define CAROBSHIFT_GATEWAY_LOAD_SHARING_H_
+#ifndef CAROBSHIFT_GATEWAY_LOAD_LOAD_SHARING_H_
+#define CAROBSHIFT_GATEWAY_LOAD_LOAD_SHARING_H_
 
 #include <cstdint>
 
-#include "carobshift/gateway/cluster.h"
-#include "carobshift/gateway/load_tracker.h"
-#include "carobshift/gateway/peer_datagrams.h"
+#include "carobshift/gateway/instances/cluster.h"
+#include "carobshift/gateway/instances/peer_datagrams.h"
+#include "carobshift/gateway/load/load_tracker.h"
 
 namespace carobshift {
 
@@ -35,4 +35,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LOAD_SHARING_H_
+#endif  // CAROBSHIFT_GATEWAY_LOAD_LOAD_SHARING_H_
--- a/carobshift/gateway/load_tracker.h
+++ b/carobshift/gateway/load/load_tracker.h
@@ -22,8 +22,8 @@
 //
 // Thread-compatible.
 
-#ifndef CAROBSHIFT_GATEWAY_LOAD_TRACKER_H_
-#define CAROBSHIFT_GATEWAY_LOAD_TRACKER_H_
+#ifndef CAROBSHIFT_GATEWAY_LOAD_LOAD_TRACKER_H_
+#define CAROBSHIFT_GATEWAY_LOAD_LOAD_TRACKER_H_
 
 #include <cstdint>
 #include <functional>
@@ -35,7 +35,7 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
-#include "carobshift/gateway/caller_request.h"
+#include "carobshift/gateway/request/caller_request.h"
 
 namespace carobshift {
 
@@ -142,4 +142,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LOAD_TRACKER_H_
+#endif  // CAROBSHIFT_GATEWAY_LOAD_LOAD_TRACKER_H_
--- a/carobshift/gateway/load_tracker_test.cc
+++ b/carobshift/gateway/load/load_tracker_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/load_tracker.h"
+#include "carobshift/gateway/load/load_tracker.h"
 
 #include <rapidcheck/catch.h>
 
--- a/carobshift/gateway/log_events_page_test.cc
+++ b/carobshift/gateway/log_events_page_test.cc
@@ -39,8 +39,8 @@
 // A call that takes its fields from a variable contributes none.
 Events LoggedEvents() {
   Events events;
-  for (const auto& file :
-       std::filesystem::directory_iterator(CAROBSHIFT_GATEWAY_DIRECTORY)) {
+  for (const auto& file : std::filesystem::recursive_directory_iterator(
+           CAROBSHIFT_GATEWAY_DIRECTORY)) {
     if (file.path().extension() != ".cc" ||
         file.path().filename().string().ends_with("_test.cc"))
       continue;
--- a/carobshift/gateway/attempt_planner.h
+++ b/carobshift/gateway/placement/attempt_planner.h
@@ -19,8 +19,8 @@
 // Thread-compatible. Reads the tables passed to the constructor, which must
 // outlive the planner.
 
-#ifndef CAROBSHIFT_GATEWAY_ATTEMPT_PLANNER_H_
-#define CAROBSHIFT_GATEWAY_ATTEMPT_PLANNER_H_
+#ifndef CAROBSHIFT_GATEWAY_PLACEMENT_ATTEMPT_PLANNER_H_
+#define CAROBSHIFT_GATEWAY_PLACEMENT_ATTEMPT_PLANNER_H_
 
 #include <functional>
 #include <map>
@@ -30,18 +30,18 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/cache_contents.h"
-#include "carobshift/gateway/cache_scope.h"
-#include "carobshift/gateway/caller_request.h"
-#include "carobshift/gateway/endpoint_eligibility.h"
-#include "carobshift/gateway/endpoint_health.h"
-#include "carobshift/gateway/endpoint_registry.h"
-#include "carobshift/gateway/exchange.h"
-#include "carobshift/gateway/load_tracker.h"
-#include "carobshift/gateway/placement.h"
-#include "carobshift/gateway/prompt_sizes.h"
-#include "carobshift/gateway/queue_ahead.h"
-#include "carobshift/gateway/weight_deadlines.h"
+#include "carobshift/gateway/cache/cache_contents.h"
+#include "carobshift/gateway/cache/cache_scope.h"
+#include "carobshift/gateway/endpoints/endpoint_eligibility.h"
+#include "carobshift/gateway/endpoints/endpoint_health.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
+#include "carobshift/gateway/load/load_tracker.h"
+#include "carobshift/gateway/placement/placement.h"
+#include "carobshift/gateway/placement/prompt_sizes.h"
+#include "carobshift/gateway/placement/queue_ahead.h"
+#include "carobshift/gateway/request/caller_request.h"
+#include "carobshift/gateway/request/exchange.h"
+#include "carobshift/gateway/weights/weight_deadlines.h"
 
 namespace carobshift {
 
@@ -334,4 +334,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_ATTEMPT_PLANNER_H_
+#endif  // CAROBSHIFT_GATEWAY_PLACEMENT_ATTEMPT_PLANNER_H_
--- a/carobshift/gateway/attempt_planner_benchmark.cc
+++ b/carobshift/gateway/placement/attempt_planner_benchmark.cc
@@ -1,7 +1,7 @@
 // Measures the time of one AttemptPlanner::Plan() call, which an instance
 // spends on placing a prompt.
 
-#include "carobshift/gateway/attempt_planner.h"
+#include "carobshift/gateway/placement/attempt_planner.h"
 
 #include <benchmark/benchmark.h>
 
--- a/carobshift/gateway/attempt_planner_test.cc
+++ b/carobshift/gateway/placement/attempt_planner_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/attempt_planner.h"
+#include "carobshift/gateway/placement/attempt_planner.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/carobshift/gateway/overload_guard.h
+++ b/carobshift/gateway/placement/overload_guard.h
@@ -32,8 +32,8 @@
 //
 // Thread-compatible. Holds one estimate for each service.
 
-#ifndef CAROBSHIFT_GATEWAY_OVERLOAD_GUARD_H_
-#define CAROBSHIFT_GATEWAY_OVERLOAD_GUARD_H_
+#ifndef CAROBSHIFT_GATEWAY_PLACEMENT_OVERLOAD_GUARD_H_
+#define CAROBSHIFT_GATEWAY_PLACEMENT_OVERLOAD_GUARD_H_
 
 #include <cstdint>
 #include <map>
@@ -93,4 +93,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_OVERLOAD_GUARD_H_
+#endif  // CAROBSHIFT_GATEWAY_PLACEMENT_OVERLOAD_GUARD_H_
--- a/carobshift/gateway/overload_guard_test.cc
+++ b/carobshift/gateway/placement/overload_guard_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/overload_guard.h"
+#include "carobshift/gateway/placement/overload_guard.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/carobshift/gateway/placement.h
+++ b/carobshift/gateway/placement/placement.h
@@ -27,8 +27,8 @@
 // Callers don't notice a smaller difference; with a much larger tolerance
 // sessions would queue at their engine.
 
-#ifndef CAROBSHIFT_GATEWAY_PLACEMENT_H_
-#define CAROBSHIFT_GATEWAY_PLACEMENT_H_
+#ifndef CAROBSHIFT_GATEWAY_PLACEMENT_PLACEMENT_H_
+#define CAROBSHIFT_GATEWAY_PLACEMENT_PLACEMENT_H_
 
 #include <cstdint>
 #include <optional>
@@ -68,4 +68,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_PLACEMENT_H_
+#endif  // CAROBSHIFT_GATEWAY_PLACEMENT_PLACEMENT_H_
--- a/carobshift/gateway/placement_test.cc
+++ b/carobshift/gateway/placement/placement_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/placement.h"
+#include "carobshift/gateway/placement/placement.h"
 
 #include <catch2/catch.hpp>
 #include <string>
--- a/carobshift/gateway/prompt_sizes.cc
+++ b/carobshift/gateway/placement/prompt_sizes.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/prompt_sizes.h"
+#include "carobshift/gateway/placement/prompt_sizes.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/prompt_sizes.h
+++ b/carobshift/gateway/placement/prompt_sizes.h
@@ -7,8 +7,8 @@
 //
 // Thread-compatible. Holds one number for each kind; a kind is a route's name.
 
-#ifndef CAROBSHIFT_GATEWAY_PROMPT_SIZES_H_
-#define CAROBSHIFT_GATEWAY_PROMPT_SIZES_H_
+#ifndef CAROBSHIFT_GATEWAY_PLACEMENT_PROMPT_SIZES_H_
+#define CAROBSHIFT_GATEWAY_PLACEMENT_PROMPT_SIZES_H_
 
 #include <functional>
 #include <map>
@@ -54,4 +54,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_PROMPT_SIZES_H_
+#endif  // CAROBSHIFT_GATEWAY_PLACEMENT_PROMPT_SIZES_H_
--- a/carobshift/gateway/queue_ahead.h
+++ b/carobshift/gateway/placement/queue_ahead.h
@@ -3,8 +3,8 @@
 //   const QueueAhead ahead{4000, /*free_memory=*/9000, /*need=*/12'000};
 //   const double cost = ahead.Total();  // 4000 + 4 * 3000
 
-#ifndef CAROBSHIFT_GATEWAY_QUEUE_AHEAD_H_
-#define CAROBSHIFT_GATEWAY_QUEUE_AHEAD_H_
+#ifndef CAROBSHIFT_GATEWAY_PLACEMENT_QUEUE_AHEAD_H_
+#define CAROBSHIFT_GATEWAY_PLACEMENT_QUEUE_AHEAD_H_
 
 #include <algorithm>
 #include <limits>
@@ -31,4 +31,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_QUEUE_AHEAD_H_
+#endif  // CAROBSHIFT_GATEWAY_PLACEMENT_QUEUE_AHEAD_H_
--- a/carobshift/gateway/config_spread_test.cc
+++ b/carobshift/gateway/records/config_spread_test.cc
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/listening_instance.h"
-#include "carobshift/gateway/record_readers.h"
+#include "carobshift/gateway/records/listening_instance.h"
+#include "carobshift/gateway/records/record_readers.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/gateway/fake_log.h
+++ b/carobshift/gateway/records/fake_log.h
@@ -7,8 +7,8 @@
 //   log.Append(dialect.OperatorStream(), "key=value");
 //   KeyedFollower follower(loop, client, log.address(), dialect, ...);
 
-#ifndef CAROBSHIFT_GATEWAY_FAKE_LOG_H_
-#define CAROBSHIFT_GATEWAY_FAKE_LOG_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_FAKE_LOG_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_FAKE_LOG_H_
 
 #include <cstdint>
 #include <functional>
@@ -367,4 +367,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_FAKE_LOG_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_FAKE_LOG_H_
--- a/carobshift/gateway/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/keyed_follower.h"
+#include "carobshift/gateway/records/keyed_follower.h"
 
 #include <algorithm>
 #include <set>
--- a/carobshift/gateway/keyed_follower.h
+++ b/carobshift/gateway/records/keyed_follower.h
@@ -18,8 +18,8 @@
 // - The log refuses this process or is down. Reads continue at a lower rate,
 //   and the sink is told of the loss and of the recovery.
 
-#ifndef CAROBSHIFT_GATEWAY_KEYED_FOLLOWER_H_
-#define CAROBSHIFT_GATEWAY_KEYED_FOLLOWER_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_KEYED_FOLLOWER_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_KEYED_FOLLOWER_H_
 
 #include <algorithm>
 #include <map>
@@ -176,4 +176,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_KEYED_FOLLOWER_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_KEYED_FOLLOWER_H_
--- a/carobshift/gateway/keyed_follower_test.cc
+++ b/carobshift/gateway/records/keyed_follower_test.cc
@@ -1,11 +1,11 @@
-#include "carobshift/gateway/keyed_follower.h"
+#include "carobshift/gateway/records/keyed_follower.h"
 
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/fake_log.h"
-#include "carobshift/gateway/recording_follower_sink.h"
+#include "carobshift/gateway/records/fake_log.h"
+#include "carobshift/gateway/records/recording_follower_sink.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/gateway/list_backoff.cc
+++ b/carobshift/gateway/records/list_backoff.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/list_backoff.h"
+#include "carobshift/gateway/records/list_backoff.h"
 
 #include <algorithm>
 
--- a/carobshift/gateway/list_backoff.h
+++ b/carobshift/gateway/records/list_backoff.h
@@ -18,8 +18,8 @@
 //
 // Thread-compatible.
 
-#ifndef CAROBSHIFT_GATEWAY_LIST_BACKOFF_H_
-#define CAROBSHIFT_GATEWAY_LIST_BACKOFF_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_LIST_BACKOFF_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_LIST_BACKOFF_H_
 
 #include <cstdint>
 #include <optional>
@@ -48,4 +48,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LIST_BACKOFF_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_LIST_BACKOFF_H_
--- a/carobshift/gateway/listening_instance.h
+++ b/carobshift/gateway/records/listening_instance.h
@@ -7,8 +7,8 @@
 //   instance.Start();
 //   instance.listener.OnTick();
 
-#ifndef CAROBSHIFT_GATEWAY_LISTENING_INSTANCE_H_
-#define CAROBSHIFT_GATEWAY_LISTENING_INSTANCE_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_LISTENING_INSTANCE_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_LISTENING_INSTANCE_H_
 
 #include <functional>
 #include <memory>
@@ -17,9 +17,9 @@
 #include <utility>
 #include <vector>
 
-#include "carobshift/gateway/fake_log.h"
-#include "carobshift/gateway/record_listener.h"
-#include "carobshift/gateway/recording_follower_sink.h"
+#include "carobshift/gateway/records/fake_log.h"
+#include "carobshift/gateway/records/record_listener.h"
+#include "carobshift/gateway/records/recording_follower_sink.h"
 
 namespace carobshift {
 
@@ -120,4 +120,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_LISTENING_INSTANCE_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_LISTENING_INSTANCE_H_
--- a/carobshift/gateway/peer_state_codec.cc
+++ b/carobshift/gateway/records/peer_state_codec.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/peer_state_codec.h"
+#include "carobshift/gateway/records/peer_state_codec.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <exception>
--- a/carobshift/gateway/peer_state_codec.h
+++ b/carobshift/gateway/records/peer_state_codec.h
@@ -4,8 +4,8 @@
 //   std::string bytes = EncodePeerState(state, secret);
 //   Result<PeerState> state = DecodePeerState(bytes, secret);
 
-#ifndef CAROBSHIFT_GATEWAY_PEER_STATE_CODEC_H_
-#define CAROBSHIFT_GATEWAY_PEER_STATE_CODEC_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_PEER_STATE_CODEC_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_PEER_STATE_CODEC_H_
 
 #include <string>
 #include <string_view>
@@ -13,7 +13,7 @@
 
 #include "carobshift/base/result.h"
 #include "carobshift/gateway/dialect.h"
-#include "carobshift/gateway/stream_positions.h"
+#include "carobshift/gateway/records/stream_positions.h"
 
 namespace carobshift {
 
@@ -57,4 +57,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_PEER_STATE_CODEC_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_PEER_STATE_CODEC_H_
--- a/carobshift/gateway/peer_state_codec_test.cc
+++ b/carobshift/gateway/records/peer_state_codec_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/peer_state_codec.h"
+#include "carobshift/gateway/records/peer_state_codec.h"
 
 #include <catch2/catch.hpp>
 
--- a/carobshift/gateway/peer_sync.cc
+++ b/carobshift/gateway/records/peer_sync.cc
@@ -1,12 +1,12 @@
-#include "carobshift/gateway/peer_sync.h"
+#include "carobshift/gateway/records/peer_sync.h"
 
 #include <algorithm>
 #include <string_view>
 #include <utility>
 
 #include "carobshift/base/digest.h"
-#include "carobshift/gateway/peer_choice.h"
-#include "carobshift/gateway/peer_state_codec.h"
+#include "carobshift/gateway/instances/peer_choice.h"
+#include "carobshift/gateway/records/peer_state_codec.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
--- a/carobshift/gateway/peer_sync.h
+++ b/carobshift/gateway/records/peer_sync.h
@@ -11,8 +11,8 @@
 // would keep accepting a revoked key, and the only symptom would be that its
 // holder still gets answers.
 
-#ifndef CAROBSHIFT_GATEWAY_PEER_SYNC_H_
-#define CAROBSHIFT_GATEWAY_PEER_SYNC_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_PEER_SYNC_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_PEER_SYNC_H_
 
 #include <functional>
 #include <optional>
@@ -20,11 +20,11 @@
 #include <utility>
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/cluster.h"
 #include "carobshift/gateway/gateway_settings.h"
-#include "carobshift/gateway/keyed_follower.h"
+#include "carobshift/gateway/instances/cluster.h"
 #include "carobshift/gateway/query_service.h"
-#include "carobshift/gateway/stream_positions.h"
+#include "carobshift/gateway/records/keyed_follower.h"
+#include "carobshift/gateway/records/stream_positions.h"
 #include "carobshift/net/http_fetch.h"
 
 namespace carobshift {
@@ -99,4 +99,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_PEER_SYNC_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_PEER_SYNC_H_
--- a/carobshift/gateway/peer_sync_test.cc
+++ b/carobshift/gateway/records/peer_sync_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/peer_sync.h"
+#include "carobshift/gateway/records/peer_sync.h"
 
 #include <unistd.h>
 
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "carobshift/base/digest.h"
-#include "carobshift/gateway/fake_log.h"
-#include "carobshift/gateway/peer_state_codec.h"
-#include "carobshift/gateway/recording_follower_sink.h"
+#include "carobshift/gateway/records/fake_log.h"
+#include "carobshift/gateway/records/peer_state_codec.h"
+#include "carobshift/gateway/records/recording_follower_sink.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/gateway/record_listener.cc
+++ b/carobshift/gateway/records/record_listener.cc
@@ -1,13 +1,13 @@
-#include "carobshift/gateway/record_listener.h"
+#include "carobshift/gateway/records/record_listener.h"
 
 #include <algorithm>
 #include <string_view>
 #include <utility>
 
 #include "carobshift/base/digest.h"
-#include "carobshift/gateway/peer_state_codec.h"
-#include "carobshift/gateway/record_readers.h"
-#include "carobshift/gateway/stream_positions.h"
+#include "carobshift/gateway/records/peer_state_codec.h"
+#include "carobshift/gateway/records/record_readers.h"
+#include "carobshift/gateway/records/stream_positions.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
--- a/carobshift/gateway/record_listener.h
+++ b/carobshift/gateway/records/record_listener.h
@@ -23,16 +23,16 @@
 // - An unauthorized process answers. Answers carry an authentication code that
 //   only an instance of this deployment can produce.
 
-#ifndef CAROBSHIFT_GATEWAY_RECORD_LISTENER_H_
-#define CAROBSHIFT_GATEWAY_RECORD_LISTENER_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_RECORD_LISTENER_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_RECORD_LISTENER_H_
 
 #include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/keyed_follower.h"
 #include "carobshift/gateway/query_service.h"
+#include "carobshift/gateway/records/keyed_follower.h"
 #include "carobshift/membership/member.h"
 #include "carobshift/net/http_fetch.h"
 
@@ -115,4 +115,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_RECORD_LISTENER_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_RECORD_LISTENER_H_
--- a/carobshift/gateway/record_listener_test.cc
+++ b/carobshift/gateway/records/record_listener_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/record_listener.h"
+#include "carobshift/gateway/records/record_listener.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/listening_instance.h"
-#include "carobshift/gateway/record_readers.h"
+#include "carobshift/gateway/records/listening_instance.h"
+#include "carobshift/gateway/records/record_readers.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/gateway/record_readers.cc
+++ b/carobshift/gateway/records/record_readers.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/record_readers.h"
+#include "carobshift/gateway/records/record_readers.h"
 
 #include <algorithm>
 #include <set>
--- a/carobshift/gateway/record_readers.h
+++ b/carobshift/gateway/records/record_readers.h
@@ -17,8 +17,8 @@
 // members' ids. A reader that dies is replaced as soon as gossip reports it;
 // until then its listeners query another reader or read the log themselves.
 
-#ifndef CAROBSHIFT_GATEWAY_RECORD_READERS_H_
-#define CAROBSHIFT_GATEWAY_RECORD_READERS_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_RECORD_READERS_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_RECORD_READERS_H_
 
 #include <cstddef>
 #include <vector>
@@ -47,4 +47,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_RECORD_READERS_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_RECORD_READERS_H_
--- a/carobshift/gateway/recording_follower_sink.h
+++ b/carobshift/gateway/records/recording_follower_sink.h
@@ -5,14 +5,14 @@
 //                          QuickFollowerOptions(), sink);
 //   CHECK(sink.records == std::vector<std::string>{"a=1", "b=(removed)"});
 
-#ifndef CAROBSHIFT_GATEWAY_RECORDING_FOLLOWER_SINK_H_
-#define CAROBSHIFT_GATEWAY_RECORDING_FOLLOWER_SINK_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_RECORDING_FOLLOWER_SINK_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_RECORDING_FOLLOWER_SINK_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "carobshift/gateway/keyed_follower.h"
+#include "carobshift/gateway/records/keyed_follower.h"
 
 namespace carobshift {
 
@@ -51,4 +51,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_RECORDING_FOLLOWER_SINK_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_RECORDING_FOLLOWER_SINK_H_
--- a/carobshift/gateway/stream_positions.cc
+++ b/carobshift/gateway/records/stream_positions.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/stream_positions.h"
+#include "carobshift/gateway/records/stream_positions.h"
 
 #include <charconv>
 #include <cstdint>
--- a/carobshift/gateway/stream_positions.h
+++ b/carobshift/gateway/records/stream_positions.h
@@ -4,8 +4,8 @@
 //   head.target = path + ToPathSuffix({operators.next(), endpoints.next()});
 //   const auto since = ParsePathSuffix(target.substr(path.size()));
 
-#ifndef CAROBSHIFT_GATEWAY_STREAM_POSITIONS_H_
-#define CAROBSHIFT_GATEWAY_STREAM_POSITIONS_H_
+#ifndef CAROBSHIFT_GATEWAY_RECORDS_STREAM_POSITIONS_H_
+#define CAROBSHIFT_GATEWAY_RECORDS_STREAM_POSITIONS_H_
 
 #include <optional>
 #include <string>
@@ -30,4 +30,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_STREAM_POSITIONS_H_
+#endif  // CAROBSHIFT_GATEWAY_RECORDS_STREAM_POSITIONS_H_
--- a/carobshift/gateway/caller_request.h
+++ b/carobshift/gateway/request/caller_request.h
@@ -2,8 +2,8 @@
 // metadata of an endpoint's reply, independent of the wire format.
 // RequestDialect converts between these types and HTTP.
 
-#ifndef CAROBSHIFT_GATEWAY_CALLER_REQUEST_H_
-#define CAROBSHIFT_GATEWAY_CALLER_REQUEST_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_CALLER_REQUEST_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_CALLER_REQUEST_H_
 
 #include <cstdint>
 #include <optional>
@@ -109,4 +109,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_CALLER_REQUEST_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_CALLER_REQUEST_H_
--- a/carobshift/gateway/crash_record.h
+++ b/carobshift/gateway/request/crash_record.h
@@ -27,8 +27,8 @@
 // Thread-compatible. Holds at most kMaxRecords records and drops the oldest
 // first.
 
-#ifndef CAROBSHIFT_GATEWAY_CRASH_RECORD_H_
-#define CAROBSHIFT_GATEWAY_CRASH_RECORD_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_CRASH_RECORD_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_CRASH_RECORD_H_
 
 #include <cstdint>
 #include <map>
@@ -39,7 +39,7 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
-#include "carobshift/gateway/caller_request.h"
+#include "carobshift/gateway/request/caller_request.h"
 
 namespace carobshift {
 
@@ -98,4 +98,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_CRASH_RECORD_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_CRASH_RECORD_H_
--- a/carobshift/gateway/crash_record_test.cc
+++ b/carobshift/gateway/request/crash_record_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/crash_record.h"
+#include "carobshift/gateway/request/crash_record.h"
 
 #include <catch2/catch.hpp>
 
--- a/carobshift/gateway/event_splitter.cc
+++ b/carobshift/gateway/request/event_splitter.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/event_splitter.h"
+#include "carobshift/gateway/request/event_splitter.h"
 
 #include <charconv>
 
--- a/carobshift/gateway/event_splitter.h
+++ b/carobshift/gateway/request/event_splitter.h
@@ -8,15 +8,15 @@
 //
 // Thread-compatible.
 
-#ifndef CAROBSHIFT_GATEWAY_EVENT_SPLITTER_H_
-#define CAROBSHIFT_GATEWAY_EVENT_SPLITTER_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_EVENT_SPLITTER_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_EVENT_SPLITTER_H_
 
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "carobshift/gateway/caller_request.h"
+#include "carobshift/gateway/request/caller_request.h"
 
 namespace carobshift {
 
@@ -48,4 +48,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_EVENT_SPLITTER_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_EVENT_SPLITTER_H_
--- a/carobshift/gateway/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -1,9 +1,9 @@
-#include "carobshift/gateway/exchange.h"
+#include "carobshift/gateway/request/exchange.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "carobshift/gateway/failure_reply.h"
+#include "carobshift/gateway/request/failure_reply.h"
 
 namespace carobshift {
 namespace {
--- a/carobshift/gateway/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -22,8 +22,8 @@
 // complete. An endpoint that fails midway then causes a regular failure answer
 // and not a broken connection. Longer answers are forwarded as they arrive.
 
-#ifndef CAROBSHIFT_GATEWAY_EXCHANGE_H_
-#define CAROBSHIFT_GATEWAY_EXCHANGE_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_H_
 
 #include <memory>
 #include <optional>
@@ -33,8 +33,8 @@
 #include <vector>
 
 #include "carobshift/base/result_code.h"
-#include "carobshift/gateway/caller_request.h"
-#include "carobshift/gateway/event_splitter.h"
+#include "carobshift/gateway/request/caller_request.h"
+#include "carobshift/gateway/request/event_splitter.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_client.h"
 #include "carobshift/net/http_message.h"
@@ -233,4 +233,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_EXCHANGE_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_H_
--- a/carobshift/gateway/exchange_run.cc
+++ b/carobshift/gateway/request/exchange_run.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/exchange_run.h"
+#include "carobshift/gateway/request/exchange_run.h"
 
 #include <algorithm>
 #include <utility>
--- a/carobshift/gateway/exchange_run.h
+++ b/carobshift/gateway/request/exchange_run.h
@@ -2,14 +2,14 @@
 // attempt and its deadline timer. The class forwards events and holds no
 // policy.
 
-#ifndef CAROBSHIFT_GATEWAY_EXCHANGE_RUN_H_
-#define CAROBSHIFT_GATEWAY_EXCHANGE_RUN_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_RUN_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_RUN_H_
 
 #include <memory>
 #include <string_view>
 
 #include "carobshift/gateway/dialect.h"
-#include "carobshift/gateway/exchange.h"
+#include "carobshift/gateway/request/exchange.h"
 #include "carobshift/net/http_client.h"
 #include "carobshift/net/http_server_connection.h"
 
@@ -72,4 +72,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_EXCHANGE_RUN_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_RUN_H_
--- a/carobshift/gateway/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/exchange.h"
+#include "carobshift/gateway/request/exchange.h"
 
 #include <catch2/catch.hpp>
 #include <string>
--- a/carobshift/gateway/failure_reply.cc
+++ b/carobshift/gateway/request/failure_reply.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/failure_reply.h"
+#include "carobshift/gateway/request/failure_reply.h"
 
 #include <array>
 #include <cstdio>
--- a/carobshift/gateway/failure_reply.h
+++ b/carobshift/gateway/request/failure_reply.h
@@ -3,8 +3,8 @@
 //   reply.SendWhole(FailureHead(503, Milliseconds(400)),
 //                   FailureBody(ResultCode::kOverloaded, "not_run"));
 
-#ifndef CAROBSHIFT_GATEWAY_FAILURE_REPLY_H_
-#define CAROBSHIFT_GATEWAY_FAILURE_REPLY_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_FAILURE_REPLY_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_FAILURE_REPLY_H_
 
 #include <optional>
 #include <string>
@@ -27,4 +27,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_FAILURE_REPLY_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_FAILURE_REPLY_H_
--- a/carobshift/gateway/request_report.h
+++ b/carobshift/gateway/request/request_report.h
@@ -4,17 +4,17 @@
 //   trace.attempt.cost = plan.cost;
 //   ReportEnd(exchange, trace, now, metrics);
 
-#ifndef CAROBSHIFT_GATEWAY_REQUEST_REPORT_H_
-#define CAROBSHIFT_GATEWAY_REQUEST_REPORT_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_REQUEST_REPORT_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_REQUEST_REPORT_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
 
-#include "carobshift/gateway/exchange.h"
-#include "carobshift/gateway/prompt_sizes.h"
-#include "carobshift/gateway/queue_ahead.h"
+#include "carobshift/gateway/placement/prompt_sizes.h"
+#include "carobshift/gateway/placement/queue_ahead.h"
+#include "carobshift/gateway/request/exchange.h"
 #include "carobshift/telemetry/metrics.h"
 
 namespace carobshift {
@@ -62,4 +62,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_REQUEST_REPORT_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_REQUEST_REPORT_H_
--- a/carobshift/gateway/request_report_test.cc
+++ b/carobshift/gateway/request/request_report_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/request_report.h"
+#include "carobshift/gateway/request/request_report.h"
 
 #include <catch2/catch.hpp>
 
--- a/carobshift/gateway/request_resolver.cc
+++ b/carobshift/gateway/request/request_resolver.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/request_resolver.h"
+#include "carobshift/gateway/request/request_resolver.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/request_resolver.h
+++ b/carobshift/gateway/request/request_resolver.h
@@ -7,11 +7,11 @@
 //
 // Pure, and therefore thread-safe.
 
-#ifndef CAROBSHIFT_GATEWAY_REQUEST_RESOLVER_H_
-#define CAROBSHIFT_GATEWAY_REQUEST_RESOLVER_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_REQUEST_RESOLVER_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_REQUEST_RESOLVER_H_
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/caller_request.h"
+#include "carobshift/gateway/request/caller_request.h"
 #include "carobshift/gateway/serving_config.h"
 
 namespace carobshift {
@@ -32,4 +32,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_REQUEST_RESOLVER_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_REQUEST_RESOLVER_H_
--- a/carobshift/gateway/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -1,12 +1,12 @@
-#include "carobshift/gateway/request_service.h"
+#include "carobshift/gateway/request/request_service.h"
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "carobshift/base/digest.h"
-#include "carobshift/gateway/failure_reply.h"
-#include "carobshift/gateway/request_resolver.h"
+#include "carobshift/gateway/request/failure_reply.h"
+#include "carobshift/gateway/request/request_resolver.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
--- a/carobshift/gateway/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -7,8 +7,8 @@
 //   service.Accept(socket);
 //   service.BeginStop();
 
-#ifndef CAROBSHIFT_GATEWAY_REQUEST_SERVICE_H_
-#define CAROBSHIFT_GATEWAY_REQUEST_SERVICE_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_REQUEST_SERVICE_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_REQUEST_SERVICE_H_
 
 #include <Poco/Net/StreamSocket.h>
 
@@ -19,25 +19,25 @@
 #include <unordered_set>
 #include <vector>
 
-#include "carobshift/gateway/attempt_planner.h"
-#include "carobshift/gateway/cache_contents.h"
-#include "carobshift/gateway/cold_start_limits.h"
-#include "carobshift/gateway/crash_record.h"
+#include "carobshift/gateway/cache/cache_contents.h"
 #include "carobshift/gateway/dialect.h"
-#include "carobshift/gateway/endpoint_eligibility.h"
-#include "carobshift/gateway/endpoint_health.h"
-#include "carobshift/gateway/endpoint_registry.h"
-#include "carobshift/gateway/exchange_run.h"
-#include "carobshift/gateway/load_query_service.h"
-#include "carobshift/gateway/load_tracker.h"
-#include "carobshift/gateway/overload_guard.h"
-#include "carobshift/gateway/prompt_sizes.h"
-#include "carobshift/gateway/rate_limits.h"
-#include "carobshift/gateway/request_report.h"
-#include "carobshift/gateway/retry_allowance.h"
+#include "carobshift/gateway/endpoints/cold_start_limits.h"
+#include "carobshift/gateway/endpoints/endpoint_eligibility.h"
+#include "carobshift/gateway/endpoints/endpoint_health.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
+#include "carobshift/gateway/endpoints/rate_limits.h"
+#include "carobshift/gateway/endpoints/zone_evacuations.h"
+#include "carobshift/gateway/endpoints/zone_regions.h"
+#include "carobshift/gateway/load/load_query_service.h"
+#include "carobshift/gateway/load/load_tracker.h"
+#include "carobshift/gateway/placement/attempt_planner.h"
+#include "carobshift/gateway/placement/overload_guard.h"
+#include "carobshift/gateway/placement/prompt_sizes.h"
+#include "carobshift/gateway/request/crash_record.h"
+#include "carobshift/gateway/request/exchange_run.h"
+#include "carobshift/gateway/request/request_report.h"
+#include "carobshift/gateway/request/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
-#include "carobshift/gateway/zone_evacuations.h"
-#include "carobshift/gateway/zone_regions.h"
 #include "carobshift/net/http_server_connection.h"
 #include "carobshift/telemetry/metrics.h"
 
@@ -250,4 +250,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_REQUEST_SERVICE_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_REQUEST_SERVICE_H_
--- a/carobshift/gateway/retry_allowance.cc
+++ b/carobshift/gateway/request/retry_allowance.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/retry_allowance.h"
+#include "carobshift/gateway/request/retry_allowance.h"
 
 namespace carobshift {
 
--- a/carobshift/gateway/retry_allowance.h
+++ b/carobshift/gateway/request/retry_allowance.h
@@ -33,8 +33,8 @@
 //
 // Thread-compatible. Holds two rings of kSlots + 1 counts for each service.
 
-#ifndef CAROBSHIFT_GATEWAY_RETRY_ALLOWANCE_H_
-#define CAROBSHIFT_GATEWAY_RETRY_ALLOWANCE_H_
+#ifndef CAROBSHIFT_GATEWAY_REQUEST_RETRY_ALLOWANCE_H_
+#define CAROBSHIFT_GATEWAY_REQUEST_RETRY_ALLOWANCE_H_
 
 #include <array>
 #include <cstdint>
@@ -112,4 +112,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_RETRY_ALLOWANCE_H_
+#endif  // CAROBSHIFT_GATEWAY_REQUEST_RETRY_ALLOWANCE_H_
--- a/carobshift/gateway/state_dump.h
+++ b/carobshift/gateway/state_dump.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/cold_start_limits.h"
-#include "carobshift/gateway/endpoint_registry.h"
+#include "carobshift/gateway/endpoints/cold_start_limits.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
+#include "carobshift/gateway/endpoints/zone_evacuations.h"
 #include "carobshift/gateway/serving_config.h"
-#include "carobshift/gateway/zone_evacuations.h"
 #include "carobshift/membership/member.h"
 
 namespace carobshift {
--- a/carobshift/gateway/weight_deadlines.cc
+++ b/carobshift/gateway/weights/weight_deadlines.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/weight_deadlines.h"
+#include "carobshift/gateway/weights/weight_deadlines.h"
 
 #include <algorithm>
 
--- a/carobshift/gateway/weight_deadlines.h
+++ b/carobshift/gateway/weights/weight_deadlines.h
@@ -30,8 +30,8 @@
 //
 // Thread-compatible. State: the last kMaxNamings namings of each model.
 
-#ifndef CAROBSHIFT_GATEWAY_WEIGHT_DEADLINES_H_
-#define CAROBSHIFT_GATEWAY_WEIGHT_DEADLINES_H_
+#ifndef CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_DEADLINES_H_
+#define CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_DEADLINES_H_
 
 #include <algorithm>
 #include <map>
@@ -126,4 +126,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_WEIGHT_DEADLINES_H_
+#endif  // CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_DEADLINES_H_
--- a/carobshift/gateway/weight_note.cc
+++ b/carobshift/gateway/weights/weight_note.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/weight_note.h"
+#include "carobshift/gateway/weights/weight_note.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/carobshift/gateway/weight_note.h
+++ b/carobshift/gateway/weights/weight_note.h
@@ -13,8 +13,8 @@
 // too early; a clock that is behind leaves a naming as old as when the note was
 // written.
 
-#ifndef CAROBSHIFT_GATEWAY_WEIGHT_NOTE_H_
-#define CAROBSHIFT_GATEWAY_WEIGHT_NOTE_H_
+#ifndef CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_NOTE_H_
+#define CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_NOTE_H_
 
 #include <string>
 #include <string_view>
@@ -22,7 +22,7 @@
 
 #include "carobshift/base/result.h"
 #include "carobshift/base/units.h"
-#include "carobshift/gateway/weight_deadlines.h"
+#include "carobshift/gateway/weights/weight_deadlines.h"
 
 namespace carobshift {
 
@@ -39,4 +39,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_WEIGHT_NOTE_H_
+#endif  // CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_NOTE_H_
--- a/carobshift/gateway/weight_rollout.cc
+++ b/carobshift/gateway/weights/weight_rollout.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/weight_rollout.h"
+#include "carobshift/gateway/weights/weight_rollout.h"
 
 #include <algorithm>
 #include <cmath>
--- a/carobshift/gateway/weight_rollout.h
+++ b/carobshift/gateway/weights/weight_rollout.h
@@ -29,8 +29,8 @@
 //
 // Thread-compatible. This class is not a lease: the caller must hold one.
 
-#ifndef CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_H_
-#define CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_H_
+#ifndef CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_ROLLOUT_H_
+#define CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_ROLLOUT_H_
 
 #include <map>
 #include <optional>
@@ -187,4 +187,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_H_
+#endif  // CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_ROLLOUT_H_
--- a/carobshift/gateway/weight_rollout_controller.cc
+++ b/carobshift/gateway/weights/weight_rollout_controller.cc
@@ -1,8 +1,8 @@
-#include "carobshift/gateway/weight_rollout_controller.h"
+#include "carobshift/gateway/weights/weight_rollout_controller.h"
 
 #include <utility>
 
-#include "carobshift/gateway/weight_note.h"
+#include "carobshift/gateway/weights/weight_note.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
--- a/carobshift/gateway/weight_rollout_controller.h
+++ b/carobshift/gateway/weights/weight_rollout_controller.h
@@ -19,8 +19,8 @@
 // instance waits kSuccessionDelay longer, and seeks it only if nothing has
 // changed meanwhile.
 
-#ifndef CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_CONTROLLER_H_
-#define CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_CONTROLLER_H_
+#ifndef CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_ROLLOUT_CONTROLLER_H_
+#define CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_ROLLOUT_CONTROLLER_H_
 
 #include <functional>
 #include <map>
@@ -30,13 +30,13 @@
 #include <string_view>
 #include <vector>
 
-#include "carobshift/gateway/cluster.h"
 #include "carobshift/gateway/dialect.h"
-#include "carobshift/gateway/endpoint_registry.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
 #include "carobshift/gateway/gateway_settings.h"
+#include "carobshift/gateway/instances/cluster.h"
 #include "carobshift/gateway/serving_config.h"
-#include "carobshift/gateway/weight_deadlines.h"
-#include "carobshift/gateway/weight_rollout.h"
+#include "carobshift/gateway/weights/weight_deadlines.h"
+#include "carobshift/gateway/weights/weight_rollout.h"
 #include "carobshift/lease/lease.h"
 #include "carobshift/net/http_fetch.h"
 
@@ -180,4 +180,4 @@
 
 }  // namespace carobshift
 
-#endif  // CAROBSHIFT_GATEWAY_WEIGHT_ROLLOUT_CONTROLLER_H_
+#endif  // CAROBSHIFT_GATEWAY_WEIGHTS_WEIGHT_ROLLOUT_CONTROLLER_H_
--- a/carobshift/gateway/weight_rollout_controller_test.cc
+++ b/carobshift/gateway/weights/weight_rollout_controller_test.cc
@@ -1,4 +1,4 @@
-#include "carobshift/gateway/weight_rollout_controller.h"
+#include "carobshift/gateway/weights/weight_rollout_controller.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/fake_log.h"
+#include "carobshift/gateway/records/fake_log.h"
 #include "carobshift/gateway/stub_dialects.h"
-#include "carobshift/gateway/weight_note.h"
+#include "carobshift/gateway/weights/weight_note.h"
 
 namespace carobshift {
 namespace {
--- a/fuzz/exchange_fuzz.cc
+++ b/fuzz/exchange_fuzz.cc
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/exchange.h"
+#include "carobshift/gateway/request/exchange.h"
 #include "fuzz/simulation.h"
 
 namespace carobshift {
--- a/fuzz/rate_limit_fuzz.cc
+++ b/fuzz/rate_limit_fuzz.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/rate_limits.h"
+#include "carobshift/gateway/endpoints/rate_limits.h"
 #include "fuzz/simulation.h"
 
 namespace carobshift {
--- a/fuzz/registry_fuzz.cc
+++ b/fuzz/registry_fuzz.cc
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/endpoint_registry.h"
+#include "carobshift/gateway/endpoints/endpoint_registry.h"
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/stub_dialects.h"
 #include "fuzz/simulation.h"
--- a/fuzz/rollout_fuzz.cc
+++ b/fuzz/rollout_fuzz.cc
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "carobshift/gateway/weight_rollout.h"
+#include "carobshift/gateway/weights/weight_rollout.h"
 #include "fuzz/simulation.h"
 
 namespace carobshift {
