--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -363,6 +363,28 @@
   }
 }
 
+TEST_CASE(
+    "a stream whose silent endpoint can't be replaced goes on when the "
+    "endpoint does") {
+  // Guards against a stream that is broken off although its endpoint goes on.
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  SECTION("no other endpoint") {
+    fixture.attempt_runner.endpoints = 1;
+  }
+  SECTION("no retry left") {
+    fixture.attempt_runner.repeats_left = 0;
+  }
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, Event(1));
+  fixture.exchange->OnEndpointSilent(kStart);
+  REQUIRE_FALSE(fixture.reply.broken);
+  REQUIRE_FALSE(fixture.exchange->over());
+  fixture.exchange->OnReplyBody(Event(2), kStart);
+  fixture.exchange->OnReplyEnd(kStart);
+  CHECK(fixture.reply.body == Event(1) + Event(2));
+  CHECK(fixture.reply.ended);
+}
+
 TEST_CASE("an attempt waiting on replaced weights is withdrawn") {
   // A request waits at an engine whose weights were replaced, until requests
   // may no longer start on them. A request that may run again goes to another
