Gateway: an attempt given up for silence has a fault of its own

Change: CallFault::kSilent, its name in attempt_failed, and the metric carobshift_attempt_failures_total by fault. What is done after the failure is unchanged.

The new test needs the new fault, so it could not be run on the code before.

--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -269,7 +269,7 @@
       runs_ + (answered ? 0 : 1) >= setup_.route->max_attempts)
     return;
   attempt_runner_.DropAttempt(*this);
-  OnAttemptFailed({CallFault::kBroken, true, false}, now);
+  OnAttemptFailed({CallFault::kSilent, true, false}, now);
 }
 
 void Exchange::OnTooLateToBegin(MonotonicTime now) {
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -60,8 +60,9 @@
   void PauseAttempt(Exchange&, bool) override {}
   void OnAttemptReply(Exchange&, const ReplyMetadata&) override {}
   void OnAttemptEnd(Exchange&) override { running = false; }
-  void OnAttemptFailure(Exchange&, const CallFailure&) override {
+  void OnAttemptFailure(Exchange&, const CallFailure& failure) override {
     running = false;
+    failures.push_back(failure.fault);
   }
   Milliseconds RetryAfter(Exchange&) override { return Milliseconds(400); }
   void OnExchangeEnd(Exchange&) override { ++ends; }
@@ -74,6 +75,7 @@
   int ends = 0;
   bool running = false;
   std::vector<AttemptParams> wishes;
+  std::vector<CallFault> failures;
 };
 
 Route BookingRoute() {
@@ -363,6 +365,17 @@
   }
 }
 
+TEST_CASE("an attempt given up for silence is not reported as a broken one") {
+  // Guards against a log that can't tell a silent endpoint from a broken one.
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, Event(1));
+  fixture.exchange->OnEndpointSilent(kStart);
+  REQUIRE(fixture.attempt_runner.failures.size() == 1);
+  CHECK(fixture.attempt_runner.failures[0] == CallFault::kSilent);
+  CHECK(CallFaultName(CallFault::kSilent) == "silent");
+}
+
 TEST_CASE(
     "a stream whose silent endpoint can't be replaced goes on when the "
     "endpoint does") {
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -485,6 +485,8 @@
 void RequestService::OnAttemptFailure(Exchange& exchange,
                                       const CallFailure& failure) {
   EndAttempt(exchange);
+  metrics_.Add("carobshift_attempt_failures_total",
+               {{"fault", CallFaultName(failure.fault)}}, 1);
   const EndpointId& endpoint = runs_.at(&exchange).endpoint;
   if (failure.fault == CallFault::kConnectionLimit)
     return;
@@ -496,7 +498,8 @@
               {"endpoint", endpoint.value()}});
     return;
   }
-  if (failure.sent && failure.fault == CallFault::kBroken) {
+  if (failure.sent && (failure.fault == CallFault::kBroken ||
+                       failure.fault == CallFault::kSilent)) {
     const RequestFingerprint fingerprint = FingerprintOfExchange(exchange);
     const std::string run = exchange.request().id.value() + "." +
                             std::to_string(exchange.summary().attempts);
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -38,6 +38,8 @@
       return "malformed_reply";
     case CallFault::kWithdrawn:
       return "withdrawn";
+    case CallFault::kSilent:
+      return "silent";
   }
   return "unknown";
 }
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -53,6 +53,9 @@
   kMalformed,
   // The call was withdrawn by this side before a reply began.
   kWithdrawn,
+  // The call was given up by this side because the peer sent nothing for too
+  // long on a connection that was still open.
+  kSilent,
 };
 
 // Returns the name of the fault for logs.
