--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -18,6 +18,9 @@
 constexpr int kFirstPort = 20000;
 constexpr int kPortRange = 10000;
 
+// Where the relays of gateway 0 listen, each at the port of its target.
+constexpr char kRelayHost[] = "127.0.2.1";
+
 enum PortOffset {
   kFront = 0,
   kReady,
@@ -60,6 +63,8 @@
   for (int i = 0; i < options.plain_services; ++i)
     AddReplica("desk-" + std::to_string(i), /*engine=*/false);
   PutConfig(1, /*with_key=*/true);
+  if (options.relayed)
+    StartRelays();
   gateways_.resize(static_cast<std::size_t>(options.gateways));
   for (std::size_t i = 0; i < gateways_.size(); ++i)
     StartGateway(i);
@@ -75,6 +80,25 @@
     throw std::runtime_error("gateways did not become ready");
 }
 
+void GatewayCluster::StartRelays() {
+  const auto relay_to = [](const NetAddress& target) {
+    return std::make_unique<Relay>(target, NetAddress{kRelayHost, target.port});
+  };
+  log_relay_ = relay_to(platform_->address());
+  for (const Replica& replica : replicas_)
+    endpoint_relays_.push_back(relay_to(replica.process->address()));
+}
+
+void GatewayCluster::CutPathsToEndpoints(CutForm form) {
+  for (const auto& relay : endpoint_relays_)
+    relay->Cut(form);
+}
+
+void GatewayCluster::RestorePathsToEndpoints() {
+  for (const auto& relay : endpoint_relays_)
+    relay->Restore();
+}
+
 void GatewayCluster::AddReplica(const std::string& id, bool engine) {
   std::vector<std::string> arguments = {"--id", id};
   if (engine) {
@@ -193,12 +217,17 @@
 }
 
 void GatewayCluster::StartGateway(std::size_t index) {
+  std::vector<std::string> environment;
+  if (options_.relayed && index == 0) {
+    environment = {"LD_PRELOAD=" + BinaryPath("libredirect_connect.so"),
+                   "CAROBSHIFT_CONNECT_HOST=" + std::string(kRelayHost)};
+  }
   gateways_[index] = std::make_unique<Process>(
       "carobshiftd",
       std::vector<std::string>{"gateway", "--print-address", "--settings",
                                WriteSettings(index), "--metrics-port",
                                std::to_string(base_port_ + kMetrics)},
-      directory_.path());
+      directory_.path(), environment);
 }
 
 HttpAnswer GatewayCluster::Send(std::size_t index,
@@ -207,9 +236,8 @@
                                 HttpSendOptions options) {
   ++requests_;
   auto& headers = options.headers;
-  headers.insert(headers.begin(), {{"Host", "api.example"},
-                                   {"Request-Id", LastRequestId()},
-                                   {"Deadline-Ms", "5000"}});
+  headers.insert(headers.begin(),
+                 {{"Host", "api.example"}, {"Request-Id", LastRequestId()}});
   const auto add_default = [&headers](const std::string& name,
                                       const std::string& value) {
     const bool given =
@@ -218,6 +246,7 @@
     if (!given)
       headers.emplace_back(name, value);
   };
+  add_default("Deadline-Ms", "5000");
   add_default("X-Api-Key", kKey);
   if (path.starts_with("/review") || path.starts_with("/ask")) {
     add_default("Model", "m1");
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -21,6 +21,7 @@
 #include "carobshift/base/net_address.h"
 #include "testing/http_client.h"
 #include "testing/process.h"
+#include "testing/relay.h"
 
 namespace carobshift {
 
@@ -36,6 +37,9 @@
   // Time limit of a weight rollout: from the publication of a new weight
   // version until no request may start on an older one.
   Milliseconds weights_replacement_bound{15000};
+  // Gateway 0 reaches the endpoints and the log through relays, so that its
+  // paths to the endpoints can be cut.
+  bool relayed = false;
 };
 
 // Configured routes: /review/ (a resumable stream), /ask/ (a stream that is not
@@ -46,8 +50,8 @@
 
   explicit GatewayCluster(const GatewayClusterOptions& options);
 
-  // Sends a request to gateway `index` with a new request id. Adds the API key
-  // and a small prompt unless `options` sets them.
+  // Sends a request to gateway `index` with a new request id. Adds a deadline,
+  // the API key and a small prompt unless `options` sets them.
   [[nodiscard]] HttpAnswer Send(std::size_t index,
                                 const std::string& method,
                                 const std::string& path,
@@ -78,6 +82,11 @@
   // removes it.
   void PutReplica(std::size_t index, const std::string& state);
 
+  // Cuts the paths of gateway 0 to all endpoints. Its callers, the other
+  // gateways and the log still reach it, and it reaches them.
+  void CutPathsToEndpoints(CutForm form);
+  void RestorePathsToEndpoints();
+
   void StartGateway(std::size_t index);
   [[nodiscard]] Process& gateway(std::size_t index) {
     return *gateways_[index];
@@ -113,6 +122,7 @@
   void PutKeyed(const std::string& topic,
                 const std::string& key,
                 const std::string& value);
+  void StartRelays();
   [[nodiscard]] std::string HostOf(std::size_t gateway) const;
   [[nodiscard]] std::string WriteSettings(std::size_t gateway) const;
 
@@ -121,6 +131,8 @@
   std::uint16_t base_port_;
   std::unique_ptr<Process> platform_;
   std::vector<Replica> replicas_;
+  std::unique_ptr<Relay> log_relay_;
+  std::vector<std::unique_ptr<Relay>> endpoint_relays_;
   std::vector<std::unique_ptr<Process>> gateways_;
   int requests_ = 0;
 };
--- a/testing/relay.cc
+++ b/testing/relay.cc
@@ -28,18 +28,55 @@
 
 }  // namespace
 
-Relay::Relay(const NetAddress& target)
+Relay::Relay(const NetAddress& target) : Relay(target, {"127.0.0.1", 0}) {}
+
+Relay::Relay(const NetAddress& target, const NetAddress& listen)
     : target_(target),
-      listener_(Poco::Net::SocketAddress("127.0.0.1", 0)),
-      acceptor_([this](const std::stop_token& stop) { Accept(stop); }) {}
+      listener_(Poco::Net::SocketAddress(listen.host, listen.port)),
+      listen_address_(listener_.address()) {
+  StartAccepting();
+}
 
 Relay::~Relay() {
+  StopAccepting();
+}
+
+void Relay::StartAccepting() {
+  acceptor_ =
+      std::jthread([this](const std::stop_token& stop) { Accept(stop); });
+}
+
+void Relay::StopAccepting() {
   acceptor_.request_stop();
-  acceptor_.join();
+  if (acceptor_.joinable())
+    acceptor_.join();
+  listener_.close();
+}
+
+void Relay::Cut(CutForm form) {
+  StopAccepting();
+  if (form == CutForm::kNewRefused)
+    return;
+  ++generation_;
+  if (form == CutForm::kRefused) {
+    first_kept_ = generation_.load();
+    return;
+  }
+  // The kernel drops connection requests to a socket whose accept queue, of
+  // length one, is full.
+  listener_ = Poco::Net::ServerSocket(listen_address_, /*backlog=*/0);
+  filler_.emplace(listen_address_);
+}
+
+void Relay::Restore() {
+  filler_.reset();
+  listener_.close();
+  listener_ = Poco::Net::ServerSocket(listen_address_);
+  StartAccepting();
 }
 
 NetAddress Relay::address() const {
-  return {"127.0.0.1", listener_.address().port()};
+  return {listen_address_.host().toString(), listen_address_.port()};
 }
 
 void Relay::BlackholeOpenConnections() {
@@ -69,6 +106,10 @@
     server.setNoDelay(true);
     client.setNoDelay(true);
     while (!stop.stop_requested()) {
+      if (generation < first_kept_) {
+        client.setLinger(true, 0);
+        return;
+      }
       // A blackholed connection stays open on both sides.
       const bool blackholed = generation != generation_;
       if (!blackholed && (!ForwardAvailable(client, server) ||
