--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -18,9 +18,6 @@
 constexpr int kFirstPort = 20000;
 constexpr int kPortRange = 10000;
 
-// Where the relays of gateway 0 listen, each at the port of its target.
-constexpr char kRelayHost[] = "127.0.2.1";
-
 enum PortOffset {
   kFront = 0,
   kReady,
@@ -217,11 +214,8 @@
 }
 
 void GatewayCluster::StartGateway(std::size_t index) {
-  std::vector<std::string> environment;
-  if (options_.relayed && index == 0) {
-    environment = {"LD_PRELOAD=" + BinaryPath("libredirect_connect.so"),
-                   "CAROBSHIFT_CONNECT_HOST=" + std::string(kRelayHost)};
-  }
+  const std::vector<std::string> environment =
+      index == 0 ? options_.environment : std::vector<std::string>();
   gateways_[index] = std::make_unique<Process>(
       "carobshiftd",
       std::vector<std::string>{"gateway", "--print-address", "--settings",
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -38,8 +38,11 @@
   // version until no request may start on an older one.
   Milliseconds weights_replacement_bound{15000};
   // Gateway 0 reaches the endpoints and the log through relays, so that its
-  // paths to the endpoints can be cut.
+  // paths to the endpoints can be cut. Its environment must make it connect to
+  // the relays.
   bool relayed = false;
+  // Variables for gateway 0, as NAME=VALUE.
+  std::vector<std::string> environment;
 };
 
 // Configured routes: /review/ (a resumable stream), /ask/ (a stream that is not
@@ -47,6 +50,8 @@
 class GatewayCluster {
  public:
   static constexpr char kKey[] = "key-of-north";
+  // Where the relays of gateway 0 listen, each at the port of its target.
+  static constexpr char kRelayHost[] = "127.0.2.1";
 
   explicit GatewayCluster(const GatewayClusterOptions& options);
 
--- a/testing/redirect_connect.cc
+++ b/testing/redirect_connect.cc
@@ -1,5 +1,5 @@
-// A library preloaded into one process of a test (LD_PRELOAD). TCP connections
-// of the process to 127.0.0.1 go to the loopback address in
+// A library that a test loads into one of its processes. TCP connections of the
+// process to 127.0.0.1 go to the loopback address in
 // CAROBSHIFT_CONNECT_HOST instead, at the same port, where the test runs
 // relays. All processes on loopback have the same source address, so the paths
 // of a single one can't be cut at the other end.
