Isolation test: one gateway reads the endpoints' records with its relays' host

Change: relayed_gateway, a test program that runs the same Gateway behind a log dialect which replaces the host of each endpoint, instead of the library; the start of processes with an environment goes with it. The checks are unchanged.

--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -18,6 +18,9 @@
 constexpr int kFirstPort = 20000;
 constexpr int kPortRange = 10000;
 
+// Where the relays of gateway 0 listen, each at the port of its target.
+constexpr char kRelayHost[] = "127.0.2.1";
+
 enum PortOffset {
   kFront = 0,
   kReady,
@@ -81,7 +84,6 @@
   const auto relay_to = [](const NetAddress& target) {
     return std::make_unique<Relay>(target, NetAddress{kRelayHost, target.port});
   };
-  log_relay_ = relay_to(platform_->address());
   for (const Replica& replica : replicas_)
     endpoint_relays_.push_back(relay_to(replica.process->address()));
 }
@@ -214,14 +216,22 @@
 }
 
 void GatewayCluster::StartGateway(std::size_t index) {
-  const std::vector<std::string> environment =
-      index == 0 ? options_.environment : std::vector<std::string>();
+  const std::string metrics_port = std::to_string(base_port_ + kMetrics);
+  if (options_.relayed && index == 0) {
+    gateways_[index] = std::make_unique<Process>(
+        "relayed_gateway",
+        std::vector<std::string>{"--settings", WriteSettings(index),
+                                 "--metrics-port", metrics_port, "--relay-host",
+                                 kRelayHost},
+        directory_.path());
+    return;
+  }
   gateways_[index] = std::make_unique<Process>(
       "carobshiftd",
       std::vector<std::string>{"gateway", "--print-address", "--settings",
                                WriteSettings(index), "--metrics-port",
-                               std::to_string(base_port_ + kMetrics)},
-      directory_.path(), environment);
+                               metrics_port},
+      directory_.path());
 }
 
 HttpAnswer GatewayCluster::Send(std::size_t index,
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -37,12 +37,9 @@
   // Time limit of a weight rollout: from the publication of a new weight
   // version until no request may start on an older one.
   Milliseconds weights_replacement_bound{15000};
-  // Gateway 0 reaches the endpoints and the log through relays, so that its
-  // paths to the endpoints can be cut. Its environment must make it connect to
-  // the relays.
+  // Gateway 0 reaches the endpoints through relays, so that its paths to the
+  // endpoints can be cut.
   bool relayed = false;
-  // Variables for gateway 0, as NAME=VALUE.
-  std::vector<std::string> environment;
 };
 
 // Configured routes: /review/ (a resumable stream), /ask/ (a stream that is not
@@ -50,8 +47,6 @@
 class GatewayCluster {
  public:
   static constexpr char kKey[] = "key-of-north";
-  // Where the relays of gateway 0 listen, each at the port of its target.
-  static constexpr char kRelayHost[] = "127.0.2.1";
 
   explicit GatewayCluster(const GatewayClusterOptions& options);
 
@@ -136,7 +131,6 @@
   std::uint16_t base_port_;
   std::unique_ptr<Process> platform_;
   std::vector<Replica> replicas_;
-  std::unique_ptr<Relay> log_relay_;
   std::vector<std::unique_ptr<Relay>> endpoint_relays_;
   std::vector<std::unique_ptr<Process>> gateways_;
   int requests_ = 0;
--- a/testing/gateway_isolation_process_test.cc
+++ b/testing/gateway_isolation_process_test.cc
@@ -4,10 +4,8 @@
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <string>
-#include <vector>
 
 #include "testing/gateway_cluster.h"
-#include "testing/process.h"
 
 namespace carobshift {
 namespace {
@@ -71,16 +69,8 @@
   return served;
 }
 
-// Makes gateway 0 connect to the relays (redirect_connect.cc).
-std::vector<std::string> EnvironmentOfRelayedGateway() {
-  return {"LD_PRELOAD=" + BinaryPath("libredirect_connect.so"),
-          "CAROBSHIFT_CONNECT_HOST=" + std::string(GatewayCluster::kRelayHost)};
-}
-
 void CheckServedWhileCut(CutForm form) {
-  GatewayCluster cluster({.gateways = 3,
-                          .relayed = true,
-                          .environment = EnvironmentOfRelayedGateway()});
+  GatewayCluster cluster({.gateways = 3, .relayed = true});
   CHECK(ServedOnce(cluster, "/find/1", "done body") == kRequestsPerRoute);
   cluster.CutPathsToEndpoints(form);
   SendRequestsFor(cluster, kDetectionTime);
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -41,19 +41,12 @@
 
 pid_t Spawn(const std::string& binary,
             const std::vector<std::string>& arguments,
-            const std::vector<std::string>& environment,
             const std::string& log_path) {
   const std::string path = BinaryPath(binary);
   std::vector<char*> argv = {const_cast<char*>(path.c_str())};
   for (const std::string& argument : arguments)
     argv.push_back(const_cast<char*>(argument.c_str()));
   argv.push_back(nullptr);
-  std::vector<char*> envp;
-  for (const std::string& variable : environment)
-    envp.push_back(const_cast<char*>(variable.c_str()));
-  for (char** variable = environ; *variable != nullptr; ++variable)
-    envp.push_back(*variable);
-  envp.push_back(nullptr);
   const int log = OpenToAppend(log_path);
   const int output = OpenToAppend(OutputPath(log_path));
   const pid_t pid = fork();
@@ -65,7 +58,7 @@
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   dup2(output, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
-  execve(path.c_str(), argv.data(), envp.data());
+  execv(path.c_str(), argv.data());
   _exit(127);
 }
 
@@ -102,12 +95,11 @@
 
 Process::Process(const std::string& binary,
                  const std::vector<std::string>& arguments,
-                 const std::string& directory,
-                 const std::vector<std::string>& environment) {
+                 const std::string& directory) {
   static std::atomic<int> started{0};
   log_path_ =
       directory + "/" + binary + "-" + std::to_string(++started) + ".log";
-  pid_ = Spawn(binary, arguments, environment, log_path_);
+  pid_ = Spawn(binary, arguments, log_path_);
   const bool exited_or_listening = WaitUntil(
       [this] { return ListeningAddress().has_value() || !running(); });
   const std::optional<NetAddress> address = ListeningAddress();
--- a/testing/process.h
+++ b/testing/process.h
@@ -49,11 +49,9 @@
  public:
   // Throws std::runtime_error with the child's output if it doesn't print
   // "listening HOST:PORT" within ten seconds.
-  // `environment`: variables in addition to those of the test, as NAME=VALUE.
   Process(const std::string& binary,
           const std::vector<std::string>& arguments,
-          const std::string& directory,
-          const std::vector<std::string>& environment = {});
+          const std::string& directory);
   // Kills the process if it is still running.
   ~Process();
   Process(const Process&) = delete;
