--- a/carobshift/gateway/endpoints/endpoint_health.cc
+++ b/carobshift/gateway/endpoints/endpoint_health.cc
@@ -16,8 +16,14 @@
 
 void EndpointHealthTable::OnAnswer(const EndpointId& id) {
   const auto found = entries_.find(id);
-  if (found != entries_.end())
-    found->second.failures = 0;
+  if (found == entries_.end())
+    return;
+  found->second.failures = 0;
+  found->second.silent = false;
+}
+
+void EndpointHealthTable::OnSilent(const EndpointId& id) {
+  entries_[id].silent = true;
 }
 
 void EndpointHealthTable::OnFailure(const EndpointId& id,
@@ -60,7 +66,8 @@
   if (found == entries_.end())
     return false;
   const Entry& entry = found->second;
-  return now < entry.avoid_until || (entry.failures > 0 && entry.in_flight > 0);
+  const bool doubtful = entry.failures > 0 || entry.silent;
+  return now < entry.avoid_until || (doubtful && entry.in_flight > 0);
 }
 
 Milliseconds EndpointHealthTable::RemainingPause(const EndpointId& id,
--- a/carobshift/gateway/endpoints/endpoint_health.h
+++ b/carobshift/gateway/endpoints/endpoint_health.h
@@ -50,8 +50,13 @@
   void OnStart(const EndpointId& id);
   // Call once for each OnStart(), whatever the outcome.
   void OnEnd(const EndpointId& id);
-  // Call when the endpoint sent any answer. Resets its failures.
+  // Call when the endpoint sent any answer. Resets its failures and its
+  // silence.
   void OnAnswer(const EndpointId& id);
+  // Call when the endpoint sends nothing of the answers that it has begun. That
+  // is no failure. The endpoint is avoided until OnAnswer(), except by one
+  // request at a time when nothing else is in progress there.
+  void OnSilent(const EndpointId& id);
   void OnFailure(const EndpointId& id,
                  EndpointFailure trouble,
                  MonotonicTime now);
@@ -68,6 +73,7 @@
   struct Entry {
     int in_flight = 0;
     int failures = 0;
+    bool silent = false;
     MonotonicTime avoid_until{};
   };
   std::unordered_map<EndpointId, Entry> entries_;
--- a/carobshift/gateway/endpoints/endpoint_health_test.cc
+++ b/carobshift/gateway/endpoints/endpoint_health_test.cc
@@ -31,6 +31,28 @@
   CHECK_FALSE(health.IsAvoided(id, now));
 }
 
+TEST_CASE("a silent endpoint is avoided until its first byte") {
+  // Guards against new work for an endpoint that may be unreachable, and
+  // against a pause that outlasts the silence of a sound one.
+  EndpointHealthTable health;
+  const EndpointId id("e1");
+  health.OnStart(id);
+  health.OnSilent(id);
+  CHECK(health.IsAvoided(id, kStart));
+  CHECK(health.RemainingPause(id, kStart) == Milliseconds(0));
+  SECTION("it goes on") {
+    health.OnAnswer(id);
+    CHECK_FALSE(health.IsAvoided(id, kStart));
+  }
+  SECTION("nothing is in progress there any more") {
+    health.OnEnd(id);
+    CHECK_FALSE(health.IsAvoided(id, kStart));
+    // One request tries it.
+    health.OnStart(id);
+    CHECK(health.IsAvoided(id, kStart));
+  }
+}
+
 TEST_CASE("an address that another endpoint has taken is left at once") {
   // An endpoint has died and its address was given to another service, while
   // its entry stays in the registry for some seconds. Every request sent there
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -65,14 +65,19 @@
     Fail(CodeOf(failure), now);
 }
 
-AttemptError Exchange::BeginAttempt(MonotonicTime now) {
+AttemptError Exchange::StartAttempt(bool replacement,
+                                    MonotonicTime now,
+                                    StartedAttempt* started) {
   const auto left = std::chrono::duration_cast<Milliseconds>(deadline_ - now);
   if (left < kMinAttemptTime)
     return AttemptError::kNoTime;
+  const AttemptNumber number(static_cast<std::uint32_t>(attempts_) + 1);
   const AttemptParams wish{.tried = &tried_,
                            .last_event = last_delivered_,
                            .time_left = left,
-                           .repeat = reached_endpoint_};
+                           .repeat = reached_endpoint_ || replacement,
+                           .number = number,
+                           .replacement = replacement};
   EndpointId endpoint;
   const AttemptError failure =
       attempt_runner_.StartAttempt(*this, wish, &endpoint);
@@ -81,12 +86,29 @@
   ++attempts_;
   ++summary_.attempts;
   tried_.insert(endpoint);
-  summary_.last_endpoint = endpoint;
-  attempt_active_ = true;
-  state_ = State::kSent;
+  if (caller_slow_)
+    attempt_runner_.PauseAttempt(*this, number, true);
+  started->number = number;
+  started->endpoint = endpoint;
   return AttemptError::kNone;
 }
 
+AttemptError Exchange::BeginAttempt(MonotonicTime now) {
+  StartedAttempt started;
+  const AttemptError failure =
+      StartAttempt(/*replacement=*/false, now, &started);
+  if (failure == AttemptError::kNone)
+    SetCurrent(started);
+  return failure;
+}
+
+void Exchange::SetCurrent(const StartedAttempt& attempt) {
+  current_ = attempt.number;
+  summary_.last_endpoint = attempt.endpoint;
+  current_answers_ = current_silent_ = refused_by_endpoint_ = false;
+  state_ = State::kSent;
+}
+
 bool Exchange::MayRetry(bool may_have_run) const {
   if (attempts_ >= kMaxAttempts)
     return false;
@@ -96,32 +118,56 @@
 }
 
 bool Exchange::Retry(bool may_have_run, MonotonicTime now) {
+  if (TakeReplacement())
+    return true;
   if (!MayRetry(may_have_run))
     return false;
-  splitter_.DropPartial();
-  buffered_body_.clear();
-  if (head_sent_)
-    ++summary_.resumes;
+  DiscardPartialAnswer();
   const AttemptError failure = BeginAttempt(now);
   if (failure != AttemptError::kNone)
     Fail(CodeOf(failure), now);
   return true;
 }
 
-ReplyDisposition Exchange::OnReplyHead(const HttpHead& head,
+void Exchange::DiscardPartialAnswer() {
+  splitter_.DropPartial();
+  buffered_body_.clear();
+  if (head_sent_)
+    ++summary_.resumes;
+}
+
+bool Exchange::IsAnswer(int status) const {
+  return head_sent_ ? IsSuccess(status) : status < kFirstServerError;
+}
+
+ReplyDisposition Exchange::OnReplyHead(AttemptNumber attempt,
+                                       const HttpHead& head,
                                        const ReplyMetadata& facts,
                                        MonotonicTime now) {
   if (facts.request && *facts.request != setup_.request.id)
     return ReplyDisposition::kSkip;
-  attempt_runner_.OnAttemptReply(*this, facts);
-  if (!summary_.first_byte)
-    summary_.first_byte = now;
-  refused_by_endpoint_ = facts.not_run || facts.misdirected;
+  attempt_runner_.OnAttemptReply(*this, attempt, facts);
   reached_endpoint_ = true;
-  if (!refused_by_endpoint_) {
+  const bool refused = facts.not_run || facts.misdirected;
+  if (!refused) {
     ++runs_;
     may_have_run_ = true;
   }
+  const bool answers = !refused && IsAnswer(head.status);
+  if (IsReplacement(attempt)) {
+    if (!answers) {
+      replacement_->answered = true;
+      return ReplyDisposition::kAccept;
+    }
+    PromoteReplacement();
+  } else if (answers) {
+    CancelReplacement();
+  }
+  current_answers_ = answers;
+  current_silent_ = false;
+  refused_by_endpoint_ = refused;
+  if (!summary_.first_byte)
+    summary_.first_byte = now;
   const bool stream = setup_.route->streaming && IsSuccess(head.status);
   if (head_sent_) {
     // The reply to a resumption may not be a stream; OnReplyEnd() handles that
@@ -147,7 +193,17 @@
   buffered_head_ = head;
 }
 
-void Exchange::OnReplyBody(std::string_view bytes, MonotonicTime now) {
+void Exchange::OnReplyBody(AttemptNumber attempt,
+                           std::string_view bytes,
+                           MonotonicTime now) {
+  // The body of a refusal or a failure.
+  if (IsReplacement(attempt))
+    return;
+  if (current_silent_)
+    attempt_runner_.OnAttemptResumed(*this, attempt);
+  current_silent_ = false;
+  if (current_answers_)
+    CancelReplacement();
   if (state_ == State::kStreaming) {
     ForwardEvents(bytes, now);
     return;
@@ -188,9 +244,21 @@
   reply_.SendChunk(complete);
 }
 
-void Exchange::OnReplyEnd(MonotonicTime now) {
-  attempt_active_ = false;
-  attempt_runner_.OnAttemptEnd(*this);
+void Exchange::OnReplyEnd(AttemptNumber attempt, MonotonicTime now) {
+  // The connection may end cleanly, but within an event.
+  const bool truncated = !IsReplacement(attempt) &&
+                         state_ == State::kStreaming &&
+                         !splitter_.at_boundary();
+  if (truncated) {
+    OnAttemptFailed(attempt, {CallFault::kBroken, true, false}, now);
+    return;
+  }
+  attempt_runner_.OnAttemptEnd(*this, attempt);
+  if (IsReplacement(attempt)) {
+    OnReplacementOver(now);
+    return;
+  }
+  current_.reset();
   if (refused_by_endpoint_) {
     if (Retry(/*may_have_run=*/may_have_run_, now))
       return;
@@ -198,11 +266,6 @@
     return;
   }
   if (state_ == State::kStreaming) {
-    // The connection ended cleanly, but within an event.
-    if (!splitter_.at_boundary()) {
-      OnAttemptFailed({CallFault::kBroken, true, false}, now);
-      return;
-    }
     if (!head_sent_) {
       // A stream without events is complete.
       head_sent_ = true;
@@ -221,6 +284,8 @@
     return;
   }
   const bool failed = buffered_head_.status >= kFirstServerError;
+  if (failed && TakeReplacement())
+    return;
   if (failed && MayRetry(/*may_have_run=*/true)) {
     // If no further attempt can start, the endpoint's failure is the answer.
     if (BeginAttempt(now) == AttemptError::kNone)
@@ -241,9 +306,24 @@
   Finish();
 }
 
-void Exchange::OnAttemptFailed(const CallFailure& failure, MonotonicTime now) {
-  attempt_active_ = false;
-  attempt_runner_.OnAttemptFailure(*this, failure);
+void Exchange::OnAttemptFailed(AttemptNumber attempt,
+                               const CallFailure& failure,
+                               MonotonicTime now) {
+  attempt_runner_.OnAttemptFailure(*this, attempt, failure);
+  if (IsReplacement(attempt)) {
+    if (failure.sent && !replacement_->answered)
+      ++runs_;
+    if (failure.sent)
+      may_have_run_ = reached_endpoint_ = true;
+    OnReplacementOver(now);
+    return;
+  }
+  current_.reset();
+  ContinueAfterFailure(failure, now);
+}
+
+void Exchange::ContinueAfterFailure(const CallFailure& failure,
+                                    MonotonicTime now) {
   const bool sent = failure.sent;
   // A reply that has started has already been counted as a run.
   const bool counted =
@@ -261,36 +341,14 @@
        now);
 }
 
-void Exchange::OnEndpointSilent(MonotonicTime now) {
-  if (!attempt_active_ || over())
-    return;
-  const bool answered = state_ == State::kBuffering || head_sent_;
-  if (!setup_.route->MayRunAgain() || attempts_ >= kMaxAttempts ||
-      runs_ + (answered ? 0 : 1) >= setup_.route->max_attempts)
-    return;
-  attempt_runner_.DropAttempt(*this);
-  OnAttemptFailed({CallFault::kSilent, true, false}, now);
-}
-
-void Exchange::OnTooLateToBegin(MonotonicTime now) {
-  if (!waiting())
-    return;
-  attempt_runner_.DropAttempt(*this);
-  // The endpoint may have started the request just now, so the attempt counts
-  // as a run.
-  OnAttemptFailed({CallFault::kWithdrawn, true, false}, now);
-}
-
 void Exchange::OnDeadline(MonotonicTime now) {
   if (over())
     return;
   // The endpoint may be running the request. An answer that says "not run"
   // would lead the caller to send a booking twice.
-  if (attempt_active_) {
+  if (current_ || replacement_)
     may_have_run_ = true;
-    attempt_runner_.DropAttempt(*this);
-  }
-  attempt_active_ = false;
+  DropAll();
   Fail(ResultCode::kDeadlineExceeded, now);
 }
 
@@ -302,8 +360,11 @@
 }
 
 void Exchange::OnCallerSlow(bool slow) {
-  if (attempt_active_)
-    attempt_runner_.PauseAttempt(*this, slow);
+  caller_slow_ = slow;
+  if (current_)
+    attempt_runner_.PauseAttempt(*this, *current_, slow);
+  if (replacement_)
+    attempt_runner_.PauseAttempt(*this, replacement_->attempt.number, slow);
 }
 
 void Exchange::Fail(ResultCode code, MonotonicTime) {
@@ -334,19 +395,24 @@
                            std::optional<Milliseconds> retry_after) {
   // An attempt in progress must end before the answer says that the request
   // never ran.
-  if (attempt_active_)
-    attempt_runner_.DropAttempt(*this);
-  attempt_active_ = false;
+  DropAll();
   summary_.status = status;
   reply_.SendWhole(FailureHead(status, retry_after),
                    FailureBody(code, run_state));
   Finish();
 }
 
+void Exchange::DropAll() {
+  if (current_)
+    attempt_runner_.DropAttempt(*this, *current_);
+  if (replacement_)
+    attempt_runner_.DropAttempt(*this, replacement_->attempt.number);
+  current_.reset();
+  replacement_.reset();
+}
+
 void Exchange::Finish() {
-  if (attempt_active_)
-    attempt_runner_.DropAttempt(*this);
-  attempt_active_ = false;
+  DropAll();
   state_ = State::kOver;
   attempt_runner_.OnExchangeEnd(*this);
 }
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -2,13 +2,21 @@
 //
 //   auto exchange = std::make_shared<Exchange>(setup, attempt_runner, reply);
 //   exchange->Start(now);
-//   exchange->OnReplyHead(head, facts, now);  // and the other events
+//   exchange->OnReplyHead(attempt, head, facts, now);  // and the other events
 //
-// Inputs are the reply of the current attempt (in pieces), the failure of the
-// attempt, the deadline, and the caller's disconnect. Outputs are calls to
+// Inputs are the replies of the attempts (in pieces), the failures of the
+// attempts, the deadline, and the caller's disconnect. Outputs are calls to
 // AttemptRunner, which runs the attempts, and to CallerReply, which sends the
 // answer to the caller. The class uses no sockets and reads no clock.
 //
+// There is one current attempt. While its connection is alive it is given up
+// only for a replacement that has begun to answer, since it may still go on: an
+// endpoint that is silent for a second may be sound, and no other attempt may
+// be able to start. So a second attempt, the replacement, starts beside it; the
+// first of the two that answers is kept, and the other one is dropped in the
+// same call. An attempt that has waited on weights on which nothing may begin
+// any more is the exception: it is dropped in any case (OnTooLateToBegin).
+//
 // Invariants:
 // - The caller receives one complete answer from one run, or a visible failure.
 // - A request that may run only once is retried only if no endpoint can have
@@ -17,6 +25,8 @@
 // - The gateway answers "not run" only if this is proven.
 // - A stream resumes at another endpoint only after its last complete event,
 //   and only if the route allows it.
+// - A request that may run only once never has a replacement.
+// - At most two attempts exist, and one from the first byte of an answer on.
 //
 // Complete answers of up to kMaxBufferedBytes are buffered until they are
 // complete. An endpoint that fails midway then causes a regular failure answer
@@ -35,6 +45,7 @@
 #include "carobshift/base/result_code.h"
 #include "carobshift/gateway/request/caller_request.h"
 #include "carobshift/gateway/request/event_splitter.h"
+#include "carobshift/gateway/request/replacement_backoff.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/net/http_client.h"
 #include "carobshift/net/http_message.h"
@@ -65,6 +76,10 @@
   // The request has reached an endpoint before, so that this attempt counts as
   // a retry.
   bool repeat = false;
+  AttemptNumber number{};
+  // The attempt is to replace one that may still go on. It is worth starting
+  // only at an endpoint that is neither tried nor avoided.
+  bool replacement = false;
 };
 
 // Why an attempt could not start.
@@ -90,7 +105,7 @@
   kSuspected,
 };
 
-// Runs attempts, one at a time for each exchange.
+// Runs attempts, up to two at a time for each exchange.
 class AttemptRunner {
  public:
   virtual ~AttemptRunner() = default;
@@ -100,14 +115,20 @@
                                     const AttemptParams& wish,
                                     EndpointId* endpoint) = 0;
   // Ends the attempt by closing its connection to the endpoint.
-  virtual void DropAttempt(Exchange& exchange) = 0;
-  virtual void PauseAttempt(Exchange& exchange, bool pause) = 0;
+  virtual void DropAttempt(Exchange& exchange, AttemptNumber attempt) = 0;
+  virtual void PauseAttempt(Exchange& exchange,
+                            AttemptNumber attempt,
+                            bool pause) = 0;
   // Report the progress of the attempt, for the health and load records of its
   // endpoint. The attempt is over after OnAttemptEnd() and OnAttemptFailure().
   virtual void OnAttemptReply(Exchange& exchange,
+                              AttemptNumber attempt,
                               const ReplyMetadata& facts) = 0;
-  virtual void OnAttemptEnd(Exchange& exchange) = 0;
+  // The endpoint sends again after OnEndpointSilent().
+  virtual void OnAttemptResumed(Exchange& exchange, AttemptNumber attempt) = 0;
+  virtual void OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) = 0;
   virtual void OnAttemptFailure(Exchange& exchange,
+                                AttemptNumber attempt,
                                 const CallFailure& failure) = 0;
   // Returns how long the caller should wait before it retries.
   virtual Milliseconds RetryAfter(Exchange& exchange) = 0;
@@ -131,6 +152,8 @@
   bool completed = false;
   int attempts = 0;
   int resumes = 0;
+  // Attempts that were started to replace another one, with or without success.
+  int replacements = 0;
   std::optional<MonotonicTime> first_byte;
   EndpointId last_endpoint;
 };
@@ -151,27 +174,37 @@
 
   void Start(MonotonicTime now);
 
-  // Handles the head of the attempt's reply. Returns kSkip if the reply answers
+  // Handles the head of an attempt's reply. Returns kSkip if the reply answers
   // another request.
-  ReplyDisposition OnReplyHead(const HttpHead& head,
+  ReplyDisposition OnReplyHead(AttemptNumber attempt,
+                               const HttpHead& head,
                                const ReplyMetadata& facts,
                                MonotonicTime now);
-  void OnReplyBody(std::string_view bytes, MonotonicTime now);
-  void OnReplyEnd(MonotonicTime now);
-  void OnAttemptFailed(const CallFailure& failure, MonotonicTime now);
+  void OnReplyBody(AttemptNumber attempt,
+                   std::string_view bytes,
+                   MonotonicTime now);
+  void OnReplyEnd(AttemptNumber attempt, MonotonicTime now);
+  void OnAttemptFailed(AttemptNumber attempt,
+                       const CallFailure& failure,
+                       MonotonicTime now);
 
   // To be called at deadline(), unless the exchange is over by then.
   void OnDeadline(MonotonicTime now);
   void OnCallerGone(MonotonicTime now);
   void OnCallerSlow(bool slow);
 
-  // The endpoint of the attempt has stopped sending. Retries at another
-  // endpoint if that is allowed and otherwise continues to wait.
+  // The endpoint of the current attempt has stopped sending. Starts a
+  // replacement if that is allowed and possible, and continues to wait. To be
+  // called again while the silence lasts.
   void OnEndpointSilent(MonotonicTime now);
+  // The endpoint of the attempt will soon no longer be allowed to start new
+  // requests. If the attempt has no reply yet, starts a replacement if that is
+  // allowed and possible. To be called again until the bound.
+  void OnStartBoundNear(AttemptNumber attempt, MonotonicTime now);
   // The endpoint of the attempt may no longer start new requests. Withdraws an
-  // attempt that has no reply yet, and retries at another endpoint if the
-  // request may run again.
-  void OnTooLateToBegin(MonotonicTime now);
+  // attempt that has no reply yet. The replacement goes on in its place, or
+  // another attempt starts if the request may run again.
+  void OnTooLateToBegin(AttemptNumber attempt, MonotonicTime now);
 
   [[nodiscard]] const CallerRequest& request() const { return setup_.request; }
   [[nodiscard]] const ExchangeSetup& setup() const { return setup_; }
@@ -180,20 +213,66 @@
   [[nodiscard]] MonotonicTime deadline() const { return deadline_; }
   [[nodiscard]] bool over() const { return state_ == State::kOver; }
   [[nodiscard]] bool streaming() const { return state_ == State::kStreaming; }
-  // True if an attempt is in progress and its reply has not started.
+  // True if the current attempt is in progress and its reply has not started.
   [[nodiscard]] bool waiting() const {
-    return attempt_active_ && state_ == State::kSent;
+    return current_.has_value() && state_ == State::kSent;
+  }
+  // True if the attempt is in progress and its reply has not started.
+  [[nodiscard]] bool IsWaiting(AttemptNumber attempt) const {
+    return IsReplacement(attempt) ? !replacement_->answered
+                                  : current_ == attempt && waiting();
   }
 
  private:
   enum class State { kIdle, kSent, kBuffering, kStreaming, kOver };
 
-  // Sends the request to an endpoint, or returns why that failed.
+  struct StartedAttempt {
+    AttemptNumber number{};
+    EndpointId endpoint;
+  };
+  // A second attempt. It becomes the current one when its answer begins, or
+  // when the current one fails.
+  struct Replacement {
+    StartedAttempt attempt;
+    // Why the current attempt needs one.
+    CallFault reason = CallFault::kSilent;
+    // Its reply has begun, and is a refusal or a failure.
+    bool answered = false;
+  };
+
+  [[nodiscard]] bool IsReplacement(AttemptNumber attempt) const {
+    return replacement_ && replacement_->attempt.number == attempt;
+  }
+  // Sends the request to an endpoint, or returns why that failed. Sets
+  // `started` if it succeeds.
+  [[nodiscard]] AttemptError StartAttempt(bool replacement,
+                                          MonotonicTime now,
+                                          StartedAttempt* started);
+  void SetCurrent(const StartedAttempt& attempt);
+  // The same for the current attempt.
   [[nodiscard]] AttemptError BeginAttempt(MonotonicTime now);
   [[nodiscard]] bool MayRetry(bool may_have_run) const;
-  // Starts another attempt; if it can't start, fails the request. Returns false
-  // if a retry is not allowed.
+  // Continues with the replacement or starts another attempt; if none can
+  // start, fails the request. Returns false if a retry is not allowed.
   [[nodiscard]] bool Retry(bool may_have_run, MonotonicTime now);
+  [[nodiscard]] bool MayReplace() const;
+  void SeekReplacement(CallFault reason, MonotonicTime now);
+  // Returns whether a reply with this status is an answer for the caller, and
+  // not a reason for another attempt.
+  [[nodiscard]] bool IsAnswer(int status) const;
+  // Makes the replacement the current attempt, which has ended. Returns false
+  // if there is none that can still answer.
+  [[nodiscard]] bool TakeReplacement();
+  // Gives up the current attempt for the replacement, whose answer begins.
+  void PromoteReplacement();
+  // Drops the replacement, as the current attempt answers.
+  void CancelReplacement();
+  void OnReplacementOver(MonotonicTime now);
+  // Handles the failure of the current attempt, which has ended.
+  void ContinueAfterFailure(const CallFailure& failure, MonotonicTime now);
+  // Discards what the caller can't use of an attempt that has ended.
+  void DiscardPartialAnswer();
+  void DropAll();
   void TakeStreamHead(const HttpHead& head);
   void ForwardEvents(std::string_view bytes, MonotonicTime now);
   void DeliverBuffered();
@@ -220,7 +299,14 @@
   bool may_have_run_ = false;
   // At least one endpoint has received the request, whether or not it ran it.
   bool reached_endpoint_ = false;
-  bool attempt_active_ = false;
+  std::optional<AttemptNumber> current_;
+  // The reply of the current attempt has begun and is an answer.
+  bool current_answers_ = false;
+  // OnEndpointSilent() was called, and nothing has been received since.
+  bool current_silent_ = false;
+  std::optional<Replacement> replacement_;
+  ReplacementBackoff backoff_;
+  bool caller_slow_ = false;
   EventSplitter splitter_;
   std::optional<EventNumber> last_delivered_;
   // The head of the answer has been sent to the caller.
--- a/carobshift/gateway/request/exchange_run.cc
+++ b/carobshift/gateway/request/exchange_run.cc
@@ -17,7 +17,8 @@
 
 ExchangeRun::~ExchangeRun() {
   loop_.CancelTimer(deadline_timer_);
-  DropCall();
+  for (const auto& call : std::exchange(calls_, {}))
+    call->Cancel();
 }
 
 void ExchangeRun::Start() {
@@ -31,25 +32,47 @@
   exchange_.Start(loop_.now());
 }
 
-void ExchangeRun::StartCall(HttpClient& client,
+void ExchangeRun::StartCall(AttemptNumber attempt,
+                            HttpClient& client,
                             const NetAddress& address,
                             std::string bytes,
                             const HttpCallOptions& options) {
-  last_received_ = loop_.now();
-  call_ = client.Start(address, std::move(bytes), options, this);
+  calls_.push_back(std::make_shared<AttemptCall>(*this, attempt));
+  calls_.back()->Start(client, address, std::move(bytes), options);
 }
 
-void ExchangeRun::DropCall() {
-  if (call_ == nullptr)
+void ExchangeRun::DropCall(AttemptNumber attempt) {
+  const auto call = FindCall(attempt);
+  if (call == nullptr)
     return;
-  const auto call = std::move(call_);
-  call_.reset();
+  RemoveCall(attempt);
   call->Cancel();
 }
 
-void ExchangeRun::PauseCall(bool pause) {
-  if (call_ != nullptr)
-    call_->SetReading(!pause);
+void ExchangeRun::PauseCall(AttemptNumber attempt, bool pause) {
+  const auto call = FindCall(attempt);
+  if (call != nullptr)
+    call->Pause(pause);
+}
+
+MonotonicTime ExchangeRun::LastReceived(AttemptNumber attempt,
+                                        MonotonicTime now) const {
+  const auto call = FindCall(attempt);
+  return call == nullptr ? now : call->LastReceived(now);
+}
+
+std::shared_ptr<ExchangeRun::AttemptCall> ExchangeRun::FindCall(
+    AttemptNumber attempt) const {
+  const auto found = std::find_if(
+      calls_.begin(), calls_.end(),
+      [attempt](const auto& call) { return call->attempt() == attempt; });
+  return found == calls_.end() ? nullptr : *found;
+}
+
+void ExchangeRun::RemoveCall(AttemptNumber attempt) {
+  std::erase_if(calls_, [attempt](const auto& call) {
+    return call->attempt() == attempt;
+  });
 }
 
 void ExchangeRun::OnCallerGone() {
@@ -76,31 +99,62 @@
   caller_->Abort();
 }
 
-ReplyDisposition ExchangeRun::OnReplyHead(const HttpHead& head,
-                                          const HttpMessageInfo&) {
+ExchangeRun::AttemptCall::AttemptCall(ExchangeRun& run, AttemptNumber attempt)
+    : run_(run), attempt_(attempt) {}
+
+void ExchangeRun::AttemptCall::Start(HttpClient& client,
+                                     const NetAddress& address,
+                                     std::string bytes,
+                                     const HttpCallOptions& options) {
+  last_received_ = run_.loop_.now();
+  call_ = client.Start(address, std::move(bytes), options, this);
+}
+
+void ExchangeRun::AttemptCall::Cancel() {
+  if (call_ == nullptr)
+    return;
+  const auto call = std::move(call_);
+  call_.reset();
+  call->Cancel();
+}
+
+void ExchangeRun::AttemptCall::Pause(bool pause) {
+  paused_ = pause;
+  last_received_ = run_.loop_.now();
+  if (call_ != nullptr)
+    call_->SetReading(!pause);
+}
+
+ReplyDisposition ExchangeRun::AttemptCall::OnReplyHead(const HttpHead& head,
+                                                       const HttpMessageInfo&) {
+  const auto run = run_.shared_from_this();
   const auto self = shared_from_this();
-  last_received_ = loop_.now();
-  facts_ = dialect_.DecodeReply(head);
-  return exchange_.OnReplyHead(head, facts_, loop_.now());
+  last_received_ = run_.loop_.now();
+  return run_.exchange_.OnReplyHead(
+      attempt_, head, run_.dialect_.DecodeReply(head), run_.loop_.now());
 }
 
-void ExchangeRun::OnReplyBody(std::string_view bytes) {
+void ExchangeRun::AttemptCall::OnReplyBody(std::string_view bytes) {
+  const auto run = run_.shared_from_this();
   const auto self = shared_from_this();
-  longest_pause_ = std::max(longest_pause_, loop_.now() - last_received_);
-  last_received_ = loop_.now();
-  exchange_.OnReplyBody(bytes, loop_.now());
+  const MonotonicTime now = run_.loop_.now();
+  run_.longest_pause_ = std::max(run_.longest_pause_, now - last_received_);
+  last_received_ = now;
+  run_.exchange_.OnReplyBody(attempt_, bytes, now);
 }
 
-void ExchangeRun::OnReplyEnd() {
+void ExchangeRun::AttemptCall::OnReplyEnd() {
+  const auto run = run_.shared_from_this();
   const auto self = shared_from_this();
-  call_.reset();
-  exchange_.OnReplyEnd(loop_.now());
+  run_.RemoveCall(attempt_);
+  run_.exchange_.OnReplyEnd(attempt_, run_.loop_.now());
 }
 
-void ExchangeRun::OnCallFailed(const CallFailure& failure) {
+void ExchangeRun::AttemptCall::OnCallFailed(const CallFailure& failure) {
+  const auto run = run_.shared_from_this();
   const auto self = shared_from_this();
-  call_.reset();
-  exchange_.OnAttemptFailed(failure, loop_.now());
+  run_.RemoveCall(attempt_);
+  run_.exchange_.OnAttemptFailed(attempt_, failure, run_.loop_.now());
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/request/exchange_run.h
+++ b/carobshift/gateway/request/exchange_run.h
@@ -1,12 +1,13 @@
-// Connects an Exchange to the caller's connection, the call of its current
-// attempt and its deadline timer. The class forwards events and holds no
-// policy.
+// Connects an Exchange to the caller's connection, the calls of its attempts
+// and its deadline timer. The class forwards events and holds no policy.
 
 #ifndef CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_RUN_H_
 #define CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_RUN_H_
 
 #include <memory>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "carobshift/gateway/dialect.h"
 #include "carobshift/gateway/request/exchange.h"
@@ -16,7 +17,6 @@
 namespace carobshift {
 
 class ExchangeRun : private CallerReply,
-                    private HttpCallListener,
                     public std::enable_shared_from_this<ExchangeRun> {
  public:
   ExchangeRun(EventLoop& loop,
@@ -28,23 +28,25 @@
 
   void Start();
   // For AttemptRunner.
-  void StartCall(HttpClient& client,
+  void StartCall(AttemptNumber attempt,
+                 HttpClient& client,
                  const NetAddress& address,
                  std::string bytes,
                  const HttpCallOptions& options);
-  void DropCall();
-  void PauseCall(bool pause);
+  void DropCall(AttemptNumber attempt);
+  void PauseCall(AttemptNumber attempt, bool pause);
 
   void OnCallerGone();
   void OnCallerSlow(bool slow) { exchange_.OnCallerSlow(slow); }
 
   [[nodiscard]] Exchange& exchange() { return exchange_; }
   // When the endpoint of the attempt last sent data, or when the request was
-  // sent to it if it hasn't sent any.
-  [[nodiscard]] MonotonicTime last_received() const { return last_received_; }
+  // sent to it if it hasn't sent any. A paused call may have received data, so
+  // the time is `now`.
+  [[nodiscard]] MonotonicTime LastReceived(AttemptNumber attempt,
+                                           MonotonicTime now) const;
   // The longest pause between two pieces of the answer.
   [[nodiscard]] Microseconds longest_pause() const { return longest_pause_; }
-  [[nodiscard]] const ReplyMetadata& reply_facts() const { return facts_; }
 
  private:
   void SendWhole(HttpHead head, std::string_view body) override;
@@ -53,21 +55,49 @@
   void EndStream() override;
   void Abort() override;
 
-  ReplyDisposition OnReplyHead(const HttpHead& head,
-                               const HttpMessageInfo& info) override;
-  void OnReplyBody(std::string_view bytes) override;
-  void OnReplyEnd() override;
-  void OnCallFailed(const CallFailure& failure) override;
+  // The call of one attempt.
+  class AttemptCall : public HttpCallListener,
+                      public std::enable_shared_from_this<AttemptCall> {
+   public:
+    AttemptCall(ExchangeRun& run, AttemptNumber attempt);
+
+    void Start(HttpClient& client,
+               const NetAddress& address,
+               std::string bytes,
+               const HttpCallOptions& options);
+    void Cancel();
+    void Pause(bool pause);
+    [[nodiscard]] AttemptNumber attempt() const { return attempt_; }
+    [[nodiscard]] MonotonicTime LastReceived(MonotonicTime now) const {
+      return paused_ ? now : last_received_;
+    }
+
+   private:
+    ReplyDisposition OnReplyHead(const HttpHead& head,
+                                 const HttpMessageInfo& info) override;
+    void OnReplyBody(std::string_view bytes) override;
+    void OnReplyEnd() override;
+    void OnCallFailed(const CallFailure& failure) override;
+
+    ExchangeRun& run_;
+    AttemptNumber attempt_;
+    std::shared_ptr<ClientCall> call_;
+    MonotonicTime last_received_{};
+    bool paused_ = false;
+  };
+
+  [[nodiscard]] std::shared_ptr<AttemptCall> FindCall(
+      AttemptNumber attempt) const;
+  void RemoveCall(AttemptNumber attempt);
 
   EventLoop& loop_;
   const RequestDialect& dialect_;
   std::shared_ptr<HttpServerConnection> caller_;
   Exchange exchange_;
-  std::shared_ptr<ClientCall> call_;
+  // At most two; see Exchange.
+  std::vector<std::shared_ptr<AttemptCall>> calls_;
   TimerId deadline_timer_;
-  MonotonicTime last_received_{};
   Microseconds longest_pause_{0};
-  ReplyMetadata facts_;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/request/exchange.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,18 +51,29 @@
       return AttemptError::kNoEndpoint;
     *endpoint = EndpointId("e" + std::to_string(++started));
     wishes.push_back(wish);
-    running = true;
+    live.insert(wish.number);
     return AttemptError::kNone;
   }
-  void DropAttempt(Exchange&) override {
-    running = false;
+  void DropAttempt(Exchange&, AttemptNumber attempt) override {
+    live.erase(attempt);
     ++dropped;
   }
-  void PauseAttempt(Exchange&, bool) override {}
-  void OnAttemptReply(Exchange&, const ReplyMetadata&) override {}
-  void OnAttemptEnd(Exchange&) override { running = false; }
-  void OnAttemptFailure(Exchange&, const CallFailure& failure) override {
-    running = false;
+  void PauseAttempt(Exchange&, AttemptNumber attempt, bool pause) override {
+    if (pause)
+      paused.insert(attempt);
+    else
+      paused.erase(attempt);
+  }
+  void OnAttemptReply(Exchange&, AttemptNumber, const ReplyMetadata&) override {
+  }
+  void OnAttemptResumed(Exchange&, AttemptNumber) override { ++resumed; }
+  void OnAttemptEnd(Exchange&, AttemptNumber attempt) override {
+    live.erase(attempt);
+  }
+  void OnAttemptFailure(Exchange&,
+                        AttemptNumber attempt,
+                        const CallFailure& failure) override {
+    live.erase(attempt);
     failures.push_back(failure.fault);
   }
   Milliseconds RetryAfter(Exchange&) override { return Milliseconds(400); }
@@ -73,7 +85,9 @@
   int started = 0;
   int dropped = 0;
   int ends = 0;
-  bool running = false;
+  int resumed = 0;
+  std::set<AttemptNumber> live;
+  std::set<AttemptNumber> paused;
   std::vector<AttemptParams> wishes;
   std::vector<CallFault> failures;
 };
@@ -119,6 +133,8 @@
   return facts;
 }
 
+const AttemptNumber kFirst(1);
+const AttemptNumber kSecond(2);
 const CallFailure kNotConnected{CallFault::kNotConnected, false, false};
 const CallFailure kBroken{CallFault::kBroken, true, false};
 
@@ -133,12 +149,22 @@
     exchange.emplace(std::move(setup), attempt_runner, reply);
   }
 
+  // The latest attempt replies.
   void Answer(int status, const std::string& body, ReplyMetadata facts = {}) {
+    AnswerOf(latest(), status, body, std::move(facts));
+  }
+  void AnswerOf(AttemptNumber attempt,
+                int status,
+                const std::string& body,
+                ReplyMetadata facts = {}) {
     facts.request = RequestId("r1");
-    REQUIRE(exchange->OnReplyHead(Head(status), facts, kStart) ==
+    REQUIRE(exchange->OnReplyHead(attempt, Head(status), facts, kStart) ==
             ReplyDisposition::kAccept);
     if (!body.empty())
-      exchange->OnReplyBody(body, kStart);
+      exchange->OnReplyBody(attempt, body, kStart);
+  }
+  [[nodiscard]] AttemptNumber latest() const {
+    return AttemptNumber(static_cast<std::uint32_t>(attempt_runner.started));
   }
 
   Route route;
@@ -152,7 +178,7 @@
   fixture.exchange->Start(kStart);
   fixture.Answer(200, "receipt");
   CHECK_FALSE(fixture.reply.whole);
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
   CHECK(fixture.reply.status == 200);
   CHECK(fixture.reply.body == "receipt");
   CHECK(fixture.reply.fields.Find("X-Signature") != nullptr);
@@ -167,7 +193,7 @@
   // caller must be told that the outcome is unknown.
   ExchangeFixture fixture(BookingRoute());
   fixture.exchange->Start(kStart);
-  fixture.exchange->OnAttemptFailed(kBroken, kStart);
+  fixture.exchange->OnAttemptFailed(fixture.latest(), kBroken, kStart);
   CHECK(fixture.attempt_runner.started == 1);
   CHECK(fixture.reply.status == 502);
   CHECK(fixture.reply.fields.Find("Retry-After") == nullptr);
@@ -176,11 +202,11 @@
 TEST_CASE("a booking that never reached an endpoint goes to another one") {
   ExchangeFixture fixture(BookingRoute());
   fixture.exchange->Start(kStart);
-  fixture.exchange->OnAttemptFailed(kNotConnected, kStart);
+  fixture.exchange->OnAttemptFailed(fixture.latest(), kNotConnected, kStart);
   CHECK(fixture.attempt_runner.started == 2);
   CHECK_FALSE(fixture.attempt_runner.wishes[1].repeat);
   fixture.Answer(200, "receipt");
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
   CHECK(fixture.reply.status == 200);
 }
 
@@ -191,7 +217,7 @@
   ExchangeFixture fixture(BookingRoute());
   fixture.exchange->Start(kStart);
   fixture.Answer(503, "full", Refusal());
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
   CHECK(fixture.attempt_runner.started == 2);
   CHECK(fixture.attempt_runner.wishes[1].repeat);
   CHECK(fixture.attempt_runner.wishes[1].tried->contains(EndpointId("e1")));
@@ -203,13 +229,13 @@
   fixture.exchange->Start(kStart);
   SECTION("every endpoint refused") {
     fixture.Answer(503, "full", Refusal());
-    fixture.exchange->OnReplyEnd(kStart);
+    fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
     CHECK(fixture.reply.status == 503);
     REQUIRE(fixture.reply.fields.Find("Retry-After") != nullptr);
     CHECK(*fixture.reply.fields.Find("Retry-After") == "0.400");
   }
   SECTION("the request was sent and its connection broke") {
-    fixture.exchange->OnAttemptFailed(kBroken, kStart);
+    fixture.exchange->OnAttemptFailed(fixture.latest(), kBroken, kStart);
     CHECK(fixture.reply.status == 502);
   }
 }
@@ -218,10 +244,10 @@
   ExchangeFixture fixture(IdempotentRoute());
   fixture.exchange->Start(kStart);
   fixture.Answer(500, "oops");
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
   CHECK(fixture.attempt_runner.started == 2);
   fixture.Answer(200, "receipt");
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
   CHECK(fixture.reply.status == 200);
   CHECK(fixture.reply.body == "receipt");
 }
@@ -231,7 +257,7 @@
   fixture.attempt_runner.repeats_left = 0;
   fixture.exchange->Start(kStart);
   fixture.Answer(500, "oops");
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
   CHECK(fixture.reply.status == 500);
   CHECK(fixture.reply.body == "oops");
 }
@@ -239,8 +265,8 @@
 TEST_CASE("a request runs on no more endpoints than its route allows") {
   ExchangeFixture fixture(IdempotentRoute());
   fixture.exchange->Start(kStart);
-  fixture.exchange->OnAttemptFailed(kBroken, kStart);
-  fixture.exchange->OnAttemptFailed(kBroken, kStart);
+  fixture.exchange->OnAttemptFailed(fixture.latest(), kBroken, kStart);
+  fixture.exchange->OnAttemptFailed(fixture.latest(), kBroken, kStart);
   CHECK(fixture.attempt_runner.started == 2);
   CHECK(fixture.reply.status == 502);
 }
@@ -250,8 +276,8 @@
   fixture.exchange->Start(kStart);
   ReplyMetadata facts;
   facts.request = RequestId("somebody-else");
-  CHECK(fixture.exchange->OnReplyHead(Head(200), facts, kStart) ==
-        ReplyDisposition::kSkip);
+  CHECK(fixture.exchange->OnReplyHead(fixture.latest(), Head(200), facts,
+                                      kStart) == ReplyDisposition::kSkip);
   CHECK(fixture.reply.status == 0);
 }
 
@@ -261,12 +287,12 @@
   ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
   fixture.exchange->Start(kStart);
   fixture.Answer(200, Event(1) + Event(2) + "id: 3\nda");
-  fixture.exchange->OnAttemptFailed(kBroken, kStart);
+  fixture.exchange->OnAttemptFailed(fixture.latest(), kBroken, kStart);
   REQUIRE(fixture.attempt_runner.started == 2);
   CHECK(fixture.attempt_runner.wishes[1].last_event == EventNumber(2));
   // The next endpoint resumes one event too early.
   fixture.Answer(200, Event(2) + Event(3));
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
   CHECK(fixture.reply.body == Event(1) + Event(2) + Event(3));
   CHECK(fixture.reply.ended);
   CHECK(fixture.exchange->summary().resumes == 1);
@@ -276,7 +302,7 @@
   ExchangeFixture fixture(StreamRoute(/*resumable=*/false));
   fixture.exchange->Start(kStart);
   fixture.Answer(200, Event(1));
-  fixture.exchange->OnAttemptFailed(kBroken, kStart);
+  fixture.exchange->OnAttemptFailed(fixture.latest(), kBroken, kStart);
   CHECK(fixture.attempt_runner.started == 1);
   CHECK(fixture.reply.broken);
   CHECK_FALSE(fixture.reply.ended);
@@ -289,7 +315,7 @@
   ExchangeFixture fixture(StreamRoute(/*resumable=*/false));
   fixture.exchange->Start(kStart);
   fixture.Answer(200, Event(1) + "id: 2\nda");
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
   CHECK(fixture.reply.broken);
   CHECK_FALSE(fixture.reply.ended);
   CHECK(fixture.reply.body == Event(1));
@@ -298,7 +324,7 @@
 TEST_CASE("a stream that breaks before its first event may start anew") {
   ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
   fixture.exchange->Start(kStart);
-  fixture.exchange->OnAttemptFailed(kBroken, kStart);
+  fixture.exchange->OnAttemptFailed(fixture.latest(), kBroken, kStart);
   CHECK(fixture.attempt_runner.started == 2);
   CHECK_FALSE(fixture.attempt_runner.wishes[1].last_event.has_value());
   CHECK_FALSE(fixture.reply.begun);
@@ -309,7 +335,7 @@
   fixture.exchange->Start(kStart);
   fixture.exchange->OnCallerGone(kStart);
   CHECK(fixture.attempt_runner.dropped == 1);
-  CHECK_FALSE(fixture.attempt_runner.running);
+  CHECK(fixture.attempt_runner.live.empty());
   CHECK(fixture.exchange->over());
   CHECK(fixture.reply.status == 0);
 }
@@ -352,8 +378,11 @@
     fixture.exchange->Start(kStart);
     fixture.Answer(200, Event(1));
     fixture.exchange->OnEndpointSilent(kStart);
+    CHECK(fixture.attempt_runner.dropped == 0);
+    REQUIRE(fixture.attempt_runner.started == 2);
+    fixture.Answer(200, Event(2));
     CHECK(fixture.attempt_runner.dropped == 1);
-    CHECK(fixture.attempt_runner.started == 2);
+    CHECK_FALSE(fixture.attempt_runner.live.contains(kFirst));
   }
   SECTION("not resumable") {
     ExchangeFixture fixture(StreamRoute(/*resumable=*/false));
@@ -371,6 +400,7 @@
   fixture.exchange->Start(kStart);
   fixture.Answer(200, Event(1));
   fixture.exchange->OnEndpointSilent(kStart);
+  fixture.Answer(200, Event(2));
   REQUIRE(fixture.attempt_runner.failures.size() == 1);
   CHECK(fixture.attempt_runner.failures[0] == CallFault::kSilent);
   CHECK(CallFaultName(CallFault::kSilent) == "silent");
@@ -392,10 +422,256 @@
   fixture.exchange->OnEndpointSilent(kStart);
   REQUIRE_FALSE(fixture.reply.broken);
   REQUIRE_FALSE(fixture.exchange->over());
-  fixture.exchange->OnReplyBody(Event(2), kStart);
-  fixture.exchange->OnReplyEnd(kStart);
+  fixture.exchange->OnReplyBody(fixture.latest(), Event(2), kStart);
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
+  CHECK(fixture.reply.body == Event(1) + Event(2));
+  CHECK(fixture.reply.ended);
+}
+
+// A resumable stream whose endpoint is silent after its first event, with a
+// replacement under way.
+class SilentStream : public ExchangeFixture {
+ public:
+  explicit SilentStream(int max_attempts = 2)
+      : ExchangeFixture(RouteWith(max_attempts)) {
+    exchange->Start(kStart);
+    Answer(200, Event(1) + "id: 2\nda");
+    exchange->OnEndpointSilent(kStart);
+  }
+
+ private:
+  static Route RouteWith(int max_attempts) {
+    Route route = StreamRoute(/*resumable=*/true);
+    route.max_attempts = max_attempts;
+    return route;
+  }
+};
+
+TEST_CASE("of two attempts the first that answers is kept") {
+  // Guards against a run that goes on at two endpoints at once.
+  SilentStream fixture;
+  FakeAttemptRunner& runner = fixture.attempt_runner;
+  REQUIRE(runner.started == 2);
+  CHECK(runner.wishes[1].replacement);
+  CHECK(runner.wishes[1].repeat);
+  CHECK(runner.wishes[1].last_event == EventNumber(1));
+  SECTION("the replacement") {
+    fixture.AnswerOf(kSecond, 200, "");
+    CHECK(runner.live == std::set{kSecond});
+    fixture.exchange->OnReplyBody(kSecond, Event(2), kStart);
+    fixture.exchange->OnReplyEnd(kSecond, kStart);
+    CHECK(fixture.exchange->summary().resumes == 1);
+    CHECK(fixture.exchange->summary().last_endpoint == EndpointId("e2"));
+  }
+  SECTION("the silent endpoint goes on") {
+    fixture.exchange->OnReplyBody(kFirst, "t", kStart);
+    CHECK(runner.live == std::set{kFirst});
+    CHECK(runner.resumed == 1);
+    fixture.exchange->OnReplyBody(kFirst, "a: token2\n\n", kStart);
+    fixture.exchange->OnReplyEnd(kFirst, kStart);
+    CHECK(fixture.exchange->summary().resumes == 0);
+    CHECK(fixture.exchange->summary().last_endpoint == EndpointId("e1"));
+  }
   CHECK(fixture.reply.body == Event(1) + Event(2));
   CHECK(fixture.reply.ended);
+  CHECK(runner.live.empty());
+}
+
+TEST_CASE("a replacement that doesn't answer leaves the silent attempt alone") {
+  // Guards against an answer that ends with a failed replacement.
+  SilentStream fixture(/*max_attempts=*/3);
+  FakeAttemptRunner& runner = fixture.attempt_runner;
+  SECTION("not connected") {
+    fixture.exchange->OnAttemptFailed(kSecond, kNotConnected, kStart);
+  }
+  SECTION("broken") {
+    fixture.exchange->OnAttemptFailed(kSecond, kBroken, kStart);
+  }
+  SECTION("refused") {
+    fixture.AnswerOf(kSecond, 503, "full", Refusal());
+    CHECK(runner.live == std::set{kFirst, kSecond});
+    fixture.exchange->OnReplyEnd(kSecond, kStart);
+  }
+  SECTION("failed") {
+    fixture.AnswerOf(kSecond, 500, "oops");
+    fixture.exchange->OnReplyEnd(kSecond, kStart);
+  }
+  CHECK(runner.live == std::set{kFirst});
+  REQUIRE_FALSE(fixture.exchange->over());
+  // Another one may start only after a pause.
+  fixture.exchange->OnEndpointSilent(kStart);
+  CHECK(runner.started == 2);
+  fixture.exchange->OnEndpointSilent(kStart + ReplacementBackoff::kMaxPause);
+  CHECK(runner.started == 3);
+  fixture.exchange->OnReplyBody(kFirst, "ta: token2\n\n", kStart);
+  fixture.exchange->OnReplyEnd(kFirst, kStart);
+  CHECK(fixture.reply.body == Event(1) + Event(2));
+  CHECK(fixture.reply.ended);
+}
+
+TEST_CASE("a replacement goes on if the silent attempt fails") {
+  // Guards against a third run while a replacement is under way.
+  SilentStream fixture;
+  fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+  CHECK(fixture.attempt_runner.started == 2);
+  CHECK(fixture.attempt_runner.live == std::set{kSecond});
+  CHECK(fixture.exchange->waiting());
+  fixture.AnswerOf(kSecond, 200, Event(2));
+  fixture.exchange->OnReplyEnd(kSecond, kStart);
+  CHECK(fixture.reply.body == Event(1) + Event(2));
+  CHECK(fixture.reply.ended);
+  CHECK(fixture.exchange->summary().resumes == 1);
+}
+
+TEST_CASE("a refused replacement is no other attempt for a failed one") {
+  SilentStream fixture(/*max_attempts=*/3);
+  fixture.AnswerOf(kSecond, 503, "fu", Refusal());
+  fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+  CHECK(fixture.attempt_runner.started == 3);
+  CHECK(fixture.attempt_runner.live == std::set{AttemptNumber(3)});
+}
+
+TEST_CASE("a replacement counts as a run and as an attempt") {
+  // Guards against more runs than the route allows, by replacements.
+  SECTION("no run left") {
+    SilentStream fixture(/*max_attempts=*/1);
+    CHECK(fixture.attempt_runner.started == 1);
+  }
+  SECTION("one that was dropped may have run") {
+    SilentStream fixture(/*max_attempts=*/2);
+    fixture.exchange->OnReplyBody(kFirst, "t", kStart);
+    fixture.exchange->OnEndpointSilent(kStart + Seconds(2));
+    CHECK(fixture.attempt_runner.started == 2);
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+    CHECK(fixture.attempt_runner.started == 2);
+    CHECK(fixture.reply.broken);
+  }
+  SECTION("attempts that never ran") {
+    SilentStream fixture(/*max_attempts=*/9);
+    fixture.attempt_runner.endpoints = 9;
+    fixture.attempt_runner.repeats_left = 9;
+    for (int i = 0; i < 9; ++i) {
+      const MonotonicTime now = kStart + Seconds(i);
+      fixture.exchange->OnEndpointSilent(now);
+      if (fixture.attempt_runner.live.size() == 2)
+        fixture.exchange->OnAttemptFailed(fixture.latest(), kNotConnected, now);
+    }
+    CHECK(fixture.attempt_runner.started == Exchange::kMaxAttempts);
+    CHECK(fixture.attempt_runner.live == std::set{kFirst});
+  }
+}
+
+TEST_CASE("the end of a request ends both of its attempts") {
+  // Guards against an attempt that works on for nobody.
+  SilentStream fixture;
+  REQUIRE(fixture.attempt_runner.live.size() == 2);
+  SECTION("deadline") {
+    fixture.exchange->OnDeadline(fixture.exchange->deadline());
+    CHECK(fixture.reply.broken);
+  }
+  SECTION("caller gone") {
+    fixture.exchange->OnCallerGone(kStart);
+  }
+  CHECK(fixture.attempt_runner.live.empty());
+  CHECK(fixture.attempt_runner.ends == 1);
+  CHECK(fixture.exchange->over());
+}
+
+TEST_CASE("a slow caller pauses both attempts, and its own silence is none") {
+  // Guards against a replacement for an endpoint that just isn't read.
+  SECTION("both paused") {
+    SilentStream fixture;
+    fixture.exchange->OnCallerSlow(true);
+    CHECK(fixture.attempt_runner.paused == std::set{kFirst, kSecond});
+    fixture.exchange->OnCallerSlow(false);
+    CHECK(fixture.attempt_runner.paused.empty());
+  }
+  SECTION("no replacement while it is slow") {
+    ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+    fixture.exchange->Start(kStart);
+    fixture.Answer(200, Event(1));
+    fixture.exchange->OnCallerSlow(true);
+    fixture.exchange->OnEndpointSilent(kStart);
+    CHECK(fixture.attempt_runner.started == 1);
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+    CHECK(fixture.attempt_runner.paused.contains(kSecond));
+  }
+}
+
+TEST_CASE("a long answer that has begun is not replaced") {
+  // Guards against two runs joined in one answer.
+  ExchangeFixture fixture(IdempotentRoute());
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, std::string(Exchange::kMaxBufferedBytes + 1, 'x'));
+  REQUIRE(fixture.reply.begun);
+  fixture.exchange->OnEndpointSilent(kStart);
+  CHECK(fixture.attempt_runner.started == 1);
+  CHECK_FALSE(fixture.exchange->over());
+}
+
+TEST_CASE("a resumed stream that waits on replaced weights is not broken off") {
+  // Guards against a stream that ends since its attempt is withdrawn before
+  // another one was looked for.
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  fixture.route.max_attempts = 3;
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, Event(1));
+  fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+  REQUIRE(fixture.exchange->IsWaiting(kSecond));
+  fixture.exchange->OnStartBoundNear(kSecond, kStart);
+  REQUIRE(fixture.attempt_runner.started == 3);
+  CHECK(fixture.attempt_runner.live.size() == 2);
+  const AttemptNumber third(3);
+  SECTION("the replacement answers before the bound") {
+    fixture.AnswerOf(third, 200, Event(2));
+    CHECK(fixture.attempt_runner.failures.back() == CallFault::kWithdrawn);
+  }
+  SECTION("the bound comes first") {
+    fixture.exchange->OnTooLateToBegin(kSecond, kStart);
+    CHECK(fixture.attempt_runner.live == std::set{third});
+    REQUIRE_FALSE(fixture.reply.broken);
+    fixture.AnswerOf(third, 200, Event(2));
+  }
+  CHECK(fixture.attempt_runner.live == std::set{third});
+  fixture.exchange->OnReplyEnd(third, kStart);
+  CHECK(fixture.reply.body == Event(1) + Event(2));
+  CHECK(fixture.reply.ended);
+}
+
+TEST_CASE("an engine that refuses as it loads weights leaves the replacement") {
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  fixture.exchange->Start(kStart);
+  fixture.exchange->OnStartBoundNear(kFirst, kStart);
+  fixture.AnswerOf(kFirst, 503, "loading", Refusal());
+  CHECK(fixture.attempt_runner.live.size() == 2);
+  fixture.exchange->OnReplyEnd(kFirst, kStart);
+  CHECK(fixture.attempt_runner.started == 2);
+  fixture.AnswerOf(kSecond, 200, Event(1));
+  fixture.exchange->OnReplyEnd(kSecond, kStart);
+  CHECK(fixture.reply.body == Event(1));
+  CHECK(fixture.reply.ended);
+}
+
+TEST_CASE("an attempt that may begin no more is withdrawn, whichever it is") {
+  // Guards against a replacement that begins on replaced weights.
+  SilentStream fixture;
+  REQUIRE(fixture.exchange->IsWaiting(kSecond));
+  fixture.exchange->OnTooLateToBegin(kFirst, kStart);
+  CHECK(fixture.attempt_runner.live.size() == 2);
+  fixture.exchange->OnTooLateToBegin(kSecond, kStart);
+  CHECK(fixture.attempt_runner.live == std::set{kFirst});
+  CHECK(fixture.attempt_runner.failures.back() == CallFault::kWithdrawn);
+  CHECK_FALSE(fixture.exchange->over());
+}
+
+TEST_CASE("a request that may run once has no replacement near the bound") {
+  ExchangeFixture fixture(BookingRoute());
+  fixture.exchange->Start(kStart);
+  fixture.exchange->OnStartBoundNear(kFirst, kStart);
+  CHECK(fixture.attempt_runner.started == 1);
+  fixture.exchange->OnTooLateToBegin(kFirst, kStart);
+  CHECK(fixture.attempt_runner.started == 1);
+  CHECK(fixture.reply.status == 502);
 }
 
 TEST_CASE("an attempt waiting on replaced weights is withdrawn") {
@@ -407,7 +683,7 @@
     ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
     fixture.exchange->Start(kStart);
     REQUIRE(fixture.exchange->waiting());
-    fixture.exchange->OnTooLateToBegin(kStart);
+    fixture.exchange->OnTooLateToBegin(fixture.latest(), kStart);
     CHECK(fixture.attempt_runner.dropped == 1);
     CHECK(fixture.attempt_runner.started == 2);
     CHECK(fixture.attempt_runner.wishes.back().repeat);
@@ -417,7 +693,7 @@
   SECTION("not resumable") {
     ExchangeFixture fixture(StreamRoute(/*resumable=*/false));
     fixture.exchange->Start(kStart);
-    fixture.exchange->OnTooLateToBegin(kStart);
+    fixture.exchange->OnTooLateToBegin(fixture.latest(), kStart);
     CHECK(fixture.attempt_runner.dropped == 1);
     CHECK(fixture.attempt_runner.started == 1);
     CHECK(fixture.reply.status == 502);
@@ -426,7 +702,7 @@
     ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
     fixture.exchange->Start(kStart);
     fixture.Answer(200, Event(1));
-    fixture.exchange->OnTooLateToBegin(kStart);
+    fixture.exchange->OnTooLateToBegin(fixture.latest(), kStart);
     CHECK(fixture.attempt_runner.dropped == 0);
   }
 }
@@ -436,15 +712,15 @@
   fixture.exchange->Start(kStart);
   const std::string half(Exchange::kMaxBufferedBytes, 'x');
   fixture.Answer(200, half);
-  fixture.exchange->OnReplyBody(half, kStart);
+  fixture.exchange->OnReplyBody(fixture.latest(), half, kStart);
   CHECK(fixture.reply.begun);
   SECTION("to its end") {
-    fixture.exchange->OnReplyEnd(kStart);
+    fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
     CHECK(fixture.reply.ended);
     CHECK(fixture.reply.body.size() == 2 * half.size());
   }
   SECTION("and breaks off visibly") {
-    fixture.exchange->OnAttemptFailed(kBroken, kStart);
+    fixture.exchange->OnAttemptFailed(fixture.latest(), kBroken, kStart);
     CHECK(fixture.reply.broken);
     CHECK_FALSE(fixture.reply.ended);
   }
--- a/carobshift/gateway/request/request_report.cc
+++ b/carobshift/gateway/request/request_report.cc
@@ -83,6 +83,8 @@
     fields["tokens"] = trace.tokens;
     fields["size"] = SizeBandName(trace.size);
   }
+  if (summary.replacements > 0)
+    fields["replacements"] = summary.replacements;
   if (summary.resumes > 0)
     fields["resumes"] = summary.resumes;
   if (summary.first_byte)
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -7,6 +7,7 @@
 #include "carobshift/base/digest.h"
 #include "carobshift/gateway/request/failure_reply.h"
 #include "carobshift/gateway/request/request_resolver.h"
+#include "carobshift/gateway/request/silence_policy.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -268,26 +269,13 @@
   auto plan = planner_.Plan(setup, wish, loop_.now(), running.shortlist);
   if (!plan)
     return ClassifyPlanFailure(setup);
+  if (wish.replacement && !ServesAsReplacement(wish, *plan))
+    return AttemptError::kNoEndpoint;
   if (!wish.repeat && RefusedUnderLoad(running, setup, *plan))
     return AttemptError::kOverloaded;
   if (wish.repeat && !allowance_.TrySpend(setup.service, loop_.now()))
     return AttemptError::kRetryBudgetSpent;
-  running.endpoint = plan->endpoint.id;
-  running.start_time = plan->endpoint.start_time;
-  running.trace.attempt = {.weights = plan->fields.weights,
-                           .cost = plan->cost,
-                           .ahead = plan->queue_ahead,
-                           .tokens_to_prefill = plan->prefill_tokens,
-                           .sources = plan->fetch_count,
-                           .saves = plan->save_count};
-  running.attempt_began = loop_.now();
-  running.attempt = true;
-  running.not_run = false;
-  health_.OnStart(plan->endpoint.id);
-  limits_.OnSend(EndpointIncarnation::Of(plan->endpoint), loop_.now());
-  cold_starts_.OnSend(plan->endpoint, loop_.now());
-  running.prefill_tokens = plan->prefill_tokens;
-  loads_.OnStart(plan->endpoint.id, running.footprint, running.prefill_tokens);
+  RecordStart(running, wish, *plan);
   HttpCallOptions options;
   options.connect_timeout = options_.connect_timeout;
   options.is_head_request = setup.request.method == "HEAD";
@@ -296,11 +284,49 @@
   *endpoint = plan->endpoint.id;
   std::string bytes = dialect_.EncodeAttempt(setup.request, plan->fields);
   bytes += setup.request.body;
-  running.run->StartCall(client_, plan->endpoint.address, std::move(bytes),
-                         options);
+  running.run->StartCall(wish.number, client_, plan->endpoint.address,
+                         std::move(bytes), options);
   return AttemptError::kNone;
 }
 
+bool RequestService::ServesAsReplacement(const AttemptParams& wish,
+                                         const AttemptPlan& plan) const {
+  const EndpointId& endpoint = plan.endpoint.id;
+  return !wish.tried->contains(endpoint) &&
+         !health_.IsAvoided(endpoint, loop_.now());
+}
+
+void RequestService::RecordStart(Running& running,
+                                 const AttemptParams& wish,
+                                 const AttemptPlan& plan) {
+  AttemptRecord attempt;
+  attempt.number = wish.number;
+  attempt.endpoint = plan.endpoint.id;
+  attempt.start_time = plan.endpoint.start_time;
+  attempt.prefill_tokens = plan.prefill_tokens;
+  attempt.trace = {.weights = plan.fields.weights,
+                   .cost = plan.cost,
+                   .ahead = plan.queue_ahead,
+                   .tokens_to_prefill = plan.prefill_tokens,
+                   .sources = plan.fetch_count,
+                   .saves = plan.save_count};
+  attempt.began = loop_.now();
+  health_.OnStart(attempt.endpoint);
+  limits_.OnSend(EndpointIncarnation::Of(plan.endpoint), loop_.now());
+  cold_starts_.OnSend(plan.endpoint, loop_.now());
+  loads_.OnStart(attempt.endpoint, running.footprint, attempt.prefill_tokens);
+  if (!wish.replacement)
+    running.trace.attempt = attempt.trace;
+  running.attempts.push_back(std::move(attempt));
+}
+
+RequestService::AttemptRecord& RequestService::Running::Attempt(
+    AttemptNumber number) {
+  return *std::find_if(
+      attempts.begin(), attempts.end(),
+      [number](const AttemptRecord& one) { return one.number == number; });
+}
+
 AttemptError RequestService::ClassifyPlanFailure(
     const ExchangeSetup& setup) const {
   const MonotonicTime now = loop_.now();
@@ -342,28 +368,36 @@
            {{"availability_zone", zone.value()}, {"endpoints", cold}});
 }
 
-void RequestService::EndAttempt(Exchange& exchange) {
+void RequestService::EndAttempt(Exchange& exchange, AttemptNumber attempt) {
   Running& running = runs_.at(&exchange);
-  if (!running.attempt)
+  AttemptRecord& record = running.Attempt(attempt);
+  if (!record.in_progress)
     return;
-  running.attempt = false;
-  NoteRead(running);
-  health_.OnEnd(running.endpoint);
-  loads_.OnEnd(running.endpoint, running.footprint);
+  record.in_progress = false;
+  NoteRead(record);
+  health_.OnEnd(record.endpoint);
+  loads_.OnEnd(record.endpoint, running.footprint);
+}
+
+void RequestService::NoteRead(AttemptRecord& attempt) {
+  loads_.OnPrefillDone(attempt.endpoint, attempt.prefill_tokens);
+  attempt.prefill_tokens = 0;
 }
 
-void RequestService::NoteRead(Running& running) {
-  loads_.OnPrefillDone(running.endpoint, running.prefill_tokens);
-  running.prefill_tokens = 0;
+void RequestService::DropAttempt(Exchange& exchange, AttemptNumber attempt) {
+  EndAttempt(exchange, attempt);
+  runs_.at(&exchange).run->DropCall(attempt);
 }
 
-void RequestService::DropAttempt(Exchange& exchange) {
-  EndAttempt(exchange);
-  runs_.at(&exchange).run->DropCall();
+void RequestService::PauseAttempt(Exchange& exchange,
+                                  AttemptNumber attempt,
+                                  bool pause) {
+  runs_.at(&exchange).run->PauseCall(attempt, pause);
 }
 
-void RequestService::PauseAttempt(Exchange& exchange, bool pause) {
-  runs_.at(&exchange).run->PauseCall(pause);
+void RequestService::OnAttemptResumed(Exchange& exchange,
+                                      AttemptNumber attempt) {
+  health_.OnAnswer(runs_.at(&exchange).Attempt(attempt).endpoint);
 }
 
 bool RequestService::RefusedUnderLoad(Running& running,
@@ -401,17 +435,21 @@
 }
 
 void RequestService::OnAttemptReply(Exchange& exchange,
+                                    AttemptNumber attempt,
                                     const ReplyMetadata& facts) {
   Running& running = runs_.at(&exchange);
-  NoteRead(running);
-  running.not_run = facts.not_run;
+  AttemptRecord& record = running.Attempt(attempt);
+  NoteRead(record);
+  record.replied = true;
+  record.not_run = facts.not_run;
   if (!facts.not_run) {
-    overload_.OnFirstToken(exchange.setup().service, running.trace.attempt.cost,
-                           loop_.now() - running.attempt_began);
+    running.trace.attempt = record.trace;
+    overload_.OnFirstToken(exchange.setup().service, record.trace.cost,
+                           loop_.now() - record.began);
   }
-  NoteLimit(running, facts);
-  NoteColdTime(running, facts);
-  const EndpointId& endpoint = running.endpoint;
+  NoteLimit(record, facts);
+  NoteColdTime(record, facts);
+  const EndpointId& endpoint = record.endpoint;
   const auto& prompt = exchange.request().prompt;
   if (facts.weights && prompt)
     planner_.OnWeightsReported(endpoint, prompt->model, *facts.weights);
@@ -425,40 +463,40 @@
     health_.OnAnswer(endpoint);
 }
 
-void RequestService::NoteLimit(const Running& running,
+void RequestService::NoteLimit(const AttemptRecord& attempt,
                                const ReplyMetadata& facts) {
   if (facts.misdirected)
     return;
   if (facts.bad_rate_limit) {
     LogEvent(LogLevel::kWarning, "endpoint_limit_unreadable",
-             {{"endpoint", running.endpoint.value()}});
+             {{"endpoint", attempt.endpoint.value()}});
     return;
   }
   // An endpoint that did not run the request doesn't always state its limit.
   if (facts.not_run && !facts.rate_limit)
     return;
-  const LimitStatement statement{facts.rate_limit, running.attempt_began};
-  const EndpointIncarnation life{running.endpoint, running.start_time};
+  const LimitStatement statement{facts.rate_limit, attempt.began};
+  const EndpointIncarnation life{attempt.endpoint, attempt.start_time};
   if (!limits_.OnAnswer(life, statement, loop_.now()))
     return;
   LogEvent(LogLevel::kInfo, "endpoint_limit",
-           {{"endpoint", running.endpoint.value()},
+           {{"endpoint", attempt.endpoint.value()},
             {"limited", facts.rate_limit.has_value()},
             {"per_second", facts.rate_limit.value_or(RequestRate(0)).value()}});
 }
 
-void RequestService::NoteColdTime(const Running& running,
+void RequestService::NoteColdTime(const AttemptRecord& attempt,
                                   const ReplyMetadata& facts) {
   if (facts.misdirected)
     return;
   if (facts.bad_cold_time) {
     LogEvent(LogLevel::kWarning, "endpoint_cold_time_unreadable",
-             {{"endpoint", running.endpoint.value()}});
+             {{"endpoint", attempt.endpoint.value()}});
     return;
   }
-  const EndpointRecord* const record = registry_.Find(running.endpoint);
+  const EndpointRecord* const record = registry_.Find(attempt.endpoint);
   if (!facts.cold_remaining || record == nullptr ||
-      record->start_time != running.start_time)
+      record->start_time != attempt.start_time)
     return;
   if (on_cold_statement_)
     on_cold_statement_(*record, *facts.cold_remaining);
@@ -473,21 +511,22 @@
   return FingerprintOf(setup.request, account);
 }
 
-void RequestService::OnAttemptEnd(Exchange& exchange) {
-  EndAttempt(exchange);
+void RequestService::OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) {
+  EndAttempt(exchange, attempt);
   // A refusal by a full endpoint doesn't show whether the request crashes
   // endpoints that run it. If it counted as a completed run, the request could
   // crash three more.
-  if (!crashes_.empty() && !runs_.at(&exchange).not_run)
+  if (!crashes_.empty() && !runs_.at(&exchange).Attempt(attempt).not_run)
     crashes_.OnCompleted(FingerprintOfExchange(exchange));
 }
 
 void RequestService::OnAttemptFailure(Exchange& exchange,
+                                      AttemptNumber attempt,
                                       const CallFailure& failure) {
-  EndAttempt(exchange);
+  EndAttempt(exchange, attempt);
   metrics_.Add("carobshift_attempt_failures_total",
                {{"fault", CallFaultName(failure.fault)}}, 1);
-  const EndpointId& endpoint = runs_.at(&exchange).endpoint;
+  const EndpointId& endpoint = runs_.at(&exchange).Attempt(attempt).endpoint;
   if (failure.fault == CallFault::kConnectionLimit)
     return;
   if (failure.fault == CallFault::kWithdrawn) {
@@ -498,15 +537,15 @@
               {"endpoint", endpoint.value()}});
     return;
   }
-  if (failure.sent && (failure.fault == CallFault::kBroken ||
-                       failure.fault == CallFault::kSilent)) {
-    const RequestFingerprint fingerprint = FingerprintOfExchange(exchange);
-    const std::string run = exchange.request().id.value() + "." +
-                            std::to_string(exchange.summary().attempts);
-    crashes_.OnBroken(fingerprint, run, loop_.now());
-    if (on_crash_)
-      on_crash_(fingerprint, run);
+  if (failure.fault == CallFault::kSilent) {
+    // The connection was open, so this is no evidence either.
+    LogEvent(LogLevel::kInfo, "attempt_replaced",
+             {{"request", exchange.request().id.value()},
+              {"endpoint", endpoint.value()}});
+    return;
   }
+  if (failure.sent && failure.fault == CallFault::kBroken)
+    ReportCrash(exchange, attempt);
   // The failure of a reused connection that was already closed is no evidence
   // about the endpoint's health.
   if (failure.reused && failure.fault == CallFault::kBroken)
@@ -524,6 +563,16 @@
             {"registry", registry_.revision()}});
 }
 
+void RequestService::ReportCrash(const Exchange& exchange,
+                                 AttemptNumber attempt) {
+  const RequestFingerprint fingerprint = FingerprintOfExchange(exchange);
+  const std::string run =
+      exchange.request().id.value() + "." + std::to_string(attempt.value());
+  crashes_.OnBroken(fingerprint, run, loop_.now());
+  if (on_crash_)
+    on_crash_(fingerprint, run);
+}
+
 void RequestService::OnExchangeEnd(Exchange& exchange) {
   const auto found = runs_.find(&exchange);
   Report(exchange, found->second);
@@ -551,50 +600,59 @@
   const MonotonicTime now = loop_.now();
   loads_.Expire(now);
   crashes_.Expire(now);
-  FailSilentEndpoints(now);
+  if (SilencePolicy::CanJudge(now - last_tick_))
+    HandleSilentEndpoints(now);
+  last_tick_ = now;
   WithdrawLateAttempts(now);
 }
 
-bool RequestService::TooLateToBegin(const Exchange& exchange,
-                                    const Running& running,
-                                    MonotonicTime now) const {
-  const auto& prompt = exchange.request().prompt;
-  // Unknown weights may be the oldest ones.
-  return prompt && exchange.waiting() &&
-         deadlines_.TooLateToBegin(
-             prompt->model,
-             running.trace.attempt.weights.value_or(WeightNumber{}), now);
+std::vector<RequestService::WaitingAttempt> RequestService::WaitingAttempts()
+    const {
+  std::vector<WaitingAttempt> waiting;
+  for (const auto& [exchange, running] : runs_) {
+    const auto& prompt = exchange->request().prompt;
+    if (!prompt)
+      continue;
+    for (const AttemptRecord& attempt : running.attempts) {
+      // Unknown weights may be the oldest ones.
+      if (attempt.in_progress && exchange->IsWaiting(attempt.number))
+        waiting.push_back({running.run, attempt.number, prompt->model,
+                           attempt.trace.weights.value_or(WeightNumber{})});
+    }
+  }
+  return waiting;
 }
 
 void RequestService::WithdrawLateAttempts(MonotonicTime now) {
-  std::vector<std::shared_ptr<ExchangeRun>> late;
-  for (const auto& [exchange, running] : runs_) {
-    if (TooLateToBegin(*exchange, running, now))
-      late.push_back(running.run);
+  for (const WaitingAttempt& attempt : WaitingAttempts()) {
+    Exchange& exchange = attempt.run->exchange();
+    if (deadlines_.TooLateToBegin(attempt.model, attempt.weights, now))
+      exchange.OnTooLateToBegin(attempt.number, now);
+    else if (deadlines_.IsOverdue(attempt.model, attempt.weights, now))
+      exchange.OnStartBoundNear(attempt.number, now);
   }
-  for (const auto& run : late)
-    run->exchange().OnTooLateToBegin(now);
 }
 
-void RequestService::FailSilentEndpoints(MonotonicTime now) {
-  // The last activity of each endpoint, over all its attempts.
-  std::unordered_map<EndpointId, MonotonicTime> last_received_by_endpoint;
+void RequestService::HandleSilentEndpoints(MonotonicTime now) {
+  SilencePolicy policy;
   for (const auto& [exchange, running] : runs_) {
-    if (!running.attempt)
-      continue;
-    MonotonicTime& latest = last_received_by_endpoint[running.endpoint];
-    latest = std::max(latest, running.run->last_received());
+    for (const AttemptRecord& attempt : running.attempts) {
+      if (attempt.in_progress && attempt.replied)
+        policy.OnAnswerUnderWay(attempt.endpoint,
+                                running.run->LastReceived(attempt.number, now));
+    }
   }
   std::vector<std::shared_ptr<ExchangeRun>> silent;
   for (const auto& [exchange, running] : runs_) {
-    if (!running.attempt || !exchange->streaming())
-      continue;
-    if (now - last_received_by_endpoint[running.endpoint] <
-        options_.stream_silence_timeout)
+    if (!exchange->streaming())
       continue;
-    health_.OnFailure(running.endpoint, EndpointFailure::kConnectionBroken,
-                      now);
-    silent.push_back(running.run);
+    for (const AttemptRecord& attempt : running.attempts) {
+      if (!attempt.in_progress || !attempt.replied ||
+          !policy.IsSilent(attempt.endpoint, now))
+        continue;
+      health_.OnSilent(attempt.endpoint);
+      silent.push_back(running.run);
+    }
   }
   for (const auto& run : silent)
     run->exchange().OnEndpointSilent(now);
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -54,9 +54,6 @@
   // once: if the connection has failed unnoticed, the outcome of the request is
   // unknown.
   Milliseconds run_once_max_idle{1000};
-  // An endpoint with active streams that sends nothing for this long is
-  // considered unreachable: engines send data every few dozen milliseconds.
-  Milliseconds stream_silence_timeout{600};
 };
 
 class RequestService : private HttpServerHandler, private AttemptRunner {
@@ -151,30 +148,46 @@
   AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
                             EndpointId* endpoint) override;
-  void DropAttempt(Exchange& exchange) override;
-  void PauseAttempt(Exchange& exchange, bool pause) override;
-  void OnAttemptReply(Exchange& exchange, const ReplyMetadata& facts) override;
-  void OnAttemptEnd(Exchange& exchange) override;
+  void DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
+  void PauseAttempt(Exchange& exchange,
+                    AttemptNumber attempt,
+                    bool pause) override;
+  void OnAttemptReply(Exchange& exchange,
+                      AttemptNumber attempt,
+                      const ReplyMetadata& facts) override;
+  void OnAttemptResumed(Exchange& exchange, AttemptNumber attempt) override;
+  void OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) override;
   void OnAttemptFailure(Exchange& exchange,
+                        AttemptNumber attempt,
                         const CallFailure& failure) override;
   Milliseconds RetryAfter(Exchange& exchange) override;
   void OnExchangeEnd(Exchange& exchange) override;
 
+  struct AttemptRecord {
+    AttemptNumber number{};
+    EndpointId endpoint;
+    EndpointStartTime start_time{};
+    // Prompt tokens of the attempt that the endpoint has not prefilled yet.
+    double prefill_tokens = 0;
+    AttemptTrace trace;
+    MonotonicTime began{};
+    bool in_progress = true;
+    // The endpoint has begun to reply.
+    bool replied = false;
+    // The endpoint replied that it did not run the attempt.
+    bool not_run = false;
+  };
   struct Running {
+    [[nodiscard]] AttemptRecord& Attempt(AttemptNumber number);
+
     std::shared_ptr<ExchangeRun> run;
     HttpServerConnection* connection = nullptr;
-    EndpointId endpoint;
-    EndpointStartTime start_time{};
     RequestFootprint footprint;
     // Endpoints whose load was reported, among which the request is placed.
     std::vector<EndpointId> shortlist;
-    // Prompt tokens of the attempt that the endpoint has not prefilled yet.
-    double prefill_tokens = 0;
     RequestTrace trace;
-    MonotonicTime attempt_began{};
-    bool attempt = false;
-    // The endpoint replied that it did not run the attempt.
-    bool not_run = false;
+    // All attempts, at most Exchange::kMaxAttempts.
+    std::vector<AttemptRecord> attempts;
     // Set when the request was refused under load.
     std::optional<Milliseconds> retry_after;
   };
@@ -197,25 +210,37 @@
   [[nodiscard]] AttemptError ClassifyPlanFailure(
       const ExchangeSetup& setup) const;
   // Records the endpoint's cold time as given in the reply to the attempt.
-  void NoteColdTime(const Running& running, const ReplyMetadata& facts);
+  void NoteColdTime(const AttemptRecord& attempt, const ReplyMetadata& facts);
   // Records the endpoint's rate limit as given in the reply to the attempt.
-  void NoteLimit(const Running& running, const ReplyMetadata& facts);
-  void EndAttempt(Exchange& exchange);
-  void NoteRead(Running& running);
+  void NoteLimit(const AttemptRecord& attempt, const ReplyMetadata& facts);
+  // Records the start of the planned attempt.
+  void RecordStart(Running& running,
+                   const AttemptParams& wish,
+                   const AttemptPlan& plan);
+  // Returns whether the plan's endpoint is worth a replacement.
+  [[nodiscard]] bool ServesAsReplacement(const AttemptParams& wish,
+                                         const AttemptPlan& plan) const;
+  void EndAttempt(Exchange& exchange, AttemptNumber attempt);
+  void NoteRead(AttemptRecord& attempt);
+  void ReportCrash(const Exchange& exchange, AttemptNumber attempt);
   // Returns whether a request that has not been sent yet must be refused.
   [[nodiscard]] bool RefusedUnderLoad(Running& running,
                                       const ExchangeSetup& setup,
                                       const AttemptPlan& plan);
   void SetConnectionLimits();
-  // Reports endpoints that have stopped sending as broken and notifies their
-  // exchanges.
-  void FailSilentEndpoints(MonotonicTime now);
+  // Avoids endpoints that have stopped sending, and notifies their exchanges.
+  void HandleSilentEndpoints(MonotonicTime now);
   // Withdraws attempts that are still waiting at engines with weights on which
-  // no request may start any more.
+  // no request may start any more, after looking for replacements shortly
+  // before that bound.
   void WithdrawLateAttempts(MonotonicTime now);
-  [[nodiscard]] bool TooLateToBegin(const Exchange& exchange,
-                                    const Running& running,
-                                    MonotonicTime now) const;
+  struct WaitingAttempt {
+    std::shared_ptr<ExchangeRun> run;
+    AttemptNumber number{};
+    ModelName model;
+    WeightNumber weights{};
+  };
+  [[nodiscard]] std::vector<WaitingAttempt> WaitingAttempts() const;
 
   EventLoop& loop_;
   HttpClient& client_;
@@ -245,6 +270,7 @@
   std::unordered_map<Exchange*, Running> runs_;
   std::map<EndpointId, NetAddress> addresses_;
   int live_instances_ = 1;
+  MonotonicTime last_tick_{};
   bool stopping_ = false;
 };
 
--- a/fuzz/exchange_fuzz.cc
+++ b/fuzz/exchange_fuzz.cc
@@ -1,13 +1,18 @@
 // Fuzzes one request against endpoints that refuse it, run it and lose the
 // answer, break the connection at any point, stall, send the answer to another
-// request first, or fail after running the request, while the caller
-// disconnects or its deadline passes. The oracle knows which endpoints ran the
-// request and the correct answer.
+// request first, or fail after running the request, while the caller is slow,
+// disconnects or its deadline passes. Endpoints are reported as silent and as
+// close to, or past, the bound for starting requests at any time, so that
+// replacements start; both attempts then answer at any time and in any order.
+// The oracle knows which endpoints ran the request and the correct answer.
 
 #include <rapidcheck/catch.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -87,10 +92,7 @@
   AttemptError StartAttempt(Exchange&,
                             const AttemptParams& wish,
                             EndpointId* endpoint) override {
-    if (attempt_)
-      violations_.emplace_back("two attempts at one time");
-    if (ended_)
-      violations_.emplace_back("an attempt started after the answer");
+    CheckStart(wish);
     if (random_.Chance(0.1))
       return random_.Chance(0.5) ? AttemptError::kNoEndpoint
                                  : AttemptError::kRetryBudgetSpent;
@@ -101,14 +103,32 @@
     attempt.after = wish.last_event.value_or(EventNumber(0)).value();
     if (RunsRequest(attempt.outcome))
       ++runs_;
-    attempt_ = attempt;
+    attempts_[wish.number] = attempt;
+    unreported_.insert(wish.number);
     return AttemptError::kNone;
   }
-  void DropAttempt(Exchange&) override { attempt_.reset(); }
-  void PauseAttempt(Exchange&, bool) override {}
-  void OnAttemptReply(Exchange&, const ReplyMetadata&) override {}
-  void OnAttemptEnd(Exchange&) override {}
-  void OnAttemptFailure(Exchange&, const CallFailure&) override {}
+  void DropAttempt(Exchange&, AttemptNumber number) override {
+    attempts_.erase(number);
+    unreported_.erase(number);
+  }
+  void PauseAttempt(Exchange&, AttemptNumber number, bool pause) override {
+    const auto found = attempts_.find(number);
+    if (found == attempts_.end())
+      violations_.emplace_back("an attempt that is over was paused");
+    else
+      found->second.paused = pause;
+  }
+  void OnAttemptReply(Exchange&, AttemptNumber, const ReplyMetadata&) override {
+  }
+  void OnAttemptResumed(Exchange&, AttemptNumber) override {}
+  void OnAttemptEnd(Exchange&, AttemptNumber number) override {
+    unreported_.erase(number);
+  }
+  void OnAttemptFailure(Exchange&,
+                        AttemptNumber number,
+                        const CallFailure&) override {
+    unreported_.erase(number);
+  }
   Milliseconds RetryAfter(Exchange&) override { return Milliseconds(100); }
   void OnExchangeEnd(Exchange&) override { ended_ = true; }
 
@@ -131,76 +151,145 @@
     // The caller has received the events up to this number.
     std::uint64_t after = 0;
     bool head_sent = false;
+    bool paused = false;
     std::string unsent;
     // Bytes of `unsent` that are sent before the connection breaks.
     std::size_t breaks_at = std::string::npos;
   };
 
+  void CheckStart(const AttemptParams& wish) {
+    const bool may_run_again = route_.idempotent || route_.resumable;
+    if (attempts_.size() > (wish.replacement ? 1U : 0U))
+      violations_.emplace_back("more attempts at one time than are allowed");
+    if (wish.replacement && !may_run_again)
+      violations_.emplace_back("a replacement for a request that may run once");
+    if (wish.replacement && !wish.repeat)
+      violations_.emplace_back("a replacement that doesn't count as a retry");
+    if (attempts_.contains(wish.number))
+      violations_.emplace_back("two attempts with one number");
+    if (ended_)
+      violations_.emplace_back("an attempt started after the answer");
+  }
+
   void Step() {
-    now_ += Milliseconds(1);
-    if (random_.Chance(0.01))
-      exchange_->OnCallerSlow(random_.Chance(0.5));
+    now_ += Milliseconds(random_.Chance(0.05) ? 400 : 1);
+    if (random_.Chance(slow_ ? 0.2 : 0.005)) {
+      slow_ = !slow_;
+      exchange_->OnCallerSlow(slow_);
+    }
     if (random_.Chance(0.005)) {
       caller_gone_ = true;
       exchange_->OnCallerGone(now_);
     } else if (random_.Chance(0.005)) {
       exchange_->OnDeadline(now_);
-    } else if (random_.Chance(0.03)) {
-      exchange_->OnEndpointSilent(now_);
-    } else if (attempt_) {
-      AdvanceAttempt();
+    } else if (random_.Chance(0.1)) {
+      StayWith([this] { exchange_->OnEndpointSilent(now_); });
+    } else if (attempts_.empty()) {
+      violations_.emplace_back("nothing is under way for an open request");
+    } else if (random_.Chance(0.02)) {
+      StayWith([this] { exchange_->OnStartBoundNear(AnyAttempt(), now_); });
+    } else if (random_.Chance(0.01)) {
+      exchange_->OnTooLateToBegin(AnyAttempt(), now_);
+    } else {
+      AdvanceAttempt(AnyAttempt());
     }
+    CheckPauses();
+  }
+
+  // Runs `event`, for which no attempt may be given up.
+  template <typename Event>
+  void StayWith(const Event& event) {
+    const std::set<AttemptNumber> before = Numbers();
+    event();
+    const std::set<AttemptNumber> after = Numbers();
+    if (exchange_->over() || !std::includes(after.begin(), after.end(),
+                                            before.begin(), before.end()))
+      violations_.emplace_back("a live attempt was given up for silence");
+  }
+
+  [[nodiscard]] std::set<AttemptNumber> Numbers() const {
+    std::set<AttemptNumber> numbers;
+    for (const auto& [number, attempt] : attempts_)
+      numbers.insert(number);
+    return numbers;
+  }
+
+  AttemptNumber AnyAttempt() {
+    return std::next(attempts_.begin(),
+                     static_cast<int>(random_.Below(attempts_.size())))
+        ->first;
   }
 
-  void AdvanceAttempt() {
-    switch (attempt_->outcome) {
+  void CheckPauses() {
+    for (const auto& [number, attempt] : attempts_) {
+      if (attempt.paused != slow_)
+        violations_.emplace_back("an attempt isn't paused as its caller is");
+    }
+  }
+
+  // To be called after the exchange has taken a piece of an answer.
+  void CheckOnlyAttempt(AttemptNumber number) {
+    if (!exchange_->over() && Numbers() != std::set{number})
+      violations_.emplace_back("another run goes on beside an answer");
+  }
+
+  void AdvanceAttempt(AttemptNumber number) {
+    Attempt& attempt = attempts_.at(number);
+    if (attempt.paused)
+      return;
+    switch (attempt.outcome) {
       case AttemptOutcome::kNotConnected:
-        return FailCurrentAttempt({CallFault::kNotConnected, false, false});
+        return FailAttempt(number, {CallFault::kNotConnected, false, false});
       case AttemptOutcome::kAddressFull:
-        return FailCurrentAttempt({CallFault::kConnectionLimit, false, false});
+        return FailAttempt(number, {CallFault::kConnectionLimit, false, false});
       case AttemptOutcome::kLosesAnswer:
-        return FailCurrentAttempt(
-            {CallFault::kBroken, true, random_.Chance(0.5)});
+        return FailAttempt(number,
+                           {CallFault::kBroken, true, random_.Chance(0.5)});
       case AttemptOutcome::kSilent:
         return;
       default:
         break;
     }
-    if (attempt_->head_sent)
-      SendSome();
+    if (attempt.head_sent)
+      SendSome(number);
     else
-      SendHead();
+      SendHead(number);
   }
 
-  void FailCurrentAttempt(const CallFailure& failure) {
-    attempt_.reset();
-    exchange_->OnAttemptFailed(failure, now_);
+  void FailAttempt(AttemptNumber number, const CallFailure& failure) {
+    attempts_.erase(number);
+    exchange_->OnAttemptFailed(number, failure, now_);
   }
 
-  void SendHead() {
+  void SendHead(AttemptNumber number) {
+    Attempt& attempt = attempts_.at(number);
     HttpHead head;
     ReplyMetadata facts;
     if (random_.Chance(0.1)) {
       // A late answer to an earlier request on this connection.
       facts.request = RequestId("another");
       head.status = kOk;
-      if (exchange_->OnReplyHead(head, facts, now_) != ReplyDisposition::kSkip)
+      if (exchange_->OnReplyHead(number, head, facts, now_) !=
+          ReplyDisposition::kSkip)
         violations_.emplace_back("another request's answer was taken");
       return;
     }
     facts.request = kRequest;
-    facts.not_run = attempt_->outcome == AttemptOutcome::kRefused;
-    facts.misdirected = attempt_->outcome == AttemptOutcome::kMisdirected;
-    const bool runs = RunsRequest(attempt_->outcome);
-    head.status = !runs                                         ? kUnavailable
-                  : attempt_->outcome == AttemptOutcome::kFails ? kServerError
-                                                                : kOk;
-    attempt_->head_sent = true;
-    attempt_->unsent = AnswerOf(*attempt_);
-    if (attempt_->outcome == AttemptOutcome::kBreaksOff)
-      attempt_->breaks_at = random_.Below(attempt_->unsent.size() + 1);
-    if (exchange_->OnReplyHead(head, facts, now_) != ReplyDisposition::kAccept)
+    facts.not_run = attempt.outcome == AttemptOutcome::kRefused;
+    facts.misdirected = attempt.outcome == AttemptOutcome::kMisdirected;
+    const bool runs = RunsRequest(attempt.outcome);
+    head.status = !runs                                       ? kUnavailable
+                  : attempt.outcome == AttemptOutcome::kFails ? kServerError
+                                                              : kOk;
+    attempt.head_sent = true;
+    attempt.unsent = AnswerOf(attempt);
+    if (attempt.outcome == AttemptOutcome::kBreaksOff)
+      attempt.breaks_at = random_.Below(attempt.unsent.size() + 1);
+    if (exchange_->OnReplyHead(number, head, facts, now_) !=
+        ReplyDisposition::kAccept)
       violations_.emplace_back("the request's own answer was skipped");
+    if (head.status == kOk)
+      CheckOnlyAttempt(number);
   }
 
   std::string AnswerOf(const Attempt& attempt) {
@@ -220,13 +309,13 @@
     return text + "id: 99\nda";
   }
 
-  void SendSome() {
-    Attempt& attempt = *attempt_;
+  void SendSome(AttemptNumber number) {
+    Attempt& attempt = attempts_.at(number);
     if (attempt.breaks_at == 0)
-      return FailCurrentAttempt({CallFault::kBroken, true, false});
+      return FailAttempt(number, {CallFault::kBroken, true, false});
     if (attempt.unsent.empty()) {
-      attempt_.reset();
-      exchange_->OnReplyEnd(now_);
+      attempts_.erase(number);
+      exchange_->OnReplyEnd(number, now_);
       return;
     }
     std::size_t bytes = 1 + random_.Below(30);
@@ -237,14 +326,20 @@
     attempt.unsent.erase(0, bytes);
     if (attempt.breaks_at != std::string::npos)
       attempt.breaks_at -= bytes;
-    exchange_->OnReplyBody(piece, now_);
+    const bool answers = RunsRequest(attempt.outcome) &&
+                         attempt.outcome != AttemptOutcome::kFails;
+    exchange_->OnReplyBody(number, piece, now_);
+    if (answers)
+      CheckOnlyAttempt(number);
   }
 
   void CheckOutcome() {
     if (answers_ != (caller_gone_ ? answers_ : 1) || answers_ > 1)
       violations_.emplace_back("not exactly one answer");
-    if (attempt_)
+    if (!attempts_.empty())
       violations_.emplace_back("an attempt continues after the answer");
+    if (!unreported_.empty())
+      violations_.emplace_back("an attempt was not reported as over");
     const bool may_run_again = route_.idempotent || route_.resumable;
     if (!may_run_again && runs_ > 1)
       violations_.emplace_back("a request that may run once ran twice");
@@ -279,10 +374,13 @@
   std::string body_;
   std::optional<Exchange> exchange_;
   MonotonicTime now_{Seconds(100)};
-  std::optional<Attempt> attempt_;
+  std::map<AttemptNumber, Attempt> attempts_;
+  // Attempts whose end hasn't been reported to the runner.
+  std::set<AttemptNumber> unreported_;
   int started_ = 0;
   int runs_ = 0;
   bool ended_ = false;
+  bool slow_ = false;
   bool caller_gone_ = false;
   int status_ = 0;
   int answers_ = 0;
