HttpClient: observer of all connections, and connections opened ahead

Change: an observer is told by address when an attempt to connect starts, succeeds, fails or is given up, when a request is sent and ends, when bytes arrive and when a connection breaks. OpenConnection() opens one that the next call uses, so that a probe of an endpoint is no extra connection.

--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -62,13 +62,32 @@
 
 HttpClient::~HttpClient() {
   for (auto& [address, peer] : peers_) {
-    const auto idle = std::move(peer.idle);
-    peer.idle.clear();
-    for (const auto& connection : idle)
+    auto unused = std::exchange(peer.idle, {});
+    unused.insert(unused.end(), peer.opening.begin(), peer.opening.end());
+    for (const auto& connection : unused)
       connection->Close();
   }
 }
 
+void HttpClient::Notify(ObserverEvent event, const NetAddress& address) {
+  if (observer_ != nullptr)
+    (observer_->*event)(address);
+}
+
+bool HttpClient::OpenConnection(const NetAddress& address,
+                                Milliseconds connect_timeout) {
+  Peer& peer = peers_[address];
+  if (peer.limit > 0 && peer.open >= peer.limit)
+    return false;
+  const auto connection =
+      std::make_shared<HttpClientConnection>(*this, address);
+  ++peer.open;
+  ++counters_.connections_opened;
+  peer.opening.push_back(connection);
+  connection->Open(connect_timeout);
+  return true;
+}
+
 std::shared_ptr<ClientCall> HttpClient::Start(const NetAddress& address,
                                               std::string bytes,
                                               const HttpCallOptions& options,
@@ -131,9 +150,10 @@
   const auto found = peers_.find(address);
   if (found == peers_.end())
     return;
-  const auto idle = std::move(found->second.idle);
-  found->second.idle.clear();
-  for (const auto& connection : idle)
+  auto unused = std::exchange(found->second.idle, {});
+  const auto& opening = found->second.opening;
+  unused.insert(unused.end(), opening.begin(), opening.end());
+  for (const auto& connection : unused)
     connection->Close();
   if (found->second.open == 0)
     peers_.erase(found);
@@ -169,17 +189,22 @@
 
 void HttpClient::OnConnectionIdle(
     const std::shared_ptr<HttpClientConnection>& connection) {
-  peers_[connection->address()].idle.push_back(connection);
+  Peer& peer = peers_[connection->address()];
+  std::erase(peer.opening, connection);
+  peer.idle.push_back(connection);
 }
 
 void HttpClient::OnConnectionClosed(HttpClientConnection* connection) {
   const auto found = peers_.find(connection->address());
   if (found == peers_.end())
     return;
-  --found->second.open;
-  std::erase_if(found->second.idle, [connection](const auto& idle) {
-    return idle.get() == connection;
-  });
+  Peer& peer = found->second;
+  --peer.open;
+  const auto is_closed = [connection](const auto& unused) {
+    return unused.get() == connection;
+  };
+  std::erase_if(peer.idle, is_closed);
+  std::erase_if(peer.opening, is_closed);
 }
 
 HttpClientConnection::HttpClientConnection(HttpClient& client,
@@ -196,6 +221,19 @@
   connect_timer_ = client_.loop_.AddTimer(
       client_.loop_.now() + connect_timeout,
       [self = shared_from_this()] { self->Fail(CallFault::kNotConnected); });
+  connecting_ = true;
+  client_.Notify(&HttpClientObserver::OnConnectStarted, address_);
+}
+
+void HttpClientConnection::EndConnecting(HttpClient::ObserverEvent outcome) {
+  if (std::exchange(connecting_, false))
+    client_.Notify(outcome, address_);
+}
+
+void HttpClientConnection::OnRequestSent() {
+  sent_ = true;
+  request_open_ = true;
+  client_.Notify(&HttpClientObserver::OnRequestSent, address_);
 }
 
 void HttpClientConnection::Begin(std::string bytes,
@@ -209,7 +247,7 @@
   keep_connection_ = true;
   parser_.Reset(is_head_request_);
   if (tcp_->connected()) {
-    sent_ = true;
+    OnRequestSent();
     tcp_->Send(bytes);
   } else {
     sent_ = false;
@@ -218,8 +256,15 @@
 }
 
 void HttpClientConnection::OnConnected() {
+  const auto self = shared_from_this();
   client_.loop_.CancelTimer(connect_timer_);
-  sent_ = true;
+  EndConnecting(&HttpClientObserver::OnConnected);
+  if (listener_ == nullptr) {
+    idle_limit_ = client_.options_.default_idle;
+    BecomeIdle();
+    return;
+  }
+  OnRequestSent();
   const std::string bytes = std::move(unsent_request_);
   unsent_request_.clear();
   tcp_->Send(bytes);
@@ -230,8 +275,16 @@
     tcp_->SetReading(reading);
 }
 
+void HttpClientConnection::BecomeIdle() {
+  idle_since_ = client_.loop_.now();
+  tcp_->SetReading(true);
+  client_.OnConnectionIdle(shared_from_this());
+}
+
 void HttpClientConnection::Close() {
+  const auto self = shared_from_this();
   client_.loop_.CancelTimer(connect_timer_);
+  EndConnecting(&HttpClientObserver::OnConnectAbandoned);
   DetachListener();
   if (tcp_ == nullptr)
     return;
@@ -245,11 +298,14 @@
   if (call_ != nullptr)
     call_->connection_.reset();
   call_.reset();
+  if (std::exchange(request_open_, false))
+    client_.Notify(&HttpClientObserver::OnRequestEnded, address_);
   return std::exchange(listener_, nullptr);
 }
 
 void HttpClientConnection::Fail(CallFault fault) {
   const auto self = shared_from_this();
+  EndConnecting(&HttpClientObserver::OnConnectFailed);
   const CallFailure failure{fault, sent_, reused_};
   HttpCallListener* const listener = DetachListener();
   Close();
@@ -259,6 +315,7 @@
 
 void HttpClientConnection::OnData(std::string_view bytes) {
   const auto self = shared_from_this();
+  client_.Notify(&HttpClientObserver::OnBytesReceived, address_);
   if (listener_ == nullptr) {
     ++client_.counters_.unsolicited_replies;
     Close();
@@ -331,9 +388,7 @@
   HttpCallListener* const listener = DetachListener();
   reused_ = true;
   if (keep_connection_ && alive() && tcp_->unsent() == 0) {
-    idle_since_ = client_.loop_.now();
-    tcp_->SetReading(true);
-    client_.OnConnectionIdle(self);
+    BecomeIdle();
   } else {
     Close();
   }
@@ -342,6 +397,10 @@
 
 void HttpClientConnection::OnClosed(CloseReason reason) {
   const auto self = shared_from_this();
+  if (connecting_)
+    EndConnecting(&HttpClientObserver::OnConnectFailed);
+  else if (reason == CloseReason::kFailed)
+    client_.Notify(&HttpClientObserver::OnConnectionBroken, address_);
   const bool ended = reason == CloseReason::kPeerEnded &&
                      listener_ != nullptr && !skipping_reply_ &&
                      parser_.head_done() &&
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -84,6 +84,26 @@
   virtual void OnCallFailed(const CallFailure& failure) = 0;
 };
 
+// Receives the events of all connections of a client, by peer address. Each
+// OnConnectStarted is followed by one of OnConnected, OnConnectFailed and
+// OnConnectAbandoned, each OnRequestSent by OnRequestEnded. Must not call the
+// client.
+class HttpClientObserver {
+ public:
+  virtual ~HttpClientObserver() = default;
+  virtual void OnConnectStarted(const NetAddress& address) = 0;
+  virtual void OnConnected(const NetAddress& address) = 0;
+  // The connection was refused, or took longer than its time limit.
+  virtual void OnConnectFailed(const NetAddress& address) = 0;
+  // The attempt was ended by this side, with unknown outcome.
+  virtual void OnConnectAbandoned(const NetAddress& address) = 0;
+  virtual void OnRequestSent(const NetAddress& address) = 0;
+  virtual void OnRequestEnded(const NetAddress& address) = 0;
+  virtual void OnBytesReceived(const NetAddress& address) = 0;
+  // An established connection was reset or timed out.
+  virtual void OnConnectionBroken(const NetAddress& address) = 0;
+};
+
 struct HttpCallOptions {
   Milliseconds connect_timeout{1000};
   // Maximum idle time of a connection that is reused for this call.
@@ -140,6 +160,12 @@
                                     const HttpCallOptions& options,
                                     HttpCallListener* listener);
 
+  // Opens a connection that the next call to the address uses. Returns false if
+  // the address is at its connection limit.
+  bool OpenConnection(const NetAddress& address, Milliseconds connect_timeout);
+  // The observer must live until it is replaced. Null for none.
+  void SetObserver(HttpClientObserver* observer) { observer_ = observer; }
+
   // Limits the number of connections to the address, including idle ones. 0
   // means no limit.
   void SetConnectionLimit(const NetAddress& address, int limit);
@@ -161,7 +187,10 @@
     int limit = 0;
     // Most recently used connection last.
     std::vector<std::shared_ptr<HttpClientConnection>> idle;
+    // Connections that are being opened without a call.
+    std::vector<std::shared_ptr<HttpClientConnection>> opening;
   };
+  using ObserverEvent = void (HttpClientObserver::*)(const NetAddress&);
 
   [[nodiscard]] std::shared_ptr<HttpClientConnection> TakeIdleConnection(
       Peer& peer,
@@ -169,11 +198,13 @@
   void OnConnectionIdle(
       const std::shared_ptr<HttpClientConnection>& connection);
   void OnConnectionClosed(HttpClientConnection* connection);
+  void Notify(ObserverEvent event, const NetAddress& address);
 
   EventLoop& loop_;
   HttpClientOptions options_;
   HttpClientCounters counters_;
   std::map<NetAddress, Peer> peers_;
+  HttpClientObserver* observer_ = nullptr;
 };
 
 // A connection to a peer. Used by HttpClient only.
@@ -207,6 +238,10 @@
   void OnBody(std::string_view bytes) override;
   void OnMessageEnd();
   void Fail(CallFault fault);
+  void BecomeIdle();
+  void OnRequestSent();
+  // Reports the end of the attempt to connect, if one is in progress.
+  void EndConnecting(HttpClient::ObserverEvent outcome);
   void UpdateKeepAlive(const HttpHead& head, const HttpMessageInfo& info);
   // Ends the association with the call and returns its listener, which gets no
   // further events from this connection.
@@ -220,6 +255,8 @@
   std::shared_ptr<ClientCall> call_;
   std::string unsent_request_;
   TimerId connect_timer_;
+  bool connecting_ = false;
+  bool request_open_ = false;
   bool is_head_request_ = false;
   bool sent_ = false;
   bool reused_ = false;
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -47,6 +47,22 @@
   connection.SendCompleteReply(ReplyHead(200), "hello");
 }
 
+class RecordingObserver : public HttpClientObserver {
+ public:
+  void OnConnectStarted(const NetAddress&) override { events += "start "; }
+  void OnConnected(const NetAddress&) override { events += "connected "; }
+  void OnConnectFailed(const NetAddress&) override { events += "failed "; }
+  void OnConnectAbandoned(const NetAddress&) override {
+    events += "abandoned ";
+  }
+  void OnRequestSent(const NetAddress&) override { events += "sent "; }
+  void OnRequestEnded(const NetAddress&) override { events += "ended "; }
+  void OnBytesReceived(const NetAddress&) override { events += "bytes "; }
+  void OnConnectionBroken(const NetAddress&) override { events += "broken "; }
+
+  std::string events;
+};
+
 // A server that sends fixed bytes, which need not be a valid reply.
 class RawServer : public TcpConnectionHandler {
  public:
@@ -401,5 +417,83 @@
   }
 }
 
+TEST_CASE("an observer sees what the client's connections do") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk);
+  RecordingObserver observer;
+  HttpClient client(loop, {});
+  client.SetObserver(&observer);
+  TestListener listener;
+  const auto call = client.Start(server.address(), Get("/"), {}, &listener);
+  RunUntil(loop, [&] { return listener.over(); });
+  CHECK(observer.events == "start connected sent bytes ended ");
+  SECTION("a call on the open connection") {
+    observer.events.clear();
+    TestListener second;
+    const auto next = client.Start(server.address(), Get("/"), {}, &second);
+    RunUntil(loop, [&] { return second.over(); });
+    CHECK(observer.events == "sent bytes ended ");
+  }
+  SECTION("the idle connection is reset") {
+    observer.events.clear();
+    for (const auto& connection : server.connections)
+      connection->Abort();
+    RunUntil(loop, [&] { return !observer.events.empty(); });
+    CHECK(observer.events == "broken ");
+  }
+  SECTION("a connection that is refused, and one that is given up") {
+    const NetAddress closed = server.address();
+    server.listener->Close();
+    client.RemoveAddress(closed);
+    observer.events.clear();
+    TestListener refused;
+    const auto failing = client.Start(closed, Get("/"), {}, &refused);
+    RunUntil(loop, [&] { return refused.over(); });
+    CHECK(observer.events == "start failed ");
+    TestListener given_up;
+    client.Start(closed, Get("/"), {}, &given_up)->Cancel();
+    CHECK(observer.events == "start failed start abandoned ");
+  }
+}
+
+TEST_CASE("a connection that was opened as a probe serves the next call") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk);
+  RecordingObserver observer;
+  HttpClient client(loop, {});
+  client.SetObserver(&observer);
+  client.SetConnectionLimit(server.address(), 1);
+  CHECK(client.OpenConnection(server.address(), Milliseconds(500)));
+  CHECK(!client.OpenConnection(server.address(), Milliseconds(500)));
+  RunUntil(loop, [&] { return server.accepted == 1; });
+  RunFor(loop, Milliseconds(20));
+  CHECK(observer.events == "start connected ");
+  TestListener listener;
+  const auto call = client.Start(server.address(), Get("/"), {}, &listener);
+  RunUntil(loop, [&] { return listener.over(); });
+  CHECK(listener.ended);
+  CHECK(observer.events == "start connected sent bytes ended ");
+  CHECK(client.counters().connections_opened == 1);
+}
+
+TEST_CASE("a probe that is refused frees its place") {
+  EventLoop loop;
+  NetAddress closed;
+  {
+    const LoopbackServer server(loop, AnswerOk);
+    closed = server.address();
+  }
+  RecordingObserver observer;
+  HttpClient client(loop, {});
+  client.SetObserver(&observer);
+  client.OpenConnection(closed, Milliseconds(500));
+  RunUntil(loop, [&] { return observer.events == "start failed "; });
+  CHECK(client.OpenConnections(closed) == 0);
+  client.OpenConnection(closed, Milliseconds(500));
+  client.RemoveAddress(closed);
+  CHECK(observer.events == "start failed start abandoned ");
+  CHECK(client.OpenConnections(closed) == 0);
+}
+
 }  // namespace
 }  // namespace carobshift
