Reachability: watch the endpoints' connections, log and show lost services

Endpoints that may get no requests (stopping, evacuated) aren't probed. Nothing uses the result yet.

--- a/carobshift/gateway/endpoints/service_reachability.cc
+++ b/carobshift/gateway/endpoints/service_reachability.cc
@@ -81,6 +81,7 @@
   CountTime(now);
   if (Endpoint* const endpoint = Find(address)) {
     endpoint->connecting.push_back(clock_);
+    endpoint->tried_at = clock_;
     endpoint->probe_not_opened = false;
   }
 }
@@ -113,7 +114,7 @@
   if (!endpoint->connecting.empty())
     endpoint->connecting.pop_front();
   ++endpoint->failures;
-  endpoint->failed_at = clock_;
+  endpoint->failed_at = endpoint->tried_at = clock_;
   Evaluate(endpoint->service, services_[endpoint->service]);
 }
 
@@ -394,6 +395,11 @@
   change.service = name;
   change.reach = reach;
   change.endpoints = static_cast<int>(service.endpoints.size());
+  change.tried = static_cast<int>(std::count_if(
+      service.endpoints.begin(), service.endpoints.end(),
+      [this](const NetAddress& address) {
+        return clock_ - endpoints_.at(address).tried_at <= kEvidenceLifetime;
+      }));
   change.failed =
       static_cast<int>(CountFailing(service, service.last_connected));
   if (service.last_bytes != kNever) {
--- a/carobshift/gateway/endpoints/service_reachability.h
+++ b/carobshift/gateway/endpoints/service_reachability.h
@@ -85,6 +85,8 @@
   ServiceName service;
   ServiceReach reach = ServiceReach::kReached;
   int endpoints = 0;
+  // Endpoints at which connections were attempted within kEvidenceLifetime.
+  int tried = 0;
   // Endpoints at which connection attempts failed or are overdue.
   int failed = 0;
   // Time since the service last sent anything; nullopt if it never did.
@@ -150,6 +152,10 @@
   // endpoint may occur more than once.
   [[nodiscard]] std::vector<NetAddress> TakeProbes();
   [[nodiscard]] std::vector<ReachabilityChange> TakeChanges();
+  // Returns whether there are probes or changes to take.
+  [[nodiscard]] bool HasActions() const {
+    return !probes_.empty() || !changes_.empty();
+  }
 
   // Returns kReached for an unknown service.
   [[nodiscard]] ServiceReach ReachOf(const ServiceName& service) const;
@@ -167,6 +173,8 @@
     // Failed attempts since the last success.
     int failures = 0;
     RunTime failed_at = kNever;
+    // When an attempt last started or failed.
+    RunTime tried_at = kNever;
     RunTime broken_at = kNever;
     RunTime last_bytes = kNever;
     int requests = 0;
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -7,6 +7,7 @@
 #include "carobshift/gateway/cache/store_reclaimer.h"
 #include "carobshift/gateway/endpoints/cold_start_sharing.h"
 #include "carobshift/gateway/endpoints/limit_sharing.h"
+#include "carobshift/gateway/endpoints/reachability_monitor.h"
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/instances/address_choice.h"
 #include "carobshift/gateway/instances/cluster.h"
@@ -96,6 +97,9 @@
   // seconds.
   void OnEndpoints();
   void OnEvacuation(const ZoneName& zone, bool evacuated);
+  // To be called after each change of the configuration, the registry or the
+  // evacuated zones.
+  void UpdateEndpointsToReach();
   void OnMembers();
   // Does nothing before the other instances are known.
   void WatchCaches();
@@ -115,6 +119,8 @@
   // Separate from the requests' client, so that a flood of requests doesn't use
   // up the connections to the log and the stores, or the other way round.
   HttpClient control_client{loop, {}};
+  ReachabilityMonitor reachability{loop, endpoint_client, metrics,
+                                   RequestServiceOptions{}.connect_timeout};
   EndpointRegistry registry;
   CacheContents contents;
   WeightDeadlines deadlines{settings.weights_replacement_bound};
@@ -252,6 +258,7 @@
   rollout_controller.SetConfig(config);
   store_reclaimer.SetConfig(config);
   WatchCaches();
+  UpdateEndpointsToReach();
   // Members without a configuration report 0.
   cluster.SetConfigNumber(config->config().number.value() + 1);
 }
@@ -304,9 +311,18 @@
     endpoints_changed = false;
     requests.OnEndpointsChanged();
     WatchCaches();
+    UpdateEndpointsToReach();
   });
 }
 
+void Gateway::Impl::UpdateEndpointsToReach() {
+  const auto& config = operator_records.config();
+  if (config == nullptr)
+    return;
+  reachability.SetEndpoints(
+      EndpointsToReach(config->config(), registry, evacuations));
+}
+
 void Gateway::Impl::OnMembers() {
   discovery.OnMembers(cluster.Live().size(), loop.now());
   if (members_settled || !discovery.IsSettled(loop.now()))
@@ -316,6 +332,7 @@
 }
 
 void Gateway::Impl::OnEvacuation(const ZoneName& zone, bool evacuated) {
+  UpdateEndpointsToReach();
   if (!evacuated) {
     requests.OnEvacuationEnd(zone);
     return;
@@ -399,6 +416,7 @@
        .registry = registry,
        .evacuations = evacuations,
        .cold_starts = requests.cold_starts(),
+       .reachability = reachability.reachability(),
        .members = cluster.Live(),
        .open_requests = requests.open_requests(),
        .lease_holder = rollout_controller.IsHolder(),
--- a/carobshift/gateway/state_dump.cc
+++ b/carobshift/gateway/state_dump.cc
@@ -41,6 +41,16 @@
   return zones;
 }
 
+json UnreachedServices(const ServiceReachability& reachability) {
+  json services = json::array();
+  for (const ServiceName& service : reachability.Unreached()) {
+    services.push_back(
+        {{"service", service.value()},
+         {"state", ServiceReachName(reachability.ReachOf(service))}});
+  }
+  return services;
+}
+
 }  // namespace
 
 std::string EncodeStateDump(const StateDumpView& view, MonotonicTime now) {
@@ -52,6 +62,7 @@
       {"registry", view.registry.revision()},
       {"endpoints", Endpoints(view, now)},
       {"evacuated_zones", EvacuatedZones(view.evacuations, now)},
+      {"unreached_services", UnreachedServices(view.reachability)},
       {"members", members},
       {"open_requests", view.open_requests},
       {"lease_holder", view.lease_holder},
--- a/carobshift/gateway/state_dump.h
+++ b/carobshift/gateway/state_dump.h
@@ -11,6 +11,7 @@
 
 #include "carobshift/gateway/endpoints/cold_start_limits.h"
 #include "carobshift/gateway/endpoints/endpoint_registry.h"
+#include "carobshift/gateway/endpoints/service_reachability.h"
 #include "carobshift/gateway/endpoints/zone_evacuations.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/membership/member.h"
@@ -24,6 +25,7 @@
   const EndpointRegistry& registry;
   const ZoneEvacuations& evacuations;
   const ColdStartLimits& cold_starts;
+  const ServiceReachability& reachability;
   const std::vector<MemberInfo>& members;
   std::size_t open_requests = 0;
   bool lease_holder = false;
--- a/carobshift/gateway/state_dump_test.cc
+++ b/carobshift/gateway/state_dump_test.cc
@@ -6,7 +6,8 @@
 namespace carobshift {
 namespace {
 
-TEST_CASE("the state dump shows evacuated zones and cold endpoints") {
+TEST_CASE(
+    "the state dump shows evacuated zones, cold endpoints and lost services") {
   const MonotonicTime now{Seconds(100)};
   EndpointRegistry registry;
   EndpointRecord record;
@@ -18,11 +19,19 @@
   evacuations.Set(ZoneName("b"), true, now);
   ColdStartLimits cold_starts{{}};
   cold_starts.OnStatement(record, Milliseconds(3000), now);
+  const NetAddress address{"h", 1};
+  ServiceReachability reachability;
+  reachability.SetEndpoints({{address, ServiceName("s")}}, now);
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    reachability.OnConnectStarted(address, now + Milliseconds(10));
+    reachability.OnConnectFailed(address, now + Milliseconds(20));
+  }
   const std::vector<MemberInfo> members(2);
   const auto dump =
       nlohmann::json::parse(EncodeStateDump({.registry = registry,
                                              .evacuations = evacuations,
                                              .cold_starts = cold_starts,
+                                             .reachability = reachability,
                                              .members = members},
                                             now + Milliseconds(500)));
   CHECK(dump["config"] == 0);
@@ -34,6 +43,9 @@
   const auto& zone = dump["evacuated_zones"][0];
   CHECK(zone["availability_zone"] == "b");
   CHECK(zone["age_ms"] == 500);
+  const auto& service = dump["unreached_services"][0];
+  CHECK(service["service"] == "s");
+  CHECK(service["state"] == "unreached");
 }
 
 }  // namespace
