--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -13,6 +13,7 @@
 #include "carobshift/gateway/instances/cluster.h"
 #include "carobshift/gateway/instances/member_discovery.h"
 #include "carobshift/gateway/instances/peer_choice.h"
+#include "carobshift/gateway/instances/reachability_sharing.h"
 #include "carobshift/gateway/load/load_query_service.h"
 #include "carobshift/gateway/load/load_sharing.h"
 #include "carobshift/gateway/query_service.h"
@@ -138,6 +139,8 @@
                           metrics,
                           ServiceOptions(settings)};
   PeerDatagrams datagrams{loop, settings, cluster};
+  ReachabilitySharing reachability_sharing{loop, cluster, datagrams,
+                                           reachability.reachability()};
   LoadQueryService load_query_service{
       loop,
       {cluster.incarnation(), [this] { return cluster.Live(); }},
@@ -241,6 +244,8 @@
       [this](const auto& endpoint, const auto& model, WeightNumber weights) {
         requests.OnWeightsReported(endpoint, model, weights);
       });
+  reachability.SetOnChange(
+      [this](const ReachabilityChange&) { reachability_sharing.OnChange(); });
   requests.SetLoadQueryService(&load_query_service);
   operator_follower.Start();
   endpoint_follower.Start();
@@ -283,6 +288,7 @@
   load_query_service.OnTick();
   load_sharing.OnTick();
   limit_sharing.OnTick();
+  reachability_sharing.OnTick();
   cold_start_sharing.OnTick();
   caches.OnTick();
   record_listener.OnTick();
--- a/carobshift/gateway/instances/peer_datagrams.h
+++ b/carobshift/gateway/instances/peer_datagrams.h
@@ -36,6 +36,7 @@
   kLoadAnswer = 5,
   kLimitUpdate = 6,
   kColdStartUpdate = 7,
+  kReachability = 9,
 };
 
 struct PeerDatagram {
--- /dev/null
+++ b/carobshift/gateway/instances/reachability_sharing.cc
@@ -0,0 +1,121 @@
+#include "carobshift/gateway/instances/reachability_sharing.h"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <exception>
+#include <sstream>
+
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+
+std::string EncodeReachabilityAnnouncement(
+    const ReachabilityAnnouncement& announcement) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(announcement.sender.value(), announcement.incarnation.value(),
+            announcement.sequence,
+            static_cast<std::uint16_t>(announcement.unreached.size()));
+    for (const std::uint64_t service : announcement.unreached)
+      archive(service);
+  }
+  return out.str();
+}
+
+Result<ReachabilityAnnouncement> DecodeReachabilityAnnouncement(
+    std::string_view payload) {
+  ReachabilityAnnouncement announcement;
+  try {
+    std::istringstream in{std::string(payload)};
+    cereal::PortableBinaryInputArchive archive(in);
+    std::string sender;
+    std::uint64_t incarnation = 0;
+    std::uint16_t count = 0;
+    archive(sender, incarnation, announcement.sequence, count);
+    announcement.sender = EntryId(sender);
+    announcement.incarnation = Incarnation(incarnation);
+    for (std::uint16_t i = 0; i < count; ++i) {
+      std::uint64_t service = 0;
+      archive(service);
+      announcement.unreached.push_back(service);
+    }
+  } catch (const std::exception& e) {
+    return Error{ResultCode::kPeerRejected, e.what()};
+  }
+  return announcement;
+}
+
+std::optional<std::vector<ServiceName>> AnnouncementSchedule::Take(
+    const std::vector<ServiceName>& unreached,
+    MonotonicTime now) {
+  const bool changed = unreached != announced_;
+  if (changed && unreached.empty())
+    repeats_left_ = kEndRepeats;
+  const bool in_force = !unreached.empty() || repeats_left_ > 0;
+  if (!changed && (!in_force || now < next_))
+    return std::nullopt;
+  if (unreached.empty())
+    --repeats_left_;
+  announced_ = unreached;
+  next_ = now + kRepeatInterval;
+  return unreached;
+}
+
+ReachabilitySharing::ReachabilitySharing(EventLoop& loop,
+                                         const Cluster& cluster,
+                                         PeerDatagrams& datagrams,
+                                         const ServiceReachability& own)
+    : loop_(loop), cluster_(cluster), datagrams_(datagrams), own_(own) {
+  datagrams_.SetHandler(
+      PeerDatagramKind::kReachability,
+      [this](std::string_view payload) { OnDatagram(payload); });
+}
+
+void ReachabilitySharing::OnTick() {
+  announced_.Expire(loop_.now());
+  Announce();
+}
+
+void ReachabilitySharing::Announce() {
+  const auto services = schedule_.Take(own_.Unreached(), loop_.now());
+  if (!services)
+    return;
+  ReachabilityAnnouncement announcement{
+      .sender = cluster_.membership().self().id,
+      .incarnation = cluster_.incarnation(),
+      .sequence = ++sequence_,
+      .unreached = {}};
+  const std::size_t count = std::min(services->size(), kMaxServices);
+  for (std::size_t i = 0; i < count; ++i)
+    announcement.unreached.push_back(ServiceHash((*services)[i]));
+  announced_.OnAnnouncement(announcement, loop_.now());
+  datagrams_.SendToOthers(PeerDatagramKind::kReachability,
+                          {EncodeReachabilityAnnouncement(announcement)});
+}
+
+void ReachabilitySharing::OnDatagram(std::string_view payload) {
+  const auto announcement = DecodeReachabilityAnnouncement(payload);
+  if (!announcement.ok()) {
+    LogEvent(LogLevel::kWarning, "reachability_announcement_unreadable",
+             {{"reason", announcement.error().message}});
+    return;
+  }
+  // Relays may send this instance's own announcement back.
+  if (announcement.value().sender != cluster_.membership().self().id)
+    announced_.OnAnnouncement(announcement.value(), loop_.now());
+}
+
+bool ReachabilitySharing::SelfReaches(const ServiceName& service,
+                                      MonotonicTime /*now*/) const {
+  return own_.ReachOf(service) == ServiceReach::kReached;
+}
+
+bool ReachabilitySharing::PeerReaches(const EntryId& peer,
+                                      const ServiceName& service,
+                                      MonotonicTime now) const {
+  return announced_.Reaches(peer, service, now);
+}
+
+}  // namespace carobshift
