Callers' limits reach open connections, and the larger one holds around a change

What callers saw: a connection that its caller could still use, by the idle timeout of the present configuration, was closed under a request that was on its way; and a body or head within the present limits was rejected (413, 431), which callers don't send again.

Cause: HttpServerConnection kept the limits of the moment of its acceptance for its whole life. A raised idle timeout, body limit or head limit never reached open connections; a lowered one held for new connections at once, before callers can have learnt of it.

Change: CallerLimitsInForce (pure) gives the larger of the limits that callers may act by, for the two seconds in which a configuration spreads. HttpServerConnection::SetLimits applies them to open connections; an idle period in progress becomes longer but never shorter.

Evidence: caller_connections_test failed before in all sections (raised idle timeout while idle and idle again, lowered idle timeout, longer body, longer head) and passes now; gateway_test's five cases of it and of caller_limits_in_force_test, and net_test (36 cases), pass.

--- /dev/null
+++ b/carobshift/gateway/request/caller_connections_test.cc
@@ -0,0 +1,153 @@
+// Callers' connections at a RequestService, over loopback in one event loop.
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "carobshift/gateway/request/request_service.h"
+#include "carobshift/gateway/stub_dialects.h"
+#include "carobshift/net/loopback_server.h"
+
+namespace carobshift {
+namespace {
+
+constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+std::shared_ptr<const ServingConfigSnapshot> ConfigWith(
+    int number,
+    const CallerLimits& limits) {
+  ServingConfig config;
+  config.number = DeclarationNumber(number);
+  config.limits = limits;
+  return std::make_shared<ServingConfigSnapshot>(std::move(config));
+}
+
+// A service whose dialect rejects each request, which is an answer too.
+struct ServiceUnderTest {
+  ServiceUnderTest() {
+    auto opened = TcpListener::Open(
+        loop, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& socket) {
+          service.Accept(socket);
+        });
+    REQUIRE(opened.ok());
+    listener = opened.value();
+  }
+  ~ServiceUnderTest() { listener->Close(); }
+
+  EventLoop loop;
+  HttpClient client{loop, {}};
+  StubRequestDialect dialect;
+  EndpointRegistry registry;
+  CacheContents contents;
+  WeightDeadlines deadlines{Milliseconds(15000)};
+  ZoneEvacuations evacuations;
+  ZoneRegions regions{{}};
+  Metrics metrics;
+  RequestService service{loop,      client,      dialect, registry, contents,
+                         deadlines, evacuations, regions, metrics,  {}};
+  std::shared_ptr<TcpListener> listener;
+};
+
+// Keeps one connection and sends requests on it.
+class PersistentCaller : public TcpConnectionHandler {
+ public:
+  explicit PersistentCaller(ServiceUnderTest& under_test)
+      : loop_(under_test.loop),
+        connection_(
+            TcpConnection::Connect(loop_,
+                                   {"127.0.0.1", under_test.listener->port()},
+                                   {},
+                                   this)) {}
+  ~PersistentCaller() override { connection_->Close(); }
+
+  void Send(const std::string& bytes) {
+    connection_->Send(bytes);
+    RunFor(loop_, Milliseconds(30));
+  }
+  // Returns whether the request got an answer.
+  bool Ask(const std::string& request = kRequest) {
+    received_.clear();
+    connection_->Send(request);
+    RunUntil(loop_, [this] { return closed_ || !received_.empty(); });
+    return !received_.empty();
+  }
+  [[nodiscard]] const std::string& received() const { return received_; }
+  [[nodiscard]] bool closed() const { return closed_; }
+
+  void OnData(std::string_view bytes) override { received_ += bytes; }
+  void OnClosed(CloseReason) override { closed_ = true; }
+
+ private:
+  EventLoop& loop_;
+  std::shared_ptr<TcpConnection> connection_;
+  std::string received_;
+  bool closed_ = false;
+};
+
+// Guards against kept connections that are closed by an idle timeout which a
+// configuration has raised since they were accepted.
+TEST_CASE("a raised idle timeout holds for connections that are open") {
+  ServiceUnderTest under_test;
+  under_test.service.SetConfig(
+      ConfigWith(1, {.idle_timeout = Milliseconds(300)}));
+  PersistentCaller caller(under_test);
+  REQUIRE(caller.Ask());
+  under_test.service.SetConfig(
+      ConfigWith(2, {.idle_timeout = Milliseconds(1000)}));
+  SECTION("while idle since before the change") {}
+  SECTION("when idle again") {
+    REQUIRE(caller.Ask());
+  }
+  RunFor(under_test.loop, Milliseconds(700));
+  CHECK(caller.Ask());
+}
+
+// Guards against connections that are closed by a lowered idle timeout before
+// their callers can have learnt of it.
+TEST_CASE("a lowered idle timeout holds once callers have learnt of it") {
+  ServiceUnderTest under_test;
+  under_test.service.SetConfig(
+      ConfigWith(1, {.idle_timeout = Milliseconds(1000)}));
+  under_test.service.SetConfig(
+      ConfigWith(2, {.idle_timeout = Milliseconds(200)}));
+  PersistentCaller caller(under_test);
+  REQUIRE(caller.Ask());
+  RunFor(under_test.loop, Milliseconds(700));
+  REQUIRE(caller.Ask());
+  RunFor(under_test.loop, Milliseconds(2100));
+  under_test.service.OnTick();
+  PersistentCaller later(under_test);
+  REQUIRE(later.Ask());
+  RunFor(under_test.loop, Milliseconds(400));
+  CHECK(later.closed());
+}
+
+// Guards against proper requests that are rejected since their connection was
+// accepted under lower limits.
+TEST_CASE("raised limits of a request hold for connections that are open") {
+  ServiceUnderTest under_test;
+  under_test.service.SetConfig(
+      ConfigWith(1, {.head_bytes = 256, .body_bytes = 4}));
+  PersistentCaller caller(under_test);
+  REQUIRE(caller.Ask());
+  under_test.service.SetConfig(
+      ConfigWith(2, {.head_bytes = 1024, .body_bytes = 64}));
+  std::string rest;
+  std::string rejected_for;
+  SECTION("a longer body") {
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\n");
+    rest = "Content-Length: 9\r\n\r\n123456789";
+    rejected_for = " 413 ";
+  }
+  SECTION("a longer head") {
+    caller.Send("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(500, 'x'));
+    rest = "\r\n\r\n";
+    rejected_for = " 431 ";
+  }
+  REQUIRE(caller.Ask(rest));
+  CHECK(caller.received().find(rejected_for) == std::string::npos);
+}
+
+}  // namespace
+}  // namespace carobshift
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -62,24 +62,36 @@
 }
 
 void RequestService::Accept(const Poco::Net::StreamSocket& socket) {
-  HttpServerLimits limits;
-  if (config_ != nullptr) {
-    const CallerLimits& declared = config_->config().limits;
-    limits.head_bytes = declared.head_bytes;
-    limits.body_bytes = declared.body_bytes;
-    limits.head_timeout = declared.head_timeout;
-    limits.idle_timeout = declared.idle_timeout;
-  }
-  const auto connection =
-      HttpServerConnection::Open(loop_, socket, limits, {}, *this);
+  const auto connection = HttpServerConnection::Open(
+      loop_, socket, CallerConnectionLimits(), {}, *this);
   connections_[connection.get()] = connection;
   if (stopping_)
     connection->CloseAfterReply();
 }
 
+HttpServerLimits RequestService::CallerConnectionLimits() const {
+  HttpServerLimits limits;
+  limits.head_bytes = applied_caller_limits_.head_bytes;
+  limits.body_bytes = applied_caller_limits_.body_bytes;
+  limits.head_timeout = applied_caller_limits_.head_timeout;
+  limits.idle_timeout = applied_caller_limits_.idle_timeout;
+  return limits;
+}
+
+void RequestService::ApplyCallerLimits() {
+  const CallerLimits limits = caller_limits_.At(loop_.now());
+  if (limits == applied_caller_limits_)
+    return;
+  applied_caller_limits_ = limits;
+  for (const auto& [key, connection] : connections_)
+    connection->SetLimits(CallerConnectionLimits());
+}
+
 void RequestService::SetConfig(
     std::shared_ptr<const ServingConfigSnapshot> config) {
   config_ = std::move(config);
+  caller_limits_.OnConfig(config_->config().limits, loop_.now());
+  ApplyCallerLimits();
   planner_.SetConfig(config_->config());
   cold_starts_.SetConfig(config_->config());
   std::unordered_set<std::string> routes;
@@ -546,6 +558,7 @@
 
 void RequestService::OnTick() {
   const MonotonicTime now = loop_.now();
+  ApplyCallerLimits();
   loads_.Expire(now);
   crashes_.Expire(now);
   FailSilentEndpoints(now);
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -33,6 +33,7 @@
 #include "carobshift/gateway/placement/attempt_planner.h"
 #include "carobshift/gateway/placement/overload_guard.h"
 #include "carobshift/gateway/placement/prompt_sizes.h"
+#include "carobshift/gateway/request/caller_limits_in_force.h"
 #include "carobshift/gateway/request/crash_record.h"
 #include "carobshift/gateway/request/exchange_run.h"
 #include "carobshift/gateway/request/request_report.h"
@@ -207,6 +208,9 @@
                                       const ExchangeSetup& setup,
                                       const AttemptPlan& plan);
   void SetConnectionLimits();
+  [[nodiscard]] HttpServerLimits CallerConnectionLimits() const;
+  // Applies the limits of callers that are in force now to open connections.
+  void ApplyCallerLimits();
   // Reports endpoints that have stopped sending as broken and notifies their
   // exchanges.
   void FailSilentEndpoints(MonotonicTime now);
@@ -238,6 +242,9 @@
   RetryAllowance allowance_;
   LoadQueryService* load_query_service_ = nullptr;
   std::shared_ptr<const ServingConfigSnapshot> config_;
+  CallerLimitsInForce caller_limits_;
+  // As last applied to open connections.
+  CallerLimits applied_caller_limits_;
   std::unordered_map<HttpServerConnection*,
                      std::shared_ptr<HttpServerConnection>>
       connections_;
--- a/carobshift/gateway/serving_config.h
+++ b/carobshift/gateway/serving_config.h
@@ -122,6 +122,8 @@
   std::size_t body_bytes = std::size_t{4} << 20;
   Milliseconds head_timeout{3000};
   Milliseconds idle_timeout{15000};
+
+  bool operator==(const CallerLimits&) const = default;
 };
 
 struct ServingConfig {
--- a/carobshift/net/http_parser.h
+++ b/carobshift/net/http_parser.h
@@ -80,6 +80,8 @@
 
   Progress Feed(std::string_view bytes);
 
+  void SetLimits(const HttpParserLimits& limits) { limits_ = limits; }
+
   // Reports that the peer has closed its side normally. Completes a body that
   // lasts until the close; returns kMalformed for an incomplete message.
   State FeedEnd();
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -37,24 +37,39 @@
   std::shared_ptr<HttpServerConnection> connection(
       new HttpServerConnection(loop, limits, handler));
   connection->tcp_ = TcpConnection::Accept(loop, socket, tcp, connection.get());
-  connection->ArmTimer(limits.idle_timeout, false);
+  connection->BeginIdlePeriod();
   return connection;
 }
 
-void HttpServerConnection::ArmTimer(Milliseconds wait, bool reading_request) {
+void HttpServerConnection::SetLimits(const HttpServerLimits& limits) {
+  limits_ = limits;
+  parser_.SetLimits({.head_bytes = limits.head_bytes});
+  const MonotonicTime idle_until = idle_since_ + limits.idle_timeout;
+  if (ended_ || busy() || idle_until <= idle_until_)
+    return;
+  idle_until_ = idle_until;
+  ArmTimer(idle_until_, false);
+}
+
+void HttpServerConnection::BeginIdlePeriod() {
+  idle_since_ = loop_.now();
+  idle_until_ = idle_since_ + limits_.idle_timeout;
+  ArmTimer(idle_until_, false);
+}
+
+void HttpServerConnection::ArmTimer(MonotonicTime at, bool reading_request) {
   loop_.CancelTimer(timer_);
-  timer_ = loop_.AddTimer(
-      loop_.now() + wait, [weak = weak_from_this(), reading_request] {
-        const auto self = weak.lock();
-        if (self == nullptr || self->ended_ || self->serving_)
-          return;
-        // An idle connection is closed without a reply; a caller that stopped
-        // in the middle of a request gets an error reply.
-        if (reading_request)
-          self->Reject(kBadRequest);
-        else
-          self->End();
-      });
+  timer_ = loop_.AddTimer(at, [weak = weak_from_this(), reading_request] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->ended_ || self->serving_)
+      return;
+    // An idle connection is closed without a reply; a caller that stopped
+    // in the middle of a request gets an error reply.
+    if (reading_request)
+      self->Reject(kBadRequest);
+    else
+      self->End();
+  });
 }
 
 void HttpServerConnection::OnData(std::string_view bytes) {
@@ -81,7 +96,7 @@
     switch (progress.state) {
       case HttpParser::State::kPartial:
         if (is_first_byte || head_was_done || parser_.head_done())
-          ArmTimer(limits_.head_timeout, true);
+          ArmTimer(loop_.now() + limits_.head_timeout, true);
         return;
       case HttpParser::State::kMalformed:
         Reject(kBadRequest);
@@ -211,7 +226,7 @@
     handler_->OnConnectionEnd(*this);
     return;
   }
-  ArmTimer(limits_.idle_timeout, false);
+  BeginIdlePeriod();
   tcp_->SetReading(true);
   // Pipelined requests are parsed in the next iteration of the loop rather than
   // within the handler's call.
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -94,6 +94,10 @@
   // Resets the connection because the reply can't be completed.
   void Abort();
 
+  // Replaces the limits, from the request that is being read on. An idle period
+  // in progress may become longer but never shorter: its caller may still act
+  // by the timeout with which it began.
+  void SetLimits(const HttpServerLimits& limits);
   // Closes the connection after the present request or the next one; its reply
   // carries "Connection: close".
   void CloseAfterReply() { close_after_reply_ = true; }
@@ -120,7 +124,8 @@
   void Reject(int status);
   void AddConnectionFields(HttpHead& head);
   void FinishReply();
-  void ArmTimer(Milliseconds wait, bool reading_request);
+  void BeginIdlePeriod();
+  void ArmTimer(MonotonicTime at, bool reading_request);
   void CheckBackpressure();
   void End();
 
@@ -133,6 +138,9 @@
   // Bytes received but not yet parsed.
   std::string unparsed_;
   TimerId timer_;
+  // Of the present idle period, or of the last one.
+  MonotonicTime idle_since_{};
+  MonotonicTime idle_until_{};
   bool serving_ = false;
   bool keep_alive_ = true;
   bool close_after_reply_ = false;
