A last reply is sent whole before its connection closes, and a stop waits for it

What callers saw: the end of a complete reply was missing, without an error of the endpoint, if the caller needed more than a second to take it and the connection was to close after it: at a planned stop, after "Connection: close", or when the connection counted as idle while the reply was still being sent.

Cause: TcpConnection::CloseAfterFlush closed one second after the call, whether or not the bytes were sent. HttpServerConnection counted a connection as over, or idle, when the last byte of the reply was buffered, not when it was sent; so the process also ended a planned stop with replies in its own buffers.

Change: the second of lingering begins when all bytes are sent; a connection that is to close ends when its reply is sent, and is busy until then. A planned stop waits until no connection is busy, at most until the end of the grace period as before. A peer that takes nothing is still bounded by TcpOptions::user_timeout.

Not shown by a run: a whole process that waits for a slow caller at its stop.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -427,7 +427,7 @@
   const Milliseconds last = settings.stop_grace - kExitReserve;
   if (passed >= last)
     return true;
-  return passed >= kStopAcceptDuration && requests.open_requests() == 0 &&
+  return passed >= kStopAcceptDuration && !requests.busy() &&
          !MustDelayShutdown(cluster.membership().Members(), settings.entry,
                             peer_sync.IsLogUnresponsive());
 }
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -150,6 +150,12 @@
     connection->CloseWhenIdle();
 }
 
+bool RequestService::busy() const {
+  return !runs_.empty() ||
+         std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->busy(); });
+}
+
 void RequestService::OnRequest(
     const std::shared_ptr<HttpServerConnection>& connection,
     HttpServerRequest received) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -139,6 +139,8 @@
   [[nodiscard]] std::size_t open_connections() const {
     return connections_.size();
   }
+  // Whether a request is being read or served, or a reply is not sent yet.
+  [[nodiscard]] bool busy() const;
   [[nodiscard]] bool has_config() const { return config_ != nullptr; }
 
  private:
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -312,6 +312,60 @@
   CHECK(server.ended == 1);
 }
 
+// Guards against a further request that is served after a reply which announces
+// the end of its connection.
+TEST_CASE("no request is served behind the last reply of a connection") {
+  EventLoop loop;
+  const std::string body(std::size_t{24} << 20, 'x');
+  LoopbackServer server(
+      loop, [&](HttpServerConnection& connection, const HttpServerRequest&) {
+        connection.CloseAfterReply();
+        connection.SendCompleteReply(ReplyHead(200), body);
+      });
+  HttpClient client(loop, {});
+  TestListener listener;
+  const auto call =
+      client.Start(server.address(), Get("/1") + Get("/2"), {}, &listener);
+  RunUntil(loop, [&] { return listener.over(); });
+  CHECK(listener.body.size() == body.size());
+  CHECK(server.bodies.size() == 1);
+}
+
+// Guards against replies that lose their end because a caller needs more than a
+// second to read them before its connection closes.
+TEST_CASE("a reply is sent whole before its connection closes") {
+  EventLoop loop;
+  const std::string body(std::size_t{24} << 20, 'x');
+  bool close_after_reply = false;
+  LoopbackServer server(
+      loop,
+      [&](HttpServerConnection& connection, const HttpServerRequest&) {
+        if (close_after_reply)
+          connection.CloseAfterReply();
+        connection.SendCompleteReply(ReplyHead(200), body);
+      },
+      {.idle_timeout = Milliseconds(200)});
+  HttpClient client(loop, {});
+  TestListener listener;
+  SECTION("which the reply announces") {
+    close_after_reply = true;
+  }
+  SECTION("since the caller seems idle") {}
+  const auto call = client.Start(server.address(), Get("/"), {}, &listener);
+  RunUntil(loop, [&] { return listener.status == 200; });
+  call->SetReading(false);
+  RunFor(loop, Milliseconds(700));
+  if (!close_after_reply)
+    server.connections.front()->CloseWhenIdle();
+  CHECK(server.connections.front()->busy());
+  RunFor(loop, Milliseconds(800));
+  CHECK(server.ended == 0);
+  call->SetReading(true);
+  RunUntil(loop, [&] { return listener.over(); });
+  CHECK(listener.body.size() == body.size());
+  RunUntil(loop, [&] { return server.ended == 1; });
+}
+
 TEST_CASE("requests that were sent together are answered in order") {
   EventLoop loop;
   int answered = 0;
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -45,7 +45,8 @@
   limits_ = limits;
   parser_.SetLimits({.head_bytes = limits.head_bytes});
   const MonotonicTime idle_until = idle_since_ + limits.idle_timeout;
-  if (ended_ || busy() || idle_until <= idle_until_)
+  const bool idle = !ended_ && !ending_ && !serving_ && !parser_.begun();
+  if (!idle || idle_until <= idle_until_)
     return;
   idle_until_ = idle_until;
   ArmTimer(idle_until_, false);
@@ -67,6 +68,8 @@
     // in the middle of a request gets an error reply.
     if (reading_request)
       self->Reject(kBadRequest);
+    else if (self->tcp_->unsent() > 0)
+      self->BeginIdlePeriod();
     else
       self->End();
   });
@@ -74,6 +77,8 @@
 
 void HttpServerConnection::OnData(std::string_view bytes) {
   const auto self = shared_from_this();
+  if (ending_)
+    return;
   unparsed_.append(bytes);
   if (serving_) {
     if (unparsed_.size() > kMaxUnparsedBytes)
@@ -84,7 +89,7 @@
 }
 
 void HttpServerConnection::Parse() {
-  while (!ended_ && !serving_ && !unparsed_.empty()) {
+  while (!ended_ && !ending_ && !serving_ && !unparsed_.empty()) {
     const bool is_first_byte = !parser_.begun();
     const bool head_was_done = parser_.head_done();
     const HttpParser::Progress progress = parser_.Feed(unparsed_);
@@ -220,10 +225,7 @@
   if (close_after_reply_)
     keep_alive_ = false;
   if (!keep_alive_) {
-    ended_ = true;
-    loop_.CancelTimer(timer_);
-    tcp_->CloseAfterFlush();
-    handler_->OnConnectionEnd(*this);
+    EndWhenSent();
     return;
   }
   BeginIdlePeriod();
@@ -249,8 +251,18 @@
 
 void HttpServerConnection::CloseWhenIdle() {
   close_after_reply_ = true;
-  if (!ended_ && !busy() && unparsed_.empty())
+  if (!ended_ && !serving_ && !parser_.begun() && unparsed_.empty())
+    EndWhenSent();
+}
+
+void HttpServerConnection::EndWhenSent() {
+  if (tcp_->unsent() == 0) {
     End();
+    return;
+  }
+  ending_ = true;
+  loop_.CancelTimer(timer_);
+  tcp_->SetReading(true);
 }
 
 void HttpServerConnection::End() {
@@ -270,6 +282,11 @@
 }
 
 void HttpServerConnection::OnFlushed() {
+  if (ending_) {
+    const auto self = shared_from_this();
+    End();
+    return;
+  }
   if (!paused_)
     return;
   paused_ = false;
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -15,6 +15,8 @@
 // - A reply can't be completed. Abort() resets the connection instead of
 //   closing it, so that the caller doesn't take the end of the connection for
 //   the end of the reply.
+// - A caller reads the last reply slowly. The connection ends after the caller
+//   has taken all of it, and busy() is true until then.
 // - A caller doesn't read. Beyond `high_water` unsent bytes the handler is
 //   asked to pause the source of the reply.
 
@@ -101,11 +103,14 @@
   // Closes the connection after the present request or the next one; its reply
   // carries "Connection: close".
   void CloseAfterReply() { close_after_reply_ = true; }
-  // Like CloseAfterReply(), but closes immediately if no request has been
-  // partly read.
+  // Like CloseAfterReply(), but if no request has been partly read, closes once
+  // the caller has taken the last reply.
   void CloseWhenIdle();
-  // Whether a request is being read or served.
-  [[nodiscard]] bool busy() const { return serving_ || parser_.begun(); }
+  // Whether a request is being read or served, or the caller has not taken the
+  // whole reply yet.
+  [[nodiscard]] bool busy() const {
+    return serving_ || parser_.begun() || tcp_->unsent() > 0;
+  }
   [[nodiscard]] bool serving() const { return serving_; }
 
   void OnData(std::string_view bytes) override;
@@ -127,6 +132,8 @@
   void BeginIdlePeriod();
   void ArmTimer(MonotonicTime at, bool reading_request);
   void CheckBackpressure();
+  // Ends the connection once the caller has taken the whole reply.
+  void EndWhenSent();
   void End();
 
   EventLoop& loop_;
@@ -148,6 +155,8 @@
   bool http_1_0_ = false;
   bool reply_to_head_ = false;
   bool paused_ = false;
+  // The connection ends once all bytes are sent. No further request is read.
+  bool ending_ = false;
   bool too_large_ = false;
   bool ended_ = false;
 };
--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -150,7 +150,16 @@
   lingering_ = true;
   SetReading(true);
   if (unsent() == 0)
-    OnWritable();
+    EndSending();
+}
+
+void TcpConnection::EndSending() {
+  try {
+    socket_.shutdownSend();
+  } catch (const Poco::Exception&) {
+    Close();
+    return;
+  }
   loop_.AddTimer(loop_.now() + kLinger,
                  [self = shared_from_this()] { self->Close(); });
 }
@@ -181,11 +190,8 @@
   if (closed_ || unsent() > 0)
     return;
   if (lingering_) {
-    try {
-      socket_.shutdownSend();
-    } catch (const Poco::Exception&) {
-      Close();
-    }
+    if (had_unsent)
+      EndSending();
     return;
   }
   if (had_unsent && handler_ != nullptr)
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -66,7 +66,8 @@
 class TcpConnection : public SocketHandler,
                       public std::enable_shared_from_this<TcpConnection> {
  public:
-  // How long CloseAfterFlush() continues to read what the peer sends.
+  // How long CloseAfterFlush() continues to read what the peer sends, once all
+  // bytes are sent.
   static constexpr Milliseconds kLinger{1000};
 
   // Starts to connect. OnConnected or OnClosed follows, after this function has
@@ -90,7 +91,8 @@
   // Closes the connection; resets it if received bytes are unread.
   void Close();
   // Sends the unsent bytes, ends this side, continues to read for kLinger and
-  // closes.
+  // closes. How long the sending takes is up to the peer, within
+  // TcpOptions::user_timeout without progress.
   void CloseAfterFlush();
   // Resets the connection, so that the peer can't mistake this for a normal
   // close.
@@ -117,6 +119,8 @@
   bool FinishConnect();
   // Sends from the buffer until the socket accepts no more.
   void Flush();
+  // Ends this side of a connection that is lingering.
+  void EndSending();
   void UpdateInterest();
   void Fail(CloseReason reason);
   void PostFailure();
