A request that meets the close of an idle connection is served or stays unread

What callers saw: a request on a kept connection got neither an answer nor a refusal, and one that may run only once could not be sent again.

Cause: an idle connection was closed (idle timeout, planned stop) by ending its sending side and reading on for a second. A request that had already arrived, or that crossed the close, was read by this lingering and thrown away. To its caller it had been read.

Change: before an idle close the socket is looked at; a request that has arrived is served, with "Connection: close". After the close, bytes that arrive are not read but reset the connection. Connections whose caller pipelines keep the old way, since a reset could overtake a reply that such a caller still awaits.

Loopback shows the reset at the caller's socket, not how long a real path takes.

--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -1,6 +1,11 @@
 // Tests HttpClient and HttpServerConnection against each other, over loopback
 // in one event loop.
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <sys/socket.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
@@ -312,6 +317,79 @@
   CHECK(server.ended == 1);
 }
 
+// A caller with a plain socket, to see how its connection ends.
+class SocketCaller {
+ public:
+  SocketCaller(EventLoop& loop, const NetAddress& address)
+      : loop_(loop),
+        socket_(Poco::Net::SocketAddress(address.host, address.port)) {}
+
+  void Send(const std::string& bytes) {
+    socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  }
+  // Returns what arrives until the server ends its side or is silent.
+  std::string Receive() {
+    std::string all;
+    std::array<char, 4096> buffer;
+    for (;;) {
+      RunFor(loop_, Milliseconds(30));
+      if (!socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+        return all;
+      const int received = socket_.receiveBytes(buffer.data(), buffer.size());
+      if (received <= 0)
+        return all;
+      all.append(buffer.data(), static_cast<std::size_t>(received));
+    }
+  }
+  [[nodiscard]] bool WasReset() {
+    int error = 0;
+    socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
+    return error != 0;
+  }
+
+ private:
+  EventLoop& loop_;
+  Poco::Net::StreamSocket socket_;
+};
+
+// Guards against a request that has arrived and is thrown away because its
+// connection counts as idle.
+TEST_CASE("a request that is there before an idle close is answered") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk);
+  SocketCaller caller(loop, server.address());
+  caller.Send(Get("/"));
+  REQUIRE(caller.Receive().ends_with("hello"));
+  caller.Send(Get("/"));
+  server.connections.front()->CloseWhenIdle();
+  const std::string reply = caller.Receive();
+  CHECK(reply.ends_with("hello"));
+  CHECK(reply.find("Connection: close") != std::string::npos);
+  CHECK(server.ended == 1);
+}
+
+// Guards against a request that crosses an idle close and is read without being
+// served, so that its caller may not send it again.
+TEST_CASE("a request that crosses an idle close stays unread") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk, {.idle_timeout = Milliseconds(200)});
+  SocketCaller caller(loop, server.address());
+  caller.Send(Get("/"));
+  REQUIRE(caller.Receive().ends_with("hello"));
+  SECTION("at a planned stop") {
+    server.connections.front()->CloseWhenIdle();
+  }
+  SECTION("after the idle timeout") {
+    RunUntil(loop, [&] { return server.ended == 1; });
+  }
+  RunFor(loop, Milliseconds(30));
+  CHECK_FALSE(caller.WasReset());
+  caller.Send(Get("/"));
+  RunFor(loop, Milliseconds(30));
+  CHECK(caller.WasReset());
+  CHECK(server.bodies.size() == 1);
+}
+
 // Guards against a further request that is served after a reply which announces
 // the end of its connection.
 TEST_CASE("no request is served behind the last reply of a connection") {
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -71,7 +71,7 @@
     else if (self->tcp_->unsent() > 0)
       self->BeginIdlePeriod();
     else
-      self->End();
+      self->EndIdle();
   });
 }
 
@@ -81,6 +81,7 @@
     return;
   unparsed_.append(bytes);
   if (serving_) {
+    pipelines_ = true;
     if (unparsed_.size() > kMaxUnparsedBytes)
       tcp_->SetReading(false);
     return;
@@ -251,8 +252,27 @@
 
 void HttpServerConnection::CloseWhenIdle() {
   close_after_reply_ = true;
-  if (!ended_ && !serving_ && !parser_.begun() && unparsed_.empty())
+  if (ended_ || ending_ || serving_ || parser_.begun() || !unparsed_.empty())
+    return;
+  if (tcp_->unsent() > 0)
     EndWhenSent();
+  else
+    EndIdle();
+}
+
+void HttpServerConnection::EndIdle() {
+  // The request is read in the next iteration of the loop; its reply announces
+  // the close.
+  close_after_reply_ = true;
+  if (tcp_->HasInput())
+    return;
+  ended_ = true;
+  loop_.CancelTimer(timer_);
+  if (pipelines_)
+    tcp_->CloseAfterFlush();
+  else
+    tcp_->CloseUnread();
+  handler_->OnConnectionEnd(*this);
 }
 
 void HttpServerConnection::EndWhenSent() {
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -15,6 +15,10 @@
 // - A reply can't be completed. Abort() resets the connection instead of
 //   closing it, so that the caller doesn't take the end of the connection for
 //   the end of the reply.
+// - A request crosses the close of an idle connection. If it has arrived by
+//   then, it is served. Otherwise it stays unread and resets the connection: a
+//   caller may send a request again that was not read, even one that may run
+//   only once.
 // - A caller reads the last reply slowly. The connection ends after the caller
 //   has taken all of it, and busy() is true until then.
 // - A caller doesn't read. Beyond `high_water` unsent bytes the handler is
@@ -103,8 +107,8 @@
   // Closes the connection after the present request or the next one; its reply
   // carries "Connection: close".
   void CloseAfterReply() { close_after_reply_ = true; }
-  // Like CloseAfterReply(), but if no request has been partly read, closes once
-  // the caller has taken the last reply.
+  // Like CloseAfterReply(), but if no request has arrived, closes once the
+  // caller has taken the last reply.
   void CloseWhenIdle();
   // Whether a request is being read or served, or the caller has not taken the
   // whole reply yet.
@@ -135,6 +139,8 @@
   // Ends the connection once the caller has taken the whole reply.
   void EndWhenSent();
   void End();
+  // Closes the connection without a reply, unless a request has arrived.
+  void EndIdle();
 
   EventLoop& loop_;
   HttpServerLimits limits_;
@@ -157,6 +163,8 @@
   bool paused_ = false;
   // The connection ends once all bytes are sent. No further request is read.
   bool ending_ = false;
+  // The caller has sent a request before it had the reply to the one before.
+  bool pipelines_ = false;
   bool too_large_ = false;
   bool ended_ = false;
 };
--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -153,6 +153,21 @@
     EndSending();
 }
 
+void TcpConnection::CloseUnread() {
+  discards_input_ = false;
+  CloseAfterFlush();
+}
+
+ssize_t TcpConnection::PeekByte() const {
+  char byte = 0;
+  return ::recv(socket_.impl()->sockfd(), &byte, sizeof(byte),
+                MSG_PEEK | MSG_DONTWAIT);
+}
+
+bool TcpConnection::HasInput() const {
+  return !closed_ && PeekByte() > 0;
+}
+
 void TcpConnection::EndSending() {
   try {
     socket_.shutdownSend();
@@ -202,7 +217,10 @@
   if (!connected_)
     return;
   if (lingering_) {
-    DiscardInput();
+    if (discards_input_)
+      DiscardInput();
+    else
+      RejectInput();
     return;
   }
   std::array<char, kReadBufferBytes> buffer;
@@ -229,6 +247,16 @@
   }
 }
 
+void TcpConnection::RejectInput() {
+  const ssize_t peeked = PeekByte();
+  if (peeked < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (peeked > 0)
+    Abort();
+  else
+    Close();
+}
+
 void TcpConnection::OnSocketError() {
   if (!connected_) {
     Fail(CloseReason::kFailed);
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -24,6 +24,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <sys/types.h>
 
 #include <memory>
 #include <string>
@@ -94,6 +95,13 @@
   // closes. How long the sending takes is up to the peer, within
   // TcpOptions::user_timeout without progress.
   void CloseAfterFlush();
+  // Ends this side of a connection that is idle and whose bytes have been sent,
+  // and closes. Bytes that cross the end stay unread and reset the connection,
+  // so that the peer can tell that its request was not read. Peers that send a
+  // request before they have the reply to the last one may lose that reply.
+  void CloseUnread();
+  // Returns whether bytes have arrived that OnData() was not called with.
+  [[nodiscard]] bool HasInput() const;
   // Resets the connection, so that the peer can't mistake this for a normal
   // close.
   void Abort();
@@ -125,6 +133,9 @@
   void Fail(CloseReason reason);
   void PostFailure();
   void DiscardInput();
+  void RejectInput();
+  // Returns what recv() returns for one byte that stays in the socket.
+  [[nodiscard]] ssize_t PeekByte() const;
 
   EventLoop& loop_;
   Poco::Net::StreamSocket socket_;
@@ -136,6 +147,8 @@
   bool reading_ = true;
   bool closed_ = false;
   bool lingering_ = false;
+  // While lingering, input is discarded; otherwise it resets the connection.
+  bool discards_input_ = true;
 };
 
 }  // namespace carobshift
