TCP options by purpose: a sound peer's silence ends no connection with a request

What callers saw: a request or stream broke off although its endpoint, or its caller, was sound and had only been silent, or had read nothing, for two seconds; the caller got neither an answer nor a refusal where no other attempt was allowed.

Cause: one TCP_USER_TIMEOUT of two seconds for all connections. It decides for unacknowledged bytes, for a full window and, whatever their count, for keep-alive probes. A silence of a second and a half loses the retransmissions at 0.2, 0.6 and 1.4 s; the next is due at 3.0 s, after the connection was given up.

Change: kEndpointTcp (4 s), kCallerTcp (6 s) and kControlTcp (2 s, where each call has a timeout of its own and is repeated) in gateway/connection_options.h, with their reasons. The count of probes follows from the timeout.

Cost: an attempt that waits on a connection that is dead for good, and no other detection sees, is given up after four seconds instead of two.

--- /dev/null
+++ b/carobshift/gateway/connection_options.h
@@ -0,0 +1,34 @@
+// TCP options by the purpose of a connection.
+//
+//   HttpClient client(loop, {.tcp = kEndpointTcp});
+//
+// TcpOptions::user_timeout ends a connection whose peer acknowledges nothing,
+// whose peer doesn't read, or that answers no keep-alive probe. What may be
+// silent for how long without a fault, and what a dead peer costs meanwhile,
+// differs by purpose.
+
+#ifndef CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
+#define CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
+
+#include "carobshift/net/tcp_connection.h"
+
+namespace carobshift {
+
+// To endpoints, for callers' requests. A sound endpoint may be silent for a
+// second or so. Bytes that were lost in two seconds of silence are sent again
+// three seconds after they were sent first, and then they need a round trip.
+inline constexpr TcpOptions kEndpointTcp{.user_timeout = Milliseconds(4000)};
+
+// From callers. A caller that is silent at the TCP level has usually no fault
+// but a lossy path or a full window, and the deadline of its request bounds the
+// work for it. Callers give up a silent stream after five seconds at most.
+inline constexpr TcpOptions kCallerTcp{.user_timeout = Milliseconds(6000)};
+
+// To the log, the stores, engines' own interfaces and other instances. Each
+// call has a timeout of its own of about a second and is repeated, so that a
+// connection that hangs must be recognized before the next calls use it.
+inline constexpr TcpOptions kControlTcp{.user_timeout = Milliseconds(2000)};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -5,6 +5,7 @@
 
 #include "carobshift/gateway/cache/cache_watcher.h"
 #include "carobshift/gateway/cache/store_reclaimer.h"
+#include "carobshift/gateway/connection_options.h"
 #include "carobshift/gateway/endpoints/cold_start_sharing.h"
 #include "carobshift/gateway/endpoints/limit_sharing.h"
 #include "carobshift/gateway/gateway_state.h"
@@ -111,10 +112,10 @@
   EventLoop loop;
   Metrics metrics;
   GatewayStateListener listener;
-  HttpClient endpoint_client{loop, {}};
+  HttpClient endpoint_client{loop, {.tcp = kEndpointTcp}};
   // Separate from the requests' client, so that a flood of requests doesn't use
   // up the connections to the log and the stores, or the other way round.
-  HttpClient control_client{loop, {}};
+  HttpClient control_client{loop, {.tcp = kControlTcp}};
   EndpointRegistry registry;
   CacheContents contents;
   WeightDeadlines deadlines{settings.weights_replacement_bound};
--- a/carobshift/gateway/query_service.cc
+++ b/carobshift/gateway/query_service.cc
@@ -2,13 +2,15 @@
 
 #include <utility>
 
+#include "carobshift/gateway/connection_options.h"
+
 namespace carobshift {
 
 Status QueryService::Listen(const NetAddress& address) {
   auto listener = TcpListener::Open(
       loop_, address, [this](const Poco::Net::StreamSocket& socket) {
         const auto connection =
-            HttpServerConnection::Open(loop_, socket, {}, {}, *this);
+            HttpServerConnection::Open(loop_, socket, {}, kControlTcp, *this);
         connections_[connection.get()] = connection;
       });
   if (!listener.ok())
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/gateway/connection_options.h"
 #include "carobshift/gateway/request/failure_reply.h"
 #include "carobshift/gateway/request/request_resolver.h"
 #include "carobshift/telemetry/event_log.h"
@@ -63,7 +64,7 @@
 
 void RequestService::Accept(const Poco::Net::StreamSocket& socket) {
   const auto connection = HttpServerConnection::Open(
-      loop_, socket, CallerConnectionLimits(), {}, *this);
+      loop_, socket, CallerConnectionLimits(), kCallerTcp, *this);
   connections_[connection.get()] = connection;
   if (stopping_)
     connection->CloseAfterReply();
--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10;
-constexpr int kMaxUnansweredProbes = 2;
 
 // Sent bytes are removed from the buffer once there are this many.
 constexpr std::size_t kCompactBytes = std::size_t{64} << 10;
@@ -66,7 +65,10 @@
   const int interval = static_cast<int>(options.probe_interval.count());
   socket_.setOption(IPPROTO_TCP, TCP_KEEPIDLE, interval);
   socket_.setOption(IPPROTO_TCP, TCP_KEEPINTVL, interval);
-  socket_.setOption(IPPROTO_TCP, TCP_KEEPCNT, kMaxUnansweredProbes);
+  // Decides only where TCP_USER_TIMEOUT has no effect on probes.
+  socket_.setOption(
+      IPPROTO_TCP, TCP_KEEPCNT,
+      static_cast<int>(options.user_timeout / options.probe_interval));
   socket_.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
                     static_cast<int>(options.user_timeout.count()));
 }
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -55,12 +55,15 @@
 };
 
 struct TcpOptions {
-  // Time after which unacknowledged bytes end the connection. Equals several
-  // hundred round trips between availability zones; with a shorter time, a lost
-  // packet and its retransmissions would be taken for a lost peer.
+  // Time without any sign of the peer after which the connection ends: with
+  // unacknowledged bytes, with a peer whose window stays full, or with
+  // unanswered keep-alive probes. TCP_USER_TIMEOUT decides all three, whatever
+  // the count of probes. It must be longer than the longest silence of a peer
+  // that is no fault, and by so much that a retransmission and its answer fit:
+  // the time between retransmissions doubles, so the next one may come as long
+  // after the end of a silence as the silence was.
   Milliseconds user_timeout{2000};
-  // Idle time before the first keep-alive probe, and time between probes. Two
-  // unanswered probes end the connection.
+  // Idle time before the first keep-alive probe, and time between probes.
   Seconds probe_interval{1};
 };
 
