A request that doesn't arrive in time is answered with 408 instead of 400

What callers saw: a caller whose request was held up on the way, past the declared time for a head or between two reads of a body, was told that its request is malformed. Callers don't send such a request again, though it had not run.

Cause: HttpServerConnection rejected it with the status of malformed bytes.

Change: 408, which says that the request has not run; the connection closes as before.

Evidence: "a request that doesn't arrive in time is answered with 408" failed before, for a head and for a body, and passes now; net_test passes (41 cases).

--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -390,6 +390,25 @@
   CHECK(server.bodies.size() == 1);
 }
 
+// Guards against a slow caller that is told that its request is malformed, and
+// so doesn't send it again.
+TEST_CASE("a request that doesn't arrive in time is answered with 408") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk, {.head_timeout = Milliseconds(100)});
+  SocketCaller caller(loop, server.address());
+  SECTION("in its head") {
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\n");
+  }
+  SECTION("in its body") {
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1234");
+  }
+  RunFor(loop, Milliseconds(150));
+  const std::string reply = caller.Receive();
+  CHECK(reply.starts_with("HTTP/1.1 408 "));
+  CHECK(reply.find("Connection: close") != std::string::npos);
+  CHECK(server.bodies.empty());
+}
+
 // Guards against a further request that is served after a reply which announces
 // the end of its connection.
 TEST_CASE("no request is served behind the last reply of a connection") {
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -67,7 +68,7 @@
     // An idle connection is closed without a reply; a caller that stopped
     // in the middle of a request gets an error reply.
     if (reading_request)
-      self->Reject(kBadRequest);
+      self->Reject(kRequestTimeout);
     else if (self->tcp_->unsent() > 0)
       self->BeginIdlePeriod();
     else
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -74,7 +74,7 @@
   virtual void OnBackpressure(HttpServerConnection&, bool) {}
   // The connection has ended. This is the last call for it.
   virtual void OnConnectionEnd(HttpServerConnection& connection) = 0;
-  // A malformed or oversized request was rejected with this status.
+  // A malformed, oversized or incomplete request was rejected with this status.
   virtual void OnMalformed(int) {}
 };
 
