A planned stop answers the requests that it can't wait for

What callers saw: a request that was still waiting at an endpoint when the grace period of its instance was nearly over got neither an answer nor a refusal; its connection ended with the process.

Cause: Gateway ended its loop with requests open. Their connections closed without an answer, also where it was known that the request had not run.

Change: when the grace period is over but for kExitReserve, each open request gets its final answer as at a deadline: "not run" with a time to return where no endpoint can have run it, otherwise "outcome unknown". The process exits when the answers are sent, 300 ms later at most. Replies that have begun break off as before.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -46,6 +46,9 @@
 constexpr Milliseconds kStopAcceptDuration{2400};
 // Part of the grace period that is reserved for the exit of the process.
 constexpr Milliseconds kExitReserve{700};
+// Part of kExitReserve in which the answers of requests that were still open
+// are sent.
+constexpr Milliseconds kLastReplyTime{300};
 // Endpoint records are read in batches at this interval. Each read has a cost,
 // and a change may take up to two seconds to take effect.
 constexpr Milliseconds kEndpointReadInterval{500};
@@ -419,6 +422,8 @@
   requests.BeginStop();
   loop.AddTimer(loop.now() + kStopAcceptDuration,
                 [this] { caller_listener->Close(); });
+  loop.AddTimer(loop.now() + settings.stop_grace - kExitReserve,
+                [this] { requests.EndOpenRequests(); });
 }
 
 bool Gateway::Impl::Stopped() const {
@@ -426,8 +431,10 @@
     return false;
   const auto passed = loop.now() - *stop_began;
   const Milliseconds last = settings.stop_grace - kExitReserve;
-  if (passed >= last)
+  if (passed >= last + kLastReplyTime)
     return true;
+  if (passed >= last)
+    return !requests.busy();
   return passed >= kStopAcceptDuration && !requests.busy() &&
          !MustDelayShutdown(cluster.membership().Members(), settings.entry,
                             peer_sync.IsLogUnresponsive());
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -151,6 +151,16 @@
     connection->CloseWhenIdle();
 }
 
+void RequestService::EndOpenRequests() {
+  std::vector<std::shared_ptr<ExchangeRun>> open;
+  for (const auto& [exchange, running] : runs_)
+    open.push_back(running.run);
+  LogEvent(LogLevel::kInfo, "stop_ends_requests", {{"requests", open.size()}});
+  // The end of the grace period is a deadline for all of them.
+  for (const auto& run : open)
+    run->exchange().OnDeadline(loop_.now());
+}
+
 bool RequestService::busy() const {
   return !runs_.empty() ||
          std::any_of(connections_.begin(), connections_.end(),
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -119,6 +119,9 @@
 
   // Tells callers to connect elsewhere; requests in progress continue.
   void BeginStop();
+  // Gives each request in progress its final answer, since this process can't
+  // wait for it any longer. Replies that have begun break off.
+  void EndOpenRequests();
   // Records the weights that the engine reported directly, which are newer than
   // those in its record.
   void OnWeightsReported(const EndpointId& endpoint,
--- a/testing/gateway_process_test.cc
+++ b/testing/gateway_process_test.cc
@@ -367,6 +367,32 @@
   CHECK(cluster.gateway(0).WaitForExit(Milliseconds(8000)) == 0);
 }
 
+// Guards against requests that get neither an answer nor a refusal since their
+// instance has reached the end of its grace period.
+TEST_CASE("a planned stop answers the requests that it can't wait for") {
+  GatewayCluster cluster({.timeout = Milliseconds(20000)});
+  for (std::size_t i = cluster.engines(); i < cluster.replicas(); ++i)
+    SetFault(cluster.replica(i), {{"queue_ms", 20000}});
+  HttpSendOptions options;
+  options.headers = {{"Host", "api.example"},
+                     {"Request-Id", "longer-than-the-grace-period"},
+                     {"Deadline-Ms", "15000"},
+                     {"X-Api-Key", GatewayCluster::kKey}};
+  options.timeout = Milliseconds(15000);
+  HttpAnswer answer;
+  std::thread caller([&] {
+    answer = HttpSend(cluster.FrontAddress(0), "POST", "/book/1", options);
+  });
+  const bool waiting =
+      WaitUntil([&] { return cluster.State(0).at("open_requests") == 1; });
+  cluster.gateway(0).Signal(SIGTERM);
+  caller.join();
+  CHECK(waiting);
+  // The endpoint may run the request.
+  CHECK(answer.status == 504);
+  CHECK(cluster.gateway(0).WaitForExit(Milliseconds(8000)) == 0);
+}
+
 TEST_CASE(
     "log outage: requests continue, and a new instance gets its state from "
     "peers") {
