--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -5,6 +5,7 @@
 
 #include "carobshift/gateway/cache/cache_watcher.h"
 #include "carobshift/gateway/cache/store_reclaimer.h"
+#include "carobshift/gateway/connection_options.h"
 #include "carobshift/gateway/endpoints/cold_start_sharing.h"
 #include "carobshift/gateway/endpoints/limit_sharing.h"
 #include "carobshift/gateway/endpoints/reachability_monitor.h"
@@ -47,6 +48,9 @@
 constexpr Milliseconds kStopAcceptDuration{2400};
 // Part of the grace period that is reserved for the exit of the process.
 constexpr Milliseconds kExitReserve{700};
+// Part of kExitReserve in which the answers of requests that were still open
+// are sent.
+constexpr Milliseconds kLastReplyTime{300};
 // Endpoint records are read in batches at this interval. Each read has a cost,
 // and a change may take up to two seconds to take effect.
 constexpr Milliseconds kEndpointReadInterval{500};
@@ -116,10 +120,10 @@
   EventLoop loop;
   Metrics metrics;
   GatewayStateListener listener;
-  HttpClient endpoint_client{loop, {}};
+  HttpClient endpoint_client{loop, {.tcp = kEndpointTcp}};
   // Separate from the requests' client, so that a flood of requests doesn't use
   // up the connections to the log and the stores, or the other way round.
-  HttpClient control_client{loop, {}};
+  HttpClient control_client{loop, {.tcp = kControlTcp}};
   ReachabilityMonitor reachability{loop, endpoint_client, metrics,
                                    RequestServiceOptions{}.connect_timeout};
   EndpointRegistry registry;
@@ -442,6 +446,8 @@
   requests.BeginStop();
   loop.AddTimer(loop.now() + kStopAcceptDuration,
                 [this] { caller_listener->Close(); });
+  loop.AddTimer(loop.now() + settings.stop_grace - kExitReserve,
+                [this] { requests.EndOpenRequests(); });
 }
 
 bool Gateway::Impl::Stopped() const {
@@ -449,9 +455,11 @@
     return false;
   const auto passed = loop.now() - *stop_began;
   const Milliseconds last = settings.stop_grace - kExitReserve;
-  if (passed >= last)
+  if (passed >= last + kLastReplyTime)
     return true;
-  return passed >= kStopAcceptDuration && requests.open_requests() == 0 &&
+  if (passed >= last)
+    return !requests.busy();
+  return passed >= kStopAcceptDuration && !requests.busy() &&
          !MustDelayShutdown(cluster.membership().Members(), settings.entry,
                             peer_sync.IsLogUnresponsive());
 }
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -33,6 +33,7 @@
 #include "carobshift/gateway/placement/attempt_planner.h"
 #include "carobshift/gateway/placement/overload_guard.h"
 #include "carobshift/gateway/placement/prompt_sizes.h"
+#include "carobshift/gateway/request/caller_limits_in_force.h"
 #include "carobshift/gateway/request/crash_record.h"
 #include "carobshift/gateway/request/exchange_run.h"
 #include "carobshift/gateway/request/request_report.h"
@@ -115,6 +116,9 @@
 
   // Tells callers to connect elsewhere; requests in progress continue.
   void BeginStop();
+  // Gives each request in progress its final answer, since this process can't
+  // wait for it any longer. Replies that have begun break off.
+  void EndOpenRequests();
   // Records the weights that the engine reported directly, which are newer than
   // those in its record.
   void OnWeightsReported(const EndpointId& endpoint,
@@ -135,6 +139,8 @@
   [[nodiscard]] std::size_t open_connections() const {
     return connections_.size();
   }
+  // Whether a request is being read or served, or a reply is not sent yet.
+  [[nodiscard]] bool busy() const;
   [[nodiscard]] bool has_config() const { return config_ != nullptr; }
 
  private:
@@ -228,6 +234,9 @@
                                       const ExchangeSetup& setup,
                                       const AttemptPlan& plan);
   void SetConnectionLimits();
+  [[nodiscard]] HttpServerLimits CallerConnectionLimits() const;
+  // Applies the limits of callers that are in force now to open connections.
+  void ApplyCallerLimits();
   // Avoids endpoints that have stopped sending, and notifies their exchanges.
   void HandleSilentEndpoints(MonotonicTime now);
   // Withdraws attempts that are still waiting at engines with weights on which
@@ -263,6 +272,9 @@
   RetryAllowance allowance_;
   LoadQueryService* load_query_service_ = nullptr;
   std::shared_ptr<const ServingConfigSnapshot> config_;
+  CallerLimitsInForce caller_limits_;
+  // As last applied to open connections.
+  CallerLimits applied_caller_limits_;
   std::unordered_map<HttpServerConnection*,
                      std::shared_ptr<HttpServerConnection>>
       connections_;
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -1,6 +1,11 @@
 // Tests HttpClient and HttpServerConnection against each other, over loopback
 // in one event loop.
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <sys/socket.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
@@ -328,6 +333,152 @@
   CHECK(server.ended == 1);
 }
 
+// A caller with a plain socket, to see how its connection ends.
+class SocketCaller {
+ public:
+  SocketCaller(EventLoop& loop, const NetAddress& address)
+      : loop_(loop),
+        socket_(Poco::Net::SocketAddress(address.host, address.port)) {}
+
+  void Send(const std::string& bytes) {
+    socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  }
+  // Returns what arrives until the server ends its side or is silent.
+  std::string Receive() {
+    std::string all;
+    std::array<char, 4096> buffer;
+    for (;;) {
+      RunFor(loop_, Milliseconds(30));
+      if (!socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+        return all;
+      const int received = socket_.receiveBytes(buffer.data(), buffer.size());
+      if (received <= 0)
+        return all;
+      all.append(buffer.data(), static_cast<std::size_t>(received));
+    }
+  }
+  [[nodiscard]] bool WasReset() {
+    int error = 0;
+    socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
+    return error != 0;
+  }
+
+ private:
+  EventLoop& loop_;
+  Poco::Net::StreamSocket socket_;
+};
+
+// Guards against a request that has arrived and is thrown away because its
+// connection counts as idle.
+TEST_CASE("a request that is there before an idle close is answered") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk);
+  SocketCaller caller(loop, server.address());
+  caller.Send(Get("/"));
+  REQUIRE(caller.Receive().ends_with("hello"));
+  caller.Send(Get("/"));
+  server.connections.front()->CloseWhenIdle();
+  const std::string reply = caller.Receive();
+  CHECK(reply.ends_with("hello"));
+  CHECK(reply.find("Connection: close") != std::string::npos);
+  CHECK(server.ended == 1);
+}
+
+// Guards against a request that crosses an idle close and is read without being
+// served, so that its caller may not send it again.
+TEST_CASE("a request that crosses an idle close stays unread") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk, {.idle_timeout = Milliseconds(200)});
+  SocketCaller caller(loop, server.address());
+  caller.Send(Get("/"));
+  REQUIRE(caller.Receive().ends_with("hello"));
+  SECTION("at a planned stop") {
+    server.connections.front()->CloseWhenIdle();
+  }
+  SECTION("after the idle timeout") {
+    RunUntil(loop, [&] { return server.ended == 1; });
+  }
+  RunFor(loop, Milliseconds(30));
+  CHECK_FALSE(caller.WasReset());
+  caller.Send(Get("/"));
+  RunFor(loop, Milliseconds(30));
+  CHECK(caller.WasReset());
+  CHECK(server.bodies.size() == 1);
+}
+
+// Guards against a slow caller that is told that its request is malformed, and
+// so doesn't send it again.
+TEST_CASE("a request that doesn't arrive in time is answered with 408") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk, {.head_timeout = Milliseconds(100)});
+  SocketCaller caller(loop, server.address());
+  SECTION("in its head") {
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\n");
+  }
+  SECTION("in its body") {
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1234");
+  }
+  RunFor(loop, Milliseconds(150));
+  const std::string reply = caller.Receive();
+  CHECK(reply.starts_with("HTTP/1.1 408 "));
+  CHECK(reply.find("Connection: close") != std::string::npos);
+  CHECK(server.bodies.empty());
+}
+
+// Guards against a further request that is served after a reply which announces
+// the end of its connection.
+TEST_CASE("no request is served behind the last reply of a connection") {
+  EventLoop loop;
+  const std::string body(std::size_t{24} << 20, 'x');
+  LoopbackServer server(
+      loop, [&](HttpServerConnection& connection, const HttpServerRequest&) {
+        connection.CloseAfterReply();
+        connection.SendCompleteReply(ReplyHead(200), body);
+      });
+  HttpClient client(loop, {});
+  TestListener listener;
+  const auto call =
+      client.Start(server.address(), Get("/1") + Get("/2"), {}, &listener);
+  RunUntil(loop, [&] { return listener.over(); });
+  CHECK(listener.body.size() == body.size());
+  CHECK(server.bodies.size() == 1);
+}
+
+// Guards against replies that lose their end because a caller needs more than a
+// second to read them before its connection closes.
+TEST_CASE("a reply is sent whole before its connection closes") {
+  EventLoop loop;
+  const std::string body(std::size_t{24} << 20, 'x');
+  bool close_after_reply = false;
+  LoopbackServer server(
+      loop,
+      [&](HttpServerConnection& connection, const HttpServerRequest&) {
+        if (close_after_reply)
+          connection.CloseAfterReply();
+        connection.SendCompleteReply(ReplyHead(200), body);
+      },
+      {.idle_timeout = Milliseconds(200)});
+  HttpClient client(loop, {});
+  TestListener listener;
+  SECTION("which the reply announces") {
+    close_after_reply = true;
+  }
+  SECTION("since the caller seems idle") {}
+  const auto call = client.Start(server.address(), Get("/"), {}, &listener);
+  RunUntil(loop, [&] { return listener.status == 200; });
+  call->SetReading(false);
+  RunFor(loop, Milliseconds(700));
+  if (!close_after_reply)
+    server.connections.front()->CloseWhenIdle();
+  CHECK(server.connections.front()->busy());
+  RunFor(loop, Milliseconds(800));
+  CHECK(server.ended == 0);
+  call->SetReading(true);
+  RunUntil(loop, [&] { return listener.over(); });
+  CHECK(listener.body.size() == body.size());
+  RunUntil(loop, [&] { return server.ended == 1; });
+}
+
 TEST_CASE("requests that were sent together are answered in order") {
   EventLoop loop;
   int answered = 0;
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -37,30 +38,51 @@
   std::shared_ptr<HttpServerConnection> connection(
       new HttpServerConnection(loop, limits, handler));
   connection->tcp_ = TcpConnection::Accept(loop, socket, tcp, connection.get());
-  connection->ArmTimer(limits.idle_timeout, false);
+  connection->BeginIdlePeriod();
   return connection;
 }
 
-void HttpServerConnection::ArmTimer(Milliseconds wait, bool reading_request) {
+void HttpServerConnection::SetLimits(const HttpServerLimits& limits) {
+  limits_ = limits;
+  parser_.SetLimits({.head_bytes = limits.head_bytes});
+  const MonotonicTime idle_until = idle_since_ + limits.idle_timeout;
+  const bool idle = !ended_ && !ending_ && !serving_ && !parser_.begun();
+  if (!idle || idle_until <= idle_until_)
+    return;
+  idle_until_ = idle_until;
+  ArmTimer(idle_until_, false);
+}
+
+void HttpServerConnection::BeginIdlePeriod() {
+  idle_since_ = loop_.now();
+  idle_until_ = idle_since_ + limits_.idle_timeout;
+  ArmTimer(idle_until_, false);
+}
+
+void HttpServerConnection::ArmTimer(MonotonicTime at, bool reading_request) {
   loop_.CancelTimer(timer_);
-  timer_ = loop_.AddTimer(
-      loop_.now() + wait, [weak = weak_from_this(), reading_request] {
-        const auto self = weak.lock();
-        if (self == nullptr || self->ended_ || self->serving_)
-          return;
-        // An idle connection is closed without a reply; a caller that stopped
-        // in the middle of a request gets an error reply.
-        if (reading_request)
-          self->Reject(kBadRequest);
-        else
-          self->End();
-      });
+  timer_ = loop_.AddTimer(at, [weak = weak_from_this(), reading_request] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->ended_ || self->serving_)
+      return;
+    // An idle connection is closed without a reply; a caller that stopped
+    // in the middle of a request gets an error reply.
+    if (reading_request)
+      self->Reject(kRequestTimeout);
+    else if (self->tcp_->unsent() > 0)
+      self->BeginIdlePeriod();
+    else
+      self->EndIdle();
+  });
 }
 
 void HttpServerConnection::OnData(std::string_view bytes) {
   const auto self = shared_from_this();
+  if (ending_)
+    return;
   unparsed_.append(bytes);
   if (serving_) {
+    pipelines_ = true;
     if (unparsed_.size() > kMaxUnparsedBytes)
       tcp_->SetReading(false);
     return;
@@ -69,7 +91,7 @@
 }
 
 void HttpServerConnection::Parse() {
-  while (!ended_ && !serving_ && !unparsed_.empty()) {
+  while (!ended_ && !ending_ && !serving_ && !unparsed_.empty()) {
     const bool is_first_byte = !parser_.begun();
     const bool head_was_done = parser_.head_done();
     const HttpParser::Progress progress = parser_.Feed(unparsed_);
@@ -81,7 +103,7 @@
     switch (progress.state) {
       case HttpParser::State::kPartial:
         if (is_first_byte || head_was_done || parser_.head_done())
-          ArmTimer(limits_.head_timeout, true);
+          ArmTimer(loop_.now() + limits_.head_timeout, true);
         return;
       case HttpParser::State::kMalformed:
         Reject(kBadRequest);
@@ -205,13 +227,10 @@
   if (close_after_reply_)
     keep_alive_ = false;
   if (!keep_alive_) {
-    ended_ = true;
-    loop_.CancelTimer(timer_);
-    tcp_->CloseAfterFlush();
-    handler_->OnConnectionEnd(*this);
+    EndWhenSent();
     return;
   }
-  ArmTimer(limits_.idle_timeout, false);
+  BeginIdlePeriod();
   tcp_->SetReading(true);
   // Pipelined requests are parsed in the next iteration of the loop rather than
   // within the handler's call.
@@ -234,8 +253,37 @@
 
 void HttpServerConnection::CloseWhenIdle() {
   close_after_reply_ = true;
-  if (!ended_ && !busy() && unparsed_.empty())
+  if (ended_ || ending_ || serving_ || parser_.begun() || !unparsed_.empty())
+    return;
+  if (tcp_->unsent() > 0)
+    EndWhenSent();
+  else
+    EndIdle();
+}
+
+void HttpServerConnection::EndIdle() {
+  // The request is read in the next iteration of the loop; its reply announces
+  // the close.
+  close_after_reply_ = true;
+  if (tcp_->HasInput())
+    return;
+  ended_ = true;
+  loop_.CancelTimer(timer_);
+  if (pipelines_)
+    tcp_->CloseAfterFlush();
+  else
+    tcp_->CloseUnread();
+  handler_->OnConnectionEnd(*this);
+}
+
+void HttpServerConnection::EndWhenSent() {
+  if (tcp_->unsent() == 0) {
     End();
+    return;
+  }
+  ending_ = true;
+  loop_.CancelTimer(timer_);
+  tcp_->SetReading(true);
 }
 
 void HttpServerConnection::End() {
@@ -255,6 +303,11 @@
 }
 
 void HttpServerConnection::OnFlushed() {
+  if (ending_) {
+    const auto self = shared_from_this();
+    End();
+    return;
+  }
   if (!paused_)
     return;
   paused_ = false;
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -15,6 +15,12 @@
 // - A reply can't be completed. Abort() resets the connection instead of
 //   closing it, so that the caller doesn't take the end of the connection for
 //   the end of the reply.
+// - A request crosses the close of an idle connection. If it has arrived by
+//   then, it is served. Otherwise it stays unread and resets the connection: a
+//   caller may send a request again that was not read, even one that may run
+//   only once.
+// - A caller reads the last reply slowly. The connection ends after the caller
+//   has taken all of it, and busy() is true until then.
 // - A caller doesn't read. Beyond `high_water` unsent bytes the handler is
 //   asked to pause the source of the reply.
 
@@ -68,7 +74,7 @@
   virtual void OnBackpressure(HttpServerConnection&, bool) {}
   // The connection has ended. This is the last call for it.
   virtual void OnConnectionEnd(HttpServerConnection& connection) = 0;
-  // A malformed or oversized request was rejected with this status.
+  // A malformed, oversized or incomplete request was rejected with this status.
   virtual void OnMalformed(int) {}
 };
 
@@ -94,14 +100,21 @@
   // Resets the connection because the reply can't be completed.
   void Abort();
 
+  // Replaces the limits, from the request that is being read on. An idle period
+  // in progress may become longer but never shorter: its caller may still act
+  // by the timeout with which it began.
+  void SetLimits(const HttpServerLimits& limits);
   // Closes the connection after the present request or the next one; its reply
   // carries "Connection: close".
   void CloseAfterReply() { close_after_reply_ = true; }
-  // Like CloseAfterReply(), but closes immediately if no request has been
-  // partly read.
+  // Like CloseAfterReply(), but if no request has arrived, closes once the
+  // caller has taken the last reply.
   void CloseWhenIdle();
-  // Whether a request is being read or served.
-  [[nodiscard]] bool busy() const { return serving_ || parser_.begun(); }
+  // Whether a request is being read or served, or the caller has not taken the
+  // whole reply yet.
+  [[nodiscard]] bool busy() const {
+    return serving_ || parser_.begun() || tcp_->unsent() > 0;
+  }
   [[nodiscard]] bool serving() const { return serving_; }
 
   void OnData(std::string_view bytes) override;
@@ -120,9 +133,14 @@
   void Reject(int status);
   void AddConnectionFields(HttpHead& head);
   void FinishReply();
-  void ArmTimer(Milliseconds wait, bool reading_request);
+  void BeginIdlePeriod();
+  void ArmTimer(MonotonicTime at, bool reading_request);
   void CheckBackpressure();
+  // Ends the connection once the caller has taken the whole reply.
+  void EndWhenSent();
   void End();
+  // Closes the connection without a reply, unless a request has arrived.
+  void EndIdle();
 
   EventLoop& loop_;
   HttpServerLimits limits_;
@@ -133,6 +151,9 @@
   // Bytes received but not yet parsed.
   std::string unparsed_;
   TimerId timer_;
+  // Of the present idle period, or of the last one.
+  MonotonicTime idle_since_{};
+  MonotonicTime idle_until_{};
   bool serving_ = false;
   bool keep_alive_ = true;
   bool close_after_reply_ = false;
@@ -140,6 +161,10 @@
   bool http_1_0_ = false;
   bool reply_to_head_ = false;
   bool paused_ = false;
+  // The connection ends once all bytes are sent. No further request is read.
+  bool ending_ = false;
+  // The caller has sent a request before it had the reply to the one before.
+  bool pipelines_ = false;
   bool too_large_ = false;
   bool ended_ = false;
 };
--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10;
-constexpr int kMaxUnansweredProbes = 2;
 
 // Sent bytes are removed from the buffer once there are this many.
 constexpr std::size_t kCompactBytes = std::size_t{64} << 10;
@@ -66,7 +65,10 @@
   const int interval = static_cast<int>(options.probe_interval.count());
   socket_.setOption(IPPROTO_TCP, TCP_KEEPIDLE, interval);
   socket_.setOption(IPPROTO_TCP, TCP_KEEPINTVL, interval);
-  socket_.setOption(IPPROTO_TCP, TCP_KEEPCNT, kMaxUnansweredProbes);
+  // Decides only where TCP_USER_TIMEOUT has no effect on probes.
+  socket_.setOption(
+      IPPROTO_TCP, TCP_KEEPCNT,
+      static_cast<int>(options.user_timeout / options.probe_interval));
   socket_.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
                     static_cast<int>(options.user_timeout.count()));
 }
@@ -150,7 +152,31 @@
   lingering_ = true;
   SetReading(true);
   if (unsent() == 0)
-    OnWritable();
+    EndSending();
+}
+
+void TcpConnection::CloseUnread() {
+  discards_input_ = false;
+  CloseAfterFlush();
+}
+
+ssize_t TcpConnection::PeekByte() const {
+  char byte = 0;
+  return ::recv(socket_.impl()->sockfd(), &byte, sizeof(byte),
+                MSG_PEEK | MSG_DONTWAIT);
+}
+
+bool TcpConnection::HasInput() const {
+  return !closed_ && PeekByte() > 0;
+}
+
+void TcpConnection::EndSending() {
+  try {
+    socket_.shutdownSend();
+  } catch (const Poco::Exception&) {
+    Close();
+    return;
+  }
   loop_.AddTimer(loop_.now() + kLinger,
                  [self = shared_from_this()] { self->Close(); });
 }
@@ -181,11 +207,8 @@
   if (closed_ || unsent() > 0)
     return;
   if (lingering_) {
-    try {
-      socket_.shutdownSend();
-    } catch (const Poco::Exception&) {
-      Close();
-    }
+    if (had_unsent)
+      EndSending();
     return;
   }
   if (had_unsent && handler_ != nullptr)
@@ -196,7 +219,10 @@
   if (!connected_)
     return;
   if (lingering_) {
-    DiscardInput();
+    if (discards_input_)
+      DiscardInput();
+    else
+      RejectInput();
     return;
   }
   std::array<char, kReadBufferBytes> buffer;
@@ -223,6 +249,16 @@
   }
 }
 
+void TcpConnection::RejectInput() {
+  const ssize_t peeked = PeekByte();
+  if (peeked < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (peeked > 0)
+    Abort();
+  else
+    Close();
+}
+
 void TcpConnection::OnSocketError() {
   if (!connected_) {
     Fail(CloseReason::kFailed);
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -24,6 +24,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <sys/types.h>
 
 #include <memory>
 #include <string>
@@ -54,19 +55,23 @@
 };
 
 struct TcpOptions {
-  // Time after which unacknowledged bytes end the connection. Equals several
-  // hundred round trips between availability zones; with a shorter time, a lost
-  // packet and its retransmissions would be taken for a lost peer.
+  // Time without any sign of the peer after which the connection ends: with
+  // unacknowledged bytes, with a peer whose window stays full, or with
+  // unanswered keep-alive probes. TCP_USER_TIMEOUT decides all three, whatever
+  // the count of probes. It must be longer than the longest silence of a peer
+  // that is no fault, and by so much that a retransmission and its answer fit:
+  // the time between retransmissions doubles, so the next one may come as long
+  // after the end of a silence as the silence was.
   Milliseconds user_timeout{2000};
-  // Idle time before the first keep-alive probe, and time between probes. Two
-  // unanswered probes end the connection.
+  // Idle time before the first keep-alive probe, and time between probes.
   Seconds probe_interval{1};
 };
 
 class TcpConnection : public SocketHandler,
                       public std::enable_shared_from_this<TcpConnection> {
  public:
-  // How long CloseAfterFlush() continues to read what the peer sends.
+  // How long CloseAfterFlush() continues to read what the peer sends, once all
+  // bytes are sent.
   static constexpr Milliseconds kLinger{1000};
 
   // Starts to connect. OnConnected or OnClosed follows, after this function has
@@ -90,8 +95,16 @@
   // Closes the connection; resets it if received bytes are unread.
   void Close();
   // Sends the unsent bytes, ends this side, continues to read for kLinger and
-  // closes.
+  // closes. How long the sending takes is up to the peer, within
+  // TcpOptions::user_timeout without progress.
   void CloseAfterFlush();
+  // Ends this side of a connection that is idle and whose bytes have been sent,
+  // and closes. Bytes that cross the end stay unread and reset the connection,
+  // so that the peer can tell that its request was not read. Peers that send a
+  // request before they have the reply to the last one may lose that reply.
+  void CloseUnread();
+  // Returns whether bytes have arrived that OnData() was not called with.
+  [[nodiscard]] bool HasInput() const;
   // Resets the connection, so that the peer can't mistake this for a normal
   // close.
   void Abort();
@@ -117,10 +130,15 @@
   bool FinishConnect();
   // Sends from the buffer until the socket accepts no more.
   void Flush();
+  // Ends this side of a connection that is lingering.
+  void EndSending();
   void UpdateInterest();
   void Fail(CloseReason reason);
   void PostFailure();
   void DiscardInput();
+  void RejectInput();
+  // Returns what recv() returns for one byte that stays in the socket.
+  [[nodiscard]] ssize_t PeekByte() const;
 
   EventLoop& loop_;
   Poco::Net::StreamSocket socket_;
@@ -132,6 +150,8 @@
   bool reading_ = true;
   bool closed_ = false;
   bool lingering_ = false;
+  // While lingering, input is discarded; otherwise it resets the connection.
+  bool discards_input_ = true;
 };
 
 }  // namespace carobshift
