Handoff: an isolated instance sends its callers' requests through a peer

Change, not wired into the gateway yet: - HandoffRunner stands between an exchange and the runner of attempts at endpoints. If this instance doesn't reach the service and a peer does, the attempt is a handoff: the caller's request in the caller's own wire format, with the remaining time, the last event delivered, the key and a seal. For the exchange it is an attempt like any other, so a request that may run once is handed over once; the runner of endpoint attempts sees nothing of it, so it is no evidence about endpoints, limits, load or crashes. A repeat is spent from the retry budget of this instance. Attempts that are still connecting when the isolation is known move at once; idempotent ones without an answer by Exchange::OnEndpointSilent(). - HandoffListener accepts sealed requests at a port of their own and lets RequestService serve them like callers' requests, with that runner left out, so that nothing is handed on. A reply states in a field of ours whether it is an endpoint's answer, never ran, or has an unknown outcome; a reply without the field is skipped. The field never reaches callers. - RequestDialect::EncodeRequest(); GatewaySettings::handoff_port, the third port of the internal range.

--- a/carobshift/gateway/dialect.h
+++ b/carobshift/gateway/dialect.h
@@ -39,6 +39,13 @@
   [[nodiscard]] virtual std::string EncodeAttempt(
       const CallerRequest& request,
       const AttemptFields& fields) const = 0;
+  // Returns the request head as a caller would send it, with the content length
+  // of the request's body: DecodeRequest() of it yields the same request,
+  // except for the time and the event given here.
+  [[nodiscard]] virtual HttpHead EncodeRequest(
+      const CallerRequest& request,
+      Milliseconds time_left,
+      const std::optional<EventNumber>& last_event) const = 0;
   [[nodiscard]] virtual ReplyMetadata DecodeReply(
       const HttpHead& head) const = 0;
 };
--- a/carobshift/gateway/gateway_settings.h
+++ b/carobshift/gateway/gateway_settings.h
@@ -31,6 +31,8 @@
   // The same on all instances.
   std::uint16_t gossip_port = 0;
   std::uint16_t peer_port = 0;
+  // Where instances accept requests that other instances hand over.
+  std::uint16_t handoff_port = 0;
   // Hosts of instances through which this instance joins the membership.
   std::vector<std::string> seed_hosts;
   NetAddress log;
--- /dev/null
+++ b/carobshift/gateway/handoff/handoff_listener.cc
@@ -0,0 +1,123 @@
+#include "carobshift/gateway/handoff/handoff_listener.h"
+
+#include <utility>
+#include <vector>
+
+#include "carobshift/gateway/connection_options.h"
+#include "carobshift/gateway/request/failure_reply.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+
+HandoffListener::HandoffListener(EventLoop& loop,
+                                 RequestService& requests,
+                                 Metrics& metrics,
+                                 HandoffIdentity identity)
+    : loop_(loop),
+      requests_(requests),
+      metrics_(metrics),
+      identity_(std::move(identity)) {}
+
+HandoffListener::~HandoffListener() {
+  Close();
+}
+
+Status HandoffListener::Listen(const NetAddress& address) {
+  auto opened = TcpListener::Open(
+      loop_, address,
+      [this](const Poco::Net::StreamSocket& socket) { Accept(socket); });
+  if (!opened.ok())
+    return opened.error();
+  listener_ = opened.value();
+  return {};
+}
+
+void HandoffListener::Accept(const Poco::Net::StreamSocket& socket) {
+  const auto connection = HttpServerConnection::Open(
+      loop_, socket, ConnectionLimits(), kCallerTcp, *this);
+  connections_[connection.get()] = connection;
+  if (stopping_)
+    connection->CloseAfterReply();
+}
+
+HttpServerLimits HandoffListener::ConnectionLimits() const {
+  HttpServerLimits limits = requests_.CallerConnectionLimits();
+  limits.head_bytes += kSealBytes;
+  limits.idle_timeout = kIdleTimeout;
+  return limits;
+}
+
+void HandoffListener::OnTick() {
+  const HttpServerLimits limits = ConnectionLimits();
+  for (const auto& [key, connection] : connections_)
+    connection->SetLimits(limits);
+}
+
+void HandoffListener::BeginStop() {
+  stopping_ = true;
+  std::vector<std::shared_ptr<HttpServerConnection>> all;
+  for (const auto& [key, connection] : connections_)
+    all.push_back(connection);
+  for (const auto& connection : all)
+    connection->CloseWhenIdle();
+}
+
+void HandoffListener::Close() {
+  if (listener_ != nullptr)
+    listener_->Close();
+}
+
+void HandoffListener::Abort() {
+  Close();
+  std::vector<std::shared_ptr<HttpServerConnection>> all;
+  for (const auto& [key, connection] : connections_)
+    all.push_back(connection);
+  for (const auto& connection : all)
+    connection->Abort();
+}
+
+void HandoffListener::OnRequest(
+    const std::shared_ptr<HttpServerConnection>& connection,
+    HttpServerRequest request) {
+  const OpenedHandoff opened =
+      OpenHandoff(request.body, identity_.self, identity_.incarnation,
+                  identity_.secret, request.head);
+  if (opened.rejection != HandoffRejection::kNone) {
+    Reject(*connection, opened.rejection);
+    return;
+  }
+  metrics_.Add("carobshift_handoffs_accepted_total", {}, 1);
+  requests_.ServePeer(connection, std::move(request), opened.from);
+}
+
+void HandoffListener::Reject(HttpServerConnection& connection,
+                             HandoffRejection reason) {
+  const std::string_view name = HandoffRejectionName(reason);
+  metrics_.Add("carobshift_handoffs_rejected_total", {{"reason", name}}, 1);
+  LogEvent(LogLevel::kWarning, "handoff_rejected", {{"reason", name}});
+  HttpHead head =
+      FailureHead(HttpStatusOf(ResultCode::kPeerRejected), std::nullopt);
+  SetHandoffState(HandoffState::kNotRun, head);
+  connection.SendCompleteReply(
+      std::move(head),
+      FailureBody(ResultCode::kPeerRejected, RunStateName(RunState::kNotRun)));
+}
+
+void HandoffListener::OnCallerDisconnected(HttpServerConnection& connection) {
+  requests_.connection_handler().OnCallerDisconnected(connection);
+}
+
+void HandoffListener::OnBackpressure(HttpServerConnection& connection,
+                                     bool pause) {
+  requests_.connection_handler().OnBackpressure(connection, pause);
+}
+
+void HandoffListener::OnConnectionEnd(HttpServerConnection& connection) {
+  connections_.erase(&connection);
+}
+
+void HandoffListener::OnMalformed(int status) {
+  requests_.connection_handler().OnMalformed(status);
+}
+
+}  // namespace carobshift
--- a/carobshift/gateway/request/caller_request.h
+++ b/carobshift/gateway/request/caller_request.h
@@ -59,6 +59,9 @@
   // sets.
   std::vector<HttpField> fields;
   std::string body;
+  // Handed over by another instance, to which the reply states whether the
+  // request ran.
+  bool handed_over = false;
 };
 
 // Header fields that the gateway adds to a request when it sends it to an
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "carobshift/gateway/handoff/handoff_codec.h"
 #include "carobshift/gateway/request/failure_reply.h"
 
 namespace carobshift {
@@ -380,25 +381,30 @@
   }
   const int status =
       code == ResultCode::kDeadlineExceeded ? kGatewayTimeout : kBadGateway;
-  SendFailure(status, code, RunStateName(RunState::kOutcomeUnknown),
-              std::nullopt);
+  SendFailure(status, code, RunState::kOutcomeUnknown, std::nullopt);
 }
 
 void Exchange::Refuse(ResultCode code, Milliseconds retry_after) {
   summary_.code = code;
-  SendFailure(kUnavailable, code, RunStateName(RunState::kNotRun), retry_after);
+  SendFailure(kUnavailable, code, RunState::kNotRun, retry_after);
 }
 
 void Exchange::SendFailure(int status,
                            ResultCode code,
-                           std::string_view run_state,
+                           RunState run_state,
                            std::optional<Milliseconds> retry_after) {
   // An attempt in progress must end before the answer says that the request
   // never ran.
   DropAll();
   summary_.status = status;
-  reply_.SendWhole(FailureHead(status, retry_after),
-                   FailureBody(code, run_state));
+  HttpHead head = FailureHead(status, retry_after);
+  if (setup_.request.handed_over) {
+    SetHandoffState(run_state == RunState::kNotRun
+                        ? HandoffState::kNotRun
+                        : HandoffState::kOutcomeUnknown,
+                    head);
+  }
+  reply_.SendWhole(std::move(head), FailureBody(code, RunStateName(run_state)));
   Finish();
 }
 
@@ -418,7 +424,7 @@
 }
 
 // Returns the endpoint's head unchanged, without the header fields of its own
-// connection and the framing.
+// connection and the framing, and without the state of a handoff.
 HttpHead Exchange::CallerHead(const HttpHead& head) const {
   const std::string* const connection = head.Find("Connection");
   HttpHead out;
@@ -430,6 +436,9 @@
                                            : std::string_view(*connection)))
       out.fields.push_back(field);
   }
+  out.Remove(kHandoffStateField);
+  if (setup_.request.handed_over)
+    SetHandoffState(HandoffState::kAnswer, out);
   return out;
 }
 
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -281,7 +281,7 @@
   void Refuse(ResultCode code, Milliseconds retry_after);
   void SendFailure(int status,
                    ResultCode code,
-                   std::string_view run_state,
+                   RunState run_state,
                    std::optional<Milliseconds> retry_after);
   void Finish();
   [[nodiscard]] HttpHead CallerHead(const HttpHead& head) const;
--- a/carobshift/gateway/request/exchange_run.cc
+++ b/carobshift/gateway/request/exchange_run.cc
@@ -36,8 +36,10 @@
                             HttpClient& client,
                             const NetAddress& address,
                             std::string bytes,
-                            const HttpCallOptions& options) {
-  calls_.push_back(std::make_shared<AttemptCall>(*this, attempt));
+                            const HttpCallOptions& options,
+                            ReplyDecoder decode_reply) {
+  calls_.push_back(
+      std::make_shared<AttemptCall>(*this, attempt, std::move(decode_reply)));
   calls_.back()->Start(client, address, std::move(bytes), options);
 }
 
@@ -75,6 +77,11 @@
   });
 }
 
+bool ExchangeRun::CallSent(AttemptNumber attempt) const {
+  const auto call = FindCall(attempt);
+  return call == nullptr || call->sent();
+}
+
 void ExchangeRun::OnCallerGone() {
   exchange_.OnCallerGone(loop_.now());
 }
@@ -99,8 +106,10 @@
   caller_->Abort();
 }
 
-ExchangeRun::AttemptCall::AttemptCall(ExchangeRun& run, AttemptNumber attempt)
-    : run_(run), attempt_(attempt) {}
+ExchangeRun::AttemptCall::AttemptCall(ExchangeRun& run,
+                                      AttemptNumber attempt,
+                                      ReplyDecoder decode_reply)
+    : run_(run), attempt_(attempt), decode_reply_(std::move(decode_reply)) {}
 
 void ExchangeRun::AttemptCall::Start(HttpClient& client,
                                      const NetAddress& address,
@@ -130,8 +139,9 @@
   const auto run = run_.shared_from_this();
   const auto self = shared_from_this();
   last_received_ = run_.loop_.now();
-  return run_.exchange_.OnReplyHead(
-      attempt_, head, run_.dialect_.DecodeReply(head), run_.loop_.now());
+  const ReplyMetadata facts =
+      decode_reply_ ? decode_reply_(head) : run_.dialect_.DecodeReply(head);
+  return run_.exchange_.OnReplyHead(attempt_, head, facts, run_.loop_.now());
 }
 
 void ExchangeRun::AttemptCall::OnReplyBody(std::string_view bytes) {
--- a/carobshift/gateway/request/exchange_run.h
+++ b/carobshift/gateway/request/exchange_run.h
@@ -4,6 +4,7 @@
 #ifndef CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_RUN_H_
 #define CAROBSHIFT_GATEWAY_REQUEST_EXCHANGE_RUN_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -16,6 +17,8 @@
 
 namespace carobshift {
 
+using ReplyDecoder = std::function<ReplyMetadata(const HttpHead&)>;
+
 class ExchangeRun : private CallerReply,
                     public std::enable_shared_from_this<ExchangeRun> {
  public:
@@ -27,14 +30,17 @@
   ~ExchangeRun() override;
 
   void Start();
-  // For AttemptRunner.
+  // For AttemptRunner. `decode_reply` is the dialect's function if it is null.
   void StartCall(AttemptNumber attempt,
                  HttpClient& client,
                  const NetAddress& address,
                  std::string bytes,
-                 const HttpCallOptions& options);
+                 const HttpCallOptions& options,
+                 ReplyDecoder decode_reply = nullptr);
   void DropCall(AttemptNumber attempt);
   void PauseCall(AttemptNumber attempt, bool pause);
+  // Returns whether the peer may have received bytes of the call.
+  [[nodiscard]] bool CallSent(AttemptNumber attempt) const;
 
   void OnCallerGone();
   void OnCallerSlow(bool slow) { exchange_.OnCallerSlow(slow); }
@@ -59,7 +65,9 @@
   class AttemptCall : public HttpCallListener,
                       public std::enable_shared_from_this<AttemptCall> {
    public:
-    AttemptCall(ExchangeRun& run, AttemptNumber attempt);
+    AttemptCall(ExchangeRun& run,
+                AttemptNumber attempt,
+                ReplyDecoder decode_reply);
 
     void Start(HttpClient& client,
                const NetAddress& address,
@@ -68,6 +76,9 @@
     void Cancel();
     void Pause(bool pause);
     [[nodiscard]] AttemptNumber attempt() const { return attempt_; }
+    [[nodiscard]] bool sent() const {
+      return call_ == nullptr || call_->sent();
+    }
     [[nodiscard]] MonotonicTime LastReceived(MonotonicTime now) const {
       return paused_ ? now : last_received_;
     }
@@ -81,6 +92,7 @@
 
     ExchangeRun& run_;
     AttemptNumber attempt_;
+    ReplyDecoder decode_reply_;
     std::shared_ptr<ClientCall> call_;
     MonotonicTime last_received_{};
     bool paused_ = false;
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -6,6 +6,8 @@
 
 #include "carobshift/base/digest.h"
 #include "carobshift/gateway/connection_options.h"
+#include "carobshift/gateway/handoff/handoff_codec.h"
+#include "carobshift/gateway/handoff/handoff_runner.h"
 #include "carobshift/gateway/request/failure_reply.h"
 #include "carobshift/gateway/request/request_resolver.h"
 #include "carobshift/gateway/request/silence_policy.h"
@@ -171,33 +173,65 @@
 void RequestService::OnRequest(
     const std::shared_ptr<HttpServerConnection>& connection,
     HttpServerRequest received) {
+  Serve(connection, std::move(received), /*from=*/nullptr);
+}
+
+void RequestService::ServePeer(
+    const std::shared_ptr<HttpServerConnection>& connection,
+    HttpServerRequest request,
+    const EntryId& from) {
+  Serve(connection, std::move(request), &from);
+}
+
+void RequestService::Serve(
+    const std::shared_ptr<HttpServerConnection>& connection,
+    HttpServerRequest received,
+    const EntryId* from) {
   Result<CallerRequest> decoded = dialect_.DecodeRequest(received.head);
   if (!decoded.ok()) {
-    Reject(*connection, RequestId(), decoded.error().code);
+    Reject(*connection, RequestId(), decoded.error().code, from);
     return;
   }
   CallerRequest& request = decoded.value();
   request.body = std::move(received.body);
+  request.handed_over = from != nullptr;
+  if (request.handed_over) {
+    LogEvent(LogLevel::kInfo, "handoff_accepted",
+             {{"request", request.id.value()}, {"from", from->value()}});
+  }
   const Result<ResolvedRequest> resolved =
       ResolveRequest(config_.get(), request);
   if (!resolved.ok()) {
-    Reject(*connection, request.id, resolved.error().code);
+    Reject(*connection, request.id, resolved.error().code, from);
     return;
   }
   const Route* const route = resolved.value().route;
   const ServiceName service =
       ChooseService(*route, FastHash(request.id.value()));
-  allowance_.OnRequest(service, loop_.now());
+  // A peer that doesn't reach the service itself would only delay the refusal.
+  if (request.handed_over && handoff_runner_ != nullptr &&
+      !handoff_runner_->ReachesEndpointsOf(service)) {
+    Reject(*connection, request.id, ResultCode::kNoEndpoint, from);
+    return;
+  }
+  // The instance that handed the request over has counted it.
+  if (!request.handed_over)
+    allowance_.OnRequest(service, loop_.now());
   ExchangeSetup setup{.request = std::move(request),
                       .config = config_,
                       .route = route,
                       .account = resolved.value().account,
                       .service = service,
                       .arrived = loop_.now()};
-  AttemptRunner& attempt_runner = *this;
+  const bool may_hand_over =
+      handoff_runner_ != nullptr && !setup.request.handed_over;
+  AttemptRunner& attempt_runner =
+      may_hand_over ? static_cast<AttemptRunner&>(*handoff_runner_) : *this;
   const auto run = std::make_shared<ExchangeRun>(
       loop_, dialect_, connection, std::move(setup), attempt_runner);
   Exchange* const exchange = &run->exchange();
+  if (may_hand_over)
+    handoff_runner_->Add(run);
   Running& running = runs_[exchange];
   running.run = run;
   running.connection = connection.get();
@@ -213,7 +247,7 @@
 void RequestService::Begin(const std::shared_ptr<ExchangeRun>& run) {
   const ExchangeSetup& setup = run->exchange().setup();
   if (load_query_service_ == nullptr || !load_query_service_->active() ||
-      !setup.request.prompt) {
+      !setup.request.prompt || WouldHandOver(setup)) {
     run->Start();
     return;
   }
@@ -228,6 +262,11 @@
   });
 }
 
+bool RequestService::WouldHandOver(const ExchangeSetup& setup) const {
+  return handoff_runner_ != nullptr && !setup.request.handed_over &&
+         handoff_runner_->WouldHandOver(setup);
+}
+
 void RequestService::QueryLoads(const std::shared_ptr<ExchangeRun>& run,
                                 const std::vector<EndpointId>& endpoints,
                                 const std::function<void()>& done) {
@@ -245,7 +284,8 @@
 
 void RequestService::Reject(HttpServerConnection& connection,
                             const RequestId& id,
-                            ResultCode code) {
+                            ResultCode code,
+                            const EntryId* from) {
   const int status = HttpStatusOf(code);
   metrics_.Add("carobshift_rejected_total", {{"code", ResultCodeName(code)}},
                1);
@@ -258,9 +298,11 @@
   std::optional<Milliseconds> retry_after;
   if (status == kUnavailable)
     retry_after = kRetryAfterWithoutConfig;
+  HttpHead head = FailureHead(status, retry_after);
+  if (from != nullptr)
+    SetHandoffState(HandoffState::kNotRun, head);
   connection.SendCompleteReply(
-      FailureHead(status, retry_after),
-      FailureBody(code, RunStateName(RunState::kNotRun)));
+      std::move(head), FailureBody(code, RunStateName(RunState::kNotRun)));
 }
 
 void RequestService::OnMalformed(int status) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -44,6 +44,8 @@
 
 namespace carobshift {
 
+class HandoffRunner;
+
 struct RequestServiceOptions {
   RetryLimits retries;
   ColdStartOptions cold_start;
@@ -72,6 +74,21 @@
   ~RequestService() override;
 
   void Accept(const Poco::Net::StreamSocket& socket);
+  // Serves a request that the instance `from` has handed over. Its connection
+  // reports its further events to connection_handler().
+  void ServePeer(const std::shared_ptr<HttpServerConnection>& connection,
+                 HttpServerRequest request,
+                 const EntryId& from);
+  [[nodiscard]] HttpServerHandler& connection_handler() { return *this; }
+  [[nodiscard]] HttpServerLimits CallerConnectionLimits() const;
+  // Sets the runner of callers' requests, which sends to endpoints through
+  // attempt_runner(). Without it, nothing is handed over.
+  void SetHandoffRunner(HandoffRunner* runner) { handoff_runner_ = runner; }
+  [[nodiscard]] AttemptRunner& attempt_runner() { return *this; }
+  // Spends one retry of the service's budget; returns false if it is exhausted.
+  [[nodiscard]] bool TrySpendRetry(const ServiceName& service) {
+    return allowance_.TrySpend(service, loop_.now());
+  }
   void SetConfig(std::shared_ptr<const ServingConfigSnapshot> config);
   // To be called after each change of the registry.
   void OnEndpointsChanged();
@@ -198,10 +215,16 @@
     std::optional<Milliseconds> retry_after;
   };
 
+  // `from` is the instance that handed the request over, or null.
+  void Serve(const std::shared_ptr<HttpServerConnection>& connection,
+             HttpServerRequest received,
+             const EntryId* from);
   // Answers a request without an exchange. It has not run.
   void Reject(HttpServerConnection& connection,
               const RequestId& id,
-              ResultCode code);
+              ResultCode code,
+              const EntryId* from);
+  [[nodiscard]] bool WouldHandOver(const ExchangeSetup& setup) const;
   // Starts the exchange; for a prompt, after load reports have been requested.
   void Begin(const std::shared_ptr<ExchangeRun>& run);
   // Queries the load of `endpoints` and adds those that were answered to the
@@ -234,7 +257,6 @@
                                       const ExchangeSetup& setup,
                                       const AttemptPlan& plan);
   void SetConnectionLimits();
-  [[nodiscard]] HttpServerLimits CallerConnectionLimits() const;
   // Applies the limits of callers that are in force now to open connections.
   void ApplyCallerLimits();
   // Avoids endpoints that have stopped sending, and notifies their exchanges.
@@ -271,6 +293,7 @@
   AttemptPlanner planner_;
   RetryAllowance allowance_;
   LoadQueryService* load_query_service_ = nullptr;
+  HandoffRunner* handoff_runner_ = nullptr;
   std::shared_ptr<const ServingConfigSnapshot> config_;
   CallerLimitsInForce caller_limits_;
   // As last applied to open connections.
--- a/carobshift/gateway/stub_dialects.h
+++ b/carobshift/gateway/stub_dialects.h
@@ -29,6 +29,12 @@
                                           const AttemptFields&) const override {
     return {};
   }
+  [[nodiscard]] HttpHead EncodeRequest(
+      const CallerRequest&,
+      Milliseconds,
+      const std::optional<EventNumber>&) const override {
+    return {};
+  }
   [[nodiscard]] ReplyMetadata DecodeReply(const HttpHead&) const override {
     return {};
   }
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -52,6 +52,10 @@
   connection->Close();
 }
 
+bool ClientCall::sent() const {
+  return connection_ == nullptr || connection_->sent();
+}
+
 void ClientCall::SetReading(bool reading) {
   if (connection_ != nullptr)
     connection_->SetReading(reading);
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -122,6 +122,8 @@
   // Stops or resumes reading the reply.
   void SetReading(bool reading);
   [[nodiscard]] bool active() const { return connection_ != nullptr; }
+  // Returns whether any byte of the call may have reached the peer.
+  [[nodiscard]] bool sent() const;
 
  private:
   friend class HttpClientConnection;
@@ -227,6 +229,7 @@
   [[nodiscard]] const NetAddress& address() const { return address_; }
   [[nodiscard]] MonotonicTime idle_since() const { return idle_since_; }
   [[nodiscard]] Milliseconds idle_limit() const { return idle_limit_; }
+  [[nodiscard]] bool sent() const { return sent_; }
   [[nodiscard]] bool alive() const { return tcp_ && !tcp_->closed(); }
 
   void OnConnected() override;
--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -205,7 +205,7 @@
       << "\nlisten_addresses:\n  front: " << address(kFront)
       << "\n  ready: " << address(kReady)
       << "\n  directory: " << address(kDirectory) << "\ninternal_port_range: ["
-      << base_port_ + kInternal << ", " << base_port_ + kInternal + 1
+      << base_port_ + kInternal << ", " << base_port_ + kInternal + 2
       << "]\nseeds: [\"" << HostOf(0) << ":" << base_port_ + kControl
       << "\"]\nbounds: {lease_ms: " << options_.lease.count()
       << ", version_ms: " << options_.weights_replacement_bound.count()
