Relay of process tests: a closed path refuses, also if gateways were started since

Cause: the relays listen before the gateways are started, and the sockets were inherited by these processes. After Relay::Cut() closed its listener, the kernel went on to establish connections for the copies, which nobody accepts.

Change: the relay's sockets are closed on exec. The checks of gateway_isolation_process_test.cc are unchanged; its three cut forms are now what their names say.

--- a/testing/relay.cc
+++ b/testing/relay.cc
@@ -1,5 +1,7 @@
 #include "testing/relay.h"
 
+#include <fcntl.h>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
@@ -11,6 +13,12 @@
 
 const Poco::Timespan kPollInterval(0, 2000);
 
+// A child process of the test that inherited a socket would keep it open: a
+// closed listener would go on to establish connections.
+void CloseOnExec(const Poco::Net::Socket& socket) {
+  fcntl(socket.impl()->sockfd(), F_SETFD, FD_CLOEXEC);
+}
+
 // Forwards the bytes that are available. Returns false once the connection has
 // ended.
 bool ForwardAvailable(Poco::Net::StreamSocket& from,
@@ -42,6 +50,7 @@
 }
 
 void Relay::StartAccepting() {
+  CloseOnExec(listener_);
   acceptor_ =
       std::jthread([this](const std::stop_token& stop) { Accept(stop); });
 }
@@ -65,7 +74,9 @@
   // The kernel drops connection requests to a socket whose accept queue, of
   // length one, is full.
   listener_ = Poco::Net::ServerSocket(listen_address_, /*backlog=*/0);
+  CloseOnExec(listener_);
   filler_.emplace(listen_address_);
+  CloseOnExec(*filler_);
 }
 
 void Relay::Restore() {
@@ -88,6 +99,7 @@
     if (!listener_.poll(kPollInterval, Poco::Net::Socket::SELECT_READ))
       continue;
     Poco::Net::StreamSocket client = listener_.acceptConnection();
+    CloseOnExec(client);
     ++accepted_;
     const std::lock_guard lock(mutex_);
     connections_.emplace_back([this, client, generation = generation_.load()](
@@ -103,6 +115,7 @@
   try {
     Poco::Net::StreamSocket server(
         Poco::Net::SocketAddress(target_.host, target_.port));
+    CloseOnExec(server);
     server.setNoDelay(true);
     client.setNoDelay(true);
     while (!stop.stop_requested()) {
