Address answers leave out instances that reach no endpoint

Callers saw: they were sent to instances that could serve nothing, for as long as these had lost their paths.

Cause: address answers know liveness and configuration only.

Tests: three new cases in address_choice_test.cc; without the filter 'instances that reach no endpoint are left out of the answers' fails. The existing cases are unchanged.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/gateway.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "carobshift/gateway/cache/cache_watcher.h"
@@ -378,10 +379,20 @@
     return {404, {}, {}};
   const auto& config = operator_records.config();
   std::vector<RegionName> allowed;
-  if (config != nullptr)
+  std::set<ServiceName> services;
+  if (config != nullptr) {
     allowed = RegionsOfHost(config->config(), wanted->host);
-  const auto addresses =
-      ChooseAddresses(cluster.Serving(), *wanted, allowed, regions);
+    services = ServicesOfHost(config->config(), wanted->host);
+  }
+  const auto may_be_told = [this, &services](const MemberInfo& member) {
+    return std::all_of(services.begin(), services.end(),
+                       [&](const ServiceName& service) {
+                         return reachability_sharing.announced().MayBeTold(
+                             member.id, service, loop.now());
+                       });
+  };
+  const auto addresses = ChooseAddresses(cluster.Serving(), *wanted, allowed,
+                                         regions, may_be_told);
   if (addresses.empty())
     return {503, {}, {}};
   return {200, "application/json",
--- a/carobshift/gateway/instances/address_choice_test.cc
+++ b/carobshift/gateway/instances/address_choice_test.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/instances/address_choice.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,13 +20,18 @@
   return member;
 }
 
-// Returns the ports of the chosen addresses.
+// Returns the ports of the chosen addresses. Those in `isolated` are only told
+// if no others are left.
 std::vector<int> Choose(const std::vector<MemberInfo>& serving,
                         const AddressQuestion& question,
-                        const std::vector<RegionName>& allowed = {}) {
+                        const std::vector<RegionName>& allowed = {},
+                        const std::set<int>& isolated = {}) {
   std::vector<int> ports;
+  const auto may_be_told = [&isolated](const MemberInfo& member) {
+    return !isolated.contains(member.http_port);
+  };
   for (const NetAddress& address :
-       ChooseAddresses(serving, question, allowed, kRegions))
+       ChooseAddresses(serving, question, allowed, kRegions, may_be_told))
     ports.push_back(address.port);
   return ports;
 }
@@ -62,6 +68,43 @@
   CHECK(Choose(serving, From("a"), {RegionName("west")}).empty());
 }
 
+// Guards against callers that are sent to instances which can't serve them.
+TEST_CASE("instances that reach no endpoint are left out of the answers") {
+  const std::vector<MemberInfo> serving = {MemberOf("a", 1), MemberOf("a", 2),
+                                           MemberOf("a", 3), MemberOf("b", 4),
+                                           MemberOf("c", 5)};
+  CHECK(Choose(serving, From("a"), {}, {2}) == std::vector{1, 3});
+  CHECK(Choose(serving, From("a"), {}, {1, 2}) == std::vector{3, 4});
+  CHECK(Choose(serving, From("a"), {}, {1, 2, 3}) == std::vector{4});
+}
+
+// Guards against answers without an address, or with one in another region,
+// when the endpoints are down and no instance reaches them.
+TEST_CASE("a loss at all instances changes no answer") {
+  const std::vector<MemberInfo> serving = {MemberOf("a", 1), MemberOf("a", 2),
+                                           MemberOf("b", 3), MemberOf("c", 4)};
+  CHECK(Choose(serving, From("a"), {}, {1, 2, 3}) == std::vector{1, 2});
+  CHECK(Choose(serving, From("b"), {}, {1, 2, 3}) == std::vector{1, 2, 3});
+  CHECK(Choose({MemberOf("c", 1), MemberOf("c", 2)}, From("a"), {}, {1, 2}) ==
+        std::vector{1, 2});
+}
+
+TEST_CASE("a host uses the services of all its routes") {
+  ServingConfig config;
+  for (const char* const service : {"engines", "booking"}) {
+    Route route;
+    route.host = "a.example";
+    route.services.push_back({ServiceName(service), 1});
+    config.routes.push_back(route);
+  }
+  config.routes.push_back({});
+  config.routes.back().host = "b.example";
+  config.routes.back().services.push_back({ServiceName("other"), 1});
+  CHECK(ServicesOfHost(config, "a.example") ==
+        std::set{ServiceName("booking"), ServiceName("engines")});
+  CHECK(ServicesOfHost(config, "c.example").empty());
+}
+
 TEST_CASE("a host allows the regions that all its bound routes allow") {
   ServingConfig config;
   const auto add = [&config](const std::string& host,
