--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -330,6 +330,7 @@
                                  const AttemptPlan& plan) {
   AttemptRecord attempt;
   attempt.number = wish.number;
+  attempt.spent_retry = wish.repeat;
   attempt.endpoint = plan.endpoint.id;
   attempt.start_time = plan.endpoint.start_time;
   attempt.prefill_tokens = plan.prefill_tokens;
@@ -553,9 +554,12 @@
                                       AttemptNumber attempt,
                                       const CallFailure& failure) {
   EndAttempt(exchange, attempt);
+  const AttemptRecord& record = runs_.at(&exchange).Attempt(attempt);
+  if (record.spent_retry && !failure.sent)
+    allowance_.Refund(exchange.setup().service, record.began);
   metrics_.Add("carobshift_attempt_failures_total",
                {{"fault", CallFaultName(failure.fault)}}, 1);
-  const EndpointId& endpoint = runs_.at(&exchange).Attempt(attempt).endpoint;
+  const EndpointId& endpoint = record.endpoint;
   if (failure.fault == CallFault::kConnectionLimit)
     return;
   if (failure.fault == CallFault::kWithdrawn) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -178,6 +178,8 @@
     AttemptTrace trace;
     MonotonicTime began{};
     bool in_progress = true;
+    // The attempt was counted as a retry.
+    bool spent_retry = false;
     // The endpoint has begun to reply.
     bool replied = false;
     // The endpoint replied that it did not run the attempt.
--- a/carobshift/gateway/request/retry_allowance.cc
+++ b/carobshift/gateway/request/retry_allowance.cc
@@ -69,4 +69,8 @@
   return true;
 }
 
+void RetryAllowance::Refund(const ServiceName& service, MonotonicTime spent) {
+  counts_[service].retries.Add(-1, limits_.window, spent);
+}
+
 }  // namespace carobshift
--- a/carobshift/gateway/request/retry_allowance.h
+++ b/carobshift/gateway/request/retry_allowance.h
@@ -91,6 +91,11 @@
 
   // Counts a retry and returns true if one is left.
   [[nodiscard]] bool TrySpend(const ServiceName& service, MonotonicTime now);
+  // Gives back a retry that was spent at `spent` and never sent: the endpoint
+  // wasn't connected, so it has no part in the load that retries cause. An
+  // instance that reaches no endpoint would otherwise have none left when its
+  // paths return.
+  void Refund(const ServiceName& service, MonotonicTime spent);
   [[nodiscard]] double Left(const ServiceName& service,
                             MonotonicTime now) const;
 
--- a/carobshift/gateway/request/retry_allowance_test.cc
+++ b/carobshift/gateway/request/retry_allowance_test.cc
@@ -127,5 +127,21 @@
         Approx(RetryAllowance::kUsableFraction * 70));
 }
 
+// Guards against an instance that has no retries left when its paths return.
+TEST_CASE("retries that were never sent leave the allowance as it was") {
+  RetryAllowance allowance(
+      {.share = 0, .extra = 70, .window = Milliseconds(10000)});
+  allowance.OnMembers(7, kStart - Seconds(10));
+  allowance.OnMembers(7, kStart);
+  const double before = allowance.Left(kEngines, kStart);
+  MonotonicTime now = kStart;
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(allowance.TrySpend(kEngines, now));
+    now += Milliseconds(50);
+    allowance.Refund(kEngines, now - Milliseconds(50));
+  }
+  CHECK(allowance.Left(kEngines, now) == Approx(before));
+}
+
 }  // namespace
 }  // namespace carobshift
