--- a/carobshift/gateway/endpoints/endpoint_health.cc
+++ b/carobshift/gateway/endpoints/endpoint_health.cc
@@ -37,6 +37,7 @@
   if (trouble == EndpointFailure::kAddressReused) {
     ++entry.failures;
     entry.avoid_until = now + kMaxPause;
+    entry.connection_failed_at.reset();
     return;
   }
   // Requests that were in progress at the same time fail together; they count
@@ -49,6 +50,21 @@
       std::min(kMaxPause, kInitialPause * (1 << doublings));
   ++entry.failures;
   entry.avoid_until = now + pause;
+  entry.connection_failed_at = now;
+}
+
+void EndpointHealthTable::ForgetConnectionFailures(const EndpointId& id,
+                                                   MonotonicTime since) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end())
+    return;
+  Entry& entry = found->second;
+  entry.silent = false;
+  if (!entry.connection_failed_at || *entry.connection_failed_at < since)
+    return;
+  entry.failures = 0;
+  entry.avoid_until = {};
+  entry.connection_failed_at.reset();
 }
 
 void EndpointHealthTable::Remove(const EndpointId& id) {
--- a/carobshift/gateway/endpoints/endpoint_health.h
+++ b/carobshift/gateway/endpoints/endpoint_health.h
@@ -22,6 +22,7 @@
 #ifndef CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_HEALTH_H_
 #define CAROBSHIFT_GATEWAY_ENDPOINTS_ENDPOINT_HEALTH_H_
 
+#include <optional>
 #include <unordered_map>
 
 #include "carobshift/base/ids.h"
@@ -60,6 +61,11 @@
   void OnFailure(const EndpointId& id,
                  EndpointFailure trouble,
                  MonotonicTime now);
+  // Forgets that connections to the endpoint failed or broke at `since` or
+  // later, and that it was silent. Call when this instance's own paths, which
+  // were lost since then, have returned: no endpoint failed, and all would
+  // otherwise be avoided for up to kMaxPause although they are sound.
+  void ForgetConnectionFailures(const EndpointId& id, MonotonicTime since);
   void Remove(const EndpointId& id);
 
   [[nodiscard]] int InFlight(const EndpointId& id) const;
@@ -75,6 +81,9 @@
     int failures = 0;
     bool silent = false;
     MonotonicTime avoid_until{};
+    // When a failed or broken connection last caused a pause; nullopt if
+    // something else did.
+    std::optional<MonotonicTime> connection_failed_at;
   };
   std::unordered_map<EndpointId, Entry> entries_;
 };
--- a/carobshift/gateway/endpoints/endpoint_health_test.cc
+++ b/carobshift/gateway/endpoints/endpoint_health_test.cc
@@ -64,5 +64,29 @@
   CHECK(health.RemainingPause(id, kStart) == EndpointHealthTable::kMaxPause);
 }
 
+// Guards against sound endpoints that are avoided when the paths return.
+TEST_CASE("failures that come with a loss of all paths are forgotten") {
+  EndpointHealthTable health;
+  const EndpointId dead_before("e1");
+  const EndpointId unreached("e2");
+  const EndpointId replaced("e3");
+  health.OnFailure(dead_before, EndpointFailure::kNotConnected, kStart);
+  const MonotonicTime loss = kStart + Milliseconds(100);
+  for (const EndpointId& id : {unreached, replaced}) {
+    for (MonotonicTime now = loss; now < loss + Seconds(12); now += Seconds(2))
+      health.OnFailure(id, EndpointFailure::kConnectionBroken, now);
+  }
+  const MonotonicTime end = loss + Seconds(10) + Milliseconds(1);
+  health.OnFailure(replaced, EndpointFailure::kAddressReused, end);
+  REQUIRE(health.IsAvoided(unreached, end));
+  for (const EndpointId& id : {dead_before, unreached, replaced})
+    health.ForgetConnectionFailures(id, loss);
+  CHECK_FALSE(health.IsAvoided(unreached, end));
+  health.OnStart(unreached);
+  CHECK_FALSE(health.IsAvoided(unreached, end));
+  CHECK(health.IsAvoided(replaced, end));
+  CHECK(health.IsAvoided(dead_before, kStart + Milliseconds(200)));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/endpoints/service_reachability.cc
+++ b/carobshift/gateway/endpoints/service_reachability.cc
@@ -390,8 +390,19 @@
                                    ServiceReach reach) {
   if (service.reach == reach)
     return;
+  const MonotonicTime now = last_event_.value_or(MonotonicTime{});
+  if (service.reach == ServiceReach::kReached) {
+    const RunTime since_contact =
+        clock_ - (reach == ServiceReach::kUnreached ? service.last_contact()
+                                                    : service.last_connected);
+    service.lost_since =
+        now - std::min<RunTime>(since_contact, kEvidenceLifetime);
+  }
+  if (reach == ServiceReach::kReached)
+    service.reached_again = now;
   service.reach = reach;
   ReachabilityChange change;
+  change.lost_since = service.lost_since;
   change.service = name;
   change.reach = reach;
   change.endpoints = static_cast<int>(service.endpoints.size());
@@ -438,6 +449,14 @@
                                   : found->second.reach;
 }
 
+bool ServiceReachability::LostAfter(const ServiceName& service,
+                                    MonotonicTime since) const {
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         (found->second.reach != ServiceReach::kReached ||
+          found->second.reached_again > since);
+}
+
 std::vector<ServiceName> ServiceReachability::Unreached() const {
   std::vector<ServiceName> unreached;
   for (const auto& [name, service] : services_) {
--- a/carobshift/gateway/endpoints/service_reachability.h
+++ b/carobshift/gateway/endpoints/service_reachability.h
@@ -89,6 +89,9 @@
   int tried = 0;
   // Endpoints at which connection attempts failed or are overdue.
   int failed = 0;
+  // When the paths were lost, at the earliest. Also set in the change that ends
+  // the loss.
+  MonotonicTime lost_since{};
   // Time since the service last sent anything; nullopt if it never did.
   std::optional<Milliseconds> last_bytes_age;
 };
@@ -159,6 +162,10 @@
 
   // Returns kReached for an unknown service.
   [[nodiscard]] ServiceReach ReachOf(const ServiceName& service) const;
+  // Returns whether the paths to the service were lost at any time after
+  // `since`.
+  [[nodiscard]] bool LostAfter(const ServiceName& service,
+                               MonotonicTime since) const;
   // Returns the services that aren't kReached.
   [[nodiscard]] std::vector<ServiceName> Unreached() const;
 
@@ -198,6 +205,8 @@
     // Times in a row that the service became unreached within kFlapWindow.
     int losses = 0;
     RunTime lost_at = kNever;
+    MonotonicTime lost_since{};
+    MonotonicTime reached_again{};
     // Since when connections succeed again; kNever if they don't.
     RunTime success_since = kNever;
 
--- a/carobshift/gateway/endpoints/service_reachability_test.cc
+++ b/carobshift/gateway/endpoints/service_reachability_test.cc
@@ -400,8 +400,11 @@
   const Path lost = GENERATE(Path::kResets, Path::kHangs);
   SimulatedPaths paths;
   AddUsualServices(paths);
+  const MonotonicTime cut = paths.now;
+  CHECK_FALSE(paths.reachability.LostAfter(kEngines, cut - Seconds(1)));
   paths.SetAll(lost);
   paths.Run(Seconds(12));
+  CHECK(paths.reachability.LostAfter(kEngines, paths.now));
   CHECK(!paths.Reaches(kEngines));
   CHECK(!paths.Reaches(kBooking));
   paths.SetAll(Path::kWorks);
@@ -415,6 +418,12 @@
   CHECK(changes.front().failed == changes.front().endpoints);
   CHECK(changes.front().last_bytes_age < kDetectionTime);
   CHECK(changes.back().reach == ServiceReach::kReached);
+  for (const ReachabilityChange& change : changes) {
+    CHECK(change.lost_since <= cut);
+    CHECK(change.lost_since >= cut - ServiceReachability::kEvidenceLifetime);
+  }
+  CHECK(paths.reachability.LostAfter(kEngines, cut + Seconds(11)));
+  CHECK_FALSE(paths.reachability.LostAfter(kEngines, paths.now));
 }
 
 TEST_CASE("an unreached service is probed at a bounded rate") {
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -249,8 +249,11 @@
       [this](const auto& endpoint, const auto& model, WeightNumber weights) {
         requests.OnWeightsReported(endpoint, model, weights);
       });
-  reachability.SetOnChange(
-      [this](const ReachabilityChange&) { reachability_sharing.OnChange(); });
+  reachability.SetOnChange([this](const ReachabilityChange& change) {
+    reachability_sharing.OnChange();
+    if (change.reach == ServiceReach::kReached)
+      requests.OnPathsReturned(change.service, change.lost_since);
+  });
   requests.SetLoadQueryService(&load_query_service);
   operator_follower.Start();
   endpoint_follower.Start();
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -384,6 +384,14 @@
             {"remaining_ms", endpoint.cold_remaining.count()}});
 }
 
+void RequestService::OnPathsReturned(const ServiceName& service,
+                                     MonotonicTime lost_since) {
+  for (const auto& [id, record] : registry_.all()) {
+    if (record.service == service)
+      health_.ForgetConnectionFailures(id, lost_since);
+  }
+}
+
 void RequestService::OnEvacuationEnd(const ZoneName& zone) {
   int cold = 0;
   for (const auto& [id, record] : registry_.all()) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -103,6 +103,9 @@
   void SetLoadQueryService(LoadQueryService* load_query_service) {
     load_query_service_ = load_query_service;
   }
+  // The paths of this instance to the service, which were lost since then, have
+  // returned.
+  void OnPathsReturned(const ServiceName& service, MonotonicTime lost_since);
   // Number of live instances, including this one.
   void SetLiveInstances(int count);
   // To be called about every 100 ms.
