--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -106,6 +106,7 @@
   // To be called after each change of the configuration, the registry or the
   // evacuated zones.
   void UpdateEndpointsToReach();
+  [[nodiscard]] ServiceLoss LossOf(const ServiceName& service) const;
   void OnMembers();
   // Does nothing before the other instances are known.
   void WatchCaches();
@@ -241,6 +242,8 @@
       [this](RequestFingerprint fingerprint, const std::string& run) {
         cluster.AnnounceCrash(EncodeCrashReport(fingerprint, run));
       });
+  requests.SetLossCheck(
+      [this](const ServiceName& service) { return LossOf(service); });
   requests.SetOnColdStatement(
       [this](const EndpointRecord& endpoint, Milliseconds remaining) {
         cold_start_sharing.OnStatement(endpoint, remaining);
@@ -337,6 +340,14 @@
       EndpointsToReach(config->config(), registry, evacuations));
 }
 
+ServiceLoss Gateway::Impl::LossOf(const ServiceName& service) const {
+  if (reachability_sharing.SelfReaches(service, loop.now()))
+    return ServiceLoss::kNone;
+  return reachability_sharing.AnotherReaches(service, loop.now())
+             ? ServiceLoss::kOwnPaths
+             : ServiceLoss::kEverywhere;
+}
+
 void Gateway::Impl::OnMembers() {
   discovery.OnMembers(cluster.Live().size(), loop.now());
   if (members_settled || !discovery.IsSettled(loop.now()))
--- a/carobshift/gateway/instances/reachability_sharing.cc
+++ b/carobshift/gateway/instances/reachability_sharing.cc
@@ -112,6 +112,15 @@
   return own_.ReachOf(service) == ServiceReach::kReached;
 }
 
+bool ReachabilitySharing::AnotherReaches(const ServiceName& service,
+                                         MonotonicTime now) const {
+  const EntryId& self = cluster_.membership().self().id;
+  const std::vector<MemberInfo>& live = cluster_.Live();
+  return std::any_of(live.begin(), live.end(), [&](const MemberInfo& member) {
+    return member.id != self && PeerReaches(member.id, service, now);
+  });
+}
+
 bool ReachabilitySharing::PeerReaches(const EntryId& peer,
                                       const ServiceName& service,
                                       MonotonicTime now) const {
--- a/carobshift/gateway/instances/reachability_sharing.h
+++ b/carobshift/gateway/instances/reachability_sharing.h
@@ -75,6 +75,9 @@
   [[nodiscard]] bool PeerReaches(const EntryId& peer,
                                  const ServiceName& service,
                                  MonotonicTime now) const override;
+  // Returns whether another live instance reaches the service.
+  [[nodiscard]] bool AnotherReaches(const ServiceName& service,
+                                    MonotonicTime now) const;
   // Announcements of all instances, including this one.
   [[nodiscard]] const PeerReachability& announced() const { return announced_; }
 
--- a/carobshift/gateway/request/crash_record.cc
+++ b/carobshift/gateway/request/crash_record.cc
@@ -42,6 +42,13 @@
     record.last = now;
 }
 
+void CrashRecord::Withdraw(RequestFingerprint fingerprint,
+                           const std::string& run) {
+  const auto found = records_.find(fingerprint);
+  if (found != records_.end())
+    found->second.runs.erase(run);
+}
+
 void CrashRecord::OnCompleted(RequestFingerprint fingerprint) {
   const auto found = records_.find(fingerprint);
   if (found == records_.end())
--- a/carobshift/gateway/request/crash_record.h
+++ b/carobshift/gateway/request/crash_record.h
@@ -65,6 +65,9 @@
   void OnBroken(RequestFingerprint fingerprint,
                 const std::string& run,
                 MonotonicTime now);
+  // Forgets a run that broke for a reason that has nothing to do with the
+  // request.
+  void Withdraw(RequestFingerprint fingerprint, const std::string& run);
   // Clears the broken runs of the request after a run that completed. A reply
   // that the endpoint did not run the request is not a completed run.
   void OnCompleted(RequestFingerprint fingerprint);
--- a/carobshift/gateway/request/crash_record_test.cc
+++ b/carobshift/gateway/request/crash_record_test.cc
@@ -70,5 +70,17 @@
   CHECK(record.empty());
 }
 
+TEST_CASE("a run that is withdrawn doesn't count") {
+  CrashRecord crashes;
+  const RequestFingerprint fingerprint(7);
+  const MonotonicTime now{Seconds(100)};
+  for (const char* const run : {"a.1", "a.2", "b.1"})
+    crashes.OnBroken(fingerprint, run, now);
+  REQUIRE(crashes.Refuses(fingerprint, now));
+  crashes.Withdraw(fingerprint, "a.2");
+  crashes.Withdraw(RequestFingerprint(8), "a.2");
+  CHECK_FALSE(crashes.Refuses(fingerprint, now));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -610,8 +610,38 @@
   const std::string run =
       exchange.request().id.value() + "." + std::to_string(attempt.value());
   crashes_.OnBroken(fingerprint, run, loop_.now());
+  const HeldCrashReport report{fingerprint, run, exchange.setup().service};
+  if (!loss_of_) {
+    AnnounceCrash(report);
+    return;
+  }
+  const bool is_first = held_crashes_.empty();
+  held_crashes_.Add(report, loop_.now());
+  if (is_first) {
+    loop_.AddTimer(loop_.now() + HeldCrashReports::kHold,
+                   [this] { SettleCrashReports(); });
+  }
+}
+
+void RequestService::AnnounceCrash(const HeldCrashReport& report) {
   if (on_crash_)
-    on_crash_(fingerprint, run);
+    on_crash_(report.fingerprint, report.run);
+}
+
+void RequestService::SettleCrashReports() {
+  const SettledCrashReports settled =
+      held_crashes_.Settle(loss_of_, loop_.now());
+  for (const HeldCrashReport& report : settled.to_announce)
+    AnnounceCrash(report);
+  for (const HeldCrashReport& report : settled.to_withdraw) {
+    crashes_.Withdraw(report.fingerprint, report.run);
+    LogEvent(LogLevel::kInfo, "broken_run_withdrawn",
+             {{"run", report.run}, {"service", report.service.value()}});
+  }
+  if (held_crashes_.empty())
+    return;
+  loop_.AddTimer(loop_.now() + HeldCrashReports::kHold,
+                 [this] { SettleCrashReports(); });
 }
 
 void RequestService::OnExchangeEnd(Exchange& exchange) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -36,6 +36,7 @@
 #include "carobshift/gateway/request/caller_limits_in_force.h"
 #include "carobshift/gateway/request/crash_record.h"
 #include "carobshift/gateway/request/exchange_run.h"
+#include "carobshift/gateway/request/held_crash_reports.h"
 #include "carobshift/gateway/request/request_report.h"
 #include "carobshift/gateway/request/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
@@ -82,6 +83,10 @@
   using OnCrash =
       std::function<void(RequestFingerprint, const std::string& run)>;
   void SetOnCrash(OnCrash on_crash) { on_crash_ = std::move(on_crash); }
+  // Sets how to tell a loss of this instance's paths from a failure of the
+  // endpoints. Without it, each broken run is announced at once.
+  using LossCheck = std::function<ServiceLoss(const ServiceName&)>;
+  void SetLossCheck(LossCheck loss_of) { loss_of_ = std::move(loss_of); }
   // Records a broken run announced by another instance.
   void OnPeerCrashReport(const CrashReport& crash) {
     crashes_.OnBroken(crash.fingerprint, crash.run, loop_.now());
@@ -234,6 +239,8 @@
   void EndAttempt(Exchange& exchange, AttemptNumber attempt);
   void NoteRead(AttemptRecord& attempt);
   void ReportCrash(const Exchange& exchange, AttemptNumber attempt);
+  void AnnounceCrash(const HeldCrashReport& report);
+  void SettleCrashReports();
   // Returns whether a request that has not been sent yet must be refused.
   [[nodiscard]] bool RefusedUnderLoad(Running& running,
                                       const ExchangeSetup& setup,
@@ -271,7 +278,9 @@
   PromptSizes sizes_;
   OverloadGuard overload_;
   CrashRecord crashes_;
+  HeldCrashReports held_crashes_;
   OnCrash on_crash_;
+  LossCheck loss_of_;
   OnColdStatement on_cold_statement_;
   AttemptPlanner planner_;
   RetryAllowance allowance_;
