--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/gateway.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "carobshift/gateway/cache/cache_watcher.h"
@@ -105,6 +106,7 @@
   // To be called after each change of the configuration, the registry or the
   // evacuated zones.
   void UpdateEndpointsToReach();
+  [[nodiscard]] ServiceLoss LossOf(const ServiceName& service) const;
   void OnMembers();
   // Does nothing before the other instances are known.
   void WatchCaches();
@@ -240,6 +242,8 @@
       [this](RequestFingerprint fingerprint, const std::string& run) {
         cluster.AnnounceCrash(EncodeCrashReport(fingerprint, run));
       });
+  requests.SetLossCheck(
+      [this](const ServiceName& service) { return LossOf(service); });
   requests.SetOnColdStatement(
       [this](const EndpointRecord& endpoint, Milliseconds remaining) {
         cold_start_sharing.OnStatement(endpoint, remaining);
@@ -248,8 +252,11 @@
       [this](const auto& endpoint, const auto& model, WeightNumber weights) {
         requests.OnWeightsReported(endpoint, model, weights);
       });
-  reachability.SetOnChange(
-      [this](const ReachabilityChange&) { reachability_sharing.OnChange(); });
+  reachability.SetOnChange([this](const ReachabilityChange& change) {
+    reachability_sharing.OnChange();
+    if (change.reach == ServiceReach::kReached)
+      requests.OnPathsReturned(change.service, change.lost_since);
+  });
   requests.SetLoadQueryService(&load_query_service);
   operator_follower.Start();
   endpoint_follower.Start();
@@ -333,6 +340,14 @@
       EndpointsToReach(config->config(), registry, evacuations));
 }
 
+ServiceLoss Gateway::Impl::LossOf(const ServiceName& service) const {
+  if (reachability_sharing.SelfReaches(service, loop.now()))
+    return ServiceLoss::kNone;
+  return reachability_sharing.AnotherReaches(service, loop.now())
+             ? ServiceLoss::kOwnPaths
+             : ServiceLoss::kEverywhere;
+}
+
 void Gateway::Impl::OnMembers() {
   discovery.OnMembers(cluster.Live().size(), loop.now());
   if (members_settled || !discovery.IsSettled(loop.now()))
@@ -378,10 +393,20 @@
     return {404, {}, {}};
   const auto& config = operator_records.config();
   std::vector<RegionName> allowed;
-  if (config != nullptr)
+  std::set<ServiceName> services;
+  if (config != nullptr) {
     allowed = RegionsOfHost(config->config(), wanted->host);
-  const auto addresses =
-      ChooseAddresses(cluster.Serving(), *wanted, allowed, regions);
+    services = ServicesOfHost(config->config(), wanted->host);
+  }
+  const auto may_be_told = [this, &services](const MemberInfo& member) {
+    return std::all_of(services.begin(), services.end(),
+                       [&](const ServiceName& service) {
+                         return reachability_sharing.announced().MayBeTold(
+                             member.id, service, loop.now());
+                       });
+  };
+  const auto addresses = ChooseAddresses(cluster.Serving(), *wanted, allowed,
+                                         regions, may_be_told);
   if (addresses.empty())
     return {503, {}, {}};
   return {200, "application/json",
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -372,6 +372,7 @@
                                  const AttemptPlan& plan) {
   AttemptRecord attempt;
   attempt.number = wish.number;
+  attempt.spent_retry = wish.repeat;
   attempt.endpoint = plan.endpoint.id;
   attempt.start_time = plan.endpoint.start_time;
   attempt.prefill_tokens = plan.prefill_tokens;
@@ -425,6 +426,14 @@
             {"remaining_ms", endpoint.cold_remaining.count()}});
 }
 
+void RequestService::OnPathsReturned(const ServiceName& service,
+                                     MonotonicTime lost_since) {
+  for (const auto& [id, record] : registry_.all()) {
+    if (record.service == service)
+      health_.ForgetConnectionFailures(id, lost_since);
+  }
+}
+
 void RequestService::OnEvacuationEnd(const ZoneName& zone) {
   int cold = 0;
   for (const auto& [id, record] : registry_.all()) {
@@ -595,9 +604,12 @@
                                       AttemptNumber attempt,
                                       const CallFailure& failure) {
   EndAttempt(exchange, attempt);
+  const AttemptRecord& record = runs_.at(&exchange).Attempt(attempt);
+  if (record.spent_retry && !failure.sent)
+    allowance_.Refund(exchange.setup().service, record.began);
   metrics_.Add("carobshift_attempt_failures_total",
                {{"fault", CallFaultName(failure.fault)}}, 1);
-  const EndpointId& endpoint = runs_.at(&exchange).Attempt(attempt).endpoint;
+  const EndpointId& endpoint = record.endpoint;
   if (failure.fault == CallFault::kConnectionLimit)
     return;
   if (failure.fault == CallFault::kWithdrawn) {
@@ -640,8 +652,38 @@
   const std::string run =
       exchange.request().id.value() + "." + std::to_string(attempt.value());
   crashes_.OnBroken(fingerprint, run, loop_.now());
+  const HeldCrashReport report{fingerprint, run, exchange.setup().service};
+  if (!loss_of_) {
+    AnnounceCrash(report);
+    return;
+  }
+  const bool is_first = held_crashes_.empty();
+  held_crashes_.Add(report, loop_.now());
+  if (is_first) {
+    loop_.AddTimer(loop_.now() + HeldCrashReports::kHold,
+                   [this] { SettleCrashReports(); });
+  }
+}
+
+void RequestService::AnnounceCrash(const HeldCrashReport& report) {
   if (on_crash_)
-    on_crash_(fingerprint, run);
+    on_crash_(report.fingerprint, report.run);
+}
+
+void RequestService::SettleCrashReports() {
+  const SettledCrashReports settled =
+      held_crashes_.Settle(loss_of_, loop_.now());
+  for (const HeldCrashReport& report : settled.to_announce)
+    AnnounceCrash(report);
+  for (const HeldCrashReport& report : settled.to_withdraw) {
+    crashes_.Withdraw(report.fingerprint, report.run);
+    LogEvent(LogLevel::kInfo, "broken_run_withdrawn",
+             {{"run", report.run}, {"service", report.service.value()}});
+  }
+  if (held_crashes_.empty())
+    return;
+  loop_.AddTimer(loop_.now() + HeldCrashReports::kHold,
+                 [this] { SettleCrashReports(); });
 }
 
 void RequestService::OnExchangeEnd(Exchange& exchange) {
