Net: an arrived request is detected by poll(), not by reading ahead

Cause: the look at an idle connection before its close used recv(MSG_PEEK) and told data from an end by hand. Neither is needed: what is readable is handled by the loop, and closing a socket with unread bytes resets the connection.

Change: TcpConnection::HasInput() polls the socket; input after CloseUnread() closes it.

--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -160,14 +161,11 @@
   CloseAfterFlush();
 }
 
-ssize_t TcpConnection::PeekByte() const {
-  char byte = 0;
-  return ::recv(socket_.impl()->sockfd(), &byte, sizeof(byte),
-                MSG_PEEK | MSG_DONTWAIT);
-}
-
 bool TcpConnection::HasInput() const {
-  return !closed_ && PeekByte() > 0;
+  if (closed_)
+    return false;
+  pollfd socket{.fd = socket_.impl()->sockfd(), .events = POLLIN, .revents = 0};
+  return ::poll(&socket, 1, 0) > 0;
 }
 
 void TcpConnection::EndSending() {
@@ -219,10 +217,11 @@
   if (!connected_)
     return;
   if (lingering_) {
+    // Closing with unread bytes resets the connection.
     if (discards_input_)
       DiscardInput();
     else
-      RejectInput();
+      Close();
     return;
   }
   std::array<char, kReadBufferBytes> buffer;
@@ -249,16 +248,6 @@
   }
 }
 
-void TcpConnection::RejectInput() {
-  const ssize_t peeked = PeekByte();
-  if (peeked < 0 && (errno == EAGAIN || errno == EINTR))
-    return;
-  if (peeked > 0)
-    Abort();
-  else
-    Close();
-}
-
 void TcpConnection::OnSocketError() {
   if (!connected_) {
     Fail(CloseReason::kFailed);
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -24,7 +24,6 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
-#include <sys/types.h>
 
 #include <memory>
 #include <string>
@@ -103,7 +102,8 @@
   // so that the peer can tell that its request was not read. Peers that send a
   // request before they have the reply to the last one may lose that reply.
   void CloseUnread();
-  // Returns whether bytes have arrived that OnData() was not called with.
+  // Returns whether bytes, the peer's end or an error have arrived that the
+  // handler has not been told of.
   [[nodiscard]] bool HasInput() const;
   // Resets the connection, so that the peer can't mistake this for a normal
   // close.
@@ -136,9 +136,6 @@
   void Fail(CloseReason reason);
   void PostFailure();
   void DiscardInput();
-  void RejectInput();
-  // Returns what recv() returns for one byte that stays in the socket.
-  [[nodiscard]] ssize_t PeekByte() const;
 
   EventLoop& loop_;
   Poco::Net::StreamSocket socket_;
