No call is sent on a connection whose close has already arrived

What callers saw: 502 with an unknown outcome for a request that no endpoint ran, or for one that may run once only no second try, since it was sent on a kept connection that its endpoint had closed.

Cause: the loop handles the sockets of an iteration in any order. A request that is read in the same iteration as the end of an idle connection, after the process was busy, took that connection. What was sent counts as possibly run.

Change: HttpClient polls an idle connection before it sends a call on it, and takes another one if its end, an error or bytes have arrived.

A close that is still on its way can't be seen. Cost: one poll() for each call on a kept connection.

--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -135,7 +135,7 @@
     if (idle > max_idle)
       return nullptr;
     peer.idle.pop_back();
-    if (connection->alive() && idle < connection->idle_limit())
+    if (idle < connection->idle_limit() && connection->reusable())
       return connection;
     connection->Close();
   }
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -15,6 +15,10 @@
 //   unknown outcome. HttpCallOptions::max_idle limits the idle time of the
 //   connection used for a call, and CallFailure reports whether bytes were
 //   sent.
+// - An idle connection was closed by its peer, and the loop has not seen it
+// yet,
+//   for example as the process was busy. Each idle connection is looked at
+//   before a call is sent on it.
 // - A late reply to an earlier call arrives in place of this call's reply. The
 //   listener examines each reply's head and skips replies to other calls.
 // - Bytes arrive after a complete reply or on an idle connection. They belong
@@ -228,6 +232,9 @@
   [[nodiscard]] MonotonicTime idle_since() const { return idle_since_; }
   [[nodiscard]] Milliseconds idle_limit() const { return idle_limit_; }
   [[nodiscard]] bool alive() const { return tcp_ && !tcp_->closed(); }
+  // Whether an idle connection may carry a call: neither its end nor bytes that
+  // belong to no call have arrived.
+  [[nodiscard]] bool reusable() const { return alive() && !tcp_->HasInput(); }
 
   void OnConnected() override;
   void OnData(std::string_view bytes) override;
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -406,6 +406,31 @@
   CHECK(server.bodies.size() == 1);
 }
 
+// Guards against a booking that is sent on a connection which its endpoint has
+// already closed, so that its outcome is unknown.
+TEST_CASE("no call is sent on a connection whose close has arrived") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk);
+  HttpClient client(loop, {});
+  TestListener first;
+  const auto call = client.Start(server.address(), Get("/"), {}, &first);
+  RunUntil(loop, [&] { return first.over(); });
+  SECTION("normally") {
+    server.connections.front()->CloseWhenIdle();
+  }
+  SECTION("by a reset") {
+    server.connections.front()->Abort();
+  }
+  // The loop has not seen the close yet.
+  TestListener second;
+  const auto fresh = client.Start(server.address(), Get("/"), {}, &second);
+  RunUntil(loop, [&] { return second.over(); });
+  CHECK_FALSE(second.failure.has_value());
+  CHECK(second.status == 200);
+  CHECK(client.counters().connections_opened == 2);
+  CHECK(client.OpenConnections(server.address()) == 1);
+}
+
 // Guards against a slow caller that is told that its request is malformed, and
 // so doesn't send it again.
 TEST_CASE("a request that doesn't arrive in time is answered with 408") {
