A connection limit that is no longer declared limits nothing

What callers saw: requests refused as overloaded by a limit of connections that the configuration had dropped, or that belonged to the service whose endpoint had the address before.

Cause: SetConnectionLimits skipped services without a limit and left the limit that HttpClient had for the address.

Change: the address of such an endpoint is set to no limit.

Evidence: "a connection limit that is no longer declared limits nothing" failed before (newer configuration, service gone) and passes now.

--- a/carobshift/gateway/request/caller_connections_test.cc
+++ b/carobshift/gateway/request/caller_connections_test.cc
@@ -85,6 +85,25 @@
   bool closed_ = false;
 };
 
+// A call that gets no reply.
+class PendingCall : public HttpCallListener {
+ public:
+  PendingCall(HttpClient& client, const NetAddress& address)
+      : call_(client.Start(address, "GET /", {}, this)) {}
+  ~PendingCall() override { call_->Cancel(); }
+
+  ReplyDisposition OnReplyHead(const HttpHead&,
+                               const HttpMessageInfo&) override {
+    return ReplyDisposition::kAccept;
+  }
+  void OnReplyBody(std::string_view) override {}
+  void OnReplyEnd() override {}
+  void OnCallFailed(const CallFailure&) override {}
+
+ private:
+  std::shared_ptr<ClientCall> call_;
+};
+
 // Guards against kept connections that are closed by an idle timeout which a
 // configuration has raised since they were accepted.
 TEST_CASE("a raised idle timeout holds for connections that are open") {
@@ -123,6 +142,41 @@
   CHECK(later.closed());
 }
 
+EndpointRecord EndpointAt(const NetAddress& address) {
+  EndpointRecord record;
+  record.id = EndpointId("e-1");
+  record.service = ServiceName("desks");
+  record.address = address;
+  return record;
+}
+
+std::shared_ptr<const ServingConfigSnapshot> ConfigWithConnectionLimit(
+    int number,
+    int connection_limit) {
+  ServingConfig config;
+  config.number = DeclarationNumber(number);
+  config.services[ServiceName("desks")].connection_limit = connection_limit;
+  return std::make_shared<ServingConfigSnapshot>(std::move(config));
+}
+
+// Guards against calls that are refused by a connection limit which the
+// configuration has dropped.
+TEST_CASE("a connection limit that is no longer declared limits nothing") {
+  ServiceUnderTest under_test;
+  const NetAddress endpoint{"127.0.0.1", under_test.listener->port()};
+  under_test.registry.Put(EndpointAt(endpoint), under_test.loop.now());
+  under_test.service.SetConfig(ConfigWithConnectionLimit(1, 1));
+  PendingCall first(under_test.client, endpoint);
+  REQUIRE_FALSE(under_test.client.HasFreeConnection(endpoint));
+  SECTION("in a newer configuration") {
+    under_test.service.SetConfig(ConfigWithConnectionLimit(2, 0));
+  }
+  SECTION("as the service is gone") {
+    under_test.service.SetConfig(ConfigWith(2, {}));
+  }
+  CHECK(under_test.client.HasFreeConnection(endpoint));
+}
+
 // Guards against proper requests that are rejected since their connection was
 // accepted under lower limits.
 TEST_CASE("raised limits of a request hold for connections that are open") {
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -21,6 +21,7 @@
 // they stay below the limit together even if they count the live instances
 // differently.
 constexpr double kConnectionShare = 0.9;
+constexpr int kNoConnectionLimit = 0;
 
 }  // namespace
 
@@ -135,8 +136,10 @@
   for (const auto& [id, record] : registry_.all()) {
     const DeclaredService* const service =
         config_->config().FindService(record.service);
-    if (service == nullptr || service->connection_limit <= 0)
+    if (service == nullptr || service->connection_limit <= 0) {
+      client_.SetConnectionLimit(record.address, kNoConnectionLimit);
       continue;
+    }
     const int share = static_cast<int>(service->connection_limit *
                                        kConnectionShare / live_instances_);
     client_.SetConnectionLimit(record.address, std::max(1, share));
