The time to connect counts from the start of the call

What callers saw: an attempt failed as not connected, and its endpoint was avoided for a while, although nothing was wrong with it.

Cause: the timeout was counted from the time at which the loop's iteration had begun. After 200 ms of other work in that iteration (a large configuration, a throttled or suspended process) it was over before the connection was begun.

--- a/carobshift/net/event_loop.h
+++ b/carobshift/net/event_loop.h
@@ -69,7 +69,8 @@
   // Time at which the present iteration of the loop began.
   [[nodiscard]] MonotonicTime now() const { return now_; }
   // Reads the clock again. For use before an action that must not happen late,
-  // since the process may have been suspended since the iteration began.
+  // and for short timeouts, since the process may have been suspended or busy
+  // since the iteration began.
   MonotonicTime UpdateNow() { return now_ = MonotonicNow(); }
 
   [[nodiscard]] std::size_t sockets() const { return handlers_.size(); }
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -1,6 +1,7 @@
 // Tests HttpClient and HttpServerConnection against each other, over loopback
 // in one event loop.
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <sys/socket.h>
@@ -10,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "carobshift/net/http_client.h"
@@ -431,6 +433,32 @@
   CHECK(client.OpenConnections(server.address()) == 1);
 }
 
+// Guards against attempts that are given up at once, as not connected, since
+// the process was busy just before they began.
+TEST_CASE("the time to connect counts from the start of the call") {
+  EventLoop loop;
+  // A listener whose queue is full answers no further connection for a second.
+  Poco::Net::ServerSocket listener;
+  listener.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+  listener.listen(0);
+  std::vector<Poco::Net::StreamSocket> queued(4);
+  for (Poco::Net::StreamSocket& socket : queued)
+    socket.connectNB(listener.address());
+  constexpr Milliseconds kBusy{300};
+  constexpr Milliseconds kConnectTimeout{200};
+  HttpClient client(loop, {});
+  TestListener call_listener;
+  std::this_thread::sleep_for(kBusy);
+  const MonotonicTime start = MonotonicNow();
+  const auto call =
+      client.Start({"127.0.0.1", listener.address().port()}, Get("/"),
+                   {.connect_timeout = kConnectTimeout}, &call_listener);
+  RunUntil(loop, [&] { return call_listener.over(); });
+  REQUIRE(call_listener.failure.has_value());
+  CHECK(call_listener.failure->fault == CallFault::kNotConnected);
+  CHECK(MonotonicNow() - start >= kConnectTimeout);
+}
+
 // Guards against a slow caller that is told that its request is malformed, and
 // so doesn't send it again.
 TEST_CASE("a request that doesn't arrive in time is answered with 408") {
