--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -139,7 +139,7 @@
     if (idle > max_idle)
       return nullptr;
     peer.idle.pop_back();
-    if (connection->alive() && idle < connection->idle_limit())
+    if (idle < connection->idle_limit() && connection->reusable())
       return connection;
     connection->Close();
   }
@@ -223,7 +223,7 @@
   tcp_ = TcpConnection::Connect(client_.loop_, address_, client_.options_.tcp,
                                 this);
   connect_timer_ = client_.loop_.AddTimer(
-      client_.loop_.now() + connect_timeout,
+      client_.loop_.UpdateNow() + connect_timeout,
       [self = shared_from_this()] { self->Fail(CallFault::kNotConnected); });
   connecting_ = true;
   client_.Notify(&HttpClientObserver::OnConnectStarted, address_);
