--- a/carobshift/gateway/request/caller_request.h
+++ b/carobshift/gateway/request/caller_request.h
@@ -105,6 +105,12 @@
   std::optional<Milliseconds> cold_remaining;
   // The reply states a cold time that isn't a valid one.
   bool bad_cold_time = false;
+  // The rejections for lack of room that the endpoint bears in a second, from
+  // all instances together. All replies of a service's endpoints state it while
+  // it holds; a reply to a request that ran ends it by not stating it.
+  std::optional<RequestRate> rejection_limit;
+  // The reply states a rejection limit that isn't a number of at least 0.
+  bool bad_rejection_limit = false;
 };
 
 }  // namespace carobshift
