--- a/carobshift/gateway/instances/peer_datagrams.h
+++ b/carobshift/gateway/instances/peer_datagrams.h
@@ -36,6 +36,7 @@
   kLoadAnswer = 5,
   kLimitUpdate = 6,
   kColdStartUpdate = 7,
+  kRejectionUpdate = 8,
   kReachability = 9,
 };
 
