--- a/benchmarks/gateway/load_replay.cc
+++ b/benchmarks/gateway/load_replay.cc
@@ -34,9 +34,11 @@
   EndpointHealthTable health;
   RateLimits limits;
   ColdStartLimits cold_starts{{}};
+  RejectionLimits rejections;
   ZoneEvacuations evacuations;
   ZoneRegions regions;
-  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts};
+  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts,
+                                  rejections};
   LoadTracker loads;
   PromptSizes sizes;
   CacheContents contents;
--- a/carobshift/gateway/endpoints/endpoint_eligibility.cc
+++ b/carobshift/gateway/endpoints/endpoint_eligibility.cc
@@ -16,13 +16,16 @@
   if (!limits_.MaySend(EndpointIncarnation::Of(endpoint), now) ||
       !cold_starts_.MaySend(endpoint, now))
     return SendObstacle::kRateUsedUp;
+  if (!rejections_.MaySend(endpoint, now))
+    return SendObstacle::kShareUsedUp;
   return SendObstacle::kNone;
 }
 
-Milliseconds EndpointEligibility::RateWaitAt(const EndpointRecord& endpoint,
+Milliseconds EndpointEligibility::LoadWaitAt(const EndpointRecord& endpoint,
                                              MonotonicTime now) const {
-  return std::max(limits_.WaitFor(EndpointIncarnation::Of(endpoint), now),
-                  cold_starts_.WaitFor(endpoint, now));
+  return std::max({limits_.WaitFor(EndpointIncarnation::Of(endpoint), now),
+                   cold_starts_.WaitFor(endpoint, now),
+                   rejections_.WaitFor(endpoint, now)});
 }
 
 bool EndpointEligibility::MaySaveIn(const ExchangeSetup& setup,
--- a/carobshift/gateway/endpoints/endpoint_eligibility.h
+++ b/carobshift/gateway/endpoints/endpoint_eligibility.h
@@ -1,9 +1,10 @@
 // EndpointEligibility decides whether a request may be sent to an endpoint at
 // all, by the endpoint's state, the operator's evacuations, the regions that
-// the route and the client account allow, and the rates that the endpoint
+// the route and the client account allow, and the load that the endpoint
 // bears. Placement (attempt_planner.h) chooses among the eligible endpoints.
 //
-//   EndpointEligibility eligibility(evacuations, regions, limits, cold_starts);
+//   EndpointEligibility eligibility(evacuations, regions, limits, cold_starts,
+//                                  rejections);
 //   if (eligibility.ObstacleAt(setup, record, now) == SendObstacle::kNone)
 //     candidates.push_back(record);
 //
@@ -16,6 +17,7 @@
 #include "carobshift/gateway/endpoints/cold_start_limits.h"
 #include "carobshift/gateway/endpoints/endpoint_record.h"
 #include "carobshift/gateway/endpoints/rate_limits.h"
+#include "carobshift/gateway/endpoints/rejection_limits.h"
 #include "carobshift/gateway/endpoints/zone_evacuations.h"
 #include "carobshift/gateway/endpoints/zone_regions.h"
 #include "carobshift/gateway/request/exchange.h"
@@ -32,26 +34,37 @@
   kZoneEvacuated,
   // The endpoint's rate limit, or what it bears while it is cold, is used up.
   kRateUsedUp,
+  // The endpoint's service states a rejection limit, and this instance has used
+  // up its share of the slots or has none.
+  kShareUsedUp,
 };
 
+// Returns whether the endpoint takes the request as soon as its load permits.
+[[nodiscard]] inline bool PassesWithLoad(SendObstacle obstacle) {
+  return obstacle == SendObstacle::kRateUsedUp ||
+         obstacle == SendObstacle::kShareUsedUp;
+}
+
 class EndpointEligibility {
  public:
   EndpointEligibility(const ZoneEvacuations& evacuations,
                       const ZoneRegions& regions,
                       const RateLimits& limits,
-                      const ColdStartLimits& cold_starts)
+                      const ColdStartLimits& cold_starts,
+                      const RejectionLimits& rejections)
       : evacuations_(evacuations),
         regions_(regions),
         limits_(limits),
-        cold_starts_(cold_starts) {}
+        cold_starts_(cold_starts),
+        rejections_(rejections) {}
 
   // Returns the most lasting obstacle.
   [[nodiscard]] SendObstacle ObstacleAt(const ExchangeSetup& setup,
                                         const EndpointRecord& endpoint,
                                         MonotonicTime now) const;
-  // Returns the time until the endpoint's rates permit the request; zero if
-  // they do now.
-  [[nodiscard]] Milliseconds RateWaitAt(const EndpointRecord& endpoint,
+  // Returns the time until the endpoint's load permits the request; zero if it
+  // does now.
+  [[nodiscard]] Milliseconds LoadWaitAt(const EndpointRecord& endpoint,
                                         MonotonicTime now) const;
   // Returns whether the request's KV cache may be saved in a store in `zone`.
   [[nodiscard]] bool MaySaveIn(const ExchangeSetup& setup,
@@ -65,6 +78,7 @@
   const ZoneRegions& regions_;
   const RateLimits& limits_;
   const ColdStartLimits& cold_starts_;
+  const RejectionLimits& rejections_;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/endpoints/endpoint_eligibility_test.cc
+++ b/carobshift/gateway/endpoints/endpoint_eligibility_test.cc
@@ -28,7 +28,9 @@
   ZoneRegions regions{{{kZone, kWest}}};
   RateLimits limits;
   ColdStartLimits cold_starts{{}};
-  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts};
+  RejectionLimits rejections;
+  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts,
+                                  rejections};
   Route route;
   Account account;
   ExchangeSetup setup;
@@ -74,7 +76,7 @@
   Fixture fixture;
   fixture.cold_starts.OnStatement(fixture.endpoint, Milliseconds(2000), kNow);
   CHECK(fixture.Obstacle() == SendObstacle::kRateUsedUp);
-  CHECK(fixture.eligibility.RateWaitAt(fixture.endpoint, kNow) >
+  CHECK(fixture.eligibility.LoadWaitAt(fixture.endpoint, kNow) >
         Milliseconds(0));
 }
 
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include "carobshift/gateway/endpoints/cold_start_sharing.h"
 #include "carobshift/gateway/endpoints/limit_sharing.h"
 #include "carobshift/gateway/endpoints/reachability_monitor.h"
+#include "carobshift/gateway/endpoints/rejection_sharing.h"
 #include "carobshift/gateway/gateway_state.h"
 #include "carobshift/gateway/instances/address_choice.h"
 #include "carobshift/gateway/instances/cluster.h"
@@ -154,6 +155,8 @@
   LimitSharing limit_sharing{loop, cluster, datagrams, requests.limits()};
   ColdStartSharing cold_start_sharing{loop, cluster, datagrams, registry,
                                       requests.cold_starts()};
+  RejectionSharing rejection_sharing{loop, cluster, datagrams,
+                                     requests.rejections()};
   WeightRolloutController rollout_controller{
       loop, control_client, settings, dialects, cluster, registry, deadlines};
   CacheWatcher caches{loop, control_client, dialects.engine, datagrams,
@@ -244,6 +247,7 @@
       [this](const EndpointRecord& endpoint, Milliseconds remaining) {
         cold_start_sharing.OnStatement(endpoint, remaining);
       });
+  requests.SetOnRejectionNews([this] { rejection_sharing.Publish(); });
   rollout_controller.SetOnLoaded(
       [this](const auto& endpoint, const auto& model, WeightNumber weights) {
         requests.OnWeightsReported(endpoint, model, weights);
@@ -294,6 +298,7 @@
   limit_sharing.OnTick();
   reachability_sharing.OnTick();
   cold_start_sharing.OnTick();
+  rejection_sharing.OnTick();
   caches.OnTick();
   record_listener.OnTick();
   peer_sync.OnTick();
@@ -398,6 +403,8 @@
               static_cast<double>(DroppedLogLines()));
   metrics.Set("carobshift_limited_endpoints", {},
               static_cast<double>(requests.limited_endpoints()));
+  metrics.Set("carobshift_services_with_rejection_limit", {},
+              static_cast<double>(requests.rejections().size()));
   metrics.Set(
       "carobshift_cold_endpoints", {},
       static_cast<double>(requests.cold_starts().ColdUntil(loop.now()).size()));
--- a/carobshift/gateway/placement/attempt_planner.cc
+++ b/carobshift/gateway/placement/attempt_planner.cc
@@ -215,8 +215,7 @@
                                  const EndpointRecord& record,
                                  MonotonicTime now) const {
   const SendObstacle obstacle = eligibility_.ObstacleAt(setup, record, now);
-  return obstacle == SendObstacle::kNone ||
-         obstacle == SendObstacle::kRateUsedUp;
+  return obstacle == SendObstacle::kNone || PassesWithLoad(obstacle);
 }
 
 bool AttemptPlanner::CanSend(const ExchangeSetup& setup,
@@ -497,7 +496,7 @@
       continue;
     const Milliseconds wait =
         std::max(health_.RemainingPause(id, now),
-                 AddJitter(eligibility_.RateWaitAt(record, now), setup));
+                 AddJitter(eligibility_.LoadWaitAt(record, now), setup));
     if (!shortest || wait < *shortest)
       shortest = wait;
   }
--- a/carobshift/gateway/placement/attempt_planner_benchmark.cc
+++ b/carobshift/gateway/placement/attempt_planner_benchmark.cc
@@ -53,10 +53,11 @@
   const PromptSizes sizes;
   const RateLimits limits;
   const ColdStartLimits cold_starts{{}};
+  const RejectionLimits rejections;
   const ZoneEvacuations evacuations;
   const ZoneRegions regions;
   const EndpointEligibility eligibility(evacuations, regions, limits,
-                                        cold_starts);
+                                        cold_starts, rejections);
   AttemptPlanner planner(registry, health, eligibility, loads, sizes, contents,
                          deadlines);
   planner.SetConfig(config);
--- a/carobshift/gateway/placement/attempt_planner_test.cc
+++ b/carobshift/gateway/placement/attempt_planner_test.cc
@@ -84,10 +84,12 @@
   EndpointHealthTable health;
   RateLimits limits;
   ColdStartLimits cold_starts{{}};
+  RejectionLimits rejections;
   ZoneEvacuations evacuations;
   ZoneRegions regions{{{ZoneName("z"), RegionName("north")},
                        {ZoneName("y"), RegionName("south")}}};
-  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts};
+  EndpointEligibility eligibility{evacuations, regions, limits, cold_starts,
+                                  rejections};
   LoadTracker loads;
   PromptSizes sizes;
   CacheContents contents;
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -42,7 +42,7 @@
       metrics_(metrics),
       options_(options),
       cold_starts_(options.cold_start),
-      eligibility_(evacuations, regions, limits_, cold_starts_),
+      eligibility_(evacuations, regions, limits_, cold_starts_, rejections_),
       planner_(registry,
                health_,
                eligibility_,
@@ -124,6 +124,7 @@
     planner_.DropReportedWeights(id);
     limits_.Remove(id);
     cold_starts_.Remove(id);
+    rejections_.Remove(id);
   }
   addresses_ = std::move(now_known);
   SetConnectionLimits();
@@ -343,6 +344,7 @@
   health_.OnStart(attempt.endpoint);
   limits_.OnSend(EndpointIncarnation::Of(plan.endpoint), loop_.now());
   cold_starts_.OnSend(plan.endpoint, loop_.now());
+  rejections_.OnSend(EndpointIncarnation::Of(plan.endpoint));
   loads_.OnStart(attempt.endpoint, running.footprint, attempt.prefill_tokens);
   if (!wish.replacement)
     running.trace.attempt = attempt.trace;
@@ -363,6 +365,7 @@
     return AttemptError::kWeightsReplaced;
   switch (planner_.ObstacleTo(setup, now)) {
     case SendObstacle::kRateUsedUp:
+    case SendObstacle::kShareUsedUp:
       return AttemptError::kOverloaded;
     case SendObstacle::kZoneEvacuated:
       return AttemptError::kZoneEvacuated;
@@ -397,7 +400,9 @@
            {{"availability_zone", zone.value()}, {"endpoints", cold}});
 }
 
-void RequestService::EndAttempt(Exchange& exchange, AttemptNumber attempt) {
+void RequestService::EndAttempt(Exchange& exchange,
+                                AttemptNumber attempt,
+                                AttemptRest rest) {
   Running& running = runs_.at(&exchange);
   AttemptRecord& record = running.Attempt(attempt);
   if (!record.in_progress)
@@ -406,6 +411,11 @@
   NoteRead(record);
   health_.OnEnd(record.endpoint);
   loads_.OnEnd(record.endpoint, running.footprint);
+  const EndpointIncarnation endpoint{record.endpoint, record.start_time};
+  if (rest == AttemptRest::kMayContinue)
+    rejections_.OnAbandoned(endpoint, loop_.now());
+  else
+    rejections_.OnEnd(endpoint);
 }
 
 void RequestService::NoteRead(AttemptRecord& attempt) {
@@ -414,7 +424,7 @@
 }
 
 void RequestService::DropAttempt(Exchange& exchange, AttemptNumber attempt) {
-  EndAttempt(exchange, attempt);
+  EndAttempt(exchange, attempt, AttemptRest::kMayContinue);
   runs_.at(&exchange).run->DropCall(attempt);
 }
 
@@ -478,6 +488,7 @@
   }
   NoteLimit(record, facts);
   NoteColdTime(record, facts);
+  NoteRejectionLimit(exchange.setup().service, record, facts);
   const EndpointId& endpoint = record.endpoint;
   const auto& prompt = exchange.request().prompt;
   if (facts.weights && prompt)
@@ -531,6 +542,47 @@
     on_cold_statement_(*record, *facts.cold_remaining);
 }
 
+void RequestService::NoteRejectionLimit(const ServiceName& service,
+                                        const AttemptRecord& attempt,
+                                        const ReplyMetadata& facts) {
+  // A misdirected reply may come from an endpoint of another service.
+  if (facts.misdirected)
+    return;
+  if (facts.bad_rejection_limit) {
+    LogEvent(LogLevel::kWarning, "rejection_limit_unreadable",
+             {{"endpoint", attempt.endpoint.value()}});
+  } else if (rejections_.OnAnswer(service,
+                                  {.limit = facts.rejection_limit,
+                                   .ran = !facts.not_run,
+                                   .sent = attempt.began},
+                                  loop_.now())) {
+    LogEvent(LogLevel::kInfo, "rejection_limit",
+             {{"service", service.value()},
+              {"endpoint", attempt.endpoint.value()},
+              {"limited", facts.rejection_limit.has_value()},
+              {"per_second",
+               facts.rejection_limit.value_or(RequestRate(0)).value()}});
+    if (on_rejection_news_)
+      on_rejection_news_();
+  }
+  if (facts.not_run)
+    NoteRejection(attempt);
+}
+
+void RequestService::NoteRejection(const AttemptRecord& attempt) {
+  const EndpointRecord* const record = registry_.Find(attempt.endpoint);
+  if (record == nullptr || record->start_time != attempt.start_time ||
+      !rejections_.OnRejection(*record, loop_.now()))
+    return;
+  metrics_.Add("carobshift_rejections_at_limit_total", {}, 1);
+  LogEvent(LogLevel::kWarning, "endpoint_rejection",
+           {{"endpoint", attempt.endpoint.value()},
+            {"service", record->service.value()},
+            {"share", rejections_.ShareOf(*record, loop_.now())}});
+  if (on_rejection_news_)
+    on_rejection_news_();
+}
+
 RequestFingerprint RequestService::FingerprintOfExchange(
     const Exchange& exchange) {
   const ExchangeSetup& setup = exchange.setup();
@@ -541,7 +593,7 @@
 }
 
 void RequestService::OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) {
-  EndAttempt(exchange, attempt);
+  EndAttempt(exchange, attempt, AttemptRest::kNone);
   // A refusal by a full endpoint doesn't show whether the request crashes
   // endpoints that run it. If it counted as a completed run, the request could
   // crash three more.
@@ -552,7 +604,8 @@
 void RequestService::OnAttemptFailure(Exchange& exchange,
                                       AttemptNumber attempt,
                                       const CallFailure& failure) {
-  EndAttempt(exchange, attempt);
+  EndAttempt(exchange, attempt,
+             failure.sent ? AttemptRest::kMayContinue : AttemptRest::kNone);
   metrics_.Add("carobshift_attempt_failures_total",
                {{"fault", CallFaultName(failure.fault)}}, 1);
   const EndpointId& endpoint = runs_.at(&exchange).Attempt(attempt).endpoint;
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -26,6 +26,7 @@
 #include "carobshift/gateway/endpoints/endpoint_health.h"
 #include "carobshift/gateway/endpoints/endpoint_registry.h"
 #include "carobshift/gateway/endpoints/rate_limits.h"
+#include "carobshift/gateway/endpoints/rejection_limits.h"
 #include "carobshift/gateway/endpoints/zone_evacuations.h"
 #include "carobshift/gateway/endpoints/zone_regions.h"
 #include "carobshift/gateway/load/load_query_service.h"
@@ -93,6 +94,11 @@
   void SetOnColdStatement(OnColdStatement on_cold_statement) {
     on_cold_statement_ = std::move(on_cold_statement);
   }
+  // Called with each change of a rejection limit and each rejection at one, to
+  // announce them to the other instances.
+  void SetOnRejectionNews(std::function<void()> on_rejection_news) {
+    on_rejection_news_ = std::move(on_rejection_news);
+  }
   // An endpoint's record states that the endpoint is cold.
   void OnColdEndpoint(const EndpointRecord& endpoint);
   // The evacuation of a zone has ended. Its endpoints may have become cold
@@ -113,6 +119,7 @@
   [[nodiscard]] const ColdStartLimits& cold_starts() const {
     return cold_starts_;
   }
+  [[nodiscard]] RejectionLimits& rejections() { return rejections_; }
 
   // Tells callers to connect elsewhere; requests in progress continue.
   void BeginStop();
@@ -226,7 +233,15 @@
   // Returns whether the plan's endpoint is worth a replacement.
   [[nodiscard]] bool ServesAsReplacement(const AttemptParams& wish,
                                          const AttemptPlan& plan) const;
-  void EndAttempt(Exchange& exchange, AttemptNumber attempt);
+  // Records the rejection limit as given in the reply to the attempt, and a
+  // rejection at one.
+  void NoteRejectionLimit(const ServiceName& service,
+                          const AttemptRecord& attempt,
+                          const ReplyMetadata& facts);
+  void NoteRejection(const AttemptRecord& attempt);
+  // Whether the endpoint may go on with an attempt that ends here.
+  enum class AttemptRest { kNone, kMayContinue };
+  void EndAttempt(Exchange& exchange, AttemptNumber attempt, AttemptRest rest);
   void NoteRead(AttemptRecord& attempt);
   void ReportCrash(const Exchange& exchange, AttemptNumber attempt);
   // Returns whether a request that has not been sent yet must be refused.
@@ -261,6 +276,7 @@
   EndpointHealthTable health_;
   RateLimits limits_;
   ColdStartLimits cold_starts_;
+  RejectionLimits rejections_;
   EndpointEligibility eligibility_;
   LoadTracker loads_;
   PromptSizes sizes_;
@@ -268,6 +284,7 @@
   CrashRecord crashes_;
   OnCrash on_crash_;
   OnColdStatement on_cold_statement_;
+  std::function<void()> on_rejection_news_;
   AttemptPlanner planner_;
   RetryAllowance allowance_;
   LoadQueryService* load_query_service_ = nullptr;
--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -178,7 +178,7 @@
   json record = {{"service", replica.service},
                  {"address", replica.process->address().ToString()},
                  {"zone", "z1"},
-                 {"slots", 16},
+                 {"slots", options_.slots},
                  {"state", state},
                  {"sequence", 1},
                  {"models", json::array()}};
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -29,6 +29,8 @@
   int gateways = 2;
   int engines = 2;
   int plain_services = 2;
+  // Slots that the record of each replica states.
+  int slots = 16;
   int events = 5;
   Milliseconds event_gap{20};
   // Request timeout of every route.
--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -8,9 +8,14 @@
 // orders get no response and are not carried out), `crash_body` (closes the
 // connection of a request with this body as soon as it runs), `queue_ms`
 // (queueing time before a request runs; the request does not run if its
-// connection closes first), `limit` (text sent as the Server-Limit header).
+// connection closes first), `limit` (text sent as the Server-Limit header),
+// `brittle` (text sent as the Server-Brittle header), `slots` (a request beyond
+// this many is rejected; 0: none is) and `work_ms` (the time that a request
+// holds its slot). A replica that states `brittle` and rejects more requests in
+// a second than that falls over: it closes all connections for two seconds.
 
 #include <atomic>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <mutex>
 #include <string>
@@ -32,6 +37,66 @@
   Milliseconds load_time{300};
 };
 
+// The slots of a replica. Thread-safe.
+class Room {
+ public:
+  // Returns false if the request is rejected.
+  bool TryEnter(const Faults& faults) {
+    const std::lock_guard lock(mutex_);
+    const std::int64_t slots = faults.Number("slots");
+    if (slots == 0 || occupied_ < slots) {
+      ++occupied_;
+      return true;
+    }
+    ++rejections_;
+    const std::string brittle = faults.Text("brittle");
+    if (!brittle.empty())
+      CountRejection(std::strtod(brittle.c_str(), nullptr));
+    return false;
+  }
+  void Leave() {
+    const std::lock_guard lock(mutex_);
+    --occupied_;
+  }
+  [[nodiscard]] bool HasFallen() const {
+    const std::lock_guard lock(mutex_);
+    return MonotonicNow() < fallen_until_;
+  }
+  [[nodiscard]] int rejections() const {
+    const std::lock_guard lock(mutex_);
+    return rejections_;
+  }
+  [[nodiscard]] int falls() const {
+    const std::lock_guard lock(mutex_);
+    return falls_;
+  }
+
+ private:
+  static constexpr Milliseconds kWindow{1000};
+  static constexpr Milliseconds kFallTime{2000};
+
+  void CountRejection(double most) {
+    const MonotonicTime now = MonotonicNow();
+    std::erase_if(latest_, [now](MonotonicTime rejected) {
+      return now - rejected >= kWindow;
+    });
+    latest_.push_back(now);
+    if (static_cast<double>(latest_.size()) <= most)
+      return;
+    latest_.clear();
+    ++falls_;
+    fallen_until_ = now + kFallTime;
+  }
+
+  mutable std::mutex mutex_;
+  std::int64_t occupied_ = 0;
+  int rejections_ = 0;
+  int falls_ = 0;
+  // Rejections in the last kWindow.
+  std::vector<MonotonicTime> latest_;
+  MonotonicTime fallen_until_{};
+};
+
 class Replica {
  public:
   Replica(ReplicaOptions options, Faults& faults)
@@ -43,6 +108,13 @@
     const std::string limit = faults_.Text("limit");
     if (!limit.empty())
       exchange.SetHeader("Server-Limit", limit);
+    if (room_.HasFallen()) {
+      exchange.CloseConnection();
+      return;
+    }
+    const std::string brittle = faults_.Text("brittle");
+    if (!brittle.empty())
+      exchange.SetHeader("Server-Brittle", brittle);
     if (exchange.Header("Expect-Instance") != options_.id) {
       exchange.ReplyRaw(421, "text/plain", "");
       return;
@@ -59,20 +131,14 @@
       exchange.ReplyRaw(503, "text/plain", "");
       return;
     }
-    if (!WaitInQueue(exchange))
-      return;
-    RecordRun(exchange);
-    const std::string crash_body = faults_.Text("crash_body");
-    if (!crash_body.empty() && exchange.body() == crash_body) {
-      exchange.CloseConnection();
+    if (!room_.TryEnter(faults_)) {
+      exchange.SetHeader("Not-Executed", "1");
+      exchange.ReplyRaw(503, "text/plain", "");
       return;
     }
-    exchange.SetHeader("Request-Id", request);
-    exchange.SetHeader("Response-Stamp", options_.id + "." + request);
-    if (options_.model.empty())
-      exchange.ReplyRaw(200, "text/plain", "done " + exchange.body());
-    else
-      Stream(exchange);
+    if (WaitInQueue(exchange))
+      Work(exchange, request);
+    room_.Leave();
   }
 
   void Report(StandinExchange& exchange) {
@@ -114,10 +180,29 @@
 
   void Runs(StandinExchange& exchange) {
     const std::lock_guard lock(mutex_);
-    exchange.Reply({{"runs", runs_}, {"weights", weights_.load()}});
+    exchange.Reply({{"runs", runs_},
+                    {"weights", weights_.load()},
+                    {"rejections", room_.rejections()},
+                    {"falls", room_.falls()}});
   }
 
  private:
+  void Work(StandinExchange& exchange, const std::string& request) {
+    RecordRun(exchange);
+    std::this_thread::sleep_for(Milliseconds(faults_.Number("work_ms")));
+    const std::string crash_body = faults_.Text("crash_body");
+    if (!crash_body.empty() && exchange.body() == crash_body) {
+      exchange.CloseConnection();
+      return;
+    }
+    exchange.SetHeader("Request-Id", request);
+    exchange.SetHeader("Response-Stamp", options_.id + "." + request);
+    if (options_.model.empty())
+      exchange.ReplyRaw(200, "text/plain", "done " + exchange.body());
+    else
+      Stream(exchange);
+  }
+
   // Returns false if the caller has disconnected.
   bool WaitInQueue(const StandinExchange& exchange) {
     const MonotonicTime run_at =
@@ -174,6 +259,7 @@
 
   ReplicaOptions options_;
   Faults& faults_;
+  Room room_;
   std::atomic<int> weights_{1};
   std::atomic<int> orders_{0};
   std::atomic<bool> loading_{false};
