--- a/carobshift/gateway/endpoints/rejection_limits.cc
+++ b/carobshift/gateway/endpoints/rejection_limits.cc
@@ -35,7 +35,7 @@
     found_others_at_ = now;
   self_ = self;
   for (const MemberInfo& member : live)
-    members_[member.id] = {FastHash(member.id.value()), now};
+    OnLiveMember(member, now);
   std::erase_if(members_, [now](const auto& member) {
     return now - member.second.last_live >= kMemberRetention;
   });
@@ -47,8 +47,31 @@
   return started_at_ && now - *started_at_ >= kDiscoveryPeriod;
 }
 
-int RejectionLimits::RankAt(const EndpointId& endpoint) const {
-  const std::uint64_t hash = HashOf(endpoint);
+void RejectionLimits::OnLiveMember(const MemberInfo& member,
+                                   MonotonicTime now) {
+  const auto [found, inserted] = members_.try_emplace(member.id);
+  KnownMember& known = found->second;
+  if (inserted || known.incarnation != member.incarnation) {
+    known.hash = FastHash(member.id.value());
+    known.incarnation = member.incarnation;
+    known.first_live = now;
+  }
+  known.last_live = now;
+}
+
+bool RejectionLimits::HasNewMember(MonotonicTime now) const {
+  return std::any_of(members_.begin(), members_.end(),
+                     [now](const auto& member) {
+                       return now - member.second.first_live < kNewMemberPeriod;
+                     });
+}
+
+bool RejectionLimits::HasShares(MonotonicTime now) const {
+  // An instance that is leaving keeps its share as long as the others do.
+  return HasJoined(now) && members_.contains(self_);
+}
+
+int RejectionLimits::RankAt(std::uint64_t hash) const {
   const std::uint64_t own = CombineHashes(hash, FastHash(self_.value()));
   return static_cast<int>(std::count_if(
       members_.begin(), members_.end(), [hash, own](const auto& member) {
@@ -56,18 +79,46 @@
       }));
 }
 
+RejectionLimits::Division RejectionLimits::DivisionOf(
+    const EndpointRecord& endpoint,
+    MonotonicTime now) const {
+  const double slots = std::max(1, endpoint.slots);
+  const int usable = std::max(1, static_cast<int>(kUsableSlotShare * slots));
+  // An instance that is alone for long has its share all the same.
+  const int least = found_others_at_ || HasJoined(now) ? 1 : kAssumedMembers;
+  const int members = std::max(least, static_cast<int>(members_.size()));
+  return {usable / members, usable % members};
+}
+
+bool RejectionLimits::MaySendFirst(const EndpointRecord& endpoint,
+                                   MonotonicTime now) const {
+  const bool just_started =
+      started_at_ && now - *started_at_ < kDiscoveryPeriod;
+  if (!just_started || answered_.contains(HashOf(endpoint.service)))
+    return true;
+  return OccupiedAt(endpoint, now) <
+         std::max(1, DivisionOf(endpoint, now).each);
+}
+
 int RejectionLimits::ShareOf(const EndpointRecord& endpoint,
                              MonotonicTime now) const {
-  // An instance that is leaving keeps its share as long as the others do.
-  if (!HasJoined(now) || !members_.contains(self_))
+  if (!HasShares(now))
     return 0;
-  const int usable = std::max(
-      1, static_cast<int>(kUsableSlotShare *
-                          static_cast<double>(std::max(1, endpoint.slots))));
-  const int members = static_cast<int>(members_.size());
-  const int rest = usable % members;
-  const bool has_one_more = rest > 0 && RankAt(endpoint.id) < rest;
-  return usable / members + (has_one_more ? 1 : 0);
+  const Division division = DivisionOf(endpoint, now);
+  const bool has_one_more = RankAt(HashOf(endpoint.id)) < division.rest;
+  return division.each + (has_one_more ? 1 : 0);
+}
+
+bool RejectionLimits::HasRoom(const EndpointRecord& endpoint,
+                              MonotonicTime now) const {
+  if (!HasShares(now))
+    return false;
+  const Division division = DivisionOf(endpoint, now);
+  const int occupied = OccupiedAt(endpoint, now);
+  // The rank matters only here, and takes time with many members.
+  if (occupied == division.each)
+    return RankAt(HashOf(endpoint.id)) < division.rest;
+  return occupied < division.each;
 }
 
 bool RejectionLimits::SetLimit(std::uint64_t service,
@@ -96,6 +147,8 @@
                                const RejectionStatement& statement,
                                MonotonicTime now) {
   const std::uint64_t hash = HashOf(service);
+  if (statement.ran)
+    answered_.insert(hash);
   bool changed = false;
   if (statement.limit) {
     changed = SetLimit(hash, *statement.limit, now);
@@ -206,9 +259,15 @@
 
 RejectionUpdates RejectionLimits::TakeUpdates(MonotonicTime now) {
   RejectionUpdates updates;
+  const bool tells_new =
+      !limits_.empty() && now >= next_tell_ && HasNewMember(now);
+  if (tells_new)
+    next_tell_ = now + kTellInterval;
   for (auto& [service, limit] : limits_) {
     const bool unpublished = std::exchange(limit.unpublished, false);
-    if (!unpublished && limit.stated_at - limit.told_at < kRepeatInterval)
+    const bool repeat_due = limit.stated_at - limit.told_at >= kRepeatInterval;
+    const bool tells = tells_new && RankAt(service) < kTellers;
+    if (!unpublished && !repeat_due && !tells)
       continue;
     limit.told_at = limit.stated_at;
     updates.limits.push_back(
@@ -265,10 +324,9 @@
 Milliseconds RejectionLimits::WaitFor(const EndpointRecord& endpoint,
                                       MonotonicTime now) const {
   if (!HasLimit(endpoint.service))
-    return Milliseconds(0);
+    return MaySendFirst(endpoint, now) ? Milliseconds(0) : kFullShareWait;
   const Milliseconds pause = PauseAt(endpoint, now);
-  const bool has_room = OccupiedAt(endpoint, now) < ShareOf(endpoint, now);
-  return has_room ? pause : std::max(pause, kFullShareWait);
+  return HasRoom(endpoint, now) ? pause : std::max(pause, kFullShareWait);
 }
 
 std::optional<RequestRate> RejectionLimits::LimitOf(
--- a/carobshift/gateway/endpoints/rejection_limits.h
+++ b/carobshift/gateway/endpoints/rejection_limits.h
@@ -33,7 +33,10 @@
 //
 // A member that isn't live keeps its share for kMemberRetention: it may be cut
 // off from this instance and still reach the endpoints. An instance that has
-// just started has no share until the others can have learned of it.
+// just started has no share until the others can have learned of it, and a few
+// of them tell it the limits in effect before it gets requests. In case that is
+// lost, it keeps to a share of at least one slot at the endpoints of a service
+// until the first of them has answered.
 //
 // Thread-compatible. Holds one entry for each service that states a limit, for
 // each endpoint with requests in progress and for each member.
@@ -45,6 +48,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -102,9 +106,16 @@
   static constexpr Milliseconds kJoinDelay{3000};
   // An instance that has found no other member by then is alone.
   static constexpr Milliseconds kDiscoveryPeriod{10'000};
+  // Number of members that an instance assumes while it knows no others.
+  static constexpr int kAssumedMembers = 8;
   // A statement is repeated to the other instances when none of them has told
   // of a newer one for this long.
   static constexpr Milliseconds kRepeatInterval{1000};
+  // While a member is new, the first kTellers members by rendezvous hashing of
+  // service and instance repeat the service's limit at this interval.
+  static constexpr Milliseconds kNewMemberPeriod{3000};
+  static constexpr Milliseconds kTellInterval{200};
+  static constexpr int kTellers = 3;
   // An unconfirmed statement ends by then. It is long, since requests go on
   // under a limit and their answers confirm or end it.
   static constexpr Milliseconds kMaxAge{60'000};
@@ -180,9 +191,18 @@
 
   struct KnownMember {
     std::uint64_t hash = 0;
+    Incarnation incarnation{};
+    MonotonicTime first_live{};
     MonotonicTime last_live{};
   };
+  // How the usable slots of an endpoint are divided among the members.
+  struct Division {
+    int each = 0;
+    // Number of members that have one slot more.
+    int rest = 0;
+  };
 
+  void OnLiveMember(const MemberInfo& member, MonotonicTime now);
   bool SetLimit(std::uint64_t service,
                 RequestRate limit,
                 MonotonicTime stated_at);
@@ -198,13 +218,26 @@
                                MonotonicTime now) const;
   [[nodiscard]] Milliseconds PauseAt(const EndpointRecord& endpoint,
                                      MonotonicTime now) const;
-  // Returns the number of members that rank before this instance.
-  [[nodiscard]] int RankAt(const EndpointId& endpoint) const;
+  // Whether an instance that has just started and knows nothing of the
+  // endpoint's service may send to it.
+  [[nodiscard]] bool MaySendFirst(const EndpointRecord& endpoint,
+                                  MonotonicTime now) const;
+  [[nodiscard]] Division DivisionOf(const EndpointRecord& endpoint,
+                                    MonotonicTime now) const;
+  [[nodiscard]] bool HasRoom(const EndpointRecord& endpoint,
+                             MonotonicTime now) const;
+  // Returns the number of members that rank before this instance for the
+  // endpoint or service with this hash.
+  [[nodiscard]] int RankAt(std::uint64_t hash) const;
+  [[nodiscard]] bool HasShares(MonotonicTime now) const;
+  [[nodiscard]] bool HasNewMember(MonotonicTime now) const;
   // Returns whether the other instances can know this one.
   [[nodiscard]] bool HasJoined(MonotonicTime now) const;
 
   // By the hash of the service's name.
   std::map<std::uint64_t, Limit> limits_;
+  // Hashes of the services whose endpoints have answered a request.
+  std::set<std::uint64_t> answered_;
   // By the hash of the endpoint's id.
   std::map<std::uint64_t, Pause> pauses_;
   std::unordered_map<EndpointId, Occupancy> occupancies_;
@@ -212,6 +245,7 @@
   EntryId self_;
   std::optional<MonotonicTime> started_at_;
   std::optional<MonotonicTime> found_others_at_;
+  MonotonicTime next_tell_{};
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/endpoints/rejection_limits_test.cc
+++ b/carobshift/gateway/endpoints/rejection_limits_test.cc
@@ -227,6 +227,59 @@
   CHECK_FALSE(limits.LimitOf(kService).has_value());
 }
 
+// Guards against an instance that has started anew and knows no limit when its
+// first requests come.
+TEST_CASE("a few members tell a new one the limit") {
+  const auto members = Members(12);
+  auto restarted = members;
+  restarted[5].incarnation = Incarnation(2);
+  const MonotonicTime now = kJoined + Milliseconds(100);
+  int tellers = 0;
+  for (const MemberInfo& member : members) {
+    RejectionLimits limits;
+    Join(limits, members, member.id);
+    REQUIRE(limits.TakeUpdates(kJoined).limits.size() == 1);
+    CHECK(limits.TakeUpdates(now).limits.empty());
+    limits.OnMembers(restarted, member.id, now);
+    const auto told = limits.TakeUpdates(now).limits;
+    tellers += static_cast<int>(told.size());
+    CHECK(limits.TakeUpdates(now).limits.empty());
+    const auto again =
+        limits.TakeUpdates(now + RejectionLimits::kTellInterval).limits;
+    CHECK(again.size() == told.size());
+    CHECK(limits.TakeUpdates(now + RejectionLimits::kNewMemberPeriod)
+              .limits.empty());
+  }
+  CHECK(tellers == RejectionLimits::kTellers);
+}
+
+// Guards against an instance that has started anew and that nobody has told the
+// limit.
+TEST_CASE("the first requests after a start keep to a share") {
+  RejectionLimits limits;
+  const EndpointRecord desk = Desk("d");
+  const EndpointIncarnation id = EndpointIncarnation::Of(desk);
+  limits.OnMembers(Members(7), EntryId("entry-0"), kStart);
+  CHECK(limits.MaySend(desk, kStart));
+  limits.OnSend(id);
+  CHECK_FALSE(limits.MaySend(desk, kStart));
+  CHECK(limits.MaySend(Desk("engine", 128), kStart));
+  // A rejection says nothing of the service; an answer does.
+  limits.OnAnswer(kService, NotStated(kStart, /*ran=*/false), kStart);
+  CHECK_FALSE(limits.MaySend(desk, kStart));
+  limits.OnAnswer(kService, NotStated(kStart), kStart);
+  CHECK(limits.MaySend(desk, kStart));
+}
+
+TEST_CASE("an instance that has run for a while sends first requests freely") {
+  RejectionLimits limits;
+  const EndpointRecord desk = Desk("d");
+  limits.OnMembers(Members(7), EntryId("entry-0"), kStart);
+  limits.OnSend(EndpointIncarnation::Of(desk));
+  CHECK_FALSE(limits.MaySend(desk, kJoined - Milliseconds(1)));
+  CHECK(limits.MaySend(desk, kJoined));
+}
+
 // Guards against shares that are handed out twice while instances don't reach
 // each other.
 TEST_CASE("a member that is cut off keeps its share") {
