--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -638,6 +638,27 @@
   CHECK(fixture.reply.ended);
 }
 
+TEST_CASE("an attempt that answers near the bound leaves no second run") {
+  // Guards against a run that goes on beside an answer whose head has come.
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  fixture.exchange->Start(kStart);
+  fixture.exchange->OnStartBoundNear(kFirst, kStart);
+  REQUIRE(fixture.attempt_runner.live.size() == 2);
+  SECTION("the first one") {
+    fixture.AnswerOf(kFirst, 200, "");
+    CHECK(fixture.attempt_runner.live == std::set{kFirst});
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+  }
+  SECTION("the replacement") {
+    fixture.AnswerOf(kSecond, 200, "");
+    CHECK(fixture.attempt_runner.live == std::set{kSecond});
+    fixture.exchange->OnAttemptFailed(kSecond, kBroken, kStart);
+  }
+  // Both may have run, which is all that the route allows.
+  CHECK(fixture.attempt_runner.started == 2);
+  CHECK(fixture.reply.status == 502);
+}
+
 TEST_CASE("an engine that refuses as it loads weights leaves the replacement") {
   ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
   fixture.exchange->Start(kStart);
--- a/testing/gateway_process_test.cc
+++ b/testing/gateway_process_test.cc
@@ -98,6 +98,47 @@
   CHECK(question.body.find("token4") == std::string::npos);
 }
 
+// Sends a request whose engines pause after its third event, and changes the
+// configuration during the pause.
+HttpAnswer StreamWithPause(GatewayCluster& cluster, Milliseconds pause) {
+  for (std::size_t i = 0; i < cluster.engines(); ++i) {
+    SetFault(cluster.replica(i),
+             {{"pause_after", 3}, {"pause_ms", pause.count()}});
+  }
+  HttpAnswer answer;
+  {
+    const std::jthread caller(
+        [&] { answer = cluster.Send(0, "POST", "/review/1"); });
+    REQUIRE(WaitUntil([&] { return cluster.TotalRuns() == 1; }));
+    cluster.PutConfig(2, /*with_key=*/true);
+  }
+  CHECK(WaitUntil([&] { return cluster.State(0).at("config") == 2; }));
+  return answer;
+}
+
+TEST_CASE("a stream goes on at its engine after a silence of a second") {
+  // Guards against a stream that is lost, or sent again, since its sound engine
+  // sends nothing for a second.
+  GatewayCluster cluster({.gateways = 1, .engines = 1, .events = 8});
+  const HttpAnswer answer = StreamWithPause(cluster, Milliseconds(1000));
+  CHECK(answer.status == 200);
+  CHECK(answer.body == CompleteStream(8));
+  CHECK(cluster.TotalRuns() == 1);
+}
+
+TEST_CASE("a stream goes on at another engine before its caller gives up") {
+  // Guards against a stream that waits for an engine that never goes on.
+  GatewayCluster cluster({.gateways = 1, .engines = 2, .events = 8});
+  constexpr Milliseconds kPause{5000};
+  const MonotonicTime begin = MonotonicNow();
+  const HttpAnswer answer = StreamWithPause(cluster, kPause);
+  CHECK(MonotonicNow() - begin < kPause);
+  CHECK(answer.status == 200);
+  CHECK(answer.body == CompleteStream(8));
+  CHECK(cluster.TotalRuns() == 2);
+  CHECK(cluster.LogLines("event", "attempt_replaced").size() == 1);
+}
+
 TEST_CASE("new weights reach every engine by one holder") {
   // Guards against a lost order: one engine does not receive its first order to
   // load weights. The order is sent again, and all engines get the new weight
--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -4,15 +4,17 @@
 // accepts orders to load weights, and reports its runs at GET /runs.
 //
 // Faults besides the common ones: `break_after` (closes the connection after
-// this many events, once each time it is set), `order_silence` (this many
-// orders get no response and are not carried out), `crash_body` (closes the
-// connection of a request with this body as soon as it runs), `queue_ms`
-// (queueing time before a request runs; the request does not run if its
-// connection closes first), `limit` (text sent as the Server-Limit header),
-// `brittle` (text sent as the Server-Brittle header), `slots` (a request beyond
-// this many is rejected; 0: none is) and `work_ms` (the time that a request
-// holds its slot). A replica that states `brittle` and rejects more requests in
-// a second than that falls over: it closes all connections for two seconds.
+// this many events, once each time it is set), `pause_after` (sends nothing for
+// `pause_ms` after this many events, with the connection open, once each time
+// it is set), `order_silence` (this many orders get no response and are not
+// carried out), `crash_body` (closes the connection of a request with this body
+// as soon as it runs), `queue_ms` (queueing time before a request runs; the
+// request does not run if its connection closes first), `limit` (text sent as
+// the Server-Limit header), `brittle` (text sent as the Server-Brittle header),
+// `slots` (a request beyond this many is rejected; 0: none is) and `work_ms`
+// (the time that a request holds its slot). A replica that states `brittle` and
+// rejects more requests in a second than that falls over: it closes all
+// connections for two seconds.
 
 #include <atomic>
 #include <cstdlib>
@@ -244,6 +246,10 @@
         exchange.CloseConnection();
         return;
       }
+      if (faults_.Number("pause_after") == number) {
+        faults_.Merge({{"pause_after", 0}});
+        std::this_thread::sleep_for(Milliseconds(faults_.Number("pause_ms")));
+      }
       std::this_thread::sleep_for(options_.event_gap);
     }
   }
