--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -12,6 +12,8 @@
 #include "carobshift/gateway/endpoints/reachability_monitor.h"
 #include "carobshift/gateway/endpoints/rejection_sharing.h"
 #include "carobshift/gateway/gateway_state.h"
+#include "carobshift/gateway/handoff/handoff_listener.h"
+#include "carobshift/gateway/handoff/handoff_runner.h"
 #include "carobshift/gateway/instances/address_choice.h"
 #include "carobshift/gateway/instances/cluster.h"
 #include "carobshift/gateway/instances/member_discovery.h"
@@ -117,6 +119,7 @@
   QueryAnswer Answer(const HttpHead& question);
   QueryAnswer AnswerMetrics(const HttpHead& question);
   [[nodiscard]] std::string StateDumpText() const;
+  [[nodiscard]] HandoffEnvironment HandoffEnvironmentOf();
 
   GatewaySettings settings;
   Dialects dialects;
@@ -127,6 +130,9 @@
   // Separate from the requests' client, so that a flood of requests doesn't use
   // up the connections to the log and the stores, or the other way round.
   HttpClient control_client{loop, {.tcp = kControlTcp}};
+  // Separate from the endpoints' client, whose connections show which services
+  // this instance reaches.
+  HttpClient handoff_client{loop, {.tcp = kEndpointTcp}};
   ReachabilityMonitor reachability{loop, endpoint_client, metrics,
                                    RequestServiceOptions{}.connect_timeout};
   EndpointRegistry registry;
@@ -148,6 +154,19 @@
   PeerDatagrams datagrams{loop, settings, cluster};
   ReachabilitySharing reachability_sharing{loop, cluster, datagrams,
                                            reachability.reachability()};
+  HandoffRunner handoff_runner{loop,
+                               handoff_client,
+                               dialects.request,
+                               requests.attempt_runner(),
+                               reachability_sharing,
+                               regions,
+                               metrics,
+                               HandoffEnvironmentOf()};
+  HandoffListener handoff_listener{
+      loop,
+      requests,
+      metrics,
+      {settings.entry, cluster.incarnation(), SharedSecret(settings)}};
   LoadQueryService load_query_service{
       loop,
       {cluster.incarnation(), [this] { return cluster.Live(); }},
@@ -212,6 +231,18 @@
   std::optional<MonotonicTime> stop_began;
 };
 
+HandoffEnvironment Gateway::Impl::HandoffEnvironmentOf() {
+  return {.self = settings.entry,
+          .zone = settings.zone,
+          .port = settings.handoff_port,
+          .secret = SharedSecret(settings),
+          .members = [this] { return cluster.Serving(); },
+          .spend_retry =
+              [this](const ServiceName& service) {
+                return requests.TrySpendRetry(service);
+              }};
+}
+
 Status Gateway::Impl::Listen() {
   auto opened = TcpListener::Open(
       loop, settings.callers, [this](const Poco::Net::StreamSocket& socket) {
@@ -220,6 +251,10 @@
   if (!opened.ok())
     return opened.error();
   caller_listener = opened.value();
+  if (Status status =
+          handoff_listener.Listen({settings.host, settings.handoff_port});
+      !status.ok())
+    return status;
   if (Status status = queries.Listen(settings.readiness); !status.ok())
     return status;
   if (Status status = directory.Listen(settings.directory); !status.ok())
@@ -258,9 +293,11 @@
       });
   reachability.SetOnChange([this](const ReachabilityChange& change) {
     reachability_sharing.OnChange();
+    handoff_runner.OnTick();
     if (change.reach == ServiceReach::kReached)
       requests.OnPathsReturned(change.service, change.lost_since);
   });
+  requests.SetHandoffRunner(&handoff_runner);
   requests.SetLoadQueryService(&load_query_service);
   operator_follower.Start();
   endpoint_follower.Start();
@@ -304,6 +341,8 @@
   load_sharing.OnTick();
   limit_sharing.OnTick();
   reachability_sharing.OnTick();
+  handoff_runner.OnTick();
+  handoff_listener.OnTick();
   cold_start_sharing.OnTick();
   rejection_sharing.OnTick();
   caches.OnTick();
@@ -316,6 +355,7 @@
   next_sweep = loop.now() + kIdleSweepInterval;
   endpoint_client.CloseIdle(loop.now());
   control_client.CloseIdle(loop.now());
+  handoff_client.CloseIdle(loop.now());
   WatchCaches();
   store_reclaimer.OnTick(
       /*frees_parts=*/cluster.Rank() == 0 && !stop_began,
@@ -424,6 +464,8 @@
     return {200, "application/json", StateDumpText()};
   metrics.Set("carobshift_open_requests", {},
               static_cast<double>(requests.open_requests()));
+  metrics.Set("carobshift_handoffs_in_progress", {},
+              static_cast<double>(handoff_runner.outstanding()));
   metrics.Set("carobshift_log_lines_dropped", {},
               static_cast<double>(DroppedLogLines()));
   metrics.Set("carobshift_limited_endpoints", {},
@@ -476,8 +518,11 @@
   rollout_controller.Stop();
   cluster.Leave();
   requests.BeginStop();
-  loop.AddTimer(loop.now() + kStopAcceptDuration,
-                [this] { caller_listener->Close(); });
+  handoff_listener.BeginStop();
+  loop.AddTimer(loop.now() + kStopAcceptDuration, [this] {
+    caller_listener->Close();
+    handoff_listener.Close();
+  });
   loop.AddTimer(loop.now() + settings.stop_grace - kExitReserve,
                 [this] { requests.EndOpenRequests(); });
 }
@@ -489,9 +534,10 @@
   const Milliseconds last = settings.stop_grace - kExitReserve;
   if (passed >= last + kLastReplyTime)
     return true;
+  const bool busy = requests.busy() || handoff_listener.busy();
   if (passed >= last)
-    return !requests.busy();
-  return passed >= kStopAcceptDuration && !requests.busy() &&
+    return !busy;
+  return passed >= kStopAcceptDuration && !busy &&
          !MustDelayShutdown(cluster.membership().Members(), settings.entry,
                             peer_sync.IsLogUnresponsive());
 }
--- a/carobshift/gateway/handoff/handoff_listener.cc
+++ b/carobshift/gateway/handoff/handoff_listener.cc
@@ -1,5 +1,6 @@
 #include "carobshift/gateway/handoff/handoff_listener.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -67,6 +68,11 @@
     listener_->Close();
 }
 
+bool HandoffListener::busy() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->busy(); });
+}
+
 void HandoffListener::Abort() {
   Close();
   std::vector<std::shared_ptr<HttpServerConnection>> all;
--- a/carobshift/gateway/handoff/handoff_listener.h
+++ b/carobshift/gateway/handoff/handoff_listener.h
@@ -60,6 +60,8 @@
   void BeginStop();
   // Stops accepting connections.
   void Close();
+  // Whether a request is being read or served, or a reply is not sent yet.
+  [[nodiscard]] bool busy() const;
   // Stops accepting connections and resets the open ones.
   void Abort();
 
