Rejection limits: an instance that starts divides slots among the members it knows

Cause: the first requests after a start kept to the share of one among eight members while no other was known. Two engines of 16 slots then took one request each, and others were refused as overloaded on a calm start. Two process tests failed: "a request that crashes its engines is known to a later instance" and "explained by its id: a request rejected under load".

Change: the share is that among the known members. New unit test.

--- a/carobshift/gateway/endpoints/rejection_limits.cc
+++ b/carobshift/gateway/endpoints/rejection_limits.cc
@@ -80,13 +80,10 @@
 }
 
 RejectionLimits::Division RejectionLimits::DivisionOf(
-    const EndpointRecord& endpoint,
-    MonotonicTime now) const {
+    const EndpointRecord& endpoint) const {
   const double slots = std::max(1, endpoint.slots);
   const int usable = std::max(1, static_cast<int>(kUsableSlotShare * slots));
-  // An instance that is alone for long has its share all the same.
-  const int least = found_others_at_ || HasJoined(now) ? 1 : kAssumedMembers;
-  const int members = std::max(least, static_cast<int>(members_.size()));
+  const int members = std::max(1, static_cast<int>(members_.size()));
   return {usable / members, usable % members};
 }
 
@@ -96,15 +93,14 @@
       started_at_ && now - *started_at_ < kDiscoveryPeriod;
   if (!just_started || answered_.contains(HashOf(endpoint.service)))
     return true;
-  return OccupiedAt(endpoint, now) <
-         std::max(1, DivisionOf(endpoint, now).each);
+  return OccupiedAt(endpoint, now) < std::max(1, DivisionOf(endpoint).each);
 }
 
 int RejectionLimits::ShareOf(const EndpointRecord& endpoint,
                              MonotonicTime now) const {
   if (!HasShares(now))
     return 0;
-  const Division division = DivisionOf(endpoint, now);
+  const Division division = DivisionOf(endpoint);
   const bool has_one_more = RankAt(HashOf(endpoint.id)) < division.rest;
   return division.each + (has_one_more ? 1 : 0);
 }
@@ -113,7 +109,7 @@
                               MonotonicTime now) const {
   if (!HasShares(now))
     return false;
-  const Division division = DivisionOf(endpoint, now);
+  const Division division = DivisionOf(endpoint);
   const int occupied = OccupiedAt(endpoint, now);
   // The rank matters only here, and takes time with many members.
   if (occupied == division.each)
--- a/carobshift/gateway/endpoints/rejection_limits.h
+++ b/carobshift/gateway/endpoints/rejection_limits.h
@@ -106,8 +106,6 @@
   static constexpr Milliseconds kJoinDelay{3000};
   // An instance that has found no other member by then is alone.
   static constexpr Milliseconds kDiscoveryPeriod{10'000};
-  // Number of members that an instance assumes while it knows no others.
-  static constexpr int kAssumedMembers = 8;
   // A statement is repeated to the other instances when none of them has told
   // of a newer one for this long.
   static constexpr Milliseconds kRepeatInterval{1000};
@@ -222,8 +220,7 @@
   // endpoint's service may send to it.
   [[nodiscard]] bool MaySendFirst(const EndpointRecord& endpoint,
                                   MonotonicTime now) const;
-  [[nodiscard]] Division DivisionOf(const EndpointRecord& endpoint,
-                                    MonotonicTime now) const;
+  [[nodiscard]] Division DivisionOf(const EndpointRecord& endpoint) const;
   [[nodiscard]] bool HasRoom(const EndpointRecord& endpoint,
                              MonotonicTime now) const;
   // Returns the number of members that rank before this instance for the
--- a/carobshift/gateway/endpoints/rejection_limits_test.cc
+++ b/carobshift/gateway/endpoints/rejection_limits_test.cc
@@ -271,6 +271,19 @@
   CHECK(limits.MaySend(desk, kStart));
 }
 
+// Guards against an instance that refuses proper requests after its start
+// because it takes itself for one of many.
+TEST_CASE("an instance that knows nobody yet uses all usable slots at first") {
+  RejectionLimits limits;
+  const EndpointRecord desk = Desk("d");
+  limits.OnMembers(Members(1), EntryId("entry-0"), kStart);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(limits.MaySend(desk, kStart));
+    limits.OnSend(EndpointIncarnation::Of(desk));
+  }
+  CHECK_FALSE(limits.MaySend(desk, kStart));
+}
+
 TEST_CASE("an instance that has run for a while sends first requests freely") {
   RejectionLimits limits;
   const EndpointRecord desk = Desk("d");
