--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -245,6 +245,7 @@
       [this](RequestFingerprint fingerprint, const std::string& run) {
         cluster.AnnounceCrash(EncodeCrashReport(fingerprint, run));
       });
+  requests.SetReachability(&reachability.reachability());
   requests.SetLossCheck(
       [this](const ServiceName& service) { return LossOf(service); });
   requests.SetOnColdStatement(
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -537,8 +537,7 @@
   record.not_run = facts.not_run;
   if (!facts.not_run) {
     running.trace.attempt = record.trace;
-    overload_.OnFirstToken(exchange.setup().service, record.trace.cost,
-                           loop_.now() - record.began);
+    NoteFirstToken(exchange.setup().service, record);
   }
   NoteLimit(record, facts);
   NoteColdTime(record, facts);
@@ -557,6 +556,15 @@
     health_.OnAnswer(endpoint);
 }
 
+void RequestService::NoteFirstToken(const ServiceName& service,
+                                    const AttemptRecord& attempt) {
+  if (reachability_ != nullptr &&
+      reachability_->LostAfter(service, attempt.began))
+    return;
+  overload_.OnFirstToken(service, attempt.trace.cost,
+                         loop_.now() - attempt.began);
+}
+
 void RequestService::NoteLimit(const AttemptRecord& attempt,
                                const ReplyMetadata& facts) {
   if (facts.misdirected)
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -27,6 +27,7 @@
 #include "carobshift/gateway/endpoints/endpoint_registry.h"
 #include "carobshift/gateway/endpoints/rate_limits.h"
 #include "carobshift/gateway/endpoints/rejection_limits.h"
+#include "carobshift/gateway/endpoints/service_reachability.h"
 #include "carobshift/gateway/endpoints/zone_evacuations.h"
 #include "carobshift/gateway/endpoints/zone_regions.h"
 #include "carobshift/gateway/load/load_query_service.h"
@@ -131,6 +132,10 @@
   void SetLoadQueryService(LoadQueryService* load_query_service) {
     load_query_service_ = load_query_service;
   }
+  // Sets what is known of this instance's own paths; null if nothing is.
+  void SetReachability(const ServiceReachability* reachability) {
+    reachability_ = reachability;
+  }
   // The paths of this instance to the service, which were lost since then, have
   // returned.
   void OnPathsReturned(const ServiceName& service, MonotonicTime lost_since);
@@ -276,6 +281,9 @@
   enum class AttemptRest { kNone, kMayContinue };
   void EndAttempt(Exchange& exchange, AttemptNumber attempt, AttemptRest rest);
   void NoteRead(AttemptRecord& attempt);
+  // Records how long the attempt waited for its first token, unless the time
+  // contains a loss of this instance's paths, which says nothing about load.
+  void NoteFirstToken(const ServiceName& service, const AttemptRecord& attempt);
   void ReportCrash(const Exchange& exchange, AttemptNumber attempt);
   void AnnounceCrash(const HeldCrashReport& report);
   void SettleCrashReports();
@@ -319,6 +327,7 @@
   HeldCrashReports held_crashes_;
   OnCrash on_crash_;
   LossCheck loss_of_;
+  const ServiceReachability* reachability_ = nullptr;
   OnColdStatement on_cold_statement_;
   std::function<void()> on_rejection_news_;
   AttemptPlanner planner_;
