--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -107,6 +107,9 @@
   // To be called after each change of the configuration, the registry or the
   // evacuated zones.
   void UpdateEndpointsToReach();
+  // Returns whether an instance, which may be this one, reaches the engines of
+  // all services.
+  [[nodiscard]] bool ReachesEngines(const EntryId& id) const;
   [[nodiscard]] ServiceLoss LossOf(const ServiceName& service) const;
   void OnMembers();
   // Does nothing before the other instances are known.
@@ -262,6 +265,8 @@
     if (change.reach == ServiceReach::kReached)
       requests.OnPathsReturned(change.service, change.lost_since);
   });
+  rollout_controller.SetReachesEngines(
+      [this](const EntryId& id) { return ReachesEngines(id); });
   requests.SetLoadQueryService(&load_query_service);
   operator_follower.Start();
   endpoint_follower.Start();
@@ -346,6 +351,20 @@
       EndpointsToReach(config->config(), registry, evacuations));
 }
 
+bool Gateway::Impl::ReachesEngines(const EntryId& id) const {
+  const auto& config = operator_records.config();
+  if (config == nullptr)
+    return true;
+  const auto& services = config->config().services;
+  return std::all_of(services.begin(), services.end(), [&](const auto& entry) {
+    if (!entry.second.engine)
+      return true;
+    return id == settings.entry
+               ? reachability_sharing.SelfReaches(entry.first, loop.now())
+               : reachability_sharing.PeerReaches(id, entry.first, loop.now());
+  });
+}
+
 ServiceLoss Gateway::Impl::LossOf(const ServiceName& service) const {
   if (reachability_sharing.SelfReaches(service, loop.now()))
     return ServiceLoss::kNone;
--- a/carobshift/gateway/weights/weight_rollout_controller.cc
+++ b/carobshift/gateway/weights/weight_rollout_controller.cc
@@ -226,7 +226,7 @@
 std::optional<FencingNumber> WeightRolloutController::MayOrder(
     MonotonicTime now) const {
   const auto number = lease_.MayOrder(settings_.engines_check_fencing, now);
-  if (!number || stopped_)
+  if (!number || stopped_ || LeavesOrdersToOthers())
     return std::nullopt;
   const bool expired = now >= lease_.expires();
   if (expired && !(log_failing_ && settings_.engines_check_fencing))
@@ -242,14 +242,37 @@
   orders_.erase(found);
 }
 
+bool WeightRolloutController::LeavesOrdersToOthers() const {
+  if (reaches_engines_(settings_.entry))
+    return false;
+  const std::vector<MemberInfo>& live = cluster_.Live();
+  return std::any_of(live.begin(), live.end(), [this](const auto& member) {
+    return member.id != settings_.entry && reaches_engines_(member.id);
+  });
+}
+
+std::size_t WeightRolloutController::RankInReach() const {
+  std::size_t rank = 0;
+  for (const MemberInfo& member : cluster_.Live()) {
+    if (member.id == settings_.entry)
+      break;
+    if (reaches_engines_(member.id))
+      ++rank;
+  }
+  return rank;
+}
+
 bool WeightRolloutController::ShouldSeekLease(MonotonicTime now) {
+  if (LeavesOrdersToOthers())
+    return false;
   const auto& holding = lease_.holding();
   // The last holder continues, since it need not wait for the lease to expire;
   // this includes a process that has just started in its place.
   if (holding && holding->holder == settings_.entry)
     return true;
-  const bool other_holds = holding && cluster_.IsLive(holding->holder);
-  std::size_t delays = cluster_.Rank();
+  const bool other_holds = holding && cluster_.IsLive(holding->holder) &&
+                           reaches_engines_(holding->holder);
+  std::size_t delays = RankInReach();
   if (other_holds)
     ++delays;
   return now - last_change_ >= kSuccessionDelay * static_cast<int>(delays);
--- a/carobshift/gateway/weights/weight_rollout_controller.h
+++ b/carobshift/gateway/weights/weight_rollout_controller.h
@@ -14,6 +14,13 @@
 // when it starts: the operator's record contains the newest number, but neither
 // its time nor earlier numbers.
 //
+// An instance that reaches no engine can give no orders. If it held the lease
+// and renewed it, the engines would keep their old weights for as long as the
+// loss lasts. While another instance reaches the engines, it neither seeks nor
+// renews the lease and gives no orders, as in a planned stop: the lease isn't
+// released, so a successor still waits for the whole lease after the last
+// order. The others don't wait for it to act.
+//
 // All instances see the same work at the same time. To avoid races for the
 // lease, the live instance with the lowest id seeks it first. Each further
 // instance waits kSuccessionDelay longer, and seeks it only if nothing has
@@ -69,6 +76,12 @@
   using OnLoaded =
       std::function<void(const EndpointId&, const ModelName&, WeightNumber)>;
   void SetOnLoaded(OnLoaded on_loaded) { on_loaded_ = std::move(on_loaded); }
+  // Sets how to tell whether an instance, which may be this one, reaches the
+  // engines of all services that declare some. Without it, all do.
+  using ReachesEngines = std::function<bool(const EntryId&)>;
+  void SetReachesEngines(ReachesEngines reaches_engines) {
+    reaches_engines_ = std::move(reaches_engines);
+  }
   void OnTick();
   // Stops sending orders. The lease is not released: a successor must wait for
   // the whole lease after the last order.
@@ -110,6 +123,10 @@
   [[nodiscard]] WeightNumber WeightsOf(const EndpointRecord& record,
                                        const ModelName& model) const;
   [[nodiscard]] bool ShouldSeekLease(MonotonicTime now);
+  // Returns whether this instance reaches no engines while another one does.
+  [[nodiscard]] bool LeavesOrdersToOthers() const;
+  // Returns this instance's place among the live ones that reach the engines.
+  [[nodiscard]] std::size_t RankInReach() const;
   // Returns whether this instance is next if the holder dies.
   [[nodiscard]] bool IsSuccessor() const;
   void RaiseTarget(const ModelName& model, WeightNumber number);
@@ -172,6 +189,7 @@
   std::map<EndpointId, Reported> reported_;
   std::map<EndpointId, std::shared_ptr<Order>> orders_;
   OnLoaded on_loaded_;
+  ReachesEngines reaches_engines_ = [](const EntryId&) { return true; };
   bool stopped_ = false;
   // The engines' weights at the last change.
   std::vector<WeightNumber> last_engine_weights_;
--- a/carobshift/gateway/weights/weight_rollout_controller_test.cc
+++ b/carobshift/gateway/weights/weight_rollout_controller_test.cc
@@ -14,6 +14,8 @@
 namespace {
 
 const ModelName kModel("m");
+// Bound only by tests with several instances, at different loopback addresses.
+constexpr std::uint16_t kGossipPort = 29531;
 
 // Orders and reports as JSON.
 class FakeEngineDialect : public StubEngineDialect {
@@ -103,6 +105,7 @@
   GatewaySettings settings;
   settings.entry = EntryId("entry-1");
   settings.host = "127.0.0.1";
+  settings.gossip_port = kGossipPort;
   settings.log = log.address();
   settings.lease = Milliseconds(1500);
   settings.engines_check_fencing = engines_check_fencing;
@@ -542,5 +545,65 @@
   CHECK(fixture.first.arrived + fixture.second.arrived == before);
 }
 
+// Another live instance, which gossips with the fixture's one.
+struct OtherInstance {
+  explicit OtherInstance(Fixture& fixture)
+      : settings(fixture.settings), cluster(fixture.loop, Named(settings)) {
+    REQUIRE(cluster.Start().ok());
+    REQUIRE(fixture.cluster.Start().ok());
+    cluster.SetSeedHosts({fixture.settings.host});
+    RunUntil(fixture.loop, [&] {
+      cluster.OnTick();
+      fixture.cluster.OnTick();
+      return fixture.cluster.IsLive(settings.entry);
+    });
+  }
+
+  static const GatewaySettings& Named(GatewaySettings& settings) {
+    settings.entry = EntryId("entry-2");
+    settings.host = "127.0.0.2";
+    return settings;
+  }
+
+  GatewaySettings settings;
+  Cluster cluster;
+};
+
+// Guards against engines that keep old weights because the lease holder reaches
+// none of them.
+TEST_CASE("a holder that reaches no engine leaves the orders to others") {
+  Fixture fixture;
+  const OtherInstance other(fixture);
+  bool self_reaches = false;
+  bool other_reaches = true;
+  fixture.rollout_controller.SetReachesEngines([&](const EntryId& id) {
+    return id == fixture.settings.entry ? self_reaches : other_reaches;
+  });
+  fixture.rollout_controller.SetTarget(kModel, WeightNumber(2));
+  const auto arrived = [&fixture] {
+    return fixture.first.arrived + fixture.second.arrived;
+  };
+  SECTION("it doesn't seek the lease until its paths return") {
+    fixture.TickUntil([] { return false; }, Milliseconds(800));
+    CHECK_FALSE(fixture.rollout_controller.IsHolder());
+    CHECK(arrived() == 0);
+    self_reaches = true;
+    CHECK(fixture.TickUntil([&] { return arrived() > 0; }));
+  }
+  SECTION("it gives no more orders") {
+    self_reaches = true;
+    REQUIRE(fixture.TickUntil(
+        [&] { return fixture.rollout_controller.IsHolder(); }));
+    self_reaches = false;
+    const int before = arrived();
+    fixture.TickUntil([] { return false; }, Milliseconds(800));
+    CHECK(arrived() == before);
+  }
+  SECTION("it goes on if no instance reaches them") {
+    other_reaches = false;
+    CHECK(fixture.TickUntil([&] { return arrived() > 0; }));
+  }
+}
+
 }  // namespace
 }  // namespace carobshift
