RequestService: its attempts in a source file of their own

Change: the definitions that run attempts and note what they show moved to request_service_attempts.cc; no line of them differs.

Result: gateway_test passes (ctest -R gateway_test).

--- /dev/null
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -0,0 +1,401 @@
+// The part of RequestService that runs attempts: their start, their events, and
+// what these show about the endpoints.
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "carobshift/base/digest.h"
+#include "carobshift/gateway/request/request_service.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+
+AttemptError RequestService::StartAttempt(Exchange& exchange,
+                                          const AttemptParams& wish,
+                                          EndpointId* endpoint) {
+  const ExchangeSetup& setup = exchange.setup();
+  if (!crashes_.empty() &&
+      crashes_.Refuses(FingerprintOfExchange(exchange), loop_.now()))
+    return AttemptError::kSuspected;
+  Running& running = runs_.at(&exchange);
+  auto plan = planner_.Plan(setup, wish, loop_.now(), running.shortlist);
+  if (!plan)
+    return ClassifyPlanFailure(setup);
+  if (wish.replacement && !ServesAsReplacement(wish, *plan))
+    return AttemptError::kNoEndpoint;
+  if (!wish.repeat && RefusedUnderLoad(running, setup, *plan))
+    return AttemptError::kOverloaded;
+  if (wish.repeat && !allowance_.TrySpend(setup.service, loop_.now()))
+    return AttemptError::kRetryBudgetSpent;
+  RecordStart(running, wish, *plan);
+  HttpCallOptions options;
+  options.connect_timeout = options_.connect_timeout;
+  options.is_head_request = setup.request.method == "HEAD";
+  if (!setup.route->MayRunAgain())
+    options.max_idle = options_.run_once_max_idle;
+  *endpoint = plan->endpoint.id;
+  std::string bytes = dialect_.EncodeAttempt(setup.request, plan->fields);
+  bytes += setup.request.body;
+  running.run->StartCall(wish.number, client_, plan->endpoint.address,
+                         std::move(bytes), options);
+  return AttemptError::kNone;
+}
+
+bool RequestService::ServesAsReplacement(const AttemptParams& wish,
+                                         const AttemptPlan& plan) const {
+  const EndpointId& endpoint = plan.endpoint.id;
+  return !wish.tried->contains(endpoint) &&
+         !health_.IsAvoided(endpoint, loop_.now());
+}
+
+void RequestService::RecordStart(Running& running,
+                                 const AttemptParams& wish,
+                                 const AttemptPlan& plan) {
+  AttemptRecord attempt;
+  attempt.number = wish.number;
+  attempt.spent_retry = wish.repeat;
+  attempt.endpoint = plan.endpoint.id;
+  attempt.start_time = plan.endpoint.start_time;
+  attempt.prefill_tokens = plan.prefill_tokens;
+  attempt.trace = {.weights = plan.fields.weights,
+                   .cost = plan.cost,
+                   .ahead = plan.queue_ahead,
+                   .tokens_to_prefill = plan.prefill_tokens,
+                   .sources = plan.fetch_count,
+                   .saves = plan.save_count};
+  attempt.began = loop_.now();
+  health_.OnStart(attempt.endpoint);
+  limits_.OnSend(EndpointIncarnation::Of(plan.endpoint), loop_.now());
+  cold_starts_.OnSend(plan.endpoint, loop_.now());
+  rejections_.OnSend(EndpointIncarnation::Of(plan.endpoint));
+  loads_.OnStart(attempt.endpoint, running.footprint, attempt.prefill_tokens);
+  if (!wish.replacement)
+    running.trace.attempt = attempt.trace;
+  running.attempts.push_back(std::move(attempt));
+}
+
+RequestService::AttemptRecord& RequestService::Running::Attempt(
+    AttemptNumber number) {
+  return *std::find_if(
+      attempts.begin(), attempts.end(),
+      [number](const AttemptRecord& one) { return one.number == number; });
+}
+
+AttemptError RequestService::ClassifyPlanFailure(
+    const ExchangeSetup& setup) const {
+  const MonotonicTime now = loop_.now();
+  if (planner_.OnlyOverdueWeights(setup, now))
+    return AttemptError::kWeightsReplaced;
+  switch (planner_.ObstacleTo(setup, now)) {
+    case SendObstacle::kRateUsedUp:
+    case SendObstacle::kShareUsedUp:
+      return AttemptError::kOverloaded;
+    case SendObstacle::kZoneEvacuated:
+      return AttemptError::kZoneEvacuated;
+    case SendObstacle::kRegionNotAllowed:
+      return AttemptError::kRegionNotAllowed;
+    case SendObstacle::kNone:
+    case SendObstacle::kNotServing:
+      break;
+  }
+  return AttemptError::kNoEndpoint;
+}
+
+void RequestService::EndAttempt(Exchange& exchange,
+                                AttemptNumber attempt,
+                                AttemptRest rest) {
+  Running& running = runs_.at(&exchange);
+  AttemptRecord& record = running.Attempt(attempt);
+  if (!record.in_progress)
+    return;
+  record.in_progress = false;
+  NoteRead(record);
+  health_.OnEnd(record.endpoint);
+  loads_.OnEnd(record.endpoint, running.footprint);
+  const EndpointIncarnation endpoint{record.endpoint, record.start_time};
+  if (rest == AttemptRest::kMayContinue)
+    rejections_.OnAbandoned(endpoint, loop_.now());
+  else
+    rejections_.OnEnd(endpoint);
+}
+
+void RequestService::NoteRead(AttemptRecord& attempt) {
+  loads_.OnPrefillDone(attempt.endpoint, attempt.prefill_tokens);
+  attempt.prefill_tokens = 0;
+}
+
+void RequestService::DropAttempt(Exchange& exchange, AttemptNumber attempt) {
+  EndAttempt(exchange, attempt, AttemptRest::kMayContinue);
+  runs_.at(&exchange).run->DropCall(attempt);
+}
+
+void RequestService::PauseAttempt(Exchange& exchange,
+                                  AttemptNumber attempt,
+                                  bool pause) {
+  runs_.at(&exchange).run->PauseCall(attempt, pause);
+}
+
+void RequestService::OnAttemptResumed(Exchange& exchange,
+                                      AttemptNumber attempt) {
+  health_.OnAnswer(runs_.at(&exchange).Attempt(attempt).endpoint);
+}
+
+bool RequestService::RefusedUnderLoad(Running& running,
+                                      const ExchangeSetup& setup,
+                                      const AttemptPlan& plan) {
+  const OverloadDecision verdict = overload_.Decide(
+      {.service = setup.service,
+       .ahead = plan.queue_ahead_of_mean.Total(),
+       .latency_target = setup.route->latency_target,
+       .urgency = plan.fields.urgency.value_or(setup.route->priority),
+       .hash = FastHash(setup.request.id.value())});
+  if (!verdict.refused)
+    return false;
+  running.retry_after = verdict.retry_after;
+  LogEvent(
+      LogLevel::kInfo, "refused_under_load",
+      {{"request", setup.request.id.value()},
+       {"ahead", static_cast<std::int64_t>(plan.queue_ahead_of_mean.Total())},
+       {"reading", static_cast<std::int64_t>(plan.queue_ahead.prefill_cost)},
+       {"need", static_cast<std::int64_t>(plan.queue_ahead.need)},
+       {"mean_need", static_cast<std::int64_t>(plan.queue_ahead_of_mean.need)},
+       {"endpoint", plan.endpoint.id.value()},
+       {"urgency", plan.fields.urgency.value_or(setup.route->priority)},
+       {"expected_ms", verdict.expected.count()},
+       {"target_ms", setup.route->latency_target.count()},
+       {"return_ms", verdict.retry_after.count()}});
+  return true;
+}
+
+Milliseconds RequestService::RetryAfter(Exchange& exchange) {
+  const auto found = runs_.find(&exchange);
+  if (found != runs_.end() && found->second.retry_after)
+    return *found->second.retry_after;
+  return planner_.RetryAfter(exchange.setup(), loop_.now());
+}
+
+void RequestService::OnAttemptReply(Exchange& exchange,
+                                    AttemptNumber attempt,
+                                    const ReplyMetadata& facts) {
+  Running& running = runs_.at(&exchange);
+  AttemptRecord& record = running.Attempt(attempt);
+  NoteRead(record);
+  record.replied = true;
+  record.not_run = facts.not_run;
+  if (!facts.not_run) {
+    running.trace.attempt = record.trace;
+    NoteFirstToken(exchange.setup().service, record);
+  }
+  NoteLimit(record, facts);
+  NoteColdTime(record, facts);
+  NoteRejectionLimit(exchange.setup().service, record, facts);
+  const EndpointId& endpoint = record.endpoint;
+  const auto& prompt = exchange.request().prompt;
+  if (facts.weights && prompt)
+    planner_.OnWeightsReported(endpoint, prompt->model, *facts.weights);
+  const bool replaced =
+      facts.misdirected && facts.endpoint && *facts.endpoint != endpoint;
+  if (replaced)
+    health_.OnFailure(endpoint, EndpointFailure::kAddressReused, loop_.now());
+  else if (facts.not_run && !facts.misdirected)
+    health_.OnFailure(endpoint, EndpointFailure::kNoCapacity, loop_.now());
+  else
+    health_.OnAnswer(endpoint);
+}
+
+void RequestService::NoteFirstToken(const ServiceName& service,
+                                    const AttemptRecord& attempt) {
+  if (reachability_ != nullptr &&
+      reachability_->LostAfter(service, attempt.began))
+    return;
+  overload_.OnFirstToken(service, attempt.trace.cost,
+                         loop_.now() - attempt.began);
+}
+
+void RequestService::NoteLimit(const AttemptRecord& attempt,
+                               const ReplyMetadata& facts) {
+  if (facts.misdirected)
+    return;
+  if (facts.bad_rate_limit) {
+    LogEvent(LogLevel::kWarning, "endpoint_limit_unreadable",
+             {{"endpoint", attempt.endpoint.value()}});
+    return;
+  }
+  // An endpoint that did not run the request doesn't always state its limit.
+  if (facts.not_run && !facts.rate_limit)
+    return;
+  const LimitStatement statement{facts.rate_limit, attempt.began};
+  const EndpointIncarnation life{attempt.endpoint, attempt.start_time};
+  if (!limits_.OnAnswer(life, statement, loop_.now()))
+    return;
+  LogEvent(LogLevel::kInfo, "endpoint_limit",
+           {{"endpoint", attempt.endpoint.value()},
+            {"limited", facts.rate_limit.has_value()},
+            {"per_second", facts.rate_limit.value_or(RequestRate(0)).value()}});
+}
+
+void RequestService::NoteColdTime(const AttemptRecord& attempt,
+                                  const ReplyMetadata& facts) {
+  if (facts.misdirected)
+    return;
+  if (facts.bad_cold_time) {
+    LogEvent(LogLevel::kWarning, "endpoint_cold_time_unreadable",
+             {{"endpoint", attempt.endpoint.value()}});
+    return;
+  }
+  const EndpointRecord* const record = registry_.Find(attempt.endpoint);
+  if (!facts.cold_remaining || record == nullptr ||
+      record->start_time != attempt.start_time)
+    return;
+  if (on_cold_statement_)
+    on_cold_statement_(*record, *facts.cold_remaining);
+}
+
+void RequestService::NoteRejectionLimit(const ServiceName& service,
+                                        const AttemptRecord& attempt,
+                                        const ReplyMetadata& facts) {
+  // A misdirected reply may come from an endpoint of another service.
+  if (facts.misdirected)
+    return;
+  if (facts.bad_rejection_limit) {
+    LogEvent(LogLevel::kWarning, "rejection_limit_unreadable",
+             {{"endpoint", attempt.endpoint.value()}});
+  } else if (rejections_.OnAnswer(service,
+                                  {.limit = facts.rejection_limit,
+                                   .ran = !facts.not_run,
+                                   .sent = attempt.began},
+                                  loop_.now())) {
+    LogEvent(LogLevel::kInfo, "rejection_limit",
+             {{"service", service.value()},
+              {"endpoint", attempt.endpoint.value()},
+              {"limited", facts.rejection_limit.has_value()},
+              {"per_second",
+               facts.rejection_limit.value_or(RequestRate(0)).value()}});
+    if (on_rejection_news_)
+      on_rejection_news_();
+  }
+  if (facts.not_run)
+    NoteRejection(attempt);
+}
+
+void RequestService::NoteRejection(const AttemptRecord& attempt) {
+  const EndpointRecord* const record = registry_.Find(attempt.endpoint);
+  if (record == nullptr || record->start_time != attempt.start_time ||
+      !rejections_.OnRejection(*record, loop_.now()))
+    return;
+  metrics_.Add("carobshift_rejections_at_limit_total", {}, 1);
+  LogEvent(LogLevel::kWarning, "endpoint_rejection",
+           {{"endpoint", attempt.endpoint.value()},
+            {"service", record->service.value()},
+            {"share", rejections_.ShareOf(*record, loop_.now())}});
+  if (on_rejection_news_)
+    on_rejection_news_();
+}
+
+RequestFingerprint RequestService::FingerprintOfExchange(
+    const Exchange& exchange) {
+  const ExchangeSetup& setup = exchange.setup();
+  std::optional<AccountId> account;
+  if (setup.account != nullptr)
+    account = setup.account->name;
+  return FingerprintOf(setup.request, account);
+}
+
+void RequestService::OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) {
+  EndAttempt(exchange, attempt, AttemptRest::kNone);
+  // A refusal by a full endpoint doesn't show whether the request crashes
+  // endpoints that run it. If it counted as a completed run, the request could
+  // crash three more.
+  if (!crashes_.empty() && !runs_.at(&exchange).Attempt(attempt).not_run)
+    crashes_.OnCompleted(FingerprintOfExchange(exchange));
+}
+
+void RequestService::OnAttemptFailure(Exchange& exchange,
+                                      AttemptNumber attempt,
+                                      const CallFailure& failure) {
+  EndAttempt(exchange, attempt,
+             failure.sent ? AttemptRest::kMayContinue : AttemptRest::kNone);
+  const AttemptRecord& record = runs_.at(&exchange).Attempt(attempt);
+  if (record.spent_retry && !failure.sent)
+    allowance_.Refund(exchange.setup().service, record.began);
+  metrics_.Add("carobshift_attempt_failures_total",
+               {{"fault", CallFaultName(failure.fault)}}, 1);
+  const EndpointId& endpoint = record.endpoint;
+  if (failure.fault == CallFault::kConnectionLimit)
+    return;
+  if (failure.fault == CallFault::kWithdrawn) {
+    // A withdrawn attempt is evidence neither about the endpoint's health nor
+    // about the request.
+    LogEvent(LogLevel::kInfo, "attempt_withdrawn",
+             {{"request", exchange.request().id.value()},
+              {"endpoint", endpoint.value()}});
+    return;
+  }
+  if (failure.fault == CallFault::kSilent) {
+    // The connection was open, so this is no evidence either.
+    LogEvent(LogLevel::kInfo, "attempt_replaced",
+             {{"request", exchange.request().id.value()},
+              {"endpoint", endpoint.value()}});
+    return;
+  }
+  if (failure.sent && failure.fault == CallFault::kBroken)
+    ReportCrash(exchange, attempt);
+  // The failure of a reused connection that was already closed is no evidence
+  // about the endpoint's health.
+  if (failure.reused && failure.fault == CallFault::kBroken)
+    return;
+  const auto trouble = failure.fault == CallFault::kNotConnected
+                           ? EndpointFailure::kNotConnected
+                           : EndpointFailure::kConnectionBroken;
+  health_.OnFailure(endpoint, trouble, loop_.now());
+  LogEvent(LogLevel::kInfo, "attempt_failed",
+           {{"request", exchange.request().id.value()},
+            {"endpoint", endpoint.value()},
+            {"fault", CallFaultName(failure.fault)},
+            {"sent", failure.sent},
+            {"reused", failure.reused},
+            {"registry", registry_.revision()}});
+}
+
+void RequestService::ReportCrash(const Exchange& exchange,
+                                 AttemptNumber attempt) {
+  const RequestFingerprint fingerprint = FingerprintOfExchange(exchange);
+  const std::string run =
+      exchange.request().id.value() + "." + std::to_string(attempt.value());
+  crashes_.OnBroken(fingerprint, run, loop_.now());
+  const HeldCrashReport report{fingerprint, run, exchange.setup().service};
+  if (!loss_of_) {
+    AnnounceCrash(report);
+    return;
+  }
+  const bool is_first = held_crashes_.empty();
+  held_crashes_.Add(report, loop_.now());
+  if (is_first) {
+    loop_.AddTimer(loop_.now() + HeldCrashReports::kHold,
+                   [this] { SettleCrashReports(); });
+  }
+}
+
+void RequestService::AnnounceCrash(const HeldCrashReport& report) {
+  if (on_crash_)
+    on_crash_(report.fingerprint, report.run);
+}
+
+void RequestService::SettleCrashReports() {
+  const SettledCrashReports settled =
+      held_crashes_.Settle(loss_of_, loop_.now());
+  for (const HeldCrashReport& report : settled.to_announce)
+    AnnounceCrash(report);
+  for (const HeldCrashReport& report : settled.to_withdraw) {
+    crashes_.Withdraw(report.fingerprint, report.run);
+    LogEvent(LogLevel::kInfo, "broken_run_withdrawn",
+             {{"run", report.run}, {"service", report.service.value()}});
+  }
+  if (held_crashes_.empty())
+    return;
+  loop_.AddTimer(loop_.now() + HeldCrashReports::kHold,
+                 [this] { SettleCrashReports(); });
+}
+
+}  // namespace carobshift
