Fix: replacements that never ran leave the attempts for a real break (LOST)

What callers saw: a stream whose endpoint was silent for a while broke off later when that endpoint's connection really failed, although the route allowed another run, the retry budget had room and another endpoint was free.

Cause: replacements that were refused or not connected used up Exchange::kMaxAttempts. At a full service three of them fit into 0.7 s of silence (ReplacementBackoff); no attempt was then left for the failure of the current one. The same held at the bound for weights (OnTooLateToBegin).

Change: such replacements count only for further replacements. Their number is bounded as before, and each spends the retry budget as before, so a request has at most seven attempts, of which three never ran.

--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -111,7 +111,7 @@
 }
 
 bool Exchange::MayRetry(bool may_have_run) const {
-  if (attempts_ >= kMaxAttempts)
+  if (attempts_ - unrun_replacements_ >= kMaxAttempts)
     return false;
   if (!may_have_run)
     return true;
@@ -158,6 +158,8 @@
   if (IsReplacement(attempt)) {
     if (!answers) {
       replacement_->answered = true;
+      if (refused)
+        ++unrun_replacements_;
       return ReplyDisposition::kAccept;
     }
     PromoteReplacement();
@@ -312,7 +314,9 @@
                                MonotonicTime now) {
   attempt_runner_.OnAttemptFailure(*this, attempt, failure);
   if (IsReplacement(attempt)) {
-    if (failure.sent && !replacement_->answered)
+    if (!failure.sent)
+      ++unrun_replacements_;
+    else if (!replacement_->answered)
       ++runs_;
     if (failure.sent)
       may_have_run_ = reached_endpoint_ = true;
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -163,7 +163,8 @@
   static constexpr std::size_t kMaxBufferedBytes = std::size_t{64} << 10;
   // Maximum number of attempts of one request, including refused and
   // unconnected ones. Each attempt costs a round trip; refusals by four
-  // endpoints indicate that the service is full.
+  // endpoints indicate that the service is full. Replacements that never ran
+  // count only for further replacements, as the current attempt may still fail.
   static constexpr int kMaxAttempts = 4;
 
   Exchange(ExchangeSetup setup,
@@ -293,6 +294,8 @@
   MonotonicTime deadline_{};
   std::set<EndpointId> tried_;
   int attempts_ = 0;
+  // Number of replacements that were refused or not sent.
+  int unrun_replacements_ = 0;
   // Number of attempts that an endpoint may have run.
   int runs_ = 0;
   // An endpoint may have run at least one of the attempts.
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -561,6 +561,31 @@
   }
 }
 
+TEST_CASE("replacements that never ran leave attempts for a real break") {
+  // Guards against a stream that is broken off after refused replacements.
+  SilentStream fixture(/*max_attempts=*/3);
+  FakeAttemptRunner& runner = fixture.attempt_runner;
+  runner.endpoints = runner.repeats_left = 9;
+  const bool refused = GENERATE(false, true);
+  for (int i = 1; runner.live.size() == 2; ++i) {
+    if (refused) {
+      fixture.Answer(503, "full", Refusal());
+      fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
+    } else {
+      fixture.exchange->OnAttemptFailed(fixture.latest(), kNotConnected,
+                                        kStart);
+    }
+    fixture.exchange->OnEndpointSilent(kStart + Seconds(i));
+  }
+  REQUIRE(runner.started == Exchange::kMaxAttempts);
+  fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart + Seconds(5));
+  REQUIRE_FALSE(fixture.reply.broken);
+  fixture.Answer(200, Event(2));
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart + Seconds(5));
+  CHECK(fixture.reply.body == Event(1) + Event(2));
+  CHECK(fixture.reply.ended);
+}
+
 TEST_CASE("the end of a request ends both of its attempts") {
   // Guards against an attempt that works on for nobody.
   SilentStream fixture;
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -226,7 +226,7 @@
     // Endpoints whose load was reported, among which the request is placed.
     std::vector<EndpointId> shortlist;
     RequestTrace trace;
-    // All attempts, at most Exchange::kMaxAttempts.
+    // All attempts; see Exchange::kMaxAttempts.
     std::vector<AttemptRecord> attempts;
     // Set when the request was refused under load.
     std::optional<Milliseconds> retry_after;
