Fix: an attempt that is given up before it is sent counts as no run (LOST)

What callers saw: a stream was broken off, or a request got 502 with an unknown outcome, where the route still allowed a run, since an attempt that was still connecting when it was given up had counted as a run.

Cause: CancelReplacement, PromoteReplacement and OnTooLateToBegin took each attempt that they dropped for one that its endpoint may have started, also without a connection. The retry that it had spent wasn't given back either.

Change: AttemptRunner::DropAttempt returns whether the endpoint may have received bytes (ExchangeRun::CallSent), and RequestService gives the retry of an attempt that was not sent back, once.

Evidence: "an attempt that is given up before it is sent counts as no run" failed before in its three sections and passes now. In exchange_fuzz an attempt without a head may have been unsent when it is dropped. The refund itself has no test of its own.

--- a/carobshift/gateway/handoff/handoff_runner.cc
+++ b/carobshift/gateway/handoff/handoff_runner.cc
@@ -154,16 +154,18 @@
   request.handoffs.erase(attempt);
 }
 
-void HandoffRunner::DropAttempt(Exchange& exchange, AttemptNumber attempt) {
+bool HandoffRunner::DropAttempt(Exchange& exchange, AttemptNumber attempt) {
   Request& request = RequestOf(exchange);
   if (!request.handoffs.contains(attempt)) {
     request.at_endpoints.erase(attempt);
-    endpoint_attempts_.DropAttempt(exchange, attempt);
-    return;
+    return endpoint_attempts_.DropAttempt(exchange, attempt);
   }
   EndHandoff(request, attempt);
   Count("dropped");
-  request.run.lock()->DropCall(attempt);
+  const auto run = request.run.lock();
+  const bool sent = run->CallSent(attempt);
+  run->DropCall(attempt);
+  return sent;
 }
 
 void HandoffRunner::PauseAttempt(Exchange& exchange,
--- a/carobshift/gateway/handoff/handoff_runner.h
+++ b/carobshift/gateway/handoff/handoff_runner.h
@@ -98,7 +98,7 @@
   AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
                             EndpointId* endpoint) override;
-  void DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
+  bool DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
   void PauseAttempt(Exchange& exchange,
                     AttemptNumber attempt,
                     bool pause) override;
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -114,8 +114,9 @@
   virtual AttemptError StartAttempt(Exchange& exchange,
                                     const AttemptParams& wish,
                                     EndpointId* endpoint) = 0;
-  // Ends the attempt by closing its connection to the endpoint.
-  virtual void DropAttempt(Exchange& exchange, AttemptNumber attempt) = 0;
+  // Ends the attempt by closing its connection to the endpoint. Returns whether
+  // the endpoint may have received bytes of the request.
+  virtual bool DropAttempt(Exchange& exchange, AttemptNumber attempt) = 0;
   virtual void PauseAttempt(Exchange& exchange,
                             AttemptNumber attempt,
                             bool pause) = 0;
--- a/carobshift/gateway/request/exchange_replacement.cc
+++ b/carobshift/gateway/request/exchange_replacement.cc
@@ -41,23 +41,24 @@
 }
 
 void Exchange::PromoteReplacement() {
-  if (state_ == State::kSent)
+  const bool sent = attempt_runner_.DropAttempt(*this, *current_);
+  if (sent && state_ == State::kSent)
     ++runs_;
-  attempt_runner_.DropAttempt(*this, *current_);
   attempt_runner_.OnAttemptFailure(*this, *current_,
-                                   {replacement_->reason, true, false});
+                                   {replacement_->reason, sent, false});
   static_cast<void>(TakeReplacement());
 }
 
 void Exchange::CancelReplacement() {
   if (!replacement_)
     return;
-  // Its endpoint may have started the request just now.
-  if (!replacement_->answered)
+  const Replacement dropped = *std::exchange(replacement_, std::nullopt);
+  const bool sent = attempt_runner_.DropAttempt(*this, dropped.attempt.number);
+  if (!sent)
+    ++unrun_replacements_;
+  else if (!dropped.answered)
+    // Its endpoint may have started the request just now.
     ++runs_;
-  const AttemptNumber number = replacement_->attempt.number;
-  replacement_.reset();
-  attempt_runner_.DropAttempt(*this, number);
 }
 
 void Exchange::OnReplacementOver(MonotonicTime now) {
@@ -81,10 +82,10 @@
 void Exchange::OnTooLateToBegin(AttemptNumber attempt, MonotonicTime now) {
   if (!IsWaiting(attempt))
     return;
-  // The endpoint may have started the request just now, so the attempt counts
-  // as a run.
-  attempt_runner_.DropAttempt(*this, attempt);
-  OnAttemptFailed(attempt, {CallFault::kWithdrawn, true, false}, now);
+  // An endpoint that received the request may have started it just now, so the
+  // attempt counts as a run.
+  const bool sent = attempt_runner_.DropAttempt(*this, attempt);
+  OnAttemptFailed(attempt, {CallFault::kWithdrawn, sent, false}, now);
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -54,9 +54,10 @@
     live.insert(wish.number);
     return AttemptError::kNone;
   }
-  void DropAttempt(Exchange&, AttemptNumber attempt) override {
+  bool DropAttempt(Exchange&, AttemptNumber attempt) override {
     live.erase(attempt);
     ++dropped;
+    return !unsent.contains(attempt);
   }
   void PauseAttempt(Exchange&, AttemptNumber attempt, bool pause) override {
     if (pause)
@@ -87,6 +88,8 @@
   int ends = 0;
   int resumed = 0;
   std::set<AttemptNumber> live;
+  // Attempts that are still connecting.
+  std::set<AttemptNumber> unsent;
   std::set<AttemptNumber> paused;
   std::vector<AttemptParams> wishes;
   std::vector<CallFault> failures;
@@ -586,6 +589,37 @@
   CHECK(fixture.reply.ended);
 }
 
+TEST_CASE("an attempt that is given up before it is sent counts as no run") {
+  // Guards against a visible failure although no other endpoint ran it.
+  SECTION("a replacement") {
+    SilentStream fixture(/*max_attempts=*/2);
+    fixture.attempt_runner.unsent = {kSecond};
+    fixture.exchange->OnReplyBody(kFirst, "t", kStart);
+    CHECK(fixture.attempt_runner.live == std::set{kFirst});
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+    CHECK_FALSE(fixture.reply.broken);
+    CHECK(fixture.attempt_runner.live == std::set{AttemptNumber(3)});
+  }
+  SECTION("the first one, near the bound for weights") {
+    ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+    fixture.exchange->Start(kStart);
+    fixture.attempt_runner.unsent = {kFirst};
+    fixture.exchange->OnStartBoundNear(kFirst, kStart);
+    fixture.Answer(200, Event(1));
+    fixture.exchange->OnAttemptFailed(kSecond, kBroken, kStart);
+    CHECK_FALSE(fixture.reply.broken);
+    CHECK(fixture.attempt_runner.live == std::set{AttemptNumber(3)});
+  }
+  SECTION("the first one, at the bound for weights") {
+    ExchangeFixture fixture(StreamRoute(/*resumable=*/false));
+    fixture.exchange->Start(kStart);
+    fixture.attempt_runner.unsent = {kFirst};
+    fixture.exchange->OnTooLateToBegin(kFirst, kStart);
+    CHECK_FALSE(fixture.reply.whole);
+    CHECK(fixture.attempt_runner.live == std::set{kSecond});
+  }
+}
+
 TEST_CASE("the end of a request ends both of its attempts") {
   // Guards against an attempt that works on for nobody.
   SilentStream fixture;
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -477,9 +477,21 @@
   attempt.prefill_tokens = 0;
 }
 
-void RequestService::DropAttempt(Exchange& exchange, AttemptNumber attempt) {
-  EndAttempt(exchange, attempt, AttemptRest::kMayContinue);
-  runs_.at(&exchange).run->DropCall(attempt);
+bool RequestService::DropAttempt(Exchange& exchange, AttemptNumber attempt) {
+  ExchangeRun& run = *runs_.at(&exchange).run;
+  const bool sent = run.CallSent(attempt);
+  EndAttempt(exchange, attempt,
+             sent ? AttemptRest::kMayContinue : AttemptRest::kNone);
+  if (!sent)
+    RefundRetry(exchange, attempt);
+  run.DropCall(attempt);
+  return sent;
+}
+
+void RequestService::RefundRetry(Exchange& exchange, AttemptNumber attempt) {
+  AttemptRecord& record = runs_.at(&exchange).Attempt(attempt);
+  if (std::exchange(record.spent_retry, false))
+    allowance_.Refund(exchange.setup().service, record.began);
 }
 
 void RequestService::PauseAttempt(Exchange& exchange,
@@ -661,8 +673,8 @@
   EndAttempt(exchange, attempt,
              failure.sent ? AttemptRest::kMayContinue : AttemptRest::kNone);
   const AttemptRecord& record = runs_.at(&exchange).Attempt(attempt);
-  if (record.spent_retry && !failure.sent)
-    allowance_.Refund(exchange.setup().service, record.began);
+  if (!failure.sent)
+    RefundRetry(exchange, attempt);
   metrics_.Add("carobshift_attempt_failures_total",
                {{"fault", CallFaultName(failure.fault)}}, 1);
   const EndpointId& endpoint = record.endpoint;
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -186,7 +186,7 @@
   AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
                             EndpointId* endpoint) override;
-  void DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
+  bool DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
   void PauseAttempt(Exchange& exchange,
                     AttemptNumber attempt,
                     bool pause) override;
@@ -210,7 +210,7 @@
     AttemptTrace trace;
     MonotonicTime began{};
     bool in_progress = true;
-    // The attempt was counted as a retry.
+    // The attempt was counted as a retry, and the retry wasn't given back.
     bool spent_retry = false;
     // The endpoint has begun to reply.
     bool replied = false;
@@ -275,6 +275,8 @@
   // Whether the endpoint may go on with an attempt that ends here.
   enum class AttemptRest { kNone, kMayContinue };
   void EndAttempt(Exchange& exchange, AttemptNumber attempt, AttemptRest rest);
+  // Gives the retry of an attempt that was never sent back to the allowance.
+  void RefundRetry(Exchange& exchange, AttemptNumber attempt);
   void NoteRead(AttemptRecord& attempt);
   void ReportCrash(const Exchange& exchange, AttemptNumber attempt);
   void AnnounceCrash(const HeldCrashReport& report);
--- a/fuzz/exchange_fuzz.cc
+++ b/fuzz/exchange_fuzz.cc
@@ -107,9 +107,19 @@
     unreported_.insert(wish.number);
     return AttemptError::kNone;
   }
-  void DropAttempt(Exchange&, AttemptNumber number) override {
-    attempts_.erase(number);
+  bool DropAttempt(Exchange&, AttemptNumber number) override {
     unreported_.erase(number);
+    const auto found = attempts_.find(number);
+    if (found == attempts_.end())
+      return true;
+    const Attempt attempt = found->second;
+    attempts_.erase(found);
+    if (attempt.head_sent || random_.Chance(0.7))
+      return true;
+    // The attempt was still connecting.
+    if (RunsRequest(attempt.outcome))
+      --runs_;
+    return false;
   }
   void PauseAttempt(Exchange&, AttemptNumber number, bool pause) override {
     const auto found = attempts_.find(number);
