--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -54,9 +54,10 @@
     live.insert(wish.number);
     return AttemptError::kNone;
   }
-  void DropAttempt(Exchange&, AttemptNumber attempt) override {
+  bool DropAttempt(Exchange&, AttemptNumber attempt) override {
     live.erase(attempt);
     ++dropped;
+    return !unsent.contains(attempt);
   }
   void PauseAttempt(Exchange&, AttemptNumber attempt, bool pause) override {
     if (pause)
@@ -87,6 +88,8 @@
   int ends = 0;
   int resumed = 0;
   std::set<AttemptNumber> live;
+  // Attempts that are still connecting.
+  std::set<AttemptNumber> unsent;
   std::set<AttemptNumber> paused;
   std::vector<AttemptParams> wishes;
   std::vector<CallFault> failures;
@@ -561,6 +564,62 @@
   }
 }
 
+TEST_CASE("replacements that never ran leave attempts for a real break") {
+  // Guards against a stream that is broken off after refused replacements.
+  SilentStream fixture(/*max_attempts=*/3);
+  FakeAttemptRunner& runner = fixture.attempt_runner;
+  runner.endpoints = runner.repeats_left = 9;
+  const bool refused = GENERATE(false, true);
+  for (int i = 1; runner.live.size() == 2; ++i) {
+    if (refused) {
+      fixture.Answer(503, "full", Refusal());
+      fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
+    } else {
+      fixture.exchange->OnAttemptFailed(fixture.latest(), kNotConnected,
+                                        kStart);
+    }
+    fixture.exchange->OnEndpointSilent(kStart + Seconds(i));
+  }
+  REQUIRE(runner.started == Exchange::kMaxAttempts);
+  fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart + Seconds(5));
+  REQUIRE_FALSE(fixture.reply.broken);
+  fixture.Answer(200, Event(2));
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart + Seconds(5));
+  CHECK(fixture.reply.body == Event(1) + Event(2));
+  CHECK(fixture.reply.ended);
+}
+
+TEST_CASE("an attempt that is given up before it is sent counts as no run") {
+  // Guards against a visible failure although no other endpoint ran it.
+  SECTION("a replacement") {
+    SilentStream fixture(/*max_attempts=*/2);
+    fixture.attempt_runner.unsent = {kSecond};
+    fixture.exchange->OnReplyBody(kFirst, "t", kStart);
+    CHECK(fixture.attempt_runner.live == std::set{kFirst});
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+    CHECK_FALSE(fixture.reply.broken);
+    CHECK(fixture.attempt_runner.live == std::set{AttemptNumber(3)});
+  }
+  SECTION("the first one, near the bound for weights") {
+    ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+    fixture.exchange->Start(kStart);
+    fixture.attempt_runner.unsent = {kFirst};
+    fixture.exchange->OnStartBoundNear(kFirst, kStart);
+    fixture.Answer(200, Event(1));
+    fixture.exchange->OnAttemptFailed(kSecond, kBroken, kStart);
+    CHECK_FALSE(fixture.reply.broken);
+    CHECK(fixture.attempt_runner.live == std::set{AttemptNumber(3)});
+  }
+  SECTION("the first one, at the bound for weights") {
+    ExchangeFixture fixture(StreamRoute(/*resumable=*/false));
+    fixture.exchange->Start(kStart);
+    fixture.attempt_runner.unsent = {kFirst};
+    fixture.exchange->OnTooLateToBegin(kFirst, kStart);
+    CHECK_FALSE(fixture.reply.whole);
+    CHECK(fixture.attempt_runner.live == std::set{kSecond});
+  }
+}
+
 TEST_CASE("the end of a request ends both of its attempts") {
   // Guards against an attempt that works on for nobody.
   SilentStream fixture;
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -191,7 +191,7 @@
   AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
                             EndpointId* endpoint) override;
-  void DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
+  bool DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
   void PauseAttempt(Exchange& exchange,
                     AttemptNumber attempt,
                     bool pause) override;
@@ -215,7 +215,7 @@
     AttemptTrace trace;
     MonotonicTime began{};
     bool in_progress = true;
-    // The attempt was counted as a retry.
+    // The attempt was counted as a retry, and the retry wasn't given back.
     bool spent_retry = false;
     // The endpoint has begun to reply.
     bool replied = false;
@@ -231,7 +231,7 @@
     // Endpoints whose load was reported, among which the request is placed.
     std::vector<EndpointId> shortlist;
     RequestTrace trace;
-    // All attempts, at most Exchange::kMaxAttempts.
+    // All attempts; see Exchange::kMaxAttempts.
     std::vector<AttemptRecord> attempts;
     // Set when the request was refused under load.
     std::optional<Milliseconds> retry_after;
@@ -280,6 +280,8 @@
   // Whether the endpoint may go on with an attempt that ends here.
   enum class AttemptRest { kNone, kMayContinue };
   void EndAttempt(Exchange& exchange, AttemptNumber attempt, AttemptRest rest);
+  // Gives the retry of an attempt that was never sent back to the allowance.
+  void RefundRetry(Exchange& exchange, AttemptNumber attempt);
   void NoteRead(AttemptRecord& attempt);
   // Records how long the attempt waited for its first token, unless the time
   // contains a loss of this instance's paths, which says nothing about load.
