Known red: a begun stream is broken off if nothing can start at that moment (LOST)

A real break of a begun, resumable stream ends the caller's answer at once if no retry is left or no endpoint can be connected to in that moment, with seconds of its time left.

--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -512,6 +512,24 @@
   CHECK(fixture.reply.ended);
 }
 
+TEST_CASE("a begun stream with time left outlasts a moment without endpoints") {
+  // Guards against a stream that is broken off while its paths are reset.
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, Event(1));
+  SECTION("no retry left at the moment") {
+    fixture.attempt_runner.repeats_left = 0;
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+  }
+  SECTION("no endpoint can be connected to at the moment") {
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+    for (int i = 0; i < 3 && !fixture.exchange->over(); ++i)
+      fixture.exchange->OnAttemptFailed(fixture.latest(), kNotConnected,
+                                        kStart + Milliseconds(5));
+  }
+  CHECK_FALSE(fixture.reply.broken);
+}
+
 TEST_CASE("a replacement goes on if the silent attempt fails") {
   // Guards against a third run while a replacement is under way.
   SilentStream fixture;
