Observability: the software version of each attempt that continues a stream

Cause: no log line named an endpoint's software version, or that a request continues a stream, so the hypotheses about ORDER could not be told apart. Change: an endpoint's record keeps its software version, a caller's request the id of the one that began its stream. stream_continued tells who continues a stream, at which endpoint, version and start time; request_done, endpoint_changed and the state dump name the version. No decision reads them.

--- a/carobshift/base/ids.h
+++ b/carobshift/base/ids.h
@@ -31,6 +31,9 @@
 using WeightVersion = StrongType<struct WeightVersionTag, std::string>;
 // Version number of a model's weights that the platform increments.
 using WeightNumber = StrongType<struct WeightNumberTag, std::uint64_t>;
+// Version of the software that an endpoint runs, not of its weights. Versions
+// have no order; they are only compared for equality.
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
 using AdapterName = StrongType<struct AdapterNameTag, std::string>;
 // One caller's request as received by an entry; appears in replies and logs.
 using RequestId = StrongType<struct RequestIdTag, std::string>;
--- a/carobshift/gateway/endpoints/endpoint_record.h
+++ b/carobshift/gateway/endpoints/endpoint_record.h
@@ -23,6 +23,7 @@
   ServiceName service;
   NetAddress address;
   ZoneName zone;
+  SoftwareVersion software;
   int slots = 1;
   // True if the endpoint has announced that it is stopping.
   bool leaving = false;
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -102,14 +102,16 @@
   if (registry_.revision() == before)
     return !record.value;
   const EndpointRecord* const known = registry_.Find(id);
-  LogEvent(LogLevel::kInfo, "endpoint_changed",
-           {{"endpoint", record.key},
-            {"state", known == nullptr ? "gone"
-                      : known->leaving ? "leaving"
-                                       : "ready"},
-            {"born", known == nullptr ? 0 : known->start_time.value()},
-            {"offset", record.offset.value()},
-            {"registry", registry_.revision()}});
+  LogEvent(
+      LogLevel::kInfo, "endpoint_changed",
+      {{"endpoint", record.key},
+       {"state", known == nullptr ? "gone"
+                 : known->leaving ? "leaving"
+                                  : "ready"},
+       {"software", known == nullptr ? std::string() : known->software.value()},
+       {"born", known == nullptr ? 0 : known->start_time.value()},
+       {"offset", record.offset.value()},
+       {"registry", registry_.revision()}});
   listener_.on_endpoints();
   return true;
 }
--- a/carobshift/gateway/request/caller_request.h
+++ b/carobshift/gateway/request/caller_request.h
@@ -55,6 +55,11 @@
   std::optional<PromptTraits> prompt;
   // The caller has already received the events up to and including this one.
   std::optional<EventNumber> last_event;
+  // The caller's earlier request that brought the first event of the stream,
+  // if this one continues a stream and names it.
+  std::optional<RequestId> stream_beginning;
+  // The request names an earlier one in a way that can't be read.
+  bool bad_stream_beginning = false;
   // Header fields forwarded to the endpoint, without those that the gateway
   // sets.
   std::vector<HttpField> fields;
--- a/carobshift/gateway/request/request_report.cc
+++ b/carobshift/gateway/request/request_report.cc
@@ -67,6 +67,8 @@
                            {"ms", ToMilliseconds(now - setup.arrived)},
                            {"config", setup.config->config().number.value()},
                            {"registry", trace.registry_revision}};
+  if (!attempt.software.value().empty())
+    fields["software"] = attempt.software.value();
   if (attempt.weights)
     fields["weights"] = attempt.weights->value();
   if (attempt.cost > 0) {
--- a/carobshift/gateway/request/request_report.h
+++ b/carobshift/gateway/request/request_report.h
@@ -21,6 +21,8 @@
 
 // How the last attempt of a request was placed.
 struct AttemptTrace {
+  // As stated in the record of the endpoint.
+  SoftwareVersion software;
   // The weights that the attempt names to its endpoint; nullopt if unknown.
   std::optional<WeightNumber> weights;
   double cost = 0;
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -203,6 +203,10 @@
     LogEvent(LogLevel::kInfo, "handoff_accepted",
              {{"request", request.id.value()}, {"from", from->value()}});
   }
+  if (request.bad_stream_beginning) {
+    LogEvent(LogLevel::kWarning, "stream_beginning_unreadable",
+             {{"request", request.id.value()}});
+  }
   const Result<ResolvedRequest> resolved =
       ResolveRequest(config_.get(), request);
   if (!resolved.ok()) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -268,6 +268,10 @@
   void RecordStart(Running& running,
                    const AttemptParams& wish,
                    const AttemptPlan& plan);
+  // Logs and counts an attempt that continues a stream.
+  void ReportContinuation(const ExchangeSetup& setup,
+                          const AttemptParams& wish,
+                          const EndpointRecord& endpoint);
   // Returns whether the plan's endpoint is worth a replacement.
   [[nodiscard]] bool ServesAsReplacement(const AttemptParams& wish,
                                          const AttemptPlan& plan) const;
--- a/carobshift/gateway/state_dump.cc
+++ b/carobshift/gateway/state_dump.cc
@@ -25,6 +25,7 @@
                          {"service", record.service.value()},
                          {"address", record.address.ToString()},
                          {"availability_zone", record.zone.value()},
+                         {"software", record.software.value()},
                          {"leaving", record.leaving},
                          {"cold_ms", cold_time},
                          {"weights", weights}});
