--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -100,13 +100,18 @@
 
 void GatewayCluster::AddReplica(const std::string& id, bool engine) {
   std::vector<std::string> arguments = {"--id", id};
+  const std::vector<std::string>& versions = options_.software;
+  const std::string software =
+      engine ? versions[replicas_.size() % versions.size()] : "v1";
+  if (engine && versions.size() > 1)
+    arguments.insert(arguments.end(), {"--software", software});
   if (engine) {
     arguments.insert(
         arguments.end(),
         {"--model", "m1", "--events", std::to_string(options_.events),
          "--event-gap-ms", std::to_string(options_.event_gap.count())});
   }
-  replicas_.push_back({id, engine ? "engines" : "desks", engine,
+  replicas_.push_back({id, engine ? "engines" : "desks", engine, software,
                        std::make_unique<Process>("standin_replica", arguments,
                                                  directory_.path())});
   PutReplica(replicas_.size() - 1, "ready");
@@ -178,6 +183,7 @@
   json record = {{"service", replica.service},
                  {"address", replica.process->address().ToString()},
                  {"zone", "z1"},
+                 {"version", replica.software},
                  {"slots", options_.slots},
                  {"state", state},
                  {"sequence", 1},
@@ -209,7 +215,8 @@
       << "]\nseeds: [\"" << HostOf(0) << ":" << base_port_ + kControl
       << "\"]\nbounds: {lease_ms: " << options_.lease.count()
       << ", version_ms: " << options_.weights_replacement_bound.count()
-      << ", grace_period_s: 6, retry_budget_ratio: 0.2, retry_budget_extra: 50}"
+      << ", grace_period_s: 6, retry_budget_ratio: 0.2, retry_budget_extra: "
+      << options_.retry_budget_extra << "}"
       << "\nplatform: {address: \"" << platform_->address().ToString()
       << "\"}\n";
   return path;
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -29,6 +29,9 @@
   int gateways = 2;
   int engines = 2;
   int plain_services = 2;
+  // Software versions of the engines, in turn. Their events state the version
+  // if there is more than one.
+  std::vector<std::string> software = {"v1"};
   // Slots that the record of each replica states.
   int slots = 16;
   int events = 5;
@@ -36,6 +39,8 @@
   // Request timeout of every route.
   Milliseconds timeout{5000};
   Milliseconds lease{1000};
+  // Retries in ten seconds, beyond a fifth of the requests.
+  int retry_budget_extra = 50;
   // Time limit of a weight rollout: from the publication of a new weight
   // version until no request may start on an older one.
   Milliseconds weights_replacement_bound{15000};
@@ -117,6 +122,7 @@
     std::string id;
     std::string service;
     bool engine = false;
+    std::string software;
     std::unique_ptr<Process> process;
   };
 
--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -34,6 +34,8 @@
 struct ReplicaOptions {
   std::string id;
   std::string model;
+  // Written with each event if it isn't empty.
+  std::string software;
   int events = 5;
   Milliseconds event_gap{20};
   Milliseconds load_time{300};
@@ -236,9 +238,7 @@
     exchange.BeginStream("text/event-stream");
     while (number < options_.events) {
       ++number;
-      if (!exchange.SendChunk("id: " + std::to_string(number) +
-                              "\ndata: token" + std::to_string(number) +
-                              "\n\n"))
+      if (!exchange.SendChunk(EventText(number)))
         return;
       if (faults_.Number("break_after") == number) {
         faults_.Merge({{"break_after", 0}});
@@ -254,6 +254,14 @@
     }
   }
 
+  [[nodiscard]] std::string EventText(int number) const {
+    std::string text = "id: " + std::to_string(number) + "\ndata: token" +
+                       std::to_string(number);
+    if (!options_.software.empty())
+      text += " of " + options_.software;
+    return text + "\n\n";
+  }
+
   [[nodiscard]] json Models() const {
     json models = json::array();
     if (!options_.model.empty()) {
@@ -282,6 +290,8 @@
   options.add_options()("id", "its id", cxxopts::value<std::string>())(
       "model", "empty for a plain service",
       cxxopts::value<std::string>()->default_value(""))(
+      "software", "version that its events state; none if empty",
+      cxxopts::value<std::string>()->default_value(""))(
       "events", "in a stream", cxxopts::value<int>()->default_value("5"))(
       "event-gap-ms", "between two events",
       cxxopts::value<int>()->default_value("20"));
@@ -289,6 +299,7 @@
   carobshift::ReplicaOptions replica_options;
   replica_options.id = flags["id"].as<std::string>();
   replica_options.model = flags["model"].as<std::string>();
+  replica_options.software = flags["software"].as<std::string>();
   replica_options.events = flags["events"].as<int>();
   replica_options.event_gap =
       carobshift::Milliseconds(flags["event-gap-ms"].as<int>());
