Fix: a stream that an instance resumes stays at its software version (ORDER)

What callers saw: one answer with events of two software versions, after an endpoint broke off or fell silent. Cause: a begun stream was resumed, or replaced, at any endpoint of the service that wasn't tried; the software version was no part of what a request is bound to. Change: a stream is bound to the software of the endpoint whose first event is sent to the caller (Exchange::BeginStream); before that it may start anywhere. EndpointEligibility, the one place that says where a request may go, leaves out endpoints of other versions, so that placement, load queries, retries, replacements, Retry-After and the refusal all narrow alike. If no endpoint of the version is left, the refusal is software_gone. Streams that callers take up again, and handoffs, are not yet bound.

--- a/carobshift/base/result_code.cc
+++ b/carobshift/base/result_code.cc
@@ -42,6 +42,8 @@
     Row{ResultCode::kWeightsReplaced, "weights_replaced", 503},
     Row{ResultCode::kZoneEvacuated, "zone_evacuated", 503},
     Row{ResultCode::kRegionNotAllowed, "region_not_allowed", 503},
+    Row{ResultCode::kSoftwareGone, "software_gone", 503},
+    Row{ResultCode::kSoftwareUnknown, "software_unknown", 503},
     Row{ResultCode::kLogUnavailable, "log_unavailable", 503},
     Row{ResultCode::kLogOutcomeUnknown, "log_outcome_unknown", 503},
     Row{ResultCode::kLogRecordExpired, "log_record_expired", 410},
--- a/carobshift/base/result_code.h
+++ b/carobshift/base/result_code.h
@@ -48,6 +48,8 @@
   kWeightsReplaced = 308,
   kZoneEvacuated = 309,
   kRegionNotAllowed = 310,
+  kSoftwareGone = 311,
+  kSoftwareUnknown = 312,
   // 4xx: services of the platform.
   kLogUnavailable = 400,
   kLogOutcomeUnknown = 401,
--- a/carobshift/gateway/endpoints/endpoint_eligibility.cc
+++ b/carobshift/gateway/endpoints/endpoint_eligibility.cc
@@ -9,6 +9,8 @@
                                              MonotonicTime now) const {
   if (endpoint.service != setup.service || endpoint.leaving)
     return SendObstacle::kNotServing;
+  if (setup.software && endpoint.software != *setup.software)
+    return SendObstacle::kOtherSoftware;
   if (!InAllowedRegion(setup, endpoint.zone))
     return SendObstacle::kRegionNotAllowed;
   if (evacuations_.Contains(endpoint.zone))
--- a/carobshift/gateway/endpoints/endpoint_eligibility.h
+++ b/carobshift/gateway/endpoints/endpoint_eligibility.h
@@ -1,5 +1,6 @@
 // EndpointEligibility decides whether a request may be sent to an endpoint at
-// all, by the endpoint's state, the operator's evacuations, the regions that
+// all, by the endpoint's state, the software version that began the request's
+// stream, the operator's evacuations, the regions that
 // the route and the client account allow, and the load that the endpoint
 // bears. Placement (attempt_planner.h) chooses among the eligible endpoints.
 //
@@ -30,6 +31,8 @@
   kNone,
   // The endpoint belongs to another service or is leaving.
   kNotServing,
+  // The stream began at another software version than the endpoint's.
+  kOtherSoftware,
   kRegionNotAllowed,
   kZoneEvacuated,
   // The endpoint's rate limit, or what it bears while it is cold, is used up.
--- a/carobshift/gateway/endpoints/endpoint_eligibility_test.cc
+++ b/carobshift/gateway/endpoints/endpoint_eligibility_test.cc
@@ -47,6 +47,19 @@
   CHECK(fixture.Obstacle() == SendObstacle::kNotServing);
 }
 
+// Guards against a stream that goes on at another software version.
+TEST_CASE("a begun stream goes only to endpoints of its software version") {
+  Fixture fixture;
+  fixture.endpoint.software = SoftwareVersion("v1");
+  CHECK(fixture.Obstacle() == SendObstacle::kNone);
+  fixture.setup.software = SoftwareVersion("v1");
+  CHECK(fixture.Obstacle() == SendObstacle::kNone);
+  for (const char* other : {"v2", "v1.1", ""}) {
+    fixture.setup.software = SoftwareVersion(other);
+    CHECK(fixture.Obstacle() == SendObstacle::kOtherSoftware);
+  }
+}
+
 TEST_CASE("an endpoint in an evacuated zone gets no request and no cache") {
   Fixture fixture;
   fixture.evacuations.Set(kZone, true, kNow);
--- a/carobshift/gateway/handoff/handoff_runner.cc
+++ b/carobshift/gateway/handoff/handoff_runner.cc
@@ -81,7 +81,7 @@
 
 AttemptError HandoffRunner::StartAttempt(Exchange& exchange,
                                          const AttemptParams& wish,
-                                         EndpointId* endpoint) {
+                                         AttemptStart* start) {
   const ExchangeSetup& setup = exchange.setup();
   Request& request = RequestOf(exchange);
   std::vector<HandoffCandidate> candidates;
@@ -89,7 +89,7 @@
     candidates = RatedCandidates(setup, request);
   if (candidates.empty()) {
     const AttemptError error =
-        endpoint_attempts_.StartAttempt(exchange, wish, endpoint);
+        endpoint_attempts_.StartAttempt(exchange, wish, start);
     if (error == AttemptError::kNone)
       request.at_endpoints.insert(wish.number);
     return error;
--- a/carobshift/gateway/handoff/handoff_runner.h
+++ b/carobshift/gateway/handoff/handoff_runner.h
@@ -97,7 +97,7 @@
 
   AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
-                            EndpointId* endpoint) override;
+                            AttemptStart* start) override;
   bool DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
   void PauseAttempt(Exchange& exchange,
                     AttemptNumber attempt,
--- a/carobshift/gateway/request/caller_request.h
+++ b/carobshift/gateway/request/caller_request.h
@@ -105,6 +105,8 @@
   bool misdirected = false;
   std::optional<EndpointId> endpoint;
   std::optional<WeightNumber> weights;
+  // The endpoint's software, if the reply comes through another instance.
+  std::optional<SoftwareVersion> software;
   // The rate that the endpoint accepts from all instances together.
   std::optional<RequestRate> rate_limit;
   // The reply names a rate limit that can't be parsed or isn't a valid rate.
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -36,6 +36,8 @@
       return ResultCode::kZoneEvacuated;
     case AttemptError::kRegionNotAllowed:
       return ResultCode::kRegionNotAllowed;
+    case AttemptError::kSoftwareGone:
+      return ResultCode::kSoftwareGone;
     case AttemptError::kNone:
     case AttemptError::kNoEndpoint:
       break;
@@ -79,18 +81,16 @@
                            .repeat = reached_endpoint_ || replacement,
                            .number = number,
                            .replacement = replacement};
-  EndpointId endpoint;
   const AttemptError failure =
-      attempt_runner_.StartAttempt(*this, wish, &endpoint);
+      attempt_runner_.StartAttempt(*this, wish, &started->start);
   if (failure != AttemptError::kNone)
     return failure;
   ++attempts_;
   ++summary_.attempts;
-  tried_.insert(endpoint);
+  tried_.insert(started->start.endpoint);
   if (caller_slow_)
     attempt_runner_.PauseAttempt(*this, number, true);
   started->number = number;
-  started->endpoint = endpoint;
   return AttemptError::kNone;
 }
 
@@ -105,7 +105,8 @@
 
 void Exchange::SetCurrent(const StartedAttempt& attempt) {
   current_ = attempt.number;
-  summary_.last_endpoint = attempt.endpoint;
+  current_software_ = attempt.start.software;
+  summary_.last_endpoint = attempt.start.endpoint;
   current_answers_ = current_silent_ = refused_by_endpoint_ = false;
   state_ = State::kSent;
 }
@@ -166,6 +167,8 @@
   } else if (answers) {
     CancelReplacement();
   }
+  if (facts.software)
+    current_software_ = *facts.software;
   current_answers_ = answers;
   current_silent_ = false;
   refused_by_endpoint_ = refused;
@@ -239,14 +242,19 @@
   if (complete.empty())
     return;
   if (!head_sent_) {
-    head_sent_ = true;
-    summary_.status = buffered_head_.status;
     summary_.first_byte = now;
-    reply_.BeginStream(CallerHead(buffered_head_));
+    BeginStream();
   }
   reply_.SendChunk(complete);
 }
 
+void Exchange::BeginStream() {
+  head_sent_ = true;
+  summary_.status = buffered_head_.status;
+  setup_.software = current_software_;
+  reply_.BeginStream(CallerHead(buffered_head_));
+}
+
 void Exchange::OnReplyEnd(AttemptNumber attempt, MonotonicTime now) {
   // The connection may end cleanly, but within an event.
   const bool truncated = !IsReplacement(attempt) &&
@@ -271,9 +279,7 @@
   if (state_ == State::kStreaming) {
     if (!head_sent_) {
       // A stream without events is complete.
-      head_sent_ = true;
-      summary_.status = buffered_head_.status;
-      reply_.BeginStream(CallerHead(buffered_head_));
+      BeginStream();
     }
     summary_.completed = true;
     reply_.EndStream();
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -26,6 +26,10 @@
 // - A stream resumes at another endpoint only after its last complete event,
 //   and only if the route allows it.
 // - A request that may run only once never has a replacement.
+// - A stream goes on only at the software version that began it: what two
+//   versions write doesn't fit together, and endpoints don't check it. It is
+//   bound when its first event is sent to the caller; until then it may start
+//   anywhere.
 // - At most two attempts exist, and one from the first byte of an answer on.
 //
 // Complete answers of up to kMaxBufferedBytes are buffered until they are
@@ -82,11 +86,20 @@
   bool replacement = false;
 };
 
+// Where an attempt has started.
+struct AttemptStart {
+  // Empty for a handoff; the reply then states the software.
+  EndpointId endpoint;
+  SoftwareVersion software;
+};
+
 // Why an attempt could not start.
 enum class AttemptError {
   kNone,
   // No endpoint accepts requests.
   kNoEndpoint,
+  // No endpoint of the software version that began the stream is left.
+  kSoftwareGone,
   // All endpoints are in evacuated availability zones, or in regions that are
   // not allowed for the request.
   kZoneEvacuated,
@@ -110,10 +123,10 @@
  public:
   virtual ~AttemptRunner() = default;
   // Selects an endpoint and sends the request to it. Events of the reply are
-  // delivered to the exchange later. Sets `endpoint` if the attempt started.
+  // delivered to the exchange later. Sets `start` if the attempt started.
   virtual AttemptError StartAttempt(Exchange& exchange,
                                     const AttemptParams& wish,
-                                    EndpointId* endpoint) = 0;
+                                    AttemptStart* start) = 0;
   // Ends the attempt by closing its connection to the endpoint. Returns whether
   // the endpoint may have received bytes of the request.
   virtual bool DropAttempt(Exchange& exchange, AttemptNumber attempt) = 0;
@@ -143,6 +156,9 @@
   const Route* route = nullptr;
   const Account* account = nullptr;
   ServiceName service;
+  // The software version that began the stream, once it is known. Empty if it
+  // can't be known; no endpoint has it then.
+  std::optional<SoftwareVersion> software{};
   MonotonicTime arrived{};
 };
 
@@ -230,7 +246,7 @@
 
   struct StartedAttempt {
     AttemptNumber number{};
-    EndpointId endpoint;
+    AttemptStart start;
   };
   // A second attempt. It becomes the current one when its answer begins, or
   // when the current one fails.
@@ -277,6 +293,8 @@
   void DropAll();
   void TakeStreamHead(const HttpHead& head);
   void ForwardEvents(std::string_view bytes, MonotonicTime now);
+  // Sends the head of a stream to the caller and binds the stream.
+  void BeginStream();
   void DeliverBuffered();
   // Ends the exchange without an answer from an endpoint.
   void Fail(ResultCode code, MonotonicTime now);
@@ -304,6 +322,8 @@
   // At least one endpoint has received the request, whether or not it ran it.
   bool reached_endpoint_ = false;
   std::optional<AttemptNumber> current_;
+  // The software of the current attempt's endpoint.
+  SoftwareVersion current_software_;
   // The reply of the current attempt has begun and is an answer.
   bool current_answers_ = false;
   // OnEndpointSilent() was called, and nothing has been received since.
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -40,16 +40,19 @@
 // Starts attempts at endpoints e1, e2, ... in turn.
 class FakeAttemptRunner : public AttemptRunner {
  public:
-  AttemptError StartAttempt(Exchange&,
+  AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
-                            EndpointId* endpoint) override {
+                            AttemptStart* start) override {
     if (verdict != AttemptError::kNone)
       return verdict;
     if (wish.repeat && repeats_left-- <= 0)
       return AttemptError::kRetryBudgetSpent;
     if (started >= endpoints)
       return AttemptError::kNoEndpoint;
-    *endpoint = EndpointId("e" + std::to_string(++started));
+    ++started;
+    *start = {EndpointId("e" + std::to_string(started)),
+              SoftwareVersion("v" + std::to_string(started))};
+    bound.push_back(exchange.setup().software);
     wishes.push_back(wish);
     live.insert(wish.number);
     return AttemptError::kNone;
@@ -92,6 +95,8 @@
   std::set<AttemptNumber> unsent;
   std::set<AttemptNumber> paused;
   std::vector<AttemptParams> wishes;
+  // The software version to which the stream was bound at each start.
+  std::vector<std::optional<SoftwareVersion>> bound;
   std::vector<CallFault> failures;
 };
 
@@ -512,6 +517,34 @@
   CHECK(fixture.reply.ended);
 }
 
+// Guards against a stream that is resumed at another software version than the
+// one that its caller has events of.
+TEST_CASE("a stream is bound to the software that its caller has events of") {
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  FakeAttemptRunner& runner = fixture.attempt_runner;
+  fixture.exchange->Start(kStart);
+  SECTION("its first event has been sent on") {
+    fixture.Answer(200, Event(1));
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+    CHECK(runner.bound.back() == SoftwareVersion("v1"));
+  }
+  SECTION("the endpoint broke off within its first event") {
+    fixture.Answer(200, "id: 1\nda");
+    fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+    CHECK_FALSE(runner.bound.back().has_value());
+    fixture.Answer(200, Event(1));
+    CHECK(fixture.exchange->setup().software == SoftwareVersion("v2"));
+  }
+  SECTION("another instance states its endpoint's software") {
+    ReplyMetadata facts;
+    facts.software = SoftwareVersion("v9");
+    fixture.Answer(200, Event(1), facts);
+    CHECK(fixture.exchange->setup().software == SoftwareVersion("v9"));
+  }
+  REQUIRE(runner.bound.size() <= 2);
+  CHECK_FALSE(runner.bound.front().has_value());
+}
+
 TEST_CASE("a begun stream with time left outlasts a moment without endpoints") {
   // Guards against a stream that is broken off while its paths are reset.
   ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -190,7 +190,7 @@
 
   AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
-                            EndpointId* endpoint) override;
+                            AttemptStart* start) override;
   bool DropAttempt(Exchange& exchange, AttemptNumber attempt) override;
   void PauseAttempt(Exchange& exchange,
                     AttemptNumber attempt,
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -13,7 +13,7 @@
 
 AttemptError RequestService::StartAttempt(Exchange& exchange,
                                           const AttemptParams& wish,
-                                          EndpointId* endpoint) {
+                                          AttemptStart* start) {
   const ExchangeSetup& setup = exchange.setup();
   if (!crashes_.empty() &&
       crashes_.Refuses(FingerprintOfExchange(exchange), loop_.now()))
@@ -36,7 +36,7 @@
   options.is_head_request = setup.request.method == "HEAD";
   if (!setup.route->MayRunAgain())
     options.max_idle = options_.run_once_max_idle;
-  *endpoint = plan->endpoint.id;
+  *start = {plan->endpoint.id, plan->endpoint.software};
   std::string bytes = dialect_.EncodeAttempt(setup.request, plan->fields);
   bytes += setup.request.body;
   running.run->StartCall(wish.number, client_, plan->endpoint.address,
@@ -118,6 +118,8 @@
       return AttemptError::kOverloaded;
     case SendObstacle::kZoneEvacuated:
       return AttemptError::kZoneEvacuated;
+    case SendObstacle::kOtherSoftware:
+      return AttemptError::kSoftwareGone;
     case SendObstacle::kRegionNotAllowed:
       return AttemptError::kRegionNotAllowed;
     case SendObstacle::kNone:
--- a/fuzz/exchange_fuzz.cc
+++ b/fuzz/exchange_fuzz.cc
@@ -4,6 +4,7 @@
 // disconnects or its deadline passes. Endpoints are reported as silent and as
 // close to, or past, the bound for starting requests at any time, so that
 // replacements start; both attempts then answer at any time and in any order.
+// Endpoints run one of two software versions, which must not mix in a stream.
 // The oracle knows which endpoints ran the request and the correct answer.
 
 #include <rapidcheck/catch.h>
@@ -89,15 +90,19 @@
     return violations_;
   }
 
-  AttemptError StartAttempt(Exchange&,
+  AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
-                            EndpointId* endpoint) override {
+                            AttemptStart* start) override {
     CheckStart(wish);
     if (random_.Chance(0.1))
       return random_.Chance(0.5) ? AttemptError::kNoEndpoint
                                  : AttemptError::kRetryBudgetSpent;
-    *endpoint = EndpointId("e" + std::to_string(++started_));
     Attempt attempt;
+    // Like the planner, keeps to the software version that the stream is bound
+    // to.
+    attempt.software = exchange.setup().software.value_or(
+        SoftwareVersion(random_.Chance(0.5) ? "v1" : "v2"));
+    *start = {EndpointId("e" + std::to_string(++started_)), attempt.software};
     attempt.outcome =
         static_cast<AttemptOutcome>(random_.Below(kAttemptOutcomes));
     attempt.after = wish.last_event.value_or(EventNumber(0)).value();
@@ -148,7 +153,10 @@
     ++answers_;
   }
   void BeginStream(HttpHead head) override { status_ = head.status; }
-  void SendChunk(std::string_view bytes) override { received_ += bytes; }
+  void SendChunk(std::string_view bytes) override {
+    received_ += bytes;
+    delivered_software_.insert(replying_software_);
+  }
   void EndStream() override { ++answers_; }
   void Abort() override {
     ++answers_;
@@ -158,6 +166,7 @@
  private:
   struct Attempt {
     AttemptOutcome outcome = AttemptOutcome::kWhole;
+    SoftwareVersion software;
     // The caller has received the events up to this number.
     std::uint64_t after = 0;
     bool head_sent = false;
@@ -338,6 +347,7 @@
       attempt.breaks_at -= bytes;
     const bool answers = RunsRequest(attempt.outcome) &&
                          attempt.outcome != AttemptOutcome::kFails;
+    replying_software_ = attempt.software;
     exchange_->OnReplyBody(number, piece, now_);
     if (answers)
       CheckOnlyAttempt(number);
@@ -355,6 +365,8 @@
       violations_.emplace_back("a request that may run once ran twice");
     if (runs_ > std::max(1, route_.max_attempts))
       violations_.emplace_back("more endpoints ran it than are allowed");
+    if (route_.streaming && delivered_software_.size() > 1)
+      violations_.emplace_back("a stream holds events of two versions");
     if (caller_gone_)
       return;
     // In this model endpoints' own refusals are never passed to the caller, so
@@ -396,6 +408,9 @@
   int answers_ = 0;
   bool broken_off_ = false;
   std::string received_;
+  SoftwareVersion replying_software_;
+  // The software versions whose events the caller has.
+  std::set<SoftwareVersion> delivered_software_;
   std::vector<std::string> violations_;
 };
 
