Fix: a stream that a caller takes up again goes on where it began (ORDER)

Cause: a caller that takes its stream up names its earlier request, which nothing read; the request was placed like a new one. Nothing that a handoff carries named the version either. Class: a value that is bound at a stream's start isn't known where the stream goes on. A stream that nobody knows goes on only if the service has had one version for longer than a stream lives, by records that were followed without a gap (SoftwareHistory); otherwise it is refused, not run (software_unknown). At a planned stop the records go to other owners. A handoff carries the beginning to the peer, and its reply the software to the instance that has the caller. A stream that is taken up isn't refused for load.

--- a/carobshift/gateway/endpoints/endpoint_registry.cc
+++ b/carobshift/gateway/endpoints/endpoint_registry.cc
@@ -2,16 +2,29 @@
 
 namespace carobshift {
 
-bool EndpointRegistry::Put(const EndpointRecord& record, MonotonicTime) {
+bool EndpointRegistry::Put(const EndpointRecord& record, MonotonicTime now) {
   grace_ends_.erase(record.id);
-  EndpointRecord& known = records_[record.id];
-  if (known == record)
+  const auto [found, inserted] = records_.try_emplace(record.id, record);
+  EndpointRecord& known = found->second;
+  if (!inserted && known == record)
     return false;
+  if (!inserted)
+    software_history_.OnUnlisted(known, now);
+  software_history_.OnListed(record, now);
   known = record;
   ++revision_;
   return true;
 }
 
+void EndpointRegistry::Erase(const EndpointId& id, MonotonicTime now) {
+  const auto found = records_.find(id);
+  if (found == records_.end())
+    return;
+  software_history_.OnUnlisted(found->second, now);
+  records_.erase(found);
+  ++revision_;
+}
+
 bool EndpointRegistry::Remove(const EndpointId& id,
                               RemovalCause cause,
                               MonotonicTime now) {
@@ -22,8 +35,7 @@
     return false;
   }
   grace_ends_.erase(id);
-  records_.erase(id);
-  ++revision_;
+  Erase(id, now);
   return true;
 }
 
@@ -50,8 +62,7 @@
       ++it;
       continue;
     }
-    records_.erase(it->first);
-    ++revision_;
+    Erase(it->first, now);
     it = grace_ends_.erase(it);
   }
 }
--- a/carobshift/gateway/endpoints/endpoint_registry.h
+++ b/carobshift/gateway/endpoints/endpoint_registry.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "carobshift/gateway/endpoints/endpoint_record.h"
+#include "carobshift/gateway/streams/software_history.h"
 
 namespace carobshift {
 
@@ -68,11 +69,20 @@
   [[nodiscard]] const std::map<EndpointId, EndpointRecord>& all() const {
     return records_;
   }
+  // Call when all records are known and every later one will be, or when some
+  // may have been missed.
+  void OnRecordsComplete(MonotonicTime now) { software_history_.OnGap(now); }
+  [[nodiscard]] const SoftwareHistory& software_history() const {
+    return software_history_;
+  }
   // Increases with each change of what all() returns.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
  private:
+  void Erase(const EndpointId& id, MonotonicTime now);
+
   std::map<EndpointId, EndpointRecord> records_;
+  SoftwareHistory software_history_;
   std::map<EndpointId, MonotonicTime> grace_ends_;
   std::uint64_t revision_ = 0;
 };
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -27,6 +27,7 @@
 #include "carobshift/gateway/records/record_listener.h"
 #include "carobshift/gateway/request/request_service.h"
 #include "carobshift/gateway/state_dump.h"
+#include "carobshift/gateway/streams/shared_stream_directory.h"
 #include "carobshift/gateway/weights/weight_rollout_controller.h"
 #include "carobshift/net/tcp_listener.h"
 #include "carobshift/telemetry/event_log.h"
@@ -58,6 +59,9 @@
 // Endpoint records are read in batches at this interval. Each read has a cost,
 // and a change may take up to two seconds to take effect.
 constexpr Milliseconds kEndpointReadInterval{500};
+// Records that were read this long ago may lack an endpoint that has started
+// since. Two reads that are delayed a little.
+constexpr Milliseconds kMaxRecordAge{1500};
 
 RequestServiceOptions ServiceOptions(const GatewaySettings& settings) {
   RequestServiceOptions options;
@@ -113,6 +117,8 @@
   // all services.
   [[nodiscard]] bool ReachesEngines(const EntryId& id) const;
   [[nodiscard]] ServiceLoss LossOf(const ServiceName& service) const;
+  // Returns whether the log has lately told which endpoints there are.
+  [[nodiscard]] bool EndpointRecordsAreCurrent() const;
   void OnMembers();
   // Does nothing before the other instances are known.
   void WatchCaches();
@@ -175,6 +181,11 @@
       {cluster.incarnation(), [this] { return cluster.Live(); }},
       datagrams,
       requests.loads()};
+  SharedStreamDirectory stream_directory{
+      loop,
+      {cluster.incarnation(), [this] { return cluster.Live(); }},
+      datagrams,
+      metrics};
   LoadSharing load_sharing{loop, cluster, datagrams, requests.loads()};
   LimitSharing limit_sharing{loop, cluster, datagrams, requests.limits()};
   ColdStartSharing cold_start_sharing{loop, cluster, datagrams, registry,
@@ -305,6 +316,8 @@
   rollout_controller.SetReachesEngines(
       [this](const EntryId& id) { return ReachesEngines(id); });
   requests.SetLoadQueryService(&load_query_service);
+  requests.SetStreamDirectory(&stream_directory,
+                              [this] { return EndpointRecordsAreCurrent(); });
   operator_follower.Start();
   endpoint_follower.Start();
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
@@ -344,6 +357,7 @@
   }
   requests.OnTick();
   load_query_service.OnTick();
+  stream_directory.OnTick();
   load_sharing.OnTick();
   limit_sharing.OnTick();
   reachability_sharing.OnTick();
@@ -413,6 +427,11 @@
              : ServiceLoss::kEverywhere;
 }
 
+bool Gateway::Impl::EndpointRecordsAreCurrent() const {
+  const auto answered = endpoint_follower.last_answer();
+  return answered && loop.now() - *answered <= kMaxRecordAge;
+}
+
 void Gateway::Impl::OnMembers() {
   discovery.OnMembers(cluster.Live().size(), loop.now());
   if (members_settled || !discovery.IsSettled(loop.now()))
@@ -505,6 +524,10 @@
               static_cast<double>(endpoint_follower.bytes_read()));
   metrics.Set("carobshift_peer_bytes_told", {},
               static_cast<double>(peer_sync.bytes_sent()));
+  metrics.Set("carobshift_stream_records", {},
+              static_cast<double>(stream_directory.table().size()));
+  metrics.Set("carobshift_stream_records_dropped", {},
+              static_cast<double>(stream_directory.table().dropped()));
   metrics.Set("carobshift_live_entries", {},
               static_cast<double>(cluster.Live().size()));
   metrics.Set(
@@ -537,6 +560,7 @@
   stop_began = loop.now();
   rollout_controller.Stop();
   cluster.Leave();
+  stream_directory.HandOver();
   requests.BeginStop();
   handoff_listener.BeginStop();
   loop.AddTimer(loop.now() + kStopAcceptDuration, [this] {
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -138,6 +138,7 @@
   bool changed = false;
   for (const EndpointId& id : missing)
     changed = Remove(id, now) || changed;
+  registry_.OnRecordsComplete(now);
   if (changed)
     listener_.on_endpoints();
 }
@@ -158,6 +159,7 @@
 void EndpointRecords::OnLogRecovered(Milliseconds away, MonotonicTime now) {
   LogEvent(LogLevel::kInfo, "log_back",
            {{"stream", "endpoints"}, {"away_ms", away.count()}});
+  registry_.OnRecordsComplete(now);
   if (away >= kEntryExpiryOutage)
     log_recovered_ = now;
 }
--- a/carobshift/gateway/handoff/handoff_codec.cc
+++ b/carobshift/gateway/handoff/handoff_codec.cc
@@ -111,6 +111,27 @@
   return opened;
 }
 
+void SetStreamBeginning(const std::optional<StreamBeginning>& beginning,
+                        HttpHead& head) {
+  head.Remove(kStreamServiceField);
+  head.Remove(kStreamSoftwareField);
+  if (!beginning)
+    return;
+  head.Set(kStreamServiceField, beginning->service.value());
+  head.Set(kStreamSoftwareField, beginning->software.value());
+}
+
+std::optional<StreamBeginning> TakeStreamBeginning(HttpHead& head) {
+  const std::string* const service = head.Find(kStreamServiceField);
+  const std::string* const software = head.Find(kStreamSoftwareField);
+  std::optional<StreamBeginning> beginning;
+  if (service != nullptr && software != nullptr)
+    beginning = {ServiceName(*service), SoftwareVersion(*software)};
+  head.Remove(kStreamServiceField);
+  head.Remove(kStreamSoftwareField);
+  return beginning;
+}
+
 void SetHandoffState(HandoffState state, HttpHead& head) {
   const auto* const found =
       std::find_if(kStates.begin(), kStates.end(),
--- a/carobshift/gateway/handoff/handoff_codec.h
+++ b/carobshift/gateway/handoff/handoff_codec.h
@@ -24,6 +24,7 @@
 #include <string_view>
 
 #include "carobshift/base/ids.h"
+#include "carobshift/gateway/streams/stream_beginning.h"
 #include "carobshift/net/http_message.h"
 
 namespace carobshift {
@@ -79,6 +80,22 @@
                                         const std::string& secret,
                                         HttpHead& head);
 
+// Names of the fields with the service and the software version that began a
+// stream. A request has both if its stream has begun; the reply has the latter,
+// which never reaches callers.
+inline constexpr std::string_view kStreamServiceField =
+    "Carobshift-Stream-Service";
+inline constexpr std::string_view kStreamSoftwareField =
+    "Carobshift-Stream-Software";
+
+// To be called before SealHandoff(). Fields of these names that the caller sent
+// are removed.
+void SetStreamBeginning(const std::optional<StreamBeginning>& beginning,
+                        HttpHead& head);
+// Removes the fields from the head of a request that was opened.
+[[nodiscard]] std::optional<StreamBeginning> TakeStreamBeginning(
+    HttpHead& head);
+
 void SetHandoffState(HandoffState state, HttpHead& head);
 // Returns nullopt if the head has no valid state.
 [[nodiscard]] std::optional<HandoffState> HandoffStateOf(const HttpHead& head);
--- a/carobshift/gateway/handoff/handoff_codec_test.cc
+++ b/carobshift/gateway/handoff/handoff_codec_test.cc
@@ -125,5 +125,23 @@
   CHECK_FALSE(HandoffStateOf(head));
 }
 
+// Guards against a caller that chooses the software version of its stream.
+TEST_CASE("only the instance that hands over states where a stream began") {
+  HttpHead head;
+  head.fields = {{std::string(kStreamServiceField), "llm"},
+                 {std::string(kStreamSoftwareField), "v9"}};
+  SECTION("nothing is known of it") {
+    SetStreamBeginning(std::nullopt, head);
+    CHECK_FALSE(TakeStreamBeginning(head).has_value());
+  }
+  SECTION("it has begun") {
+    const StreamBeginning beginning{ServiceName("desks"),
+                                    SoftwareVersion("v1")};
+    SetStreamBeginning(beginning, head);
+    CHECK(TakeStreamBeginning(head) == beginning);
+  }
+  CHECK(head.fields.empty());
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/handoff/handoff_runner.cc
+++ b/carobshift/gateway/handoff/handoff_runner.cc
@@ -118,6 +118,11 @@
   ++peers_[peer.id].outstanding;
   const CallerRequest& sent = exchange.request();
   HttpHead head = dialect_.EncodeRequest(sent, wish.time_left, wish.last_event);
+  const ExchangeSetup& setup = exchange.setup();
+  std::optional<StreamBeginning> beginning;
+  if (setup.software)
+    beginning = {setup.service, *setup.software};
+  SetStreamBeginning(beginning, head);
   SealHandoff({.from = environment_.self,
                .to = peer.id,
                .to_incarnation = peer.incarnation},
@@ -146,6 +151,8 @@
   }
   facts.request = dialect_.DecodeReply(head).request;
   facts.not_run = state == HandoffState::kNotRun;
+  if (const std::string* software = head.Find(kStreamSoftwareField))
+    facts.software = SoftwareVersion(*software);
   return facts;
 }
 
@@ -223,6 +230,10 @@
   EndHandoff(request, attempt);
 }
 
+void HandoffRunner::OnStreamBegins(Exchange& exchange) {
+  endpoint_attempts_.OnStreamBegins(exchange);
+}
+
 Milliseconds HandoffRunner::RetryAfter(Exchange& exchange) {
   return endpoint_attempts_.RetryAfter(exchange);
 }
--- a/carobshift/gateway/handoff/handoff_runner.h
+++ b/carobshift/gateway/handoff/handoff_runner.h
@@ -110,6 +110,7 @@
   void OnAttemptFailure(Exchange& exchange,
                         AttemptNumber attempt,
                         const CallFailure& failure) override;
+  void OnStreamBegins(Exchange& exchange) override;
   Milliseconds RetryAfter(Exchange& exchange) override;
   void OnExchangeEnd(Exchange& exchange) override;
 
--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -176,8 +176,11 @@
   }
   ~Instance() { callers->Close(); }
 
-  void AddEndpoint(const std::string& name, const NetAddress& address) {
+  void AddEndpoint(const std::string& name,
+                   const NetAddress& address,
+                   const std::string& software = "v1") {
     EndpointRecord record;
+    record.software = SoftwareVersion(software);
     record.id = EndpointId(name);
     record.service = kService;
     record.zone = ZoneName("z");
@@ -455,6 +458,32 @@
 }
 
 // Guards against a broken stream that looks complete to the caller.
+// Guards against a stream that changes its software version because it goes on
+// through another peer.
+TEST_CASE("a stream keeps its software version through another peer") {
+  const auto answer = [](HttpServerConnection& connection,
+                         const HttpServerRequest& request) {
+    const std::string* const last = request.head.Find("Last-Event");
+    connection.BeginStream(ReplyHead(200));
+    connection.SendChunk(last == nullptr ? Events(1, 3) : Events(4, 6));
+    if (last != nullptr)
+      connection.EndStream();
+  };
+  for (int i = 0; i < 4; ++i) {
+    HandoffFixture fixture(answer, 3);
+    LoopbackServer other(fixture.loop, answer);
+    for (const auto& instance : fixture.instances)
+      instance->AddEndpoint("e2", other.address(), "v2");
+    const auto caller = fixture.Send("/review/" + std::to_string(i));
+    RunUntil(fixture.loop, [&caller] { return caller->body == Events(1, 3); });
+    fixture.BusyPeer().listener.Abort();
+    RunUntil(fixture.loop, [&caller] { return caller->over; });
+    CHECK(caller->body == Events(1, 6));
+    CHECK(std::max(fixture.Runs(), other.bodies.size()) == 2);
+    CHECK(caller->head.Find(kStreamSoftwareField) == nullptr);
+  }
+}
+
 TEST_CASE("a stream that can't resume breaks off visibly through a peer") {
   HandoffFixture fixture(
       [](HttpServerConnection& connection, const HttpServerRequest&) {
--- /dev/null
+++ b/carobshift/gateway/instances/local_instance.h
@@ -0,0 +1,21 @@
+// What a component of one instance knows of the instances.
+
+#ifndef CAROBSHIFT_GATEWAY_INSTANCES_LOCAL_INSTANCE_H_
+#define CAROBSHIFT_GATEWAY_INSTANCES_LOCAL_INSTANCE_H_
+
+#include <functional>
+#include <vector>
+
+#include "carobshift/membership/member.h"
+
+namespace carobshift {
+
+struct LocalInstance {
+  Incarnation self;
+  // Returns the live instances.
+  std::function<std::vector<MemberInfo>()> live;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_INSTANCES_LOCAL_INSTANCE_H_
--- a/carobshift/gateway/instances/peer_datagrams.cc
+++ b/carobshift/gateway/instances/peer_datagrams.cc
@@ -60,6 +60,11 @@
       address_{settings.host, settings.peer_port},
       secret_(SharedSecret(settings)) {}
 
+PeerDatagrams::~PeerDatagrams() {
+  if (port_ != nullptr)
+    port_->Close();
+}
+
 Status PeerDatagrams::Start() {
   auto port = UdpPort::Open(
       loop_, address_, [this](std::string_view bytes) { OnDatagram(bytes); });
--- a/carobshift/gateway/instances/peer_datagrams.h
+++ b/carobshift/gateway/instances/peer_datagrams.h
@@ -38,6 +38,9 @@
   kColdStartUpdate = 7,
   kRejectionUpdate = 8,
   kReachability = 9,
+  kStreamRecords = 10,
+  kStreamQuery = 11,
+  kStreamAnswer = 12,
 };
 
 struct PeerDatagram {
@@ -63,6 +66,9 @@
   PeerDatagrams(EventLoop& loop,
                 const GatewaySettings& settings,
                 const Cluster& cluster);
+  ~PeerDatagrams();
+  PeerDatagrams(const PeerDatagrams&) = delete;
+  PeerDatagrams& operator=(const PeerDatagrams&) = delete;
 
   [[nodiscard]] Status Start();
   void SetHandler(PeerDatagramKind kind, Handler handler) {
--- a/carobshift/gateway/load/load_query_service.h
+++ b/carobshift/gateway/load/load_query_service.h
@@ -22,6 +22,7 @@
 #include <string_view>
 #include <vector>
 
+#include "carobshift/gateway/instances/local_instance.h"
 #include "carobshift/gateway/instances/peer_datagrams.h"
 #include "carobshift/gateway/load/load_aggregator.h"
 #include "carobshift/gateway/load/load_tracker.h"
@@ -29,13 +30,6 @@
 
 namespace carobshift {
 
-// Identifies this instance and the live instances.
-struct LocalInstance {
-  Incarnation self;
-  // Returns the live instances.
-  std::function<std::vector<MemberInfo>()> live;
-};
-
 class LoadQueryService {
  public:
   // Up to this number of instances, periodic reports (load_tracker.h) are
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -68,6 +68,16 @@
     Fail(CodeOf(failure), now);
 }
 
+void Exchange::BindTo(const ServiceName& service,
+                      const SoftwareVersion& software) {
+  setup_.service = service;
+  setup_.software = software;
+}
+
+void Exchange::RefuseToStart(ResultCode code, MonotonicTime now) {
+  Fail(code, now);
+}
+
 AttemptError Exchange::StartAttempt(bool replacement,
                                     MonotonicTime now,
                                     StartedAttempt* started) {
@@ -252,6 +262,7 @@
   head_sent_ = true;
   summary_.status = buffered_head_.status;
   setup_.software = current_software_;
+  attempt_runner_.OnStreamBegins(*this);
   reply_.BeginStream(CallerHead(buffered_head_));
 }
 
@@ -434,7 +445,7 @@
 }
 
 // Returns the endpoint's head unchanged, without the header fields of its own
-// connection and the framing, and without the state of a handoff.
+// connection and the framing, and without those of a handoff.
 HttpHead Exchange::CallerHead(const HttpHead& head) const {
   const std::string* const connection = head.Find("Connection");
   HttpHead out;
@@ -447,8 +458,11 @@
       out.fields.push_back(field);
   }
   out.Remove(kHandoffStateField);
-  if (setup_.request.handed_over)
-    SetHandoffState(HandoffState::kAnswer, out);
+  out.Remove(kStreamSoftwareField);
+  if (!setup_.request.handed_over)
+    return out;
+  SetHandoffState(HandoffState::kAnswer, out);
+  out.Set(kStreamSoftwareField, current_software_.value());
   return out;
 }
 
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -144,6 +144,9 @@
   virtual void OnAttemptFailure(Exchange& exchange,
                                 AttemptNumber attempt,
                                 const CallFailure& failure) = 0;
+  // The first event of a stream, whose software is known now, is about to be
+  // sent to the caller.
+  virtual void OnStreamBegins(Exchange& exchange) = 0;
   // Returns how long the caller should wait before it retries.
   virtual Milliseconds RetryAfter(Exchange& exchange) = 0;
   // The exchange is over. This is its last call.
@@ -191,6 +194,11 @@
   Exchange& operator=(const Exchange&) = delete;
 
   void Start(MonotonicTime now);
+  // Binds a stream that the caller takes up again to the service and the
+  // software version that began it. To be called before Start().
+  void BindTo(const ServiceName& service, const SoftwareVersion& software);
+  // Refuses the request instead of starting it.
+  void RefuseToStart(ResultCode code, MonotonicTime now);
 
   // Handles the head of an attempt's reply. Returns kSkip if the reply answers
   // another request.
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -80,6 +80,9 @@
     live.erase(attempt);
     failures.push_back(failure.fault);
   }
+  void OnStreamBegins(Exchange& exchange) override {
+    begun.push_back(*exchange.setup().software);
+  }
   Milliseconds RetryAfter(Exchange&) override { return Milliseconds(400); }
   void OnExchangeEnd(Exchange&) override { ++ends; }
 
@@ -97,6 +100,8 @@
   std::vector<AttemptParams> wishes;
   // The software version to which the stream was bound at each start.
   std::vector<std::optional<SoftwareVersion>> bound;
+  // The software versions with which streams began.
+  std::vector<SoftwareVersion> begun;
   std::vector<CallFault> failures;
 };
 
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -191,6 +191,9 @@
     const std::shared_ptr<HttpServerConnection>& connection,
     HttpServerRequest received,
     const EntryId* from) {
+  std::optional<StreamBeginning> handed_beginning;
+  if (from != nullptr)
+    handed_beginning = TakeStreamBeginning(received.head);
   Result<CallerRequest> decoded = dialect_.DecodeRequest(received.head);
   if (!decoded.ok()) {
     Reject(*connection, RequestId(), decoded.error().code, from);
@@ -215,7 +218,8 @@
   }
   const Route* const route = resolved.value().route;
   const ServiceName service =
-      ChooseService(*route, FastHash(request.id.value()));
+      handed_beginning ? handed_beginning->service
+                       : ChooseService(*route, FastHash(request.id.value()));
   // A peer that doesn't reach the service itself would only delay the refusal.
   if (request.handed_over && handoff_runner_ != nullptr &&
       !handoff_runner_->ReachesEndpointsOf(service)) {
@@ -243,6 +247,7 @@
   Running& running = runs_[exchange];
   running.run = run;
   running.connection = connection.get();
+  running.handed_beginning = std::move(handed_beginning);
   running.footprint = RequestFootprint::Of(exchange->request());
   by_connection_[connection.get()] = exchange;
   if (exchange->request().prompt) {
@@ -252,7 +257,7 @@
   Begin(run);
 }
 
-void RequestService::Begin(const std::shared_ptr<ExchangeRun>& run) {
+void RequestService::Place(const std::shared_ptr<ExchangeRun>& run) {
   const ExchangeSetup& setup = run->exchange().setup();
   if (load_query_service_ == nullptr || !load_query_service_->active() ||
       !setup.request.prompt || WouldHandOver(setup)) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -42,6 +42,7 @@
 #include "carobshift/gateway/request/request_report.h"
 #include "carobshift/gateway/request/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
+#include "carobshift/gateway/streams/stream_directory.h"
 #include "carobshift/net/http_server_connection.h"
 #include "carobshift/telemetry/metrics.h"
 
@@ -136,6 +137,14 @@
   void SetReachability(const ServiceReachability* reachability) {
     reachability_ = reachability;
   }
+  // Sets where streams' beginnings are recorded and looked up, and whether the
+  // records of endpoints are up to date. Without them, a stream that a caller
+  // takes up again is refused.
+  void SetStreamDirectory(StreamDirectory* directory,
+                          std::function<bool()> records_are_current) {
+    stream_directory_ = directory;
+    records_are_current_ = std::move(records_are_current);
+  }
   // The paths of this instance to the service, which were lost since then, have
   // returned.
   void OnPathsReturned(const ServiceName& service, MonotonicTime lost_since);
@@ -203,6 +212,7 @@
   void OnAttemptFailure(Exchange& exchange,
                         AttemptNumber attempt,
                         const CallFailure& failure) override;
+  void OnStreamBegins(Exchange& exchange) override;
   Milliseconds RetryAfter(Exchange& exchange) override;
   void OnExchangeEnd(Exchange& exchange) override;
 
@@ -231,6 +241,11 @@
     // Endpoints whose load was reported, among which the request is placed.
     std::vector<EndpointId> shortlist;
     RequestTrace trace;
+    // The beginning of the stream, as the instance states that handed the
+    // request over.
+    std::optional<StreamBeginning> handed_beginning;
+    // From where the beginning of the stream is known that the caller takes up.
+    StreamSource stream_source = StreamSource::kUnknown;
     // All attempts; see Exchange::kMaxAttempts.
     std::vector<AttemptRecord> attempts;
     // Set when the request was refused under load.
@@ -247,8 +262,17 @@
               ResultCode code,
               const EntryId* from);
   [[nodiscard]] bool WouldHandOver(const ExchangeSetup& setup) const;
-  // Starts the exchange; for a prompt, after load reports have been requested.
+  // Binds a stream that the caller takes up again, or refuses it, and starts
+  // the exchange.
   void Begin(const std::shared_ptr<ExchangeRun>& run);
+  void ContinueStream(const std::shared_ptr<ExchangeRun>& run,
+                      const StreamLookup& lookup);
+  // Returns the only version that the service has had for longer than a stream
+  // lives, if that is certain.
+  [[nodiscard]] std::optional<SoftwareVersion> SoleVersion(
+      const ServiceName& service) const;
+  // Starts the exchange; for a prompt, after load reports have been requested.
+  void Place(const std::shared_ptr<ExchangeRun>& run);
   // Queries the load of `endpoints` and adds those that were answered to the
   // shortlist. Doesn't call `done` if the caller has disconnected by then.
   void QueryLoads(const std::shared_ptr<ExchangeRun>& run,
@@ -269,7 +293,7 @@
                    const AttemptParams& wish,
                    const AttemptPlan& plan);
   // Logs and counts an attempt that continues a stream.
-  void ReportContinuation(const ExchangeSetup& setup,
+  void ReportContinuation(const Running& running,
                           const AttemptParams& wish,
                           const EndpointRecord& endpoint);
   // Returns whether the plan's endpoint is worth a replacement.
@@ -339,6 +363,8 @@
   AttemptPlanner planner_;
   RetryAllowance allowance_;
   LoadQueryService* load_query_service_ = nullptr;
+  StreamDirectory* stream_directory_ = nullptr;
+  std::function<bool()> records_are_current_;
   HandoffRunner* handoff_runner_ = nullptr;
   std::shared_ptr<const ServingConfigSnapshot> config_;
   CallerLimitsInForce caller_limits_;
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -24,13 +24,16 @@
     return ClassifyPlanFailure(setup);
   if (wish.replacement && !ServesAsReplacement(wish, *plan))
     return AttemptError::kNoEndpoint;
-  if (!wish.repeat && RefusedUnderLoad(running, setup, *plan))
+  // A stream that has begun isn't given up for load: what its caller has of it
+  // would be lost.
+  if (!wish.repeat && !wish.last_event &&
+      RefusedUnderLoad(running, setup, *plan))
     return AttemptError::kOverloaded;
   if (wish.repeat && !allowance_.TrySpend(setup.service, loop_.now()))
     return AttemptError::kRetryBudgetSpent;
   RecordStart(running, wish, *plan);
   if (wish.last_event)
-    ReportContinuation(setup, wish, plan->endpoint);
+    ReportContinuation(running, wish, plan->endpoint);
   HttpCallOptions options;
   options.connect_timeout = options_.connect_timeout;
   options.is_head_request = setup.request.method == "HEAD";
@@ -78,28 +81,6 @@
   running.attempts.push_back(std::move(attempt));
 }
 
-void RequestService::ReportContinuation(const ExchangeSetup& setup,
-                                        const AttemptParams& wish,
-                                        const EndpointRecord& endpoint) {
-  const CallerRequest& request = setup.request;
-  const bool by_caller = !wish.repeat && wish.last_event == request.last_event;
-  const std::string_view by = by_caller ? "caller" : "instance";
-  metrics_.Add("carobshift_streams_continued_total",
-               {{"service", setup.service.value()}, {"by", by}}, 1);
-  LogEvent(LogLevel::kInfo, "stream_continued",
-           {{"request", request.id.value()},
-            {"attempt", wish.number.value()},
-            {"by", by},
-            {"beginning", request.stream_beginning
-                              ? request.stream_beginning->value()
-                              : std::string()},
-            {"last_event", wish.last_event->value()},
-            {"endpoint", endpoint.id.value()},
-            {"software", endpoint.software.value()},
-            {"born", endpoint.start_time.value()},
-            {"registry", registry_.revision()}});
-}
-
 RequestService::AttemptRecord& RequestService::Running::Attempt(
     AttemptNumber number) {
   return *std::find_if(
--- /dev/null
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -0,0 +1,129 @@
+// The part of RequestService that keeps streams at the service and the software
+// version that began them.
+
+#include <algorithm>
+#include <utility>
+
+#include "carobshift/gateway/request/request_service.h"
+#include "carobshift/gateway/streams/stream_continuation.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+// A caller may take its stream up until its deadline; the rest covers requests
+// that are under way then.
+constexpr Milliseconds kRecordReserve{2000};
+
+std::optional<AccountId> AccountOf(const ExchangeSetup& setup) {
+  if (setup.account == nullptr)
+    return std::nullopt;
+  return setup.account->name;
+}
+
+bool TakesUpStream(const ExchangeSetup& setup) {
+  return setup.route->streaming && setup.request.last_event.has_value();
+}
+
+}  // namespace
+
+void RequestService::Begin(const std::shared_ptr<ExchangeRun>& run) {
+  const ExchangeSetup& setup = run->exchange().setup();
+  if (!TakesUpStream(setup)) {
+    Place(run);
+    return;
+  }
+  const auto& handed = runs_.at(&run->exchange()).handed_beginning;
+  if (handed) {
+    ContinueStream(run, {handed, StreamSource::kHandoff});
+    return;
+  }
+  const std::optional<RequestId>& beginning = setup.request.stream_beginning;
+  if (!beginning || stream_directory_ == nullptr) {
+    ContinueStream(run, {});
+    return;
+  }
+  stream_directory_->Find(StreamKeyOf(AccountOf(setup), *beginning),
+                          [this, run](const StreamLookup& lookup) {
+                            // The caller may have disconnected meanwhile.
+                            if (!run->exchange().over())
+                              ContinueStream(run, lookup);
+                          });
+}
+
+void RequestService::ContinueStream(const std::shared_ptr<ExchangeRun>& run,
+                                    const StreamLookup& lookup) {
+  Exchange& exchange = run->exchange();
+  const ExchangeSetup& setup = exchange.setup();
+  const Continuation next = DecideContinuation(
+      *setup.route, setup.service, lookup, SoleVersion(setup.service));
+  if (next.refusal != ResultCode::kOk) {
+    LogEvent(LogLevel::kWarning, "stream_not_continued",
+             {{"request", setup.request.id.value()},
+              {"beginning", setup.request.stream_beginning
+                                ? setup.request.stream_beginning->value()
+                                : std::string()},
+              {"code", ResultCodeName(next.refusal)},
+              {"began_at", next.beginning.service.value()},
+              {"registry", registry_.revision()}});
+    exchange.RefuseToStart(next.refusal, loop_.now());
+    return;
+  }
+  runs_.at(&exchange).stream_source = next.source;
+  exchange.BindTo(next.beginning.service, next.beginning.software);
+  Place(run);
+}
+
+std::optional<SoftwareVersion> RequestService::SoleVersion(
+    const ServiceName& service) const {
+  if (config_ == nullptr || !records_are_current_ || !records_are_current_())
+    return std::nullopt;
+  return registry_.software_history().SoleVersion(
+      service, LongestStream(config_->config()), loop_.now());
+}
+
+void RequestService::OnStreamBegins(Exchange& exchange) {
+  const ExchangeSetup& setup = exchange.setup();
+  // The record of a stream that is taken up again names its first request, and
+  // that of a handed-over one is kept by the instance that has the caller.
+  if (stream_directory_ == nullptr || !setup.route->resumable ||
+      setup.request.handed_over || TakesUpStream(setup))
+    return;
+  const MonotonicTime end =
+      setup.arrived +
+      std::max(setup.request.time_left.value_or(Milliseconds(0)),
+               setup.route->timeout) +
+      kRecordReserve;
+  stream_directory_->Publish(
+      {StreamKeyOf(AccountOf(setup), setup.request.id),
+       {setup.service, *setup.software},
+       std::chrono::duration_cast<Milliseconds>(end - loop_.now())});
+}
+
+void RequestService::ReportContinuation(const Running& running,
+                                        const AttemptParams& wish,
+                                        const EndpointRecord& endpoint) {
+  const ExchangeSetup& setup = running.run->exchange().setup();
+  const CallerRequest& request = setup.request;
+  const bool by_caller = !wish.repeat && wish.last_event == request.last_event;
+  const std::string_view by = by_caller ? "caller" : "instance";
+  metrics_.Add("carobshift_streams_continued_total",
+               {{"service", setup.service.value()}, {"by", by}}, 1);
+  LogEvent(
+      LogLevel::kInfo, "stream_continued",
+      {{"request", request.id.value()},
+       {"attempt", wish.number.value()},
+       {"by", by},
+       {"beginning", request.stream_beginning
+                         ? request.stream_beginning->value()
+                         : std::string()},
+       {"known_from", StreamSourceName(running.stream_source)},
+       {"bound_to", setup.software ? setup.software->value() : std::string()},
+       {"last_event", wish.last_event->value()},
+       {"endpoint", endpoint.id.value()},
+       {"software", endpoint.software.value()},
+       {"born", endpoint.start_time.value()},
+       {"registry", registry_.revision()}});
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/streams/shared_stream_directory.cc
@@ -0,0 +1,212 @@
+#include "carobshift/gateway/streams/shared_stream_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "carobshift/gateway/streams/stream_owners.h"
+#include "carobshift/telemetry/event_log.h"
+
+namespace carobshift {
+namespace {
+
+constexpr Milliseconds kExpiryInterval{1000};
+
+}  // namespace
+
+SharedStreamDirectory::SharedStreamDirectory(EventLoop& loop,
+                                             LocalInstance instance,
+                                             PeerDatagrams& datagrams,
+                                             Metrics& metrics)
+    : loop_(loop),
+      instance_(std::move(instance)),
+      datagrams_(datagrams),
+      metrics_(metrics) {
+  datagrams_.SetHandler(PeerDatagramKind::kStreamRecords,
+                        [this](std::string_view bytes) { OnRecords(bytes); });
+  datagrams_.SetHandler(PeerDatagramKind::kStreamQuery,
+                        [this](std::string_view bytes) { OnQuery(bytes); });
+  datagrams_.SetHandler(PeerDatagramKind::kStreamAnswer,
+                        [this](std::string_view bytes) { OnAnswer(bytes); });
+}
+
+SharedStreamDirectory::~SharedStreamDirectory() {
+  for (const auto& [number, lookup] : lookups_)
+    loop_.CancelTimer(lookup.timer);
+}
+
+void SharedStreamDirectory::OnTick() {
+  members_ = instance_.live();
+  if (loop_.now() < next_expiry_)
+    return;
+  next_expiry_ = loop_.now() + kExpiryInterval;
+  table_.Expire(loop_.now());
+}
+
+std::vector<MemberInfo> SharedStreamDirectory::Others() const {
+  std::vector<MemberInfo> others = members_;
+  std::erase_if(others, [this](const MemberInfo& member) {
+    return member.incarnation == instance_.self;
+  });
+  return others;
+}
+
+const MemberInfo* SharedStreamDirectory::FindMember(
+    Incarnation incarnation) const {
+  const auto found = std::find_if(members_.begin(), members_.end(),
+                                  [incarnation](const MemberInfo& member) {
+                                    return member.incarnation == incarnation;
+                                  });
+  return found == members_.end() ? nullptr : &*found;
+}
+
+void SharedStreamDirectory::Publish(const StreamRecord& record) {
+  table_.Put(record, loop_.now());
+  const std::string payload = EncodeStreamRecords({record});
+  for (const MemberInfo& owner :
+       StreamOwners(record.key, Others(), kStreamOwners)) {
+    datagrams_.SendTo(owner.peer_address(), PeerDatagramKind::kStreamRecords,
+                      payload);
+  }
+}
+
+void SharedStreamDirectory::SendAll(const NetAddress& address,
+                                    const std::vector<StreamRecord>& records) {
+  for (std::size_t i = 0; i < records.size(); i += kMaxRecordsPerDatagram) {
+    const auto first = records.begin() + static_cast<std::ptrdiff_t>(i);
+    const auto count = std::min(kMaxRecordsPerDatagram, records.size() - i);
+    datagrams_.SendTo(address, PeerDatagramKind::kStreamRecords,
+                      EncodeStreamRecords(
+                          {first, first + static_cast<std::ptrdiff_t>(count)}));
+  }
+}
+
+void SharedStreamDirectory::HandOver() {
+  members_ = instance_.live();
+  const std::vector<MemberInfo> others = Others();
+  const std::vector<StreamRecord> records = table_.All(loop_.now());
+  std::map<NetAddress, std::vector<StreamRecord>> by_owner;
+  for (const StreamRecord& record : records) {
+    for (const MemberInfo& owner :
+         StreamOwners(record.key, others, kStreamOwners))
+      by_owner[owner.peer_address()].push_back(record);
+  }
+  for (const auto& [address, records_of_owner] : by_owner)
+    SendAll(address, records_of_owner);
+  LogEvent(LogLevel::kInfo, "stream_records_handed_over",
+           {{"records", records.size()}, {"instances", others.size()}});
+}
+
+void SharedStreamDirectory::OnRecords(std::string_view payload) {
+  const auto records = DecodeStreamRecords(payload);
+  if (!records.ok()) {
+    LogEvent(LogLevel::kWarning, "stream_records_unreadable",
+             {{"reason", records.error().message}});
+    return;
+  }
+  for (const StreamRecord& record : records.value())
+    table_.Put(record, loop_.now());
+}
+
+void SharedStreamDirectory::Find(StreamKey key, Done done) {
+  const StreamEvidence known = table_.Find(key, loop_.now());
+  if (known.beginning() || known.contradictory()) {
+    Report(done, {known.beginning(), StreamSource::kOwnTable});
+    return;
+  }
+  const std::vector<MemberInfo> owners =
+      StreamOwners(key, Others(), kStreamOwners);
+  if (owners.empty() || lookups_.size() >= kMaxLookups) {
+    Report(done, {});
+    return;
+  }
+  const std::uint64_t number = ++last_number_;
+  Lookup& lookup = lookups_[number];
+  lookup.key = key;
+  lookup.done = std::move(done);
+  lookup.timer = loop_.AddTimer(loop_.now() + kOwnerTime,
+                                [this, number] { OnRoundOver(number); });
+  Ask(number, lookup, owners);
+}
+
+void SharedStreamDirectory::Ask(std::uint64_t number,
+                                Lookup& lookup,
+                                const std::vector<MemberInfo>& instances) {
+  const std::string query =
+      EncodeStreamQuery({instance_.self, number, lookup.key});
+  for (const MemberInfo& instance : instances) {
+    lookup.unanswered.insert(instance.incarnation);
+    datagrams_.SendTo(instance.peer_address(), PeerDatagramKind::kStreamQuery,
+                      query);
+  }
+}
+
+void SharedStreamDirectory::OnRoundOver(std::uint64_t number) {
+  const auto found = lookups_.find(number);
+  if (found == lookups_.end())
+    return;
+  Lookup& lookup = found->second;
+  const bool known =
+      lookup.evidence.beginning() || lookup.evidence.contradictory();
+  if (known || lookup.asked_further) {
+    Finish(number);
+    return;
+  }
+  lookup.asked_further = true;
+  std::vector<MemberInfo> further =
+      StreamOwners(lookup.key, Others(), kStreamOwners + kFurtherInstances);
+  further.erase(further.begin(),
+                further.begin() + static_cast<std::ptrdiff_t>(
+                                      std::min(kStreamOwners, further.size())));
+  loop_.CancelTimer(lookup.timer);
+  lookup.timer = loop_.AddTimer(loop_.now() + kFurtherTime,
+                                [this, number] { OnRoundOver(number); });
+  Ask(number, lookup, further);
+  if (lookup.unanswered.empty())
+    Finish(number);
+}
+
+void SharedStreamDirectory::Finish(std::uint64_t number) {
+  const auto found = lookups_.find(number);
+  const Lookup lookup = std::move(found->second);
+  lookups_.erase(found);
+  loop_.CancelTimer(lookup.timer);
+  const auto beginning = lookup.evidence.beginning();
+  Report(lookup.done,
+         {beginning, beginning ? StreamSource::kPeer : StreamSource::kUnknown});
+}
+
+void SharedStreamDirectory::Report(const Done& done,
+                                   const StreamLookup& lookup) {
+  metrics_.Add("carobshift_stream_lookups_total",
+               {{"source", StreamSourceName(lookup.source)}}, 1);
+  done(lookup);
+}
+
+void SharedStreamDirectory::OnQuery(std::string_view payload) {
+  const Result<StreamQuery> query = DecodeStreamQuery(payload);
+  if (!query.ok())
+    return;
+  const MemberInfo* const requester = FindMember(query.value().requester);
+  if (requester == nullptr)
+    return;
+  datagrams_.SendTo(
+      requester->peer_address(), PeerDatagramKind::kStreamAnswer,
+      EncodeStreamAnswer({instance_.self, query.value().number,
+                          table_.Find(query.value().key, loop_.now())}));
+}
+
+void SharedStreamDirectory::OnAnswer(std::string_view payload) {
+  const Result<StreamAnswer> answer = DecodeStreamAnswer(payload);
+  if (!answer.ok())
+    return;
+  const std::uint64_t number = answer.value().number;
+  const auto found = lookups_.find(number);
+  if (found == lookups_.end() ||
+      found->second.unanswered.erase(answer.value().from) == 0)
+    return;
+  found->second.evidence.Merge(answer.value().evidence);
+  if (found->second.unanswered.empty())
+    OnRoundOver(number);
+}
+
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/streams/software_history.h
@@ -0,0 +1,61 @@
+// Which software versions the endpoints of each service have had, as far back
+// as this instance has followed their records without a gap.
+//
+//   SoftwareHistory history;
+//   history.OnGap(now);                  // the records start, or some were
+//   lost history.OnListed(record, now); history.OnUnlisted(record, now); if
+//   (const auto software = history.SoleVersion(service, span, now)) ...
+//
+// Load pattern: all instances restart at once and nobody knows the streams that
+// callers take up again. If the service has had one version only since before
+// the oldest of them began, that is where they began. An instance that has just
+// started can't say so: a rollout may have ended shortly before.
+//
+// A version that no endpoint has had for kKeepTime is forgotten.
+//
+// Thread-compatible.
+
+#ifndef CAROBSHIFT_GATEWAY_STREAMS_SOFTWARE_HISTORY_H_
+#define CAROBSHIFT_GATEWAY_STREAMS_SOFTWARE_HISTORY_H_
+
+#include <map>
+#include <optional>
+
+#include "carobshift/gateway/endpoints/endpoint_record.h"
+
+namespace carobshift {
+
+class SoftwareHistory {
+ public:
+  // The longest span that can be asked for.
+  static constexpr Milliseconds kKeepTime{600'000};
+
+  // From now on all records are seen.
+  void OnGap(MonotonicTime now) { followed_since_ = now; }
+  // An endpoint is listed with this record, which may replace another one.
+  void OnListed(const EndpointRecord& record, MonotonicTime now);
+  // An endpoint's last record has gone or was replaced.
+  void OnUnlisted(const EndpointRecord& record, MonotonicTime now);
+
+  // Returns the only version that endpoints of the service have had in the last
+  // `span`; nullopt if there were several or none, or if the records have not
+  // been followed for so long.
+  [[nodiscard]] std::optional<SoftwareVersion> SoleVersion(
+      const ServiceName& service,
+      Milliseconds span,
+      MonotonicTime now) const;
+
+ private:
+  struct Version {
+    // Number of endpoints that are listed with it.
+    int listed = 0;
+    MonotonicTime last_listed{};
+  };
+
+  std::optional<MonotonicTime> followed_since_;
+  std::map<ServiceName, std::map<SoftwareVersion, Version>> services_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_STREAMS_SOFTWARE_HISTORY_H_
--- /dev/null
+++ b/carobshift/gateway/streams/software_history_test.cc
@@ -0,0 +1,67 @@
+#include "carobshift/gateway/streams/software_history.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace carobshift {
+namespace {
+
+const MonotonicTime kStart{Seconds(100)};
+const ServiceName kService("llm");
+constexpr Milliseconds kSpan{30'000};
+
+EndpointRecord RecordOf(const std::string& software) {
+  EndpointRecord record;
+  record.id = EndpointId("e");
+  record.service = kService;
+  record.software = SoftwareVersion(software);
+  return record;
+}
+
+struct Fixture {
+  Fixture() {
+    history.OnGap(kStart);
+    history.OnListed(RecordOf("v1"), kStart);
+  }
+  [[nodiscard]] std::optional<SoftwareVersion> Sole(
+      Milliseconds after_start) const {
+    return history.SoleVersion(kService, kSpan, kStart + after_start);
+  }
+  SoftwareHistory history;
+};
+
+// Guards against "only one version" said by an instance that has just started,
+// when a rollout may have ended shortly before.
+TEST_CASE("one version counts as the only one after it was for long enough") {
+  Fixture fixture;
+  CHECK_FALSE(fixture.Sole(kSpan - Milliseconds(1)).has_value());
+  CHECK(fixture.Sole(kSpan) == SoftwareVersion("v1"));
+  CHECK_FALSE(
+      fixture.history.SoleVersion(ServiceName("other"), kSpan, kStart + kSpan));
+  CHECK_FALSE(fixture.history.SoleVersion(
+      kService, SoftwareHistory::kKeepTime + Seconds(1),
+      kStart + 2 * SoftwareHistory::kKeepTime));
+}
+
+// Guards against a stream of the old version that goes on at the new one as
+// soon as the old one is gone.
+TEST_CASE("a version that is gone counts for as long as its streams") {
+  Fixture fixture;
+  const MonotonicTime rollout = kStart + kSpan;
+  fixture.history.OnListed(RecordOf("v2"), rollout);
+  CHECK_FALSE(fixture.Sole(kSpan).has_value());
+  fixture.history.OnUnlisted(RecordOf("v1"), rollout + Seconds(5));
+  CHECK_FALSE(fixture.Sole(kSpan + Seconds(5) + kSpan - Milliseconds(1)));
+  CHECK(fixture.Sole(kSpan + Seconds(5) + kSpan) == SoftwareVersion("v2"));
+}
+
+// Guards against a version that came and went while records were lost.
+TEST_CASE("after a gap in the records the time counts anew") {
+  Fixture fixture;
+  fixture.history.OnGap(kStart + kSpan);
+  CHECK_FALSE(fixture.Sole(kSpan + Seconds(1)).has_value());
+  CHECK(fixture.Sole(2 * kSpan) == SoftwareVersion("v1"));
+}
+
+}  // namespace
+}  // namespace carobshift
--- /dev/null
+++ b/carobshift/gateway/streams/stream_directory.h
@@ -0,0 +1,51 @@
+// Answers where a stream began, at any instance.
+//
+//   directory.Publish(record);
+//   directory.Find(key, [](const StreamLookup& lookup) { ... });
+
+#ifndef CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
+#define CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
+
+#include <functional>
+#include <optional>
+#include <string_view>
+
+#include "carobshift/gateway/streams/stream_beginning.h"
+
+namespace carobshift {
+
+// From where it is known, for logs and metrics.
+enum class StreamSource {
+  kUnknown,
+  // This instance's own table.
+  kOwnTable,
+  // Another instance answered.
+  kPeer,
+  // The request was handed over, and the other instance knew it.
+  kHandoff,
+  // The service has had one software version only for long enough.
+  kSoleVersion,
+};
+
+[[nodiscard]] std::string_view StreamSourceName(StreamSource source);
+
+struct StreamLookup {
+  // nullopt if no instance that answered knows.
+  std::optional<StreamBeginning> beginning;
+  StreamSource source = StreamSource::kUnknown;
+};
+
+class StreamDirectory {
+ public:
+  virtual ~StreamDirectory() = default;
+  // Records where a stream begins, before its first event leaves for the
+  // caller.
+  virtual void Publish(const StreamRecord& record) = 0;
+  using Done = std::function<void(const StreamLookup&)>;
+  // Calls `done` with what is known, at once if it is known here.
+  virtual void Find(StreamKey key, Done done) = 0;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
--- /dev/null
+++ b/carobshift/gateway/streams/stream_messages.h
@@ -0,0 +1,49 @@
+// Encodes what instances tell and ask each other about streams, as payloads of
+// datagrams.
+//
+//   std::string payload = EncodeStreamRecords(records);
+//   Result<std::vector<StreamRecord>> records = DecodeStreamRecords(payload);
+//
+// Decoding returns kPeerRejected if the payload is incomplete or malformed.
+
+#ifndef CAROBSHIFT_GATEWAY_STREAMS_STREAM_MESSAGES_H_
+#define CAROBSHIFT_GATEWAY_STREAMS_STREAM_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "carobshift/base/result.h"
+#include "carobshift/gateway/streams/stream_beginning.h"
+
+namespace carobshift {
+
+struct StreamQuery {
+  Incarnation requester;
+  // Returned with the answer.
+  std::uint64_t number = 0;
+  StreamKey key;
+};
+
+struct StreamAnswer {
+  Incarnation from;
+  std::uint64_t number = 0;
+  StreamEvidence evidence;
+};
+
+// Records of the same beginning share its names, so that each takes 12 bytes.
+[[nodiscard]] std::string EncodeStreamRecords(
+    const std::vector<StreamRecord>& records);
+[[nodiscard]] Result<std::vector<StreamRecord>> DecodeStreamRecords(
+    std::string_view payload);
+
+[[nodiscard]] std::string EncodeStreamQuery(const StreamQuery& query);
+[[nodiscard]] Result<StreamQuery> DecodeStreamQuery(std::string_view payload);
+
+[[nodiscard]] std::string EncodeStreamAnswer(const StreamAnswer& answer);
+[[nodiscard]] Result<StreamAnswer> DecodeStreamAnswer(std::string_view payload);
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_STREAMS_STREAM_MESSAGES_H_
--- a/fuzz/exchange_fuzz.cc
+++ b/fuzz/exchange_fuzz.cc
@@ -144,6 +144,7 @@
                         const CallFailure&) override {
     unreported_.erase(number);
   }
+  void OnStreamBegins(Exchange&) override {}
   Milliseconds RetryAfter(Exchange&) override { return Milliseconds(100); }
   void OnExchangeEnd(Exchange&) override { ended_ = true; }
 
