Fix: a begun stream waits while no attempt can start

What callers saw: a stream with seconds of its time left was broken off as soon as its connection broke at a moment at which no endpoint could be connected to, or no retry was left. A stream that is bound to a software version meets this more often, as few endpoints of its version may be left. Cause: the exchange had no state without an attempt. What doesn't pass (software gone, evacuated, regions, no time) fails at once.

--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -45,6 +45,25 @@
   return ResultCode::kNoEndpoint;
 }
 
+// Returns whether an attempt may start later although none can now.
+bool Passes(AttemptError failure) {
+  switch (failure) {
+    case AttemptError::kNoEndpoint:
+    case AttemptError::kRetryBudgetSpent:
+    case AttemptError::kOverloaded:
+    case AttemptError::kWeightsReplaced:
+      return true;
+    case AttemptError::kNone:
+    case AttemptError::kSoftwareGone:
+    case AttemptError::kZoneEvacuated:
+    case AttemptError::kRegionNotAllowed:
+    case AttemptError::kNoTime:
+    case AttemptError::kSuspected:
+      return false;
+  }
+  return false;
+}
+
 bool IsSuccess(int status) {
   return status >= kOk && status < kFirstNotSuccess;
 }
@@ -65,7 +84,7 @@
 void Exchange::Start(MonotonicTime now) {
   const AttemptError failure = BeginAttempt(now);
   if (failure != AttemptError::kNone)
-    Fail(CodeOf(failure), now);
+    SuspendOrFail(failure, now);
 }
 
 void Exchange::BindTo(const ServiceName& service,
@@ -132,15 +151,54 @@
 bool Exchange::Retry(bool may_have_run, MonotonicTime now) {
   if (TakeReplacement())
     return true;
-  if (!MayRetry(may_have_run))
+  const bool may_retry = MayRetry(may_have_run);
+  if (!may_retry && !MaySuspend(now))
     return false;
   DiscardPartialAnswer();
+  if (!may_retry) {
+    Suspend(now);
+    return true;
+  }
   const AttemptError failure = BeginAttempt(now);
   if (failure != AttemptError::kNone)
-    Fail(CodeOf(failure), now);
+    SuspendOrFail(failure, now);
   return true;
 }
 
+bool Exchange::MaySuspend(MonotonicTime now) const {
+  const Route& route = *setup_.route;
+  // Until its first event is sent, a new request may still be refused, and the
+  // caller can turn to another instance.
+  const bool begun = route.streaming && last_delivered_.has_value();
+  const MonotonicTime end =
+      head_sent_ ? deadline_
+                 : std::min(deadline_, setup_.arrived + kMaxResumeWait);
+  return begun && route.MayRunAgain() && runs_ < route.max_attempts &&
+         now < end;
+}
+
+void Exchange::Suspend(MonotonicTime now) {
+  if (state_ != State::kSuspended)
+    ++summary_.suspensions;
+  state_ = State::kSuspended;
+  resume_backoff_.OnFailure(now);
+}
+
+void Exchange::SuspendOrFail(AttemptError failure, MonotonicTime now) {
+  if (Passes(failure) && MaySuspend(now))
+    Suspend(now);
+  else
+    Fail(CodeOf(failure), now);
+}
+
+void Exchange::OnTick(MonotonicTime now) {
+  if (!suspended() || !resume_backoff_.MayTry(now))
+    return;
+  const AttemptError failure = BeginAttempt(now);
+  if (failure != AttemptError::kNone)
+    SuspendOrFail(failure, now);
+}
+
 void Exchange::DiscardPartialAnswer() {
   splitter_.DropPartial();
   buffered_body_.clear();
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -17,6 +17,12 @@
 // same call. An attempt that has waited on weights on which nothing may begin
 // any more is the exception: it is dropped in any case (OnTooLateToBegin).
 //
+// A stream that has begun and may be resumed is suspended while no attempt can
+// start for a reason that passes: no endpoint can be connected to, no retry is
+// left, all are full. OnTick() tries again. A stream that the caller takes up
+// again, and has nothing of yet, is suspended for at most kMaxResumeWait, since
+// callers give up after a longer silence.
+//
 // Invariants:
 // - The caller receives one complete answer from one run, or a visible failure.
 // - A request that may run only once is retried only if no endpoint can have
@@ -174,6 +180,8 @@
   int resumes = 0;
   // Attempts that were started to replace another one, with or without success.
   int replacements = 0;
+  // How often the stream waited without an attempt.
+  int suspensions = 0;
   std::optional<MonotonicTime> first_byte;
   EndpointId last_endpoint;
 };
@@ -186,6 +194,9 @@
   // endpoints indicate that the service is full. Replacements that never ran
   // count only for further replacements, as the current attempt may still fail.
   static constexpr int kMaxAttempts = 4;
+  // By the platform's data sheets callers leave a stream that is silent for two
+  // seconds.
+  static constexpr Milliseconds kMaxResumeWait{2000};
 
   Exchange(ExchangeSetup setup,
            AttemptRunner& attempt_runner,
@@ -214,6 +225,8 @@
                        const CallFailure& failure,
                        MonotonicTime now);
 
+  // Tries to go on with a suspended stream. To be called about every 100 ms.
+  void OnTick(MonotonicTime now);
   // To be called at deadline(), unless the exchange is over by then.
   void OnDeadline(MonotonicTime now);
   void OnCallerGone(MonotonicTime now);
@@ -238,6 +251,7 @@
   // The time by which the caller must have its answer.
   [[nodiscard]] MonotonicTime deadline() const { return deadline_; }
   [[nodiscard]] bool over() const { return state_ == State::kOver; }
+  [[nodiscard]] bool suspended() const { return state_ == State::kSuspended; }
   [[nodiscard]] bool streaming() const { return state_ == State::kStreaming; }
   // True if the current attempt is in progress and its reply has not started.
   [[nodiscard]] bool waiting() const {
@@ -250,7 +264,7 @@
   }
 
  private:
-  enum class State { kIdle, kSent, kBuffering, kStreaming, kOver };
+  enum class State { kIdle, kSent, kBuffering, kStreaming, kSuspended, kOver };
 
   struct StartedAttempt {
     AttemptNumber number{};
@@ -278,8 +292,14 @@
   // The same for the current attempt.
   [[nodiscard]] AttemptError BeginAttempt(MonotonicTime now);
   [[nodiscard]] bool MayRetry(bool may_have_run) const;
+  // Returns whether a stream may wait, without an attempt, for one to start.
+  [[nodiscard]] bool MaySuspend(MonotonicTime now) const;
+  void Suspend(MonotonicTime now);
+  // No attempt could start.
+  void SuspendOrFail(AttemptError failure, MonotonicTime now);
   // Continues with the replacement or starts another attempt; if none can
-  // start, fails the request. Returns false if a retry is not allowed.
+  // start, suspends or fails the request. Returns false if a retry is not
+  // allowed.
   [[nodiscard]] bool Retry(bool may_have_run, MonotonicTime now);
   [[nodiscard]] bool MayReplace() const;
   void SeekReplacement(CallFault reason, MonotonicTime now);
@@ -338,6 +358,8 @@
   bool current_silent_ = false;
   std::optional<Replacement> replacement_;
   ReplacementBackoff backoff_;
+  // For the attempts of a suspended stream.
+  ReplacementBackoff resume_backoff_;
   bool caller_slow_ = false;
   EventSplitter splitter_;
   std::optional<EventNumber> last_delivered_;
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -153,8 +153,11 @@
 
 class ExchangeFixture {
  public:
-  explicit ExchangeFixture(Route given) : route(std::move(given)) {
+  explicit ExchangeFixture(Route given,
+                           std::optional<EventNumber> last_event = {})
+      : route(std::move(given)) {
     ExchangeSetup setup;
+    setup.request.last_event = last_event;
     setup.request.id = RequestId("r1");
     setup.route = &route;
     setup.service = ServiceName("desk");
@@ -566,6 +569,69 @@
                                         kStart + Milliseconds(5));
   }
   CHECK_FALSE(fixture.reply.broken);
+  REQUIRE(fixture.exchange->suspended());
+  // It goes on once an endpoint can be had again.
+  fixture.attempt_runner.repeats_left = fixture.attempt_runner.endpoints = 9;
+  const int started = fixture.attempt_runner.started;
+  fixture.exchange->OnTick(kStart + Seconds(1));
+  REQUIRE(fixture.attempt_runner.started == started + 1);
+  CHECK(fixture.attempt_runner.wishes.back().last_event == EventNumber(1));
+  fixture.Answer(200, Event(2));
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart + Seconds(1));
+  CHECK(fixture.reply.body == Event(1) + Event(2));
+  CHECK(fixture.reply.ended);
+  CHECK(fixture.exchange->summary().suspensions == 1);
+}
+
+// Guards against a suspended stream that tries in each tick, or beyond its
+// deadline, or that waits for what can't come back.
+TEST_CASE("a suspended stream tries at intervals until it can't go on") {
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  FakeAttemptRunner& runner = fixture.attempt_runner;
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, Event(1));
+  runner.verdict = AttemptError::kNoEndpoint;
+  fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+  REQUIRE(fixture.exchange->suspended());
+  runner.verdict = AttemptError::kNone;
+  fixture.exchange->OnTick(kStart + Milliseconds(50));
+  CHECK(fixture.exchange->suspended());
+  SECTION("its software is gone") {
+    runner.verdict = AttemptError::kSoftwareGone;
+    fixture.exchange->OnTick(kStart + Milliseconds(200));
+    CHECK(fixture.exchange->summary().code == ResultCode::kSoftwareGone);
+  }
+  SECTION("its deadline passes") {
+    fixture.exchange->OnDeadline(fixture.exchange->deadline());
+    CHECK(fixture.exchange->summary().code == ResultCode::kDeadlineExceeded);
+  }
+  CHECK(fixture.reply.broken);
+  CHECK(runner.started == 1);
+}
+
+// Guards against a caller that takes its stream up and hears nothing until it
+// gives up.
+TEST_CASE("a stream that is taken up waits a while and is then refused") {
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true), EventNumber(3));
+  FakeAttemptRunner& runner = fixture.attempt_runner;
+  runner.verdict = AttemptError::kOverloaded;
+  fixture.exchange->BindTo(ServiceName("desk"), SoftwareVersion("v1"));
+  fixture.exchange->Start(kStart);
+  REQUIRE(fixture.exchange->suspended());
+  SECTION("an endpoint of its software has room") {
+    runner.verdict = AttemptError::kNone;
+    fixture.exchange->OnTick(kStart + Milliseconds(200));
+    CHECK(runner.bound.back() == SoftwareVersion("v1"));
+    CHECK(runner.wishes.back().last_event == EventNumber(3));
+  }
+  SECTION("none has") {
+    const MonotonicTime end = kStart + Exchange::kMaxResumeWait;
+    fixture.exchange->OnTick(end - Milliseconds(1));
+    CHECK(fixture.exchange->suspended());
+    fixture.exchange->OnTick(end + Milliseconds(500));
+    CHECK(fixture.reply.status == 503);
+    CHECK(fixture.reply.body.find("not_run") != std::string::npos);
+  }
 }
 
 TEST_CASE("a replacement goes on if the silent attempt fails") {
--- a/carobshift/gateway/request/request_report.cc
+++ b/carobshift/gateway/request/request_report.cc
@@ -89,6 +89,8 @@
     fields["replacements"] = summary.replacements;
   if (summary.resumes > 0)
     fields["resumes"] = summary.resumes;
+  if (summary.suspensions > 0)
+    fields["suspensions"] = summary.suspensions;
   if (summary.first_byte)
     fields["first_ms"] = ToMilliseconds(*summary.first_byte - setup.arrived);
   if (setup.account != nullptr)
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -404,6 +404,17 @@
     HandleSilentEndpoints(now);
   last_tick_ = now;
   WithdrawLateAttempts(now);
+  ResumeSuspendedStreams(now);
+}
+
+void RequestService::ResumeSuspendedStreams(MonotonicTime now) {
+  std::vector<std::shared_ptr<ExchangeRun>> suspended;
+  for (const auto& [exchange, running] : runs_) {
+    if (exchange->suspended())
+      suspended.push_back(running.run);
+  }
+  for (const auto& run : suspended)
+    run->exchange().OnTick(now);
 }
 
 std::vector<RequestService::WaitingAttempt> RequestService::WaitingAttempts()
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -330,6 +330,7 @@
   // no request may start any more, after looking for replacements shortly
   // before that bound.
   void WithdrawLateAttempts(MonotonicTime now);
+  void ResumeSuspendedStreams(MonotonicTime now);
   struct WaitingAttempt {
     std::shared_ptr<ExchangeRun> run;
     AttemptNumber number{};
--- a/fuzz/exchange_fuzz.cc
+++ b/fuzz/exchange_fuzz.cc
@@ -204,6 +204,8 @@
       exchange_->OnDeadline(now_);
     } else if (random_.Chance(0.1)) {
       StayWith([this] { exchange_->OnEndpointSilent(now_); });
+    } else if (exchange_->suspended()) {
+      exchange_->OnTick(now_);
     } else if (attempts_.empty()) {
       violations_.emplace_back("nothing is under way for an open request");
     } else if (random_.Chance(0.02)) {
