Fix: streams go on without a record where a service had one version only

Cause: the rule asked each instance alone, and an outage of the log began its time anew, though reading goes on at the offset where it stopped.

--- a/carobshift/gateway/endpoints/endpoint_registry.h
+++ b/carobshift/gateway/endpoints/endpoint_registry.h
@@ -69,9 +69,11 @@
   [[nodiscard]] const std::map<EndpointId, EndpointRecord>& all() const {
     return records_;
   }
-  // Call when all records are known and every later one will be, or when some
-  // may have been missed.
-  void OnRecordsComplete(MonotonicTime now) { software_history_.OnGap(now); }
+  // Call when all records since then are known, or when some may have been
+  // missed before then.
+  void OnRecordsFollowedSince(MonotonicTime since) {
+    software_history_.FollowFrom(since);
+  }
   [[nodiscard]] const SoftwareHistory& software_history() const {
     return software_history_;
   }
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -62,6 +62,8 @@
 // Records that were read this long ago may lack an endpoint that has started
 // since. Two reads that are delayed a little.
 constexpr Milliseconds kMaxRecordAge{1500};
+// In this time after a deployment's first start no endpoint has come and gone.
+constexpr Milliseconds kFirstStartTime{3000};
 
 RequestServiceOptions ServiceOptions(const GatewaySettings& settings) {
   RequestServiceOptions options;
@@ -199,7 +201,9 @@
   StoreReclaimer store_reclaimer{loop, control_client, dialects.engine,
                                  registry, contents};
   OperatorRecords operator_records{dialects.log, evacuations, listener};
-  EndpointRecords endpoint_records{dialects.log, registry, listener};
+  EndpointRecords endpoint_records{
+      dialects.log, registry, listener,
+      settings.first_start ? loop.now() + kFirstStartTime : MonotonicTime{}};
   KeyedFollower operator_follower{loop,
                                   control_client,
                                   settings.log,
@@ -316,6 +320,9 @@
   rollout_controller.SetReachesEngines(
       [this](const EntryId& id) { return ReachesEngines(id); });
   requests.SetLoadQueryService(&load_query_service);
+  stream_directory.SetSoleVersionSource([this](const ServiceName& service) {
+    return requests.SoleVersion(service);
+  });
   requests.SetStreamDirectory(&stream_directory,
                               [this] { return EndpointRecordsAreCurrent(); });
   operator_follower.Start();
--- a/carobshift/gateway/gateway_settings.h
+++ b/carobshift/gateway/gateway_settings.h
@@ -36,6 +36,8 @@
   // Hosts of instances through which this instance joins the membership.
   std::vector<std::string> seed_hosts;
   NetAddress log;
+  // The whole deployment starts for the first time.
+  bool first_start = false;
   // Port for metrics and the state dump; 0 disables it.
   std::uint16_t metrics_port = 0;
 
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -84,7 +84,11 @@
 bool EndpointRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
   const EndpointId id(record.key);
   const std::uint64_t before = registry_.revision();
+  last_record_ = now;
   if (!record.value) {
+    // An endpoint that came and went unseen.
+    if (registry_.Find(id) == nullptr)
+      registry_.OnRecordsFollowedSince(now);
     Remove(id, now);
   } else {
     const Result<EndpointRecord> decoded =
@@ -138,11 +142,20 @@
   bool changed = false;
   for (const EndpointId& id : missing)
     changed = Remove(id, now) || changed;
-  registry_.OnRecordsComplete(now);
+  NoteSnapshot(now);
   if (changed)
     listener_.on_endpoints();
 }
 
+void EndpointRecords::NoteSnapshot(MonotonicTime now) {
+  if (!std::exchange(snapshot_read_, true)) {
+    const bool shows_all = now <= shows_all_until_;
+    registry_.OnRecordsFollowedSince(shows_all ? MonotonicTime{} : now);
+  } else if (now - last_record_ >= kMinListedTime) {
+    registry_.OnRecordsFollowedSince(now);
+  }
+}
+
 bool EndpointRecords::Remove(const EndpointId& id, MonotonicTime now) {
   if (log_recovered_ &&
       now < *log_recovered_ + EndpointRegistry::kOutageGracePeriod)
@@ -159,7 +172,6 @@
 void EndpointRecords::OnLogRecovered(Milliseconds away, MonotonicTime now) {
   LogEvent(LogLevel::kInfo, "log_back",
            {{"stream", "endpoints"}, {"away_ms", away.count()}});
-  registry_.OnRecordsComplete(now);
   if (away >= kEntryExpiryOutage)
     log_recovered_ = now;
 }
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -99,10 +99,20 @@
   // length: an entry expires after three missed heartbeats.
   static constexpr Milliseconds kEntryExpiryOutage{1500};
 
+  // An endpoint is listed for at least this long: it stops serving two seconds
+  // after it has announced that, and its entry outlasts a crash.
+  static constexpr Milliseconds kMinListedTime{1500};
+
+  // A snapshot that is read until `shows_all_until` shows all endpoints that
+  // there ever were, as the deployment has just started for the first time.
   EndpointRecords(const LogDialect& dialect,
                   EndpointRegistry& registry,
-                  const GatewayStateListener& listener)
-      : dialect_(dialect), registry_(registry), listener_(listener) {}
+                  const GatewayStateListener& listener,
+                  MonotonicTime shows_all_until = {})
+      : dialect_(dialect),
+        registry_(registry),
+        listener_(listener),
+        shows_all_until_(shows_all_until) {}
 
   bool OnRecord(const KeyedRecord& record, MonotonicTime now) override;
   void OnSnapshot(const std::vector<std::string>& present,
@@ -116,10 +126,15 @@
   // Removes an entry. The time at which it takes effect depends on when the log
   // last recovered. Returns true if the registry changed.
   bool Remove(const EndpointId& id, MonotonicTime now);
+  // Records since when no endpoint can have been missed.
+  void NoteSnapshot(MonotonicTime now);
 
   const LogDialect& dialect_;
   EndpointRegistry& registry_;
   const GatewayStateListener& listener_;
+  const MonotonicTime shows_all_until_;
+  bool snapshot_read_ = false;
+  MonotonicTime last_record_{};
   // When the log last recovered from an outage of at least kEntryExpiryOutage.
   // Entries that are missing within EndpointRegistry::kOutageGracePeriod after
   // it may still reappear.
--- a/carobshift/gateway/gateway_state_test.cc
+++ b/carobshift/gateway/gateway_state_test.cc
@@ -50,6 +50,49 @@
   std::uint64_t offset = 0;
 };
 
+// Guards against "the service has had one version only" said by an instance
+// that may have missed an endpoint of another one.
+TEST_CASE("it is known since when the endpoints' records were followed") {
+  EndpointRecordsFixture fixture;
+  constexpr Milliseconds kSpan{1000};
+  const auto sole = [&](MonotonicTime now) {
+    return fixture.registry.software_history()
+        .SoleVersion(ServiceName(), kSpan, now)
+        .has_value();
+  };
+  fixture.Write("e1", kStart);
+  CHECK_FALSE(sole(kStart + kSpan));
+  fixture.records.OnSnapshot({"e1"}, kStart);
+  CHECK_FALSE(sole(kStart));
+  CHECK(sole(kStart + kSpan));
+  const MonotonicTime later = kStart + 2 * kSpan;
+  SECTION("a removal of an endpoint that was never listed") {
+    fixture.Remove("e2", later);
+    CHECK_FALSE(sole(later));
+  }
+  SECTION("a snapshot after records were lost") {
+    fixture.records.OnSnapshot({"e1"}, later);
+    CHECK_FALSE(sole(later));
+  }
+  SECTION("a snapshot just after the last record") {
+    fixture.Write("e1", later - Milliseconds(500));
+    fixture.records.OnSnapshot({"e1"}, later);
+    CHECK(sole(later));
+  }
+}
+
+TEST_CASE("the first records of a deployment show all that there ever was") {
+  EndpointRecordsFixture fixture;
+  EndpointRecords records(fixture.dialect, fixture.registry, fixture.listener,
+                          /*shows_all_until=*/kStart + Seconds(5));
+  const MonotonicTime read = kStart + GENERATE(Seconds(4), Seconds(6));
+  records.OnRecord({.key = "e1", .value = "", .offset = LogOffset(1)}, read);
+  records.OnSnapshot({"e1"}, read);
+  CHECK(fixture.registry.software_history()
+            .SoleVersion(ServiceName(), Seconds(30), read)
+            .has_value() == (read <= kStart + Seconds(5)));
+}
+
 TEST_CASE("an entry still missing two seconds after a log outage is removed") {
   // Guards against routing to an endpoint that has stopped. The log was
   // unreachable from this instance. An endpoint stops without announcing it, as
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -38,12 +38,17 @@
     ContinueStream(run, {handed, StreamSource::kHandoff});
     return;
   }
-  const std::optional<RequestId>& beginning = setup.request.stream_beginning;
-  if (!beginning || stream_directory_ == nullptr) {
-    ContinueStream(run, {});
+  const auto sole_version = SoleVersion(setup.service);
+  if (sole_version || stream_directory_ == nullptr) {
+    ContinueStream(run, {.sole_version = sole_version});
     return;
   }
-  stream_directory_->Find(StreamKeyOf(AccountOf(setup), *beginning),
+  // A request that names no beginning has an id that no stream has yet, and
+  // learns only what can be said of the service.
+  const RequestId& beginning =
+      setup.request.stream_beginning.value_or(setup.request.id);
+  stream_directory_->Find(StreamKeyOf(AccountOf(setup), beginning),
+                          setup.service,
                           [this, run](const StreamLookup& lookup) {
                             // The caller may have disconnected meanwhile.
                             if (!run->exchange().over())
@@ -55,8 +60,8 @@
                                     const StreamLookup& lookup) {
   Exchange& exchange = run->exchange();
   const ExchangeSetup& setup = exchange.setup();
-  const Continuation next = DecideContinuation(
-      *setup.route, setup.service, lookup, SoleVersion(setup.service));
+  const Continuation next =
+      DecideContinuation(*setup.route, setup.service, lookup);
   if (next.refusal != ResultCode::kOk) {
     LogEvent(LogLevel::kWarning, "stream_not_continued",
              {{"request", setup.request.id.value()},
--- a/carobshift/gateway/streams/shared_stream_directory.cc
+++ b/carobshift/gateway/streams/shared_stream_directory.cc
@@ -107,7 +107,9 @@
     table_.Put(record, loop_.now());
 }
 
-void SharedStreamDirectory::Find(StreamKey key, Done done) {
+void SharedStreamDirectory::Find(StreamKey key,
+                                 const ServiceName& service,
+                                 Done done) {
   const StreamEvidence known = table_.Find(key, loop_.now());
   if (known.beginning() || known.contradictory()) {
     Report(done, {known.beginning(), StreamSource::kOwnTable});
@@ -122,6 +124,7 @@
   const std::uint64_t number = ++last_number_;
   Lookup& lookup = lookups_[number];
   lookup.key = key;
+  lookup.service = service;
   lookup.done = std::move(done);
   lookup.timer = loop_.AddTimer(loop_.now() + kOwnerTime,
                                 [this, number] { OnRoundOver(number); });
@@ -132,7 +135,7 @@
                                 Lookup& lookup,
                                 const std::vector<MemberInfo>& instances) {
   const std::string query =
-      EncodeStreamQuery({instance_.self, number, lookup.key});
+      EncodeStreamQuery({instance_.self, number, lookup.key, lookup.service});
   for (const MemberInfo& instance : instances) {
     lookup.unanswered.insert(instance.incarnation);
     datagrams_.SendTo(instance.peer_address(), PeerDatagramKind::kStreamQuery,
@@ -145,9 +148,10 @@
   if (found == lookups_.end())
     return;
   Lookup& lookup = found->second;
-  const bool known =
-      lookup.evidence.beginning() || lookup.evidence.contradictory();
-  if (known || lookup.asked_further) {
+  const bool settled = lookup.evidence.beginning() ||
+                       lookup.evidence.contradictory() ||
+                       !lookup.sole_versions.empty();
+  if (settled || lookup.asked_further) {
     Finish(number);
     return;
   }
@@ -171,8 +175,11 @@
   lookups_.erase(found);
   loop_.CancelTimer(lookup.timer);
   const auto beginning = lookup.evidence.beginning();
-  Report(lookup.done,
-         {beginning, beginning ? StreamSource::kPeer : StreamSource::kUnknown});
+  StreamLookup result{beginning,
+                      beginning ? StreamSource::kPeer : StreamSource::kUnknown};
+  if (lookup.sole_versions.size() == 1)
+    result.sole_version = *lookup.sole_versions.begin();
+  Report(lookup.done, result);
 }
 
 void SharedStreamDirectory::Report(const Done& done,
@@ -183,16 +190,19 @@
 }
 
 void SharedStreamDirectory::OnQuery(std::string_view payload) {
-  const Result<StreamQuery> query = DecodeStreamQuery(payload);
-  if (!query.ok())
+  const Result<StreamQuery> decoded = DecodeStreamQuery(payload);
+  if (!decoded.ok())
     return;
-  const MemberInfo* const requester = FindMember(query.value().requester);
+  const StreamQuery& query = decoded.value();
+  const MemberInfo* const requester = FindMember(query.requester);
   if (requester == nullptr)
     return;
-  datagrams_.SendTo(
-      requester->peer_address(), PeerDatagramKind::kStreamAnswer,
-      EncodeStreamAnswer({instance_.self, query.value().number,
-                          table_.Find(query.value().key, loop_.now())}));
+  StreamAnswer answer{instance_.self, query.number,
+                      table_.Find(query.key, loop_.now()), std::nullopt};
+  if (sole_version_of_)
+    answer.sole_version = sole_version_of_(query.service);
+  datagrams_.SendTo(requester->peer_address(), PeerDatagramKind::kStreamAnswer,
+                    EncodeStreamAnswer(answer));
 }
 
 void SharedStreamDirectory::OnAnswer(std::string_view payload) {
@@ -205,6 +215,8 @@
       found->second.unanswered.erase(answer.value().from) == 0)
     return;
   found->second.evidence.Merge(answer.value().evidence);
+  if (answer.value().sole_version)
+    found->second.sole_versions.insert(*answer.value().sole_version);
   if (found->second.unanswered.empty())
     OnRoundOver(number);
 }
--- a/carobshift/gateway/streams/shared_stream_directory.h
+++ b/carobshift/gateway/streams/shared_stream_directory.h
@@ -32,9 +32,12 @@
 #define CAROBSHIFT_GATEWAY_STREAMS_SHARED_STREAM_DIRECTORY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "carobshift/gateway/instances/local_instance.h"
@@ -69,7 +72,13 @@
   SharedStreamDirectory& operator=(const SharedStreamDirectory&) = delete;
 
   void Publish(const StreamRecord& record) override;
-  void Find(StreamKey key, Done done) override;
+  void Find(StreamKey key, const ServiceName& service, Done done) override;
+  // Sets what this instance can say of a service's only version.
+  using SoleVersionSource =
+      std::function<std::optional<SoftwareVersion>(const ServiceName&)>;
+  void SetSoleVersionSource(SoleVersionSource source) {
+    sole_version_of_ = std::move(source);
+  }
 
   // Call about every Membership::kTick.
   void OnTick();
@@ -80,9 +89,11 @@
  private:
   struct Lookup {
     StreamKey key;
+    ServiceName service;
     // Instances that were asked and have not answered.
     std::set<Incarnation> unanswered;
     StreamEvidence evidence;
+    std::set<SoftwareVersion> sole_versions;
     // The instances after the owners have been asked too.
     bool asked_further = false;
     Done done;
@@ -110,6 +121,7 @@
   const LocalInstance instance_;
   PeerDatagrams& datagrams_;
   Metrics& metrics_;
+  SoleVersionSource sole_version_of_;
   StreamTable table_;
   // As of the last tick.
   std::vector<MemberInfo> members_;
--- a/carobshift/gateway/streams/shared_stream_directory_test.cc
+++ b/carobshift/gateway/streams/shared_stream_directory_test.cc
@@ -90,7 +90,8 @@
   }
   [[nodiscard]] StreamLookup Find(std::size_t number, StreamKey key) {
     std::optional<StreamLookup> result;
-    at(number).Find(key, [&](const StreamLookup& found) { result = found; });
+    at(number).Find(key, kOld.service,
+                    [&](const StreamLookup& found) { result = found; });
     RunUntil(loop, [&result] { return result.has_value(); });
     return *result;
   }
@@ -137,6 +138,24 @@
   CHECK_FALSE(used_twice.beginning.has_value());
 }
 
+// Guards against streams that are refused after an instance has started again,
+// though the others know that there is no choice of versions.
+TEST_CASE("others tell the only version that a service has had") {
+  Fixture fixture(3);
+  fixture.at(1).SetSoleVersionSource([](const ServiceName& service) {
+    return service == kOld.service ? std::optional(kOld.software)
+                                   : std::nullopt;
+  });
+  StreamLookup found = fixture.Find(0, StreamKey(1));
+  CHECK_FALSE(found.beginning.has_value());
+  CHECK(found.sole_version == kOld.software);
+  // One of two that contradict each other has missed something.
+  fixture.at(2).SetSoleVersionSource(
+      [](const ServiceName&) { return kNew.software; });
+  found = fixture.Find(0, StreamKey(1));
+  CHECK_FALSE(found.sole_version.has_value());
+}
+
 // Guards against a lookup that waits for dead instances until its caller gives
 // up.
 TEST_CASE("a lookup ends soon though no other instance answers") {
--- a/carobshift/gateway/streams/software_history.h
+++ b/carobshift/gateway/streams/software_history.h
@@ -2,14 +2,17 @@
 // as this instance has followed their records without a gap.
 //
 //   SoftwareHistory history;
-//   history.OnGap(now);                  // the records start, or some were
-//   lost history.OnListed(record, now); history.OnUnlisted(record, now); if
-//   (const auto software = history.SoleVersion(service, span, now)) ...
+//   // When the records start, and when some were lost:
+//   history.FollowFrom(now);
+//   history.OnListed(record, now);
+//   history.OnUnlisted(record, now);
+//   const auto software = history.SoleVersion(service, span, now);
 //
 // Load pattern: all instances restart at once and nobody knows the streams that
 // callers take up again. If the service has had one version only since before
 // the oldest of them began, that is where they began. An instance that has just
-// started can't say so: a rollout may have ended shortly before.
+// started can't say so, as a rollout may have ended shortly before, unless the
+// whole deployment starts for the first time.
 //
 // A version that no endpoint has had for kKeepTime is forgotten.
 //
@@ -30,8 +33,8 @@
   // The longest span that can be asked for.
   static constexpr Milliseconds kKeepTime{600'000};
 
-  // From now on all records are seen.
-  void OnGap(MonotonicTime now) { followed_since_ = now; }
+  // All records since then have been seen.
+  void FollowFrom(MonotonicTime since) { followed_since_ = since; }
   // An endpoint is listed with this record, which may replace another one.
   void OnListed(const EndpointRecord& record, MonotonicTime now);
   // An endpoint's last record has gone or was replaced.
--- a/carobshift/gateway/streams/software_history_test.cc
+++ b/carobshift/gateway/streams/software_history_test.cc
@@ -20,7 +20,7 @@
 
 struct Fixture {
   Fixture() {
-    history.OnGap(kStart);
+    history.FollowFrom(kStart);
     history.OnListed(RecordOf("v1"), kStart);
   }
   [[nodiscard]] std::optional<SoftwareVersion> Sole(
@@ -58,7 +58,7 @@
 // Guards against a version that came and went while records were lost.
 TEST_CASE("after a gap in the records the time counts anew") {
   Fixture fixture;
-  fixture.history.OnGap(kStart + kSpan);
+  fixture.history.FollowFrom(kStart + kSpan);
   CHECK_FALSE(fixture.Sole(kSpan + Seconds(1)).has_value());
   CHECK(fixture.Sole(2 * kSpan) == SoftwareVersion("v1"));
 }
--- a/carobshift/gateway/streams/stream_continuation.cc
+++ b/carobshift/gateway/streams/stream_continuation.cc
@@ -15,16 +15,18 @@
 
 Continuation DecideContinuation(const Route& route,
                                 const ServiceName& chosen,
-                                const StreamLookup& lookup,
-                                const std::optional<SoftwareVersion>& sole) {
+                                const StreamLookup& lookup) {
   if (lookup.beginning) {
     const bool leads_there = LeadsTo(route, lookup.beginning->service);
     return {leads_there ? ResultCode::kOk : ResultCode::kSoftwareGone,
             *lookup.beginning, lookup.source};
   }
   // With several services, the stream may have begun at another one.
-  if (sole && route.services.size() == 1)
-    return {ResultCode::kOk, {chosen, *sole}, StreamSource::kSoleVersion};
+  if (lookup.sole_version && route.services.size() == 1) {
+    return {ResultCode::kOk,
+            {chosen, *lookup.sole_version},
+            StreamSource::kSoleVersion};
+  }
   return {ResultCode::kSoftwareUnknown, {}, StreamSource::kUnknown};
 }
 
--- a/carobshift/gateway/streams/stream_continuation.h
+++ b/carobshift/gateway/streams/stream_continuation.h
@@ -1,6 +1,6 @@
 // Decides where a stream that a caller takes up again goes on.
 //
-//   const Continuation next = DecideContinuation(route, chosen, lookup, sole);
+//   const Continuation next = DecideContinuation(route, chosen, lookup);
 //   if (next.refusal != ResultCode::kOk) Refuse(next.refusal);
 //
 // A stream goes on only at the service and the software version that began it.
@@ -27,13 +27,10 @@
   StreamSource source = StreamSource::kUnknown;
 };
 
-// `chosen` is the service to which the route leads a new request. `sole` is the
-// only version that it has had for longer than a stream lives, if there is one.
-[[nodiscard]] Continuation DecideContinuation(
-    const Route& route,
-    const ServiceName& chosen,
-    const StreamLookup& lookup,
-    const std::optional<SoftwareVersion>& sole);
+// `chosen` is the service to which the route leads a new request.
+[[nodiscard]] Continuation DecideContinuation(const Route& route,
+                                              const ServiceName& chosen,
+                                              const StreamLookup& lookup);
 
 // Returns for how long an unknown stream may have been under way at most: twice
 // the longest timeout of a streaming route, as a caller that resumes begins
--- a/carobshift/gateway/streams/stream_continuation_test.cc
+++ b/carobshift/gateway/streams/stream_continuation_test.cc
@@ -23,8 +23,10 @@
 
 TEST_CASE("a stream goes on at the service and the software that began it") {
   // A route's split leads the next request of the caller elsewhere.
-  const Continuation next = DecideContinuation(RouteTo({kOther, kService}),
-                                               kOther, Known(kService), kNew);
+  StreamLookup lookup = Known(kService);
+  lookup.sole_version = kNew;
+  const Continuation next =
+      DecideContinuation(RouteTo({kOther, kService}), kOther, lookup);
   CHECK(next.refusal == ResultCode::kOk);
   CHECK(next.beginning == StreamBeginning{kService, kOld});
   CHECK(next.source == StreamSource::kPeer);
@@ -32,20 +34,22 @@
 
 // Guards against pieces of two services in one stream.
 TEST_CASE("a stream whose route has moved to another service can't go on") {
-  CHECK(DecideContinuation(RouteTo({kOther}), kOther, Known(kService), kOld)
-            .refusal == ResultCode::kSoftwareGone);
+  CHECK(
+      DecideContinuation(RouteTo({kOther}), kOther, Known(kService)).refusal ==
+      ResultCode::kSoftwareGone);
 }
 
 TEST_CASE("a stream that nobody knows goes on only if there is no choice") {
-  const StreamLookup unknown;
+  StreamLookup lookup;
   const Route route = RouteTo({kService});
-  CHECK(DecideContinuation(route, kService, unknown, std::nullopt).refusal ==
+  CHECK(DecideContinuation(route, kService, lookup).refusal ==
         ResultCode::kSoftwareUnknown);
-  const Continuation sole = DecideContinuation(route, kService, unknown, kOld);
+  lookup.sole_version = kOld;
+  const Continuation sole = DecideContinuation(route, kService, lookup);
   CHECK(sole.refusal == ResultCode::kOk);
   CHECK(sole.beginning == StreamBeginning{kService, kOld});
   CHECK(sole.source == StreamSource::kSoleVersion);
-  CHECK(DecideContinuation(RouteTo({kService, kOther}), kService, unknown, kOld)
+  CHECK(DecideContinuation(RouteTo({kService, kOther}), kService, lookup)
             .refusal == ResultCode::kSoftwareUnknown);
 }
 
--- a/carobshift/gateway/streams/stream_directory.h
+++ b/carobshift/gateway/streams/stream_directory.h
@@ -1,7 +1,7 @@
 // Answers where a stream began, at any instance.
 //
 //   directory.Publish(record);
-//   directory.Find(key, [](const StreamLookup& lookup) { ... });
+//   directory.Find(key, service, [](const StreamLookup& lookup) { ... });
 
 #ifndef CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
 #define CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
@@ -31,8 +31,11 @@
 
 struct StreamLookup {
   // nullopt if no instance that answered knows.
-  std::optional<StreamBeginning> beginning;
+  std::optional<StreamBeginning> beginning{};
   StreamSource source = StreamSource::kUnknown;
+  // The only version that the service has had for longer than a stream lives,
+  // if an instance that answered can say that.
+  std::optional<SoftwareVersion> sole_version{};
 };
 
 class StreamDirectory {
@@ -42,8 +45,9 @@
   // caller.
   virtual void Publish(const StreamRecord& record) = 0;
   using Done = std::function<void(const StreamLookup&)>;
-  // Calls `done` with what is known, at once if it is known here.
-  virtual void Find(StreamKey key, Done done) = 0;
+  // Calls `done` with what is known of a stream that a route to `service`
+  // continues, at once if it is known here.
+  virtual void Find(StreamKey key, const ServiceName& service, Done done) = 0;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/streams/stream_messages.cc
+++ b/carobshift/gateway/streams/stream_messages.cc
@@ -72,7 +72,8 @@
 
 std::string EncodeStreamQuery(const StreamQuery& query) {
   return WriteDatagram([&query](DatagramOutput& archive) {
-    archive(query.requester.value(), query.number, query.key.value());
+    archive(query.requester.value(), query.number, query.key.value(),
+            query.service.value());
   });
 }
 
@@ -81,9 +82,11 @@
       payload, [](DatagramInput& archive, StreamQuery& query) {
         std::uint64_t requester = 0;
         std::uint64_t key = 0;
-        archive(requester, query.number, key);
+        std::string service;
+        archive(requester, query.number, key, service);
         query.requester = Incarnation(requester);
         query.key = StreamKey(key);
+        query.service = ServiceName(service);
       });
 }
 
@@ -92,9 +95,11 @@
     const std::optional<StreamBeginning> beginning =
         answer.evidence.beginning();
     archive(answer.from.value(), answer.number, answer.evidence.contradictory(),
-            beginning.has_value());
+            beginning.has_value(), answer.sole_version.has_value());
     if (beginning)
       WriteBeginning(archive, *beginning);
+    if (answer.sole_version)
+      archive(answer.sole_version->value());
   });
 }
 
@@ -104,12 +109,18 @@
         std::uint64_t from = 0;
         bool contradictory = false;
         bool known = false;
-        archive(from, answer.number, contradictory, known);
+        bool sole = false;
+        archive(from, answer.number, contradictory, known, sole);
         answer.from = Incarnation(from);
         if (contradictory)
           answer.evidence = StreamEvidence::Contradictory();
         if (known)
           answer.evidence.Merge(ReadBeginning(archive));
+        if (sole) {
+          std::string software;
+          archive(software);
+          answer.sole_version = SoftwareVersion(software);
+        }
       });
 }
 
--- a/carobshift/gateway/streams/stream_messages.h
+++ b/carobshift/gateway/streams/stream_messages.h
@@ -10,6 +10,7 @@
 #define CAROBSHIFT_GATEWAY_STREAMS_STREAM_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,12 +25,16 @@
   // Returned with the answer.
   std::uint64_t number = 0;
   StreamKey key;
+  // The service to which the route leads that continues the stream.
+  ServiceName service;
 };
 
 struct StreamAnswer {
   Incarnation from;
   std::uint64_t number = 0;
   StreamEvidence evidence;
+  // See StreamLookup.
+  std::optional<SoftwareVersion> sole_version;
 };
 
 // Records of the same beginning share its names, so that each takes 12 bytes.
--- a/carobshift/gateway/streams/stream_messages_test.cc
+++ b/carobshift/gateway/streams/stream_messages_test.cc
@@ -32,23 +32,28 @@
 }
 
 TEST_CASE("a question and its answers are read back") {
-  const auto query =
-      DecodeStreamQuery(EncodeStreamQuery({Incarnation(1), 2, StreamKey(3)}));
+  const auto query = DecodeStreamQuery(
+      EncodeStreamQuery({Incarnation(1), 2, StreamKey(3), ServiceName("llm")}));
   REQUIRE(query.ok());
   CHECK(query.value().requester == Incarnation(1));
   CHECK(query.value().number == 2);
   CHECK(query.value().key == StreamKey(3));
+  CHECK(query.value().service == ServiceName("llm"));
   CHECK_FALSE(DecodeStreamQuery("x").ok());
 
   StreamEvidence known;
   known.Merge(kOld);
   for (const StreamEvidence& evidence :
        {StreamEvidence(), known, StreamEvidence::Contradictory()}) {
-    const auto answer =
-        DecodeStreamAnswer(EncodeStreamAnswer({Incarnation(4), 2, evidence}));
+    const std::optional<SoftwareVersion> sole =
+        GENERATE(std::optional<SoftwareVersion>(),
+                 std::optional<SoftwareVersion>(SoftwareVersion("v1")));
+    const auto answer = DecodeStreamAnswer(
+        EncodeStreamAnswer({Incarnation(4), 2, evidence, sole}));
     REQUIRE(answer.ok());
     CHECK(answer.value().from == Incarnation(4));
     CHECK(answer.value().number == 2);
+    CHECK(answer.value().sole_version == sole);
     CHECK(answer.value().evidence.beginning() == evidence.beginning());
     CHECK(answer.value().evidence.contradictory() == evidence.contradictory());
   }
