Datagram payloads: four more codecs use datagram_archive.h

The same try, stream and archive stood in the codecs of cold starts, limits, rejections and reachability. No bytes change; their tests pass as before.

--- a/carobshift/gateway/endpoints/cold_start_sharing.cc
+++ b/carobshift/gateway/endpoints/cold_start_sharing.cc
@@ -1,24 +1,21 @@
 #include "carobshift/gateway/endpoints/cold_start_sharing.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
-#include <exception>
-#include <sstream>
 #include <utility>
 
+#include "carobshift/gateway/instances/datagram_archive.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
 namespace {
 
-void Write(cereal::PortableBinaryOutputArchive& archive,
-           const ColdStartUpdate& update) {
+void Write(DatagramOutput& archive, const ColdStartUpdate& update) {
   archive(update.endpoint.value(), update.start_time.value(),
           static_cast<std::int64_t>(update.remaining.count()));
 }
 
-ColdStartUpdate Read(cereal::PortableBinaryInputArchive& archive) {
+ColdStartUpdate Read(DatagramInput& archive) {
   std::string endpoint;
   std::int64_t start_time = 0;
   std::int64_t remaining = 0;
@@ -31,35 +28,32 @@
 
 std::string EncodeColdStartUpdates(
     const std::vector<ColdStartUpdate>& updates) {
-  std::ostringstream out;
-  {
-    cereal::PortableBinaryOutputArchive archive(out);
+  return WriteDatagram([&](DatagramOutput& archive) {
     archive(static_cast<std::uint16_t>(updates.size()));
     for (const ColdStartUpdate& one : updates)
       Write(archive, one);
-  }
-  return out.str();
+  });
 }
 
 Result<std::vector<ColdStartUpdate>> DecodeColdStartUpdates(
     std::string_view payload) {
-  std::vector<ColdStartUpdate> updates;
-  try {
-    std::istringstream in{std::string(payload)};
-    cereal::PortableBinaryInputArchive archive(in);
-    std::uint16_t count = 0;
-    archive(count);
-    for (std::uint16_t i = 0; i < count; ++i)
-      updates.push_back(Read(archive));
-  } catch (const std::exception& e) {
-    return Error{ResultCode::kPeerRejected, e.what()};
-  }
+  auto decoded = ReadDatagram<std::vector<ColdStartUpdate>>(
+      payload,
+      [](DatagramInput& archive, std::vector<ColdStartUpdate>& updates) {
+        std::uint16_t count = 0;
+        archive(count);
+        for (std::uint16_t i = 0; i < count; ++i)
+          updates.push_back(Read(archive));
+      });
+  if (!decoded.ok())
+    return decoded;
+  const std::vector<ColdStartUpdate>& updates = decoded.value();
   const bool valid = std::all_of(
       updates.begin(), updates.end(),
       [](const auto& one) { return one.remaining >= Milliseconds(0); });
   if (!valid)
     return Error{ResultCode::kPeerRejected, "cold time is negative"};
-  return updates;
+  return decoded;
 }
 
 ColdStartSharing::ColdStartSharing(EventLoop& loop,
--- a/carobshift/gateway/endpoints/limit_sharing.cc
+++ b/carobshift/gateway/endpoints/limit_sharing.cc
@@ -1,24 +1,21 @@
 #include "carobshift/gateway/endpoints/limit_sharing.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cmath>
-#include <exception>
-#include <sstream>
 
+#include "carobshift/gateway/instances/datagram_archive.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
 namespace {
 
-void Write(cereal::PortableBinaryOutputArchive& archive,
-           const LimitUpdate& update) {
+void Write(DatagramOutput& archive, const LimitUpdate& update) {
   archive(update.endpoint, update.start_time.value(), update.rate.has_value(),
           update.rate.value_or(RequestRate(0)).value(),
           static_cast<std::uint32_t>(update.age.count()));
 }
 
-LimitUpdate Read(cereal::PortableBinaryInputArchive& archive) {
+LimitUpdate Read(DatagramInput& archive) {
   LimitUpdate update;
   std::int64_t start_time = 0;
   bool limited = false;
@@ -35,28 +32,24 @@
 }  // namespace
 
 std::string EncodeLimitUpdates(const std::vector<LimitUpdate>& updates) {
-  std::ostringstream out;
-  {
-    cereal::PortableBinaryOutputArchive archive(out);
+  return WriteDatagram([&](DatagramOutput& archive) {
     archive(static_cast<std::uint16_t>(updates.size()));
     for (const LimitUpdate& one : updates)
       Write(archive, one);
-  }
-  return out.str();
+  });
 }
 
 Result<std::vector<LimitUpdate>> DecodeLimitUpdates(std::string_view payload) {
-  std::vector<LimitUpdate> updates;
-  try {
-    std::istringstream in{std::string(payload)};
-    cereal::PortableBinaryInputArchive archive(in);
-    std::uint16_t count = 0;
-    archive(count);
-    for (std::uint16_t i = 0; i < count; ++i)
-      updates.push_back(Read(archive));
-  } catch (const std::exception& e) {
-    return Error{ResultCode::kPeerRejected, e.what()};
-  }
+  auto decoded = ReadDatagram<std::vector<LimitUpdate>>(
+      payload, [](DatagramInput& archive, std::vector<LimitUpdate>& updates) {
+        std::uint16_t count = 0;
+        archive(count);
+        for (std::uint16_t i = 0; i < count; ++i)
+          updates.push_back(Read(archive));
+      });
+  if (!decoded.ok())
+    return decoded;
+  const std::vector<LimitUpdate>& updates = decoded.value();
   const bool valid =
       std::all_of(updates.begin(), updates.end(), [](const LimitUpdate& one) {
         return !one.rate ||
@@ -65,7 +58,7 @@
   if (!valid)
     return Error{ResultCode::kPeerRejected,
                  "rate limit is negative or not finite"};
-  return updates;
+  return decoded;
 }
 
 LimitSharing::LimitSharing(EventLoop& loop,
--- a/carobshift/gateway/endpoints/rejection_sharing.cc
+++ b/carobshift/gateway/endpoints/rejection_sharing.cc
@@ -1,31 +1,26 @@
 #include "carobshift/gateway/endpoints/rejection_sharing.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cmath>
-#include <exception>
-#include <sstream>
 
+#include "carobshift/gateway/instances/datagram_archive.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
 namespace {
 
-using Output = cereal::PortableBinaryOutputArchive;
-using Input = cereal::PortableBinaryInputArchive;
-
-void Write(Output& archive, const RejectionLimitUpdate& update) {
+void Write(DatagramOutput& archive, const RejectionLimitUpdate& update) {
   archive(update.service, update.limit.has_value(),
           update.limit.value_or(RequestRate(0)).value(),
           static_cast<std::uint32_t>(update.age.count()));
 }
 
-void Write(Output& archive, const RejectionUpdate& update) {
+void Write(DatagramOutput& archive, const RejectionUpdate& update) {
   archive(update.endpoint, update.start_time.value(),
           static_cast<std::uint32_t>(update.age.count()));
 }
 
-void Read(Input& archive, RejectionLimitUpdate& update) {
+void Read(DatagramInput& archive, RejectionLimitUpdate& update) {
   bool limited = false;
   double limit = 0;
   std::uint32_t age = 0;
@@ -35,7 +30,7 @@
   update.age = Milliseconds(age);
 }
 
-void Read(Input& archive, RejectionUpdate& update) {
+void Read(DatagramInput& archive, RejectionUpdate& update) {
   std::int64_t start_time = 0;
   std::uint32_t age = 0;
   archive(update.endpoint, start_time, age);
@@ -44,14 +39,14 @@
 }
 
 template <typename Update>
-void WriteAll(Output& archive, const std::vector<Update>& updates) {
+void WriteAll(DatagramOutput& archive, const std::vector<Update>& updates) {
   archive(static_cast<std::uint16_t>(updates.size()));
   for (const Update& one : updates)
     Write(archive, one);
 }
 
 template <typename Update>
-void ReadAll(Input& archive, std::vector<Update>& updates) {
+void ReadAll(DatagramInput& archive, std::vector<Update>& updates) {
   std::uint16_t count = 0;
   archive(count);
   for (std::uint16_t i = 0; i < count; ++i) {
@@ -69,30 +64,26 @@
 }  // namespace
 
 std::string EncodeRejectionUpdates(const RejectionUpdates& updates) {
-  std::ostringstream out;
-  {
-    Output archive(out);
+  return WriteDatagram([&](DatagramOutput& archive) {
     WriteAll(archive, updates.limits);
     WriteAll(archive, updates.rejections);
-  }
-  return out.str();
+  });
 }
 
 Result<RejectionUpdates> DecodeRejectionUpdates(std::string_view payload) {
-  RejectionUpdates updates;
-  try {
-    std::istringstream in{std::string(payload)};
-    Input archive(in);
-    ReadAll(archive, updates.limits);
-    ReadAll(archive, updates.rejections);
-  } catch (const std::exception& e) {
-    return Error{ResultCode::kPeerRejected, e.what()};
-  }
+  auto decoded = ReadDatagram<RejectionUpdates>(
+      payload, [](DatagramInput& archive, RejectionUpdates& updates) {
+        ReadAll(archive, updates.limits);
+        ReadAll(archive, updates.rejections);
+      });
+  if (!decoded.ok())
+    return decoded;
+  const RejectionUpdates& updates = decoded.value();
   if (!std::all_of(updates.limits.begin(), updates.limits.end(), IsValid)) {
     return Error{ResultCode::kPeerRejected,
                  "rejection limit is negative or not finite"};
   }
-  return updates;
+  return decoded;
 }
 
 std::vector<RejectionUpdates> SplitRejectionUpdates(
--- a/carobshift/gateway/instances/reachability_sharing.cc
+++ b/carobshift/gateway/instances/reachability_sharing.cc
@@ -1,50 +1,41 @@
 #include "carobshift/gateway/instances/reachability_sharing.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
-#include <exception>
-#include <sstream>
 
+#include "carobshift/gateway/instances/datagram_archive.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
 
 std::string EncodeReachabilityAnnouncement(
     const ReachabilityAnnouncement& announcement) {
-  std::ostringstream out;
-  {
-    cereal::PortableBinaryOutputArchive archive(out);
+  return WriteDatagram([&](DatagramOutput& archive) {
     archive(announcement.sender.value(), announcement.incarnation.value(),
             announcement.sequence,
             static_cast<std::uint16_t>(announcement.unreached.size()));
     for (const std::uint64_t service : announcement.unreached)
       archive(service);
-  }
-  return out.str();
+  });
 }
 
 Result<ReachabilityAnnouncement> DecodeReachabilityAnnouncement(
     std::string_view payload) {
-  ReachabilityAnnouncement announcement;
-  try {
-    std::istringstream in{std::string(payload)};
-    cereal::PortableBinaryInputArchive archive(in);
-    std::string sender;
-    std::uint64_t incarnation = 0;
-    std::uint16_t count = 0;
-    archive(sender, incarnation, announcement.sequence, count);
-    announcement.sender = EntryId(sender);
-    announcement.incarnation = Incarnation(incarnation);
-    for (std::uint16_t i = 0; i < count; ++i) {
-      std::uint64_t service = 0;
-      archive(service);
-      announcement.unreached.push_back(service);
-    }
-  } catch (const std::exception& e) {
-    return Error{ResultCode::kPeerRejected, e.what()};
-  }
-  return announcement;
+  return ReadDatagram<ReachabilityAnnouncement>(
+      payload,
+      [](DatagramInput& archive, ReachabilityAnnouncement& announcement) {
+        std::string sender;
+        std::uint64_t incarnation = 0;
+        std::uint16_t count = 0;
+        archive(sender, incarnation, announcement.sequence, count);
+        announcement.sender = EntryId(sender);
+        announcement.incarnation = Incarnation(incarnation);
+        for (std::uint16_t i = 0; i < count; ++i) {
+          std::uint64_t service = 0;
+          archive(service);
+          announcement.unreached.push_back(service);
+        }
+      });
 }
 
 std::optional<std::vector<ServiceName>> AnnouncementSchedule::Take(
