--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -84,11 +84,8 @@
 bool EndpointRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
   const EndpointId id(record.key);
   const std::uint64_t before = registry_.revision();
-  last_record_ = now;
   if (!record.value) {
-    // An endpoint that came and went unseen.
-    if (registry_.Find(id) == nullptr)
-      registry_.OnRecordsFollowedSince(now);
+    NoteRemoval(id, now);
     Remove(id, now);
   } else {
     const Result<EndpointRecord> decoded =
@@ -122,6 +119,12 @@
 
 void EndpointRecords::Put(const EndpointRecord& endpoint, MonotonicTime now) {
   registry_.Put(endpoint, now);
+  listed_[endpoint.id] = now;
+  if (listed_.size() > kMaxListed) {
+    std::erase_if(listed_, [now](const auto& listed) {
+      return now - listed.second >= SoftwareHistory::kKeepTime;
+    });
+  }
   if (endpoint.bad_cold_time) {
     LogEvent(LogLevel::kWarning, "endpoint_cold_time_unreadable",
              {{"endpoint", endpoint.id.value()}});
@@ -147,13 +150,24 @@
     listener_.on_endpoints();
 }
 
+void EndpointRecords::NoteRemoval(const EndpointId& id, MonotonicTime now) {
+  if (listed_.contains(id))
+    return;
+  // The endpoint came and went unseen.
+  registry_.OnRecordsFollowedSince(now);
+  LogEvent(LogLevel::kInfo, "endpoint_records_missed",
+           {{"endpoint", id.value()}});
+}
+
 void EndpointRecords::NoteSnapshot(MonotonicTime now) {
   if (!std::exchange(snapshot_read_, true)) {
     const bool shows_all = now <= shows_all_until_;
     registry_.OnRecordsFollowedSince(shows_all ? MonotonicTime{} : now);
-  } else if (now - last_record_ >= kMinListedTime) {
-    registry_.OnRecordsFollowedSince(now);
+    return;
   }
+  // The log had dropped the records that came next.
+  registry_.OnRecordsFollowedSince(now);
+  LogEvent(LogLevel::kInfo, "endpoint_records_missed", {{"endpoint", ""}});
 }
 
 bool EndpointRecords::Remove(const EndpointId& id, MonotonicTime now) {
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #define CAROBSHIFT_GATEWAY_GATEWAY_STATE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -99,9 +100,8 @@
   // length: an entry expires after three missed heartbeats.
   static constexpr Milliseconds kEntryExpiryOutage{1500};
 
-  // An endpoint is listed for at least this long: it stops serving two seconds
-  // after it has announced that, and its entry outlasts a crash.
-  static constexpr Milliseconds kMinListedTime{1500};
+  // Beyond this number, endpoints are forgotten that are gone for long.
+  static constexpr std::size_t kMaxListed = 4096;
 
   // A snapshot that is read until `shows_all_until` shows all endpoints that
   // there ever were, as the deployment has just started for the first time.
@@ -126,7 +126,8 @@
   // Removes an entry. The time at which it takes effect depends on when the log
   // last recovered. Returns true if the registry changed.
   bool Remove(const EndpointId& id, MonotonicTime now);
-  // Records since when no endpoint can have been missed.
+  // Record since when no endpoint can have been missed.
+  void NoteRemoval(const EndpointId& id, MonotonicTime now);
   void NoteSnapshot(MonotonicTime now);
 
   const LogDialect& dialect_;
@@ -134,7 +135,8 @@
   const GatewayStateListener& listener_;
   const MonotonicTime shows_all_until_;
   bool snapshot_read_ = false;
-  MonotonicTime last_record_{};
+  // When each endpoint last wrote a record, also those that are gone.
+  std::map<EndpointId, MonotonicTime> listed_;
   // When the log last recovered from an outage of at least kEntryExpiryOutage.
   // Entries that are missing within EndpointRegistry::kOutageGracePeriod after
   // it may still reappear.
--- a/carobshift/gateway/streams/shared_stream_directory.cc
+++ b/carobshift/gateway/streams/shared_stream_directory.cc
@@ -115,9 +115,7 @@
     Report(done, {known.beginning(), StreamSource::kOwnTable});
     return;
   }
-  const std::vector<MemberInfo> owners =
-      StreamOwners(key, Others(), kStreamOwners);
-  if (owners.empty() || lookups_.size() >= kMaxLookups) {
+  if (lookups_.size() >= kMaxLookups || (Others().empty() && !IsJoining())) {
     Report(done, {});
     return;
   }
@@ -126,9 +124,32 @@
   lookup.key = key;
   lookup.service = service;
   lookup.done = std::move(done);
-  lookup.timer = loop_.AddTimer(loop_.now() + kOwnerTime,
+  AskOwners(number, lookup);
+}
+
+void SharedStreamDirectory::SetRoundTimer(std::uint64_t number,
+                                          Lookup& lookup,
+                                          Milliseconds time) {
+  loop_.CancelTimer(lookup.timer);
+  lookup.timer = loop_.AddTimer(loop_.now() + time,
                                 [this, number] { OnRoundOver(number); });
-  Ask(number, lookup, owners);
+}
+
+void SharedStreamDirectory::AskOwners(std::uint64_t number, Lookup& lookup) {
+  lookup.asked_further = false;
+  SetRoundTimer(number, lookup, kOwnerTime);
+  Ask(number, lookup, StreamOwners(lookup.key, Others(), kStreamOwners));
+}
+
+void SharedStreamDirectory::AskFurther(std::uint64_t number, Lookup& lookup) {
+  lookup.asked_further = true;
+  std::vector<MemberInfo> further =
+      StreamOwners(lookup.key, Others(), kStreamOwners + kFurtherInstances);
+  further.erase(further.begin(),
+                further.begin() + static_cast<std::ptrdiff_t>(
+                                      std::min(kStreamOwners, further.size())));
+  SetRoundTimer(number, lookup, kFurtherTime);
+  Ask(number, lookup, further);
 }
 
 void SharedStreamDirectory::Ask(std::uint64_t number,
@@ -148,24 +169,20 @@
   if (found == lookups_.end())
     return;
   Lookup& lookup = found->second;
-  const bool settled = lookup.evidence.beginning() ||
-                       lookup.evidence.contradictory() ||
-                       !lookup.sole_versions.empty();
-  if (settled || lookup.asked_further) {
+  if (IsSettled(lookup)) {
     Finish(number);
     return;
   }
-  lookup.asked_further = true;
-  std::vector<MemberInfo> further =
-      StreamOwners(lookup.key, Others(), kStreamOwners + kFurtherInstances);
-  further.erase(further.begin(),
-                further.begin() + static_cast<std::ptrdiff_t>(
-                                      std::min(kStreamOwners, further.size())));
-  loop_.CancelTimer(lookup.timer);
-  lookup.timer = loop_.AddTimer(loop_.now() + kFurtherTime,
-                                [this, number] { OnRoundOver(number); });
-  Ask(number, lookup, further);
-  if (lookup.unanswered.empty())
+  if (!lookup.asked_further) {
+    AskFurther(number, lookup);
+    // A joining instance lets the time pass before it asks again.
+    if (lookup.unanswered.empty() && !IsJoining())
+      Finish(number);
+    return;
+  }
+  if (IsJoining())
+    AskOwners(number, lookup);
+  else
     Finish(number);
 }
 
@@ -217,7 +234,7 @@
   found->second.evidence.Merge(answer.value().evidence);
   if (answer.value().sole_version)
     found->second.sole_versions.insert(*answer.value().sole_version);
-  if (found->second.unanswered.empty())
+  if (found->second.unanswered.empty() && !WaitsToAskAgain(found->second))
     OnRoundOver(number);
 }
 
--- a/carobshift/gateway/streams/shared_stream_directory.h
+++ b/carobshift/gateway/streams/shared_stream_directory.h
@@ -22,6 +22,9 @@
 // - Owners are dead or slow. What is known after kOwnerTime and kFurtherTime
 //   counts. Without any answer the stream is unknown, which is never taken for
 //   "began anywhere".
+// - This instance has just started and doesn't know the others yet, while
+//   callers return to it whose streams broke as it was killed: for kJoinTime
+//   after its start it asks again until it knows.
 // - All instances that held a record are gone: unknown.
 // - An instance stops as planned: its records go to the owners of an order
 //   without it.
@@ -59,6 +62,8 @@
   static constexpr Milliseconds kOwnerTime{30};
   static constexpr Milliseconds kFurtherTime{70};
   static constexpr std::size_t kFurtherInstances = 9;
+  // By then an instance that has started knows the others.
+  static constexpr Milliseconds kJoinTime{1500};
   // Beyond this number of lookups at one time, a stream counts as unknown at
   // once.
   static constexpr std::size_t kMaxLookups = 1024;
@@ -109,8 +114,24 @@
   void Ask(std::uint64_t number,
            Lookup& lookup,
            const std::vector<MemberInfo>& instances);
+  // Begins a round: asks the owners, or the instances after them.
+  void AskOwners(std::uint64_t number, Lookup& lookup);
+  void AskFurther(std::uint64_t number, Lookup& lookup);
   // All that were asked have answered, or their time is over.
   void OnRoundOver(std::uint64_t number);
+  void SetRoundTimer(std::uint64_t number, Lookup& lookup, Milliseconds time);
+  // Whether all that were asked don't know, and the next round isn't due yet.
+  [[nodiscard]] bool WaitsToAskAgain(const Lookup& lookup) const {
+    return lookup.asked_further && !IsSettled(lookup) && IsJoining();
+  }
+  [[nodiscard]] static bool IsSettled(const Lookup& lookup) {
+    return lookup.evidence.beginning() || lookup.evidence.contradictory() ||
+           !lookup.sole_versions.empty();
+  }
+  // Whether another round may find what this one didn't.
+  [[nodiscard]] bool IsJoining() const {
+    return loop_.now() - started_ < kJoinTime;
+  }
   void Finish(std::uint64_t number);
   void OnRecords(std::string_view payload);
   void OnQuery(std::string_view payload);
@@ -125,6 +146,7 @@
   StreamTable table_;
   // As of the last tick.
   std::vector<MemberInfo> members_;
+  const MonotonicTime started_ = loop_.now();
   std::uint64_t last_number_ = 0;
   std::map<std::uint64_t, Lookup> lookups_;
   MonotonicTime next_expiry_{};
--- a/carobshift/gateway/streams/shared_stream_directory_test.cc
+++ b/carobshift/gateway/streams/shared_stream_directory_test.cc
@@ -162,11 +162,38 @@
   Fixture fixture(7);
   for (std::size_t i = 1; i < 7; ++i)
     fixture.Kill(i);
+  RunFor(fixture.loop, SharedStreamDirectory::kJoinTime);
   const MonotonicTime begin = fixture.loop.now();
   CHECK_FALSE(fixture.Find(0, StreamKey(1)).beginning.has_value());
   CHECK(fixture.loop.now() - begin < Milliseconds(300));
 }
 
+// Guards against streams that are refused because their callers return to the
+// instance that was killed before it knows the others again.
+TEST_CASE("an instance that has just started asks until it knows the others") {
+  Fixture fixture(3);
+  fixture.Publish(1, StreamKey(1), kOld);
+  const auto all = std::exchange(fixture.members, {});
+  fixture.Start(0);
+  std::optional<StreamLookup> result;
+  fixture.at(0).Find(StreamKey(1), kOld.service,
+                     [&](const StreamLookup& found) { result = found; });
+  RunFor(fixture.loop, Milliseconds(300));
+  CHECK_FALSE(result.has_value());
+  fixture.members = all;
+  fixture.at(0).OnTick();
+  RunUntil(fixture.loop, [&result] { return result.has_value(); });
+  CHECK(result->beginning == kOld);
+}
+
+TEST_CASE("an instance that stays alone knows nothing in the end") {
+  Fixture fixture(1);
+  const MonotonicTime begin = fixture.loop.now();
+  CHECK_FALSE(fixture.Find(0, StreamKey(1)).beginning.has_value());
+  CHECK(fixture.loop.now() - begin <
+        SharedStreamDirectory::kJoinTime + Milliseconds(300));
+}
+
 // Guards against streams that are lost as instances are stopped one after the
 // other in the planned way.
 TEST_CASE("streams outlast a planned stop of each instance in turn") {
