Fix: a stream's record goes before the versions that a service has had (ORDER)

Cause: an instance that had read one version only, for long enough, took a stream up without asking for its record. Its records of endpoints may be up to 1.5 s old, while another instance has read that of a new version and begun streams there; after that one was killed, they would go on at the old version. Found by reading. Change: what names its beginning is looked up; what the versions show counts only where no record is found, or none is named.

--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -49,6 +49,8 @@
     for (const HttpField& field : head.fields) {
       if (field.name == "Time-Left")
         request.time_left = Milliseconds(std::stoi(field.value));
+      else if (field.name == "Begun-By")
+        request.stream_beginning = RequestId(field.value);
       else if (field.name == "Last-Event")
         request.last_event = EventNumber(std::stoul(field.value));
       else if (!IsConnectionField(field.name, ""))
@@ -226,7 +228,8 @@
   Caller(EventLoop& loop,
          const NetAddress& address,
          const std::string& target,
-         Milliseconds time_left = Milliseconds(2000))
+         Milliseconds time_left = Milliseconds(2000),
+         const std::vector<HttpField>& more_fields = {})
       : client(loop, {}) {
     HttpHead request;
     request.method = "POST";
@@ -234,6 +237,8 @@
     request.fields = {{"Id", "r1"},
                       {"Time-Left", std::to_string(time_left.count())},
                       {"Content-Length", "6"}};
+    request.fields.insert(request.fields.end(), more_fields.begin(),
+                          more_fields.end());
     call = client.Start(address, SerializeRequestHead(request) + "slot 7", {},
                         this);
   }
@@ -666,5 +671,79 @@
   CHECK(fixture.isolated().endpoint_client.counters().calls == 0);
 }
 
+// Knows where one stream began, and records what is published.
+class FakeStreamDirectory : public StreamDirectory {
+ public:
+  void Publish(const StreamRecord& record) override {
+    published.push_back(record);
+  }
+  void Find(StreamKey, const ServiceName&, Done done) override {
+    ++lookups;
+    done({beginning, StreamSource::kPeer});
+  }
+
+  std::optional<StreamBeginning> beginning;
+  std::vector<StreamRecord> published;
+  int lookups = 0;
+};
+
+// Guards against a stream that goes on at the only version that this instance
+// has heard of, though another instance began it at a new one.
+TEST_CASE("a stream's record goes before what the service's versions show") {
+  HandoffFixture fixture(
+      [](HttpServerConnection& connection, const HttpServerRequest&) {
+        connection.BeginStream(ReplyHead(200));
+        connection.SendChunk(Events(4, 6));
+        connection.EndStream();
+      });
+  FakeStreamDirectory directory;
+  Instance& instance = fixture.peer();
+  instance.registry.OnRecordsFollowedSince({});
+  instance.requests.SetStreamDirectory(&directory, [] { return true; });
+  const auto take_up = [&](std::vector<HttpField> fields) {
+    fields.push_back({"Last-Event", "3"});
+    Caller caller(fixture.loop, instance.address(), "/review/1",
+                  Milliseconds(2000), fields);
+    RunUntil(fixture.loop, [&caller] { return caller.over; });
+    return caller.head.status;
+  };
+  directory.beginning = {kService, SoftwareVersion("v2")};
+  CHECK(take_up({{"Begun-By", "r0"}}) == 503);
+  CHECK(fixture.Runs() == 0);
+  directory.beginning = {kService, SoftwareVersion("v1")};
+  CHECK(take_up({{"Begun-By", "r0"}}) == 200);
+  directory.beginning = std::nullopt;
+  CHECK(take_up({{"Begun-By", "r0"}}) == 200);
+  CHECK(directory.lookups == 3);
+  // Without the name of its beginning there is nothing to look up.
+  CHECK(take_up({}) == 200);
+  CHECK(directory.lookups == 3);
+  // The first request of a stream is the one that is recorded.
+  CHECK(directory.published.empty());
+}
+
+TEST_CASE("a resumable stream's beginning is recorded with its first event") {
+  HandoffFixture fixture(
+      [](HttpServerConnection& connection, const HttpServerRequest&) {
+        connection.BeginStream(ReplyHead(200));
+        connection.SendChunk(Events(1, 6));
+        connection.EndStream();
+      });
+  FakeStreamDirectory directory;
+  Instance& instance = fixture.peer();
+  instance.requests.SetStreamDirectory(&directory, [] { return true; });
+  for (const char* target : {"/ask/1", "/review/1"}) {
+    Caller caller(fixture.loop, instance.address(), target);
+    RunUntil(fixture.loop, [&caller] { return caller.over; });
+    CHECK(caller.body == Events(1, 6));
+  }
+  REQUIRE(directory.published.size() == 1);
+  const StreamRecord& record = directory.published.front();
+  CHECK(record.key == StreamKeyOf(std::nullopt, RequestId("r1")));
+  CHECK(record.beginning == StreamBeginning{kService, SoftwareVersion("v1")});
+  // At least as long as the caller may take it up.
+  CHECK(record.life >= Milliseconds(3000));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -38,9 +38,12 @@
     ContinueStream(run, {handed, StreamSource::kHandoff});
     return;
   }
-  const auto sole_version = SoleVersion(setup.service);
-  if (sole_version || stream_directory_ == nullptr) {
-    ContinueStream(run, {.sole_version = sole_version});
+  // A record goes before what the service's versions show: another instance may
+  // have read the record of an endpoint with a new version already.
+  const bool sole_version_suffices =
+      !setup.request.stream_beginning && SoleVersion(setup.service);
+  if (sole_version_suffices || stream_directory_ == nullptr) {
+    ContinueStream(run, {});
     return;
   }
   // A request that names no beginning has an id that no stream has yet, and
@@ -60,8 +63,11 @@
                                     const StreamLookup& lookup) {
   Exchange& exchange = run->exchange();
   const ExchangeSetup& setup = exchange.setup();
+  StreamLookup known = lookup;
+  if (!known.sole_version)
+    known.sole_version = SoleVersion(setup.service);
   const Continuation next =
-      DecideContinuation(*setup.route, setup.service, lookup);
+      DecideContinuation(*setup.route, setup.service, known);
   if (next.refusal != ResultCode::kOk) {
     LogEvent(LogLevel::kWarning, "stream_not_continued",
              {{"request", setup.request.id.value()},
