--- a/carobshift/gateway/streams/shared_stream_directory_test.cc
+++ b/carobshift/gateway/streams/shared_stream_directory_test.cc
@@ -84,8 +84,10 @@
   [[nodiscard]] SharedStreamDirectory& at(std::size_t number) {
     return instances_[number]->directory;
   }
-  void Publish(std::size_t number, StreamKey key, const StreamBeginning& at_) {
-    at(number).Publish({key, at_, Seconds(10)});
+  void Publish(std::size_t number,
+               StreamKey key,
+               const StreamBeginning& began) {
+    at(number).Publish({key, began, Seconds(10)});
     RunFor(loop, Milliseconds(5));
   }
   [[nodiscard]] StreamLookup Find(std::size_t number, StreamKey key) {
