--- a/carobshift/gateway/streams/shared_stream_directory.cc
+++ b/carobshift/gateway/streams/shared_stream_directory.cc
@@ -191,9 +191,10 @@
   const Lookup lookup = std::move(found->second);
   lookups_.erase(found);
   loop_.CancelTimer(lookup.timer);
-  const auto beginning = lookup.evidence.beginning();
-  StreamLookup result{beginning,
-                      beginning ? StreamSource::kPeer : StreamSource::kUnknown};
+  StreamLookup result;
+  result.beginning = lookup.evidence.beginning();
+  if (result.beginning)
+    result.source = StreamSource::kPeer;
   if (lookup.sole_versions.size() == 1)
     result.sole_version = *lookup.sole_versions.begin();
   Report(lookup.done, result);
