Test of a slow caller through two instances: time for its 64 MB

What was seen: under the sanitizers the test failed each time, and once in about ten runs without them beside load: the answer ended after 2 s with a part of its 67 MB. Cause: the test gave its request 2000 ms. Both instances log deadline_exceeded after 2013 and 2002 ms in the failed run, so they ended the answer at its deadline, as they must; the transfer takes 2.4 to 2.9 s there. Change: the request and its route have 20 s, which is for how long the test waited already. What it checks is unchanged: the endpoint is held back while the caller doesn't read, and the answer is whole in the end.

--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -87,6 +87,9 @@
   }
 };
 
+// Time for an answer of 64 MB through two instances, also under sanitizers.
+constexpr Milliseconds kTransferTime{20000};
+
 Route RouteNamed(const std::string& name) {
   Route route;
   route.name = name;
@@ -107,6 +110,7 @@
   review.streaming = review.resumable = true;
   Route ask = RouteNamed("ask");
   ask.streaming = true;
+  ask.timeout = kTransferTime;
   config.routes = {RouteNamed("book"), find, review, ask};
   DeclaredService desks;
   desks.name = kService;
@@ -525,7 +529,7 @@
         stream = connection.weak_from_this();
         connection.BeginStream(ReplyHead(200));
       });
-  const auto caller = fixture.Send("/ask/1");
+  const auto caller = fixture.Send("/ask/1", kTransferTime);
   RunUntil(fixture.loop, [&stream] { return !stream.expired(); });
   const std::string event = "id: 1\ndata: " + std::string(60000, 'x') + "\n\n";
   constexpr std::size_t kOffered = std::size_t{64} << 20;
@@ -551,7 +555,7 @@
   caller->call->SetReading(true);
   stream.lock()->EndStream();
   RunUntil(
-      fixture.loop, [&caller] { return caller->over; }, Milliseconds(20000));
+      fixture.loop, [&caller] { return caller->over; }, kTransferTime);
   CHECK(caller->whole);
   CHECK(caller->body.size() > kOffered);
 }
