Tests of streams at their software: last endpoint, gone, cut off, rolled back

What was missing: of the cases that the postmortem of ORDER names only a killed gateway and broken streams were tested with processes of two versions. Change: four more process tests: the version has crashed to its last endpoint; it is gone (its streams end with 503, the other version's go on); the gateway that began the streams is cut off from all endpoints, by resets or hanging; a rollout is rolled back. A unit test of the latter for SoftwareHistory.

--- a/carobshift/gateway/streams/software_history_test.cc
+++ b/carobshift/gateway/streams/software_history_test.cc
@@ -55,6 +55,19 @@
   CHECK(fixture.Sole(kSpan + Seconds(5) + kSpan) == SoftwareVersion("v2"));
 }
 
+// Guards against "only one version" said while streams of a rollout that was
+// rolled back are still under way.
+TEST_CASE("a version that was rolled back counts for as long as its streams") {
+  Fixture fixture;
+  const MonotonicTime rollout = kStart + kSpan;
+  fixture.history.OnListed(RecordOf("v2"), rollout);
+  fixture.history.OnUnlisted(RecordOf("v1"), rollout + Seconds(2));
+  fixture.history.OnListed(RecordOf("v1"), rollout + Seconds(4));
+  fixture.history.OnUnlisted(RecordOf("v2"), rollout + Seconds(6));
+  CHECK_FALSE(fixture.Sole(kSpan + Seconds(6) + kSpan - Milliseconds(1)));
+  CHECK(fixture.Sole(kSpan + Seconds(6) + kSpan) == SoftwareVersion("v1"));
+}
+
 // Guards against a version that came and went while records were lost.
 TEST_CASE("after a gap in the records the time counts anew") {
   Fixture fixture;
--- a/testing/gateway_software_process_test.cc
+++ b/testing/gateway_software_process_test.cc
@@ -123,10 +123,11 @@
 // Begins all streams at gateway 0, calls `break_streams` when each has events,
 // and continues those that broke at the gateways `others` in turn.
 template <typename BreakStreams>
-Outcome BreakAndTakeUp(const GatewayCluster& cluster,
-                       const std::vector<std::size_t>& others,
-                       const BreakStreams& break_streams) {
-  const auto callers = MakeCallers(cluster);
+std::vector<std::unique_ptr<StreamCaller>> BreakAndTakeUpAll(
+    const GatewayCluster& cluster,
+    const std::vector<std::size_t>& others,
+    const BreakStreams& break_streams) {
+  auto callers = MakeCallers(cluster);
   {
     std::vector<std::jthread> threads;
     for (std::size_t i = 0; i < callers.size(); ++i) {
@@ -143,7 +144,14 @@
     }));
     break_streams();
   }
-  return OutcomeOf(callers);
+  return callers;
+}
+
+template <typename BreakStreams>
+Outcome BreakAndTakeUp(const GatewayCluster& cluster,
+                       const std::vector<std::size_t>& others,
+                       const BreakStreams& break_streams) {
+  return OutcomeOf(BreakAndTakeUpAll(cluster, others, break_streams));
 }
 
 // Guards against streams that callers take up again at another software version
@@ -157,6 +165,73 @@
   CHECK(outcome.whole > kStreams / 2);
 }
 
+// Guards against streams of a version that has crashed to its last endpoint and
+// that go on at another version, which has room.
+TEST_CASE("streams go on at the last endpoint of their software") {
+  GatewayCluster cluster(TwoVersions(/*gateways=*/3));
+  const Outcome outcome = BreakAndTakeUp(cluster, {1, 2}, [&] {
+    cluster.replica(0).Kill();
+    cluster.gateway(0).Kill();
+  });
+  CHECK(outcome.mixed == 0);
+  CHECK(outcome.gaps == 0);
+  CHECK(outcome.whole > kStreams / 2);
+}
+
+// Guards against streams that go on at another version because theirs is gone,
+// and against refusals of the other version's streams for that reason.
+TEST_CASE("streams end with the last endpoint of their software") {
+  GatewayCluster cluster(TwoVersions(/*gateways=*/3));
+  const auto callers = BreakAndTakeUpAll(cluster, {1, 2}, [&] {
+    for (const std::size_t old : {0, 2}) {
+      cluster.PutReplica(old, "");
+      cluster.replica(old).Kill();
+    }
+    cluster.gateway(0).Kill();
+  });
+  const Outcome outcome = OutcomeOf(callers);
+  CHECK(outcome.mixed == 0);
+  CHECK(outcome.gaps == 0);
+  for (const auto& caller : callers) {
+    const bool at_old = caller->versions().contains("v1");
+    CHECK(caller->whole() != at_old);
+    if (at_old)
+      CHECK(caller->status() == 503);
+  }
+}
+
+// Guards against streams that change their version because the gateway that
+// began them can no longer reach any endpoint.
+TEST_CASE("streams of a gateway that is cut off stay at their software") {
+  for (const CutForm form : {CutForm::kRefused, CutForm::kHang}) {
+    GatewayClusterOptions options = TwoVersions(/*gateways=*/3);
+    options.relayed = true;
+    GatewayCluster cluster(options);
+    const Outcome outcome = BreakAndTakeUp(
+        cluster, {1, 2}, [&] { cluster.CutPathsToEndpoints(form); });
+    CHECK(outcome.mixed == 0);
+    CHECK(outcome.gaps == 0);
+    CHECK(outcome.whole > kStreams / 2);
+  }
+}
+
+// Guards against streams that change their version when a rollout is undone:
+// the old version's endpoints are listed again while the new one's leave.
+TEST_CASE("streams stay at their software while a rollout is rolled back") {
+  GatewayCluster cluster(TwoVersions(/*gateways=*/3));
+  for (const std::size_t old : {0, 2})
+    cluster.PutReplica(old, "draining");
+  const Outcome outcome = BreakAndTakeUp(cluster, {1, 2}, [&] {
+    cluster.PutReplica(0, "ready");
+    cluster.PutReplica(2, "ready");
+    cluster.PutReplica(1, "draining");
+    cluster.gateway(0).Kill();
+  });
+  CHECK(outcome.mixed == 0);
+  CHECK(outcome.gaps == 0);
+  CHECK(outcome.whole > kStreams / 2);
+}
+
 // Guards against streams that a gateway resumes within one answer at another
 // software version.
 TEST_CASE("streams resumed by a gateway stay at their software") {
