Tests of streams taken up at gateways that have started again

What was missing: the cases of a gateway that has just started and of all of them were tested with directories only, not with processes. Change: a process test in which callers return to the gateway that was killed and has started again, where over half have to go on, and one in which all gateways were killed, where each stream has to be refused with 503 and none may be mixed.

--- a/testing/gateway_software_process_test.cc
+++ b/testing/gateway_software_process_test.cc
@@ -21,6 +21,7 @@
 constexpr int kStreams = 16;
 // Events that each caller has when the streams are broken.
 constexpr int kEventsBeforeBreak = 3;
+constexpr Milliseconds kRetryInterval{300};
 
 GatewayClusterOptions TwoVersions(int gateways) {
   return {.gateways = gateways,
@@ -55,6 +56,15 @@
             .status;
   }
 
+  // Takes the stream up until it is whole, at most `tries` times.
+  void TakeUpAt(std::size_t gateway, int tries) {
+    for (int i = 0; i < tries && !whole(); ++i) {
+      if (i > 0)
+        std::this_thread::sleep_for(kRetryInterval);
+      SendTo(gateway);
+    }
+  }
+
   [[nodiscard]] int events() const { return last_event_; }
   [[nodiscard]] bool whole() const { return last_event_ == kEvents; }
   [[nodiscard]] bool gap() const { return gap_; }
@@ -121,20 +131,21 @@
 }
 
 // Begins all streams at gateway 0, calls `break_streams` when each has events,
-// and continues those that broke at the gateways `others` in turn.
+// and continues those that broke at the gateways `others` in turn. Each caller
+// tries `tries` times.
 template <typename BreakStreams>
 std::vector<std::unique_ptr<StreamCaller>> BreakAndTakeUpAll(
     const GatewayCluster& cluster,
     const std::vector<std::size_t>& others,
-    const BreakStreams& break_streams) {
+    const BreakStreams& break_streams,
+    int tries = 1) {
   auto callers = MakeCallers(cluster);
   {
     std::vector<std::jthread> threads;
     for (std::size_t i = 0; i < callers.size(); ++i) {
       threads.emplace_back([&, i] {
         callers[i]->SendTo(0);
-        if (!callers[i]->whole())
-          callers[i]->SendTo(others[i % others.size()]);
+        callers[i]->TakeUpAt(others[i % others.size()], tries);
       });
     }
     REQUIRE(WaitUntil([&] {
@@ -232,6 +243,41 @@
   CHECK(outcome.whole > kStreams / 2);
 }
 
+// Guards against streams that are lost because the gateway to which their
+// callers return has just started and remembers nothing.
+TEST_CASE("streams are taken up at the gateway that has started again") {
+  GatewayCluster cluster(TwoVersions(/*gateways=*/3));
+  const Outcome outcome = OutcomeOf(BreakAndTakeUpAll(
+      cluster, {0},
+      [&] {
+        cluster.gateway(0).Kill();
+        cluster.StartGateway(0);
+      },
+      /*tries=*/10));
+  CHECK(outcome.mixed == 0);
+  CHECK(outcome.gaps == 0);
+  CHECK(outcome.whole > kStreams / 2);
+}
+
+// Guards against a guess after all gateways have lost their memory.
+TEST_CASE("streams that no gateway knows are refused") {
+  GatewayCluster cluster(TwoVersions(/*gateways=*/3));
+  const auto callers = BreakAndTakeUpAll(
+      cluster, {0, 1, 2},
+      [&] {
+        for (std::size_t i = 0; i < cluster.gateways(); ++i)
+          cluster.gateway(i).Kill();
+        for (std::size_t i = 0; i < cluster.gateways(); ++i)
+          cluster.StartGateway(i);
+      },
+      /*tries=*/10);
+  CHECK(OutcomeOf(callers).mixed == 0);
+  for (const auto& caller : callers) {
+    CHECK_FALSE(caller->whole());
+    CHECK(caller->status() == 503);
+  }
+}
+
 // Guards against streams that a gateway resumes within one answer at another
 // software version.
 TEST_CASE("streams resumed by a gateway stay at their software") {
