Fix: the only version of a service stays known while instances restart in turn (ORDER)

Cause: whether a service has had one version only was known to an instance from the records that it had followed itself. All seven instances had started again within the 30 s that it takes to say so, one after another, so none could say it. Class: as in the rest of ORDER, what was known when the stream began is not known where it goes on, here because knowledge ended with each process. Change: an instance whose own records don't reach back far enough asks others once a second (SoleVersionLearner), and takes their answer as if it had followed the records for as long, if its own records leave no gap. A gap in its records makes it forget that. The question states the span, which was that of the answering instance's configuration. After a restart of all at once nobody knows, as before, and nothing is guessed.

--- a/carobshift/gateway/endpoints/endpoint_registry.h
+++ b/carobshift/gateway/endpoints/endpoint_registry.h
@@ -77,6 +77,10 @@
   [[nodiscard]] const SoftwareHistory& software_history() const {
     return software_history_;
   }
+  bool OnSoftwareLearned(const SoftwareHistory::LearnedVersion& learned,
+                         MonotonicTime now) {
+    return software_history_.OnLearned(learned, now);
+  }
   // Increases with each change of what all() returns.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -28,6 +28,7 @@
 #include "carobshift/gateway/request/request_service.h"
 #include "carobshift/gateway/state_dump.h"
 #include "carobshift/gateway/streams/shared_stream_directory.h"
+#include "carobshift/gateway/streams/sole_version_learner.h"
 #include "carobshift/gateway/weights/weight_rollout_controller.h"
 #include "carobshift/net/tcp_listener.h"
 #include "carobshift/telemetry/event_log.h"
@@ -188,6 +189,7 @@
       {cluster.incarnation(), [this] { return cluster.Live(); }},
       datagrams,
       metrics};
+  SoleVersionLearner sole_versions{registry, stream_directory};
   LoadSharing load_sharing{loop, cluster, datagrams, requests.loads()};
   LimitSharing limit_sharing{loop, cluster, datagrams, requests.limits()};
   ColdStartSharing cold_start_sharing{loop, cluster, datagrams, registry,
@@ -320,9 +322,10 @@
   rollout_controller.SetReachesEngines(
       [this](const EntryId& id) { return ReachesEngines(id); });
   requests.SetLoadQueryService(&load_query_service);
-  stream_directory.SetSoleVersionSource([this](const ServiceName& service) {
-    return requests.SoleVersion(service);
-  });
+  stream_directory.SetSoleVersionSource(
+      [this](const SoleVersionQuestion& question) {
+        return requests.SoleVersion(question);
+      });
   requests.SetStreamDirectory(&stream_directory,
                               [this] { return EndpointRecordsAreCurrent(); });
   operator_follower.Start();
@@ -365,6 +368,8 @@
   requests.OnTick();
   load_query_service.OnTick();
   stream_directory.OnTick();
+  if (requests.has_config() && EndpointRecordsAreCurrent())
+    sole_versions.OnTick(operator_records.config()->config(), loop.now());
   load_sharing.OnTick();
   limit_sharing.OnTick();
   reachability_sharing.OnTick();
--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -681,10 +681,11 @@
   void Publish(const StreamRecord& record) override {
     published.push_back(record);
   }
-  void Find(StreamKey, const ServiceName&, Done done) override {
+  void Find(StreamKey, const SoleVersionQuestion&, Done done) override {
     ++lookups;
     done({beginning, StreamSource::kPeer});
   }
+  void FindSoleVersion(const SoleVersionQuestion&, SoleVersionDone) override {}
 
   std::optional<StreamBeginning> beginning;
   std::vector<StreamRecord> published;
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -145,10 +145,9 @@
     stream_directory_ = directory;
     records_are_current_ = std::move(records_are_current);
   }
-  // Returns the only version that the service has had for longer than a stream
-  // lives, if that is certain.
+  // Returns the only version that the service has had, if that is certain.
   [[nodiscard]] std::optional<SoftwareVersion> SoleVersion(
-      const ServiceName& service) const;
+      const SoleVersionQuestion& question) const;
   // The paths of this instance to the service, which were lost since then, have
   // returned.
   void OnPathsReturned(const ServiceName& service, MonotonicTime lost_since);
@@ -271,6 +270,8 @@
   void Begin(const std::shared_ptr<ExchangeRun>& run);
   void ContinueStream(const std::shared_ptr<ExchangeRun>& run,
                       const StreamLookup& lookup);
+  [[nodiscard]] SoleVersionQuestion SoleVersionQuestionOf(
+      const ExchangeSetup& setup) const;
   // Starts the exchange; for a prompt, after load reports have been requested.
   void Place(const std::shared_ptr<ExchangeRun>& run);
   // Queries the load of `endpoints` and adds those that were answered to the
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -40,8 +40,8 @@
   }
   // A record goes before what the service's versions show: another instance may
   // have read the record of an endpoint with a new version already.
-  const bool sole_version_suffices =
-      !setup.request.stream_beginning && SoleVersion(setup.service);
+  const bool sole_version_suffices = !setup.request.stream_beginning &&
+                                     SoleVersion(SoleVersionQuestionOf(setup));
   if (sole_version_suffices || stream_directory_ == nullptr) {
     ContinueStream(run, {});
     return;
@@ -51,7 +51,7 @@
   const RequestId& beginning =
       setup.request.stream_beginning.value_or(setup.request.id);
   stream_directory_->Find(StreamKeyOf(AccountOf(setup), beginning),
-                          setup.service,
+                          SoleVersionQuestionOf(setup),
                           [this, run](const StreamLookup& lookup) {
                             // The caller may have disconnected meanwhile.
                             if (!run->exchange().over())
@@ -65,7 +65,7 @@
   const ExchangeSetup& setup = exchange.setup();
   StreamLookup known = lookup;
   if (!known.sole_version)
-    known.sole_version = SoleVersion(setup.service);
+    known.sole_version = SoleVersion(SoleVersionQuestionOf(setup));
   const Continuation next =
       DecideContinuation(*setup.route, setup.service, known);
   if (next.refusal != ResultCode::kOk) {
@@ -85,12 +85,17 @@
   Place(run);
 }
 
+SoleVersionQuestion RequestService::SoleVersionQuestionOf(
+    const ExchangeSetup& setup) const {
+  return {setup.service, LongestStream(config_->config())};
+}
+
 std::optional<SoftwareVersion> RequestService::SoleVersion(
-    const ServiceName& service) const {
-  if (config_ == nullptr || !records_are_current_ || !records_are_current_())
+    const SoleVersionQuestion& question) const {
+  if (!records_are_current_ || !records_are_current_())
     return std::nullopt;
-  return registry_.software_history().SoleVersion(
-      service, LongestStream(config_->config()), loop_.now());
+  return registry_.software_history().SoleVersion(question.service,
+                                                  question.span, loop_.now());
 }
 
 void RequestService::OnStreamBegins(Exchange& exchange) {
--- a/carobshift/gateway/streams/shared_stream_directory.cc
+++ b/carobshift/gateway/streams/shared_stream_directory.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/streams/shared_stream_directory.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "carobshift/gateway/streams/stream_owners.h"
@@ -108,21 +109,44 @@
 }
 
 void SharedStreamDirectory::Find(StreamKey key,
-                                 const ServiceName& service,
+                                 const SoleVersionQuestion& question,
                                  Done done) {
   const StreamEvidence known = table_.Find(key, loop_.now());
   if (known.beginning() || known.contradictory()) {
     Report(done, {known.beginning(), StreamSource::kOwnTable});
     return;
   }
+  StartLookup(key, question,
+              [this, done = std::move(done)](const StreamLookup& lookup) {
+                Report(done, lookup);
+              });
+}
+
+void SharedStreamDirectory::FindSoleVersion(const SoleVersionQuestion& question,
+                                            SoleVersionDone done) {
+  StartLookup(NextUnusedKey(), question,
+              [this, done = std::move(done)](const StreamLookup& lookup) {
+                done(lookup.sole_version, loop_.now());
+              });
+}
+
+StreamKey SharedStreamDirectory::NextUnusedKey() const {
+  return StreamKeyOf(std::nullopt,
+                     RequestId(std::to_string(instance_.self.value()) + '/' +
+                               std::to_string(last_number_)));
+}
+
+void SharedStreamDirectory::StartLookup(StreamKey key,
+                                        const SoleVersionQuestion& question,
+                                        Done done) {
   if (lookups_.size() >= kMaxLookups || (Others().empty() && !IsJoining())) {
-    Report(done, {});
+    done({});
     return;
   }
   const std::uint64_t number = ++last_number_;
   Lookup& lookup = lookups_[number];
   lookup.key = key;
-  lookup.service = service;
+  lookup.question = question;
   lookup.done = std::move(done);
   AskOwners(number, lookup);
 }
@@ -156,7 +180,7 @@
                                 Lookup& lookup,
                                 const std::vector<MemberInfo>& instances) {
   const std::string query =
-      EncodeStreamQuery({instance_.self, number, lookup.key, lookup.service});
+      EncodeStreamQuery({instance_.self, number, lookup.key, lookup.question});
   for (const MemberInfo& instance : instances) {
     lookup.unanswered.insert(instance.incarnation);
     datagrams_.SendTo(instance.peer_address(), PeerDatagramKind::kStreamQuery,
@@ -197,7 +221,7 @@
     result.source = StreamSource::kPeer;
   if (lookup.sole_versions.size() == 1)
     result.sole_version = *lookup.sole_versions.begin();
-  Report(lookup.done, result);
+  lookup.done(result);
 }
 
 void SharedStreamDirectory::Report(const Done& done,
@@ -218,7 +242,7 @@
   StreamAnswer answer{instance_.self, query.number,
                       table_.Find(query.key, loop_.now()), std::nullopt};
   if (sole_version_of_)
-    answer.sole_version = sole_version_of_(query.service);
+    answer.sole_version = sole_version_of_(query.question);
   datagrams_.SendTo(requester->peer_address(), PeerDatagramKind::kStreamAnswer,
                     EncodeStreamAnswer(answer));
 }
--- a/carobshift/gateway/streams/shared_stream_directory.h
+++ b/carobshift/gateway/streams/shared_stream_directory.h
@@ -77,10 +77,14 @@
   SharedStreamDirectory& operator=(const SharedStreamDirectory&) = delete;
 
   void Publish(const StreamRecord& record) override;
-  void Find(StreamKey key, const ServiceName& service, Done done) override;
+  void Find(StreamKey key,
+            const SoleVersionQuestion& question,
+            Done done) override;
+  void FindSoleVersion(const SoleVersionQuestion& question,
+                       SoleVersionDone done) override;
   // Sets what this instance can say of a service's only version.
   using SoleVersionSource =
-      std::function<std::optional<SoftwareVersion>(const ServiceName&)>;
+      std::function<std::optional<SoftwareVersion>(const SoleVersionQuestion&)>;
   void SetSoleVersionSource(SoleVersionSource source) {
     sole_version_of_ = std::move(source);
   }
@@ -94,7 +98,7 @@
  private:
   struct Lookup {
     StreamKey key;
-    ServiceName service;
+    SoleVersionQuestion question;
     // Instances that were asked and have not answered.
     std::set<Incarnation> unanswered;
     StreamEvidence evidence;
@@ -107,6 +111,12 @@
 
   void SendAll(const NetAddress& address,
                const std::vector<StreamRecord>& records);
+  // Asks others, if there are any. May call `done` at once.
+  void StartLookup(StreamKey key,
+                   const SoleVersionQuestion& question,
+                   Done done);
+  // Returns a key of no stream. Its owners are other instances each time.
+  [[nodiscard]] StreamKey NextUnusedKey() const;
   // Counts the lookup and passes on its result.
   void Report(const Done& done, const StreamLookup& lookup);
   // Returns the live instances other than this one.
--- a/carobshift/gateway/streams/shared_stream_directory_test.cc
+++ b/carobshift/gateway/streams/shared_stream_directory_test.cc
@@ -19,6 +19,7 @@
 
 constexpr std::uint16_t kPort = 21003;
 const StreamBeginning kOld{ServiceName("llm"), SoftwareVersion("v1")};
+const SoleVersionQuestion kQuestion{kOld.service, Milliseconds(30'000)};
 const StreamBeginning kNew{ServiceName("llm"), SoftwareVersion("v2")};
 
 // Loopback addresses that no other process uses: test processes run
@@ -92,7 +93,7 @@
   }
   [[nodiscard]] StreamLookup Find(std::size_t number, StreamKey key) {
     std::optional<StreamLookup> result;
-    at(number).Find(key, kOld.service,
+    at(number).Find(key, kQuestion,
                     [&](const StreamLookup& found) { result = found; });
     RunUntil(loop, [&result] { return result.has_value(); });
     return *result;
@@ -144,16 +145,22 @@
 // though the others know that there is no choice of versions.
 TEST_CASE("others tell the only version that a service has had") {
   Fixture fixture(3);
-  fixture.at(1).SetSoleVersionSource([](const ServiceName& service) {
-    return service == kOld.service ? std::optional(kOld.software)
-                                   : std::nullopt;
+  fixture.at(1).SetSoleVersionSource([](const SoleVersionQuestion& asked) {
+    const bool same =
+        asked.service == kQuestion.service && asked.span == kQuestion.span;
+    return same ? std::optional(kOld.software) : std::nullopt;
   });
   StreamLookup found = fixture.Find(0, StreamKey(1));
   CHECK_FALSE(found.beginning.has_value());
   CHECK(found.sole_version == kOld.software);
+  std::optional<SoftwareVersion> learned;
+  fixture.at(2).FindSoleVersion(
+      kQuestion, [&](const auto& sole, MonotonicTime) { learned = sole; });
+  RunUntil(fixture.loop, [&learned] { return learned.has_value(); });
+  CHECK(learned == kOld.software);
   // One of two that contradict each other has missed something.
   fixture.at(2).SetSoleVersionSource(
-      [](const ServiceName&) { return kNew.software; });
+      [](const SoleVersionQuestion&) { return kNew.software; });
   found = fixture.Find(0, StreamKey(1));
   CHECK_FALSE(found.sole_version.has_value());
 }
@@ -178,7 +185,7 @@
   const auto all = std::exchange(fixture.members, {});
   fixture.Start(0);
   std::optional<StreamLookup> result;
-  fixture.at(0).Find(StreamKey(1), kOld.service,
+  fixture.at(0).Find(StreamKey(1), kQuestion,
                      [&](const StreamLookup& found) { result = found; });
   RunFor(fixture.loop, Milliseconds(300));
   CHECK_FALSE(result.has_value());
--- a/carobshift/gateway/streams/software_history.h
+++ b/carobshift/gateway/streams/software_history.h
@@ -8,11 +8,14 @@
 //   history.OnUnlisted(record, now);
 //   const auto software = history.SoleVersion(service, span, now);
 //
-// Load pattern: all instances restart at once and nobody knows the streams that
-// callers take up again. If the service has had one version only since before
-// the oldest of them began, that is where they began. An instance that has just
+// Load pattern: instances restart and nobody knows the streams that callers
+// take up again. If the service has had one version only since before the
+// oldest of them began, that is where they began. An instance that has just
 // started can't say so, as a rollout may have ended shortly before, unless the
-// whole deployment starts for the first time.
+// whole deployment starts for the first time or another instance knows it:
+//
+//   if (history.MayLearn(service, span, now)) Ask(...);
+//   history.OnLearned({service, version, span, asked}, now);
 //
 // A version that no endpoint has had for kKeepTime is forgotten.
 //
@@ -32,14 +35,32 @@
  public:
   // The longest span that can be asked for.
   static constexpr Milliseconds kKeepTime{600'000};
+  // Another instance may have read its records this long before it answers.
+  static constexpr Milliseconds kMaxRecordAge{2000};
 
-  // All records since then have been seen.
-  void FollowFrom(MonotonicTime since) { followed_since_ = since; }
+  // All records since then have been seen. Forgets what was learned.
+  void FollowFrom(MonotonicTime since);
   // An endpoint is listed with this record, which may replace another one.
   void OnListed(const EndpointRecord& record, MonotonicTime now);
   // An endpoint's last record has gone or was replaced.
   void OnUnlisted(const EndpointRecord& record, MonotonicTime now);
 
+  // Whether an answer of another instance that is asked now would extend what
+  // this one knows of the last `span`.
+  [[nodiscard]] bool MayLearn(const ServiceName& service,
+                              Milliseconds span,
+                              MonotonicTime now) const;
+  // Another instance said at `now` or shortly before that the service has had
+  // this version only. Returns false if that leaves a gap to the records that
+  // were seen here.
+  struct LearnedVersion {
+    ServiceName service;
+    SoftwareVersion software;
+    Milliseconds span{0};
+    MonotonicTime asked{};
+  };
+  bool OnLearned(const LearnedVersion& learned, MonotonicTime now);
+
   // Returns the only version that endpoints of the service have had in the last
   // `span`; nullopt if there were several or none, or if the records have not
   // been followed for so long.
@@ -55,8 +76,18 @@
     MonotonicTime last_listed{};
   };
 
+  struct Service {
+    std::map<SoftwareVersion, Version> versions;
+    // Since when its versions are known from another instance.
+    std::optional<MonotonicTime> learned_since;
+  };
+
+  // Since when all versions of the service are known.
+  [[nodiscard]] std::optional<MonotonicTime> KnownSince(
+      const ServiceName& service) const;
+
   std::optional<MonotonicTime> followed_since_;
-  std::map<ServiceName, std::map<SoftwareVersion, Version>> services_;
+  std::map<ServiceName, Service> services_;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/streams/software_history_test.cc
+++ b/carobshift/gateway/streams/software_history_test.cc
@@ -68,6 +68,38 @@
   CHECK(fixture.Sole(kSpan + Seconds(6) + kSpan) == SoftwareVersion("v1"));
 }
 
+// Guards against "only one version" that is taken over from another instance
+// although this one has read a different version, or has missed records.
+TEST_CASE("what another instance says counts only without a gap") {
+  Fixture fixture;
+  SoftwareHistory& history = fixture.history;
+  const MonotonicTime asked = kStart + SoftwareHistory::kMaxRecordAge;
+  const auto learn = [&](const std::string& software, MonotonicTime time) {
+    return history.OnLearned({kService, SoftwareVersion(software), kSpan, time},
+                             time);
+  };
+  SECTION("it reaches back before the first record seen here") {
+    CHECK_FALSE(history.MayLearn(kService, kSpan, asked - Milliseconds(1)));
+    REQUIRE(history.MayLearn(kService, kSpan, asked));
+    CHECK(learn("v1", asked));
+    CHECK(history.SoleVersion(kService, kSpan, asked) == SoftwareVersion("v1"));
+    CHECK_FALSE(history.SoleVersion(kService, kSpan + Milliseconds(1), asked));
+    CHECK_FALSE(history.MayLearn(kService, kSpan, asked));
+    // Other services are no better known.
+    CHECK(history.MayLearn(ServiceName("other"), kSpan, asked));
+    history.FollowFrom(asked);
+    CHECK_FALSE(history.SoleVersion(kService, kSpan, asked + Seconds(5)));
+  }
+  SECTION("a question before the records were followed for long enough") {
+    CHECK_FALSE(learn("v1", asked - Milliseconds(1)));
+    CHECK_FALSE(history.SoleVersion(kService, kSpan, asked));
+  }
+  SECTION("another version than the one seen here") {
+    learn("v2", asked);
+    CHECK_FALSE(history.SoleVersion(kService, kSpan, asked));
+  }
+}
+
 // Guards against a version that came and went while records were lost.
 TEST_CASE("after a gap in the records the time counts anew") {
   Fixture fixture;
--- a/carobshift/gateway/streams/stream_directory.h
+++ b/carobshift/gateway/streams/stream_directory.h
@@ -1,7 +1,7 @@
 // Answers where a stream began, at any instance.
 //
 //   directory.Publish(record);
-//   directory.Find(key, service, [](const StreamLookup& lookup) { ... });
+//   directory.Find(key, question, [](const StreamLookup& lookup) { ... });
 
 #ifndef CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
 #define CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
@@ -38,6 +38,13 @@
   std::optional<SoftwareVersion> sole_version{};
 };
 
+// Whether a service has had one software version only.
+struct SoleVersionQuestion {
+  ServiceName service;
+  // For how long, up to now.
+  Milliseconds span{0};
+};
+
 class StreamDirectory {
  public:
   virtual ~StreamDirectory() = default;
@@ -45,9 +52,18 @@
   // caller.
   virtual void Publish(const StreamRecord& record) = 0;
   using Done = std::function<void(const StreamLookup&)>;
-  // Calls `done` with what is known of a stream that a route to `service`
-  // continues, at once if it is known here.
-  virtual void Find(StreamKey key, const ServiceName& service, Done done) = 0;
+  // Calls `done` with what is known of a stream that a route to
+  // `question.service` continues, at once if it is known here.
+  virtual void Find(StreamKey key,
+                    const SoleVersionQuestion& question,
+                    Done done) = 0;
+  using SoleVersionDone =
+      std::function<void(const std::optional<SoftwareVersion>& sole_version,
+                         MonotonicTime now)>;
+  // Asks other instances only, and calls `done` with what they say, or with
+  // nullopt if none of them can say it.
+  virtual void FindSoleVersion(const SoleVersionQuestion& question,
+                               SoleVersionDone done) = 0;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/streams/stream_messages.cc
+++ b/carobshift/gateway/streams/stream_messages.cc
@@ -73,7 +73,8 @@
 std::string EncodeStreamQuery(const StreamQuery& query) {
   return WriteDatagram([&query](DatagramOutput& archive) {
     archive(query.requester.value(), query.number, query.key.value(),
-            query.service.value());
+            query.question.service.value(),
+            static_cast<std::uint32_t>(query.question.span.count()));
   });
 }
 
@@ -83,10 +84,11 @@
         std::uint64_t requester = 0;
         std::uint64_t key = 0;
         std::string service;
-        archive(requester, query.number, key, service);
+        std::uint32_t span = 0;
+        archive(requester, query.number, key, service, span);
         query.requester = Incarnation(requester);
         query.key = StreamKey(key);
-        query.service = ServiceName(service);
+        query.question = {ServiceName(service), Milliseconds(span)};
       });
 }
 
--- a/carobshift/gateway/streams/stream_messages.h
+++ b/carobshift/gateway/streams/stream_messages.h
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "carobshift/base/result.h"
-#include "carobshift/gateway/streams/stream_beginning.h"
+#include "carobshift/gateway/streams/stream_directory.h"
 
 namespace carobshift {
 
@@ -26,7 +26,7 @@
   std::uint64_t number = 0;
   StreamKey key;
   // The service to which the route leads that continues the stream.
-  ServiceName service;
+  SoleVersionQuestion question;
 };
 
 struct StreamAnswer {
--- a/carobshift/gateway/streams/stream_messages_test.cc
+++ b/carobshift/gateway/streams/stream_messages_test.cc
@@ -33,12 +33,16 @@
 
 TEST_CASE("a question and its answers are read back") {
   const auto query = DecodeStreamQuery(
-      EncodeStreamQuery({Incarnation(1), 2, StreamKey(3), ServiceName("llm")}));
+      EncodeStreamQuery({Incarnation(1),
+                         2,
+                         StreamKey(3),
+                         {ServiceName("llm"), Milliseconds(30'000)}}));
   REQUIRE(query.ok());
   CHECK(query.value().requester == Incarnation(1));
   CHECK(query.value().number == 2);
   CHECK(query.value().key == StreamKey(3));
-  CHECK(query.value().service == ServiceName("llm"));
+  CHECK(query.value().question.service == ServiceName("llm"));
+  CHECK(query.value().question.span == Milliseconds(30'000));
   CHECK_FALSE(DecodeStreamQuery("x").ok());
 
   StreamEvidence known;
