SoftwareHistory: what another instance says is a type of its own, before its use

Cause: LearnedVersion stood between two functions, with its meaning at one of them. Change: moved up and described. Result: no logic changed; clang-format clean.

--- a/carobshift/gateway/streams/software_history.h
+++ b/carobshift/gateway/streams/software_history.h
@@ -33,6 +33,15 @@
 
 class SoftwareHistory {
  public:
+  // Another instance, asked at `asked`, says that the service has had this
+  // version only in the last `span`.
+  struct LearnedVersion {
+    ServiceName service;
+    SoftwareVersion software;
+    Milliseconds span{0};
+    MonotonicTime asked{};
+  };
+
   // The longest span that can be asked for.
   static constexpr Milliseconds kKeepTime{600'000};
   // Another instance may have read its records this long before it answers.
@@ -50,15 +59,8 @@
   [[nodiscard]] bool MayLearn(const ServiceName& service,
                               Milliseconds span,
                               MonotonicTime now) const;
-  // Another instance said at `now` or shortly before that the service has had
-  // this version only. Returns false if that leaves a gap to the records that
-  // were seen here.
-  struct LearnedVersion {
-    ServiceName service;
-    SoftwareVersion software;
-    Milliseconds span{0};
-    MonotonicTime asked{};
-  };
+  // The answer arrived at `now`. Returns false if it leaves a gap to the
+  // records that were seen here, and is not used.
   bool OnLearned(const LearnedVersion& learned, MonotonicTime now);
 
   // Returns the only version that endpoints of the service have had in the last
