--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -186,7 +186,8 @@
       requests.loads()};
   SharedStreamDirectory stream_directory{
       loop,
-      {cluster.incarnation(), [this] { return cluster.Live(); }},
+      {cluster.incarnation(), [this] { return cluster.Live(); },
+       [this] { return cluster.Stopping(); }},
       datagrams,
       metrics};
   SoleVersionLearner sole_versions{registry, stream_directory};
--- a/carobshift/gateway/instances/cluster.cc
+++ b/carobshift/gateway/instances/cluster.cc
@@ -101,6 +101,17 @@
   return live_;
 }
 
+std::vector<MemberInfo> Cluster::Stopping() const {
+  std::vector<MemberInfo> stopping;
+  for (const MemberRecord& record : membership_.Members()) {
+    const MemberInfo& member = record.info;
+    if (record.state == MemberState::kAlive && member.leaving &&
+        member.incarnation != incarnation_)
+      stopping.push_back(member);
+  }
+  return stopping;
+}
+
 std::vector<MemberInfo> Cluster::Serving() const {
   std::vector<MemberInfo> serving;
   const std::vector<MemberInfo>& live = Live();
--- a/carobshift/gateway/instances/cluster.h
+++ b/carobshift/gateway/instances/cluster.h
@@ -45,6 +45,8 @@
   // Returns the members that are alive and not leaving, ordered by id. Includes
   // this instance unless it is leaving. Valid until the next datagram or tick.
   [[nodiscard]] const std::vector<MemberInfo>& Live() const;
+  // Returns the other members that are alive and have announced a planned stop.
+  [[nodiscard]] std::vector<MemberInfo> Stopping() const;
   // Returns the live members that have a configuration, or all live members if
   // none has.
   [[nodiscard]] std::vector<MemberInfo> Serving() const;
--- a/carobshift/gateway/instances/local_instance.h
+++ b/carobshift/gateway/instances/local_instance.h
@@ -14,6 +14,9 @@
   Incarnation self;
   // Returns the live instances.
   std::function<std::vector<MemberInfo>()> live;
+  // Returns the others that have announced a planned stop and still run; unset
+  // for components that don't use them.
+  std::function<std::vector<MemberInfo>()> stopping{};
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/streams/shared_stream_directory.cc
+++ b/carobshift/gateway/streams/shared_stream_directory.cc
@@ -139,7 +139,8 @@
 void SharedStreamDirectory::StartLookup(StreamKey key,
                                         const SoleVersionQuestion& question,
                                         Done done) {
-  if (lookups_.size() >= kMaxLookups || (Others().empty() && !IsJoining())) {
+  const bool alone = Others().empty() && instance_.stopping().empty();
+  if (lookups_.size() >= kMaxLookups || (alone && !IsJoining())) {
     done({});
     return;
   }
@@ -167,13 +168,20 @@
 
 void SharedStreamDirectory::AskFurther(std::uint64_t number, Lookup& lookup) {
   lookup.asked_further = true;
+  SetRoundTimer(number, lookup, kFurtherTime);
+  Ask(number, lookup, FurtherInstances(lookup.key));
+}
+
+std::vector<MemberInfo> SharedStreamDirectory::FurtherInstances(
+    StreamKey key) const {
   std::vector<MemberInfo> further =
-      StreamOwners(lookup.key, Others(), kStreamOwners + kFurtherInstances);
+      StreamOwners(key, Others(), kStreamOwners + kFurtherInstances);
   further.erase(further.begin(),
                 further.begin() + static_cast<std::ptrdiff_t>(
                                       std::min(kStreamOwners, further.size())));
-  SetRoundTimer(number, lookup, kFurtherTime);
-  Ask(number, lookup, further);
+  const std::vector<MemberInfo> stopping = instance_.stopping();
+  further.insert(further.end(), stopping.begin(), stopping.end());
+  return further;
 }
 
 void SharedStreamDirectory::Ask(std::uint64_t number,
--- a/carobshift/gateway/streams/shared_stream_directory.h
+++ b/carobshift/gateway/streams/shared_stream_directory.h
@@ -18,7 +18,7 @@
 // - A record or an answer is lost. Each stream has kStreamOwners + 1 records.
 // - Instances differ in their view of the members, or owners are gone. If no
 //   owner knows the stream, the next kFurtherInstances in their order are
-//   asked.
+//   asked, and those that are being stopped as planned.
 // - Owners are dead or slow. What is known after kOwnerTime and kFurtherTime
 //   counts. Without any answer the stream is unknown, which is never taken for
 //   "began anywhere".
@@ -121,6 +121,8 @@
   void Report(const Done& done, const StreamLookup& lookup);
   // Returns the live instances other than this one.
   [[nodiscard]] std::vector<MemberInfo> Others() const;
+  // Returns the instances that are asked after the owners of `key`.
+  [[nodiscard]] std::vector<MemberInfo> FurtherInstances(StreamKey key) const;
   void Ask(std::uint64_t number,
            Lookup& lookup,
            const std::vector<MemberInfo>& instances);
--- a/carobshift/gateway/streams/shared_stream_directory_test.cc
+++ b/carobshift/gateway/streams/shared_stream_directory_test.cc
@@ -31,15 +31,19 @@
 }
 
 struct Instance {
-  Instance(EventLoop& loop, int number, const std::vector<MemberInfo>& members)
+  Instance(EventLoop& loop,
+           int number,
+           const std::vector<MemberInfo>& members,
+           const std::vector<MemberInfo>& stopping)
       : settings(SettingsOf(number)),
         cluster(loop, settings),
         datagrams(loop, settings, cluster),
-        directory(loop,
-                  {Incarnation(static_cast<std::uint64_t>(number) + 1),
-                   [&members] { return members; }},
-                  datagrams,
-                  metrics) {
+        directory(
+            loop,
+            {Incarnation(static_cast<std::uint64_t>(number) + 1),
+             [&members] { return members; }, [&stopping] { return stopping; }},
+            datagrams,
+            metrics) {
     REQUIRE(datagrams.Start().ok());
     directory.OnTick();
   }
@@ -79,7 +83,7 @@
     auto& instance = instances_[static_cast<std::size_t>(number)];
     instance.reset();
     RunFor(loop, Milliseconds(1));
-    instance = std::make_unique<Instance>(loop, number, members);
+    instance = std::make_unique<Instance>(loop, number, members, stopping);
   }
   void Kill(std::size_t number) { instances_[number].reset(); }
   [[nodiscard]] SharedStreamDirectory& at(std::size_t number) {
@@ -101,6 +105,7 @@
 
   EventLoop loop;
   std::vector<MemberInfo> members;
+  std::vector<MemberInfo> stopping;
 
  private:
   std::vector<std::unique_ptr<Instance>> instances_;
@@ -165,6 +170,21 @@
   CHECK_FALSE(found.sole_version.has_value());
 }
 
+// Guards against knowledge that is lost as instances are stopped one after the
+// other, each while the one before it still ends its requests.
+TEST_CASE("instances that are being stopped are asked as well") {
+  Fixture fixture(3);
+  for (const std::size_t number : {1, 2}) {
+    fixture.at(number).SetSoleVersionSource(
+        [](const SoleVersionQuestion&) { return kOld.software; });
+  }
+  fixture.stopping.assign(fixture.members.begin() + 1, fixture.members.end());
+  fixture.members.resize(1);
+  for (const int number : {0, 1, 2})
+    fixture.at(static_cast<std::size_t>(number)).OnTick();
+  CHECK(fixture.Find(0, StreamKey(1)).sole_version == kOld.software);
+}
+
 // Guards against a lookup that waits for dead instances until its caller gives
 // up.
 TEST_CASE("a lookup ends soon though no other instance answers") {
