DecideContinuation: the parameter is default_service, not chosen

Cause: `chosen` can be read as telling how a value was found, and doesn't say whose choice it was. The header of StreamDirectory had no example of FindSoleVersion. Change: a parameter's name in two files, a line of an example.

--- a/carobshift/gateway/streams/stream_continuation.cc
+++ b/carobshift/gateway/streams/stream_continuation.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 Continuation DecideContinuation(const Route& route,
-                                const ServiceName& chosen,
+                                const ServiceName& default_service,
                                 const StreamLookup& lookup) {
   if (lookup.beginning) {
     const bool leads_there = LeadsTo(route, lookup.beginning->service);
@@ -24,7 +24,7 @@
   // With several services, the stream may have begun at another one.
   if (lookup.sole_version && route.services.size() == 1) {
     return {ResultCode::kOk,
-            {chosen, *lookup.sole_version},
+            {default_service, *lookup.sole_version},
             StreamSource::kSoleVersion};
   }
   return {ResultCode::kSoftwareUnknown, {}, StreamSource::kUnknown};
--- a/carobshift/gateway/streams/stream_continuation.h
+++ b/carobshift/gateway/streams/stream_continuation.h
@@ -1,6 +1,6 @@
 // Decides where a stream that a caller takes up again goes on.
 //
-//   const Continuation next = DecideContinuation(route, chosen, lookup);
+//   const Continuation next = DecideContinuation(route, service, lookup);
 //   if (next.refusal != ResultCode::kOk) Refuse(next.refusal);
 //
 // A stream goes on only at the service and the software version that began it.
@@ -27,10 +27,11 @@
   StreamSource source = StreamSource::kUnknown;
 };
 
-// `chosen` is the service to which the route leads a new request.
-[[nodiscard]] Continuation DecideContinuation(const Route& route,
-                                              const ServiceName& chosen,
-                                              const StreamLookup& lookup);
+// `default_service` is the service to which the route leads a new request.
+[[nodiscard]] Continuation DecideContinuation(
+    const Route& route,
+    const ServiceName& default_service,
+    const StreamLookup& lookup);
 
 // Returns for how long an unknown stream may have been under way at most: twice
 // the longest timeout of a streaming route, as a caller that resumes begins
--- a/carobshift/gateway/streams/stream_directory.h
+++ b/carobshift/gateway/streams/stream_directory.h
@@ -2,6 +2,7 @@
 //
 //   directory.Publish(record);
 //   directory.Find(key, question, [](const StreamLookup& lookup) { ... });
+//   directory.FindSoleVersion(question, [](const auto& version, auto now) {});
 
 #ifndef CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
 #define CAROBSHIFT_GATEWAY_STREAMS_STREAM_DIRECTORY_H_
