--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -1,7 +1,8 @@
 // Stand-in for a replica on the surrounding platform: an engine that streams
 // events, or a plain service, as the published interface of the platform
 // describes them. It validates the expected instance and weight version,
-// accepts orders to load weights, and reports its runs at GET /runs.
+// accepts orders to load weights, and reports its runs and the arrivals of
+// requests, run or not, at GET /runs.
 //
 // Faults besides the common ones: `break_after` (closes the connection after
 // this many events, once each time it is set), `pause_after` (sends nothing for
@@ -11,10 +12,10 @@
 // as soon as it runs), `queue_ms` (queueing time before a request runs; the
 // request does not run if its connection closes first), `limit` (text sent as
 // the Server-Limit header), `brittle` (text sent as the Server-Brittle header),
-// `slots` (a request beyond this many is rejected; 0: none is) and `work_ms`
-// (the time that a request holds its slot). A replica that states `brittle` and
-// rejects more requests in a second than that falls over: it closes all
-// connections for two seconds.
+// `reject` (each request is rejected), `slots` (a request beyond this many is
+// rejected; 0: none is) and `work_ms` (the time that a request holds its slot).
+// A replica that states `brittle` and rejects more requests in a second than
+// that falls over: it closes all connections for two seconds.
 
 #include <atomic>
 #include <cstdlib>
@@ -108,6 +109,7 @@
 
   void Run(StandinExchange& exchange) {
     const std::string request = exchange.Header("Request-Id");
+    RecordArrival(request);
     exchange.SetHeader("Instance-Id", options_.id);
     const std::string limit = faults_.Text("limit");
     if (!limit.empty())
@@ -130,7 +132,7 @@
       exchange.ReplyRaw(421, "text/plain", "");
       return;
     }
-    if (loading_ || request.empty()) {
+    if (loading_ || request.empty() || faults_.Number("reject") > 0) {
       exchange.SetHeader("Not-Executed", "1");
       exchange.ReplyRaw(503, "text/plain", "");
       return;
@@ -185,6 +187,7 @@
   void Runs(StandinExchange& exchange) {
     const std::lock_guard lock(mutex_);
     exchange.Reply({{"runs", runs_},
+                    {"arrivals", arrivals_},
                     {"weights", weights_.load()},
                     {"rejections", room_.rejections()},
                     {"falls", room_.falls()}});
@@ -219,6 +222,17 @@
     return true;
   }
 
+  [[nodiscard]] static std::int64_t NowMs() {
+    return std::chrono::duration_cast<Milliseconds>(
+               MonotonicNow().time_since_epoch())
+        .count();
+  }
+
+  void RecordArrival(const std::string& request) {
+    const std::lock_guard lock(mutex_);
+    arrivals_.push_back({{"request", request}, {"at_ms", NowMs()}});
+  }
+
   void RecordRun(StandinExchange& exchange) {
     const std::lock_guard lock(mutex_);
     runs_.push_back({{"request", exchange.Header("Request-Id")},
@@ -227,9 +241,7 @@
                      {"scope", exchange.Header("Cache-Salt")},
                      {"after", exchange.Header("Last-Event-Id")},
                      {"body", exchange.body()},
-                     {"at_ms", std::chrono::duration_cast<Milliseconds>(
-                                   MonotonicNow().time_since_epoch())
-                                   .count()}});
+                     {"at_ms", NowMs()}});
   }
 
   void Stream(StandinExchange& exchange) {
@@ -280,6 +292,7 @@
   std::jthread loader_;
   std::mutex mutex_;
   json runs_ = json::array();
+  json arrivals_ = json::array();
 };
 
 }  // namespace
