--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -558,6 +558,7 @@
        .cold_starts = requests.cold_starts(),
        .reachability = reachability.reachability(),
        .members = cluster.Live(),
+       .retries = requests.retry_allowance(),
        .open_requests = requests.open_requests(),
        .lease_holder = rollout_controller.IsHolder(),
        .stopping = stop_began.has_value()},
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -90,8 +90,9 @@
   void SetHandoffRunner(HandoffRunner* runner) { handoff_runner_ = runner; }
   [[nodiscard]] AttemptRunner& attempt_runner() { return *this; }
   // Spends one retry of the service's budget; returns false if it is exhausted.
-  [[nodiscard]] bool TrySpendRetry(const ServiceName& service) {
-    return allowance_.TrySpend(service, loop_.now());
+  [[nodiscard]] bool TrySpendRetry(const ServiceName& service);
+  [[nodiscard]] const RetryAllowance& retry_allowance() const {
+    return allowance_;
   }
   void SetConfig(std::shared_ptr<const ServingConfigSnapshot> config);
   // To be called after each change of the registry.
@@ -309,6 +310,7 @@
   // Whether the endpoint may go on with an attempt that ends here.
   enum class AttemptRest { kNone, kMayContinue };
   void EndAttempt(Exchange& exchange, AttemptNumber attempt, AttemptRest rest);
+  void CountRetry(const ServiceName& service, std::string_view outcome);
   // Gives the retry of an attempt that was never sent back to the allowance.
   void RefundRetry(Exchange& exchange, AttemptNumber attempt);
   void NoteRead(AttemptRecord& attempt);
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -29,7 +29,7 @@
   if (!wish.repeat && !wish.last_event &&
       RefusedUnderLoad(running, setup, *plan))
     return AttemptError::kOverloaded;
-  if (wish.repeat && !allowance_.TrySpend(setup.service, loop_.now()))
+  if (wish.repeat && !TrySpendRetry(setup.service))
     return AttemptError::kRetryBudgetSpent;
   RecordStart(running, wish, *plan);
   if (wish.last_event)
@@ -144,10 +144,24 @@
   return sent;
 }
 
+bool RequestService::TrySpendRetry(const ServiceName& service) {
+  const bool spent = allowance_.TrySpend(service, loop_.now());
+  CountRetry(service, spent ? "spent" : "refused");
+  return spent;
+}
+
+void RequestService::CountRetry(const ServiceName& service,
+                                std::string_view outcome) {
+  metrics_.Add("carobshift_retries_total",
+               {{"service", service.value()}, {"outcome", outcome}}, 1);
+}
+
 void RequestService::RefundRetry(Exchange& exchange, AttemptNumber attempt) {
   AttemptRecord& record = runs_.at(&exchange).Attempt(attempt);
-  if (std::exchange(record.spent_retry, false))
-    allowance_.Refund(exchange.setup().service, record.began);
+  if (!std::exchange(record.spent_retry, false))
+    return;
+  allowance_.Refund(exchange.setup().service, record.began);
+  CountRetry(exchange.setup().service, "returned");
 }
 
 void RequestService::PauseAttempt(Exchange& exchange,
--- a/carobshift/gateway/request/retry_allowance.cc
+++ b/carobshift/gateway/request/retry_allowance.cc
@@ -62,6 +62,17 @@
   return allowed - retries;
 }
 
+std::vector<RetryAccount> RetryAllowance::Accounts(MonotonicTime now) const {
+  std::vector<RetryAccount> accounts;
+  for (const auto& [service, counts] : counts_) {
+    accounts.push_back({.service = service,
+                        .requests = counts.requests.Sum(limits_.window, now),
+                        .retries = counts.retries.Sum(limits_.window, now),
+                        .left = Left(service, now)});
+  }
+  return accounts;
+}
+
 bool RetryAllowance::TrySpend(const ServiceName& service, MonotonicTime now) {
   if (Left(service, now) < 1)
     return false;
--- a/carobshift/gateway/request/retry_allowance.h
+++ b/carobshift/gateway/request/retry_allowance.h
@@ -40,6 +40,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
@@ -76,6 +77,15 @@
   std::array<Slot, kSlots + 1> slots_;
 };
 
+// What an instance has counted for one service, for the state dump.
+struct RetryAccount {
+  ServiceName service;
+  // In the window.
+  double requests = 0;
+  double retries = 0;
+  double left = 0;
+};
+
 class RetryAllowance {
  public:
   static constexpr double kUsableFraction = 0.8;
@@ -98,6 +108,9 @@
   void Refund(const ServiceName& service, MonotonicTime spent);
   [[nodiscard]] double Left(const ServiceName& service,
                             MonotonicTime now) const;
+  [[nodiscard]] std::vector<RetryAccount> Accounts(MonotonicTime now) const;
+  // Number of members among which the fixed number is divided.
+  [[nodiscard]] int members() const { return members_; }
 
  private:
   struct Counts {
--- a/carobshift/gateway/state_dump.cc
+++ b/carobshift/gateway/state_dump.cc
@@ -52,6 +52,17 @@
   return services;
 }
 
+json RetryBudgets(const RetryAllowance& retries, MonotonicTime now) {
+  json services = json::array();
+  for (const RetryAccount& account : retries.Accounts(now)) {
+    services.push_back({{"service", account.service.value()},
+                        {"requests", account.requests},
+                        {"retries", account.retries},
+                        {"left", account.left}});
+  }
+  return {{"members", retries.members()}, {"services", services}};
+}
+
 }  // namespace
 
 std::string EncodeStateDump(const StateDumpView& view, MonotonicTime now) {
@@ -65,6 +76,7 @@
       {"evacuated_zones", EvacuatedZones(view.evacuations, now)},
       {"unreached_services", UnreachedServices(view.reachability)},
       {"members", members},
+      {"retry_budget", RetryBudgets(view.retries, now)},
       {"open_requests", view.open_requests},
       {"lease_holder", view.lease_holder},
       {"stopping", view.stopping}}
--- a/carobshift/gateway/state_dump_test.cc
+++ b/carobshift/gateway/state_dump_test.cc
@@ -27,15 +27,27 @@
     reachability.OnConnectFailed(address, now + Milliseconds(20));
   }
   const std::vector<MemberInfo> members(2);
+  RetryAllowance retries({.share = 0, .extra = 20});
+  retries.OnMembers(2, now - Seconds(20));
+  const ServiceName engines("engines");
+  retries.OnRequest(engines, now);
+  REQUIRE(retries.TrySpend(engines, now));
   const auto dump =
       nlohmann::json::parse(EncodeStateDump({.registry = registry,
                                              .evacuations = evacuations,
                                              .cold_starts = cold_starts,
                                              .reachability = reachability,
-                                             .members = members},
+                                             .members = members,
+                                             .retries = retries},
                                             now + Milliseconds(500)));
   CHECK(dump["config"] == 0);
   CHECK(dump["members"].size() == 2);
+  CHECK(dump["retry_budget"]["members"] == 2);
+  const auto& budget = dump["retry_budget"]["services"][0];
+  CHECK(budget["service"] == "engines");
+  CHECK(budget["requests"] == 1);
+  CHECK(budget["retries"] == 1);
+  CHECK(budget["left"] == 7);
   const auto& endpoint = dump["endpoints"][0];
   CHECK(endpoint["availability_zone"] == "a");
   CHECK(endpoint["cold_ms"] == 2500);
