--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -261,6 +261,14 @@
           .spend_retry =
               [this](const ServiceName& service) {
                 return requests.TrySpendRetry(service);
+              },
+          .settle_retry =
+              [this](const ServiceName& service, MonotonicTime last_arrival) {
+                requests.SettleRetry(service, last_arrival);
+              },
+          .refund_retry =
+              [this](const ServiceName& service) {
+                requests.RefundRetry(service);
               }};
 }
 
--- a/carobshift/gateway/handoff/handoff_runner.cc
+++ b/carobshift/gateway/handoff/handoff_runner.cc
@@ -105,6 +105,8 @@
     return AttemptError::kNoEndpoint;
   if (wish.repeat && !environment_.spend_retry(setup.service))
     return AttemptError::kRetryBudgetSpent;
+  if (wish.repeat)
+    request.unsettled_retries.insert(wish.number);
   HandOver(exchange, wish, *peer, request);
   return AttemptError::kNone;
 }
@@ -172,9 +174,23 @@
   const auto run = request.run.lock();
   const bool sent = run->CallSent(attempt);
   run->DropCall(attempt);
+  EndRetry(exchange, attempt, sent, loop_.now() + kPeerSendTime);
   return sent;
 }
 
+void HandoffRunner::EndRetry(const Exchange& exchange,
+                             AttemptNumber attempt,
+                             bool sent,
+                             MonotonicTime last_arrival) {
+  if (RequestOf(exchange).unsettled_retries.erase(attempt) == 0)
+    return;
+  const ServiceName& service = exchange.setup().service;
+  if (sent)
+    environment_.settle_retry(service, last_arrival);
+  else
+    environment_.refund_retry(service);
+}
+
 void HandoffRunner::PauseAttempt(Exchange& exchange,
                                  AttemptNumber attempt,
                                  bool pause) {
@@ -188,10 +204,12 @@
 void HandoffRunner::OnAttemptReply(Exchange& exchange,
                                    AttemptNumber attempt,
                                    const ReplyMetadata& facts) {
-  if (!RequestOf(exchange).handoffs.contains(attempt))
+  if (!RequestOf(exchange).handoffs.contains(attempt)) {
     endpoint_attempts_.OnAttemptReply(exchange, attempt, facts);
-  else
-    Count(facts.not_run ? "not_run" : "answered");
+    return;
+  }
+  EndRetry(exchange, attempt, /*sent=*/true, loop_.now());
+  Count(facts.not_run ? "not_run" : "answered");
 }
 
 void HandoffRunner::OnAttemptResumed(Exchange& exchange,
@@ -228,6 +246,7 @@
             {"fault", CallFaultName(failure.fault)},
             {"sent", failure.sent}});
   EndHandoff(request, attempt);
+  EndRetry(exchange, attempt, failure.sent, loop_.now() + kPeerSendTime);
 }
 
 void HandoffRunner::OnStreamBegins(Exchange& exchange) {
--- a/carobshift/gateway/handoff/handoff_runner.h
+++ b/carobshift/gateway/handoff/handoff_runner.h
@@ -62,8 +62,13 @@
   // Returns the live instances that have a configuration and stay.
   std::function<std::vector<MemberInfo>()> members;
   // Returns whether the retry budget of the service permits another retry, and
-  // spends it.
+  // spends it. Each retry is ended by one of the other two functions.
   std::function<bool(const ServiceName&)> spend_retry;
+  // The retry can't arrive at an endpoint after `last_arrival`.
+  std::function<void(const ServiceName&, MonotonicTime last_arrival)>
+      settle_retry;
+  // The retry was never sent.
+  std::function<void(const ServiceName&)> refund_retry;
 };
 
 class HandoffRunner : public AttemptRunner {
@@ -74,6 +79,10 @@
   // unnoticed, the outcome of a request that may run only once is unknown.
   static constexpr Milliseconds kMaxIdle{1000};
   static constexpr Milliseconds kAvoidDuration{1000};
+  // A peer that isn't known to have ended a request may send it to an endpoint
+  // for so long: a stream waits there for Exchange::kMaxResumeWait.
+  static constexpr Milliseconds kPeerSendTime =
+      Exchange::kMaxResumeWait + Milliseconds(1000);
 
   HandoffRunner(EventLoop& loop,
                 HttpClient& client,
@@ -123,6 +132,8 @@
     std::set<AttemptNumber> at_endpoints;
     // Peers that the request was handed over to.
     std::set<EntryId> tried;
+    // The handoffs that were counted as retries and may still arrive.
+    std::set<AttemptNumber> unsettled_retries;
   };
   struct Peer {
     int outstanding = 0;
@@ -144,6 +155,12 @@
                 Request& request);
   [[nodiscard]] ReplyMetadata DecodeReply(const HttpHead& head) const;
   void EndHandoff(Request& request, AttemptNumber attempt);
+  // Ends the retry that the handoff was counted as, if it was and is not ended
+  // yet. `sent` is false if the handoff was never sent.
+  void EndRetry(const Exchange& exchange,
+                AttemptNumber attempt,
+                bool sent,
+                MonotonicTime last_arrival);
   void MoveAttempt(ExchangeRun& run, AttemptNumber attempt);
   void Count(std::string_view outcome);
 
--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -163,6 +163,17 @@
                     [this](const ServiceName& service) {
                       ++retries_spent;
                       return requests.TrySpendRetry(service);
+                    },
+                .settle_retry =
+                    [this](const ServiceName& service,
+                           MonotonicTime last_arrival) {
+                      ++retries_ended;
+                      requests.SettleRetry(service, last_arrival);
+                    },
+                .refund_retry =
+                    [this](const ServiceName& service) {
+                      ++retries_ended;
+                      requests.RefundRetry(service);
                     }}),
         listener(
             loop,
@@ -221,6 +232,7 @@
   Metrics metrics;
   FakeReachability reachability;
   int retries_spent = 0;
+  int retries_ended = 0;
   RequestService requests;
   HandoffRunner runner;
   HandoffListener listener;
@@ -408,6 +420,7 @@
   CHECK(fixture.isolated().Handoffs("not_run") > 0);
   CHECK(fixture.isolated().retries_spent ==
         fixture.isolated().Handoffs("not_run"));
+  CHECK(fixture.isolated().retries_ended == fixture.isolated().retries_spent);
 }
 
 // Guards against callers that wait for a peer that is gone.
--- a/carobshift/gateway/request/exchange_run.cc
+++ b/carobshift/gateway/request/exchange_run.cc
@@ -48,7 +48,7 @@
   if (call == nullptr)
     return;
   RemoveCall(attempt);
-  call->Cancel();
+  call->Drop();
 }
 
 void ExchangeRun::PauseCall(AttemptNumber attempt, bool pause) {
@@ -127,6 +127,16 @@
   call->Cancel();
 }
 
+void ExchangeRun::AttemptCall::Drop() {
+  if (replied_ || call_ == nullptr) {
+    Cancel();
+    return;
+  }
+  const auto call = std::move(call_);
+  call_.reset();
+  call->Abort();
+}
+
 void ExchangeRun::AttemptCall::Pause(bool pause) {
   paused_ = pause;
   last_received_ = run_.loop_.now();
@@ -141,7 +151,10 @@
   last_received_ = run_.loop_.now();
   const ReplyMetadata facts =
       decode_reply_ ? decode_reply_(head) : run_.dialect_.DecodeReply(head);
-  return run_.exchange_.OnReplyHead(attempt_, head, facts, run_.loop_.now());
+  const ReplyDisposition disposition =
+      run_.exchange_.OnReplyHead(attempt_, head, facts, run_.loop_.now());
+  replied_ = replied_ || disposition == ReplyDisposition::kAccept;
+  return disposition;
 }
 
 void ExchangeRun::AttemptCall::OnReplyBody(std::string_view bytes) {
--- a/carobshift/gateway/request/exchange_run.h
+++ b/carobshift/gateway/request/exchange_run.h
@@ -74,6 +74,9 @@
                std::string bytes,
                const HttpCallOptions& options);
     void Cancel();
+    // Cancels the call. Without a reply the endpoint may not have the request
+    // yet, and is not to get it any more.
+    void Drop();
     void Pause(bool pause);
     [[nodiscard]] AttemptNumber attempt() const { return attempt_; }
     [[nodiscard]] bool sent() const {
@@ -96,6 +99,7 @@
     std::shared_ptr<ClientCall> call_;
     MonotonicTime last_received_{};
     bool paused_ = false;
+    bool replied_ = false;
   };
 
   [[nodiscard]] std::shared_ptr<AttemptCall> FindCall(
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -90,7 +90,12 @@
   void SetHandoffRunner(HandoffRunner* runner) { handoff_runner_ = runner; }
   [[nodiscard]] AttemptRunner& attempt_runner() { return *this; }
   // Spends one retry of the service's budget; returns false if it is exhausted.
+  // Each retry is ended by one call of SettleRetry() or RefundRetry().
   [[nodiscard]] bool TrySpendRetry(const ServiceName& service);
+  // The retry can't arrive at an endpoint after `last_arrival`.
+  void SettleRetry(const ServiceName& service, MonotonicTime last_arrival);
+  // The retry was never sent.
+  void RefundRetry(const ServiceName& service);
   [[nodiscard]] const RetryAllowance& retry_allowance() const {
     return allowance_;
   }
@@ -229,8 +234,8 @@
     AttemptTrace trace;
     MonotonicTime began{};
     bool in_progress = true;
-    // The attempt was counted as a retry, and the retry wasn't given back.
-    bool spent_retry = false;
+    // The attempt was counted as a retry, and may still arrive.
+    bool unsettled_retry = false;
     // The endpoint has begun to reply.
     bool replied = false;
     // The endpoint replied that it did not run the attempt.
@@ -311,8 +316,12 @@
   enum class AttemptRest { kNone, kMayContinue };
   void EndAttempt(Exchange& exchange, AttemptNumber attempt, AttemptRest rest);
   void CountRetry(const ServiceName& service, std::string_view outcome);
-  // Gives the retry of an attempt that was never sent back to the allowance.
-  void RefundRetry(Exchange& exchange, AttemptNumber attempt);
+  // Ends the retry that the attempt was counted as, if it was and is not ended
+  // yet. `sent` is false if the attempt was never sent.
+  void EndRetry(const ServiceName& service,
+                AttemptRecord& attempt,
+                bool sent,
+                MonotonicTime last_arrival);
   void NoteRead(AttemptRecord& attempt);
   // Records how long the attempt waited for its first token, unless the time
   // contains a loss of this instance's paths, which says nothing about load.
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -10,6 +10,13 @@
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
+namespace {
+
+// For this long, bytes that were sent before their connection was reset or lost
+// may still arrive.
+constexpr Milliseconds kDeliveryTime{500};
+
+}  // namespace
 
 AttemptError RequestService::StartAttempt(Exchange& exchange,
                                           const AttemptParams& wish,
@@ -59,7 +66,7 @@
                                  const AttemptPlan& plan) {
   AttemptRecord attempt;
   attempt.number = wish.number;
-  attempt.spent_retry = wish.repeat;
+  attempt.unsettled_retry = wish.repeat;
   attempt.endpoint = plan.endpoint.id;
   attempt.start_time = plan.endpoint.start_time;
   attempt.prefill_tokens = plan.prefill_tokens;
@@ -138,9 +145,9 @@
   const bool sent = run.CallSent(attempt);
   EndAttempt(exchange, attempt,
              sent ? AttemptRest::kMayContinue : AttemptRest::kNone);
-  if (!sent)
-    RefundRetry(exchange, attempt);
   run.DropCall(attempt);
+  EndRetry(exchange.setup().service, runs_.at(&exchange).Attempt(attempt), sent,
+           loop_.now() + kDeliveryTime);
   return sent;
 }
 
@@ -156,12 +163,26 @@
                {{"service", service.value()}, {"outcome", outcome}}, 1);
 }
 
-void RequestService::RefundRetry(Exchange& exchange, AttemptNumber attempt) {
-  AttemptRecord& record = runs_.at(&exchange).Attempt(attempt);
-  if (!std::exchange(record.spent_retry, false))
+void RequestService::SettleRetry(const ServiceName& service,
+                                 MonotonicTime last_arrival) {
+  allowance_.Settle(service, last_arrival, loop_.now());
+}
+
+void RequestService::RefundRetry(const ServiceName& service) {
+  allowance_.Refund(service);
+  CountRetry(service, "returned");
+}
+
+void RequestService::EndRetry(const ServiceName& service,
+                              AttemptRecord& attempt,
+                              bool sent,
+                              MonotonicTime last_arrival) {
+  if (!std::exchange(attempt.unsettled_retry, false))
     return;
-  allowance_.Refund(exchange.setup().service, record.began);
-  CountRetry(exchange.setup().service, "returned");
+  if (sent)
+    SettleRetry(service, last_arrival);
+  else
+    RefundRetry(service);
 }
 
 void RequestService::PauseAttempt(Exchange& exchange,
@@ -215,6 +236,7 @@
   Running& running = runs_.at(&exchange);
   AttemptRecord& record = running.Attempt(attempt);
   NoteRead(record);
+  EndRetry(exchange.setup().service, record, /*sent=*/true, loop_.now());
   record.replied = true;
   record.not_run = facts.not_run;
   if (!facts.not_run) {
@@ -351,8 +373,8 @@
   EndAttempt(exchange, attempt,
              failure.sent ? AttemptRest::kMayContinue : AttemptRest::kNone);
   const AttemptRecord& record = runs_.at(&exchange).Attempt(attempt);
-  if (!failure.sent)
-    RefundRetry(exchange, attempt);
+  EndRetry(exchange.setup().service, runs_.at(&exchange).Attempt(attempt),
+           failure.sent, loop_.now() + kDeliveryTime);
   metrics_.Add("carobshift_attempt_failures_total",
                {{"fault", CallFaultName(failure.fault)}}, 1);
   const EndpointId& endpoint = record.endpoint;
--- a/carobshift/gateway/request/retry_allowance.cc
+++ b/carobshift/gateway/request/retry_allowance.cc
@@ -1,5 +1,7 @@
 #include "carobshift/gateway/request/retry_allowance.h"
 
+#include <iterator>
+
 namespace carobshift {
 
 std::int64_t WindowCount::StepOf(Milliseconds window, MonotonicTime now) {
@@ -48,18 +50,22 @@
   return share * limits_.extra / (unknown ? kAssumedMembers : members_);
 }
 
+double RetryAllowance::RetriesOf(const Counts& counts,
+                                 MonotonicTime now) const {
+  const auto first = counts.settled.upper_bound(now - limits_.window);
+  return counts.unsettled +
+         static_cast<double>(std::distance(first, counts.settled.end()));
+}
+
 double RetryAllowance::Left(const ServiceName& service,
                             MonotonicTime now) const {
   const auto found = counts_.find(service);
-  const double requests = found == counts_.end()
-                              ? 0
-                              : found->second.requests.Sum(limits_.window, now);
-  const double retries = found == counts_.end()
-                             ? 0
-                             : found->second.retries.Sum(limits_.window, now);
+  if (found == counts_.end())
+    return FixedShare(now);
+  const double requests = found->second.requests.Sum(limits_.window, now);
   const double allowed =
       kUsableFraction * limits_.share * requests + FixedShare(now);
-  return allowed - retries;
+  return allowed - RetriesOf(found->second, now);
 }
 
 std::vector<RetryAccount> RetryAllowance::Accounts(MonotonicTime now) const {
@@ -67,7 +73,8 @@
   for (const auto& [service, counts] : counts_) {
     accounts.push_back({.service = service,
                         .requests = counts.requests.Sum(limits_.window, now),
-                        .retries = counts.retries.Sum(limits_.window, now),
+                        .retries = RetriesOf(counts, now),
+                        .unsettled = static_cast<double>(counts.unsettled),
                         .left = Left(service, now)});
   }
   return accounts;
@@ -76,12 +83,22 @@
 bool RetryAllowance::TrySpend(const ServiceName& service, MonotonicTime now) {
   if (Left(service, now) < 1)
     return false;
-  counts_[service].retries.Add(1, limits_.window, now);
+  ++counts_[service].unsettled;
   return true;
 }
 
-void RetryAllowance::Refund(const ServiceName& service, MonotonicTime spent) {
-  counts_[service].retries.Add(-1, limits_.window, spent);
+void RetryAllowance::Settle(const ServiceName& service,
+                            MonotonicTime last_arrival,
+                            MonotonicTime now) {
+  Counts& counts = counts_[service];
+  --counts.unsettled;
+  counts.settled.erase(counts.settled.begin(),
+                       counts.settled.upper_bound(now - limits_.window));
+  counts.settled.insert(last_arrival);
+}
+
+void RetryAllowance::Refund(const ServiceName& service) {
+  --counts_[service].unsettled;
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/request/retry_allowance.h
+++ b/carobshift/gateway/request/retry_allowance.h
@@ -5,6 +5,7 @@
 //   allowance.OnMembers(live_entries, now);
 //   allowance.OnRequest(service, now);
 //   if (allowance.TrySpend(service, now)) ...
+//   allowance.Settle(service, last_arrival, now);  // or Refund(service)
 //
 // Load pattern: 1/3 of the endpoints fails, and each failed attempt is retried
 // at the others, which are full already. The retries then make first attempts
@@ -12,6 +13,14 @@
 // retries of all processes together and allows a share of the requests in a
 // sliding window plus a fixed number.
 //
+// The platform counts a retry when it arrives. A partition or a frozen endpoint
+// holds back a retry that was sent, and it would arrive among those of the next
+// window, up to twice the allowed number. A retry therefore counts from its
+// sending until a window after the last moment at which it can still arrive,
+// which Settle() states. The retries of this process that arrive in any one
+// window were all counted when the last of them was sent, so they are no more
+// than what was allowed then.
+//
 // Each process uses, without coordination, the share of its own requests and an
 // equal part of the fixed number among the live members. The largest number of
 // members seen within kMembershipHoldTime counts, since members that are only
@@ -25,13 +34,13 @@
 // kUsableFraction leaves unused. While it has heard of no other member it
 // assumes kAssumedMembers: it may be partitioned off from them.
 //
-// kUsableFraction leaves 1/5 unused, for retries that arrive in another window
-// than they were counted in, and for processes that start. kAssumedMembers is
-// low enough that a stream which breaks in the first second can be resumed, and
-// high enough that an instance behind a partition doesn't spend the part of the
-// others.
+// kUsableFraction leaves 1/5 unused, for processes that start. kAssumedMembers
+// is low enough that a stream which breaks in the first second can be resumed,
+// and high enough that an instance behind a partition doesn't spend the part of
+// the others.
 //
-// Thread-compatible. Holds two rings of kSlots + 1 counts for each service.
+// Thread-compatible. Holds a ring of kSlots + 1 counts and the retries of a
+// window for each service.
 
 #ifndef CAROBSHIFT_GATEWAY_REQUEST_RETRY_ALLOWANCE_H_
 #define CAROBSHIFT_GATEWAY_REQUEST_RETRY_ALLOWANCE_H_
@@ -40,6 +49,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "carobshift/base/ids.h"
@@ -82,7 +92,9 @@
   ServiceName service;
   // In the window.
   double requests = 0;
+  // Retries that count now, and those of them that may still arrive.
   double retries = 0;
+  double unsettled = 0;
   double left = 0;
 };
 
@@ -99,13 +111,18 @@
   // process.
   void OnMembers(int live_entries, MonotonicTime now);
 
-  // Counts a retry and returns true if one is left.
+  // Counts a retry and returns true if one is left. Each retry is ended by one
+  // call of Settle() or Refund().
   [[nodiscard]] bool TrySpend(const ServiceName& service, MonotonicTime now);
-  // Gives back a retry that was spent at `spent` and never sent: the endpoint
-  // wasn't connected, so it has no part in the load that retries cause. An
-  // instance that reaches no endpoint would otherwise have none left when its
-  // paths return.
-  void Refund(const ServiceName& service, MonotonicTime spent);
+  // The retry has arrived, or can't arrive after `last_arrival`, which may lie
+  // in the future.
+  void Settle(const ServiceName& service,
+              MonotonicTime last_arrival,
+              MonotonicTime now);
+  // Gives back a retry that was never sent: the endpoint wasn't connected, so
+  // it has no part in the load that retries cause. An instance that reaches no
+  // endpoint would otherwise have none left when its paths return.
+  void Refund(const ServiceName& service);
   [[nodiscard]] double Left(const ServiceName& service,
                             MonotonicTime now) const;
   [[nodiscard]] std::vector<RetryAccount> Accounts(MonotonicTime now) const;
@@ -115,9 +132,15 @@
  private:
   struct Counts {
     WindowCount requests;
-    WindowCount retries;
+    // Retries that may still arrive.
+    int unsettled = 0;
+    // When the others arrived at the latest.
+    std::multiset<MonotonicTime> settled;
   };
 
+  // Returns the retries that count now.
+  [[nodiscard]] double RetriesOf(const Counts& counts, MonotonicTime now) const;
+
   // Returns this process's part of the fixed number.
   [[nodiscard]] double FixedShare(MonotonicTime now) const;
 
--- a/carobshift/gateway/request/retry_allowance_test.cc
+++ b/carobshift/gateway/request/retry_allowance_test.cc
@@ -138,10 +138,47 @@
   for (int i = 0; i < 100; ++i) {
     REQUIRE(allowance.TrySpend(kEngines, now));
     now += Milliseconds(50);
-    allowance.Refund(kEngines, now - Milliseconds(50));
+    allowance.Refund(kEngines);
   }
   CHECK(allowance.Left(kEngines, now) == Approx(before));
 }
 
+// Guards against a retry whose return, long after it was spent, changes what
+// was counted since.
+TEST_CASE("a retry that is returned late leaves the others counted") {
+  RetryAllowance allowance(
+      {.share = 0, .extra = 70, .window = Milliseconds(10000)});
+  allowance.OnMembers(7, kStart - Seconds(10));
+  allowance.OnMembers(7, kStart);
+  REQUIRE(allowance.TrySpend(kEngines, kStart));
+  const MonotonicTime later = kStart + Milliseconds(10500);
+  for (int i = 0; i < 7; ++i)
+    REQUIRE(allowance.TrySpend(kEngines, later));
+  CHECK(allowance.Left(kEngines, later) == Approx(0));
+  allowance.Refund(kEngines);
+  CHECK(allowance.Left(kEngines, later) == Approx(1));
+}
+
+// Guards against retries that a cut or a frozen endpoint holds back and that
+// arrive with those of the next window.
+TEST_CASE("a retry counts until a window after it can arrive last") {
+  const RetryLimits limits{
+      .share = 0, .extra = 70, .window = Milliseconds(10000)};
+  RetryAllowance allowance(limits);
+  allowance.OnMembers(7, kStart - Seconds(10));
+  allowance.OnMembers(7, kStart);
+  for (int i = 0; i < 8; ++i)
+    REQUIRE(allowance.TrySpend(kEngines, kStart));
+  // Nothing is known of them.
+  const MonotonicTime much_later = kStart + Seconds(60);
+  CHECK_FALSE(allowance.TrySpend(kEngines, much_later));
+  const MonotonicTime last_arrival = much_later + Milliseconds(500);
+  for (int i = 0; i < 8; ++i)
+    allowance.Settle(kEngines, last_arrival, much_later);
+  CHECK_FALSE(allowance.TrySpend(
+      kEngines, last_arrival + limits.window - Milliseconds(1)));
+  CHECK(allowance.TrySpend(kEngines, last_arrival + limits.window));
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/state_dump.cc
+++ b/carobshift/gateway/state_dump.cc
@@ -58,6 +58,7 @@
     services.push_back({{"service", account.service.value()},
                         {"requests", account.requests},
                         {"retries", account.retries},
+                        {"unsettled", account.unsettled},
                         {"left", account.left}});
   }
   return {{"members", retries.members()}, {"services", services}};
--- a/carobshift/gateway/state_dump_test.cc
+++ b/carobshift/gateway/state_dump_test.cc
@@ -47,6 +47,7 @@
   CHECK(budget["service"] == "engines");
   CHECK(budget["requests"] == 1);
   CHECK(budget["retries"] == 1);
+  CHECK(budget["unsettled"] == 1);
   CHECK(budget["left"] == 7);
   const auto& endpoint = dump["endpoints"][0];
   CHECK(endpoint["availability_zone"] == "a");
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -52,6 +52,14 @@
   connection->Close();
 }
 
+void ClientCall::Abort() {
+  if (connection_ == nullptr)
+    return;
+  const auto connection = std::move(connection_);
+  connection_.reset();
+  connection->Abort();
+}
+
 bool ClientCall::sent() const {
   return connection_ == nullptr || connection_->sent();
 }
@@ -285,7 +293,7 @@
   client_.OnConnectionIdle(shared_from_this());
 }
 
-void HttpClientConnection::Close() {
+void HttpClientConnection::End(void (TcpConnection::*close)()) {
   const auto self = shared_from_this();
   client_.loop_.CancelTimer(connect_timer_);
   EndConnecting(&HttpClientObserver::OnConnectAbandoned);
@@ -294,7 +302,7 @@
     return;
   const auto tcp = std::move(tcp_);
   tcp_.reset();
-  tcp->Close();
+  (tcp.get()->*close)();
   client_.OnConnectionClosed(this);
 }
 
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -121,8 +121,12 @@
 // A call in progress.
 class ClientCall {
  public:
-  // Cancels the call and closes its connection. No listener call follows.
+  // Cancels the call and closes its connection. No listener call follows. Bytes
+  // of the request that are on their way still arrive, after seconds if a
+  // partition holds them back.
   void Cancel();
+  // The same, but resets the connection: such bytes are dropped.
+  void Abort();
   // Stops or resumes reading the reply.
   void SetReading(bool reading);
   [[nodiscard]] bool active() const { return connection_ != nullptr; }
@@ -226,8 +230,9 @@
              const HttpCallOptions& options,
              HttpCallListener* listener,
              const std::shared_ptr<ClientCall>& call);
-  // Closes the connection without notifying the listener.
-  void Close();
+  // Close the connection without notifying the listener.
+  void Close() { End(&TcpConnection::Close); }
+  void Abort() { End(&TcpConnection::Abort); }
   void SetReading(bool reading);
 
   [[nodiscard]] const NetAddress& address() const { return address_; }
@@ -248,6 +253,7 @@
   void OnBody(std::string_view bytes) override;
   void OnMessageEnd();
   void Fail(CallFault fault);
+  void End(void (TcpConnection::*close)());
   void BecomeIdle();
   void OnRequestSent();
   // Reports the end of the attempt to connect, if one is in progress.
