--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -69,6 +69,7 @@
 RequestServiceOptions ServiceOptions(const GatewaySettings& settings) {
   RequestServiceOptions options;
   options.retries = settings.retries;
+  options.retries.first_start = settings.first_start;
   options.cold_start = settings.cold_start;
   return options;
 }
@@ -368,6 +369,7 @@
   OnMembers();
   requests.SetLiveInstances(
       std::max<int>(1, static_cast<int>(cluster.Live().size())));
+  requests.SetKnownInstances(cluster.KnownInstances());
   requests.SetDraining(
       rollout_controller.OutdatedEndpoints(cluster.Draining()));
   for (const std::string& crash : cluster.Crashes()) {
--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -123,6 +123,7 @@
   RequestServiceOptions options;
   options.retries.share = 1;
   options.retries.extra = 1000;
+  options.retries.first_start = true;
   return options;
 }
 
@@ -183,6 +184,7 @@
     requests.SetHandoffRunner(&runner);
     requests.SetConfig(Config());
     requests.SetLiveInstances(2);
+    requests.SetKnownInstances(2);
     auto opened = TcpListener::Open(
         loop, {host, 0}, [this](const Poco::Net::StreamSocket& socket) {
           requests.Accept(socket);
--- a/carobshift/gateway/instances/cluster.cc
+++ b/carobshift/gateway/instances/cluster.cc
@@ -95,6 +95,7 @@
   if (live_revision_ == membership_.revision())
     return live_;
   live_ = membership_.LiveMembers();
+  known_instances_ = static_cast<int>(membership_.Members().size());
   std::sort(live_.begin(), live_.end(),
             [](const auto& a, const auto& b) { return a.id < b.id; });
   live_revision_ = membership_.revision();
@@ -123,6 +124,11 @@
   return serving.empty() ? live : serving;
 }
 
+int Cluster::KnownInstances() const {
+  static_cast<void>(Live());
+  return known_instances_;
+}
+
 std::size_t Cluster::Rank() const {
   const std::vector<MemberInfo>& live = Live();
   const auto self =
--- a/carobshift/gateway/instances/cluster.h
+++ b/carobshift/gateway/instances/cluster.h
@@ -50,6 +50,10 @@
   // Returns the live members that have a configuration, or all live members if
   // none has.
   [[nodiscard]] std::vector<MemberInfo> Serving() const;
+  // Returns the number of instances that may be serving: this one and all
+  // others that have been heard of, also those that are leaving, cut off or
+  // dead for no longer than MemberTable::kDeadRetention.
+  [[nodiscard]] int KnownInstances() const;
   // Returns this instance's index in Live(), starting at 0.
   [[nodiscard]] std::size_t Rank() const;
   [[nodiscard]] bool IsLive(const EntryId& id) const;
@@ -81,9 +85,10 @@
   Incarnation incarnation_;
   Membership membership_;
   std::shared_ptr<UdpPort> port_;
-  // Result of Live() at live_revision_; cached because it is read with each
-  // datagram.
+  // Results of Live() and KnownInstances() at live_revision_; cached because
+  // they are read with each datagram.
   mutable std::vector<MemberInfo> live_;
+  mutable int known_instances_ = 1;
   mutable std::optional<std::uint64_t> live_revision_;
   std::uint64_t facts_published_ = 0;
   MonotonicTime crash_window_start_{};
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -108,7 +108,6 @@
 }
 
 void RequestService::SetLiveInstances(int count) {
-  allowance_.OnMembers(count, loop_.now());
   if (count == live_instances_)
     return;
   live_instances_ = count;
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -159,6 +159,10 @@
   void OnPathsReturned(const ServiceName& service, MonotonicTime lost_since);
   // Number of live instances, including this one.
   void SetLiveInstances(int count);
+  // Number of instances that may be sending retries, including this one.
+  void SetKnownInstances(int count) {
+    allowance_.OnMembers(count, loop_.now());
+  }
   // To be called about every 100 ms.
   void OnTick();
   [[nodiscard]] LoadTracker& loads() { return loads_; }
--- a/carobshift/gateway/request/retry_allowance.cc
+++ b/carobshift/gateway/request/retry_allowance.cc
@@ -1,5 +1,6 @@
 #include "carobshift/gateway/request/retry_allowance.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace carobshift {
@@ -31,12 +32,12 @@
   counts_[service].requests.Add(1, limits_.window, now);
 }
 
-void RetryAllowance::OnMembers(int live_entries, MonotonicTime now) {
+void RetryAllowance::OnMembers(int members, MonotonicTime now) {
   if (!started_at_)
     started_at_ = now;
-  if (live_entries < members_ && now - members_seen_at_ < kMembershipHoldTime)
+  if (members < members_ && now - members_seen_at_ < kMembershipHoldTime)
     return;
-  members_ = live_entries;
+  members_ = members;
   members_seen_at_ = now;
 }
 
@@ -44,10 +45,13 @@
   if (!started_at_)
     return 0;
   const auto age = now - *started_at_;
-  const bool unknown = members_ == 1 && age < kMembershipHoldTime;
-  const double share =
-      unknown || age < limits_.window ? 1 - kUsableFraction : kUsableFraction;
-  return share * limits_.extra / (unknown ? kAssumedMembers : members_);
+  if (!limits_.first_start && age < limits_.window + kLateArrivalTime)
+    return 0;
+  const bool sees_all = limits_.first_start && members_ > 1;
+  const int members = sees_all || age >= kMembershipHoldTime
+                          ? members_
+                          : std::max(members_, kAssumedMembers);
+  return kUsableFraction * limits_.extra / members;
 }
 
 double RetryAllowance::RetriesOf(const Counts& counts,
--- a/carobshift/gateway/request/retry_allowance.h
+++ b/carobshift/gateway/request/retry_allowance.h
@@ -22,22 +22,25 @@
 // than what was allowed then.
 //
 // Each process uses, without coordination, the share of its own requests and an
-// equal part of the fixed number among the live members. The largest number of
+// equal part of the fixed number among the known members. The largest number of
 // members seen within kMembershipHoldTime counts, since members that are only
 // partitioned off go on spending.
 //
-// A process that has just started doesn't know what its predecessor spent in
-// this window. With its whole part at once, instances that are killed and
-// restart together would spend the fixed number twice, and several times while
-// each assumes that it is alone; the overload would then survive a restart. In
-// its first window a process therefore has only its part of what
-// kUsableFraction leaves unused. While it has heard of no other member it
-// assumes kAssumedMembers: it may be partitioned off from them.
+// A process that has just started doesn't know what its predecessors spent in
+// this window. Instances that are killed several times in a window would spend
+// a part each time, and the overload would survive the restarts. Until the
+// retries of a predecessor are out of the window, a process therefore has the
+// share of its own requests only. That is a retry for a few requests: the
+// streams that broke with the predecessor come back as new requests. A process
+// of a deployment that starts for the first time has no predecessor.
 //
-// kUsableFraction leaves 1/5 unused, for processes that start. kAssumedMembers
-// is low enough that a stream which breaks in the first second can be resumed,
-// and high enough that an instance behind a partition doesn't spend the part of
-// the others.
+// A process that has started behind a partition sees some of the members or
+// none. In its first kMembershipHoldTime it assumes at least kAssumedMembers,
+// unless the whole deployment has just started and it sees others.
+//
+// kUsableFraction leaves 1/5 unused, for members that are counted wrong.
+// kAssumedMembers is high enough that an instance behind a partition doesn't
+// spend the part of the others.
 //
 // Thread-compatible. Holds a ring of kSlots + 1 counts and the retries of a
 // window for each service.
@@ -63,6 +66,9 @@
   // Additional retries in the window, for all processes together.
   double extra = 10;
   Milliseconds window{10000};
+  // The deployment starts for the first time, so that no earlier process of
+  // this instance can have spent anything.
+  bool first_start = false;
 };
 
 // A count over a sliding window, in steps of 1/kSlots of it.
@@ -103,13 +109,17 @@
   static constexpr double kUsableFraction = 0.8;
   static constexpr Milliseconds kMembershipHoldTime{60000};
   static constexpr int kAssumedMembers = 8;
+  // What a killed process had sent may arrive for this long: the kernel
+  // delivers it until the user timeout of its connection.
+  static constexpr Milliseconds kLateArrivalTime{4000};
 
   explicit RetryAllowance(const RetryLimits& limits) : limits_(limits) {}
 
   void OnRequest(const ServiceName& service, MonotonicTime now);
-  // `live_entries` is at least 1. The first call sets the start time of this
-  // process.
-  void OnMembers(int live_entries, MonotonicTime now);
+  // `members` counts all that may be spending: this process and the others that
+  // are alive, leaving or not reached. It is at least 1. The first call sets
+  // the start time of this process.
+  void OnMembers(int members, MonotonicTime now);
 
   // Counts a retry and returns true if one is left. Each retry is ended by one
   // call of Settle() or Refund().
--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -199,7 +199,8 @@
   return "127.0.1." + std::to_string(gateway + 1);
 }
 
-std::string GatewayCluster::WriteSettings(std::size_t gateway) const {
+std::string GatewayCluster::WriteSettings(std::size_t gateway,
+                                          bool first_start) const {
   const std::string host = HostOf(gateway);
   const auto address = [&](PortOffset port) {
     return host + ":" + std::to_string(base_port_ + port);
@@ -217,27 +218,28 @@
       << ", version_ms: " << options_.weights_replacement_bound.count()
       << ", grace_period_s: 6, retry_budget_ratio: 0.2, retry_budget_extra: "
       << options_.retry_budget_extra << "}"
+      << "\nfirst_start: " << (first_start ? "true" : "false")
       << "\nplatform: {address: \"" << platform_->address().ToString()
       << "\"}\n";
   return path;
 }
 
 void GatewayCluster::StartGateway(std::size_t index) {
+  const bool first_start = gateways_[index] == nullptr;
+  const std::string settings = WriteSettings(index, first_start);
   const std::string metrics_port = std::to_string(base_port_ + kMetrics);
   if (options_.relayed && index == 0) {
     gateways_[index] = std::make_unique<Process>(
         "relayed_gateway",
-        std::vector<std::string>{"--settings", WriteSettings(index),
-                                 "--metrics-port", metrics_port, "--relay-host",
-                                 kRelayHost},
+        std::vector<std::string>{"--settings", settings, "--metrics-port",
+                                 metrics_port, "--relay-host", kRelayHost},
         directory_.path());
     return;
   }
   gateways_[index] = std::make_unique<Process>(
       "carobshiftd",
       std::vector<std::string>{"gateway", "--print-address", "--settings",
-                               WriteSettings(index), "--metrics-port",
-                               metrics_port},
+                               settings, "--metrics-port", metrics_port},
       directory_.path());
 }
 
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -132,7 +132,9 @@
                 const std::string& value);
   void StartRelays();
   [[nodiscard]] std::string HostOf(std::size_t gateway) const;
-  [[nodiscard]] std::string WriteSettings(std::size_t gateway) const;
+  // `first_start`: the deployment has never run before.
+  [[nodiscard]] std::string WriteSettings(std::size_t gateway,
+                                          bool first_start) const;
 
   GatewayClusterOptions options_;
   TemporaryDirectory directory_;
