Attempts: whether the first event has arrived is known and logged, with the prompt's parts

Result: exchange_stream_test: an attempt has begun with its first whole event; nothing is decided by it yet.

--- a/carobshift/gateway/handoff/handoff_runner.cc
+++ b/carobshift/gateway/handoff/handoff_runner.cc
@@ -212,6 +212,11 @@
   Count(facts.not_run ? "not_run" : "answered");
 }
 
+void HandoffRunner::OnAttemptBegins(Exchange& exchange, AttemptNumber attempt) {
+  if (!RequestOf(exchange).handoffs.contains(attempt))
+    endpoint_attempts_.OnAttemptBegins(exchange, attempt);
+}
+
 void HandoffRunner::OnAttemptResumed(Exchange& exchange,
                                      AttemptNumber attempt) {
   if (!RequestOf(exchange).handoffs.contains(attempt))
--- a/carobshift/gateway/handoff/handoff_runner.h
+++ b/carobshift/gateway/handoff/handoff_runner.h
@@ -114,6 +114,7 @@
   void OnAttemptReply(Exchange& exchange,
                       AttemptNumber attempt,
                       const ReplyMetadata& facts) override;
+  void OnAttemptBegins(Exchange& exchange, AttemptNumber attempt) override;
   void OnAttemptResumed(Exchange& exchange, AttemptNumber attempt) override;
   void OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) override;
   void OnAttemptFailure(Exchange& exchange,
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -137,6 +137,7 @@
   current_software_ = attempt.start.software;
   summary_.last_endpoint = attempt.start.endpoint;
   current_answers_ = current_silent_ = refused_by_endpoint_ = false;
+  current_begun_ = false;
   state_ = State::kSent;
 }
 
@@ -300,6 +301,8 @@
 void Exchange::ForwardEvents(std::string_view bytes, MonotonicTime now) {
   std::string complete;
   splitter_.Feed(bytes, [&](const StreamEvent& event) {
+    if (!std::exchange(current_begun_, true))
+      attempt_runner_.OnAttemptBegins(*this, *current_);
     // A resumed stream may start with events that the caller already has.
     if (event.number && last_delivered_ && *event.number <= *last_delivered_)
       return;
--- a/carobshift/gateway/request/exchange_fixture.h
+++ b/carobshift/gateway/request/exchange_fixture.h
@@ -82,6 +82,9 @@
   }
   void OnAttemptReply(Exchange&, AttemptNumber, const ReplyMetadata&) override {
   }
+  void OnAttemptBegins(Exchange&, AttemptNumber attempt) override {
+    with_events.push_back(attempt);
+  }
   void OnAttemptResumed(Exchange&, AttemptNumber) override { ++resumed; }
   void OnAttemptEnd(Exchange&, AttemptNumber attempt) override {
     live.erase(attempt);
@@ -115,6 +118,8 @@
   // The software versions with which streams began.
   std::vector<SoftwareVersion> begun;
   std::vector<CallFault> failures;
+  // The attempts whose first event has arrived.
+  std::vector<AttemptNumber> with_events;
 };
 
 [[nodiscard]] inline Route BookingRoute() {
--- a/carobshift/gateway/request/exchange_stream_test.cc
+++ b/carobshift/gateway/request/exchange_stream_test.cc
@@ -165,5 +165,22 @@
   }
 }
 
+// Guards against a run that is taken for one that has begun to answer, since
+// only its head has arrived.
+TEST_CASE("an attempt has begun with its first whole event") {
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, "id: 1\nda");
+  CHECK(fixture.attempt_runner.with_events.empty());
+  fixture.exchange->OnReplyBody(kFirst, "ta: token1\n\n" + Event(2), kStart);
+  CHECK(fixture.attempt_runner.with_events ==
+        std::vector<AttemptNumber>{kFirst});
+  // A resumed stream begins anew, also with an event that the caller has.
+  fixture.exchange->OnAttemptFailed(kFirst, kBroken, kStart);
+  fixture.Answer(200, Event(2));
+  CHECK(fixture.attempt_runner.with_events ==
+        std::vector<AttemptNumber>{kFirst, kSecond});
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -220,6 +220,7 @@
   void OnAttemptReply(Exchange& exchange,
                       AttemptNumber attempt,
                       const ReplyMetadata& facts) override;
+  void OnAttemptBegins(Exchange& exchange, AttemptNumber attempt) override;
   void OnAttemptResumed(Exchange& exchange, AttemptNumber attempt) override;
   void OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) override;
   void OnAttemptFailure(Exchange& exchange,
@@ -242,6 +243,8 @@
     bool unsettled_retry = false;
     // The endpoint has begun to reply.
     bool replied = false;
+    // The first event of the reply has arrived.
+    bool has_events = false;
     // The endpoint replied that it did not run the attempt.
     bool not_run = false;
   };
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -16,6 +16,19 @@
 // may still arrive.
 constexpr Milliseconds kDeliveryTime{500};
 
+// Number of a prompt's parts that a log line names.
+constexpr std::size_t kLoggedParts = 8;
+
+// Returns the ids of the parts that other requests may share.
+std::string SharedPartsText(const std::optional<PromptTraits>& prompt) {
+  std::string text;
+  if (!prompt)
+    return text;
+  for (std::size_t i = 0; i + 1 < prompt->parts.size() && i < kLoggedParts; ++i)
+    text += (text.empty() ? "" : ",") + prompt->parts[i].id;
+  return text;
+}
+
 }  // namespace
 
 AttemptError RequestService::StartAttempt(Exchange& exchange,
@@ -191,6 +204,11 @@
   runs_.at(&exchange).run->PauseCall(attempt, pause);
 }
 
+void RequestService::OnAttemptBegins(Exchange& exchange,
+                                     AttemptNumber attempt) {
+  runs_.at(&exchange).Attempt(attempt).has_events = true;
+}
+
 void RequestService::OnAttemptResumed(Exchange& exchange,
                                       AttemptNumber attempt) {
   health_.OnAnswer(runs_.at(&exchange).Attempt(attempt).endpoint);
@@ -411,6 +429,8 @@
             {"fault", CallFaultName(failure.fault)},
             {"sent", failure.sent},
             {"reused", failure.reused},
+            {"has_events", record.has_events},
+            {"parts", SharedPartsText(exchange.request().prompt)},
             {"registry", registry_.revision()}});
 }
 
--- a/fuzz/exchange_fuzz.cc
+++ b/fuzz/exchange_fuzz.cc
@@ -135,6 +135,7 @@
   }
   void OnAttemptReply(Exchange&, AttemptNumber, const ReplyMetadata&) override {
   }
+  void OnAttemptBegins(Exchange&, AttemptNumber) override {}
   void OnAttemptResumed(Exchange&, AttemptNumber) override {}
   void OnAttemptEnd(Exchange&, AttemptNumber number) override {
     unreported_.erase(number);
