--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -12,10 +12,12 @@
 // as soon as it runs), `queue_ms` (queueing time before a request runs; the
 // request does not run if its connection closes first), `limit` (text sent as
 // the Server-Limit header), `brittle` (text sent as the Server-Brittle header),
-// `reject` (each request is rejected), `slots` (a request beyond this many is
-// rejected; 0: none is) and `work_ms` (the time that a request holds its slot).
-// A replica that states `brittle` and rejects more requests in a second than
-// that falls over: it closes all connections for two seconds.
+// `reject` (each request is rejected), `crash_part` (a request with this part
+// in its prompt, unless it is the last, crashes the replica for `down_ms` when
+// it begins to answer), `slots` (a request beyond this many is rejected; 0:
+// none is) and `work_ms` (the time that a request holds its slot). A replica
+// that states `brittle` and rejects more requests in a second than that falls
+// over: it closes all connections for two seconds.
 
 #include <atomic>
 #include <cstdlib>
@@ -104,12 +106,14 @@
 
 class Replica {
  public:
-  Replica(ReplicaOptions options, Faults& faults)
-      : options_(std::move(options)), faults_(faults) {}
+  Replica(ReplicaOptions options, StandinServer& server)
+      : options_(std::move(options)),
+        server_(server),
+        faults_(server.faults()) {}
 
   void Run(StandinExchange& exchange) {
     const std::string request = exchange.Header("Request-Id");
-    RecordArrival(request);
+    RecordArrival(exchange);
     exchange.SetHeader("Instance-Id", options_.id);
     const std::string limit = faults_.Text("limit");
     if (!limit.empty())
@@ -187,6 +191,7 @@
   void Runs(StandinExchange& exchange) {
     const std::lock_guard lock(mutex_);
     exchange.Reply({{"runs", runs_},
+                    {"crashes", crashes_},
                     {"arrivals", arrivals_},
                     {"weights", weights_.load()},
                     {"rejections", room_.rejections()},
@@ -202,6 +207,10 @@
       exchange.CloseConnection();
       return;
     }
+    if (Crashes(exchange)) {
+      exchange.CloseConnection();
+      return;
+    }
     exchange.SetHeader("Request-Id", request);
     exchange.SetHeader("Response-Stamp", options_.id + "." + request);
     if (options_.model.empty())
@@ -228,9 +237,26 @@
         .count();
   }
 
-  void RecordArrival(const std::string& request) {
+  void RecordArrival(const StandinExchange& exchange) {
     const std::lock_guard lock(mutex_);
-    arrivals_.push_back({{"request", request}, {"at_ms", NowMs()}});
+    arrivals_.push_back({{"request", exchange.Header("Request-Id")},
+                         {"parts", exchange.Header("Prompt-Prefix")},
+                         {"at_ms", NowMs()}});
+  }
+
+  // Returns whether the request crashes the replica, which it then has.
+  bool Crashes(const StandinExchange& exchange) {
+    const std::string part = faults_.Text("crash_part");
+    if (part.empty())
+      return false;
+    const std::string prefix = "," + exchange.Header("Prompt-Prefix");
+    const std::size_t at = prefix.find("," + part + ":");
+    if (at == std::string::npos || at == prefix.rfind(','))
+      return false;
+    const std::lock_guard lock(mutex_);
+    crashes_.push_back({{"at_ms", NowMs()}});
+    server_.Crash(Milliseconds(faults_.Number("down_ms")));
+    return true;
   }
 
   void RecordRun(StandinExchange& exchange) {
@@ -284,6 +310,7 @@
   }
 
   ReplicaOptions options_;
+  StandinServer& server_;
   Faults& faults_;
   Room room_;
   std::atomic<int> weights_{1};
@@ -293,6 +320,7 @@
   std::mutex mutex_;
   json runs_ = json::array();
   json arrivals_ = json::array();
+  json crashes_ = json::array();
 };
 
 }  // namespace
@@ -317,7 +345,7 @@
   replica_options.event_gap =
       carobshift::Milliseconds(flags["event-gap-ms"].as<int>());
   carobshift::StandinServer server;
-  carobshift::Replica replica(replica_options, server.faults());
+  carobshift::Replica replica(replica_options, server);
   using Exchange = carobshift::StandinExchange;
   server.Route("GET", "/report", [&](Exchange& x) { replica.Report(x); });
   server.Route("POST", "/order", [&](Exchange& x) { replica.Order(x); });
--- a/testing/standin_server.cc
+++ b/testing/standin_server.cc
@@ -13,8 +13,10 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace carobshift {
 namespace {
@@ -208,17 +210,41 @@
   params->setMaxQueued(kMaxConnections);
   params->setKeepAliveTimeout(Poco::Timespan(30, 0));
   params->setMaxKeepAliveRequests(0);
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(listen), true, false);
-  socket.listen(1024);
-  Poco::Net::HTTPServer server(new HandlerFactory(*this), threads, socket,
-                               params);
-  server.start();
-  std::cout << "listening " << socket.address().toString() << std::endl;
-  int signal = 0;
-  sigwait(&stop, &signal);
-  // Open streams are cut off; a stand-in has no state to save.
-  std::_Exit(0);
+  Poco::Net::SocketAddress address(listen);
+  // Servers of earlier lives may have threads that are about to end.
+  std::vector<std::unique_ptr<Poco::Net::HTTPServer>> servers;
+  while (true) {
+    Poco::Net::ServerSocket socket;
+    socket.bind(address, true, false);
+    socket.listen(1024);
+    servers.push_back(std::make_unique<Poco::Net::HTTPServer>(
+        new HandlerFactory(*this), threads, socket, params));
+    servers.back()->start();
+    if (servers.size() == 1)
+      std::cout << "listening " << socket.address().toString() << std::endl;
+    address = socket.address();
+    if (WaitForStop(stop))
+      // Open streams are cut off; a stand-in has no state to save.
+      std::_Exit(0);
+    socket.close();
+    servers.back()->stopAll(/*abortCurrent=*/true);
+    std::this_thread::sleep_for(Milliseconds(down_ms_.load()));
+    crashed_ = false;
+  }
+}
+
+bool StandinServer::WaitForStop(const sigset_t& stop) const {
+  constexpr timespec kPollInterval{.tv_sec = 0, .tv_nsec = 5'000'000};
+  while (!crashed_) {
+    if (sigtimedwait(&stop, nullptr, &kPollInterval) > 0)
+      return true;
+  }
+  return false;
+}
+
+void StandinServer::Crash(Milliseconds down) {
+  down_ms_ = down.count();
+  crashed_ = true;
 }
 
 void StandinServer::Serve(StandinExchange& exchange) {
--- a/testing/standin_server.h
+++ b/testing/standin_server.h
@@ -21,6 +21,10 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <signal.h>
+
+#include <atomic>
+#include <cstdint>
 #include <cxxopts.hpp>
 #include <functional>
 #include <map>
@@ -113,6 +117,11 @@
   // Listens, prints "listening HOST:PORT" and serves until SIGTERM or SIGINT.
   int Run(const std::string& listen);
 
+  // Simulates the crash of the process: all connections and the listening
+  // socket are closed, and it listens again after `down`. Faults and what is
+  // recorded stay. Thread-safe; returns at once.
+  void Crash(Milliseconds down);
+
   // Handles one request. Called by the connection threads.
   void Serve(StandinExchange& exchange);
 
@@ -123,11 +132,15 @@
     StandinHandler handler;
   };
 
+  // Returns false when the server has crashed, true when it is to stop.
+  [[nodiscard]] bool WaitForStop(const sigset_t& stop) const;
   void Dispatch(StandinExchange& exchange);
   bool ApplyFaults(StandinExchange& exchange);
 
   std::vector<RouteEntry> routes_;
   Faults faults_;
+  std::atomic<bool> crashed_{false};
+  std::atomic<std::int64_t> down_ms_{0};
 };
 
 // A rate limiter that simulates a link shared by all callers. Thread-safe.
