--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -19,6 +19,7 @@
 #include "carobshift/gateway/instances/member_discovery.h"
 #include "carobshift/gateway/instances/peer_choice.h"
 #include "carobshift/gateway/instances/reachability_sharing.h"
+#include "carobshift/gateway/instances/suspect_sharing.h"
 #include "carobshift/gateway/load/load_query_service.h"
 #include "carobshift/gateway/load/load_sharing.h"
 #include "carobshift/gateway/query_service.h"
@@ -198,6 +199,8 @@
                                       requests.cold_starts()};
   RejectionSharing rejection_sharing{loop, cluster, datagrams,
                                      requests.rejections()};
+  SuspectSharing suspect_sharing{loop, cluster, datagrams,
+                                 requests.part_suspects()};
   WeightRolloutController rollout_controller{
       loop, control_client, settings, dialects, cluster, registry, deadlines};
   CacheWatcher caches{loop, control_client, dialects.engine, datagrams,
@@ -310,6 +313,9 @@
       [this](RequestFingerprint fingerprint, const std::string& run) {
         cluster.AnnounceCrash(EncodeCrashReport(fingerprint, run));
       });
+  requests.SetOnPartCrash(
+      [this](const PartCrash& crash) { suspect_sharing.OnCrash(crash); });
+  requests.SetOnPartVerdicts([this] { suspect_sharing.Publish(); });
   requests.SetReachability(&reachability.reachability());
   requests.SetLossCheck(
       [this](const ServiceName& service) { return LossOf(service); });
@@ -388,6 +394,7 @@
   handoff_listener.OnTick();
   cold_start_sharing.OnTick();
   rejection_sharing.OnTick();
+  suspect_sharing.OnTick();
   caches.OnTick();
   record_listener.OnTick();
   peer_sync.OnTick();
@@ -569,6 +576,7 @@
        .reachability = reachability.reachability(),
        .members = cluster.Live(),
        .retries = requests.retry_allowance(),
+       .part_suspects = requests.part_suspects(),
        .open_requests = requests.open_requests(),
        .lease_holder = rollout_controller.IsHolder(),
        .stopping = stop_began.has_value()},
--- a/carobshift/gateway/instances/peer_datagrams.h
+++ b/carobshift/gateway/instances/peer_datagrams.h
@@ -41,6 +41,8 @@
   kStreamRecords = 10,
   kStreamQuery = 11,
   kStreamAnswer = 12,
+  kPartCrash = 13,
+  kPartVerdict = 14,
 };
 
 struct PeerDatagram {
--- a/carobshift/gateway/request/held_crash_reports.h
+++ b/carobshift/gateway/request/held_crash_reports.h
@@ -33,7 +33,9 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
+#include "carobshift/gateway/endpoints/rate_limits.h"
 #include "carobshift/gateway/request/crash_record.h"
+#include "carobshift/gateway/request/part_suspects.h"
 
 namespace carobshift {
 
@@ -49,6 +51,12 @@
   RequestFingerprint fingerprint;
   std::string run;
   ServiceName service;
+  EndpointIncarnation endpoint{};
+  MonotonicTime sent{};
+  MonotonicTime broke{};
+  // The parts that may have crashed the endpoint; none if the run had begun to
+  // answer.
+  std::vector<PartDigest> parts{};
 };
 
 struct SettledCrashReports {
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -248,6 +248,8 @@
   running.connection = connection.get();
   running.handed_beginning = std::move(handed_beginning);
   running.footprint = RequestFootprint::Of(exchange->request());
+  if (exchange->request().prompt)
+    running.parts = JudgedParts(service, *exchange->request().prompt);
   by_connection_[connection.get()] = exchange;
   if (exchange->request().prompt) {
     sizes_.OnPrompt(route->name,
@@ -399,13 +401,33 @@
   ApplyCallerLimits();
   loads_.Expire(now);
   crashes_.Expire(now);
+  part_suspects_.OnTick(now);
+  PublishPartVerdicts();
   if (SilencePolicy::CanJudge(now - last_tick_))
     HandleSilentEndpoints(now);
   last_tick_ = now;
   WithdrawLateAttempts(now);
+  WithdrawRefusedParts(now);
   ResumeSuspendedStreams(now);
 }
 
+void RequestService::WithdrawRefusedParts(MonotonicTime now) {
+  if (part_suspects_.refuses_none())
+    return;
+  std::vector<std::pair<std::shared_ptr<ExchangeRun>, AttemptNumber>> refused;
+  for (const auto& [exchange, running] : runs_) {
+    if (part_suspects_.Decide(running.parts, now) == PartDecision::kRun)
+      continue;
+    for (const AttemptRecord& attempt : running.attempts) {
+      if (attempt.in_progress && !attempt.is_probe &&
+          exchange->IsWaiting(attempt.number))
+        refused.emplace_back(running.run, attempt.number);
+    }
+  }
+  for (const auto& [run, attempt] : refused)
+    run->exchange().OnTooLateToBegin(attempt, now);
+}
+
 void RequestService::ResumeSuspendedStreams(MonotonicTime now) {
   std::vector<std::shared_ptr<ExchangeRun>> suspended;
   for (const auto& [exchange, running] : runs_) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -39,6 +39,7 @@
 #include "carobshift/gateway/request/crash_record.h"
 #include "carobshift/gateway/request/exchange_run.h"
 #include "carobshift/gateway/request/held_crash_reports.h"
+#include "carobshift/gateway/request/part_suspects.h"
 #include "carobshift/gateway/request/request_report.h"
 #include "carobshift/gateway/request/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
@@ -109,6 +110,19 @@
   using OnCrash =
       std::function<void(RequestFingerprint, const std::string& run)>;
   void SetOnCrash(OnCrash on_crash) { on_crash_ = std::move(on_crash); }
+  // Called with each crash of an endpoint that this instance has seen, and when
+  // there may be new verdicts of part_suspects().
+  using OnPartCrash = std::function<void(const PartCrash&)>;
+  void SetOnPartCrash(OnPartCrash on_part_crash) {
+    on_part_crash_ = std::move(on_part_crash);
+  }
+  void SetOnPartVerdicts(std::function<void()> on_part_verdicts) {
+    on_part_verdicts_ = std::move(on_part_verdicts);
+  }
+  [[nodiscard]] PartSuspects& part_suspects() { return part_suspects_; }
+  [[nodiscard]] const PartSuspects& part_suspects() const {
+    return part_suspects_;
+  }
   // Sets how to tell a loss of this instance's paths from a failure of the
   // endpoints. Without it, each broken run is announced at once.
   using LossCheck = std::function<ServiceLoss(const ServiceName&)>;
@@ -245,6 +259,8 @@
     bool replied = false;
     // The first event of the reply has arrived.
     bool has_events = false;
+    // The attempt is the probe of a refused part.
+    bool is_probe = false;
     // The endpoint replied that it did not run the attempt.
     bool not_run = false;
   };
@@ -254,6 +270,7 @@
     std::shared_ptr<ExchangeRun> run;
     HttpServerConnection* connection = nullptr;
     RequestFootprint footprint;
+    std::vector<PartDigest> parts;
     // Endpoints whose load was reported, among which the request is placed.
     std::vector<EndpointId> shortlist;
     RequestTrace trace;
@@ -333,8 +350,18 @@
   // Records how long the attempt waited for its first token, unless the time
   // contains a loss of this instance's paths, which says nothing about load.
   void NoteFirstToken(const ServiceName& service, const AttemptRecord& attempt);
-  void ReportCrash(const Exchange& exchange, AttemptNumber attempt);
+  void ReportCrash(Exchange& exchange, AttemptNumber attempt);
   void AnnounceCrash(const HeldCrashReport& report);
+  // Counts and announces the crashes of which these runs are the evidence.
+  void CountPartCrashes(const std::vector<HeldCrashReport>& reports);
+  void PublishPartVerdicts();
+  // Refuses a request with a part that crashes endpoints. Sets when its caller
+  // may return.
+  [[nodiscard]] bool RefusesParts(Exchange& exchange);
+  // A run has sent an answer or a part of it.
+  void NoteAnswered(const Running& running, const AttemptRecord& attempt);
+  // Takes back attempts that wait at endpoints and hold a refused part.
+  void WithdrawRefusedParts(MonotonicTime now);
   void SettleCrashReports();
   // Returns whether a request that has not been sent yet must be refused.
   [[nodiscard]] bool RefusedUnderLoad(Running& running,
@@ -375,6 +402,9 @@
   OverloadGuard overload_;
   CrashRecord crashes_;
   HeldCrashReports held_crashes_;
+  PartSuspects part_suspects_;
+  OnPartCrash on_part_crash_;
+  std::function<void()> on_part_verdicts_;
   OnCrash on_crash_;
   LossCheck loss_of_;
   const ServiceReachability* reachability_ = nullptr;
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -38,6 +38,8 @@
   if (!crashes_.empty() &&
       crashes_.Refuses(FingerprintOfExchange(exchange), loop_.now()))
     return AttemptError::kSuspected;
+  if (RefusesParts(exchange))
+    return AttemptError::kSuspected;
   Running& running = runs_.at(&exchange);
   auto plan = planner_.Plan(setup, wish, loop_.now(), running.shortlist);
   if (!plan)
@@ -91,6 +93,12 @@
                    .sources = plan.fetch_count,
                    .saves = plan.save_count};
   attempt.began = loop_.now();
+  attempt.is_probe =
+      part_suspects_.Decide(running.parts, loop_.now()) == PartDecision::kProbe;
+  if (attempt.is_probe) {
+    part_suspects_.OnProbe(running.parts, loop_.now());
+    PublishPartVerdicts();
+  }
   health_.OnStart(attempt.endpoint);
   limits_.OnSend(EndpointIncarnation::Of(plan.endpoint), loop_.now());
   cold_starts_.OnSend(plan.endpoint, loop_.now());
@@ -206,7 +214,31 @@
 
 void RequestService::OnAttemptBegins(Exchange& exchange,
                                      AttemptNumber attempt) {
-  runs_.at(&exchange).Attempt(attempt).has_events = true;
+  Running& running = runs_.at(&exchange);
+  AttemptRecord& record = running.Attempt(attempt);
+  record.has_events = true;
+  NoteAnswered(running, record);
+}
+
+void RequestService::NoteAnswered(const Running& running,
+                                  const AttemptRecord& attempt) {
+  if (running.parts.empty())
+    return;
+  part_suspects_.OnAnswer(running.parts, attempt.began, loop_.now());
+  PublishPartVerdicts();
+}
+
+bool RequestService::RefusesParts(Exchange& exchange) {
+  if (part_suspects_.refuses_none())
+    return false;
+  Running& running = runs_.at(&exchange);
+  if (part_suspects_.Decide(running.parts, loop_.now()) !=
+      PartDecision::kRefuse)
+    return false;
+  running.retry_after = part_suspects_.RetryAfter(running.parts);
+  metrics_.Add("carobshift_part_refusals_total",
+               {{"service", exchange.setup().service.value()}}, 1);
+  return true;
 }
 
 void RequestService::OnAttemptResumed(Exchange& exchange,
@@ -378,10 +410,14 @@
 
 void RequestService::OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) {
   EndAttempt(exchange, attempt, AttemptRest::kNone);
+  Running& running = runs_.at(&exchange);
+  const AttemptRecord& record = running.Attempt(attempt);
+  if (record.replied && !record.not_run && !record.has_events)
+    NoteAnswered(running, record);
   // A refusal by a full endpoint doesn't show whether the request crashes
   // endpoints that run it. If it counted as a completed run, the request could
   // crash three more.
-  if (!crashes_.empty() && !runs_.at(&exchange).Attempt(attempt).not_run)
+  if (!crashes_.empty() && !record.not_run)
     crashes_.OnCompleted(FingerprintOfExchange(exchange));
 }
 
@@ -434,15 +470,24 @@
             {"registry", registry_.revision()}});
 }
 
-void RequestService::ReportCrash(const Exchange& exchange,
-                                 AttemptNumber attempt) {
+void RequestService::ReportCrash(Exchange& exchange, AttemptNumber attempt) {
   const RequestFingerprint fingerprint = FingerprintOfExchange(exchange);
   const std::string run =
       exchange.request().id.value() + "." + std::to_string(attempt.value());
   crashes_.OnBroken(fingerprint, run, loop_.now());
-  const HeldCrashReport report{fingerprint, run, exchange.setup().service};
+  Running& running = runs_.at(&exchange);
+  const AttemptRecord& record = running.Attempt(attempt);
+  HeldCrashReport report{.fingerprint = fingerprint,
+                         .run = run,
+                         .service = exchange.setup().service,
+                         .endpoint = {record.endpoint, record.start_time},
+                         .sent = record.began,
+                         .broke = loop_.now()};
+  if (!record.has_events)
+    report.parts = running.parts;
   if (!loss_of_) {
     AnnounceCrash(report);
+    CountPartCrashes({report});
     return;
   }
   const bool is_first = held_crashes_.empty();
@@ -463,6 +508,7 @@
       held_crashes_.Settle(loss_of_, loop_.now());
   for (const HeldCrashReport& report : settled.to_announce)
     AnnounceCrash(report);
+  CountPartCrashes(settled.to_announce);
   for (const HeldCrashReport& report : settled.to_withdraw) {
     crashes_.Withdraw(report.fingerprint, report.run);
     LogEvent(LogLevel::kInfo, "broken_run_withdrawn",
@@ -474,4 +520,42 @@
                  [this] { SettleCrashReports(); });
 }
 
+void RequestService::CountPartCrashes(
+    const std::vector<HeldCrashReport>& reports) {
+  std::vector<PartCrash> crashes;
+  for (const HeldCrashReport& report : reports) {
+    if (report.parts.empty())
+      continue;
+    const IncarnationDigest endpoint(CombineHashes(
+        FastHash(report.endpoint.id.value()),
+        static_cast<std::uint64_t>(report.endpoint.start_time.value())));
+    auto crash = std::find_if(
+        crashes.begin(), crashes.end(),
+        [endpoint](const auto& one) { return one.endpoint == endpoint; });
+    if (crash == crashes.end()) {
+      crashes.push_back({endpoint, report.broke, {}});
+      crash = std::prev(crashes.end());
+    }
+    for (const PartDigest part : report.parts)
+      crash->runs.push_back({part, report.sent});
+    LogEvent(LogLevel::kInfo, "run_broken_before_answer",
+             {{"run", report.run},
+              {"service", report.service.value()},
+              {"endpoint", report.endpoint.id.value()},
+              {"parts", report.parts.size()}});
+  }
+  for (PartCrash& crash : crashes) {
+    KeepLatestRuns(crash.runs);
+    part_suspects_.OnCrash(crash, loop_.now());
+    if (on_part_crash_)
+      on_part_crash_(crash);
+  }
+  PublishPartVerdicts();
+}
+
+void RequestService::PublishPartVerdicts() {
+  if (on_part_verdicts_)
+    on_part_verdicts_();
+}
+
 }  // namespace carobshift
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -29,6 +29,10 @@
 
 void RequestService::Begin(const std::shared_ptr<ExchangeRun>& run) {
   const ExchangeSetup& setup = run->exchange().setup();
+  if (RefusesParts(run->exchange())) {
+    run->exchange().RefuseToStart(ResultCode::kRequestSuspected, loop_.now());
+    return;
+  }
   if (!TakesUpStream(setup)) {
     Place(run);
     return;
--- a/carobshift/gateway/state_dump.cc
+++ b/carobshift/gateway/state_dump.cc
@@ -64,6 +64,30 @@
   return {{"members", retries.members()}, {"services", services}};
 }
 
+std::string_view PartStateName(PartState state) {
+  switch (state) {
+    case PartState::kCounted:
+      return "counted";
+    case PartState::kRefused:
+      return "refused";
+    case PartState::kConfirmed:
+      return "confirmed";
+  }
+  return "unknown";
+}
+
+json SuspectedParts(const PartSuspects& suspects, MonotonicTime now) {
+  json parts = json::array();
+  for (const PartReport& report : suspects.Reports()) {
+    parts.push_back({{"part", report.part.value()},
+                     {"state", PartStateName(report.state)},
+                     {"crashes", report.crashes},
+                     {"probes", report.probes},
+                     {"age_ms", MillisecondsOf(now - report.first_crash)}});
+  }
+  return parts;
+}
+
 }  // namespace
 
 std::string EncodeStateDump(const StateDumpView& view, MonotonicTime now) {
@@ -78,6 +102,7 @@
       {"unreached_services", UnreachedServices(view.reachability)},
       {"members", members},
       {"retry_budget", RetryBudgets(view.retries, now)},
+      {"suspected_parts", SuspectedParts(view.part_suspects, now)},
       {"open_requests", view.open_requests},
       {"lease_holder", view.lease_holder},
       {"stopping", view.stopping}}
--- a/carobshift/gateway/state_dump.h
+++ b/carobshift/gateway/state_dump.h
@@ -13,6 +13,7 @@
 #include "carobshift/gateway/endpoints/endpoint_registry.h"
 #include "carobshift/gateway/endpoints/service_reachability.h"
 #include "carobshift/gateway/endpoints/zone_evacuations.h"
+#include "carobshift/gateway/request/part_suspects.h"
 #include "carobshift/gateway/request/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/membership/member.h"
@@ -29,6 +30,7 @@
   const ServiceReachability& reachability;
   const std::vector<MemberInfo>& members;
   const RetryAllowance& retries;
+  const PartSuspects& part_suspects;
   std::size_t open_requests = 0;
   bool lease_holder = false;
   bool stopping = false;
--- a/carobshift/gateway/state_dump_test.cc
+++ b/carobshift/gateway/state_dump_test.cc
@@ -32,13 +32,16 @@
   const ServiceName engines("engines");
   retries.OnRequest(engines, now);
   REQUIRE(retries.TrySpend(engines, now));
+  PartSuspects suspects;
+  suspects.OnCrash({IncarnationDigest(1), now, {{PartDigest(7), now}}}, now);
   const auto dump =
       nlohmann::json::parse(EncodeStateDump({.registry = registry,
                                              .evacuations = evacuations,
                                              .cold_starts = cold_starts,
                                              .reachability = reachability,
                                              .members = members,
-                                             .retries = retries},
+                                             .retries = retries,
+                                             .part_suspects = suspects},
                                             now + Milliseconds(500)));
   CHECK(dump["config"] == 0);
   CHECK(dump["members"].size() == 2);
@@ -49,6 +52,11 @@
   CHECK(budget["retries"] == 1);
   CHECK(budget["unsettled"] == 1);
   CHECK(budget["left"] == 7);
+  const auto& part = dump["suspected_parts"][0];
+  CHECK(part["part"] == 7);
+  CHECK(part["state"] == "counted");
+  CHECK(part["crashes"] == 1);
+  CHECK(part["age_ms"] == 500);
   const auto& endpoint = dump["endpoints"][0];
   CHECK(endpoint["availability_zone"] == "a");
   CHECK(endpoint["cold_ms"] == 2500);
