Fix: only an answer clears a prompt's part, not a failed reply

Cause: second matter, found in review: a reply 500 or 421, or a stream that ended without an event, cleared the parts of its request. An endpoint that fails requests before it writes would have cleared the part that crashes the others. Change: OnAttemptBegins is called for a stream's first event, or with the whole successful answer of a request without a stream, and nothing else clears. One function makes a verdict, and one ends a call of HttpClient.

--- a/carobshift/gateway/instances/suspect_sharing.cc
+++ b/carobshift/gateway/instances/suspect_sharing.cc
@@ -200,7 +200,7 @@
     return;
   }
   for (const PartVerdict& verdict : verdicts.value()) {
-    if (suspects_.OnPeerVerdict(verdict, loop_.now()))
+    if (suspects_.OnPeerVerdict(verdict))
       LogVerdict(verdict, "peer");
   }
   Publish();
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -336,6 +336,11 @@
     OnAttemptFailed(attempt, {CallFault::kBroken, true, false}, now);
     return;
   }
+  const bool answered = !IsReplacement(attempt) && current_answers_ &&
+                        IsSuccess(buffered_head_.status) &&
+                        !setup_.route->streaming;
+  if (answered)
+    attempt_runner_.OnAttemptBegins(*this, attempt);
   attempt_runner_.OnAttemptEnd(*this, attempt);
   if (IsReplacement(attempt)) {
     OnReplacementOver(now);
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -144,7 +144,8 @@
   virtual void OnAttemptReply(Exchange& exchange,
                               AttemptNumber attempt,
                               const ReplyMetadata& facts) = 0;
-  // The first event of the attempt's reply has arrived.
+  // The first event of the attempt's stream, or its whole successful answer if
+  // that isn't a stream, has arrived.
   virtual void OnAttemptBegins(Exchange& exchange, AttemptNumber attempt) = 0;
   // The endpoint sends again after OnEndpointSilent().
   virtual void OnAttemptResumed(Exchange& exchange, AttemptNumber attempt) = 0;
@@ -356,7 +357,7 @@
   SoftwareVersion current_software_;
   // The reply of the current attempt has begun and is an answer.
   bool current_answers_ = false;
-  // An event of the current attempt's reply has arrived.
+  // OnAttemptBegins() was called for the current attempt.
   bool current_begun_ = false;
   // OnEndpointSilent() was called, and nothing has been received since.
   bool current_silent_ = false;
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -173,5 +173,21 @@
   }
 }
 
+// Guards against a failure that is taken for an answer to the prompt.
+TEST_CASE("an attempt without a stream has begun with its whole success") {
+  ExchangeFixture fixture(BookingRoute());
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, "done");
+  CHECK(fixture.attempt_runner.with_events.empty());
+  fixture.exchange->OnReplyEnd(kFirst, kStart);
+  CHECK(fixture.attempt_runner.with_events ==
+        std::vector<AttemptNumber>{kFirst});
+  ExchangeFixture failing(BookingRoute());
+  failing.exchange->Start(kStart);
+  failing.Answer(500, "failed");
+  failing.exchange->OnReplyEnd(kFirst, kStart);
+  CHECK(failing.attempt_runner.with_events.empty());
+}
+
 }  // namespace
 }  // namespace carobshift
--- a/carobshift/gateway/request/part_suspects.cc
+++ b/carobshift/gateway/request/part_suspects.cc
@@ -124,8 +124,7 @@
 }
 
 void PartSuspects::OnAnswer(const std::vector<PartDigest>& parts,
-                            MonotonicTime sent,
-                            MonotonicTime /*now*/) {
+                            MonotonicTime sent) {
   for (const PartDigest part : parts) {
     NoteAnswer(part, sent);
     const auto found = records_.find(part);
@@ -140,8 +139,7 @@
   }
 }
 
-bool PartSuspects::OnPeerVerdict(const PartVerdict& verdict,
-                                 MonotonicTime /*now*/) {
+bool PartSuspects::OnPeerVerdict(const PartVerdict& verdict) {
   if (!verdict.refused) {
     NoteAnswer(verdict.part, verdict.sent - kAgeError);
     const auto found = records_.find(verdict.part);
@@ -226,13 +224,17 @@
   }
 }
 
+PartVerdict PartSuspects::VerdictOn(PartDigest part, const Record& record) {
+  return {.part = part,
+          .refused = true,
+          .confirmed = record.state == PartState::kConfirmed,
+          .probes = record.probes,
+          .first_crash = record.first_crash,
+          .refused_at = record.refused_at};
+}
+
 void PartSuspects::Announce(PartDigest part, const Record& record) {
-  verdicts_.push_back({.part = part,
-                       .refused = true,
-                       .confirmed = record.state == PartState::kConfirmed,
-                       .probes = record.probes,
-                       .first_crash = record.first_crash,
-                       .refused_at = record.refused_at});
+  verdicts_.push_back(VerdictOn(part, record));
 }
 
 void PartSuspects::AnnounceCleared(PartDigest part, MonotonicTime sent) {
@@ -248,14 +250,8 @@
   if (refuses_none())
     return verdicts;
   for (const auto& [part, record] : records_) {
-    if (record.state == PartState::kCounted || RankOf(part) >= kOwners)
-      continue;
-    verdicts.push_back({.part = part,
-                        .refused = true,
-                        .confirmed = record.state == PartState::kConfirmed,
-                        .probes = record.probes,
-                        .first_crash = record.first_crash,
-                        .refused_at = record.refused_at});
+    if (record.state != PartState::kCounted && RankOf(part) < kOwners)
+      verdicts.push_back(VerdictOn(part, record));
   }
   return verdicts;
 }
--- a/carobshift/gateway/request/part_suspects.h
+++ b/carobshift/gateway/request/part_suspects.h
@@ -1,9 +1,9 @@
 // Finds parts of prompts that crash endpoints, and refuses requests with them.
 //
 //   PartSuspects suspects;
-//   suspects.OnCrash(crash, now);          // an endpoint's incarnation has
-//   ended suspects.OnAnswer(parts, sent, now);   // a run has sent its first
-//   event switch (suspects.Decide(parts, now)) { ... }
+//   suspects.OnCrash(crash, now);     // an endpoint's incarnation has ended
+//   suspects.OnAnswer(parts, sent);   // a run has sent its first event
+//   switch (suspects.Decide(parts, now)) { ... }
 //   Announce(suspects.TakeVerdicts());
 //
 // Load pattern: a part of a prompt crashes each endpoint that begins to write
@@ -151,11 +151,9 @@
   // runs that it had there.
   void OnCrash(const PartCrash& crash, MonotonicTime now);
   // A run with these parts, sent at `sent`, has sent its first event.
-  void OnAnswer(const std::vector<PartDigest>& parts,
-                MonotonicTime sent,
-                MonotonicTime now);
+  void OnAnswer(const std::vector<PartDigest>& parts, MonotonicTime sent);
   // Returns false if the verdict says nothing new.
-  bool OnPeerVerdict(const PartVerdict& verdict, MonotonicTime now);
+  bool OnPeerVerdict(const PartVerdict& verdict);
 
   [[nodiscard]] PartDecision Decide(const std::vector<PartDigest>& parts,
                                     MonotonicTime now) const;
@@ -209,6 +207,8 @@
   [[nodiscard]] bool IsToBeRefused(const Record& record,
                                    MonotonicTime now) const;
   void Refuse(PartDigest part, Record& record, MonotonicTime now);
+  [[nodiscard]] static PartVerdict VerdictOn(PartDigest part,
+                                             const Record& record);
   void Announce(PartDigest part, const Record& record);
   void AnnounceCleared(PartDigest part, MonotonicTime sent);
   void Erase(Records::iterator record);
--- a/carobshift/gateway/request/part_suspects_test.cc
+++ b/carobshift/gateway/request/part_suspects_test.cc
@@ -100,8 +100,7 @@
   MonotonicTime now = kStart;
   for (std::uint64_t i = 0; i < 20; ++i) {
     suspects.OnCrash(CrashOf(i, now, {kBad, kSound}), now);
-    suspects.OnAnswer({kSound}, now + Milliseconds(10),
-                      now + Milliseconds(300));
+    suspects.OnAnswer({kSound}, now + Milliseconds(10));
     now += Milliseconds(500);
   }
   CHECK(suspects.Decide({kSound}, now) == PartDecision::kRun);
@@ -113,7 +112,7 @@
 TEST_CASE("an answer to a run that was sent before the crash clears nothing") {
   PartSuspects suspects;
   CrashInSequence(suspects, {kBad}, 2);
-  suspects.OnAnswer({kBad}, kStart - Milliseconds(1), kStart + Seconds(1));
+  suspects.OnAnswer({kBad}, kStart - Milliseconds(1));
   suspects.OnCrash(CrashOf(9, kStart + Seconds(2), {kBad}),
                    kStart + Seconds(2));
   CHECK(suspects.Decide({kBad}, kStart + Seconds(2)) == PartDecision::kRefuse);
@@ -147,7 +146,7 @@
   REQUIRE(suspects.Decide({kSound}, now) == PartDecision::kProbe);
   suspects.OnProbe({kSound}, now);
   CHECK(suspects.Decide({kSound}, now) == PartDecision::kRefuse);
-  suspects.OnAnswer({kSound}, now, now + Milliseconds(200));
+  suspects.OnAnswer({kSound}, now);
   CHECK(suspects.Decide({kSound}, now) == PartDecision::kRun);
 
   REQUIRE(suspects.Decide({kBad}, now) == PartDecision::kProbe);
@@ -198,12 +197,12 @@
   const auto verdicts = first.TakeVerdicts();
   REQUIRE(verdicts.size() == 1);
   PartSuspects second;
-  CHECK(second.OnPeerVerdict(verdicts.front(), now));
+  CHECK(second.OnPeerVerdict(verdicts.front()));
   CHECK(second.Decide({kBad}, now) == PartDecision::kRefuse);
-  CHECK_FALSE(second.OnPeerVerdict(verdicts.front(), now));
+  CHECK_FALSE(second.OnPeerVerdict(verdicts.front()));
   PartVerdict cleared{.part = kBad, .refused = false};
   cleared.sent = now;
-  CHECK(second.OnPeerVerdict(cleared, now));
+  CHECK(second.OnPeerVerdict(cleared));
   CHECK(second.Decide({kBad}, now) == PartDecision::kRun);
 }
 
@@ -213,12 +212,12 @@
   PartSuspects first;
   const MonotonicTime now = CrashInSequence(first, {kSound});
   PartSuspects second;
-  second.OnAnswer({kSound}, kStart + Milliseconds(700), now);
-  CHECK_FALSE(second.OnPeerVerdict(first.TakeVerdicts().front(), now));
+  second.OnAnswer({kSound}, kStart + Milliseconds(700));
+  CHECK_FALSE(second.OnPeerVerdict(first.TakeVerdicts().front()));
   CHECK(second.Decide({kSound}, now) == PartDecision::kRun);
   const auto answer = second.TakeVerdicts();
   REQUIRE(answer.size() == 1);
-  CHECK(first.OnPeerVerdict(answer.front(), now));
+  CHECK(first.OnPeerVerdict(answer.front()));
   CHECK(first.Decide({kSound}, now) == PartDecision::kRun);
 }
 
@@ -228,7 +227,7 @@
   const MonotonicTime now = CrashInSequence(suspects, {kBad});
   for (std::uint64_t i = 0; i < 2 * PartSuspects::kMaxRecords; ++i) {
     suspects.OnCrash(CrashOf(1000 + i, now, {PartDigest(100 + i)}), now);
-    suspects.OnAnswer({PartDigest(1'000'000 + i)}, now, now);
+    suspects.OnAnswer({PartDigest(1'000'000 + i)}, now);
   }
   CHECK(suspects.Decide({kBad}, now) == PartDecision::kRefuse);
   CHECK(suspects.Reports().size() <= PartSuspects::kMaxRecords);
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -257,7 +257,7 @@
     bool unsettled_retry = false;
     // The endpoint has begun to reply.
     bool replied = false;
-    // The first event of the reply has arrived.
+    // The first event of the reply, or the whole one, has arrived.
     bool has_events = false;
     // The attempt is the probe of a refused part.
     bool is_probe = false;
@@ -358,8 +358,6 @@
   // Refuses a request with a part that crashes endpoints. Sets when its caller
   // may return.
   [[nodiscard]] bool RefusesParts(Exchange& exchange);
-  // A run has sent an answer or a part of it.
-  void NoteAnswered(const Running& running, const AttemptRecord& attempt);
   // Takes back attempts that wait at endpoints and hold a refused part.
   void WithdrawRefusedParts(MonotonicTime now);
   void SettleCrashReports();
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -217,14 +217,9 @@
   Running& running = runs_.at(&exchange);
   AttemptRecord& record = running.Attempt(attempt);
   record.has_events = true;
-  NoteAnswered(running, record);
-}
-
-void RequestService::NoteAnswered(const Running& running,
-                                  const AttemptRecord& attempt) {
   if (running.parts.empty())
     return;
-  part_suspects_.OnAnswer(running.parts, attempt.began, loop_.now());
+  part_suspects_.OnAnswer(running.parts, record.began);
   PublishPartVerdicts();
 }
 
@@ -410,14 +405,10 @@
 
 void RequestService::OnAttemptEnd(Exchange& exchange, AttemptNumber attempt) {
   EndAttempt(exchange, attempt, AttemptRest::kNone);
-  Running& running = runs_.at(&exchange);
-  const AttemptRecord& record = running.Attempt(attempt);
-  if (record.replied && !record.not_run && !record.has_events)
-    NoteAnswered(running, record);
   // A refusal by a full endpoint doesn't show whether the request crashes
   // endpoints that run it. If it counted as a completed run, the request could
   // crash three more.
-  if (!crashes_.empty() && !record.not_run)
+  if (!crashes_.empty() && !runs_.at(&exchange).Attempt(attempt).not_run)
     crashes_.OnCompleted(FingerprintOfExchange(exchange));
 }
 
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -45,19 +45,19 @@
 }
 
 void ClientCall::Cancel() {
-  if (connection_ == nullptr)
-    return;
-  const auto connection = std::move(connection_);
-  connection_.reset();
-  connection->Close();
+  End(&HttpClientConnection::Close);
 }
 
 void ClientCall::Abort() {
+  End(&HttpClientConnection::Abort);
+}
+
+void ClientCall::End(void (HttpClientConnection::*end)()) {
   if (connection_ == nullptr)
     return;
   const auto connection = std::move(connection_);
   connection_.reset();
-  connection->Abort();
+  (connection.get()->*end)();
 }
 
 bool ClientCall::sent() const {
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -136,6 +136,8 @@
  private:
   friend class HttpClientConnection;
   friend class HttpClient;
+  void End(void (HttpClientConnection::*end)());
+
   std::shared_ptr<HttpClientConnection> connection_;
 };
 
--- a/fuzz/part_suspects_fuzz.cc
+++ b/fuzz/part_suspects_fuzz.cc
@@ -170,7 +170,7 @@
       if (message.crash)
         suspects.OnCrash(*message.crash, now_);
       if (message.verdict)
-        suspects.OnPeerVerdict(*message.verdict, now_);
+        suspects.OnPeerVerdict(*message.verdict);
       Announce(message.to);
     }
   }
@@ -274,7 +274,7 @@
       request.answered = true;
       outcome_.answered_at_first_attempt +=
           request.counted && request.attempts == 1 ? 1 : 0;
-      instances_[request.instance]->OnAnswer(request.parts, request.sent, now_);
+      instances_[request.instance]->OnAnswer(request.parts, request.sent);
       Announce(request.instance);
     }
     for (const std::size_t endpoint : crashing) {
