Comments of PartSuspects and RetryAllowance: the examples and a broken line

Cause: the formatter had broken a line of one, and the other named an old parameter. Change: comments only. Result: the formatter is clean; no code changed.

--- a/carobshift/gateway/request/part_suspects.h
+++ b/carobshift/gateway/request/part_suspects.h
@@ -20,14 +20,14 @@
 // A part is refused after kCrashesToRefuse crashes in sequence: each run was
 // sent after the crash that was counted before, and kMinObservation after its
 // first crash, so that a sound part has had time to be answered. Endpoints that
-// fail together,
-// for another reason, count once, as their runs were sent before any of them
-// failed. The part must also have been there in at least kMinShare of all
-// crashes since its first one, which sets it apart from the parts of sound
-// requests that were sent again and hit twice or three times. One first event
-// of a run that was sent after the part's first crash clears it, at whatever
-// instance, since a part that crashes endpoints never has one. Popular parts
-// are cleared between two crashes.
+// fail together, for another reason, count once, as their runs were sent before
+// any of them failed. The part must also have been there in at least kMinShare
+// of all crashes since its first one, which sets it apart from the parts of
+// sound requests that were sent again and hit twice or three times.
+//
+// One first event of a run that was sent after the part's first crash clears
+// the part, at whatever instance, since a part that crashes endpoints never has
+// one. Popular parts are cleared between two crashes.
 //
 // A sound part that was there by chance may still be refused, beside the one to
 // blame or alone. So a refused part gets a probe: one request that has it and
--- a/carobshift/gateway/request/retry_allowance.h
+++ b/carobshift/gateway/request/retry_allowance.h
@@ -2,7 +2,7 @@
 // together stay within what the platform allows.
 //
 //   RetryAllowance allowance(limits);
-//   allowance.OnMembers(live_entries, now);
+//   allowance.OnMembers(members, now);
 //   allowance.OnRequest(service, now);
 //   if (allowance.TrySpend(service, now)) ...
 //   allowance.Settle(service, last_arrival, now);  // or Refund(service)
