Load by route priority: short urgent prompts get in beside long ones

Cause: in a burst of long prompts the engines' memory is taken by them, and every request was judged by all of that memory. An account's priority also replaced the route's in Request-Priority, so engines couldn't prefer one kind. Change: the load tracker counts memory by the route's priority, and a request waits only for memory of routes that are at least as urgent. Request-Priority is the rank of (account's priority, route's priority).

--- a/carobshift/gateway/load/load_aggregator.cc
+++ b/carobshift/gateway/load/load_aggregator.cc
@@ -38,9 +38,7 @@
   for (const auto& [sender, sender_load] : found->second) {
     if (sender == requester || now - sender_load.at >= kMaxAge)
       continue;
-    sum.tokens += sender_load.load.tokens;
-    sum.requests += sender_load.load.requests;
-    sum.prefill_tokens += sender_load.load.prefill_tokens;
+    sum += sender_load.load;
   }
   return sum;
 }
--- a/carobshift/gateway/load/load_query_codec.cc
+++ b/carobshift/gateway/load/load_query_codec.cc
@@ -3,31 +3,14 @@
 #include <algorithm>
 
 #include "carobshift/gateway/instances/datagram_archive.h"
+#include "carobshift/gateway/load/endpoint_load_codec.h"
 
 namespace carobshift {
-namespace {
-
-void WriteLoad(DatagramOutput& archive, const EndpointLoad& load) {
-  archive(static_cast<std::uint32_t>(std::max(0.0, load.tokens)),
-          static_cast<std::uint16_t>(std::max(0.0, load.requests)),
-          static_cast<std::uint32_t>(std::max(0.0, load.prefill_tokens)));
-}
-
-EndpointLoad ReadLoad(DatagramInput& archive) {
-  std::uint32_t tokens = 0;
-  std::uint16_t requests = 0;
-  std::uint32_t prefill_tokens = 0;
-  archive(tokens, requests, prefill_tokens);
-  return {static_cast<double>(tokens), static_cast<double>(requests),
-          static_cast<double>(prefill_tokens)};
-}
-
-}  // namespace
 
 std::string EncodeLoadUpdate(const LoadUpdate& update) {
   return WriteDatagram([&update](DatagramOutput& archive) {
     archive(update.sender.value(), update.sequence, update.endpoint);
-    WriteLoad(archive, update.load);
+    WriteEndpointLoad(archive, update.load);
   });
 }
 
@@ -37,7 +20,7 @@
         std::uint64_t sender = 0;
         archive(sender, update.sequence, update.endpoint);
         update.sender = Incarnation(sender);
-        update.load = ReadLoad(archive);
+        update.load = ReadEndpointLoad(archive);
       });
 }
 
@@ -70,7 +53,7 @@
     archive(answer.number, static_cast<std::uint16_t>(answer.loads.size()));
     for (const auto& [endpoint, load] : answer.loads) {
       archive(endpoint);
-      WriteLoad(archive, load);
+      WriteEndpointLoad(archive, load);
     }
   });
 }
@@ -83,7 +66,7 @@
         for (std::uint16_t i = 0; i < count; ++i) {
           std::uint64_t endpoint = 0;
           archive(endpoint);
-          answer.loads[endpoint] = ReadLoad(archive);
+          answer.loads[endpoint] = ReadEndpointLoad(archive);
         }
       });
 }
--- a/carobshift/gateway/load/load_report_codec.cc
+++ b/carobshift/gateway/load/load_report_codec.cc
@@ -6,6 +6,8 @@
 #include <sstream>
 #include <vector>
 
+#include "carobshift/gateway/load/endpoint_load_codec.h"
+
 namespace carobshift {
 
 std::string EncodeLoadReport(const LoadReport& report) {
@@ -23,9 +25,8 @@
             static_cast<std::uint32_t>(report.period.count()),
             static_cast<std::uint16_t>(loads.size()));
     for (const auto& [endpoint, load] : loads) {
-      archive(endpoint, static_cast<std::uint32_t>(load.tokens),
-              static_cast<std::uint16_t>(load.requests),
-              static_cast<std::uint32_t>(std::max(0.0, load.prefill_tokens)));
+      archive(endpoint);
+      WriteEndpointLoad(archive, load);
     }
   }
   return out.str();
@@ -44,13 +45,8 @@
     report.period = Milliseconds(period);
     for (std::uint16_t i = 0; i < count; ++i) {
       std::uint64_t endpoint = 0;
-      std::uint32_t tokens = 0;
-      std::uint16_t requests = 0;
-      std::uint32_t prefill_tokens = 0;
-      archive(endpoint, tokens, requests, prefill_tokens);
-      report.loads[endpoint] = {static_cast<double>(tokens),
-                                static_cast<double>(requests),
-                                static_cast<double>(prefill_tokens)};
+      archive(endpoint);
+      report.loads[endpoint] = ReadEndpointLoad(archive);
     }
   } catch (const std::exception& e) {
     return Error{ResultCode::kPeerRejected, e.what()};
--- a/carobshift/gateway/load/load_report_codec_test.cc
+++ b/carobshift/gateway/load/load_report_codec_test.cc
@@ -24,6 +24,16 @@
   CHECK(decoded.value().loads.at(3).prefill_tokens == Approx(5));
 }
 
+TEST_CASE("the memory of each priority is reported") {
+  LoadReport report = ReportOf(1);
+  report.loads[1] = {5000, 2, 5, {}};
+  report.loads[1].tokens_by_priority[2] = 4000;
+  const auto decoded = DecodeLoadReport(EncodeLoadReport(report));
+  REQUIRE(decoded.ok());
+  CHECK(decoded.value().loads.at(1).TokensUpTo(1) == Approx(1000));
+  CHECK(decoded.value().loads.at(1).TokensUpTo(2) == Approx(5000));
+}
+
 TEST_CASE("the heaviest endpoints are reported when not all fit") {
   const auto decoded =
       DecodeLoadReport(EncodeLoadReport(ReportOf(kMaxReportedLoads + 50)));
--- a/carobshift/gateway/load/load_tracker.cc
+++ b/carobshift/gateway/load/load_tracker.cc
@@ -28,6 +28,39 @@
   return tokens;
 }
 
+double EndpointLoad::TokensUpTo(int priority) const {
+  double less_urgent = 0;
+  for (std::size_t level = static_cast<std::size_t>(std::max(0, priority)) + 1;
+       level < tokens_by_priority.size(); ++level)
+    less_urgent += tokens_by_priority[level];
+  return tokens - less_urgent;
+}
+
+EndpointLoad& EndpointLoad::operator+=(const EndpointLoad& other) {
+  tokens += other.tokens;
+  requests += other.requests;
+  prefill_tokens += other.prefill_tokens;
+  for (std::size_t level = 0; level < tokens_by_priority.size(); ++level)
+    tokens_by_priority[level] += other.tokens_by_priority[level];
+  return *this;
+}
+
+EndpointLoad& EndpointLoad::operator-=(const EndpointLoad& other) {
+  tokens -= other.tokens;
+  requests -= other.requests;
+  prefill_tokens -= other.prefill_tokens;
+  for (std::size_t level = 0; level < tokens_by_priority.size(); ++level)
+    tokens_by_priority[level] -= other.tokens_by_priority[level];
+  return *this;
+}
+
+void LoadTracker::OwnLoad::AddTokens(int priority, double tokens) {
+  load.tokens += tokens;
+  const auto levels = static_cast<int>(load.tokens_by_priority.size());
+  load.tokens_by_priority[static_cast<std::size_t>(
+      std::clamp(priority, 0, levels - 1))] += tokens;
+}
+
 Milliseconds LoadTracker::PeriodFor(std::size_t instances) {
   constexpr double kMillisecondsPerSecond = 1000;
   const auto min_period = Milliseconds(
@@ -42,10 +75,13 @@
   OwnLoad& own = own_[endpoint];
   own.load.prefill_tokens += prefill_tokens;
   own.load.requests += 1;
-  own.load.tokens += static_cast<double>(footprint.own_tokens);
+  own.AddTokens(footprint.priority, static_cast<double>(footprint.own_tokens));
   for (const PromptPart& part : footprint.shared) {
-    if (++own.shared[part.id] == 1)
-      own.load.tokens += static_cast<double>(part.tokens);
+    OwnLoad::SharedPart& shared = own.shared[part.id];
+    if (++shared.requests > 1)
+      continue;
+    shared.priority = footprint.priority;
+    own.AddTokens(shared.priority, static_cast<double>(part.tokens));
   }
   NotifyChanged(endpoint);
 }
@@ -66,13 +102,13 @@
     return;
   OwnLoad& own = found->second;
   own.load.requests -= 1;
-  own.load.tokens -= static_cast<double>(footprint.own_tokens);
+  own.AddTokens(footprint.priority, -static_cast<double>(footprint.own_tokens));
   for (const PromptPart& part : footprint.shared) {
     const auto shared = own.shared.find(part.id);
-    if (shared == own.shared.end() || --shared->second > 0)
+    if (shared == own.shared.end() || --shared->second.requests > 0)
       continue;
+    own.AddTokens(shared->second.priority, -static_cast<double>(part.tokens));
     own.shared.erase(shared);
-    own.load.tokens -= static_cast<double>(part.tokens);
   }
   if (own.load.requests <= 0)
     own_.erase(found);
@@ -108,12 +144,8 @@
 
 // Reported loads are integers, so sums return exactly to zero.
 void LoadTracker::Add(const LoadReport& report) {
-  for (const auto& [endpoint, load] : report.loads) {
-    EndpointLoad& sum = peer_totals_[endpoint];
-    sum.tokens += load.tokens;
-    sum.requests += load.requests;
-    sum.prefill_tokens += load.prefill_tokens;
-  }
+  for (const auto& [endpoint, load] : report.loads)
+    peer_totals_[endpoint] += load;
 }
 
 void LoadTracker::Subtract(const LoadReport& report) {
@@ -122,9 +154,7 @@
     if (found == peer_totals_.end())
       continue;
     EndpointLoad& sum = found->second;
-    sum.tokens -= load.tokens;
-    sum.requests -= load.requests;
-    sum.prefill_tokens -= load.prefill_tokens;
+    sum -= load;
     if (sum.tokens <= 0 && sum.requests <= 0 && sum.prefill_tokens <= 0)
       peer_totals_.erase(found);
   }
@@ -141,9 +171,7 @@
     others = aggregate->second.others;
   else if (const auto sum = peer_totals_.find(hash); sum != peer_totals_.end())
     others = sum->second;
-  total.tokens += others.tokens;
-  total.requests += others.requests;
-  total.prefill_tokens += others.prefill_tokens;
+  total += others;
   return total;
 }
 
--- a/carobshift/gateway/load/load_tracker.h
+++ b/carobshift/gateway/load/load_tracker.h
@@ -20,11 +20,19 @@
 //
 // A prompt part that several requests share is counted once for each instance.
 //
+// Memory is also counted by the priority of the route. When long, less urgent
+// prompts fill an engine, a short, more urgent one still gets in: engines admit
+// it first and preempt the others. A request therefore waits only for memory of
+// requests whose route is at least as urgent. The account's priority doesn't
+// count here: long prompts of an urgent account would be placed on top of full
+// engines, which would preempt and prefill again what they evict.
+//
 // Thread-compatible.
 
 #ifndef CAROBSHIFT_GATEWAY_LOAD_LOAD_TRACKER_H_
 #define CAROBSHIFT_GATEWAY_LOAD_LOAD_TRACKER_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,6 +43,7 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
+#include "carobshift/gateway/placement/urgency_ranks.h"
 #include "carobshift/gateway/request/caller_request.h"
 
 namespace carobshift {
@@ -44,6 +53,9 @@
   // Tokens that only this request uses: the prompt's last part and the output.
   Tokens own_tokens = 0;
   std::vector<PromptPart> shared;
+  // The route's priority; 0 is the most urgent. Beyond the last level, the last
+  // one counts.
+  int priority = 0;
 
   [[nodiscard]] static RequestFootprint Of(const CallerRequest& request);
   // Tokens of the request if it shares no part with other requests.
@@ -56,6 +68,14 @@
   // Prompt tokens that haven't been prefilled yet; the engine prefills them
   // before a new prompt.
   double prefill_tokens = 0;
+  // The part of `tokens` that requests of each priority hold. Tokens that no
+  // level contains count as held by the most urgent requests.
+  std::array<double, UrgencyRanks::kLevels> tokens_by_priority{};
+
+  // Returns the tokens of requests that are at least as urgent.
+  [[nodiscard]] double TokensUpTo(int priority) const;
+  EndpointLoad& operator+=(const EndpointLoad& other);
+  EndpointLoad& operator-=(const EndpointLoad& other);
 };
 
 // The load that one instance reports to the others.
@@ -110,8 +130,15 @@
  private:
   struct OwnLoad {
     EndpointLoad load;
-    // Number of requests that share the part, by part id.
-    std::unordered_map<std::string, int> shared;
+    struct SharedPart {
+      int requests = 0;
+      // Of the first request that uses the part.
+      int priority = 0;
+    };
+    // By part id.
+    std::unordered_map<std::string, SharedPart> shared;
+
+    void AddTokens(int priority, double tokens);
   };
   struct Peer {
     LoadReport report;
--- a/carobshift/gateway/load/load_tracker_test.cc
+++ b/carobshift/gateway/load/load_tracker_test.cc
@@ -45,6 +45,35 @@
   CHECK(load_tracker.Total(engine).tokens == Approx(0));
 }
 
+// Fails if long, less urgent prompts that fill an engine also keep short, more
+// urgent ones out of it.
+TEST_CASE("a request waits only for memory of routes that are as urgent") {
+  LoadTracker load_tracker;
+  const EndpointId engine("e1");
+  RequestFootprint urgent = RequestFootprint::Of(PromptRequest(1000, 100));
+  urgent.priority = 1;
+  RequestFootprint summary;
+  summary.own_tokens = 12'000;
+  summary.priority = 2;
+  load_tracker.OnStart(engine, urgent, 0);
+  load_tracker.OnStart(engine, summary, 0);
+  EndpointLoad peers{30'000, 3, 0, {}};
+  peers.tokens_by_priority[2] = 24'000;
+  load_tracker.OnPeerReport(
+      {Incarnation(7), 1, Milliseconds(200), {{FastHash("e1"), peers}}},
+      kStart);
+  const EndpointLoad load = load_tracker.Total(engine);
+  CHECK(load.tokens == Approx(9600 + 12'000 + 30'000));
+  // Tokens without a level count as those of the most urgent requests.
+  CHECK(load.TokensUpTo(0) == Approx(6000));
+  CHECK(load.TokensUpTo(1) == Approx(6000 + 9600));
+  CHECK(load.TokensUpTo(2) == Approx(load.tokens));
+  CHECK(load.TokensUpTo(99) == Approx(load.tokens));
+  load_tracker.OnEnd(engine, urgent);
+  load_tracker.OnEnd(engine, summary);
+  CHECK(load_tracker.Total(engine).TokensUpTo(1) == Approx(6000));
+}
+
 TEST_CASE("what a dead instance had running is forgotten") {
   LoadTracker load_tracker;
   const EndpointId engine("e1");
--- a/carobshift/gateway/placement/attempt_planner.cc
+++ b/carobshift/gateway/placement/attempt_planner.cc
@@ -61,6 +61,7 @@
   stores_.clear();
   engines_.clear();
   store_per_part_ = false;
+  urgency_ = UrgencyRanks(config);
   for (const auto& [name, service] : config.services) {
     if (service.engine) {
       engines_[name] = *service.engine;
@@ -185,10 +186,17 @@
   const double room =
       kUsableMemoryShare * static_cast<double>(engine.memory_tokens);
   if (room > 0)
-    queue_ahead.free_memory = room - load.tokens;
+    queue_ahead.free_memory = room - load.TokensUpTo(footprint.priority);
   return queue_ahead;
 }
 
+RequestFootprint AttemptPlanner::FootprintOf(const ExchangeSetup& setup) const {
+  RequestFootprint footprint = RequestFootprint::Of(setup.request);
+  if (setup.request.prompt)
+    footprint.priority = setup.route->priority;
+  return footprint;
+}
+
 void AttemptPlanner::ComputeCost(const ExchangeSetup& setup,
                                  const RequestFootprint& footprint,
                                  Candidate& candidate,
@@ -259,7 +267,7 @@
   const auto engine = engines_.find(record.service);
   if (!wait_ || engine == engines_.end())
     return Milliseconds(0);
-  const RequestFootprint footprint = RequestFootprint::Of(setup.request);
+  const RequestFootprint footprint = FootprintOf(setup);
   return wait_(record.service,
                QueueAheadAt(footprint, record, engine->second).Total());
 }
@@ -313,10 +321,7 @@
     fields.account = setup.account->name;
   if (!setup.request.prompt)
     return fields;
-  const bool has_priority =
-      setup.account != nullptr && setup.account->priority.has_value();
-  fields.urgency =
-      has_priority ? *setup.account->priority : setup.route->priority;
+  fields.urgency = urgency_.Of(*setup.route, setup.account);
   fields.weights = chosen.weights;
   fields.cache_scope = chosen.scope;
   if (chosen.weights)
@@ -332,7 +337,7 @@
     EndpointId id;
   };
   sources_.clear();
-  const RequestFootprint footprint = RequestFootprint::Of(setup.request);
+  const RequestFootprint footprint = FootprintOf(setup);
   const std::uint64_t session = SessionHash(setup.request);
   std::vector<Ranked> ranked;
   double least = std::numeric_limits<double>::max();
@@ -382,7 +387,7 @@
     const AttemptParams& wish,
     std::span<const EndpointId> among,
     MonotonicTime now) {
-  const RequestFootprint footprint = RequestFootprint::Of(setup.request);
+  const RequestFootprint footprint = FootprintOf(setup);
   std::vector<Candidate> candidates;
   std::vector<PlacementCandidate> placement;
   for (const auto& [id, record] : registry_.all()) {
--- a/carobshift/gateway/placement/attempt_planner.h
+++ b/carobshift/gateway/placement/attempt_planner.h
@@ -39,6 +39,7 @@
 #include "carobshift/gateway/placement/placement.h"
 #include "carobshift/gateway/placement/prompt_sizes.h"
 #include "carobshift/gateway/placement/queue_ahead.h"
+#include "carobshift/gateway/placement/urgency_ranks.h"
 #include "carobshift/gateway/request/caller_request.h"
 #include "carobshift/gateway/request/exchange.h"
 #include "carobshift/gateway/weights/weight_deadlines.h"
@@ -154,6 +155,8 @@
       std::function<Milliseconds(const ServiceName&, double)> wait) {
     wait_ = std::move(wait);
   }
+  // Returns the memory that the request uses at an engine, with its priority.
+  [[nodiscard]] RequestFootprint FootprintOf(const ExchangeSetup& setup) const;
   // Records the weights that an endpoint reported, which are newer than those
   // in its record. The report is valid until the endpoint restarts; then the
   // endpoint has the weights named in its record.
@@ -326,6 +329,7 @@
   std::set<EndpointId> draining_;
   std::function<bool(const NetAddress&)> has_connection_;
   std::function<Milliseconds(const ServiceName&, double)> wait_;
+  UrgencyRanks urgency_;
   std::map<EndpointId, ReportedWeights> reported_weights_;
   std::map<std::string, MonotonicTime> saves_;
   // Cache for the current plan, by scope.
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -254,7 +254,7 @@
   running.run = run;
   running.connection = connection.get();
   running.handed_beginning = std::move(handed_beginning);
-  running.footprint = RequestFootprint::Of(exchange->request());
+  running.footprint = planner_.FootprintOf(exchange->setup());
   if (exchange->request().prompt)
     running.parts = JudgedParts(service, *exchange->request().prompt);
   by_connection_[connection.get()] = exchange;
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -19,6 +19,13 @@
 // Number of a prompt's parts that a log line names.
 constexpr std::size_t kLoggedParts = 8;
 
+// Returns the account's priority if it has one, otherwise the route's.
+int PriorityOf(const ExchangeSetup& setup) {
+  const bool account_decides =
+      setup.account != nullptr && setup.account->priority.has_value();
+  return account_decides ? *setup.account->priority : setup.route->priority;
+}
+
 // Returns the ids of the parts that other requests may share.
 std::string SharedPartsText(const std::optional<PromptTraits>& prompt) {
   std::string text;
@@ -257,12 +264,12 @@
 bool RequestService::RefusedUnderLoad(Running& running,
                                       const ExchangeSetup& setup,
                                       const AttemptPlan& plan) {
-  const OverloadDecision verdict = overload_.Decide(
-      {.service = setup.service,
-       .ahead = plan.queue_ahead_of_mean.Total(),
-       .latency_target = setup.route->latency_target,
-       .urgency = plan.fields.urgency.value_or(setup.route->priority),
-       .hash = FastHash(setup.request.id.value())});
+  const OverloadDecision verdict =
+      overload_.Decide({.service = setup.service,
+                        .ahead = plan.queue_ahead_of_mean.Total(),
+                        .latency_target = setup.route->latency_target,
+                        .urgency = PriorityOf(setup),
+                        .hash = FastHash(setup.request.id.value())});
   if (!verdict.refused)
     return false;
   running.retry_after = verdict.retry_after;
@@ -274,7 +281,7 @@
        {"need", static_cast<std::int64_t>(plan.queue_ahead.need)},
        {"mean_need", static_cast<std::int64_t>(plan.queue_ahead_of_mean.need)},
        {"endpoint", plan.endpoint.id.value()},
-       {"urgency", plan.fields.urgency.value_or(setup.route->priority)},
+       {"urgency", plan.fields.urgency.value_or(0)},
        {"expected_ms", verdict.expected.count()},
        {"target_ms", setup.route->latency_target.count()},
        {"return_ms", verdict.retry_after.count()}});
