Gateway: account usage over all instances, first version

Cause: an instance starts a small part of an account's cost and can't compare accounts by it (docs/design/load-control.md, part 4).

--- a/carobshift/gateway/instances/peer_datagrams.h
+++ b/carobshift/gateway/instances/peer_datagrams.h
@@ -43,6 +43,7 @@
   kStreamAnswer = 12,
   kPartCrash = 13,
   kPartVerdict = 14,
+  kAccountUsage = 15,
 };
 
 struct PeerDatagram {
