Requests wait for room at an endpoint instead of being refused

Cause: a request that would miss its latency target at the best endpoint was refused, though it could be answered long before its deadline; callers came back into the same burst and were refused again. Change: a waiting room for each service of engines (admission/waiting_room), ordered by urgency, recent usage of the account over all instances (admission/account_usage, told in datagrams) and arrival. A request waits no longer than its caller does (admission/wait_limits). A plan marks its parts as saved when it is carried out, as each try makes a plan; the planner's test says so. The module's tests of order name the options that they were written with.

--- a/carobshift/gateway/admission/waiting_room.h
+++ b/carobshift/gateway/admission/waiting_room.h
@@ -106,17 +106,19 @@
   std::int64_t max_requests = 512;
   // The default is 1/16 of the smallest instance's memory limit (160 MB).
   Bytes max_bytes = 10'000'000;
-  // Time for which a request without room is held back.
-  Milliseconds retry_pause{50};
+  // Time for which a request without room is held back. Each try queries the
+  // load of several endpoints; shorter pauses would multiply these queries.
+  Milliseconds retry_pause{100};
   // Requests whose wait is expected to end later than this before their latest
   // start are refused; for long waits the margin is larger (kWaitPerMargin).
   // The default is one retry pause, because a request may become startable just
   // after it was held back.
-  Milliseconds start_margin{50};
+  Milliseconds start_margin{100};
   // Late requests get one start after this many starts of requests in time.
   int in_time_starts_per_late_start = 3;
-  // Number of requests that are tried at the same time.
-  int max_tries = 8;
+  // Number of requests that are tried at the same time. More of them would see
+  // the same room free and fill it several times over.
+  int max_tries = 1;
 };
 
 // Returns an error if the options can't be met on an instance with this memory
--- a/carobshift/gateway/admission/waiting_room_test.cc
+++ b/carobshift/gateway/admission/waiting_room_test.cc
@@ -14,6 +14,11 @@
 namespace carobshift {
 namespace {
 
+// The tests of the order try several requests at once.
+constexpr WaitingRoomOptions kShortPauses = {.retry_pause = Milliseconds(50),
+                                             .start_margin = Milliseconds(50),
+                                             .max_tries = 8};
+
 const MonotonicTime kStart{Seconds(100)};
 constexpr Bytes kMemoryLimit = 160'000'000;
 
@@ -75,7 +80,7 @@
 }
 
 TEST_CASE("a caller that disconnects is no longer tried") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MustEnter(room, RequestOf("a", 0, 100));
   MustEnter(room, RequestOf("b", 0, 100));
   CHECK(room.Leave(RequestId("a")));
@@ -101,7 +106,7 @@
 }
 
 TEST_CASE("a request whose deadline passes is refused as not run") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MustEnter(room, RequestOf("waits", 0, 100));
   MustEnter(room, RequestOf("tried", 0, 100));
   WaitingRequest longer = RequestOf("longer", 0, 100);
@@ -128,13 +133,13 @@
 }
 
 TEST_CASE("a request past its latest start is not tried before it expires") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MustEnter(room, RequestOf("a", 0, 100));
   CHECK(NextId(room, At(3001)).empty());
 }
 
 TEST_CASE("requests of a removed route leave, the others keep their order") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   for (int i = 0; i < 6; ++i) {
     WaitingRequest request = RequestOf(std::to_string(i), 0, 100);
     request.kind = i % 2 == 0 ? "removed" : "kept";
@@ -155,7 +160,7 @@
 }
 
 TEST_CASE("at shutdown requests are tried until they are refused together") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   for (const char* id : {"a", "b", "c"})
     MustEnter(room, RequestOf(id, 0, 100));
   CHECK(StartNext(room, At(10)) == "a");
@@ -168,7 +173,7 @@
 }
 
 TEST_CASE("requests tried at a crashed endpoint wait and are tried again") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   for (const char* id : {"a", "b", "c"})
     MustEnter(room, RequestOf(id, 0, 100));
   CHECK(NextId(room) == "a");
@@ -259,7 +264,7 @@
 }
 
 TEST_CASE("late requests: the pressing ones, then by their latest start") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MustEnter(room, LateRequestOf("later", 3000));
   MustEnter(room, LateRequestOf("sooner", 2000));
   // It has waited for three quarters of its time at 100 ms.
@@ -274,7 +279,7 @@
 }
 
 TEST_CASE("late requests don't starve: every fourth start is theirs") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   for (int i = 0; i < 40; ++i)
     MustEnter(room, RequestOf("in time " + std::to_string(i), 0, 100));
   for (int i = 0; i < 10; ++i)
@@ -305,7 +310,7 @@
 }
 
 TEST_CASE("late requests without room don't stop those in time") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   WaitingRequest late = LateRequestOf("late", 3000);
   late.cost = 1000;
   MustEnter(room, late);
@@ -318,7 +323,7 @@
 }
 
 TEST_CASE("without room, cheaper and more urgent requests are still tried") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MustEnter(room, RequestOf("no room", 3, 500));
   CHECK(NextId(room) == "no room");
   MustEnter(room, RequestOf("same", 3, 500));
@@ -336,7 +341,7 @@
 }
 
 TEST_CASE("a new request doesn't overtake one that is scheduled before it") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   CHECK_FALSE(room.MustQueue(RequestOf("new", 3, 500), kStart));
   MustEnter(room, RequestOf("waits", 3, 500));
   const auto must_queue = [&](int urgency, double cost, int now = 0) {
@@ -372,7 +377,7 @@
 }
 
 TEST_CASE("a new request in time overtakes late ones, not the reverse") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MustEnter(room, LateRequestOf("late", 3000));
   CHECK_FALSE(room.MustQueue(RequestOf("new", 9, 100), kStart));
   CHECK_FALSE(room.MustQueue(LateRequestOf("new", 2999), kStart));
@@ -408,7 +413,7 @@
   WaitingRoom unused_room({}, nullptr);
   CHECK(unused_room.Enter(RequestOf("past", 0, 100), At(3001)).refusal ==
         WaitRefusal::kNoTime);
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MeasureStartRate(room);
   WaitingRequest ahead = RequestOf("ahead", 0, 10'000);
   ahead.target = ahead.last_start = At(60'000);
@@ -435,7 +440,7 @@
 
 TEST_CASE("a request that would wait in vain behind late ones is refused") {
   const auto enter = [](bool late_waits) {
-    WaitingRoom room({}, nullptr);
+    WaitingRoom room(kShortPauses, nullptr);
     MeasureStartRate(room);
     if (late_waits) {
       WaitingRequest late = LateRequestOf("late", 2100);
@@ -497,7 +502,7 @@
 }
 
 TEST_CASE("time without waiting requests doesn't lower the start rate") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MeasureStartRate(room);
   const double rate = room.start_rate();
   MustEnter(room, RequestOf("a", 0, 100), At(1100));
@@ -510,7 +515,7 @@
 }
 
 TEST_CASE("at most max_tries requests are being tried, each once") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   for (int i = 0; i < 20; ++i)
     MustEnter(room, RequestOf(std::to_string(i), 0, 100));
   std::set<std::string> ids;
@@ -525,7 +530,7 @@
 }
 
 TEST_CASE("a second Enter of a waiting request changes nothing") {
-  WaitingRoom room({}, nullptr);
+  WaitingRoom room(kShortPauses, nullptr);
   MustEnter(room, RequestOf("a", 0, 100));
   MustEnter(room, RequestOf("a", 0, 100));
   CHECK(room.size() == 1);
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/gateway/admission/account_usage_sharing.h"
 #include "carobshift/gateway/cache/cache_watcher.h"
 #include "carobshift/gateway/cache/store_reclaimer.h"
 #include "carobshift/gateway/connection_options.h"
@@ -196,6 +197,8 @@
       metrics};
   SoleVersionLearner sole_versions{registry, stream_directory};
   LoadSharing load_sharing{loop, cluster, datagrams, requests.loads()};
+  AccountUsageSharing account_usage_sharing{loop, cluster, datagrams,
+                                            requests.account_usage()};
   LimitSharing limit_sharing{loop, cluster, datagrams, requests.limits()};
   ColdStartSharing cold_start_sharing{loop, cluster, datagrams, registry,
                                       requests.cold_starts()};
@@ -394,6 +397,7 @@
   if (requests.has_config() && EndpointRecordsAreCurrent())
     sole_versions.OnTick(operator_records.config()->config(), loop.now());
   load_sharing.OnTick();
+  account_usage_sharing.OnTick();
   limit_sharing.OnTick();
   reachability_sharing.OnTick();
   handoff_runner.OnTick();
--- a/carobshift/gateway/placement/attempt_planner.cc
+++ b/carobshift/gateway/placement/attempt_planner.cc
@@ -436,6 +436,10 @@
         chosen.queue_ahead.need);
     plan.fetch_count = CountAddresses(plan.fields.fetch_from);
     plan.save_count = CountAddresses(plan.fields.save_to);
+    for (std::size_t i = 0; i < plan.fields.save_to.size(); ++i) {
+      if (plan.fields.save_to[i])
+        plan.saved_parts.push_back(setup.request.prompt->parts[i].id);
+    }
   }
   return plan;
 }
@@ -467,7 +471,7 @@
         stores, store_per_part_ ? part.id : prompt.SessionPart()->id);
     if (store != nullptr && contents_.IsTrusted(store->holder, now) &&
         !contents_.HoldsComplete(store->holder, candidate.scope, part, now) &&
-        TryMarkSaved(candidate.scope, part.id, now))
+        !IsBeingSaved(candidate.scope, part.id, now))
       fields.save_to[i] = store->address;
   }
   if (const auto clock = contents_.ClockAt(now))
@@ -487,19 +491,21 @@
                     kMinFetchTimeout, kMaxFetchTimeout);
 }
 
-bool AttemptPlanner::TryMarkSaved(const std::string& scope,
+bool AttemptPlanner::IsBeingSaved(const std::string& scope,
                                   const std::string& part,
-                                  MonotonicTime now) {
+                                  MonotonicTime now) const {
+  const auto saved = saves_.find(scope + '\n' + part);
+  return saved != saves_.end() && now - saved->second < kSaveRetryInterval;
+}
+
+void AttemptPlanner::MarkSaved(const AttemptPlan& plan, MonotonicTime now) {
   if (saves_.size() >= kMaxTrackedSaves) {
     std::erase_if(saves_, [now](const auto& save) {
       return now - save.second >= kSaveRetryInterval;
     });
   }
-  MonotonicTime& saved = saves_[scope + '\n' + part];
-  if (saved != MonotonicTime{} && now - saved < kSaveRetryInterval)
-    return false;
-  saved = now;
-  return true;
+  for (const std::string& part : plan.saved_parts)
+    saves_[plan.fields.cache_scope + '\n' + part] = now;
 }
 
 Milliseconds AttemptPlanner::RetryAfter(const ExchangeSetup& setup,
--- a/carobshift/gateway/placement/attempt_planner.h
+++ b/carobshift/gateway/placement/attempt_planner.h
@@ -64,6 +64,8 @@
   // in a store.
   int fetch_count = 0;
   int save_count = 0;
+  // Ids of the parts that are saved.
+  std::vector<std::string> saved_parts;
 };
 
 // The endpoints whose load is queried before a request is placed.
@@ -191,6 +193,9 @@
       const AttemptParams& wish,
       MonotonicTime now,
       std::span<const EndpointId> among = {});
+  // Records that the plan is carried out, so that the parts that it saves
+  // aren't sent to a store again for kSaveRetryInterval.
+  void MarkSaved(const AttemptPlan& plan, MonotonicTime now);
   // Returns whether there is no plan because all endpoints run overdue weights.
   [[nodiscard]] bool OnlyOverdueWeights(const ExchangeSetup& setup,
                                         MonotonicTime now) const;
@@ -311,9 +316,9 @@
   // estimated queueing time plus the fetch timeout of its parts.
   [[nodiscard]] Milliseconds FetchTimeout(const ExchangeSetup& setup,
                                           const Candidate& candidate) const;
-  bool TryMarkSaved(const std::string& scope,
-                    const std::string& part,
-                    MonotonicTime now);
+  [[nodiscard]] bool IsBeingSaved(const std::string& scope,
+                                  const std::string& part,
+                                  MonotonicTime now) const;
 
   const EndpointRegistry& registry_;
   const EndpointHealthTable& health_;
--- a/carobshift/gateway/placement/attempt_planner_test.cc
+++ b/carobshift/gateway/placement/attempt_planner_test.cc
@@ -328,10 +328,20 @@
   CHECK(first.fields.save_to[0].has_value());
   CHECK(first.fields.save_to[1].has_value());
   CHECK_FALSE(first.fields.save_to[2].has_value());
+  fixture.planner.MarkSaved(first, kStart);
   const AttemptPlan second = fixture.Plan();
+  CHECK_FALSE(second.fields.save_to[0].has_value());
   CHECK_FALSE(second.fields.save_to[1].has_value());
 }
 
+// Fails if a request that waits for room keeps its parts out of the store: its
+// plan is made for each try and carried out once.
+TEST_CASE("a plan that isn't carried out saves nothing") {
+  PlannerFixture fixture;
+  CHECK(fixture.Plan().fields.save_to[1].has_value());
+  CHECK(fixture.Plan().fields.save_to[1].has_value());
+}
+
 TEST_CASE("engines that load weights or failed lately come last") {
   PlannerFixture fixture;
   fixture.AddCachedParts("e2", CacheScope(kModel, WeightNumber(1), {}));
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -39,6 +39,7 @@
     case AttemptError::kSoftwareGone:
       return ResultCode::kSoftwareGone;
     case AttemptError::kNone:
+    case AttemptError::kWaiting:
     case AttemptError::kNoEndpoint:
       break;
   }
@@ -54,6 +55,7 @@
     case AttemptError::kWeightsReplaced:
       return true;
     case AttemptError::kNone:
+    case AttemptError::kWaiting:
     case AttemptError::kSoftwareGone:
     case AttemptError::kZoneEvacuated:
     case AttemptError::kRegionNotAllowed:
@@ -186,6 +188,10 @@
 }
 
 void Exchange::SuspendOrFail(AttemptError failure, MonotonicTime now) {
+  if (failure == AttemptError::kWaiting) {
+    state_ = State::kIdle;
+    return;
+  }
   if (Passes(failure) && MaySuspend(now))
     Suspend(now);
   else
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -102,6 +102,9 @@
 // Why an attempt could not start.
 enum class AttemptError {
   kNone,
+  // The request waits for room at an endpoint. Exchange::Start() is called
+  // again when it is to be tried.
+  kWaiting,
   // No endpoint accepts requests.
   kNoEndpoint,
   // No endpoint of the software version that began the stream is left.
--- a/carobshift/gateway/request/exchange_run.cc
+++ b/carobshift/gateway/request/exchange_run.cc
@@ -23,12 +23,14 @@
 
 void ExchangeRun::Start() {
   const auto self = shared_from_this();
-  deadline_timer_ =
-      loop_.AddTimer(exchange_.deadline(), [weak = weak_from_this()] {
-        const auto run = weak.lock();
-        if (run != nullptr)
-          run->exchange_.OnDeadline(run->loop_.now());
-      });
+  if (!std::exchange(started_, true)) {
+    deadline_timer_ =
+        loop_.AddTimer(exchange_.deadline(), [weak = weak_from_this()] {
+          const auto run = weak.lock();
+          if (run != nullptr)
+            run->exchange_.OnDeadline(run->loop_.now());
+        });
+  }
   exchange_.Start(loop_.now());
 }
 
--- a/carobshift/gateway/request/exchange_run.h
+++ b/carobshift/gateway/request/exchange_run.h
@@ -29,6 +29,7 @@
               AttemptRunner& attempt_runner);
   ~ExchangeRun() override;
 
+  // May be called again while the request waits for room at an endpoint.
   void Start();
   // For AttemptRunner. `decode_reply` is the dialect's function if it is null.
   void StartCall(AttemptNumber attempt,
@@ -113,6 +114,7 @@
   // At most two; see Exchange.
   std::vector<std::shared_ptr<AttemptCall>> calls_;
   TimerId deadline_timer_;
+  bool started_ = false;
   Microseconds longest_pause_{0};
 };
 
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -112,6 +112,7 @@
   sizes_.RetainKinds(
       [&routes](const std::string& kind) { return routes.contains(kind); });
   SetConnectionLimits();
+  RecheckWaiting();
 }
 
 void RequestService::SetLiveInstances(int count) {
@@ -382,6 +383,7 @@
 
 void RequestService::OnExchangeEnd(Exchange& exchange) {
   const auto found = runs_.find(&exchange);
+  EndWait(exchange, found->second);
   Report(exchange, found->second);
   const auto run = found->second.run;
   by_connection_.erase(found->second.connection);
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -19,6 +19,8 @@
 #include <unordered_set>
 #include <vector>
 
+#include "carobshift/gateway/admission/account_usage.h"
+#include "carobshift/gateway/admission/waiting_room.h"
 #include "carobshift/gateway/cache/cache_contents.h"
 #include "carobshift/gateway/dialect.h"
 #include "carobshift/gateway/endpoints/cold_start_limits.h"
@@ -175,6 +177,9 @@
   // To be called about every 100 ms.
   void OnTick();
   [[nodiscard]] LoadTracker& loads() { return loads_; }
+  [[nodiscard]] AccountUsage& account_usage() { return account_usage_; }
+  // Number of requests that wait for room at an endpoint.
+  [[nodiscard]] std::size_t waiting_requests() const { return waiting_.size(); }
   [[nodiscard]] RateLimits& limits() { return limits_; }
   [[nodiscard]] ColdStartLimits& cold_starts() { return cold_starts_; }
   [[nodiscard]] const ColdStartLimits& cold_starts() const {
@@ -278,7 +283,12 @@
     std::vector<AttemptRecord> attempts;
     // Set when the request was refused under load.
     std::optional<Milliseconds> retry_after;
+    // Set while the request waits for room at an endpoint.
+    std::optional<RequestId> wait_id;
+    // Latest start for an answer within the latency target, while it waits.
+    MonotonicTime wait_target{};
   };
+  enum class Admission { kStart, kWait, kRefuse };
 
   // `from` is the instance that handed the request over, or null.
   void Serve(const std::shared_ptr<HttpServerConnection>& connection,
@@ -350,10 +360,41 @@
   // Takes back attempts that wait at endpoints and hold a refused part.
   void WithdrawRefusedParts(MonotonicTime now);
   void SettleCrashReports();
-  // Returns whether a request that has not been sent yet must be refused.
-  [[nodiscard]] bool RefusedUnderLoad(Running& running,
-                                      const ExchangeSetup& setup,
-                                      const AttemptPlan& plan);
+  // Returns whether a request that has not been sent yet would miss its latency
+  // target under the load of the planned endpoint.
+  [[nodiscard]] OverloadDecision JudgeLoad(const ExchangeSetup& setup,
+                                           const AttemptPlan& plan) const;
+  static void LogRefusal(const ExchangeSetup& setup,
+                         const AttemptPlan& plan,
+                         const OverloadDecision& verdict,
+                         Milliseconds retry_after);
+  // Decides whether a planned attempt starts now, waits for room or is refused.
+  // Called again for a request that waits, each time that it is tried.
+  [[nodiscard]] Admission Admit(Exchange& exchange,
+                                Running& running,
+                                const AttemptPlan& plan);
+  // The same for a request that is already waiting.
+  [[nodiscard]] Admission AdmitWaiting(Exchange& exchange,
+                                       Running& running,
+                                       const AttemptPlan& plan);
+  // Returns whether the planned endpoint has room for a waiting request.
+  [[nodiscard]] bool HasRoomForWaiting(const ExchangeSetup& setup,
+                                       const Running& running,
+                                       const AttemptPlan& plan) const;
+  // Returns whether a request may wait for room: only callers of streams with a
+  // latency target declare how long they wait.
+  [[nodiscard]] static bool MayWait(const ExchangeSetup& setup);
+  [[nodiscard]] WaitingRoom& RoomOf(const ServiceName& service);
+  [[nodiscard]] WaitingRequest WaitingRequestOf(const Exchange& exchange,
+                                                const AttemptPlan& plan);
+  void ScheduleWaitingTry(MonotonicTime at);
+  // Tries the requests that are next in each waiting room.
+  void TryWaiting();
+  void RefuseExpired(WaitingRoom& room);
+  void EndWait(const Exchange& exchange, Running& running);
+  // Refuses waiting requests whose route or key the configuration lacks.
+  void RecheckWaiting();
+  void CountWait(const ExchangeSetup& setup, std::string_view outcome);
   void SetConnectionLimits();
   // Applies the limits of callers that are in force now to open connections.
   void ApplyCallerLimits();
@@ -389,6 +430,12 @@
   LoadTracker loads_;
   PromptSizes sizes_;
   OverloadGuard overload_;
+  AccountUsage account_usage_;
+  std::map<ServiceName, std::unique_ptr<WaitingRoom>> rooms_;
+  // By the id in the waiting room.
+  std::map<RequestId, Exchange*> waiting_;
+  std::uint64_t last_wait_ = 0;
+  std::optional<MonotonicTime> next_waiting_try_;
   CrashRecord crashes_;
   HeldCrashReports held_crashes_;
   PartSuspects part_suspects_;
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -55,9 +55,17 @@
     return AttemptError::kNoEndpoint;
   // A stream that has begun isn't given up for load: what its caller has of it
   // would be lost.
-  if (!wish.repeat && !wish.last_event &&
-      RefusedUnderLoad(running, setup, *plan))
-    return AttemptError::kOverloaded;
+  if (!wish.repeat && !wish.last_event) {
+    switch (Admit(exchange, running, *plan)) {
+      case Admission::kStart:
+        break;
+      case Admission::kWait:
+        return AttemptError::kWaiting;
+      case Admission::kRefuse:
+        return AttemptError::kOverloaded;
+    }
+  }
+  planner_.MarkSaved(*plan, loop_.now());
   if (wish.repeat && !TrySpendRetry(setup.service))
     return AttemptError::kRetryBudgetSpent;
   RecordStart(running, wish, *plan);
@@ -123,6 +131,12 @@
   cold_starts_.OnSend(plan.endpoint, loop_.now());
   rejections_.OnSend(EndpointIncarnation::Of(plan.endpoint));
   loads_.OnStart(attempt.endpoint, running.footprint, attempt.prefill_tokens);
+  const Account* const account = running.run->exchange().setup().account;
+  if (account != nullptr && running.run->exchange().request().prompt) {
+    account_usage_.OnStarted(
+        account->name, static_cast<double>(running.footprint.TotalTokens()),
+        loop_.now());
+  }
   if (!wish.replacement)
     running.trace.attempt = attempt.trace;
   running.attempts.push_back(std::move(attempt));
@@ -169,6 +183,7 @@
   NoteRead(record);
   health_.OnEnd(record.endpoint);
   loads_.OnEnd(record.endpoint, running.footprint);
+  ScheduleWaitingTry(loop_.now());
   const EndpointIncarnation endpoint{record.endpoint, record.start_time};
   if (rest == AttemptRest::kMayContinue)
     rejections_.OnAbandoned(endpoint, loop_.now());
@@ -261,18 +276,19 @@
   health_.OnAnswer(runs_.at(&exchange).Attempt(attempt).endpoint);
 }
 
-bool RequestService::RefusedUnderLoad(Running& running,
-                                      const ExchangeSetup& setup,
-                                      const AttemptPlan& plan) {
-  const OverloadDecision verdict =
-      overload_.Decide({.service = setup.service,
-                        .ahead = plan.queue_ahead_of_mean.Total(),
-                        .latency_target = setup.route->latency_target,
-                        .urgency = PriorityOf(setup),
-                        .hash = FastHash(setup.request.id.value())});
-  if (!verdict.refused)
-    return false;
-  running.retry_after = verdict.retry_after;
+OverloadDecision RequestService::JudgeLoad(const ExchangeSetup& setup,
+                                           const AttemptPlan& plan) const {
+  return overload_.Decide({.service = setup.service,
+                           .ahead = plan.queue_ahead_of_mean.Total(),
+                           .latency_target = setup.route->latency_target,
+                           .urgency = PriorityOf(setup),
+                           .hash = FastHash(setup.request.id.value())});
+}
+
+void RequestService::LogRefusal(const ExchangeSetup& setup,
+                                const AttemptPlan& plan,
+                                const OverloadDecision& verdict,
+                                Milliseconds retry_after) {
   LogEvent(
       LogLevel::kInfo, "refused_under_load",
       {{"request", setup.request.id.value()},
@@ -284,8 +300,7 @@
        {"urgency", plan.fields.urgency.value_or(0)},
        {"expected_ms", verdict.expected.count()},
        {"target_ms", setup.route->latency_target.count()},
-       {"return_ms", verdict.retry_after.count()}});
-  return true;
+       {"return_ms", retry_after.count()}});
 }
 
 Milliseconds RequestService::RetryAfter(Exchange& exchange) {
