--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -543,6 +543,8 @@
     return {200, "application/json", StateDumpText()};
   metrics.Set("carobshift_open_requests", {},
               static_cast<double>(requests.open_requests()));
+  metrics.Set("carobshift_waiting_requests", {},
+              static_cast<double>(requests.waiting_requests()));
   metrics.Set("carobshift_handoffs_in_progress", {},
               static_cast<double>(handoff_runner.outstanding()));
   metrics.Set("carobshift_log_lines_dropped", {},
@@ -589,6 +591,7 @@
        .stated = requests.stated_availability(),
        .part_suspects = requests.part_suspects(),
        .open_requests = requests.open_requests(),
+       .waiting_requests = requests.waiting_requests(),
        .lease_holder = rollout_controller.IsHolder(),
        .stopping = stop_began.has_value()},
       loop.now());
--- a/carobshift/gateway/state_dump.cc
+++ b/carobshift/gateway/state_dump.cc
@@ -111,6 +111,7 @@
       {"retry_budget", RetryBudgets(view.retries, now)},
       {"suspected_parts", SuspectedParts(view.part_suspects, now)},
       {"open_requests", view.open_requests},
+      {"waiting_requests", view.waiting_requests},
       {"lease_holder", view.lease_holder},
       {"stopping", view.stopping}}
       .dump();
--- a/carobshift/gateway/state_dump.h
+++ b/carobshift/gateway/state_dump.h
@@ -34,6 +34,8 @@
   const StatedAvailability& stated;
   const PartSuspects& part_suspects;
   std::size_t open_requests = 0;
+  // Requests that wait for room at an endpoint; included in open_requests.
+  std::size_t waiting_requests = 0;
   bool lease_holder = false;
   bool stopping = false;
 };
