Log lines of a wait state the load that caused it

Cause: gateway_process_test 'explained by its id: a request rejected under load' failed: such a request now waits before it is refused, and its lines did not state the load ahead of it any more. Change: request_waits has ahead, endpoint_wait_ms and target_ms; the test asks for the same figures there and for the line of the expired wait. Comments as a reader of the diff proposed; a malformed load report can't make an engine look empty.

--- a/carobshift/gateway/admission/waiting_room.h
+++ b/carobshift/gateway/admission/waiting_room.h
@@ -69,13 +69,14 @@
   double cost = 0;
   // Memory of this instance that the request uses while it waits.
   std::size_t bytes = 0;
-  // Arrival of the caller's first attempt.
+  // Arrival of this attempt at this instance.
   MonotonicTime arrived{};
   // Latest start for an answer in time.
   MonotonicTime target{};
   // Latest start for any answer.
   MonotonicTime last_start{};
-  // A retry at the time given in Retry-After.
+  // A retry at the time given in Retry-After. RequestService doesn't set it
+  // yet.
   bool returning = false;
 };
 
@@ -129,7 +130,8 @@
 
 class WaitingRoom {
  public:
-  // Returns the recent usage of an account divided by its weight.
+  // Returns the recent usage of an account, in tokens. Accounts with less usage
+  // are scheduled first.
   using UsageOf = std::function<double(const AccountId&)>;
 
   // Share of the time from arrival to latest start after which a late request
--- a/carobshift/gateway/load/load_tracker.cc
+++ b/carobshift/gateway/load/load_tracker.cc
@@ -33,7 +33,8 @@
   for (std::size_t level = static_cast<std::size_t>(std::max(0, priority)) + 1;
        level < tokens_by_priority.size(); ++level)
     less_urgent += tokens_by_priority[level];
-  return tokens - less_urgent;
+  // A malformed report may name more tokens by level than in total.
+  return std::max(0.0, tokens - less_urgent);
 }
 
 EndpointLoad& EndpointLoad::operator+=(const EndpointLoad& other) {
--- a/carobshift/gateway/request/request_service_waiting.cc
+++ b/carobshift/gateway/request/request_service_waiting.cc
@@ -101,14 +101,18 @@
   running.wait_target = request.target;
   waiting_[request.id] = &exchange;
   CountWait(setup, "waits");
-  LogEvent(LogLevel::kInfo, "request_waits",
-           {{"request", setup.request.id.value()},
-            {"route", setup.route->name},
-            {"urgency", request.urgency},
-            {"expected_ms", decision.expected_wait.count()},
-            {"waiting", room.size()},
-            {"start_rate", static_cast<std::int64_t>(room.start_rate())},
-            {"has_room", !verdict.refused}});
+  LogEvent(
+      LogLevel::kInfo, "request_waits",
+      {{"request", setup.request.id.value()},
+       {"route", setup.route->name},
+       {"urgency", request.urgency},
+       {"ahead", static_cast<std::int64_t>(plan.queue_ahead_of_mean.Total())},
+       {"endpoint_wait_ms", verdict.expected.count()},
+       {"target_ms", setup.route->latency_target.count()},
+       {"expected_ms", decision.expected_wait.count()},
+       {"waiting", room.size()},
+       {"start_rate", static_cast<std::int64_t>(room.start_rate())},
+       {"has_room", !verdict.refused}});
   ScheduleWaitingTry(verdict.refused ? now + kWaitingRetryPause : now);
   return Admission::kWait;
 }
--- a/testing/gateway_trace_process_test.cc
+++ b/testing/gateway_trace_process_test.cc
@@ -49,9 +49,10 @@
 }
 
 TEST_CASE("explained by its id: a request rejected under load") {
-  // Engines are busy with two very long prompts, and a request that arrives
-  // meanwhile is rejected. Its log lines state how many tokens were ahead of
-  // it, the expected wait, and its latency target.
+  // Engines are busy with two very long prompts. A request that arrives
+  // meanwhile waits, and is rejected before its caller leaves. Its log lines
+  // state how many tokens were ahead of it, the expected wait, and its latency
+  // target.
   GatewayCluster cluster({});
   for (std::size_t i = 0; i < 2; ++i)
     SetFaults(cluster.replica(i), {{"delay_ms", 1500}});
@@ -80,11 +81,12 @@
   CHECK(answer.status == 503);
   CHECK_FALSE(answer.Header("Retry-After").empty());
   const auto lines = LinesOf(cluster, cluster.LastRequestId());
-  REQUIRE(lines.size() == 2);
-  const json& refusal = lines.front();
-  CHECK(refusal.at("event") == "refused_under_load");
-  CHECK(refusal.at("ahead") >= 79000);
-  CHECK(refusal.at("expected_ms") > refusal.at("target_ms"));
+  REQUIRE(lines.size() == 3);
+  const json& wait = lines.front();
+  CHECK(wait.at("event") == "request_waits");
+  CHECK(wait.at("ahead") >= 79000);
+  CHECK(wait.at("endpoint_wait_ms") > wait.at("target_ms"));
+  CHECK(lines[1].at("event") == "wait_expired");
   CHECK(lines.back().at("code") == "overloaded");
   CHECK(lines.back().at("attempts") == 0);
 }
