--- a/carobshift/gateway/admission/waiting_room_test.cc
+++ b/carobshift/gateway/admission/waiting_room_test.cc
@@ -538,8 +538,8 @@
 }
 
 // Replays: a fleet is one pool of memory, from which each request takes its
-// cost for as long as it runs. Rates and sizes are those of balado-nordet-grown
-// (docs/design/load-control.md) at a fifth of the rate.
+// cost for as long as it runs. Three kinds of prompts, long, short and tags,
+// share it, and demand exceeds it for seconds at a time.
 struct Kind {
   std::string name;
   int urgency;
