review/4: parts of a newly isolated tenant stay shared

Cause: the salt of the tenants that aren't isolated doesn't change when one of them becomes isolated. Change: a script that isolates a tenant by a new configuration.

--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -18,6 +18,7 @@
 GATEWAY = os.path.join(ROOT, "target", "bin", "carobshiftd")
 PLATFORM = os.path.join(ROOT, "build", "bin", "standin_platform")
 KEY = "jnbanfqasnmgkcuyj8pj"
+OTHER_KEY = "qhw7c2mz0e4t9vbn5rxd"
 HEARTBEAT_S = 1.2
 
 
@@ -134,7 +135,8 @@
                 urllib.request.Request(url, body, method="POST"), timeout=5):
             pass
 
-    def put_config(self):
+    def put_config(self, version=1, isolated=False):
+        """Acknowledged when it returns. `isolated` is that of bozi300."""
         def route(name, kind, service, resumable, attempts):
             return {"name": name, "host": "pule25.example",
                     "path_prefix": f"/{name}/", "kind": kind,
@@ -144,7 +146,7 @@
                     "sticky_sessions": service == "lm-pool",
                     "resumable": resumable, "target_gap_ms": 300}
         config = {
-            "version": 1,
+            "version": version,
             "routes": [route("review", "streaming", "lm-pool", True, 2),
                        route("find", "safe", "desk", False, 2),
                        route("book", "unsafe", "desk", False, 1)],
@@ -158,7 +160,10 @@
                  "health_check_path": "/health"}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": self.max_body,
                        "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
-            "tenants": [{"name": "bozi300", "api_keys": [KEY]}]}
+            "tenants": [{"name": "bozi300", "api_keys": [KEY],
+                         "isolated": isolated},
+                        {"name": "mila200", "api_keys": [OTHER_KEY],
+                         "isolated": False}]}
         self.put("keyed.op", "config", json.dumps(config))
 
     # Replicas
@@ -267,7 +272,7 @@
             self.record.append({"at_ms": now_ms(), "what": what, **fields})
 
     async def request(self, gateway, path, prompt, body, deadline_ms=15000,
-                      request=None):
+                      request=None, key=KEY):
         """One client attempt. Returns the status (0: closed without an answer)
         and whether the answer was whole."""
         request = request or f"{random.getrandbits(64):016x}"
@@ -278,7 +283,7 @@
                 self.hosts[gateway], self.base)
             head = [f"POST {path} HTTP/1.1", "Host: pule25.example",
                     f"Request-Id: {request}", f"Deadline-Ms: {deadline_ms}",
-                    f"X-Api-Key: {KEY}", f"Content-Length: {len(body)}"]
+                    f"X-Api-Key: {key}", f"Content-Length: {len(body)}"]
             if prompt:
                 tokens = sum(int(p.split(":")[1]) for p in prompt.split(","))
                 head += ["Model: m1", f"Token-Counts: {tokens},76",
--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -31,6 +31,9 @@
 READ_BYTES = 32768
 running = 0
 event_calls = 0
+# By salt and the parts of a prompt up to one: the tenant whose run made it.
+cache = {}
+cache_events = []
 
 
 def note(what, **fields):
@@ -84,16 +87,42 @@
     answer(writer, 200, json.dumps(value).encode())
 
 
-async def serve_events(writer, headers):
+async def serve_events(writer, target, headers):
     global event_calls
     if event_calls >= 16:
         answer(writer, 429)
         return
+    query = dict(one.partition("=")[::2]
+                 for one in target.partition("?")[2].split("&"))
+    since = int(query.get("since", "0") or "0")
+    end = time.monotonic() + min(int(headers.get("wait-ms", "0")), 1000) / 1000
     event_calls += 1
-    await asyncio.sleep(min(int(headers.get("wait-ms", "0")), 1000) / 1000)
+    while len(cache_events) <= since and time.monotonic() < end:
+        await asyncio.sleep(0.02)
     event_calls -= 1
-    answer_json(writer, {"epoch": EPOCH, "next_page_token": 0, "lost": False,
-                         "events": []})
+    answer_json(writer, {"epoch": EPOCH, "next_page_token": len(cache_events),
+                         "lost": False, "events": cache_events[since:]})
+
+
+def use_cache(headers):
+    """Returns the tenants whose runs made the cached parts that a run uses,
+    and caches the rest of its prompt. The last part is the run's own."""
+    salt = headers.get("cache-salt", "")
+    tenant = headers.get("tenant-name", "")
+    prompt = [one.partition(":")[::2]
+              for one in headers.get("prompt-prefix", "").split(",") if one]
+    makers, hit = [], True
+    for i, (part, tokens) in enumerate(prompt):
+        key = (salt, tuple(one for one, _ in prompt[:i + 1]))
+        hit = hit and key in cache
+        if hit:
+            makers.append(cache[key])
+            continue
+        if key not in cache:
+            cache[key] = tenant
+            cache_events.append([len(cache_events) + 1, "+", salt, part,
+                                 int(tokens), "m1"])
+    return makers
 
 
 async def serve_stream(writer, headers, request):
@@ -133,7 +162,10 @@
     try:
         await asyncio.sleep(flags.first_ms / 1000)
         note("run", request=request, body=body.decode("latin-1")[:40],
-             after=headers.get("last-event-id", ""))
+             after=headers.get("last-event-id", ""),
+             tenant=headers.get("tenant-name", ""),
+             salt=headers.get("cache-salt", ""),
+             uses_cache_of=use_cache(headers))
         if flags.crash_body and body == flags.crash_body.encode():
             note("crash", request=request, running=running)
             os._exit(1)
@@ -160,10 +192,12 @@
                     "kv_cache_used": running * TOKENS_PER_RUN,
                     "kv_cache_total": 213154})
             elif method == "GET" and path == "/kv-events":
-                await serve_events(writer, headers)
+                await serve_events(writer, target, headers)
             elif method == "GET" and path == "/kv-list":
-                answer_json(writer, {"epoch": EPOCH, "next_page_token": 0,
-                                     "held": []})
+                answer_json(writer, {
+                    "epoch": EPOCH, "next_page_token": len(cache_events),
+                    "held": [[salt, part, tokens, model] for
+                             _, _, salt, part, tokens, model in cache_events]})
             elif method == "GET" and path == "/health":
                 answer(writer, 200)
             elif method == "POST" and path == "/order":
