review/2: crashes of a whole small service aren't counted

Cause: a broken run is withdrawn when this instance reaches no endpoint and another one has announced no loss; idle instances announce none.

--- a/review/lib/crash_case.py
+++ b/review/lib/crash_case.py
@@ -22,19 +22,31 @@
 
 
 class CrashCase:
+    gateways = GATEWAYS
+    engines = ENGINES
+    plain = 0
+    path = "/review/2f"
+    shared_part = SHARED_PART
+    crash_prompt = CRASH_PROMPT
+    # At each gateway.
+    sound_interval_s = SOUND_INTERVAL_S
+    first_ms = PREFILL_MS
+
     def __init__(self, case_dir, crashes):
-        flags = ["--first-ms", str(PREFILL_MS), "--events", "10",
+        flags = ["--first-ms", str(self.first_ms), "--events", "10",
                  "--gap-ms", "50"]
         if crashes:
             flags += ["--crash-body", CRASH_BODY]
-        self.cluster = Cluster(case_dir, GATEWAYS, ENGINES,
-                               replica_flags=flags)
+        self.cluster = Cluster(case_dir, self.gateways, self.engines,
+                               plain=self.plain, replica_flags=flags)
         self.sound = collections.Counter()
 
     async def send_sound(self, gateway):
-        prompt = f"{SHARED_PART},{random.getrandbits(32):08x}:2870"
+        prompt = ""
+        if self.shared_part:
+            prompt = f"{self.shared_part},{random.getrandbits(32):08x}:2870"
         _, status, whole = await self.cluster.request(
-            gateway, "/review/2f", prompt, "a sound dossier")
+            gateway, self.path, prompt, "a sound dossier")
         self.sound[f"{status}" if whole or not status else
                    f"{status} cut"] += 1
 
@@ -42,11 +54,11 @@
         tasks = set()
         try:
             while True:
-                for gateway in range(GATEWAYS):
+                for gateway in range(self.gateways):
                     task = asyncio.create_task(self.send_sound(gateway))
                     tasks.add(task)
                     task.add_done_callback(tasks.discard)
-                await asyncio.sleep(SOUND_INTERVAL_S)
+                    await asyncio.sleep(self.sound_interval_s / self.gateways)
         finally:
             for task in tasks:
                 task.cancel()
@@ -61,16 +73,16 @@
     async def send(self, gateway):
         self.cluster.note("client sends the request", gateway=gateway)
         request, status, whole = await self.cluster.request(
-            gateway, "/review/2f", CRASH_PROMPT, CRASH_BODY)
+            gateway, self.path, self.crash_prompt, CRASH_BODY)
         self.cluster.note("client has an answer", gateway=gateway,
                           request=request, status=status, whole=whole)
 
     async def send_at_each(self):
         """Clients at all gateways send the request, SPREAD_S apart in all."""
         async def later(gateway):
-            await asyncio.sleep(SPREAD_S * gateway / GATEWAYS)
+            await asyncio.sleep(SPREAD_S * gateway / self.gateways)
             await self.send(gateway)
-        await asyncio.gather(*(later(i) for i in range(GATEWAYS)))
+        await asyncio.gather(*(later(i) for i in range(self.gateways)))
 
     async def kill_all_gateways(self):
         await asyncio.to_thread(self.kill_and_restart)
@@ -82,9 +94,9 @@
         for process in self.cluster.gateways:
             process.wait()
         time.sleep(0.5)
-        for i in range(GATEWAYS):
+        for i in range(self.gateways):
             self.cluster.start_gateway(i)
-        for i in range(GATEWAYS):
+        for i in range(self.gateways):
             self.cluster.wait_ready(i)
         self.cluster.note("all gateways are ready again")
 
