review/1: a late copy of a rejection is taken for the answer to the repeat

Cause: after a rejection the request is sent again under the same id on the same kept connection; a second copy of the rejection, which faulty replicas may send late, then passes for the answer while the replica runs it.

--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -55,7 +55,8 @@
 
 class Cluster:
     def __init__(self, case_dir, gateways, engines, plain=0, replica_flags=(),
-                 down_s=2.0, slots=128, max_body=65536):
+                 down_s=2.0, slots=128, max_body=65536,
+                 plain_slots=6, garbled=0, extra_late=0.0):
         self.case_dir = case_dir
         self.temp = tempfile.TemporaryDirectory(prefix="carobshift-review-")
         self.replica_log = os.path.join(self.temp.name, "replicas.jsonl")
@@ -67,6 +68,10 @@
         self.down_s = down_s
         self.slots = slots
         self.max_body = max_body
+        self.plain_slots = plain_slots
+        # So many plain replicas send some answers a second time.
+        self.garbled = garbled
+        self.extra_late = extra_late
         self.stopping = False
         self.hosts = [f"127.0.1.{i + 1}" for i in range(gateways)]
         self.base = free_range(self.hosts, 8)
@@ -135,6 +140,13 @@
                 urllib.request.Request(url, body, method="POST"), timeout=5):
             pass
 
+    def try_put(self, replica, entry):
+        try:
+            self.put("keyed.servers", replica, entry)
+            return True
+        except OSError:
+            return False
+
     def put_config(self, version=1, isolated=False):
         """Acknowledged when it returns. `isolated` is that of bozi300."""
         def route(name, kind, service, resumable, attempts):
@@ -180,13 +192,19 @@
         replica["up_since"] = time.monotonic()
         command = [sys.executable, os.path.join(HERE, "replica.py"),
                    "--id", replica["id"], "--listen", replica["address"],
-                   "--log", self.replica_log, "--slots", str(self.slots)]
+                   "--log", self.replica_log,
+                   "--slots", str(self.slots_of(replica))]
         command += self.replica_flags
         if replica["plain"]:
             command.append("--plain")
+            if self.replicas.index(replica) - self.engines < self.garbled:
+                command += ["--extra-late", str(self.extra_late)]
         replica["process"] = self.spawn(command, "replica-" + replica["id"])
         replica["next_beat"] = 0.0
 
+    def slots_of(self, replica):
+        return self.plain_slots if replica["plain"] else self.slots
+
     def keep_replicas(self):
         """Heartbeats of the replicas, restarts, and the platform's removal of
         records after three heartbeat intervals of silence."""
@@ -205,18 +223,18 @@
                 elif now >= replica["next_beat"]:
                     replica["next_beat"] = now + HEARTBEAT_S
                     replica["sequence"] += 1
-                    self.put("keyed.servers", replica["id"],
-                             json.dumps(self.entry(replica)))
+                    self.try_put(replica["id"], json.dumps(self.entry(replica)))
             for when, name in [one for one in old if one[0] <= now]:
-                self.put("keyed.servers", name, "")
-                old.remove((when, name))
+                if self.try_put(name, ""):
+                    old.remove((when, name))
             time.sleep(0.05)
 
     def entry(self, replica):
         plain = replica["plain"]
         return {"service": "desk" if plain else "lm-pool",
                 "address": replica["address"], "zone": "hall-esja",
-                "version": "v1", "slots": self.slots, "state": "ready",
+                "version": "v1", "slots": self.slots_of(replica),
+                "state": "ready",
                 "cold_remaining_ms": 0, "sequence": replica["sequence"],
                 "stage": "combined",
                 "models": [] if plain else [
--- a/review/lib/crash_case.py
+++ b/review/lib/crash_case.py
@@ -2,8 +2,6 @@
 import asyncio
 import collections
 import random
-import signal
-import time
 
 from cluster import Cluster
 
@@ -84,22 +82,6 @@
             await self.send(gateway)
         await asyncio.gather(*(later(i) for i in range(self.gateways)))
 
-    async def kill_all_gateways(self):
-        await asyncio.to_thread(self.kill_and_restart)
-
-    def kill_and_restart(self):
-        self.cluster.note("all gateways are killed")
-        for process in self.cluster.gateways:
-            process.send_signal(signal.SIGKILL)
-        for process in self.cluster.gateways:
-            process.wait()
-        time.sleep(0.5)
-        for i in range(self.gateways):
-            self.cluster.start_gateway(i)
-        for i in range(self.gateways):
-            self.cluster.wait_ready(i)
-        self.cluster.note("all gateways are ready again")
-
     def run(self, play):
         """Plays and judges. Returns the exit status of the script."""
         try:
--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import time
 
 options = argparse.ArgumentParser()
@@ -20,6 +21,10 @@
 options.add_argument("--events", type=int, default=30)
 options.add_argument("--gap-ms", type=int, default=250)
 options.add_argument("--first-ms", type=int, default=40)
+options.add_argument("--extra-late", type=float, default=0,
+                     help="share of the answers that come a second time, late")
+options.add_argument("--shed", type=float, default=0,
+                     help="share of the requests that are rejected as if full")
 options.add_argument("--read-kbps", type=int, default=0,
                      help="how fast bodies are read, in KB a second; 0: at once")
 flags = options.parse_args()
@@ -75,12 +80,33 @@
     return method, target, headers, body
 
 
+class Extras:
+    """Answers that come a second time, when the next answer is due on their
+    connection; they bear the Request-Id of the first time."""
+
+    def __init__(self):
+        self.text = b""
+        self.request = ""
+
+    def maybe_keep(self, request, text):
+        if random.random() < flags.extra_late:
+            self.request, self.text = request, text
+
+    def send(self, writer):
+        if self.text:
+            note("extra answer", request=self.request)
+            writer.write(self.text)
+            self.text = b""
+
+
 def answer(writer, status, body=b"", fields=(), kind="application/json"):
     reason = {200: "OK"}.get(status, "Status")
     head = [f"HTTP/1.1 {status} {reason}", f"Content-Type: {kind}",
             f"Content-Length: {len(body)}", f"Instance-Id: {flags.id}"]
     head += [f"{name}: {value}" for name, value in fields]
-    writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+    text = "\r\n".join(head).encode() + b"\r\n\r\n" + body
+    writer.write(text)
+    return text
 
 
 def answer_json(writer, value):
@@ -143,7 +169,7 @@
     await writer.drain()
 
 
-async def serve_request(writer, headers, body):
+async def serve_request(writer, headers, body, extras):
     global running
     request = headers.get("request-id", "")
     note("arrival", request=request, tenant=headers.get("tenant-name", ""),
@@ -154,9 +180,10 @@
     if not request:
         answer(writer, 400, fields=[("Not-Executed", "1")])
         return
-    if running >= flags.slots:
-        answer(writer, 503, fields=[("Not-Executed", "1"),
-                                    ("Request-Id", request)])
+    if running >= flags.slots or random.random() < flags.shed:
+        note("rejected", request=request)
+        extras.maybe_keep(request, answer(writer, 503, fields=[
+            ("Not-Executed", "1"), ("Request-Id", request)]))
         return
     running += 1
     try:
@@ -170,9 +197,9 @@
             note("crash", request=request, running=running)
             os._exit(1)
         if flags.plain:
-            answer(writer, 200, b"done", [
+            extras.maybe_keep(request, answer(writer, 200, b"done", [
                 ("Request-Id", request),
-                ("Response-Stamp", f"{flags.id}.{request}")], "text/plain")
+                ("Response-Stamp", f"{flags.id}.{request}")], "text/plain"))
         else:
             await serve_stream(writer, headers, request)
     finally:
@@ -180,9 +207,11 @@
 
 
 async def serve(reader, writer):
+    extras = Extras()
     try:
         while True:
             method, target, headers, body = await read_request(reader)
+            extras.send(writer)
             path = target.split("?")[0]
             if method == "GET" and path == "/report":
                 answer_json(writer, {
@@ -203,7 +232,7 @@
             elif method == "POST" and path == "/order":
                 answer(writer, 400)
             else:
-                await serve_request(writer, headers, body)
+                await serve_request(writer, headers, body, extras)
             await writer.drain()
     except (asyncio.IncompleteReadError, ConnectionError):
         pass
