review: scripts end their processes also when they are stopped

Cause: the thread that restarts replicas could start one while the others were being ended, and a signal skipped the end. Change: it is joined first; SIGTERM ends the script by its usual way.

--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -5,6 +5,7 @@
 import os
 import random
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -73,6 +74,7 @@
         self.garbled = garbled
         self.extra_late = extra_late
         self.stopping = False
+        self.keeper = None
         self.hosts = [f"127.0.1.{i + 1}" for i in range(gateways)]
         self.base = free_range(self.hosts, 8)
         self.gateways = [None] * gateways
@@ -91,6 +93,8 @@
         return process
 
     def start(self):
+        # So that the processes end with the script also when it is stopped.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.platform = f"127.0.0.1:{free_port('127.0.0.1')}"
         self.spawn([PLATFORM, "--listen", self.platform], "platform")
         self.wait_port(self.platform)
@@ -110,6 +114,8 @@
 
     def stop(self):
         self.stopping = True
+        if self.keeper is not None:
+            self.keeper.join()
         for process in self.processes:
             if process.poll() is None:
                 process.kill()
