Requests: log which connection answered a repeat, and skipped late replies

The logs didn't name connections, so the hypotheses (next call on the same connection, a later one, another one) couldn't be told apart. Change: connections and their calls are numbered. `late_reply_skipped` and `repeat_answered` name them; the latter also has those of the attempts before. One function creates a connection, which stood twice.

--- a/carobshift/gateway/request/exchange_run.cc
+++ b/carobshift/gateway/request/exchange_run.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "carobshift/telemetry/event_log.h"
+
 namespace carobshift {
 
 ExchangeRun::ExchangeRun(EventLoop& loop,
@@ -84,6 +86,13 @@
   return call == nullptr || call->sent();
 }
 
+void ExchangeRun::NoteConnection(const ConnectionUse& use) {
+  if (!connections_used_.empty())
+    connections_used_ += ' ';
+  connections_used_ +=
+      std::to_string(use.connection.value()) + '#' + std::to_string(use.call);
+}
+
 void ExchangeRun::OnCallerGone() {
   exchange_.OnCallerGone(loop_.now());
 }
@@ -119,6 +128,7 @@
                                      const HttpCallOptions& options) {
   last_received_ = run_.loop_.now();
   call_ = client.Start(address, std::move(bytes), options, this);
+  use_ = call_->use();
 }
 
 void ExchangeRun::AttemptCall::Cancel() {
@@ -156,9 +166,41 @@
   const ReplyDisposition disposition =
       run_.exchange_.OnReplyHead(attempt_, head, facts, run_.loop_.now());
   replied_ = replied_ || disposition != ReplyDisposition::kSkip;
+  LogReply(head, facts, disposition);
   return disposition;
 }
 
+void ExchangeRun::AttemptCall::LogReply(const HttpHead& head,
+                                        const ReplyMetadata& facts,
+                                        ReplyDisposition disposition) {
+  if (use_ == std::nullopt)
+    return;
+  const std::string& request = run_.exchange_.request().id.value();
+  if (disposition == ReplyDisposition::kSkip) {
+    LogEvent(LogLevel::kInfo, "late_reply_skipped",
+             {{"request", request},
+              {"attempt", attempt_.value()},
+              {"connection", use_->connection.value()},
+              {"call", use_->call},
+              {"reply_to", facts.request ? facts.request->value() : ""},
+              {"status", head.status}});
+    return;
+  }
+  if (run_.connections_used_.empty()) {
+    run_.NoteConnection(*use_);
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "repeat_answered",
+           {{"request", request},
+            {"attempt", attempt_.value()},
+            {"connection", use_->connection.value()},
+            {"call", use_->call},
+            {"connections_before", run_.connections_used_},
+            {"status", head.status},
+            {"not_run", facts.not_run}});
+  run_.NoteConnection(*use_);
+}
+
 void ExchangeRun::AttemptCall::OnReplyBody(std::string_view bytes) {
   const auto run = run_.shared_from_this();
   const auto self = shared_from_this();
--- a/carobshift/gateway/request/exchange_run.h
+++ b/carobshift/gateway/request/exchange_run.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -97,7 +98,13 @@
     ExchangeRun& run_;
     AttemptNumber attempt_;
     ReplyDecoder decode_reply_;
+    // Logs a reply if it may show that a late copy was taken for an answer.
+    void LogReply(const HttpHead& head,
+                  const ReplyMetadata& facts,
+                  ReplyDisposition disposition);
+
     std::shared_ptr<ClientCall> call_;
+    std::optional<ConnectionUse> use_;
     MonotonicTime last_received_{};
     bool paused_ = false;
     bool replied_ = false;
@@ -106,6 +113,7 @@
   [[nodiscard]] std::shared_ptr<AttemptCall> FindCall(
       AttemptNumber attempt) const;
   void RemoveCall(AttemptNumber attempt);
+  void NoteConnection(const ConnectionUse& use);
 
   EventLoop& loop_;
   const RequestDialect& dialect_;
@@ -113,6 +121,8 @@
   Exchange exchange_;
   // At most two; see Exchange.
   std::vector<std::shared_ptr<AttemptCall>> calls_;
+  // The connections of the attempts before, for logs: "connection#call".
+  std::string connections_used_;
   TimerId deadline_timer_;
   bool started_ = false;
   Microseconds longest_pause_{0};
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -91,13 +91,20 @@
   Peer& peer = peers_[address];
   if (peer.limit > 0 && peer.open >= peer.limit)
     return false;
-  const auto connection =
-      std::make_shared<HttpClientConnection>(*this, address);
+  peer.opening.push_back(CreateConnection(address, peer, connect_timeout));
+  return true;
+}
+
+std::shared_ptr<HttpClientConnection> HttpClient::CreateConnection(
+    const NetAddress& address,
+    Peer& peer,
+    Milliseconds connect_timeout) {
   ++peer.open;
   ++counters_.connections_opened;
-  peer.opening.push_back(connection);
+  auto connection = std::make_shared<HttpClientConnection>(
+      *this, address, ConnectionNumber(counters_.connections_opened));
   connection->Open(connect_timeout);
-  return true;
+  return connection;
 }
 
 std::shared_ptr<ClientCall> HttpClient::Start(const NetAddress& address,
@@ -127,13 +134,11 @@
       });
       return call;
     }
-    connection = std::make_shared<HttpClientConnection>(*this, address);
-    ++peer.open;
-    ++counters_.connections_opened;
-    connection->Open(options.connect_timeout);
+    connection = CreateConnection(address, peer, options.connect_timeout);
   }
   call->connection_ = connection;
   connection->Begin(std::move(bytes), options, listener, call);
+  call->use_ = connection->use();
   return call;
 }
 
@@ -220,9 +225,11 @@
 }
 
 HttpClientConnection::HttpClientConnection(HttpClient& client,
-                                           const NetAddress& address)
+                                           const NetAddress& address,
+                                           ConnectionNumber number)
     : client_(client),
       address_(address),
+      number_(number),
       parser_(HttpParser::Kind::kReply,
               {.head_bytes = client.options_.max_head_bytes},
               *this) {}
@@ -252,6 +259,7 @@
                                  const HttpCallOptions& options,
                                  HttpCallListener* listener,
                                  const std::shared_ptr<ClientCall>& call) {
+  ++calls_;
   listener_ = listener;
   call_ = call;
   is_head_request_ = options.is_head_request;
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -46,6 +46,7 @@
 #include <vector>
 
 #include "carobshift/base/net_address.h"
+#include "carobshift/base/strong_type.h"
 #include "carobshift/net/event_loop.h"
 #include "carobshift/net/http_parser.h"
 #include "carobshift/net/tcp_connection.h"
@@ -132,6 +133,16 @@
 class HttpClientConnection;
 class HttpClient;
 
+// Counts the connections that a client has opened, from 1 on.
+using ConnectionNumber = StrongType<struct ConnectionNumberTag, std::uint64_t>;
+
+// Which call of which connection a call is, for logs.
+struct ConnectionUse {
+  ConnectionNumber connection;
+  // Counts the calls of the connection, from 1 on.
+  std::uint64_t call = 0;
+};
+
 // A call in progress.
 class ClientCall {
  public:
@@ -146,6 +157,9 @@
   [[nodiscard]] bool active() const { return connection_ != nullptr; }
   // Returns whether any byte of the call may have reached the peer.
   [[nodiscard]] bool sent() const;
+  // Returns the connection that the call has been given, if any. Stays valid
+  // after the call's end.
+  [[nodiscard]] const std::optional<ConnectionUse>& use() const { return use_; }
 
  private:
   friend class HttpClientConnection;
@@ -153,6 +167,7 @@
   void End(void (HttpClientConnection::*end)());
 
   std::shared_ptr<HttpClientConnection> connection_;
+  std::optional<ConnectionUse> use_;
 };
 
 struct HttpClientOptions {
@@ -223,6 +238,11 @@
   };
   using ObserverEvent = void (HttpClientObserver::*)(const NetAddress&);
 
+  // Starts to open a connection, which counts as open from now on.
+  [[nodiscard]] std::shared_ptr<HttpClientConnection> CreateConnection(
+      const NetAddress& address,
+      Peer& peer,
+      Milliseconds connect_timeout);
   [[nodiscard]] std::shared_ptr<HttpClientConnection> TakeIdleConnection(
       Peer& peer,
       Milliseconds max_idle);
@@ -244,7 +264,9 @@
       private HttpSink,
       public std::enable_shared_from_this<HttpClientConnection> {
  public:
-  HttpClientConnection(HttpClient& client, const NetAddress& address);
+  HttpClientConnection(HttpClient& client,
+                       const NetAddress& address,
+                       ConnectionNumber number);
 
   void Open(Milliseconds connect_timeout);
   void Begin(std::string bytes,
@@ -257,6 +279,8 @@
   void SetReading(bool reading);
 
   [[nodiscard]] const NetAddress& address() const { return address_; }
+  // The current call.
+  [[nodiscard]] ConnectionUse use() const { return {number_, calls_}; }
   [[nodiscard]] MonotonicTime idle_since() const { return idle_since_; }
   [[nodiscard]] Milliseconds idle_limit() const { return idle_limit_; }
   [[nodiscard]] bool sent() const { return sent_; }
@@ -288,6 +312,8 @@
 
   HttpClient& client_;
   NetAddress address_;
+  ConnectionNumber number_;
+  std::uint64_t calls_ = 0;
   std::shared_ptr<TcpConnection> tcp_;
   HttpParser parser_;
   HttpCallListener* listener_ = nullptr;
