HttpClient: keep a repeat off connections that may owe a copy of its reply

What callers saw: bookings that ran twice, or were answered 503 ("not run") and ran, when full endpoints rejected and a rejection came a second time. Cause: a repeat keeps the id of its request, and the reply's id is all that tells whose reply it is. The client handed out the connection used last, which is the one that still owed the copy. Change: a connection remembers the ids of its last 32 calls, and a call with one of them takes another idle connection, or a new one if there is none; at the connection limit the oldest idle one makes room. It works since a copy comes on the connection of its original, and holds also for requests handed over and for ids that a caller sends again.

--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -74,6 +74,7 @@
   HttpCallOptions options;
   options.connect_timeout = options_.connect_timeout;
   options.is_head_request = setup.request.method == "HEAD";
+  options.reply_key = ReplyKey(FastHash(setup.request.id.value()));
   if (!setup.route->MayRunAgain())
     options.max_idle = options_.run_once_max_idle;
   options.may_send = [this, &exchange,
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -115,16 +115,9 @@
   auto call = std::make_shared<ClientCall>();
   Peer& peer = peers_[address];
   std::shared_ptr<HttpClientConnection> connection =
-      TakeIdleConnection(peer, options.max_idle);
+      TakeIdleConnection(peer, options);
   if (connection == nullptr) {
-    // At the limit, an idle connection that is too old for this call is
-    // replaced by a new one.
-    if (peer.limit > 0 && peer.open >= peer.limit && !peer.idle.empty()) {
-      const auto oldest = peer.idle.front();
-      peer.idle.erase(peer.idle.begin());
-      oldest->Close();
-    }
-    if (peer.limit > 0 && peer.open >= peer.limit) {
+    if (!MakeRoom(peer)) {
       // The call fails in the next iteration, unless its owner has released it
       // by then and this lambda holds the only reference.
       loop_.AddTimer(loop_.now(), [call, listener] {
@@ -144,21 +137,37 @@
 
 std::shared_ptr<HttpClientConnection> HttpClient::TakeIdleConnection(
     Peer& peer,
-    Milliseconds max_idle) {
-  while (!peer.idle.empty()) {
-    const auto connection = peer.idle.back();
+    const HttpCallOptions& options) {
+  for (std::size_t i = peer.idle.size(); i-- > 0;) {
+    const auto connection = peer.idle[i];
     const auto idle = loop_.now() - connection->idle_since();
     // The remaining connections have been idle for longer.
-    if (idle > max_idle)
+    if (idle > options.max_idle)
       return nullptr;
-    peer.idle.pop_back();
-    if (idle < connection->idle_limit() && connection->reusable())
+    const bool usable =
+        idle < connection->idle_limit() && connection->reusable();
+    if (usable && options.reply_key &&
+        connection->HasCarried(*options.reply_key))
+      continue;
+    peer.idle.erase(peer.idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (usable)
       return connection;
     connection->Close();
   }
   return nullptr;
 }
 
+bool HttpClient::MakeRoom(Peer& peer) {
+  if (peer.limit <= 0 || peer.open < peer.limit)
+    return true;
+  if (peer.idle.empty())
+    return false;
+  const auto oldest = peer.idle.front();
+  peer.idle.erase(peer.idle.begin());
+  oldest->Close();
+  return peer.open < peer.limit;
+}
+
 void HttpClient::SetConnectionLimit(const NetAddress& address, int limit) {
   peers_[address].limit = limit;
 }
@@ -260,6 +269,7 @@
                                  HttpCallListener* listener,
                                  const std::shared_ptr<ClientCall>& call) {
   ++calls_;
+  Remember(options.reply_key);
   listener_ = listener;
   call_ = call;
   is_head_request_ = options.is_head_request;
@@ -278,6 +288,18 @@
   }
 }
 
+void HttpClientConnection::Remember(const std::optional<ReplyKey>& key) {
+  if (!key)
+    return;
+  carried_.push_back(*key);
+  if (carried_.size() > kRememberedCalls)
+    carried_.pop_front();
+}
+
+bool HttpClientConnection::HasCarried(ReplyKey key) const {
+  return std::find(carried_.begin(), carried_.end(), key) != carried_.end();
+}
+
 void HttpClientConnection::OnConnected() {
   const auto self = shared_from_this();
   client_.loop_.CancelTimer(connect_timer_);
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -21,6 +21,10 @@
 //   before a call is sent on it.
 // - A late reply to an earlier call arrives in place of this call's reply. The
 //   listener examines each reply's head and skips replies to other calls.
+// - A late copy of the reply to an earlier attempt of the same request arrives
+//   in place of this attempt's reply. It bears the same id, so no listener can
+//   tell; HttpCallOptions::reply_key keeps the attempt off the connections on
+//   which such a copy may be due.
 // - The reason for a call ends while its connection is being established:
 //   HttpCallOptions::may_send is asked then.
 // - Bytes arrive after a complete reply or on an idle connection. They belong
@@ -36,6 +40,7 @@
 #define CAROBSHIFT_NET_HTTP_CLIENT_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -120,11 +125,18 @@
   virtual void OnConnectionBroken(const NetAddress& address) = 0;
 };
 
+// A digest of the id by which a peer's reply names the request that it answers.
+// Calls with the same key have replies that can't be told apart.
+using ReplyKey = StrongType<struct ReplyKeyTag, std::uint64_t>;
+
 struct HttpCallOptions {
   Milliseconds connect_timeout{1000};
   // Maximum idle time of a connection that is reused for this call.
   Milliseconds max_idle{60000};
   bool is_head_request = false;
+  // If set, the call doesn't use a connection that has lately carried one with
+  // the same key.
+  std::optional<ReplyKey> reply_key{};
   // Asked right before the first byte is sent on a connection that the call had
   // to wait for; the call fails as kWithdrawn if it returns false. May be null.
   std::function<bool()> may_send{};
@@ -243,9 +255,14 @@
       const NetAddress& address,
       Peer& peer,
       Milliseconds connect_timeout);
+  // Returns the most recently used idle connection that may carry the call, or
+  // null.
   [[nodiscard]] std::shared_ptr<HttpClientConnection> TakeIdleConnection(
       Peer& peer,
-      Milliseconds max_idle);
+      const HttpCallOptions& options);
+  // Makes room for a new connection, if the address is at its limit, by closing
+  // an idle one that may not carry the call. Returns false if there is none.
+  [[nodiscard]] static bool MakeRoom(Peer& peer);
   void OnConnectionIdle(
       const std::shared_ptr<HttpClientConnection>& connection);
   void OnConnectionClosed(HttpClientConnection* connection);
@@ -288,6 +305,9 @@
   // Whether an idle connection may carry a call: neither its end nor bytes that
   // belong to no call have arrived.
   [[nodiscard]] bool reusable() const { return alive() && !tcp_->HasInput(); }
+  // Whether one of the last kRememberedCalls calls had this key, so that a copy
+  // of its reply may still arrive.
+  [[nodiscard]] bool HasCarried(ReplyKey key) const;
 
   void OnConnected() override;
   void OnData(std::string_view bytes) override;
@@ -296,6 +316,10 @@
  private:
   void OnHead(HttpHead head, const HttpMessageInfo& info) override;
   void OnBody(std::string_view bytes) override;
+  // A copy arrives where the next reply is due. The rest covers peers that send
+  // several copies, or hold them back for longer.
+  static constexpr std::size_t kRememberedCalls = 32;
+
   void OnMessageEnd();
   void Fail(CallFault fault);
   // Whether the peer has sent more than the call bears beside an answer.
@@ -303,6 +327,7 @@
   void End(void (TcpConnection::*close)());
   void BecomeIdle();
   void OnRequestSent();
+  void Remember(const std::optional<ReplyKey>& key);
   // Reports the end of the attempt to connect, if one is in progress.
   void EndConnecting(HttpClient::ObserverEvent outcome);
   void UpdateKeepAlive(const HttpHead& head, const HttpMessageInfo& info);
@@ -314,6 +339,8 @@
   NetAddress address_;
   ConnectionNumber number_;
   std::uint64_t calls_ = 0;
+  // The keys of the last calls that had one, the oldest first.
+  std::deque<ReplyKey> carried_;
   std::shared_ptr<TcpConnection> tcp_;
   HttpParser parser_;
   HttpCallListener* listener_ = nullptr;
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -214,6 +214,85 @@
   CHECK(client.counters().unsolicited_replies == 1);
 }
 
+// Makes a call whose replies bear `key`, and waits for its end.
+void CallWithKey(EventLoop& loop,
+                 HttpClient& client,
+                 const NetAddress& address,
+                 std::uint64_t key) {
+  TestListener listener;
+  const auto call =
+      client.Start(address, Get("/"), {.reply_key = ReplyKey(key)}, &listener);
+  RunUntil(loop, [&] { return listener.over(); });
+  CHECK(listener.status == 200);
+}
+
+// Guards against a late copy of an earlier reply that is taken for the answer
+// to a repeat, as both bear the same id.
+TEST_CASE("a repeat avoids the connections that carried its request") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk);
+  HttpClient client(loop, {});
+  CallWithKey(loop, client, server.address(), 1);
+  CallWithKey(loop, client, server.address(), 1);
+  CHECK(server.accepted == 2);
+  // Both have carried 1, the second one in the call before the last.
+  CallWithKey(loop, client, server.address(), 2);
+  CHECK(server.accepted == 2);
+  CallWithKey(loop, client, server.address(), 1);
+  CHECK(server.accepted == 3);
+  CHECK(client.OpenConnections(server.address()) == 3);
+}
+
+// Guards against repeats that open a connection while a usable one is idle.
+TEST_CASE("a repeat takes an idle connection that didn't carry its request") {
+  EventLoop loop;
+  std::vector<HttpServerConnection*> waiting;
+  LoopbackServer server(loop, [&](HttpServerConnection& connection,
+                                  const HttpServerRequest& request) {
+    if (request.head.target == "/wait")
+      waiting.push_back(&connection);
+    else
+      AnswerOk(connection, request);
+  });
+  HttpClient client(loop, {});
+  TestListener other;
+  const auto call = client.Start(server.address(), Get("/wait"),
+                                 {.reply_key = ReplyKey(2)}, &other);
+  CallWithKey(loop, client, server.address(), 1);
+  RunUntil(loop, [&] { return !waiting.empty(); });
+  waiting.front()->SendCompleteReply(ReplyHead(200), "hello");
+  RunUntil(loop, [&] { return other.over(); });
+  CHECK(server.accepted == 2);
+  CallWithKey(loop, client, server.address(), 1);
+  CHECK(server.accepted == 2);
+}
+
+// Guards against a repeat that fails as one too many at an address whose
+// connections are idle.
+TEST_CASE("a repeat at the connection limit replaces an idle connection") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk);
+  HttpClient client(loop, {});
+  client.SetConnectionLimit(server.address(), 1);
+  CallWithKey(loop, client, server.address(), 1);
+  CHECK(client.HasFreeConnection(server.address()));
+  CallWithKey(loop, client, server.address(), 1);
+  CHECK(server.accepted == 2);
+  CHECK(client.OpenConnections(server.address()) == 1);
+}
+
+// Guards against connections that remember all requests of their lives.
+TEST_CASE("a connection forgets a request after many others") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk);
+  HttpClient client(loop, {});
+  constexpr std::uint64_t kMany = 40;
+  for (std::uint64_t key = 1; key <= kMany; ++key)
+    CallWithKey(loop, client, server.address(), key);
+  CallWithKey(loop, client, server.address(), 1);
+  CHECK(server.accepted == 1);
+}
+
 TEST_CASE("a connection with bytes after its answer is not used again") {
   EventLoop loop;
   RawServer server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokSTRAY",
--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -20,13 +20,16 @@
 // (answers have neither a length nor chunks and end with their connection),
 // `endless` (a stream is one event, which lasts until its
 // reader closes the connection), `slots` (a request beyond this many is
-// rejected; 0: none is) and `work_ms` (the time that a request holds its slot).
+// rejected; 0: none is), `work_ms` (the time that a request holds its slot) and
+// `late_copies` (each rejection comes a second time, when the next response is
+// due on its connection).
 // A replica that states `brittle` and rejects more requests in a second than
 // that falls over: it closes all connections for two seconds.
 
 #include <atomic>
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -119,6 +122,7 @@
   void Run(StandinExchange& exchange) {
     const std::string request = exchange.Header("Request-Id");
     RecordArrival(exchange);
+    SendLateCopy(exchange);
     exchange.SetHeader("Instance-Id", options_.id);
     const std::string limit = faults_.Text("limit");
     if (!limit.empty())
@@ -198,7 +202,8 @@
                     {"arrivals", arrivals_},
                     {"weights", weights_.load()},
                     {"rejections", room_.rejections()},
-                    {"falls", room_.falls()}});
+                    {"falls", room_.falls()},
+                    {"late_copies", copies_sent_}});
   }
 
  private:
@@ -206,10 +211,33 @@
     const std::string pause = faults_.Text("retry_after");
     if (!pause.empty())
       exchange.SetHeader("Retry-After", pause);
+    const std::string request = exchange.Header("Request-Id");
+    exchange.SetHeader("Request-Id", request);
     exchange.SetHeader("Not-Executed", "1");
+    if (faults_.Number("late_copies") > 0) {
+      const std::lock_guard lock(mutex_);
+      late_copies_[exchange.PeerAddress()] =
+          "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+          "Not-Executed: 1\r\nRequest-Id: " +
+          request + "\r\n\r\n";
+    }
     exchange.ReplyRaw(503, "text/plain", "");
   }
 
+  void SendLateCopy(StandinExchange& exchange) {
+    std::string copy;
+    {
+      const std::lock_guard lock(mutex_);
+      const auto found = late_copies_.find(exchange.PeerAddress());
+      if (found == late_copies_.end())
+        return;
+      copy = std::move(found->second);
+      late_copies_.erase(found);
+      ++copies_sent_;
+    }
+    exchange.SendRaw(copy);
+  }
+
   void Work(StandinExchange& exchange, const std::string& request) {
     RecordRun(exchange);
     std::this_thread::sleep_for(Milliseconds(faults_.Number("work_ms")));
@@ -345,6 +373,10 @@
   json runs_ = json::array();
   json arrivals_ = json::array();
   json crashes_ = json::array();
+  // Copies of rejections that are still to be sent, by the connection's other
+  // end.
+  std::map<std::string, std::string> late_copies_;
+  int copies_sent_ = 0;
 };
 
 }  // namespace
--- a/testing/standin_server.cc
+++ b/testing/standin_server.cc
@@ -158,6 +158,14 @@
   response_.set(name, value);
 }
 
+void StandinExchange::SendRaw(std::string_view bytes) {
+  SocketOf(request_).sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+std::string StandinExchange::PeerAddress() const {
+  return request_.clientAddress().toString();
+}
+
 void StandinExchange::EndWithConnection() {
   ends_with_connection_ = true;
   response_.setKeepAlive(false);
--- a/testing/standin_server.h
+++ b/testing/standin_server.h
@@ -78,6 +78,10 @@
   // Replies with the status and the typed error body of `code`.
   void ReplyError(ResultCode code, std::string_view message);
   void SetHeader(const std::string& name, const std::string& value);
+  // Sends bytes ahead of the response.
+  void SendRaw(std::string_view bytes);
+  // Returns the address of the connection's other end.
+  [[nodiscard]] std::string PeerAddress() const;
   // The response gets neither a length nor chunks, and ends with its
   // connection.
   void EndWithConnection();
