Streams: a shorter timeout doesn't shorten the streams that are under way

What callers could see: a stream that nobody knows any more goes on at a version that didn't begin it, and its text is joined from two versions. Cause: a service's only version of the last "longest stream" is taken for the one that began an unknown stream, and that span followed from the newest configuration alone. A version whose endpoints had left a little longer ago than the new, shorter timeouts was forgotten while its streams still ran. Evidence: with real processes, v1 unlisted but serving, timeouts cut from 2000 to 200 ms: a take-up of an unknown stream wasn't refused 1.5 s later (gateway_take_up_process_test.cc, fails before). Change: StreamRouteHistory keeps the longest stream of the configurations before for as long as their streams may last, 5 s more for instances that learn of a change later. An instance that starts again, whose earlier configurations are unknown, assumes 120 s, the longest life of a record; the first start of all assumes nothing. An instance that is asked uses the longer of both spans.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -395,7 +395,8 @@
   load_query_service.OnTick();
   stream_directory.OnTick();
   if (requests.has_config() && EndpointRecordsAreCurrent())
-    sole_versions.OnTick(operator_records.config()->config(), loop.now());
+    sole_versions.OnTick(operator_records.config()->config(),
+                         requests.LongestStream(loop.now()), loop.now());
   load_sharing.OnTick();
   account_usage_sharing.OnTick();
   limit_sharing.OnTick();
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -60,7 +60,8 @@
                sizes_,
                contents,
                deadlines),
-      allowance_(options.retries) {
+      allowance_(options.retries),
+      stream_routes_(options.retries.first_start) {
   planner_.SetConnectionCheck([this](const NetAddress& address) {
     return client_.HasFreeConnection(address);
   });
@@ -106,6 +107,7 @@
   ApplyCallerLimits();
   planner_.SetConfig(config_->config());
   cold_starts_.SetConfig(config_->config());
+  stream_routes_.OnConfig(config_->config(), loop_.now());
   std::unordered_set<std::string> routes;
   for (const Route& route : config_->config().routes)
     routes.insert(route.name);
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -47,6 +47,7 @@
 #include "carobshift/gateway/request/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/gateway/streams/stream_directory.h"
+#include "carobshift/gateway/streams/stream_route_history.h"
 #include "carobshift/net/http_server_connection.h"
 #include "carobshift/telemetry/metrics.h"
 
@@ -162,6 +163,10 @@
     stream_directory_ = directory;
     records_are_current_ = std::move(records_are_current);
   }
+  // See StreamRouteHistory.
+  [[nodiscard]] Milliseconds LongestStream(MonotonicTime now) const {
+    return stream_routes_.LongestStream(now);
+  }
   // Returns the only version that the service has had, if that is certain.
   [[nodiscard]] std::optional<SoftwareVersion> SoleVersion(
       const SoleVersionQuestion& question) const;
@@ -451,6 +456,7 @@
   std::function<bool()> records_are_current_;
   HandoffRunner* handoff_runner_ = nullptr;
   std::shared_ptr<const ServingConfigSnapshot> config_;
+  StreamRouteHistory stream_routes_;
   CallerLimitsInForce caller_limits_;
   // As last applied to open connections.
   CallerLimits applied_caller_limits_;
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -91,15 +91,17 @@
 
 SoleVersionQuestion RequestService::SoleVersionQuestionOf(
     const ExchangeSetup& setup) const {
-  return {setup.service, LongestStream(config_->config())};
+  return {setup.service, LongestStream(loop_.now())};
 }
 
 std::optional<SoftwareVersion> RequestService::SoleVersion(
     const SoleVersionQuestion& question) const {
   if (!records_are_current_ || !records_are_current_())
     return std::nullopt;
-  return registry_.software_history().SoleVersion(question.service,
-                                                  question.span, loop_.now());
+  // The instance that asks may not have seen longer timeouts.
+  const Milliseconds span = std::max(question.span, LongestStream(loop_.now()));
+  return registry_.software_history().SoleVersion(question.service, span,
+                                                  loop_.now());
 }
 
 void RequestService::OnStreamBegins(Exchange& exchange) {
--- a/carobshift/gateway/streams/sole_version_learner.cc
+++ b/carobshift/gateway/streams/sole_version_learner.cc
@@ -2,7 +2,6 @@
 
 #include <set>
 
-#include "carobshift/gateway/streams/stream_continuation.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -22,11 +21,11 @@
 }  // namespace
 
 void SoleVersionLearner::OnTick(const ServingConfig& config,
+                                Milliseconds span,
                                 MonotonicTime now) {
   if (now < next_)
     return;
   next_ = now + kInterval;
-  const Milliseconds span = LongestStream(config);
   for (const ServiceName& service : ResumableServices(config)) {
     if (registry_.software_history().MayLearn(service, span, now))
       Ask({service, span}, now);
--- a/carobshift/gateway/streams/sole_version_learner.h
+++ b/carobshift/gateway/streams/sole_version_learner.h
@@ -32,8 +32,11 @@
   SoleVersionLearner(EndpointRegistry& registry, StreamDirectory& directory)
       : registry_(registry), directory_(directory) {}
 
-  // Call at short intervals while the records of endpoints are current.
-  void OnTick(const ServingConfig& config, MonotonicTime now);
+  // Call at short intervals while the records of endpoints are current. `span`
+  // is the longest that a stream may have been under way.
+  void OnTick(const ServingConfig& config,
+              Milliseconds span,
+              MonotonicTime now);
 
  private:
   void Ask(const SoleVersionQuestion& question, MonotonicTime now);
--- a/carobshift/gateway/streams/sole_version_learner_test.cc
+++ b/carobshift/gateway/streams/sole_version_learner_test.cc
@@ -64,7 +64,7 @@
     while (now_ < end) {
       now_ += Milliseconds(100);
       for (const auto& instance : instances_)
-        instance->learner.OnTick(config, now_);
+        instance->learner.OnTick(config, LongestStream(config), now_);
     }
   }
   [[nodiscard]] std::optional<SoftwareVersion> SoleVersionAt(
--- /dev/null
+++ b/carobshift/gateway/streams/stream_route_history.h
@@ -0,0 +1,57 @@
+// What the configurations of the last time tell of streams that are under way,
+// as far back as this instance has known one.
+//
+//   StreamRouteHistory history(first_start);
+//   history.OnConfig(config, now);
+//   const Milliseconds span = history.LongestStream(now);
+//
+// A stream lives by the configuration under which it began. One that shortens a
+// timeout doesn't shorten the streams that are under way.
+//
+// Thread-compatible.
+
+#ifndef CAROBSHIFT_GATEWAY_STREAMS_STREAM_ROUTE_HISTORY_H_
+#define CAROBSHIFT_GATEWAY_STREAMS_STREAM_ROUTE_HISTORY_H_
+
+#include <vector>
+
+#include "carobshift/gateway/serving_config.h"
+
+namespace carobshift {
+
+class StreamRouteHistory {
+ public:
+  // For this long after this instance has a configuration, others may begin
+  // streams under the one before.
+  static constexpr Milliseconds kMaxConfigLag{5000};
+  // The longest stream under configurations that this instance never saw. As
+  // long as the record of a stream is kept (StreamTable::kMaxLife).
+  static constexpr Milliseconds kLongestUnknown{120'000};
+
+  // `first_start`: no stream began before this instance started, as the whole
+  // deployment starts for the first time.
+  explicit StreamRouteHistory(bool first_start) : first_start_(first_start) {}
+
+  // The configuration is in force from `now` on.
+  void OnConfig(const ServingConfig& config, MonotonicTime now);
+  // Returns for how long a stream may have been under way at most that its
+  // caller takes up at `now`.
+  [[nodiscard]] Milliseconds LongestStream(MonotonicTime now) const;
+
+ private:
+  // The longest stream of a configuration that has been replaced.
+  struct PastLimit {
+    Milliseconds longest{0};
+    // Streams may have begun under it until then.
+    MonotonicTime ends{};
+  };
+
+  const bool first_start_;
+  bool has_config_ = false;
+  Milliseconds longest_{0};
+  std::vector<PastLimit> past_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_STREAMS_STREAM_ROUTE_HISTORY_H_
--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -136,36 +136,38 @@
         std::to_string(answer.status));
 }
 
-void GatewayCluster::PutConfig(int number, bool with_key) {
+void GatewayCluster::PutConfig(int number, const ConfigChange& change) {
   json accounts = json::array(
       {{{"name", "north"},
-        {"api_keys", with_key ? json::array({kKey}) : json::array()}},
+        {"api_keys", change.with_key ? json::array({kKey}) : json::array()}},
        {{"name", "south"}, {"api_keys", {"key-of-south"}}}});
-  const auto route = [this](const char* name, const char* kind,
-                            const char* service, bool resumable) {
-    return RouteOf(name, kind, service, resumable, options_.timeout);
+  const auto route = [timeout = change.timeout.value_or(options_.timeout)](
+                         const char* name, const char* kind,
+                         const std::string& service, bool resumable) {
+    return RouteOf(name, kind, service, resumable, timeout);
   };
-  const json config = {{"version", number},
-                       {"routes",
-                        {route("review", "streaming", "engines", true),
-                         route("ask", "streaming", "engines", false),
-                         route("book", "unsafe", "desks", false),
-                         route("find", "safe", "desks", false)}},
-                       {"services",
-                        {{{"name", "engines"},
-                          {"connection_limit", 100},
-                          {"engine",
-                           {{"slots", 16},
-                            {"kv_cache_tokens", 100000},
-                            {"max_concurrent", 8},
-                            {"models", {{{"name", "m1"}}}}}}},
-                         {{"name", "desks"}, {"connection_limit", 100}}}},
-                       {"limits",
-                        {{"max_header_bytes", 16384},
-                         {"max_body_bytes", 65536},
-                         {"header_timeout_ms", 1000},
-                         {"idle_timeout_ms", 5000}}},
-                       {"tenants", accounts}};
+  const json config = {
+      {"version", number},
+      {"routes",
+       {route("review", "streaming", change.review_service, true),
+        route("ask", "streaming", "engines", false),
+        route("book", "unsafe", "desks", false),
+        route("find", "safe", "desks", false)}},
+      {"services",
+       {{{"name", "engines"},
+         {"connection_limit", 100},
+         {"engine",
+          {{"slots", 16},
+           {"kv_cache_tokens", 100000},
+           {"max_concurrent", 8},
+           {"models", {{{"name", "m1"}}}}}}},
+        {{"name", "desks"}, {"connection_limit", 100}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 65536},
+        {"header_timeout_ms", 1000},
+        {"idle_timeout_ms", 5000}}},
+      {"tenants", accounts}};
   PutKeyed("keyed.op", "config", config.dump());
 }
 
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,9 +82,20 @@
   [[nodiscard]] bool Ready(std::size_t index) const;
   [[nodiscard]] nlohmann::json State(std::size_t index) const;
 
+  // What a configuration may change.
+  struct ConfigChange {
+    bool with_key = true;
+    // Timeout of every route; that of the options if it isn't set.
+    std::optional<Milliseconds> timeout{};
+    // The service to which /review/ leads.
+    std::string review_service = "engines";
+  };
   // Writes records of the operator: a configuration with this version, or a new
   // weight version of the model.
-  void PutConfig(int number, bool with_key);
+  void PutConfig(int number, const ConfigChange& change);
+  void PutConfig(int number, bool with_key) {
+    PutConfig(number, ConfigChange{.with_key = with_key});
+  }
   void PublishWeightVersion(int number);
   // Writes the record that an endpoint publishes about itself. An empty `state`
   // removes it. `start_time` tells its incarnations apart.
--- /dev/null
+++ b/testing/gateway_take_up_process_test.cc
@@ -0,0 +1,71 @@
+// Gateway processes whose callers take streams up again that no gateway knows,
+// as their record is lost. Such a stream may go on only if the version that
+// began it is certain.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+
+#include "testing/gateway_cluster.h"
+
+namespace carobshift {
+namespace {
+
+constexpr Milliseconds kTimeout{2000};
+// By then a gateway has read a record that was written.
+constexpr Milliseconds kReadTime{1500};
+
+// Engines 0 and 2 are of v1, 1 and 3 of v2.
+GatewayClusterOptions TwoVersions() {
+  return {.gateways = 1,
+          .engines = 4,
+          .plain_services = 1,
+          .software = {"v1", "v2"},
+          .timeout = kTimeout};
+}
+
+// Takes up a stream of which the caller has three events.
+HttpAnswer TakeUp(const GatewayCluster& cluster, const std::string& request) {
+  HttpSendOptions options = GatewayCluster::StreamRequestOptions(request);
+  options.headers.emplace_back("Last-Event-Id", "3");
+  options.headers.emplace_back("Resumes", "a-lost-" + request);
+  return HttpSend(cluster.FrontAddress(0), "POST", "/review/1", options);
+}
+
+// Removes the records of v1. Its engines serve on, as some do that leave
+// without a word.
+void EndRollout(GatewayCluster& cluster) {
+  cluster.PutReplica(0, "");
+  cluster.PutReplica(2, "");
+  std::this_thread::sleep_for(kReadTime);
+}
+
+bool IsRefused(const HttpAnswer& answer) {
+  return answer.status == 503 &&
+         answer.body.find("software_unknown") != std::string::npos;
+}
+
+// Guards against refusals though there is no choice of versions.
+TEST_CASE("a lost stream goes on at the only version of its service") {
+  GatewayCluster cluster(TwoVersions());
+  EndRollout(cluster);
+  CHECK(IsRefused(TakeUp(cluster, "early")));
+  // Twice the timeout, the longest that a stream may have been under way.
+  std::this_thread::sleep_for(2 * kTimeout);
+  const HttpAnswer answer = TakeUp(cluster, "late");
+  CHECK(answer.status == 200);
+  CHECK(answer.body.find("of v2") != std::string::npos);
+}
+
+// Guards against a stream that is taken up at another version, since a new
+// configuration has a shorter timeout than the one under which it began.
+TEST_CASE("a shorter timeout doesn't make an old version's streams forgotten") {
+  GatewayCluster cluster(TwoVersions());
+  EndRollout(cluster);
+  cluster.PutConfig(2, {.timeout = Milliseconds(200)});
+  std::this_thread::sleep_for(kReadTime);
+  CHECK(IsRefused(TakeUp(cluster, "shortened")));
+}
+
+}  // namespace
+}  // namespace carobshift
