Streams: a lost stream doesn't go on at the service its route moved to

What callers could see: a stream that nobody knows any more is taken up at another service than the one that began it, after a configuration has moved or split its route. Cause: an unknown stream goes on if the service of its route has had one version only. That looks at the services that the route has now, and not at those that it had when the stream began. Evidence: with real processes, /review/ moved from the engines to the plain service: the take-up of an unknown stream ran there, twice with its repeat (gateway_take_up_process_test.cc, fails before). Change: StreamRouteHistory notes to which services paths of streams have moved, by the longest prefixes of the configurations before and after. For as long as streams of before may last, the version of such a service isn't taken for certain, nor told to others.

--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -98,6 +98,8 @@
     const SoleVersionQuestion& question) const {
   if (!records_are_current_ || !records_are_current_())
     return std::nullopt;
+  if (stream_routes_.HasMoved(question.service, loop_.now()))
+    return std::nullopt;
   // The instance that asks may not have seen longer timeouts.
   const Milliseconds span = std::max(question.span, LongestStream(loop_.now()));
   return registry_.software_history().SoleVersion(question.service, span,
--- a/carobshift/gateway/streams/stream_route_history.h
+++ b/carobshift/gateway/streams/stream_route_history.h
@@ -4,15 +4,18 @@
 //   StreamRouteHistory history(first_start);
 //   history.OnConfig(config, now);
 //   const Milliseconds span = history.LongestStream(now);
+//   if (history.HasMoved(service, now)) ...
 //
 // A stream lives by the configuration under which it began. One that shortens a
-// timeout doesn't shorten the streams that are under way.
+// timeout doesn't shorten the streams that are under way, and one that moves a
+// route to another service leaves them at theirs.
 //
 // Thread-compatible.
 
 #ifndef CAROBSHIFT_GATEWAY_STREAMS_STREAM_ROUTE_HISTORY_H_
 #define CAROBSHIFT_GATEWAY_STREAMS_STREAM_ROUTE_HISTORY_H_
 
+#include <map>
 #include <vector>
 
 #include "carobshift/gateway/serving_config.h"
@@ -37,6 +40,10 @@
   // Returns for how long a stream may have been under way at most that its
   // caller takes up at `now`.
   [[nodiscard]] Milliseconds LongestStream(MonotonicTime now) const;
+  // Returns whether a stream that its caller takes up at `now`, on a route that
+  // leads to `service`, may have begun at another service.
+  [[nodiscard]] bool HasMoved(const ServiceName& service,
+                              MonotonicTime now) const;
 
  private:
   // The longest stream of a configuration that has been replaced.
@@ -46,10 +53,17 @@
     MonotonicTime ends{};
   };
 
+  // Paths of the route `before` belong to `route` now. Null if there is none.
+  void NoteMove(const Route* route, const Route* before, MonotonicTime until);
+
   const bool first_start_;
   bool has_config_ = false;
   Milliseconds longest_{0};
   std::vector<PastLimit> past_;
+  // Of the configuration in force.
+  std::vector<Route> routes_;
+  // Until when streams of other services may be taken up on routes to each.
+  std::map<ServiceName, MonotonicTime> moved_until_;
 };
 
 }  // namespace carobshift
--- a/testing/gateway_take_up_process_test.cc
+++ b/testing/gateway_take_up_process_test.cc
@@ -67,5 +67,15 @@
   CHECK(IsRefused(TakeUp(cluster, "shortened")));
 }
 
+// Guards against a stream that is taken up at another service, since its route
+// has moved there.
+TEST_CASE("a lost stream doesn't go on at the service its route moved to") {
+  GatewayCluster cluster(TwoVersions());
+  cluster.PutConfig(2, {.review_service = "desks"});
+  std::this_thread::sleep_for(kReadTime);
+  CHECK(IsRefused(TakeUp(cluster, "moved")));
+  CHECK(cluster.TotalRuns() == 0);
+}
+
 }  // namespace
 }  // namespace carobshift
