Streams: judge the only version by records of the time of the take-up

What callers could see: while a rollout begins, a stream that nobody knows any more goes on at the old version, though another instance, which knew of the new one sooner, began it there. Cause: records counted as current for 1.5 s after the log's last answer was read. A process that was frozen reads an answer of before the freeze and takes it for new; a read that doesn't reach the log's end counted too; and what another instance said of the only version was taken even if the own records showed two. Evidence: with real processes, a gateway frozen over a rollout's begin went on with the stream (gateway_take_up_process_test.cc, fails before). Change: records are as of the sending of the read that brought them, if it reached the end. A lost stream waits, two seconds at most, until they are as of its arrival, and is refused otherwise. What another instance says is added to the own history, which overlaps with it by 2 s, and doesn't replace it.

--- a/carobshift/external/log_service.h
+++ b/carobshift/external/log_service.h
@@ -33,6 +33,8 @@
   LogOffset next;
   // In offset order, all at or above the requested offset.
   std::vector<LogRecord> records;
+  // Where the stream ended when it was read; 0 if that isn't known.
+  LogOffset end{};
 };
 
 class LogService {
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -63,9 +63,6 @@
 // Endpoint records are read in batches at this interval. Each read has a cost,
 // and a change may take up to two seconds to take effect.
 constexpr Milliseconds kEndpointReadInterval{500};
-// Records that were read this long ago may lack an endpoint that has started
-// since. Two reads that are delayed a little.
-constexpr Milliseconds kMaxRecordAge{1500};
 // In this time after a deployment's first start no endpoint has come and gone.
 constexpr Milliseconds kFirstStartTime{3000};
 
@@ -351,8 +348,8 @@
       [this](const SoleVersionQuestion& question) {
         return requests.SoleVersion(question);
       });
-  requests.SetStreamDirectory(&stream_directory,
-                              [this] { return EndpointRecordsAreCurrent(); });
+  requests.SetStreamDirectory(
+      &stream_directory, [this] { return endpoint_follower.records_as_of(); });
   operator_follower.Start();
   endpoint_follower.Start();
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
@@ -469,8 +466,8 @@
 }
 
 bool Gateway::Impl::EndpointRecordsAreCurrent() const {
-  const auto answered = endpoint_follower.last_answer();
-  return answered && loop.now() - *answered <= kMaxRecordAge;
+  const auto as_of = endpoint_follower.records_as_of();
+  return as_of && loop.now() - *as_of <= SoftwareHistory::kMaxRecordAge;
 }
 
 void Gateway::Impl::OnMembers() {
--- a/carobshift/gateway/records/fake_log.h
+++ b/carobshift/gateway/records/fake_log.h
@@ -10,6 +10,7 @@
 #ifndef CAROBSHIFT_GATEWAY_RECORDS_FAKE_LOG_H_
 #define CAROBSHIFT_GATEWAY_RECORDS_FAKE_LOG_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -104,6 +105,8 @@
   [[nodiscard]] int calls() const { return calls_; }
   // Delays the handling of each call.
   void SetDelay(Milliseconds delay) { delay_ = delay; }
+  // Limits the records of one read.
+  void SetMaxRecords(std::uint64_t max_records) { max_records_ = max_records; }
   // Sends answers that contain records in pieces, as over a slow link.
   void SetPace(const ReplyPace& pace) { pace_ = pace; }
   // Called after each page of newest records has been sent.
@@ -153,7 +156,9 @@
   void AnswerRead(HttpServerConnection& connection,
                   const std::string& name,
                   std::uint64_t from);
-  static nlohmann::json Read(const Stream& stream, std::uint64_t from);
+  static nlohmann::json Read(const Stream& stream,
+                             std::uint64_t from,
+                             std::uint64_t max_records);
   static nlohmann::json Newest(const Stream& stream, const std::string& after);
   void Send(HttpServerConnection& connection, const nlohmann::json& answer);
 
@@ -167,6 +172,7 @@
   FakeLogMode mode_ = FakeLogMode::kServes;
   std::optional<ReplyPace> pace_;
   Milliseconds delay_{0};
+  std::uint64_t max_records_ = 1'000'000;
   std::function<void()> on_page_;
   std::function<void()> on_call_;
   LoopbackServer server_;
@@ -186,6 +192,7 @@
   for (const auto& payload : json.at("records"))
     batch.records.push_back({LogOffset(offset++), payload.get<std::string>()});
   batch.next = LogOffset(offset);
+  batch.end = LogOffset(json.at("end").get<std::uint64_t>());
   return batch;
 }
 
@@ -320,7 +327,7 @@
   else if (from < stream.first)
     connection.SendCompleteReply(ReplyHead(410), gone.dump());
   else
-    Send(connection, Read(stream, from));
+    Send(connection, Read(stream, from, max_records_));
 }
 
 inline void FakeLog::Send(HttpServerConnection& connection,
@@ -334,11 +341,17 @@
     connection.SendCompleteReply(ReplyHead(200), answer.dump());
 }
 
-inline nlohmann::json FakeLog::Read(const Stream& stream, std::uint64_t from) {
+inline nlohmann::json FakeLog::Read(const Stream& stream,
+                                    std::uint64_t from,
+                                    std::uint64_t max_records) {
   nlohmann::json records = nlohmann::json::array();
-  for (std::uint64_t i = from; i < stream.records.size(); ++i)
+  const std::uint64_t end = std::min(
+      from + max_records, static_cast<std::uint64_t>(stream.records.size()));
+  for (std::uint64_t i = from; i < end; ++i)
     records.push_back(stream.records[i]);
-  return {{"first", stream.first}, {"records", records}};
+  return {{"first", stream.first},
+          {"records", records},
+          {"end", stream.records.size()}};
 }
 
 inline nlohmann::json FakeLog::Newest(const Stream& stream,
--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -19,6 +19,9 @@
 // Gap between two answers of the log beyond which entries may have expired
 // unobserved.
 constexpr Milliseconds kNoticeableGap{1500};
+// A peer sent the read that the log has answered at most this long before the
+// answer (half of RecordListener::kMaxAnswerAge).
+constexpr Milliseconds kMaxPeerReadTime{600};
 
 }  // namespace
 
@@ -60,6 +63,8 @@
   if (stopped_)
     return;
   request_sent_at_ = loop_.now();
+  if (!page_token_)
+    snapshot_sent_at_ = request_sent_at_;
   long_poll_in_flight_ = false;
   fetch_.Start(
       client_, loop_, log_,
@@ -98,6 +103,7 @@
   caught_up_ = true;
   MarkMissingRemoved();
   snapshot_keys_.clear();
+  NoteRecordsAsOf(snapshot_sent_at_);
   sink_.OnSnapshot(PresentKeys(), loop_.now());
   ReadNext();
 }
@@ -145,6 +151,8 @@
     }
   }
   next_ = std::max(next_, batch.value().next);
+  if (next_ >= batch.value().end)
+    NoteRecordsAsOf(request_sent_at_);
   const auto elapsed =
       std::chrono::duration_cast<Milliseconds>(loop_.now() - request_sent_at_);
   ScheduleRead(std::max(Milliseconds(0), options_.min_read_interval - elapsed),
@@ -219,6 +227,7 @@
   if (answered <= previous_answer)
     return;
   last_answer_ = answered;
+  NoteRecordsAsOf(answered - kMaxPeerReadTime);
   const auto outage =
       std::chrono::duration_cast<Milliseconds>(answered - previous_answer);
   if (!log_lost_ && outage < kNoticeableGap)
@@ -251,6 +260,10 @@
   return merged;
 }
 
+void KeyedFollower::NoteRecordsAsOf(MonotonicTime time) {
+  records_as_of_ = std::max(records_as_of_.value_or(time), time);
+}
+
 void KeyedFollower::OnAnswer() {
   const MonotonicTime previous_answer = last_answer_.value_or(started_);
   last_answer_ = loop_.now();
--- a/carobshift/gateway/records/keyed_follower.h
+++ b/carobshift/gateway/records/keyed_follower.h
@@ -104,6 +104,12 @@
   [[nodiscard]] std::optional<MonotonicTime> last_answer() const {
     return last_answer_;
   }
+  // All records that the log held at this time are known; nullopt before the
+  // first snapshot. An answer that was on its way while this process stood
+  // still tells nothing of that time.
+  [[nodiscard]] std::optional<MonotonicTime> records_as_of() const {
+    return records_as_of_;
+  }
   [[nodiscard]] LogOffset next() const { return next_; }
   // Bytes received from the log so far, including failed reads.
   [[nodiscard]] std::uint64_t bytes_read() const { return bytes_read_; }
@@ -127,6 +133,7 @@
   // advanced next_ meanwhile, and the records are numbered from `from`.
   void OnBatch(const FetchOutcome& outcome, LogOffset from);
   void OnAnswer();
+  void NoteRecordsAsOf(MonotonicTime time);
   void OnFailure(const FetchOutcome& outcome, std::string_view reason);
   // Extends the timeout after a call that received no byte of an answer.
   void ExtendTimeout();
@@ -165,6 +172,9 @@
   LogOffset next_;
   std::map<std::string, Known> newest_;
   std::optional<MonotonicTime> last_answer_;
+  // When the first page of the snapshot in progress was asked for.
+  MonotonicTime snapshot_sent_at_{};
+  std::optional<MonotonicTime> records_as_of_;
   MonotonicTime started_{};
   // State of the read in flight.
   MonotonicTime request_sent_at_{};
--- a/carobshift/gateway/records/keyed_follower_test.cc
+++ b/carobshift/gateway/records/keyed_follower_test.cc
@@ -69,6 +69,42 @@
   CHECK(fixture.sink.back == 1);
 }
 
+// Guards against records that are taken for new because the answer that brought
+// them was read late, as by a process that was frozen meanwhile.
+TEST_CASE("records are as old as the read that brought them") {
+  Fixture fixture;
+  fixture.log.Append(fixture.stream, "a=1");
+  CHECK_FALSE(fixture.follower.records_as_of().has_value());
+  constexpr Milliseconds kDelay{100};
+  fixture.log.SetDelay(kDelay);
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.follower.caught_up(); });
+  REQUIRE(fixture.follower.records_as_of().has_value());
+  CHECK(*fixture.follower.last_answer() - *fixture.follower.records_as_of() >=
+        kDelay);
+}
+
+// Guards against an instance that has read only a part of what it missed, and
+// takes the rest for not written.
+TEST_CASE("records are as of a read that reaches the end of the log") {
+  Fixture fixture;
+  fixture.log.Append(fixture.stream, "a=1");
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.sink.snapshots.size() == 1; });
+  fixture.log.SetMode(FakeLogMode::kRefuses);
+  RunUntil(fixture.loop, [&] { return fixture.sink.lost == 1; });
+  const MonotonicTime before = *fixture.follower.records_as_of();
+  for (const char* record : {"b=1", "c=1", "d=1"})
+    fixture.log.Append(fixture.stream, record);
+  fixture.log.SetMaxRecords(1);
+  fixture.log.SetMode(FakeLogMode::kServes);
+  RunUntil(fixture.loop, [&] { return fixture.sink.records.size() >= 2; });
+  CHECK(fixture.sink.records.size() == 2);
+  CHECK(*fixture.follower.records_as_of() == before);
+  RunUntil(fixture.loop, [&] { return fixture.sink.records.size() == 4; });
+  CHECK(*fixture.follower.records_as_of() > before);
+}
+
 TEST_CASE("a log that falls silent is noticed and followed again") {
   // A connection stops delivering data without being closed. Without a timeout
   // of its own the read would hang until the instance is restarted, and callers
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -421,6 +421,10 @@
   WithdrawLateAttempts(now);
   WithdrawRefusedParts(now);
   ResumeSuspendedStreams(now);
+  for (const auto& run : std::exchange(take_ups_, {})) {
+    if (!run->exchange().over())
+      ContinueAtSoleVersion(run);
+  }
 }
 
 void RequestService::WithdrawRefusedParts(MonotonicTime now) {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -155,19 +155,23 @@
   void SetReachability(const ServiceReachability* reachability) {
     reachability_ = reachability;
   }
-  // Sets where streams' beginnings are recorded and looked up, and whether the
-  // records of endpoints are up to date. Without them, a stream that a caller
-  // takes up again is refused.
+  // Returns a time up to which all records of endpoints have been read; nullopt
+  // before the first.
+  using RecordsAsOf = std::function<std::optional<MonotonicTime>()>;
+  // Sets where streams' beginnings are recorded and looked up, and how old the
+  // records of endpoints are. Without them, a stream that a caller takes up
+  // again is refused.
   void SetStreamDirectory(StreamDirectory* directory,
-                          std::function<bool()> records_are_current) {
+                          RecordsAsOf records_as_of) {
     stream_directory_ = directory;
-    records_are_current_ = std::move(records_are_current);
+    records_as_of_ = std::move(records_as_of);
   }
   // See StreamRouteHistory.
   [[nodiscard]] Milliseconds LongestStream(MonotonicTime now) const {
     return stream_routes_.LongestStream(now);
   }
-  // Returns the only version that the service has had, if that is certain.
+  // Returns the only version that the service has had, if that is certain for
+  // the time up to SoftwareHistory::kMaxRecordAge ago.
   [[nodiscard]] std::optional<SoftwareVersion> SoleVersion(
       const SoleVersionQuestion& question) const;
   // The paths of this instance to the service, which were lost since then, have
@@ -308,6 +312,15 @@
   // Binds a stream that the caller takes up again, or refuses it, and starts
   // the exchange.
   void Begin(const std::shared_ptr<ExchangeRun>& run);
+  // What other instances say, asked at `asked`, of a stream that is taken up.
+  void OnStreamLookup(const std::shared_ptr<ExchangeRun>& run,
+                      const StreamLookup& lookup,
+                      const SoleVersionQuestion& question,
+                      MonotonicTime asked);
+  // Continues a stream that nobody knows if its service has had one version
+  // only. Waits until the records tell that of the time at which the caller
+  // took it up.
+  void ContinueAtSoleVersion(const std::shared_ptr<ExchangeRun>& run);
   void ContinueStream(const std::shared_ptr<ExchangeRun>& run,
                       const StreamLookup& lookup);
   [[nodiscard]] SoleVersionQuestion SoleVersionQuestionOf(
@@ -453,7 +466,9 @@
   RetryAllowance allowance_;
   LoadQueryService* load_query_service_ = nullptr;
   StreamDirectory* stream_directory_ = nullptr;
-  std::function<bool()> records_are_current_;
+  RecordsAsOf records_as_of_;
+  // Streams that are taken up and wait in ContinueAtSoleVersion().
+  std::vector<std::shared_ptr<ExchangeRun>> take_ups_;
   HandoffRunner* handoff_runner_ = nullptr;
   std::shared_ptr<const ServingConfigSnapshot> config_;
   StreamRouteHistory stream_routes_;
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -42,36 +42,72 @@
     ContinueStream(run, {handed, StreamSource::kHandoff});
     return;
   }
-  // A record goes before what the service's versions show: another instance may
-  // have read the record of an endpoint with a new version already.
-  const bool sole_version_suffices = !setup.request.stream_beginning &&
-                                     SoleVersion(SoleVersionQuestionOf(setup));
-  if (sole_version_suffices || stream_directory_ == nullptr) {
+  if (stream_directory_ == nullptr) {
     ContinueStream(run, {});
     return;
   }
+  const SoleVersionQuestion question = SoleVersionQuestionOf(setup);
+  // A record goes before what the service's versions show.
+  if (!setup.request.stream_beginning && SoleVersion(question)) {
+    ContinueAtSoleVersion(run);
+    return;
+  }
   // A request that names no beginning has an id that no stream has yet, and
   // learns only what can be said of the service.
   const RequestId& beginning =
       setup.request.stream_beginning.value_or(setup.request.id);
-  stream_directory_->Find(StreamKeyOf(AccountOf(setup), beginning),
-                          SoleVersionQuestionOf(setup),
-                          [this, run](const StreamLookup& lookup) {
-                            // The caller may have disconnected meanwhile.
-                            if (!run->exchange().over())
-                              ContinueStream(run, lookup);
-                          });
+  stream_directory_->Find(
+      StreamKeyOf(AccountOf(setup), beginning), question,
+      [this, run, question, asked = loop_.now()](const StreamLookup& lookup) {
+        // The caller may have disconnected meanwhile.
+        if (!run->exchange().over())
+          OnStreamLookup(run, lookup, question, asked);
+      });
+}
+
+void RequestService::OnStreamLookup(const std::shared_ptr<ExchangeRun>& run,
+                                    const StreamLookup& lookup,
+                                    const SoleVersionQuestion& question,
+                                    MonotonicTime asked) {
+  if (lookup.beginning) {
+    ContinueStream(run, lookup);
+    return;
+  }
+  // The records of the instance that answered may be older than those here, and
+  // lack a version.
+  if (lookup.sole_version) {
+    registry_.OnSoftwareLearned(
+        {question.service, *lookup.sole_version, question.span, asked},
+        loop_.now());
+  }
+  ContinueAtSoleVersion(run);
+}
+
+void RequestService::ContinueAtSoleVersion(
+    const std::shared_ptr<ExchangeRun>& run) {
+  const ExchangeSetup& setup = run->exchange().setup();
+  StreamLookup known;
+  known.sole_version = SoleVersion(SoleVersionQuestionOf(setup));
+  // Another instance may have read a new version's record sooner, and begun the
+  // stream there.
+  const bool may_be_outdated =
+      known.sole_version && *records_as_of_() < setup.arrived;
+  if (may_be_outdated &&
+      loop_.now() - setup.arrived < Exchange::kMaxResumeWait) {
+    take_ups_.push_back(run);
+    return;
+  }
+  if (may_be_outdated)
+    known.sole_version.reset();
+  ContinueStream(run, known);
 }
 
 void RequestService::ContinueStream(const std::shared_ptr<ExchangeRun>& run,
                                     const StreamLookup& lookup) {
   Exchange& exchange = run->exchange();
   const ExchangeSetup& setup = exchange.setup();
-  StreamLookup known = lookup;
-  if (!known.sole_version)
-    known.sole_version = SoleVersion(SoleVersionQuestionOf(setup));
   const Continuation next =
-      DecideContinuation(*setup.route, setup.service, known);
+      DecideContinuation(*setup.route, setup.service, lookup);
   if (next.refusal != ResultCode::kOk) {
     LogEvent(LogLevel::kWarning, "stream_not_continued",
              {{"request", setup.request.id.value()},
@@ -96,7 +132,8 @@
 
 std::optional<SoftwareVersion> RequestService::SoleVersion(
     const SoleVersionQuestion& question) const {
-  if (!records_are_current_ || !records_are_current_())
+  const auto as_of = records_as_of_ ? records_as_of_() : std::nullopt;
+  if (!as_of || loop_.now() - *as_of > SoftwareHistory::kMaxRecordAge)
     return std::nullopt;
   if (stream_routes_.HasMoved(question.service, loop_.now()))
     return std::nullopt;
--- a/testing/gateway_take_up_process_test.cc
+++ b/testing/gateway_take_up_process_test.cc
@@ -3,6 +3,7 @@
 // began it is certain.
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <string>
 #include <thread>
 
@@ -11,7 +12,7 @@
 namespace carobshift {
 namespace {
 
-constexpr Milliseconds kTimeout{2000};
+constexpr Milliseconds kTimeout{3000};
 // By then a gateway has read a record that was written.
 constexpr Milliseconds kReadTime{1500};
 
@@ -77,5 +78,26 @@
   CHECK(cluster.TotalRuns() == 0);
 }
 
+// Guards against a stream that is taken up at the version that a gateway knew
+// before it was frozen.
+TEST_CASE("a frozen gateway doesn't judge by what it read before") {
+  GatewayCluster cluster(TwoVersions());
+  EndRollout(cluster);
+  std::this_thread::sleep_for(2 * kTimeout);
+  REQUIRE(TakeUp(cluster, "before").status == 200);
+  cluster.gateway(0).Signal(SIGSTOP);
+  // Answers the read that is under way.
+  cluster.PutReplica(1, "ready", /*start_time=*/1);
+  std::this_thread::sleep_for(kReadTime);
+  cluster.PutReplica(0, "ready", /*start_time=*/1);
+  HttpAnswer answer;
+  {
+    const std::jthread caller([&] { answer = TakeUp(cluster, "frozen"); });
+    std::this_thread::sleep_for(Milliseconds(200));
+    cluster.gateway(0).Signal(SIGCONT);
+  }
+  CHECK(IsRefused(answer));
+}
+
 }  // namespace
 }  // namespace carobshift
