--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -16,8 +16,7 @@
 //   connection used for a call, and CallFailure reports whether bytes were
 //   sent.
 // - An idle connection was closed by its peer, and the loop has not seen it
-// yet,
-//   for example as the process was busy. Each idle connection is looked at
+//   yet, for example as the process was busy. Each idle connection is looked at
 //   before a call is sent on it.
 // - A late reply to an earlier call arrives in place of this call's reply. The
 //   listener examines each reply's head and skips replies to other calls.
