Process tests: wait until a process has stopped

Cause: SIGSTOP takes effect thread by thread after kill() returns. Change: Process::Signal(SIGSTOP) returns when all threads have stopped. No check has changed.

--- a/testing/process.cc
+++ b/testing/process.cc
@@ -130,8 +130,13 @@
 }
 
 void Process::Signal(int signal) {
-  if (running())
-    kill(pid_, signal);
+  if (!running())
+    return;
+  kill(pid_, signal);
+  if (signal != SIGSTOP)
+    return;
+  siginfo_t change{};
+  waitid(P_PID, static_cast<id_t>(pid_), &change, WSTOPPED | WEXITED | WNOWAIT);
 }
 
 void Process::Kill() {
--- a/testing/process.h
+++ b/testing/process.h
@@ -62,6 +62,8 @@
   [[nodiscard]] std::string Output() const;
 
   [[nodiscard]] pid_t pid() const { return pid_; }
+  // After SIGSTOP, waits until all threads of the process have stopped: until
+  // then a busy machine may let it answer.
   void Signal(int signal);
   // Sends SIGKILL and waits up to 10 s for the process to exit.
   void Kill();
