--- a/testing/gateway_late_reply_process_test.cc
+++ b/testing/gateway_late_reply_process_test.cc
@@ -32,6 +32,21 @@
                                {"X-Api-Key", GatewayCluster::kKey}}});
 }
 
+// Sends the request again until it is served or has run, for up to three
+// seconds: an endpoint is avoided for a while after its rejections.
+HttpAnswer BookUntilServed(const GatewayCluster& cluster,
+                           std::size_t gateway,
+                           const std::string& id) {
+  const MonotonicTime end = MonotonicNow() + Milliseconds(3000);
+  HttpAnswer answer;
+  do {
+    std::this_thread::sleep_for(kPause);
+    answer = Book(cluster, gateway, id);
+  } while (answer.status != 200 && cluster.TotalRuns() == 0 &&
+           MonotonicNow() < end);
+  return answer;
+}
+
 void SetFaults(GatewayCluster& cluster, const nlohmann::json& faults) {
   for (std::size_t i = 0; i < cluster.replicas(); ++i) {
     REQUIRE(HttpSend(cluster.replica(i).address(), "POST", "/faults",
@@ -110,14 +125,7 @@
   CHECK(Book(cluster, 0, "again").status == 503);
   CHECK(cluster.TotalRuns() == 0);
   SetFaults(cluster, {{"reject", 0}});
-  HttpAnswer answer;
-  // The endpoint is avoided for a while after its rejections.
-  const MonotonicTime end = MonotonicNow() + Milliseconds(3000);
-  do {
-    std::this_thread::sleep_for(kPause);
-    answer = Book(cluster, 0, "again");
-  } while (answer.status != 200 && cluster.TotalRuns() == 0 &&
-           MonotonicNow() < end);
+  const HttpAnswer answer = BookUntilServed(cluster, 0, "again");
   CHECK(answer.status == 200);
   CHECK(cluster.TotalRuns() == 1);
 }
@@ -142,12 +150,7 @@
   }
   CHECK(Book(cluster, 1, "handed").status == 503);
   SetFaults(cluster, {{"reject", 0}});
-  HttpAnswer answer;
-  do {
-    std::this_thread::sleep_for(kPause);
-    answer = Book(cluster, 0, "handed");
-  } while (answer.status != 200 && cluster.TotalRuns() == 0 &&
-           MonotonicNow() < end);
+  const HttpAnswer answer = BookUntilServed(cluster, 0, "handed");
   CHECK(answer.status == 200);
   CHECK(cluster.TotalRuns() == 1);
   CHECK_FALSE(cluster.LogLines("event", "request_handed_off").empty());
