Records: a listener's records are as old as its reader says

What callers could see: on deployments of more than twelve instances, a lost stream goes on at the only version that an instance knows, though another instance, which knew of a new one sooner, began it there. Cause: an instance that asks a reader took its records for 600 ms older than the reader's last answer of the log, however long the reader's own answer was on its way or this process frozen meanwhile, and also if the reader had read only a part of what it missed. Evidence: two new tests in record_listener_test.cc failed before: an answer that takes 0.95 s was taken for 0.70 s old, and a reader that is behind made its listener's records look newer than its own. Change: a reader states the age of its records, and the listener subtracts it from the time at which it sent its query. The constant is gone. Result: both tests pass.

--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -19,9 +19,6 @@
 // Gap between two answers of the log beyond which entries may have expired
 // unobserved.
 constexpr Milliseconds kNoticeableGap{1500};
-// A peer sent the read that the log has answered at most this long before the
-// answer (half of RecordListener::kMaxAnswerAge).
-constexpr Milliseconds kMaxPeerReadTime{600};
 
 }  // namespace
 
@@ -221,13 +218,15 @@
   return records;
 }
 
-void KeyedFollower::OnPeerAnswer(LogOffset next, MonotonicTime answered) {
+void KeyedFollower::OnPeerAnswer(LogOffset next,
+                                 MonotonicTime answered,
+                                 MonotonicTime records_as_of) {
   next_ = std::max(next_, next);
+  NoteRecordsAsOf(records_as_of);
   const MonotonicTime previous_answer = last_answer_.value_or(started_);
   if (answered <= previous_answer)
     return;
   last_answer_ = answered;
-  NoteRecordsAsOf(answered - kMaxPeerReadTime);
   const auto outage =
       std::chrono::duration_cast<Milliseconds>(answered - previous_answer);
   if (!log_lost_ && outage < kNoticeableGap)
--- a/carobshift/gateway/records/keyed_follower.h
+++ b/carobshift/gateway/records/keyed_follower.h
@@ -85,9 +85,11 @@
   // Returns the newest record of each key that changed at offset `since` or
   // later.
   [[nodiscard]] std::vector<KeyedRecord> ChangedSince(LogOffset since) const;
-  // Records that a peer has supplied all changes before `next`, as of the log's
-  // answer to the peer at `answered`.
-  void OnPeerAnswer(LogOffset next, MonotonicTime answered);
+  // A peer has supplied all changes before `next`. The log last answered the
+  // peer at `answered`, and the peer's records are as of `records_as_of`.
+  void OnPeerAnswer(LogOffset next,
+                    MonotonicTime answered,
+                    MonotonicTime records_as_of);
   // While paused, the follower does not read the log, because another instance
   // supplies the changes. It pauses only after it has read the snapshot.
   void SetPaused(bool paused);
--- a/carobshift/gateway/records/keyed_follower_test.cc
+++ b/carobshift/gateway/records/keyed_follower_test.cc
@@ -264,7 +264,8 @@
     overtaken = true;
     fixture.log.Append(fixture.stream, "b=1");
     fixture.log.Append(fixture.stream, "a=2");
-    fixture.follower.OnPeerAnswer(LogOffset(3), fixture.loop.now());
+    fixture.follower.OnPeerAnswer(LogOffset(3), fixture.loop.now(),
+                                  fixture.loop.now());
     fixture.follower.MergePeerRecords(
         {{"b", "1", LogOffset(1)}, {"a", "2", LogOffset(2)}});
   });
--- a/carobshift/gateway/records/peer_state_codec.cc
+++ b/carobshift/gateway/records/peer_state_codec.cc
@@ -66,7 +66,8 @@
                   const StreamChanges& changes) {
   WriteRecords(archive, changes.records);
   archive(changes.next.value(), changes.end.value(),
-          static_cast<std::int64_t>(changes.age.count()));
+          static_cast<std::int64_t>(changes.age.count()),
+          static_cast<std::int64_t>(changes.records_age.count()));
 }
 
 StreamChanges ReadChanges(cereal::PortableBinaryInputArchive& archive) {
@@ -75,12 +76,14 @@
   std::uint64_t next = 0;
   std::uint64_t end = 0;
   std::int64_t age = 0;
-  archive(next, end, age);
-  if (age < 0)
+  std::int64_t records_age = 0;
+  archive(next, end, age, records_age);
+  if (age < 0 || records_age < 0)
     throw cereal::Exception("negative age");
   changes.next = LogOffset(next);
   changes.end = LogOffset(end);
   changes.age = Milliseconds(age);
+  changes.records_age = Milliseconds(records_age);
   return changes;
 }
 
--- a/carobshift/gateway/records/peer_state_codec.h
+++ b/carobshift/gateway/records/peer_state_codec.h
@@ -35,6 +35,8 @@
   LogOffset end;
   // Time since the log last answered the sender.
   Milliseconds age{0};
+  // Age of the sender's records (KeyedFollower::records_as_of).
+  Milliseconds records_age{0};
 };
 
 struct PeerChanges {
--- a/carobshift/gateway/records/record_listener.cc
+++ b/carobshift/gateway/records/record_listener.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
-#include "carobshift/gateway/records/peer_state_codec.h"
 #include "carobshift/gateway/records/record_readers.h"
 #include "carobshift/gateway/records/stream_positions.h"
 #include "carobshift/telemetry/event_log.h"
@@ -32,19 +31,11 @@
   changes.next = omitted > 0 ? since : changes.end;
   changes.age =
       std::chrono::duration_cast<Milliseconds>(now - *follower.last_answer());
+  changes.records_age =
+      std::chrono::ceil<Milliseconds>(now - *follower.records_as_of());
   return changes;
 }
 
-void ApplyChanges(KeyedFollower& follower,
-                  const StreamChanges& changes,
-                  MonotonicTime now) {
-  // If records were omitted, the sender's answer does not replace an answer of
-  // the log.
-  if (changes.next == changes.end)
-    follower.OnPeerAnswer(changes.next, now - changes.age);
-  follower.MergePeerRecords(changes.records);
-}
-
 }  // namespace
 
 RecordListener::RecordListener(EventLoop& loop,
@@ -125,6 +116,7 @@
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = kCallTimeout;
+  query_sent_at_ = loop_.now();
   fetch_.Start(client_, loop_, reader.peer_address(),
                SerializeRequest(head, reader.peer_address(), ""), options,
                [this, reader](const FetchOutcome& outcome) {
@@ -132,6 +124,19 @@
                });
 }
 
+void RecordListener::ApplyChanges(KeyedFollower& follower,
+                                  const StreamChanges& changes) {
+  // If records were omitted, the sender's answer does not replace an answer of
+  // the log.
+  if (changes.next == changes.end) {
+    // The answer may have been long on its way, or this process frozen
+    // meanwhile.
+    follower.OnPeerAnswer(changes.next, loop_.now() - changes.age,
+                          query_sent_at_ - changes.records_age);
+  }
+  follower.MergePeerRecords(changes.records);
+}
+
 void RecordListener::OnAnswer(const MemberInfo& reader,
                               const FetchOutcome& outcome) {
   if (outcome.status != kOk) {
@@ -147,8 +152,8 @@
     return;
   }
   reader_end_ = std::max(reader_end_, changes.value().operators.end);
-  ApplyChanges(operators_, changes.value().operators, loop_.now());
-  ApplyChanges(endpoints_, changes.value().endpoints, loop_.now());
+  ApplyChanges(operators_, changes.value().operators);
+  ApplyChanges(endpoints_, changes.value().endpoints);
   // The decision uses the reader's answer and not the local state: while this
   // instance reads the log itself its state is newer, and it would keep
   // querying a reader that is of no use. A reader whose link is saturated by a
--- a/carobshift/gateway/records/record_listener.h
+++ b/carobshift/gateway/records/record_listener.h
@@ -33,6 +33,7 @@
 
 #include "carobshift/gateway/query_service.h"
 #include "carobshift/gateway/records/keyed_follower.h"
+#include "carobshift/gateway/records/peer_state_codec.h"
 #include "carobshift/membership/member.h"
 #include "carobshift/net/http_fetch.h"
 
@@ -83,6 +84,7 @@
   void UpdateRole(const std::vector<MemberInfo>& readers);
   void QueryReader(const MemberInfo& reader);
   void OnAnswer(const MemberInfo& reader, const FetchOutcome& outcome);
+  void ApplyChanges(KeyedFollower& follower, const StreamChanges& changes);
   // Sends the next query to another reader.
   void SwitchReader(const MemberInfo& reader,
                     const FetchOutcome& outcome,
@@ -105,6 +107,7 @@
   HttpFetch fetch_;
   bool is_listener_ = false;
   MonotonicTime next_query_time_{};
+  MonotonicTime query_sent_at_{};
   // How far any reader has read the operator's stream.
   LogOffset reader_end_;
   // Number of switches between readers, and the time of the last one.
--- a/carobshift/gateway/records/record_listener_test.cc
+++ b/carobshift/gateway/records/record_listener_test.cc
@@ -29,7 +29,8 @@
         });
     self = *listening;
     const auto order = ReaderOrderFor(self, readers);
-    first = Add(order[0]);
+    first_info = order[0];
+    first = Add(first_info);
     second = Add(order[1]);
     listener_instance = Add(self);
     for (ListeningInstance* instance : {first, second, listener_instance}) {
@@ -74,6 +75,7 @@
   EventLoop loop;
   std::vector<MemberInfo> members;
   MemberInfo self;
+  MemberInfo first_info;
   std::vector<std::unique_ptr<ListeningInstance>> instances;
   ListeningInstance* first = nullptr;
   ListeningInstance* second = nullptr;
@@ -246,6 +248,38 @@
   CHECK(fixture.listener_instance->operator_sink.back > 0);
 }
 
+// Guards against a listener that takes records for newer than they are, as its
+// reader's answer was long on its way.
+TEST_CASE("a listener's records are as old as its reader's answer") {
+  Fixture fixture;
+  const ReplyPace pace{.pieces = 20, .pause = Milliseconds(50)};
+  fixture.first->pace = pace;
+  fixture.second->hangs = true;
+  fixture.first->List("engine");
+  REQUIRE(fixture.TickUntil([&] {
+    return fixture.listener_instance->endpoint_sink.records.back() ==
+           "engine=(removed)";
+  }));
+  const auto as_of = fixture.listener_instance->endpoints.records_as_of();
+  REQUIRE(as_of);
+  CHECK(fixture.loop.now() - *as_of >= pace.Length());
+}
+
+// Guards against a listener that takes records for newer than they are, as its
+// reader has read only a part of what it missed.
+TEST_CASE("a listener's records are as old as its reader's") {
+  Fixture fixture;
+  fixture.second->hangs = true;
+  fixture.first->endpoint_log.SetMaxRecords(1);
+  constexpr int kMany = 300;
+  for (int i = 0; i < kMany; ++i)
+    fixture.first->List("engine=" + std::to_string(i));
+  fixture.TickFor(Milliseconds(1000));
+  REQUIRE(fixture.first->endpoint_sink.records.size() < kMany);
+  CHECK(*fixture.listener_instance->endpoints.records_as_of() <=
+        *fixture.first->endpoints.records_as_of());
+}
+
 TEST_CASE("who doesn't know the secret gets no records") {
   // The records contain the keys of all callers.
   Fixture fixture;
