Records: a reader answers only from where it knows all removals

What callers could see: on deployments of more than twelve instances, requests to an endpoint that left long ago, and a lost stream that goes on at a version that didn't begin it. Cause: an instance that asks a reader names its position, and the reader sends the newest record of each key since then. The endpoint was kept for good, and a version that came and went in between was missing from the history by which the only version is judged. Change: KeyedFollower::complete_since() is the position from which all removals are known. A reader declines (503) queries from before it.

--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -97,7 +97,9 @@
     return;
   }
   next_ = *std::exchange(snapshot_end_, std::nullopt);
-  caught_up_ = true;
+  // What a later snapshot lacks is marked as removed.
+  if (!std::exchange(caught_up_, true))
+    complete_since_ = next_;
   MarkMissingRemoved();
   snapshot_keys_.clear();
   NoteRecordsAsOf(snapshot_sent_at_);
@@ -202,10 +204,13 @@
 // learned of the removal.
 void KeyedFollower::PruneTombstones() {
   constexpr std::uint64_t kTombstoneRetentionRecords = 5000;
-  std::erase_if(newest_, [this](const auto& entry) {
+  if (next_.value() <= kTombstoneRetentionRecords)
+    return;
+  const LogOffset oldest(next_.value() - kTombstoneRetentionRecords);
+  complete_since_ = std::max(complete_since_, oldest);
+  std::erase_if(newest_, [oldest](const auto& entry) {
     const KeyedRecord& record = entry.second.record;
-    return !record.value &&
-           record.offset.value() + kTombstoneRetentionRecords < next_.value();
+    return !record.value && record.offset < oldest;
   });
 }
 
--- a/carobshift/gateway/records/keyed_follower.h
+++ b/carobshift/gateway/records/keyed_follower.h
@@ -83,7 +83,7 @@
   // Merges records from a peer. Returns how many of them were new.
   std::size_t MergePeerRecords(const std::vector<KeyedRecord>& records);
   // Returns the newest record of each key that changed at offset `since` or
-  // later.
+  // later. Lacks removals if `since` is before complete_since().
   [[nodiscard]] std::vector<KeyedRecord> ChangedSince(LogOffset since) const;
   // A peer has supplied all changes before `next`. The log last answered the
   // peer at `answered`, and the peer's records are as of `records_as_of`.
@@ -113,6 +113,9 @@
     return records_as_of_;
   }
   [[nodiscard]] LogOffset next() const { return next_; }
+  // All removals from this offset on are known: keys that were removed before
+  // the first snapshot have never been known, and old removals are forgotten.
+  [[nodiscard]] LogOffset complete_since() const { return complete_since_; }
   // Bytes received from the log so far, including failed reads.
   [[nodiscard]] std::uint64_t bytes_read() const { return bytes_read_; }
   // Returns whether an answer from the log is being received at the moment,
@@ -172,6 +175,7 @@
   std::optional<LogOffset> snapshot_end_;
   std::vector<std::string> snapshot_keys_;
   LogOffset next_;
+  LogOffset complete_since_;
   std::map<std::string, Known> newest_;
   std::optional<MonotonicTime> last_answer_;
   // When the first page of the snapshot in progress was asked for.
--- a/carobshift/gateway/records/keyed_follower_test.cc
+++ b/carobshift/gateway/records/keyed_follower_test.cc
@@ -105,6 +105,33 @@
   CHECK(*fixture.follower.records_as_of() > before);
 }
 
+// Guards against a peer that isn't told of removals which this instance has
+// never known, or has forgotten.
+TEST_CASE("removals are known since the snapshot or the oldest one kept") {
+  Fixture fixture;
+  for (const char* record : {"a=1", "a", "b=1"})
+    fixture.log.Append(fixture.stream, record);
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.follower.caught_up(); });
+  CHECK(fixture.follower.complete_since() == LogOffset(3));
+  fixture.log.Append(fixture.stream, "b");
+  RunUntil(fixture.loop,
+           [&] { return fixture.sink.records.back() == "b=(removed)"; });
+  CHECK(fixture.follower.complete_since() == LogOffset(3));
+  constexpr int kHeartbeats = 6000;
+  for (int i = 0; i < kHeartbeats; ++i)
+    fixture.log.Append(fixture.stream, "c=1");
+  fixture.log.Append(fixture.stream, "d");
+  RunUntil(fixture.loop,
+           [&] { return fixture.sink.records.back() == "d=(removed)"; });
+  fixture.log.Append(fixture.stream, "e");
+  RunUntil(fixture.loop,
+           [&] { return fixture.sink.records.back() == "e=(removed)"; });
+  // The removal of b, at 3, is forgotten.
+  CHECK(fixture.follower.complete_since() > LogOffset(4));
+  CHECK(fixture.follower.complete_since() < LogOffset(kHeartbeats));
+}
+
 TEST_CASE("a log that falls silent is noticed and followed again") {
   // A connection stops delivering data without being closed. Without a timeout
   // of its own the read would hang until the instance is restarted, and callers
--- a/carobshift/gateway/records/record_listener.cc
+++ b/carobshift/gateway/records/record_listener.cc
@@ -17,6 +17,10 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 
+bool HasAllSince(const KeyedFollower& follower, LogOffset since) {
+  return follower.caught_up() && since >= follower.complete_since();
+}
+
 StreamChanges ChangesOf(const KeyedFollower& follower,
                         LogOffset since,
                         MonotonicTime now) {
@@ -62,7 +66,8 @@
   const auto since = ParsePathSuffix(target.substr(path.size()));
   if (!since)
     return QueryAnswer{kBadRequest, {}, {}};
-  if (!operators_.caught_up() || !endpoints_.caught_up())
+  if (!HasAllSince(operators_, since->operators) ||
+      !HasAllSince(endpoints_, since->endpoints))
     return QueryAnswer{kUnavailable, {}, {}};
   const MonotonicTime now = loop_.now();
   const PeerChanges changes{ChangesOf(operators_, since->operators, now),
--- a/carobshift/gateway/records/record_listener_test.cc
+++ b/carobshift/gateway/records/record_listener_test.cc
@@ -280,6 +280,27 @@
         *fixture.first->endpoints.records_as_of());
 }
 
+// Guards against a listener that keeps an endpoint, and misses its version, as
+// the reader that it asks has started after the endpoint left.
+TEST_CASE("a reader that started later doesn't hide what left before") {
+  Fixture fixture;
+  fixture.first->hangs = true;
+  fixture.second->hangs = true;
+  ListeningInstance* const restarted = fixture.Add(fixture.first_info);
+  for (ListeningInstance* instance : {restarted, fixture.listener_instance}) {
+    instance->List("engine");
+    instance->List("other=1");
+  }
+  restarted->Declare("config=1");
+  restarted->Start();
+  CHECK(fixture.TickUntil(
+      [&] {
+        return fixture.listener_instance->endpoint_sink.records ==
+               Records{"engine=1", "engine=(removed)", "other=1"};
+      },
+      RecordListener::kMaxAnswerAge + Milliseconds(1500)));
+}
+
 TEST_CASE("who doesn't know the secret gets no records") {
   // The records contain the keys of all callers.
   Fixture fixture;
