Process tests: ports that no other running test has

Cause: a test's gateways took their ports from its process id, by the remainder of 1000. Each test starts dozens of processes and threads, so a test that runs for many seconds meets one whose process id is a multiple of 1000 later. Evidence: with that very pair and process ids 1000 apart, the short one failed 14 of 14 times, after 0.12 to 0.15 s, with "cannot listen on 127.0.1.1: Address already in use"; 60 of 60 runs passed otherwise. No check has changed. GatewayCluster builds its addresses in one place.

--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -1,7 +1,5 @@
 #include "testing/gateway_cluster.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <fstream>
 #include <sstream>
@@ -12,12 +10,6 @@
 
 using nlohmann::json;
 
-// Ports are derived from the process id, so that tests that run in parallel use
-// different ones.
-constexpr int kPortsPerTest = 10;
-constexpr int kFirstPort = 20000;
-constexpr int kPortRange = 10000;
-
 // Where the relays of gateway 0 listen, each at the port of its target.
 constexpr char kRelayHost[] = "127.0.2.1";
 
@@ -30,6 +22,17 @@
   kInternal
 };
 
+std::string HostOf(std::size_t gateway) {
+  return "127.0.1." + std::to_string(gateway + 1);
+}
+
+std::vector<std::string> HostsOf(int gateways) {
+  std::vector<std::string> hosts;
+  for (int i = 0; i < gateways; ++i)
+    hosts.push_back(HostOf(static_cast<std::size_t>(i)));
+  return hosts;
+}
+
 json RouteOf(const std::string& name,
              const std::string& kind,
              const std::string& service,
@@ -53,8 +56,7 @@
 
 GatewayCluster::GatewayCluster(const GatewayClusterOptions& options)
     : options_(options),
-      base_port_(static_cast<std::uint16_t>(
-          kFirstPort + getpid() * kPortsPerTest % kPortRange)),
+      ports_(HostsOf(options.gateways)),
       platform_(std::make_unique<Process>("standin_platform",
                                           std::vector<std::string>{},
                                           directory_.path())) {
@@ -200,25 +202,30 @@
   PutKeyed("keyed.servers", replica.id, record.dump());
 }
 
-std::string GatewayCluster::HostOf(std::size_t gateway) const {
-  return "127.0.1." + std::to_string(gateway + 1);
+NetAddress GatewayCluster::AddressOf(std::size_t gateway, int offset) const {
+  return {HostOf(gateway), static_cast<std::uint16_t>(ports_.first() + offset)};
+}
+
+NetAddress GatewayCluster::FrontAddress(std::size_t index) const {
+  return AddressOf(index, kFront);
 }
 
 std::string GatewayCluster::WriteSettings(std::size_t gateway,
                                           bool first_start) const {
-  const std::string host = HostOf(gateway);
   const auto address = [&](PortOffset port) {
-    return host + ":" + std::to_string(base_port_ + port);
+    return AddressOf(gateway, port).ToString();
   };
+  const int first_internal_port = ports_.first() + kInternal;
   const std::string path =
       directory_.path() + "/gateway-" + std::to_string(gateway) + ".yaml";
   std::ofstream out(path);
-  out << "node_name: gateway-" << gateway << "\nzone: z1\nip: " << host
+  out << "node_name: gateway-" << gateway
+      << "\nzone: z1\nip: " << HostOf(gateway)
       << "\nlisten_addresses:\n  front: " << address(kFront)
       << "\n  ready: " << address(kReady)
       << "\n  directory: " << address(kDirectory) << "\ninternal_port_range: ["
-      << base_port_ + kInternal << ", " << base_port_ + kInternal + 2
-      << "]\nseeds: [\"" << HostOf(0) << ":" << base_port_ + kControl
+      << first_internal_port << ", " << first_internal_port + 2
+      << "]\nseeds: [\"" << AddressOf(0, kControl).ToString()
       << "\"]\nbounds: {lease_ms: " << options_.lease.count()
       << ", version_ms: " << options_.weights_replacement_bound.count()
       << ", grace_period_s: 6, retry_budget_ratio: 0.2, retry_budget_extra: "
@@ -232,7 +239,7 @@
 void GatewayCluster::StartGateway(std::size_t index) {
   const bool first_start = gateways_[index] == nullptr;
   const std::string settings = WriteSettings(index, first_start);
-  const std::string metrics_port = std::to_string(base_port_ + kMetrics);
+  const std::string metrics_port = std::to_string(ports_.first() + kMetrics);
   if (options_.relayed && index == 0) {
     gateways_[index] = std::make_unique<Process>(
         "relayed_gateway",
@@ -301,24 +308,17 @@
 }
 
 json GatewayCluster::Addresses(std::size_t index) const {
-  return HttpSend({HostOf(index),
-                   static_cast<std::uint16_t>(base_port_ + kDirectory)},
-                  "GET", "/resolution?name=api.example&region=r&zone=z1")
+  return HttpSend(AddressOf(index, kDirectory), "GET",
+                  "/resolution?name=api.example&region=r&zone=z1")
       .Json();
 }
 
 bool GatewayCluster::Ready(std::size_t index) const {
-  return HttpSend(
-             {HostOf(index), static_cast<std::uint16_t>(base_port_ + kReady)},
-             "GET", "/readiness")
-             .status == 200;
+  return HttpSend(AddressOf(index, kReady), "GET", "/readiness").status == 200;
 }
 
 json GatewayCluster::State(std::size_t index) const {
-  return HttpSend(
-             {HostOf(index), static_cast<std::uint16_t>(base_port_ + kMetrics)},
-             "GET", "/debug/state")
-      .Json();
+  return HttpSend(AddressOf(index, kMetrics), "GET", "/debug/state").Json();
 }
 
 json GatewayCluster::RunsOf(std::size_t replica) const {
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -21,6 +21,7 @@
 
 #include "carobshift/base/net_address.h"
 #include "testing/http_client.h"
+#include "testing/port_block.h"
 #include "testing/process.h"
 #include "testing/relay.h"
 
@@ -74,9 +75,7 @@
       std::size_t engine,
       const std::string& request);
   // Returns the address at which gateway `index` accepts client requests.
-  [[nodiscard]] NetAddress FrontAddress(std::size_t index) const {
-    return {HostOf(index), base_port_};
-  }
+  [[nodiscard]] NetAddress FrontAddress(std::size_t index) const;
   // Returns the response of gateway `index` to an address lookup.
   [[nodiscard]] nlohmann::json Addresses(std::size_t index) const;
   [[nodiscard]] bool Ready(std::size_t index) const;
@@ -145,14 +144,16 @@
                 const std::string& key,
                 const std::string& value);
   void StartRelays();
-  [[nodiscard]] std::string HostOf(std::size_t gateway) const;
+  // Returns the address of a gateway's port, counted from the first of the
+  // block.
+  [[nodiscard]] NetAddress AddressOf(std::size_t gateway, int offset) const;
   // `first_start`: the deployment has never run before.
   [[nodiscard]] std::string WriteSettings(std::size_t gateway,
                                           bool first_start) const;
 
   GatewayClusterOptions options_;
   TemporaryDirectory directory_;
-  std::uint16_t base_port_;
+  PortBlock ports_;
   std::unique_ptr<Process> platform_;
   std::vector<Replica> replicas_;
   std::vector<std::unique_ptr<Relay>> endpoint_relays_;
