--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -97,9 +97,8 @@
     return;
   }
   next_ = *std::exchange(snapshot_end_, std::nullopt);
-  // What a later snapshot lacks is marked as removed.
-  if (!std::exchange(caught_up_, true))
-    complete_since_ = next_;
+  caught_up_ = true;
+  complete_since_ = next_;
   MarkMissingRemoved();
   snapshot_keys_.clear();
   NoteRecordsAsOf(snapshot_sent_at_);
--- a/carobshift/gateway/records/keyed_follower.h
+++ b/carobshift/gateway/records/keyed_follower.h
@@ -113,8 +113,9 @@
     return records_as_of_;
   }
   [[nodiscard]] LogOffset next() const { return next_; }
-  // All removals from this offset on are known: keys that were removed before
-  // the first snapshot have never been known, and old removals are forgotten.
+  // All removals from this offset on are known. Keys that came and went before
+  // the last snapshot, unread, have never been known, and old removals are
+  // forgotten.
   [[nodiscard]] LogOffset complete_since() const { return complete_since_; }
   // Bytes received from the log so far, including failed reads.
   [[nodiscard]] std::uint64_t bytes_read() const { return bytes_read_; }
--- a/carobshift/gateway/records/keyed_follower_test.cc
+++ b/carobshift/gateway/records/keyed_follower_test.cc
@@ -132,6 +132,20 @@
   CHECK(fixture.follower.complete_since() < LogOffset(kHeartbeats));
 }
 
+// Guards against a peer that takes all of this instance's changes for all that
+// the log had.
+TEST_CASE("removals that the log dropped unread aren't known") {
+  Fixture fixture;
+  fixture.log.Append(fixture.stream, "a=1");
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.follower.caught_up(); });
+  for (const char* record : {"b=1", "b"})
+    fixture.log.Append(fixture.stream, record);
+  fixture.log.Compact(fixture.stream);
+  RunUntil(fixture.loop, [&] { return fixture.sink.snapshots.size() == 2; });
+  CHECK(fixture.follower.complete_since() == LogOffset(3));
+}
+
 TEST_CASE("a log that falls silent is noticed and followed again") {
   // A connection stops delivering data without being closed. Without a timeout
   // of its own the read would hang until the instance is restarted, and callers
--- a/carobshift/gateway/records/record_listener.h
+++ b/carobshift/gateway/records/record_listener.h
@@ -20,9 +20,10 @@
 //   requests would be sent to endpoints that have left.
 // - A reader is behind one that was queried before. Offsets are the log's own,
 //   so its records are already known and nothing is lost.
-// - A reader has started after this instance's last answer, or this instance
-//   was frozen for long. The reader doesn't know what was removed in between,
-//   and an endpoint that has left would be kept; it declines to answer.
+// - A reader has read its snapshot after this instance's last answer, as it
+//   started or as the log had dropped records, or this instance was frozen for
+//   long. The reader doesn't know what was removed in between, and an endpoint
+//   that has left would be kept; it declines to answer.
 // - An unauthorized process answers. Answers carry an authentication code that
 //   only an instance of this deployment can produce.
 
--- a/carobshift/gateway/records/record_listener_test.cc
+++ b/carobshift/gateway/records/record_listener_test.cc
@@ -301,6 +301,26 @@
       RecordListener::kMaxAnswerAge + Milliseconds(1500)));
 }
 
+// Guards against a listener that misses a version which came and went while its
+// reader knew nothing, as the log had dropped the records.
+TEST_CASE("a reader that reads anew doesn't hide what came and went") {
+  Fixture fixture;
+  fixture.second->hangs = true;
+  ListeningInstance* const listening = fixture.listener_instance;
+  REQUIRE(listening->endpoint_sink.snapshots.size() == 1);
+  for (ListeningInstance* instance : {fixture.first, listening}) {
+    instance->List("other=2");
+    instance->List("other");
+    instance->endpoint_log.Compact(instance->dialect.EndpointStream());
+  }
+  REQUIRE(fixture.TickUntil(
+      [&] { return fixture.first->endpoint_sink.snapshots.size() == 2; }));
+  // A snapshot of its own tells the listener that records are missing.
+  CHECK(fixture.TickUntil(
+      [&] { return listening->endpoint_sink.snapshots.size() == 2; },
+      RecordListener::kMaxAnswerAge + Milliseconds(1500)));
+}
+
 TEST_CASE("who doesn't know the secret gets no records") {
   // The records contain the keys of all callers.
   Fixture fixture;
