HttpExchange: a reply that breaks off is no complete one

What callers saw: an engine, a store, the log, the instance list or a plain service that closed its connection in the middle of a reply's head counted as having answered, often with status 200 and an empty body. So did a chunked reply without its last chunk, and a reset in the middle of either.

Cause: POCO's HTTPClientSession takes the end of the connection for the end of the head and of a chunk. Its read buffer also outlives the reply, so that bytes behind a reply answered the next call on the connection. Class: the end of a connection taken for the end of a message.

Change: BlockingHttpCall reads a reply from a blocking socket through HttpParser, the parser of HttpClient, so both interfaces agree on what a complete reply is. HttpExchange keeps its delivery states, timeouts and pool. A reply with bytes behind it doesn't return its connection. The limit of the whole exchange now also bounds a head that comes bytewise. A reset whose error a failed write has taken isn't read as a normal end.

--- a/carobshift/external/internal/http_exchange.cc
+++ b/carobshift/external/internal/http_exchange.cc
@@ -1,55 +1,34 @@
 #include "carobshift/external/internal/http_exchange.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 
-#include <algorithm>
-#include <istream>
 #include <utility>
 
+#include "carobshift/net/blocking_http_call.h"
+#include "carobshift/net/http_message.h"
+#include "carobshift/net/line_splitter.h"
+
 namespace carobshift {
 namespace {
 
-using Traits = std::char_traits<char>;
-
-constexpr std::size_t kMaxLineBytes = 1U << 20;
-
 Poco::Timespan ToTimespan(Milliseconds time) {
   return Poco::Timespan(Microseconds(time).count());
 }
 
-// Poco's session opens a new connection by itself if a write on an idle
-// connection fails or if it considers the connection too old. A request could
-// then be sent twice unnoticed, so this class disables both.
-class NonReconnectingSession : public Poco::Net::HTTPClientSession {
- public:
-  explicit NonReconnectingSession(const Poco::Net::StreamSocket& socket)
-      : HTTPClientSession(socket) {
-    setKeepAlive(true);
-  }
-
- protected:
-  int write(const char* buffer, std::streamsize length) override {
-    return HTTPSession::write(buffer, length);
-  }
-  [[nodiscard]] bool mustReconnect() const override { return false; }
-};
+std::string FieldOf(const HttpHead& head, std::string_view name) {
+  const std::string* const value = head.Find(name);
+  return value == nullptr ? "" : *value;
+}
 
 }  // namespace
 
 class HttpExchange::Connection {
  public:
-  explicit Connection(const NetAddress& peer, Milliseconds timeout) {
-    socket_.connect(Poco::Net::SocketAddress(peer.host, peer.port),
-                    ToTimespan(timeout));
-    socket_.setNoDelay(true);
-    session_ = std::make_unique<NonReconnectingSession>(socket_);
-  }
+  explicit Connection(const NetAddress& peer, Milliseconds timeout)
+      : socket_(ConnectBlocking(peer, timeout, timeout)) {}
 
   // An idle connection is readable only if the peer closed it.
   [[nodiscard]] bool ClosedByPeer() const {
@@ -60,14 +39,13 @@
     socket_.setReceiveTimeout(ToTimespan(timeout));
     socket_.setSendTimeout(ToTimespan(timeout));
   }
-  [[nodiscard]] NonReconnectingSession& session() { return *session_; }
+  [[nodiscard]] Poco::Net::StreamSocket& socket() { return socket_; }
 
   std::uint64_t epoch = 0;
   MonotonicTime idle_since;
 
  private:
   Poco::Net::StreamSocket socket_;
-  std::unique_ptr<NonReconnectingSession> session_;
 };
 
 // Owns one connection during an exchange, and returns it to the pool or closes
@@ -110,83 +88,49 @@
 
 namespace {
 
-// Reads the body of one reply within its limits.
-class ReplyReader {
- public:
-  ReplyReader(std::istream& in,
-              const HttpOptions& options,
-              Milliseconds total_timeout)
-      : in_(*in.rdbuf()),
-        max_bytes_(options.max_answer_bytes),
-        deadline_(total_timeout.count() > 0 ? MonotonicNow() + total_timeout
-                                            : MonotonicTime::max()) {}
-
-  // Throws Poco::TimeoutException after the deadline and Poco::DataException if
-  // the reply is too large.
-  std::string ReadAll() {
-    std::string body;
-    while (in_.sgetc() != Traits::eof()) {
-      CheckDeadline();
-      const std::streamsize ready =
-          std::max<std::streamsize>(1, in_.in_avail());
-      const std::size_t old_size = body.size();
-      if (old_size + static_cast<std::size_t>(ready) > max_bytes_)
-        throw Poco::DataException("answer too large");
-      body.resize(old_size + static_cast<std::size_t>(ready));
-      in_.sgetn(body.data() + old_size, ready);
-    }
-    return body;
-  }
-
-  // Returns false at the end of the reply.
-  bool ReadLine(std::string& line) {
-    line.clear();
-    for (int c = in_.sbumpc(); c != Traits::eof(); c = in_.sbumpc()) {
-      if (c == '\n')
-        return true;
-      if (c != '\r')
-        line.push_back(Traits::to_char_type(c));
-      if (line.size() > kMaxLineBytes)
-        throw Poco::DataException("line too long");
-    }
-    return false;
-  }
-
-  void CheckDeadline() const {
-    if (MonotonicNow() > deadline_)
-      throw Poco::TimeoutException("answer took too long");
+std::string SerializeCall(const HttpCall& call) {
+  HttpHead head;
+  head.method = call.method;
+  head.target = call.path;
+  head.Set("Host", call.peer.ToString());
+  if (call.method != "GET") {
+    head.Set("Content-Length", std::to_string(call.body.size()));
+    head.Set("Content-Type", call.content_type);
   }
+  for (const auto& [name, value] : call.headers)
+    head.Set(name, value);
+  return SerializeRequestHead(head).append(call.body);
+}
 
- private:
-  std::streambuf& in_;
-  const std::size_t max_bytes_;
-  const MonotonicTime deadline_;
-};
+MonotonicTime DeadlineOf(const HttpCall& call, MonotonicTime now) {
+  return call.total_timeout.count() > 0 ? now + call.total_timeout
+                                        : MonotonicTime::max();
+}
 
-Poco::Net::HTTPRequest MakeRequest(const HttpCall& call) {
-  Poco::Net::HTTPRequest request(call.method, call.path,
-                                 Poco::Net::HTTPMessage::HTTP_1_1);
-  request.setHost(call.peer.host, call.peer.port);
-  if (call.method != "GET") {
-    request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
-    request.setContentType(call.content_type);
+// Throws Poco::DataException if the body exceeds `max_bytes`.
+void ReadAll(BlockingHttpCall& http, std::size_t max_bytes, std::string& body) {
+  while (http.ReadBody(body)) {
+    if (body.size() > max_bytes)
+      throw Poco::DataException("answer too large");
   }
-  for (const auto& [name, value] : call.headers)
-    request.set(name, value);
-  return request;
 }
 
-void FeedLines(ReplyReader& reader,
-               const LineConsumer& consumer,
-               HttpReply& reply) {
-  std::string line;
-  while (reader.ReadLine(line)) {
-    reader.CheckDeadline();
-    if (!consumer(line)) {
-      reply.cancelled = true;
-      return;
+// Returns false if the consumer has stopped. Throws Poco::DataException if a
+// line is too long.
+bool ReadLines(BlockingHttpCall& http, const LineConsumer& consumer) {
+  LineSplitter lines(consumer);
+  std::string piece;
+  while (http.ReadBody(piece)) {
+    switch (lines.Feed(std::exchange(piece, {}))) {
+      case LineSplitter::State::kOpen:
+        break;
+      case LineSplitter::State::kStopped:
+        return false;
+      case LineSplitter::State::kTooLong:
+        throw Poco::DataException("line too long");
     }
   }
+  return true;
 }
 
 }  // namespace
@@ -204,29 +148,26 @@
   try {
     ScopedConnection scoped(*this, call);
     scoped.connection().SetProgressTimeout(call.progress_timeout);
-    NonReconnectingSession& session = scoped.connection().session();
-    Poco::Net::HTTPRequest request = MakeRequest(call);
+    BlockingHttpCall http(scoped.connection().socket(),
+                          call.method == "HEAD"
+                              ? BlockingHttpCall::Method::kHead
+                              : BlockingHttpCall::Method::kOther);
+    http.set_deadline(DeadlineOf(call, MonotonicNow()));
+    const std::string request = SerializeCall(call);
     // From here on bytes may have been sent even if a write reports an error.
     reply.delivery = DeliveryState::kMayHaveArrived;
-    std::ostream& out = session.sendRequest(request);
-    out.write(call.body.data(), static_cast<std::streamsize>(call.body.size()));
-    out.flush();
-    Poco::Net::HTTPResponse response;
-    std::istream& in = session.receiveResponse(response);
-    reply.status = response.getStatus();
-    reply.content_type = response.getContentType();
-    reply.run_state = response.get("X-Run-State", "");
-    ReplyReader reader(in, options_, call.total_timeout);
+    http.Send(request);
+    const HttpHead& head = http.ReadHead();
+    http.set_deadline(DeadlineOf(call, MonotonicNow()));
+    reply.status = head.status;
+    reply.content_type = FieldOf(head, "Content-Type");
+    reply.run_state = FieldOf(head, "X-Run-State");
     if (consumer && reply.content_type.starts_with("text/event-stream"))
-      FeedLines(reader, consumer, reply);
+      reply.cancelled = !ReadLines(http, consumer);
     else
-      reply.body = reader.ReadAll();
-    if (response.hasContentLength() && !reply.cancelled &&
-        static_cast<Poco::Int64>(reply.body.size()) !=
-            response.getContentLength64())
-      throw Poco::Net::MessageException("answer cut short");
+      ReadAll(http, options_.max_answer_bytes, reply.body);
     scoped.failed = false;
-    scoped.reusable = !reply.cancelled && response.getKeepAlive();
+    scoped.reusable = http.reusable();
     reply.delivery = DeliveryState::kAnswered;
   } catch (const Poco::TimeoutException& error) {
     reply.timed_out = true;
--- a/carobshift/external/internal/http_exchange.h
+++ b/carobshift/external/internal/http_exchange.h
@@ -1,5 +1,5 @@
-// HttpExchange makes blocking HTTP calls over Poco::Net. It reports whether any
-// byte of a request may have reached the peer, and keeps a bounded pool of idle
+// HttpExchange makes blocking HTTP calls. It reports whether any byte of a
+// request may have reached the peer, and keeps a bounded pool of idle
 // connections per address.
 //
 //   HttpExchange http(options);
@@ -37,7 +37,8 @@
   std::string body;
   std::string content_type = "application/json";
   std::vector<std::pair<std::string, std::string>> headers;
-  // Maximum wait for the next byte, and for the whole exchange (0: no limit).
+  // Maximum wait for the next byte, and for the reply's head and again for its
+  // body (0: no limit).
   Milliseconds progress_timeout{2000};
   Milliseconds total_timeout{2000};
   // For calls that must not be retried. An idle connection may have died
