Exchange: a stream that ends behind its head with its connection isn't whole

What callers saw: status 200 and an empty stream, framed as whole, when an endpoint closed its connection right behind a head that names neither a length nor chunks. Resumable streams weren't repeated.

Cause: such a body ends with its connection, and a stream without events counted as complete. Class: the end of a connection taken for the end of a message. An endpoint that stops within its head, or is reset, was handled well on all routes.

Change: a reply to a stream from its beginning whose end only the connection tells, and which ended before its first event, is a broken attempt: another one starts where the route allows it, else the caller gets 502, "outcome unknown". Empty streams with a length, with chunks or with status 204 stay whole, and so does an empty rest of a resumed stream.

What ends between two events without a length, and a plain body without one, still can't be told from a whole one.

--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNoContent = 204;
 constexpr int kFirstNotSuccess = 300;
 constexpr int kFirstServerError = 500;
 constexpr int kBadGateway = 502;
@@ -70,6 +71,13 @@
   return status >= kOk && status < kFirstNotSuccess;
 }
 
+// Returns whether only the end of the connection ends the body of the reply.
+bool EndsWithConnection(const HttpHead& reply, std::string_view method) {
+  return reply.status != kNoContent && method != "HEAD" &&
+         reply.Find("Content-Length") == nullptr &&
+         reply.Find("Transfer-Encoding") == nullptr;
+}
+
 }  // namespace
 
 Exchange::Exchange(ExchangeSetup setup,
@@ -346,10 +354,14 @@
 }
 
 void Exchange::OnReplyEnd(AttemptNumber attempt, MonotonicTime now) {
-  // The connection may end cleanly, but within an event.
+  // The connection may end cleanly, but within an event, or right behind a head
+  // that doesn't state how the stream ends.
+  const bool has_nothing =
+      !current_begun_ && !last_delivered_ &&
+      EndsWithConnection(buffered_head_, setup_.request.method);
   const bool truncated = !IsReplacement(attempt) &&
                          state_ == State::kStreaming &&
-                         !splitter_.at_boundary();
+                         (has_nothing || !splitter_.at_boundary());
   if (truncated) {
     OnAttemptFailed(attempt, {CallFault::kBroken, true, false}, now);
     return;
@@ -373,7 +385,7 @@
   }
   if (state_ == State::kStreaming) {
     if (!head_sent_) {
-      // A stream without events is complete.
+      // A stream without events is complete if its framing says so.
       BeginStream();
     }
     summary_.completed = true;
--- a/carobshift/gateway/request/exchange_stream_test.cc
+++ b/carobshift/gateway/request/exchange_stream_test.cc
@@ -47,6 +47,47 @@
   CHECK(fixture.reply.body == Event(1));
 }
 
+// Guards against an endpoint that closes its connection right behind the head,
+// and whose caller gets an empty stream that looks whole.
+TEST_CASE("a stream that ends with its connection has at least one event") {
+  const bool resumable = GENERATE(true, false);
+  ExchangeFixture fixture(StreamRoute(resumable));
+  fixture.exchange->Start(kStart);
+  fixture.Answer(200, "");
+  fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
+  CHECK_FALSE(fixture.reply.begun);
+  if (resumable) {
+    REQUIRE(fixture.attempt_runner.started == 2);
+    fixture.Answer(200, Event(1));
+    fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
+    CHECK(fixture.reply.body == Event(1));
+    CHECK(fixture.reply.ended);
+  } else {
+    CHECK(fixture.attempt_runner.started == 1);
+    CHECK(fixture.reply.status == 502);
+  }
+}
+
+TEST_CASE("a stream without events is whole if its framing or status says so") {
+  ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
+  fixture.exchange->Start(kStart);
+  HttpHead head = Head(200);
+  SECTION("chunks") {
+    head.Set("Transfer-Encoding", "chunked");
+  }
+  SECTION("length") {
+    head.Set("Content-Length", "0");
+  }
+  SECTION("no content") {
+    head.status = 204;
+  }
+  CHECK(fixture.exchange->OnReplyHead(kFirst, head, {}, kStart) ==
+        ReplyDisposition::kAccept);
+  fixture.exchange->OnReplyEnd(kFirst, kStart);
+  CHECK(fixture.attempt_runner.started == 1);
+  CHECK(fixture.reply.ended);
+}
+
 TEST_CASE("a stream that breaks before its first event may start anew") {
   ExchangeFixture fixture(StreamRoute(/*resumable=*/true));
   fixture.exchange->Start(kStart);
--- a/fuzz/exchange_fuzz.cc
+++ b/fuzz/exchange_fuzz.cc
@@ -326,7 +326,10 @@
     std::string text = Events(attempt.after - overlap + 1, events_);
     if (attempt.outcome != AttemptOutcome::kEndsWithinEvent)
       return text;
-    // The connection closes in order although the last event is incomplete.
+    // The connection closes in order behind the head, or although the last
+    // event is incomplete.
+    if (attempt.after == 0 && random_.Chance(0.3))
+      return "";
     text = Events(attempt.after + 1,
                   attempt.after + random_.Below(events_ - attempt.after + 1));
     return text + "id: 99\nda";
--- a/testing/standin_replica.cc
+++ b/testing/standin_replica.cc
@@ -20,9 +20,12 @@
 // (answers have neither a length nor chunks and end with their connection),
 // `endless` (a stream is one event, which lasts until its
 // reader closes the connection), `slots` (a request beyond this many is
-// rejected; 0: none is), `work_ms` (the time that a request holds its slot) and
+// rejected; 0: none is), `work_ms` (the time that a request holds its slot),
 // `late_copies` (each rejection comes a second time, when the next response is
-// due on its connection).
+// due on its connection) and `cut` (an object, consumed by the next request
+// that runs: the connection ends after the first `bytes` of the response, with
+// a reset if `reset` is true; its `framing` is "length", "chunks" or
+// "until_close"). GET /runs reports the sizes of the latest response cut so.
 // A replica that states `brittle` and rejects more requests in a second than
 // that falls over: it closes all connections for two seconds.
 
@@ -31,6 +34,7 @@
 #include <cxxopts.hpp>
 #include <map>
 #include <mutex>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -52,6 +56,37 @@
   Milliseconds load_time{300};
 };
 
+// A complete response as text.
+struct ResponseText {
+  std::string bytes;
+  std::size_t head_size = 0;
+};
+
+std::string Chunk(const std::string& text) {
+  std::ostringstream out;
+  out << std::hex << text.size() << "\r\n" << text << "\r\n";
+  return out.str();
+}
+
+// Returns the response with the head fields `fields` and a body of `pieces`.
+ResponseText ComposeResponse(std::string fields,
+                             const std::vector<std::string>& pieces,
+                             const std::string& framing) {
+  std::string body;
+  for (const std::string& piece : pieces)
+    body += framing == "chunks" ? Chunk(piece) : piece;
+  if (framing == "chunks") {
+    body += "0\r\n\r\n";
+    fields += "Transfer-Encoding: chunked\r\n";
+  } else if (framing == "length") {
+    fields += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  } else {
+    fields += "Connection: close\r\n";
+  }
+  const std::string head = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+  return {head + body, head.size()};
+}
+
 // The slots of a replica. Thread-safe.
 class Room {
  public:
@@ -203,7 +238,10 @@
                     {"weights", weights_.load()},
                     {"rejections", room_.rejections()},
                     {"falls", room_.falls()},
-                    {"late_copies", copies_sent_}});
+                    {"late_copies", copies_sent_},
+                    {"cut_response",
+                     {{"size", cut_response_.bytes.size()},
+                      {"head_size", cut_response_.head_size}}}});
   }
 
  private:
@@ -250,6 +288,10 @@
       exchange.CloseConnection();
       return;
     }
+    if (const json cut = faults_.Take("cut"); cut.is_object()) {
+      SendCutResponse(exchange, cut);
+      return;
+    }
     if (faults_.Number("until_close") > 0)
       exchange.EndWithConnection();
     exchange.SetHeader("Request-Id", request);
@@ -260,6 +302,38 @@
       Stream(exchange);
   }
 
+  void SendCutResponse(StandinExchange& exchange, const json& cut) {
+    const std::string request = exchange.Header("Request-Id");
+    std::string fields = options_.model.empty()
+                             ? "Content-Type: text/plain\r\n"
+                             : "Content-Type: text/event-stream\r\n";
+    fields += "Instance-Id: " + options_.id +
+              "\r\nWeight-Versions: " + std::to_string(weights_.load()) +
+              "\r\nRequest-Id: " + request +
+              "\r\nResponse-Stamp: " + options_.id + "." + request + "\r\n";
+    std::vector<std::string> pieces;
+    if (options_.model.empty()) {
+      pieces = {"done ", exchange.body()};
+    } else {
+      const std::string after = exchange.Header("Last-Event-Id");
+      for (int number = after.empty() ? 0 : std::stoi(after);
+           number < options_.events; ++number)
+        pieces.push_back(EventText(number + 1));
+    }
+    const ResponseText response =
+        ComposeResponse(fields, pieces, cut.at("framing").get<std::string>());
+    {
+      const std::lock_guard lock(mutex_);
+      cut_response_ = response;
+    }
+    exchange.SendRaw(
+        response.bytes.substr(0, cut.at("bytes").get<std::size_t>()));
+    if (cut.at("reset").get<bool>())
+      exchange.ResetConnection();
+    else
+      exchange.CloseConnection();
+  }
+
   // Returns false if the caller has disconnected.
   bool WaitInQueue(const StandinExchange& exchange) {
     const MonotonicTime run_at =
@@ -377,6 +451,8 @@
   // end.
   std::map<std::string, std::string> late_copies_;
   int copies_sent_ = 0;
+  // The latest response to the fault `cut`.
+  ResponseText cut_response_;
 };
 
 }  // namespace
--- a/testing/standin_server.cc
+++ b/testing/standin_server.cc
@@ -101,6 +101,13 @@
   return true;
 }
 
+json Faults::Take(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  json value = values_.value(name, json());
+  values_.erase(name);
+  return value;
+}
+
 StandinExchange::StandinExchange(HTTPServerRequest& request,
                                  HTTPServerResponse& response)
     : request_(request),
@@ -198,6 +205,12 @@
   response_.setKeepAlive(false);
 }
 
+void StandinExchange::ResetConnection() {
+  SocketOf(request_).setLinger(true, 0);
+  SocketOf(request_).close();
+  response_.setKeepAlive(false);
+}
+
 cxxopts::Options StandinOptions(const std::string& name) {
   cxxopts::Options options(name);
   options.add_options()(
--- a/testing/standin_server.h
+++ b/testing/standin_server.h
@@ -50,6 +50,8 @@
   [[nodiscard]] bool Flag(const std::string& name) const;
   // Decrements a counter. Returns false if it was 0.
   [[nodiscard]] bool ConsumeOne(const std::string& name);
+  // Removes a value and returns it; null if it isn't set.
+  [[nodiscard]] nlohmann::json Take(const std::string& name);
 
  private:
   mutable std::mutex mutex_;
@@ -94,6 +96,8 @@
   [[nodiscard]] bool PeerClosed() const;
   // Closes the connection without a response.
   void CloseConnection();
+  // The same, but with a reset.
+  void ResetConnection();
   // Drops all following replies and closes the connection instead.
   void DropReply() { drop_reply_ = true; }
 
