Endpoints: an odd entry costs its own endpoint at most

Causes: - A key may be any bytes. EncodeStateDump() gave the id of a sound entry under a key that isn't UTF-8 to a library that throws on it; nothing catches, and the instance ended when asked for its state. The dump replaces what isn't UTF-8. The stand-in of the platform escapes keys that aren't ASCII as lone surrogates, and doesn't fail on a record whose key is cut off.

--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -91,7 +91,14 @@
     snapshot_keys_.push_back(record.key);
     Apply(record);
   }
-  page_token_ = page.value().more_after;
+  const auto previous_token =
+      std::exchange(page_token_, page.value().more_after);
+  if (page_token_ && page_token_ == previous_token) {
+    // The keys at the end of the page can't be named in a query.
+    LogEvent(LogLevel::kWarning, "log_page_repeated",
+             {{"stream", stream_.value()}, {"after", *page_token_}});
+    page_token_.reset();
+  }
   if (page_token_) {
     ReadPage();
     return;
--- a/carobshift/gateway/state_dump.cc
+++ b/carobshift/gateway/state_dump.cc
@@ -97,6 +97,8 @@
 
 }  // namespace
 
+// Keys of records are any bytes. Without the replacement of what isn't UTF-8
+// the library throws, which ends the process.
 std::string EncodeStateDump(const StateDumpView& view, MonotonicTime now) {
   json members = json::array();
   for (const MemberInfo& member : view.members)
@@ -114,7 +116,7 @@
       {"waiting_requests", view.waiting_requests},
       {"lease_holder", view.lease_holder},
       {"stopping", view.stopping}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 }  // namespace carobshift
--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -122,10 +122,14 @@
 void GatewayCluster::PutKeyed(const std::string& topic,
                               const std::string& key,
                               const std::string& value) {
-  constexpr int kBitsPerByte = 8;
   std::string record;
   record.push_back(static_cast<char>(key.size()));
-  record += key + value;
+  PutRaw(topic, record + key + value);
+}
+
+void GatewayCluster::PutRaw(const std::string& topic,
+                            const std::string& record) {
+  constexpr int kBitsPerByte = 8;
   std::string body;
   for (int shift = 24; shift >= 0; shift -= kBitsPerByte)
     body.push_back(static_cast<char>(record.size() >> shift & 0xff));
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -101,6 +101,12 @@
   void PutReplica(std::size_t index,
                   const std::string& state,
                   int start_time = 0);
+  // Appends bytes to a keyed topic as one record: any bytes at all, or a key of
+  // at most 255 bytes with its value.
+  void PutRaw(const std::string& topic, const std::string& record);
+  void PutKeyed(const std::string& topic,
+                const std::string& key,
+                const std::string& value);
 
   // Cuts the paths of gateway 0 to all endpoints. Its callers, the other
   // gateways and the log still reach it, and it reaches them.
@@ -140,9 +146,6 @@
   };
 
   void AddReplica(const std::string& id, bool engine);
-  void PutKeyed(const std::string& topic,
-                const std::string& key,
-                const std::string& value);
   void StartRelays();
   // Returns the address of a gateway's port, counted from the first of the
   // block.
--- a/testing/standin_platform.cc
+++ b/testing/standin_platform.cc
@@ -45,6 +45,25 @@
   return out.str();
 }
 
+// Returns a key as JSON text. Bytes that aren't ASCII are escaped as lone
+// surrogates, as some JSON libraries do with what isn't UTF-8.
+std::string KeyText(const std::string& key) {
+  constexpr unsigned char kFirstBeyondAscii = 0x80;
+  constexpr char kHexDigits[] = "0123456789abcdef";
+  std::string text = "\"";
+  for (const char byte : key) {
+    const auto code = static_cast<unsigned char>(byte);
+    if (code >= kFirstBeyondAscii) {
+      text += "\\udc";
+      text += {kHexDigits[code >> 4], kHexDigits[code & 0xf]};
+    } else {
+      const std::string quoted = json(std::string(1, byte)).dump();
+      text += quoted.substr(1, quoted.size() - 2);
+    }
+  }
+  return text + '"';
+}
+
 struct Stream {
   std::vector<std::string> records;
   std::uint64_t first = 0;
@@ -99,15 +118,16 @@
   void Newest(StandinExchange& exchange) {
     const std::lock_guard lock(mutex_);
     const Stream& stream = streams_[exchange.Query("topic")];
-    json items = json::array();
+    std::string items;
     for (const auto& [key, newest] : stream.newest) {
-      items.push_back({{"key", key},
-                       {"value", ToBase64(newest.second)},
-                       {"offset", newest.first}});
+      items += (items.empty() ? "" : ",") + std::string("{\"key\":") +
+               KeyText(key) + ",\"value\":\"" + ToBase64(newest.second) +
+               "\",\"offset\":" + std::to_string(newest.first) + "}";
     }
-    exchange.Reply({{"items", items},
-                    {"has_more", false},
-                    {"end_offset", stream.records.size()}});
+    exchange.ReplyRaw(200, "application/json",
+                      "{\"items\":[" + items +
+                          "],\"has_more\":false,\"end_offset\":" +
+                          std::to_string(stream.records.size()) + "}");
   }
 
   void DropOldRecords(StandinExchange& exchange) {
@@ -126,6 +146,8 @@
     if (!topic.starts_with("keyed.") || record.empty())
       return;
     const auto length = static_cast<unsigned char>(record.front());
+    if (record.size() < std::size_t{1} + length)
+      return;
     const std::string key = record.substr(1, length);
     const std::string value = record.substr(std::size_t{1} + length);
     if (value.empty())
