Endpoints: an unreadable record is logged once for each reason

What operators could see: a line for each heartbeat of an odd entry, with the whole of an unknown state's text in it. Cause: EndpointRecords logged each unreadable record, whether or not it was unreadable for the same reason before.

--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -85,16 +85,17 @@
   const EndpointId id(record.key);
   const std::uint64_t before = registry_.revision();
   if (!record.value) {
+    unreadable_.erase(id);
     NoteRemoval(id, now);
     Remove(id, now);
   } else {
     const Result<EndpointRecord> decoded =
         dialect_.DecodeEndpointRecord(record.key, *record.value);
     if (decoded.ok()) {
+      unreadable_.erase(id);
       Put(decoded.value(), now);
     } else {
-      LogEvent(LogLevel::kWarning, "endpoint_record_unreadable",
-               {{"endpoint", record.key}, {"reason", decoded.error().message}});
+      LogUnreadable(id, decoded.error().message);
       registry_.Remove(id, RemovalCause::kAnnounced, now);
     }
   }
@@ -117,6 +118,14 @@
   return true;
 }
 
+void EndpointRecords::LogUnreadable(const EndpointId& id,
+                                    const std::string& reason) {
+  if (std::exchange(unreadable_[id], reason) == reason)
+    return;
+  LogEvent(LogLevel::kWarning, "endpoint_record_unreadable",
+           {{"endpoint", id.value()}, {"reason", reason}});
+}
+
 void EndpointRecords::Put(const EndpointRecord& endpoint, MonotonicTime now) {
   registry_.Put(endpoint, now);
   listed_[endpoint.id] = now;
@@ -145,6 +154,9 @@
   bool changed = false;
   for (const EndpointId& id : missing)
     changed = Remove(id, now) || changed;
+  std::erase_if(unreadable_, [&listed](const auto& entry) {
+    return !listed.contains(entry.first.value());
+  });
   NoteSnapshot(now);
   if (changed)
     listener_.on_endpoints();
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -123,6 +123,9 @@
 
  private:
   void Put(const EndpointRecord& endpoint, MonotonicTime now);
+  // Logs an unreadable record, unless it was unreadable for the same reason
+  // before, as with each heartbeat of a writer of such records.
+  void LogUnreadable(const EndpointId& id, const std::string& reason);
   // Removes an entry. The time at which it takes effect depends on when the log
   // last recovered. Returns true if the registry changed.
   bool Remove(const EndpointId& id, MonotonicTime now);
@@ -137,6 +140,8 @@
   bool snapshot_read_ = false;
   // When each endpoint last wrote a record, also those that are gone.
   std::map<EndpointId, MonotonicTime> listed_;
+  // Why each record that can't be read can't be, as it was logged.
+  std::map<EndpointId, std::string> unreadable_;
   // When the log last recovered from an outage of at least kEntryExpiryOutage.
   // Entries that are missing within EndpointRegistry::kOutageGracePeriod after
   // it may still reappear.
