Logs tell who ended a caller's connection, and how late a deadline was

Cause: a request that ends without an answer left no line that tells whether the caller, a reset or this instance ended its connection, whether its bytes lay unread then, or whether a late process ran its deadline late.

Change: caller_connection_cut with the end, and whether a request was served or bytes were unread; carobshift_caller_connections_ended_total for all ends; late_ms in request_done for a deadline. The limit on a request's arrival counts from the read itself, as the loop's time may be older than it.

--- a/carobshift/gateway/request/caller_connections_test.cc
+++ b/carobshift/gateway/request/caller_connections_test.cc
@@ -177,6 +177,28 @@
   CHECK(under_test.client.HasFreeConnection(endpoint));
 }
 
+// Guards against a lost request of which nobody can tell who cut it off.
+TEST_CASE("the end of a caller's connection is counted by who ended it") {
+  ServiceUnderTest under_test;
+  under_test.service.SetConfig(
+      ConfigWith(1, {.idle_timeout = Milliseconds(300)}));
+  auto caller = std::make_unique<PersistentCaller>(under_test);
+  REQUIRE(caller->Ask());
+  std::string end;
+  SECTION("the instance") {
+    RunUntil(under_test.loop, [&] { return caller->closed(); });
+    end = "idle";
+  }
+  SECTION("the caller") {
+    caller.reset();
+    RunFor(under_test.loop, Milliseconds(50));
+    end = "caller_ended";
+  }
+  CHECK(under_test.metrics.PrometheusText().find(
+            "carobshift_caller_connections_ended_total{end=\"" + end + "\"}") !=
+        std::string::npos);
+}
+
 // Guards against proper requests that are rejected since their connection was
 // accepted under lower limits.
 TEST_CASE("raised limits of a request hold for connections that are open") {
--- a/carobshift/gateway/request/request_report.cc
+++ b/carobshift/gateway/request/request_report.cc
@@ -93,6 +93,8 @@
     fields["suspensions"] = summary.suspensions;
   if (summary.first_byte)
     fields["first_ms"] = ToMilliseconds(*summary.first_byte - setup.arrived);
+  if (summary.code == ResultCode::kDeadlineExceeded)
+    fields["late_ms"] = ToMilliseconds(now - exchange.deadline());
   if (setup.account != nullptr)
     fields["account"] = setup.account->name.value();
   LogEvent(LogLevel::kInfo, "request_done", std::move(fields));
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -350,6 +350,14 @@
 }
 
 void RequestService::OnConnectionEnd(HttpServerConnection& connection) {
+  const std::string_view end = ConnectionEndName(connection.end());
+  metrics_.Add("carobshift_caller_connections_ended_total", {{"end", end}}, 1);
+  if (connection.ended_within_request()) {
+    LogEvent(LogLevel::kInfo, "caller_connection_cut",
+             {{"end", end},
+              {"serving", connection.serving()},
+              {"unread", connection.left_unread()}});
+  }
   connections_.erase(&connection);
 }
 
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -19,6 +19,22 @@
 
 }  // namespace
 
+std::string_view ConnectionEndName(ConnectionEnd end) {
+  switch (end) {
+    case ConnectionEnd::kIdle:
+      return "idle";
+    case ConnectionEnd::kAfterReply:
+      return "after_reply";
+    case ConnectionEnd::kAborted:
+      return "aborted";
+    case ConnectionEnd::kCallerEnded:
+      return "caller_ended";
+    case ConnectionEnd::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
 HttpServerConnection::HttpServerConnection(EventLoop& loop,
                                            const HttpServerLimits& limits,
                                            HttpServerHandler& handler)
@@ -103,7 +119,8 @@
     switch (progress.state) {
       case HttpParser::State::kPartial:
         if (is_first_byte || head_was_done || parser_.head_done())
-          ArmTimer(loop_.now() + limits_.head_timeout, true);
+          // The loop may have stood still since its iteration began.
+          ArmTimer(MonotonicNow() + limits_.head_timeout, true);
         return;
       case HttpParser::State::kMalformed:
         Reject(kBadRequest);
@@ -245,8 +262,7 @@
 void HttpServerConnection::Abort() {
   if (ended_)
     return;
-  ended_ = true;
-  loop_.CancelTimer(timer_);
+  MarkEnded(ConnectionEnd::kAborted);
   tcp_->Abort();
   handler_->OnConnectionEnd(*this);
 }
@@ -267,8 +283,7 @@
   close_after_reply_ = true;
   if (tcp_->HasInput())
     return;
-  ended_ = true;
-  loop_.CancelTimer(timer_);
+  MarkEnded(ConnectionEnd::kIdle);
   if (pipelines_)
     tcp_->CloseAfterFlush();
   else
@@ -289,12 +304,18 @@
 void HttpServerConnection::End() {
   if (ended_)
     return;
-  ended_ = true;
-  loop_.CancelTimer(timer_);
+  MarkEnded(ConnectionEnd::kAfterReply);
   tcp_->CloseAfterFlush();
   handler_->OnConnectionEnd(*this);
 }
 
+void HttpServerConnection::MarkEnded(ConnectionEnd end) {
+  ended_ = true;
+  end_ = end;
+  left_unread_ = tcp_->HasInput();
+  loop_.CancelTimer(timer_);
+}
+
 void HttpServerConnection::CheckBackpressure() {
   if (paused_ || tcp_->unsent() < limits_.high_water)
     return;
@@ -314,12 +335,12 @@
   handler_->OnBackpressure(*this, false);
 }
 
-void HttpServerConnection::OnClosed(CloseReason) {
+void HttpServerConnection::OnClosed(CloseReason reason) {
   const auto self = shared_from_this();
   if (ended_)
     return;
-  ended_ = true;
-  loop_.CancelTimer(timer_);
+  MarkEnded(reason == CloseReason::kPeerEnded ? ConnectionEnd::kCallerEnded
+                                              : ConnectionEnd::kFailed);
   if (serving_)
     handler_->OnCallerDisconnected(*this);
   handler_->OnConnectionEnd(*this);
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -57,6 +57,23 @@
   std::string body;
 };
 
+// How a connection ended, by the side that ended it.
+enum class ConnectionEnd {
+  // This side, between two requests.
+  kIdle,
+  // This side, after a reply that announced it.
+  kAfterReply,
+  // This side, within a reply.
+  kAborted,
+  // The caller closed its sending side.
+  kCallerEnded,
+  // The caller reset it, or it failed on the way.
+  kFailed,
+};
+
+// Returns the name of the end for logs and metrics.
+[[nodiscard]] std::string_view ConnectionEndName(ConnectionEnd end);
+
 class HttpServerConnection;
 
 class HttpServerHandler {
@@ -117,6 +134,19 @@
   }
   [[nodiscard]] bool serving() const { return serving_; }
 
+  // How the connection has ended. For use in OnConnectionEnd().
+  [[nodiscard]] ConnectionEnd end() const { return end_; }
+  // Whether bytes of the caller lay in the socket when this side ended the
+  // connection.
+  [[nodiscard]] bool left_unread() const { return left_unread_; }
+  // Whether the end left a request without a whole reply: one that was served,
+  // one that had been received in part, or bytes that were not read. A reply
+  // that announced the end tells the caller that nothing behind it was read.
+  [[nodiscard]] bool ended_within_request() const {
+    return end_ != ConnectionEnd::kAfterReply &&
+           (serving_ || parser_.begun() || !unparsed_.empty() || left_unread_);
+  }
+
   void OnData(std::string_view bytes) override;
   void OnClosed(CloseReason reason) override;
   void OnFlushed() override;
@@ -139,6 +169,7 @@
   // Ends the connection once the caller has taken the whole reply.
   void EndWhenSent();
   void End();
+  void MarkEnded(ConnectionEnd end);
   // Closes the connection without a reply, unless a request has arrived.
   void EndIdle();
 
@@ -167,6 +198,8 @@
   bool pipelines_ = false;
   bool too_large_ = false;
   bool ended_ = false;
+  ConnectionEnd end_ = ConnectionEnd::kIdle;
+  bool left_unread_ = false;
 };
 
 }  // namespace carobshift
