Records: an endpoint that is listed again is told to listeners

Callers of an instance that asks a reader could be refused, or crowd fewer endpoints, though sound ones were there: after an absence of the log an endpoint whose entry lapsed and came back within two seconds stayed lost at listeners.

Cause: a reader holds removals back for two seconds after an absence. It passes the removal on, and the entry that comes back changes nothing in its own registry, so KeyedFollower passed it on to nobody. A listener that asked in between knew the removal only.

Change: a record that follows a removal counts as a change, whatever the sink makes of it.

--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -161,12 +161,15 @@
   const auto [found, first] =
       newest_.emplace(record.key, Known{record, record.offset});
   Known& known = found->second;
+  bool reappears = false;
   if (!first) {
     if (record.offset <= known.record.offset)
       return false;
+    reappears = !known.record.value && record.value;
     known.record = record;
   }
-  if (sink_.OnRecord(record, loop_.now()))
+  // The sink may not have acted on the removal yet, but others may know it.
+  if (sink_.OnRecord(record, loop_.now()) || reappears)
     known.changed = record.offset;
   if (!record.value)
     PruneTombstones();
--- a/carobshift/gateway/records/record_listener_test.cc
+++ b/carobshift/gateway/records/record_listener_test.cc
@@ -321,6 +321,22 @@
       RecordListener::kMaxAnswerAge + Milliseconds(1500)));
 }
 
+// Guards against a listener that loses a live endpoint for good: its entry
+// lapsed with the log away, and was back before its reader had taken it off.
+TEST_CASE("a listener learns that an endpoint is listed again") {
+  Fixture fixture;
+  const auto listener_knows = [&](const std::string& record) {
+    return fixture.TickUntil([&] {
+      return fixture.listener_instance->endpoint_sink.records.back() == record;
+    });
+  };
+  fixture.first->List("engine");
+  REQUIRE(listener_knows("engine=(removed)"));
+  fixture.first->endpoint_sink.changes = false;
+  fixture.first->List("engine=1");
+  CHECK(listener_knows("engine=1"));
+}
+
 TEST_CASE("who doesn't know the secret gets no records") {
   // The records contain the keys of all callers.
   Fixture fixture;
--- a/carobshift/gateway/records/recording_follower_sink.h
+++ b/carobshift/gateway/records/recording_follower_sink.h
@@ -18,20 +18,32 @@
 
 class RecordingFollowerSink : public KeyedFollowerSink {
  public:
-  bool OnRecord(const KeyedRecord& record, MonotonicTime) override {
+  bool OnRecord(const KeyedRecord& record, MonotonicTime now) override {
     records.push_back(record.key + "=" + record.value.value_or("(removed)"));
-    return changes;
+    return forward == nullptr ? changes : forward->OnRecord(record, now);
   }
   void OnSnapshot(const std::vector<std::string>& present,
-                  MonotonicTime) override {
+                  MonotonicTime now) override {
     snapshots.push_back(present);
+    if (forward != nullptr)
+      forward->OnSnapshot(present, now);
+  }
+  void OnLogLost(std::string_view reason) override {
+    ++lost;
+    if (forward != nullptr)
+      forward->OnLogLost(reason);
+  }
+  void OnLogRecovered(Milliseconds outage, MonotonicTime now) override {
+    ++back;
+    if (forward != nullptr)
+      forward->OnLogRecovered(outage, now);
   }
-  void OnLogLost(std::string_view) override { ++lost; }
-  void OnLogRecovered(Milliseconds, MonotonicTime) override { ++back; }
 
   std::vector<std::string> records;
   std::vector<std::vector<std::string>> snapshots;
-  // The return value of OnRecord().
+  // Told of all as well, if set.
+  KeyedFollowerSink* forward = nullptr;
+  // The return value of OnRecord() without `forward`.
   bool changes = true;
   int lost = 0;
   int back = 0;
