--- a/carobshift/gateway/handoff/stream_take_up_test.cc
+++ b/carobshift/gateway/handoff/stream_take_up_test.cc
@@ -130,6 +130,44 @@
   CHECK(caller->head.status == status);
 }
 
+std::shared_ptr<const ServingConfigSnapshot> ConfigWithReviewAt(
+    const ServiceName& service) {
+  ServingConfig config = Config()->config();
+  for (Route& route : config.routes) {
+    if (route.name == "review")
+      route.services = {{service, 1}};
+  }
+  config.services[service].name = service;
+  return std::make_shared<const ServingConfigSnapshot>(std::move(config));
+}
+
+// Guards against a stream that goes on at the service to which its route led
+// when it was taken up, though the route had moved before: the instance had
+// stood still, and read the configuration only while the stream waited.
+TEST_CASE("a lost stream that waits doesn't go on where its route led before") {
+  HandoffFixture fixture(EndOfStream);
+  FakeStreamDirectory directory;
+  Instance& instance = fixture.peer();
+  instance.registry.OnRecordsFollowedSince({});
+  MonotonicTime as_of = fixture.loop.now() - Milliseconds(500);
+  instance.requests.SetStreamDirectory(&directory, [&as_of] { return as_of; });
+  const auto caller = TakeUp(fixture);
+  RunUntil(fixture.loop, [&directory] { return directory.lookups == 1; });
+  int status = 200;
+  SECTION("the route still leads there") {
+    instance.requests.SetConfig(ConfigWithReviewAt(kService));
+  }
+  SECTION("the route has moved") {
+    instance.requests.SetConfig(ConfigWithReviewAt(ServiceName("other")));
+    status = 503;
+  }
+  as_of = fixture.loop.now();
+  instance.requests.OnTick();
+  RunUntil(fixture.loop, [&caller] { return caller->over; });
+  CHECK(caller->head.status == status);
+  CHECK(fixture.Runs() == (status == 200 ? 1 : 0));
+}
+
 TEST_CASE("a resumable stream's beginning is recorded with its first event") {
   HandoffFixture fixture(
       [](HttpServerConnection& connection, const HttpServerRequest&) {
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
+#include "carobshift/gateway/request/request_resolver.h"
 #include "carobshift/gateway/request/request_service.h"
 #include "carobshift/gateway/streams/stream_continuation.h"
 #include "carobshift/telemetry/event_log.h"
@@ -25,6 +27,19 @@
   return setup.route->streaming && setup.request.last_event.has_value();
 }
 
+// Returns whether `config`, which may be newer than the one that led the
+// request to its service, leads it to that service alone.
+bool LeadsToSameService(const ServingConfigSnapshot* config,
+                        const ExchangeSetup& setup) {
+  const Result<ResolvedRequest> resolved =
+      ResolveRequest(config, setup.request);
+  if (!resolved.ok())
+    return false;
+  const std::vector<WeightedService>& services =
+      resolved.value().route->services;
+  return services.size() == 1 && services.front().service == setup.service;
+}
+
 }  // namespace
 
 void RequestService::Begin(const std::shared_ptr<ExchangeRun>& run) {
@@ -87,7 +102,8 @@
     const std::shared_ptr<ExchangeRun>& run) {
   const ExchangeSetup& setup = run->exchange().setup();
   StreamLookup known;
-  known.sole_version = SoleVersion(SoleVersionQuestionOf(setup));
+  if (LeadsToSameService(config_.get(), setup))
+    known.sole_version = SoleVersion(SoleVersionQuestionOf(setup));
   // Another instance may have read a new version's record sooner, and begun the
   // stream there.
   const bool may_be_outdated =
