Endpoints: a heartbeat that is written late doesn't undo that one leaves

Cause: the log may carry out a write that got no answer seconds later. A heartbeat "ready" then follows the record "leaving" or the entry's removal, one of an earlier incarnation the first of the next. The registry took whatever came last in the log. Class: the log's sequence taken for the writer's.

RecordEffect::kOutOfDate keeps the value that was known, so that peers are never sent the late one. Such records are logged and counted; endpoint_changed tells the heartbeat, and a removal that is held back for an outage is logged.

Tests: the stand-in cluster counts its heartbeats, as endpoints do. "streams stay at their software while a rollout is rolled back" listed endpoints that had said that they leave again under the same start time, which no endpoint does; they now come back as another incarnation, and nothing else changes in it.

--- /dev/null
+++ b/carobshift/gateway/endpoints/endpoint_incarnations_test.cc
@@ -0,0 +1,122 @@
+#include "carobshift/gateway/endpoints/endpoint_incarnations.h"
+
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <limits>
+#include <string>
+
+namespace carobshift {
+namespace {
+
+const MonotonicTime kNow{Seconds(100)};
+const EndpointId kEndpoint("e1");
+
+EndpointRecord Heartbeat(std::uint64_t number, std::int64_t start_time = 1) {
+  EndpointRecord record;
+  record.id = kEndpoint;
+  record.start_time = EndpointStartTime(start_time);
+  record.heartbeat = HeartbeatNumber(number);
+  return record;
+}
+
+EndpointRecord Leaving(std::uint64_t number, std::int64_t start_time = 1) {
+  EndpointRecord record = Heartbeat(number, start_time);
+  record.leaving = true;
+  return record;
+}
+
+// Guards against requests to an endpoint that leaves, after a heartbeat that it
+// sent before and that the log wrote late.
+TEST_CASE("that an incarnation leaves is final") {
+  EndpointIncarnations incarnations;
+  incarnations.OnRecord(Heartbeat(7), kNow);
+  incarnations.OnRecord(Leaving(9), kNow);
+  CHECK(incarnations.OnRecord(Heartbeat(8), kNow) ==
+        RecordStanding::kBeforeLeaving);
+  CHECK(incarnations.OnRecord(Heartbeat(10), kNow) ==
+        RecordStanding::kBeforeLeaving);
+  SECTION("also after its entry is gone") {
+    incarnations.OnRemoved(kEndpoint);
+    CHECK(incarnations.OnRecord(Heartbeat(8), kNow) ==
+          RecordStanding::kBeforeLeaving);
+  }
+  SECTION("but not for the next incarnation") {
+    CHECK(incarnations.OnRecord(Heartbeat(1, 2), kNow) ==
+          RecordStanding::kCurrent);
+    CHECK(incarnations.OnRecord(Leaving(11), kNow) ==
+          RecordStanding::kOlderIncarnation);
+  }
+  SECTION("for a record without a heartbeat's number too") {
+    EndpointRecord record = Heartbeat(0);
+    record.heartbeat.reset();
+    CHECK(incarnations.OnRecord(record, kNow) ==
+          RecordStanding::kBeforeLeaving);
+  }
+}
+
+// Guards against requests to an endpoint that has withdrawn its entry, after a
+// late copy of its last heartbeat.
+TEST_CASE("a heartbeat from before the entry's removal is out of date") {
+  EndpointIncarnations incarnations;
+  incarnations.OnRecord(Heartbeat(7), kNow);
+  CHECK(incarnations.OnRecord(Heartbeat(7), kNow) == RecordStanding::kCurrent);
+  incarnations.OnRemoved(kEndpoint);
+  CHECK(incarnations.OnRecord(Heartbeat(7), kNow) ==
+        RecordStanding::kOlderHeartbeat);
+}
+
+// Guards against a live endpoint that is lost, as its entry expired while the
+// log was away.
+TEST_CASE("an entry that comes back with a later heartbeat is current") {
+  EndpointIncarnations incarnations;
+  incarnations.OnRecord(Heartbeat(7), kNow);
+  incarnations.OnRemoved(kEndpoint);
+  CHECK(incarnations.OnRecord(Heartbeat(8), kNow) == RecordStanding::kCurrent);
+}
+
+// Guards against an endpoint's old load, weights or address replacing its
+// present ones.
+TEST_CASE("an older heartbeat of the same incarnation is out of date") {
+  EndpointIncarnations incarnations;
+  incarnations.OnRecord(Heartbeat(7), kNow);
+  CHECK(incarnations.OnRecord(Heartbeat(6), kNow) ==
+        RecordStanding::kOlderHeartbeat);
+  CHECK(incarnations.LastHeartbeat(kEndpoint) == HeartbeatNumber(7));
+}
+
+// Guards against a sound endpoint that is kept out for good, as another writer
+// has left an entry under its id with a huge start time or heartbeat number.
+TEST_CASE("records that go on contradicting a start time are believed") {
+  constexpr std::int64_t kHuge = std::numeric_limits<std::int64_t>::max();
+  const bool huge_number = GENERATE(true, false);
+  EndpointIncarnations incarnations;
+  incarnations.OnRecord(
+      huge_number ? Heartbeat(std::uint64_t{kHuge}) : Heartbeat(1, kHuge),
+      kNow);
+  const int late = EndpointIncarnations::kMaxLateRecords;
+  for (int i = 1; i <= late; ++i)
+    CHECK(incarnations.OnRecord(Heartbeat(static_cast<std::uint64_t>(i)),
+                                kNow) != RecordStanding::kCurrent);
+  CHECK(incarnations.OnRecord(Heartbeat(late + 1), kNow) ==
+        RecordStanding::kCurrent);
+}
+
+TEST_CASE("endpoints are forgotten only when many are known") {
+  EndpointIncarnations incarnations;
+  incarnations.OnRecord(Leaving(1), kNow);
+  const MonotonicTime later = kNow + EndpointIncarnations::kKeepTime;
+  for (std::size_t i = 0; i + 1 < EndpointIncarnations::kMaxKnown; ++i) {
+    EndpointRecord record = Heartbeat(1);
+    record.id = EndpointId("other" + std::to_string(i));
+    incarnations.OnRecord(record, later);
+  }
+  CHECK(incarnations.Knows(kEndpoint));
+  EndpointRecord one_more = Heartbeat(1);
+  one_more.id = EndpointId("one more");
+  incarnations.OnRecord(one_more, later);
+  CHECK_FALSE(incarnations.Knows(kEndpoint));
+  CHECK(incarnations.Knows(one_more.id));
+}
+
+}  // namespace
+}  // namespace carobshift
--- a/carobshift/gateway/endpoints/endpoint_record.h
+++ b/carobshift/gateway/endpoints/endpoint_record.h
@@ -17,6 +17,9 @@
 // old id has another start time and has lost all its previous state.
 using EndpointStartTime = StrongType<struct EndpointBirthTag, std::int64_t>;
 
+// Counts the heartbeats of an incarnation.
+using HeartbeatNumber = StrongType<struct HeartbeatNumberTag, std::uint64_t>;
+
 struct EndpointRecord {
   EndpointId id;
   EndpointStartTime start_time{};
@@ -33,6 +36,9 @@
   // The record states a time that isn't a valid one; it counts as zero.
   bool bad_cold_time = false;
 
+  // The heartbeat that wrote the record; empty if it states no number.
+  std::optional<HeartbeatNumber> heartbeat{};
+
   friend bool operator==(const EndpointRecord&,
                          const EndpointRecord&) = default;
 };
--- a/carobshift/gateway/endpoints/endpoint_registry.cc
+++ b/carobshift/gateway/endpoints/endpoint_registry.cc
@@ -6,8 +6,11 @@
   grace_ends_.erase(record.id);
   const auto [found, inserted] = records_.try_emplace(record.id, record);
   EndpointRecord& known = found->second;
-  if (!inserted && known == record)
-    return false;
+  if (!inserted) {
+    known.heartbeat = record.heartbeat;
+    if (known == record)
+      return false;
+  }
   if (!inserted)
     software_history_.OnUnlisted(known, now);
   software_history_.OnListed(record, now);
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -562,6 +562,8 @@
               static_cast<double>(operator_follower.bytes_read()));
   metrics.Set("carobshift_log_bytes_read", {{"stream", "endpoints"}},
               static_cast<double>(endpoint_follower.bytes_read()));
+  metrics.Set("carobshift_endpoint_records_out_of_date", {},
+              static_cast<double>(endpoint_records.out_of_date_records()));
   metrics.Set("carobshift_peer_bytes_told", {},
               static_cast<double>(peer_sync.bytes_sent()));
   metrics.Set("carobshift_stream_records", {},
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -6,14 +6,23 @@
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
+namespace {
 
-bool OperatorRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
+// Returns -1 for a record that states no number.
+std::int64_t HeartbeatForLog(const std::optional<HeartbeatNumber>& heartbeat) {
+  return heartbeat ? static_cast<std::int64_t>(heartbeat->value()) : -1;
+}
+
+}  // namespace
+
+RecordEffect OperatorRecords::OnRecord(const KeyedRecord& record,
+                                       MonotonicTime now) {
   if (const auto zone = dialect_.EvacuatedZone(record.key)) {
     SetEvacuated(*zone, record.value.has_value(), now);
-    return true;
+    return RecordEffect::kChanged;
   }
   if (!record.value)
-    return true;
+    return RecordEffect::kChanged;
   Result<OperatorRecord> decoded =
       dialect_.DecodeOperatorRecord(record.key, *record.value);
   if (!decoded.ok()) {
@@ -21,7 +30,7 @@
              {{"key", record.key},
               {"offset", record.offset.value()},
               {"reason", decoded.error().message}});
-    return true;
+    return RecordEffect::kChanged;
   }
   if (auto* config = std::get_if<ServingConfig>(&decoded.value()))
     Apply(std::move(*config), record.offset);
@@ -29,7 +38,7 @@
     listener_.on_weights(
         std::get<NamedWeights>(decoded.value()),
         IsFollowing(now) ? NamingAge::kJustNow : NamingAge::kUnknown);
-  return true;
+  return RecordEffect::kChanged;
 }
 
 void OperatorRecords::OnSnapshot(const std::vector<std::string>& present,
@@ -81,7 +90,8 @@
            {{"stream", "operator"}, {"away_ms", away.count()}});
 }
 
-bool EndpointRecords::OnRecord(const KeyedRecord& record, MonotonicTime now) {
+RecordEffect EndpointRecords::OnRecord(const KeyedRecord& record,
+                                       MonotonicTime now) {
   const EndpointId id(record.key);
   const std::uint64_t before = registry_.revision();
   if (!record.value) {
@@ -91,7 +101,8 @@
     const Result<EndpointRecord> decoded =
         dialect_.DecodeEndpointRecord(record.key, *record.value);
     if (decoded.ok()) {
-      Put(decoded.value(), now);
+      if (!Put(decoded.value(), record.offset, now))
+        return RecordEffect::kOutOfDate;
     } else {
       LogEvent(LogLevel::kWarning, "endpoint_record_unreadable",
                {{"endpoint", record.key}, {"reason", decoded.error().message}});
@@ -101,7 +112,7 @@
   // A removal also counts during the entry's grace period, because instances
   // that receive the record from this one apply their own grace period.
   if (registry_.revision() == before)
-    return !record.value;
+    return record.value ? RecordEffect::kUnchanged : RecordEffect::kChanged;
   const EndpointRecord* const known = registry_.Find(id);
   LogEvent(
       LogLevel::kInfo, "endpoint_changed",
@@ -111,20 +122,30 @@
                                   : "ready"},
        {"software", known == nullptr ? std::string() : known->software.value()},
        {"born", known == nullptr ? 0 : known->start_time.value()},
+       {"heartbeat", HeartbeatForLog(incarnations_.LastHeartbeat(id))},
        {"offset", record.offset.value()},
        {"registry", registry_.revision()}});
   listener_.on_endpoints();
-  return true;
+  return RecordEffect::kChanged;
 }
 
-void EndpointRecords::Put(const EndpointRecord& endpoint, MonotonicTime now) {
-  registry_.Put(endpoint, now);
-  listed_[endpoint.id] = now;
-  if (listed_.size() > kMaxListed) {
-    std::erase_if(listed_, [now](const auto& listed) {
-      return now - listed.second >= SoftwareHistory::kKeepTime;
-    });
+bool EndpointRecords::Put(const EndpointRecord& endpoint,
+                          LogOffset offset,
+                          MonotonicTime now) {
+  const RecordStanding standing = incarnations_.OnRecord(endpoint, now);
+  if (standing != RecordStanding::kCurrent) {
+    ++out_of_date_records_;
+    LogEvent(LogLevel::kWarning, "endpoint_record_out_of_date",
+             {{"endpoint", endpoint.id.value()},
+              {"reason", RecordStandingName(standing)},
+              {"born", endpoint.start_time.value()},
+              {"heartbeat", HeartbeatForLog(endpoint.heartbeat)},
+              {"last_heartbeat",
+               HeartbeatForLog(incarnations_.LastHeartbeat(endpoint.id))},
+              {"offset", offset.value()}});
+    return false;
   }
+  registry_.Put(endpoint, now);
   if (endpoint.bad_cold_time) {
     LogEvent(LogLevel::kWarning, "endpoint_cold_time_unreadable",
              {{"endpoint", endpoint.id.value()}});
@@ -132,6 +153,7 @@
   // Also for a record that changes nothing else: its time counts from now.
   if (endpoint.cold_remaining > Milliseconds(0))
     listener_.on_cold_endpoint(endpoint);
+  return true;
 }
 
 void EndpointRecords::OnSnapshot(const std::vector<std::string>& present,
@@ -151,7 +173,7 @@
 }
 
 void EndpointRecords::NoteRemoval(const EndpointId& id, MonotonicTime now) {
-  if (listed_.contains(id))
+  if (incarnations_.Knows(id))
     return;
   // The endpoint came and went unseen.
   registry_.OnRecordsFollowedSince(now);
@@ -171,10 +193,16 @@
 }
 
 bool EndpointRecords::Remove(const EndpointId& id, MonotonicTime now) {
+  incarnations_.OnRemoved(id);
   if (log_recovered_ &&
-      now < *log_recovered_ + EndpointRegistry::kOutageGracePeriod)
+      now < *log_recovered_ + EndpointRegistry::kOutageGracePeriod) {
+    const auto held = std::chrono::ceil<Milliseconds>(
+        *log_recovered_ + EndpointRegistry::kOutageGracePeriod - now);
+    LogEvent(LogLevel::kInfo, "endpoint_removal_held_back",
+             {{"endpoint", id.value()}, {"held_ms", held.count()}});
     return registry_.Remove(id, RemovalCause::kExpiredDuringOutage,
                             *log_recovered_);
+  }
   return registry_.Remove(id, RemovalCause::kAnnounced, now);
 }
 
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -8,14 +8,15 @@
 #ifndef CAROBSHIFT_GATEWAY_GATEWAY_STATE_H_
 #define CAROBSHIFT_GATEWAY_GATEWAY_STATE_H_
 
+#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 
 #include "carobshift/gateway/dialect.h"
+#include "carobshift/gateway/endpoints/endpoint_incarnations.h"
 #include "carobshift/gateway/endpoints/endpoint_registry.h"
 #include "carobshift/gateway/endpoints/zone_evacuations.h"
 #include "carobshift/gateway/records/keyed_follower.h"
@@ -58,7 +59,7 @@
                   const GatewayStateListener& listener)
       : dialect_(dialect), evacuations_(evacuations), listener_(listener) {}
 
-  bool OnRecord(const KeyedRecord& record, MonotonicTime now) override;
+  RecordEffect OnRecord(const KeyedRecord& record, MonotonicTime now) override;
   void OnSnapshot(const std::vector<std::string>& present,
                   MonotonicTime now) override;
   void OnLogLost(std::string_view reason) override;
@@ -100,9 +101,6 @@
   // length: an entry expires after three missed heartbeats.
   static constexpr Milliseconds kEntryExpiryOutage{1500};
 
-  // Beyond this number, endpoints are forgotten that are gone for long.
-  static constexpr std::size_t kMaxListed = 4096;
-
   // A snapshot that is read until `shows_all_until` shows all endpoints that
   // there ever were, as the deployment has just started for the first time.
   EndpointRecords(const LogDialect& dialect,
@@ -114,15 +112,20 @@
         listener_(listener),
         shows_all_until_(shows_all_until) {}
 
-  bool OnRecord(const KeyedRecord& record, MonotonicTime now) override;
+  RecordEffect OnRecord(const KeyedRecord& record, MonotonicTime now) override;
   void OnSnapshot(const std::vector<std::string>& present,
                   MonotonicTime now) override;
   void OnLogLost(std::string_view reason) override;
   void OnLogRecovered(Milliseconds away, MonotonicTime now) override;
   void Expire(MonotonicTime now);
+  // The number of records so far that were out of date when they arrived.
+  [[nodiscard]] std::uint64_t out_of_date_records() const {
+    return out_of_date_records_;
+  }
 
  private:
-  void Put(const EndpointRecord& endpoint, MonotonicTime now);
+  // Returns whether the record is current; another one changes nothing.
+  bool Put(const EndpointRecord& endpoint, LogOffset offset, MonotonicTime now);
   // Removes an entry. The time at which it takes effect depends on when the log
   // last recovered. Returns true if the registry changed.
   bool Remove(const EndpointId& id, MonotonicTime now);
@@ -135,8 +138,9 @@
   const GatewayStateListener& listener_;
   const MonotonicTime shows_all_until_;
   bool snapshot_read_ = false;
-  // When each endpoint last wrote a record, also those that are gone.
-  std::map<EndpointId, MonotonicTime> listed_;
+  // Also of endpoints that are gone.
+  EndpointIncarnations incarnations_;
+  std::uint64_t out_of_date_records_ = 0;
   // When the log last recovered from an outage of at least kEntryExpiryOutage.
   // Entries that are missing within EndpointRegistry::kOutageGracePeriod after
   // it may still reappear.
--- a/carobshift/gateway/gateway_state_test.cc
+++ b/carobshift/gateway/gateway_state_test.cc
@@ -12,22 +12,31 @@
 
 const MonotonicTime kStart{Seconds(100)};
 
+constexpr char kLeaving[] = "leaving";
+
 class ListDialect : public StubLogDialect {
  public:
   [[nodiscard]] Result<EndpointRecord> DecodeEndpointRecord(
       const std::string& key,
-      std::string_view) const override {
+      std::string_view value) const override {
     EndpointRecord record;
     record.id = EndpointId(key);
+    record.leaving = value == kLeaving;
     return record;
   }
 };
 
 struct EndpointRecordsFixture {
-  void Write(const std::string& id, MonotonicTime now) {
-    records.OnRecord({.key = id, .value = "", .offset = LogOffset(++offset)},
+  void Write(const std::string& id,
+             MonotonicTime now,
+             const std::string& value = "") {
+    records.OnRecord({.key = id, .value = value, .offset = LogOffset(++offset)},
                      now);
   }
+  [[nodiscard]] bool Serves(const std::string& id) const {
+    const EndpointRecord* const record = registry.Find(EndpointId(id));
+    return record != nullptr && !record->leaving;
+  }
   void Remove(const std::string& id, MonotonicTime now) {
     records.OnRecord(
         {.key = id, .value = std::nullopt, .offset = LogOffset(++offset)}, now);
@@ -128,6 +137,23 @@
   CHECK(fixture.Knows("e2", end));
 }
 
+// Guards against requests to an endpoint that leaves: the log writes one of its
+// heartbeats late, after the record in which it said so.
+TEST_CASE(
+    "a heartbeat that is written late doesn't undo that its endpoint leaves") {
+  EndpointRecordsFixture fixture;
+  fixture.Write("e1", kStart);
+  CHECK(fixture.Serves("e1"));
+  fixture.Write("e1", kStart, kLeaving);
+  fixture.Write("e1", kStart);
+  CHECK_FALSE(fixture.Serves("e1"));
+  SECTION("or that it is gone") {
+    fixture.Remove("e1", kStart);
+    fixture.Write("e1", kStart);
+    CHECK_FALSE(fixture.Serves("e1"));
+  }
+}
+
 class EvacuationDialect : public StubLogDialect {
  public:
   [[nodiscard]] std::optional<ZoneName> EvacuatedZone(
--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -158,16 +158,18 @@
 }
 
 bool KeyedFollower::Apply(const KeyedRecord& record) {
-  const auto [found, first] =
-      newest_.emplace(record.key, Known{record, record.offset});
+  const auto [found, first] = newest_.try_emplace(
+      record.key,
+      Known{{record.key, std::nullopt, record.offset}, record.offset});
   Known& known = found->second;
-  if (!first) {
-    if (record.offset <= known.record.offset)
-      return false;
-    known.record = record;
-  }
-  if (sink_.OnRecord(record, loop_.now()))
+  if (!first && record.offset <= known.record.offset)
+    return false;
+  const RecordEffect effect = sink_.OnRecord(record, loop_.now());
+  known.record.offset = record.offset;
+  if (effect == RecordEffect::kChanged)
     known.changed = record.offset;
+  if (effect != RecordEffect::kOutOfDate)
+    known.record.value = record.value;
   if (!record.value)
     PruneTombstones();
   return true;
--- a/carobshift/gateway/records/keyed_follower.h
+++ b/carobshift/gateway/records/keyed_follower.h
@@ -49,13 +49,24 @@
   Milliseconds max_retry_delay{800};
 };
 
+// What a record has done to the state of its reader.
+enum class RecordEffect {
+  // Other instances are sent the record.
+  kChanged,
+  // Nothing, as with a heartbeat. Other instances are not sent it.
+  kUnchanged,
+  // Nothing, as its writer had sent it before one that was written earlier.
+  // Other instances are sent the earlier one, and at no time this one.
+  kOutOfDate,
+};
+
 class KeyedFollowerSink {
  public:
   virtual ~KeyedFollowerSink() = default;
-  // Receives a record that is newer than any previous one of its key. Returns
-  // false if it changed nothing, as with a heartbeat; other instances are then
-  // not sent it.
-  virtual bool OnRecord(const KeyedRecord& record, MonotonicTime now) = 0;
+  // Receives a record that is newer, by its offset, than any previous one of
+  // its key.
+  virtual RecordEffect OnRecord(const KeyedRecord& record,
+                                MonotonicTime now) = 0;
   // Called when the snapshot is complete. Keys that are not in `present` are
   // gone. `present` includes keys of newer records that peers have supplied.
   virtual void OnSnapshot(const std::vector<std::string>& present,
--- a/carobshift/gateway/records/keyed_follower_test.cc
+++ b/carobshift/gateway/records/keyed_follower_test.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/records/keyed_follower.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -319,6 +320,23 @@
         std::vector<std::string>{"a=1", "b=1", "a=2", "a=3", "b=(removed)"});
 }
 
+// Guards against peers that are sent a record which the log wrote late.
+TEST_CASE("peers are sent what was known before a record that is out of date") {
+  Fixture fixture;
+  const bool removed = GENERATE(false, true);
+  const std::optional<std::string> known =
+      removed ? std::nullopt : std::optional<std::string>("2");
+  fixture.follower.MergePeerRecords(
+      {{"a", "2", LogOffset(0)}, {"a", known, LogOffset(1)}});
+  fixture.sink.effect = RecordEffect::kOutOfDate;
+  fixture.follower.MergePeerRecords({{"a", "1", LogOffset(2)}});
+  CHECK(fixture.follower.ChangedSince(LogOffset(2)).empty());
+  const auto changed = fixture.follower.ChangedSince(LogOffset(1));
+  REQUIRE(changed.size() == 1);
+  CHECK(changed.front().value == known);
+  CHECK(changed.front().offset == LogOffset(2));
+}
+
 // Guards against an evacuation that is dropped since a peer told of it while
 // an older snapshot was being read.
 TEST_CASE("a peer's record that is newer than the snapshot is part of it") {
--- a/carobshift/gateway/records/record_listener_test.cc
+++ b/carobshift/gateway/records/record_listener_test.cc
@@ -107,7 +107,7 @@
   // Ninety endpoints write once a second each. If their records were forwarded
   // to eighty instances, they would saturate a small instance's link.
   Fixture fixture;
-  fixture.first->endpoint_sink.changes = false;
+  fixture.first->endpoint_sink.effect = RecordEffect::kUnchanged;
   fixture.first->List("engine=2");
   REQUIRE(fixture.TickUntil([&] {
     return fixture.first->endpoint_sink.records.back() == "engine=2";
@@ -116,7 +116,7 @@
   CHECK(fixture.listener_instance->endpoint_sink.records ==
         Records{"engine=1"});
   // The next change arrives with the record's complete content at that time.
-  fixture.first->endpoint_sink.changes = true;
+  fixture.first->endpoint_sink.effect = RecordEffect::kChanged;
   fixture.first->List("engine=3");
   CHECK(fixture.TickUntil([&] {
     return fixture.listener_instance->endpoint_sink.records ==
--- a/carobshift/gateway/records/recording_follower_sink.h
+++ b/carobshift/gateway/records/recording_follower_sink.h
@@ -18,9 +18,9 @@
 
 class RecordingFollowerSink : public KeyedFollowerSink {
  public:
-  bool OnRecord(const KeyedRecord& record, MonotonicTime) override {
+  RecordEffect OnRecord(const KeyedRecord& record, MonotonicTime) override {
     records.push_back(record.key + "=" + record.value.value_or("(removed)"));
-    return changes;
+    return effect;
   }
   void OnSnapshot(const std::vector<std::string>& present,
                   MonotonicTime) override {
@@ -32,7 +32,7 @@
   std::vector<std::string> records;
   std::vector<std::vector<std::string>> snapshots;
   // The return value of OnRecord().
-  bool changes = true;
+  RecordEffect effect = RecordEffect::kChanged;
   int lost = 0;
   int back = 0;
 };
--- a/fuzz/registry_fuzz.cc
+++ b/fuzz/registry_fuzz.cc
@@ -1,12 +1,13 @@
 // Fuzzes the instance list as one process reads it, while endpoints start,
 // leave, crash, restart under the same id and write malformed entries, and
-// while the log is unavailable or has dropped its history. The oracle knows the
-// endpoints.
+// while the log writes heartbeats late, is unavailable or has dropped its
+// history. The oracle knows the endpoints.
 
 #include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
 #include <map>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,17 @@
 constexpr Milliseconds kHeartbeat{500};
 constexpr Milliseconds kEntryTtl{1500};
 const Milliseconds kMaxRewriteDelay{1900};
+const Milliseconds kMaxWriteDelay{2500};
+const Milliseconds kMaxDrainTime{2500};
+
+// A record's value is "START HEARTBEAT LEAVING", or malformed text.
+std::string RecordValue(std::int64_t start_time,
+                        std::uint64_t heartbeat,
+                        bool leaving) {
+  return std::to_string(start_time) + " " + std::to_string(heartbeat) + " " +
+         std::to_string(static_cast<int>(leaving));
+}
 
-// A record's value is the endpoint's birth, or malformed text.
 class ListDialect : public StubLogDialect {
  public:
   [[nodiscard]] Result<EndpointRecord> DecodeEndpointRecord(
@@ -32,7 +42,12 @@
       return Unsupported();
     EndpointRecord record;
     record.id = EndpointId(key);
-    record.start_time = EndpointStartTime(std::stoll(std::string(value)));
+    std::istringstream text{std::string(value)};
+    std::int64_t start_time = 0;
+    std::uint64_t heartbeat = 0;
+    text >> start_time >> heartbeat >> record.leaving;
+    record.start_time = EndpointStartTime(start_time);
+    record.heartbeat = HeartbeatNumber(heartbeat);
     return record;
   }
 };
@@ -43,6 +58,7 @@
     for (int i = 0; i < 6; ++i)
       Start("e" + std::to_string(i));
     CheckPeriodically();
+    SendHeartbeats();
   }
 
   std::vector<std::string> Run() {
@@ -65,13 +81,21 @@
     bool alive = true;
     // Its entry expired while the log was unavailable.
     bool entry_expired = false;
+    std::uint64_t heartbeat = 0;
+    bool leaving = false;
+  };
+
+  // The newest incarnation of an id whose record has been read.
+  struct Read {
+    std::int64_t start_time = 0;
+    bool leaving = false;
   };
 
   SeededRandom& random() { return simulation_.random(); }
 
   void InjectFault() {
     const std::string id = "e" + std::to_string(random().Below(8));
-    switch (random().Below(8)) {
+    switch (random().Below(9)) {
       case 0:
         return Kill(id);
       case 1:
@@ -83,6 +107,8 @@
         return DeliverRecord("foreign", "broken");
       case 4:
         return Compact();
+      case 5:
+        return Leave(id);
       default:
         return;
     }
@@ -92,7 +118,60 @@
     Endpoint& endpoint = endpoints_[id];
     endpoint = {
         .start_time = ++last_birth_, .alive = true, .entry_expired = false};
-    Write(id, std::to_string(endpoint.start_time));
+    Write(id, NextRecord(endpoint));
+  }
+
+  static std::string NextRecord(Endpoint& endpoint) {
+    return RecordValue(endpoint.start_time, ++endpoint.heartbeat,
+                       endpoint.leaving);
+  }
+
+  // The endpoint says that it leaves, and withdraws its entry later.
+  void Leave(const std::string& id) {
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end() || !found->second.alive ||
+        found->second.entry_expired)
+      return;
+    Endpoint& endpoint = found->second;
+    endpoint.leaving = true;
+    Write(id, NextRecord(endpoint));
+    simulation_.After(random().Between(Milliseconds(0), kMaxDrainTime),
+                      [this, id, start_time = endpoint.start_time] {
+                        Endpoint& left = endpoints_[id];
+                        if (!left.alive || left.start_time != start_time)
+                          return;
+                        left.alive = false;
+                        Write(id, std::nullopt);
+                      });
+  }
+
+  // Some are written late, after others that were sent after them.
+  void SendHeartbeats() {
+    constexpr double kLateShare = 0.3;
+    for (auto& [id, endpoint] : endpoints_) {
+      if (!endpoint.alive || endpoint.entry_expired || log_lost_since_)
+        continue;
+      const std::string record = NextRecord(endpoint);
+      if (random().Chance(kLateShare))
+        simulation_.After(random().Between(Milliseconds(1), kMaxWriteDelay),
+                          [this, id = id, record] { WriteLate(id, record); });
+      else
+        Write(id, record);
+    }
+    simulation_.After(kHeartbeat, [this] { SendHeartbeats(); });
+  }
+
+  // The entry expires, unless another one follows or its id has a live
+  // endpoint, whose next heartbeat replaces it.
+  void WriteLate(const std::string& id, const std::string& record) {
+    Write(id, record);
+    simulation_.After(kEntryTtl, [this, id, record] {
+      const auto written = written_.find(id);
+      if (written == written_.end() || written->second != record)
+        return;
+      if (!endpoints_[id].alive)
+        Write(id, std::nullopt);
+    });
   }
 
   void Kill(const std::string& id) {
@@ -142,9 +221,9 @@
       const std::int64_t start_time = endpoint.start_time;
       simulation_.After(random().Between(Milliseconds(0), kMaxRewriteDelay),
                         [this, id = id, start_time] {
-                          const Endpoint& now = endpoints_[id];
+                          Endpoint& now = endpoints_[id];
                           if (now.alive && now.start_time == start_time)
-                            Write(id, std::to_string(start_time));
+                            Write(id, NextRecord(now));
                         });
     }
   }
@@ -175,6 +254,27 @@
     if (log_lost_since_ && value == "broken")
       return;
     records_.OnRecord({id, value, LogOffset(++offset_)}, simulation_.now());
+    if (value && value != "broken")
+      CheckNotUndone(id, *value);
+  }
+
+  // Checks that a record which is written late doesn't bring back an
+  // incarnation that has ended, or one that has said that it leaves.
+  void CheckNotUndone(const std::string& id, const std::string& value) {
+    const EndpointRecord record =
+        dialect_.DecodeEndpointRecord(id, value).value();
+    Read& newest = read_[id];
+    if (record.start_time.value() > newest.start_time)
+      newest = {.start_time = record.start_time.value(), .leaving = false};
+    if (record.start_time.value() == newest.start_time)
+      newest.leaving = newest.leaving || record.leaving;
+    const EndpointRecord* const known = registry_.Find(record.id);
+    if (known == nullptr)
+      return;
+    if (known->start_time.value() < newest.start_time)
+      violations_.push_back("an incarnation that has ended is back: " + id);
+    else if (newest.leaving && !known->leaving)
+      violations_.push_back("an endpoint that leaves is used again: " + id);
   }
 
   void CheckPeriodically() {
@@ -219,6 +319,7 @@
   EndpointRegistry registry_;
   EndpointRecords records_{dialect_, registry_, listener_};
   std::map<std::string, Endpoint> endpoints_;
+  std::map<std::string, Read> read_;
   // The newest record of each id in the log.
   std::map<std::string, std::string> written_;
   std::vector<std::pair<std::string, std::optional<std::string>>> unread_;
--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -115,7 +115,8 @@
   }
   replicas_.push_back({id, engine ? "engines" : "desks", engine, software,
                        std::make_unique<Process>("standin_replica", arguments,
-                                                 directory_.path())});
+                                                 directory_.path()),
+                       /*heartbeats=*/0});
   PutReplica(replicas_.size() - 1, "ready");
 }
 
@@ -181,25 +182,33 @@
 void GatewayCluster::PutReplica(std::size_t index,
                                 const std::string& state,
                                 int start_time) {
-  const Replica& replica = replicas_[index];
-  if (state.empty()) {
-    PutKeyed("keyed.servers", replica.id, "");
-    return;
-  }
+  PutReplicaRecord(
+      index, state.empty() ? "" : NextHeartbeat(index, state, start_time));
+}
+
+void GatewayCluster::PutReplicaRecord(std::size_t index,
+                                      const std::string& record) {
+  PutKeyed("keyed.servers", replicas_[index].id, record);
+}
+
+std::string GatewayCluster::NextHeartbeat(std::size_t index,
+                                          const std::string& state,
+                                          int start_time) {
+  Replica& replica = replicas_[index];
   json record = {{"service", replica.service},
                  {"address", replica.process->address().ToString()},
                  {"zone", "z1"},
                  {"version", replica.software},
                  {"slots", options_.slots},
                  {"state", state},
-                 {"sequence", 1},
+                 {"sequence", ++replica.heartbeats},
                  {"born", start_time},
                  {"models", json::array()}};
   if (replica.engine) {
     const json weights = RunsOf(index).at("weights");
     record["models"].push_back({{"name", "m1"}, {"version", weights}});
   }
-  PutKeyed("keyed.servers", replica.id, record.dump());
+  return record.dump();
 }
 
 NetAddress GatewayCluster::AddressOf(std::size_t gateway, int offset) const {
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -101,6 +101,12 @@
   void PutReplica(std::size_t index,
                   const std::string& state,
                   int start_time = 0);
+  // Returns the record of the endpoint's next heartbeat, for a log that writes
+  // it later.
+  [[nodiscard]] std::string NextHeartbeat(std::size_t index,
+                                          const std::string& state,
+                                          int start_time = 0);
+  void PutReplicaRecord(std::size_t index, const std::string& record);
 
   // Cuts the paths of gateway 0 to all endpoints. Its callers, the other
   // gateways and the log still reach it, and it reaches them.
@@ -137,6 +143,7 @@
     bool engine = false;
     std::string software;
     std::unique_ptr<Process> process;
+    int heartbeats = 0;
   };
 
   void AddReplica(const std::string& id, bool engine);
--- a/testing/gateway_software_process_test.cc
+++ b/testing/gateway_software_process_test.cc
@@ -233,8 +233,9 @@
   for (const std::size_t old : {0, 2})
     cluster.PutReplica(old, "draining");
   const Outcome outcome = BreakAndTakeUp(cluster, {1, 2}, [&] {
-    cluster.PutReplica(0, "ready");
-    cluster.PutReplica(2, "ready");
+    // One that has said that it leaves comes back as another incarnation.
+    cluster.PutReplica(0, "ready", /*start_time=*/1);
+    cluster.PutReplica(2, "ready", /*start_time=*/1);
     cluster.PutReplica(1, "draining");
     cluster.gateway(0).Kill();
   });
