Records: a record that follows a removal is told to peers

What callers saw: nothing that was reported; found by reading. During the grace period after an outage a removal changes nothing at the reader, but its peers are sent it, as they apply a grace period of their own. When the entry came back unchanged, that was no change at the reader, so listeners that had taken the removal were never told, and lost a live endpoint until its record changed.

Change: KeyedFollower counts an unchanged record that undoes a removal as a change.

Evidence: keyed_follower_test "an unchanged record after a removal is told to peers" fails without it (0 == 1 records) and passes.

--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -166,7 +166,10 @@
     return false;
   const RecordEffect effect = sink_.OnRecord(record, loop_.now());
   known.record.offset = record.offset;
-  if (effect == RecordEffect::kChanged)
+  // A peer may have taken the removal that an unchanged record undoes.
+  const bool undoes_removal = !known.record.value;
+  if (effect == RecordEffect::kChanged ||
+      (effect == RecordEffect::kUnchanged && undoes_removal))
     known.changed = record.offset;
   if (effect != RecordEffect::kOutOfDate)
     known.record.value = record.value;
--- a/carobshift/gateway/records/keyed_follower_test.cc
+++ b/carobshift/gateway/records/keyed_follower_test.cc
@@ -320,6 +320,21 @@
         std::vector<std::string>{"a=1", "b=1", "a=2", "a=3", "b=(removed)"});
 }
 
+// Guards against a listener that has taken an entry's removal and is never told
+// that the entry is back, as the reader kept the endpoint for a grace period.
+TEST_CASE("an unchanged record after a removal is told to peers") {
+  Fixture fixture;
+  fixture.follower.MergePeerRecords(
+      {{"a", "1", LogOffset(0)}, {"a", std::nullopt, LogOffset(1)}});
+  fixture.sink.effect = RecordEffect::kUnchanged;
+  fixture.follower.MergePeerRecords({{"a", "1", LogOffset(2)}});
+  const auto changed = fixture.follower.ChangedSince(LogOffset(2));
+  REQUIRE(changed.size() == 1);
+  CHECK(changed.front().value == "1");
+  fixture.follower.MergePeerRecords({{"a", "1", LogOffset(3)}});
+  CHECK(fixture.follower.ChangedSince(LogOffset(3)).empty());
+}
+
 // Guards against peers that are sent a record which the log wrote late.
 TEST_CASE("peers are sent what was known before a record that is out of date") {
   Fixture fixture;
