--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -165,19 +165,21 @@
 }
 
 bool KeyedFollower::Apply(const KeyedRecord& record) {
-  const auto [found, first] =
-      newest_.emplace(record.key, Known{record, record.offset});
+  const auto [found, first] = newest_.try_emplace(
+      record.key,
+      Known{{record.key, std::nullopt, record.offset}, record.offset});
   Known& known = found->second;
-  bool reappears = false;
-  if (!first) {
-    if (record.offset <= known.record.offset)
-      return false;
-    reappears = !known.record.value && record.value;
-    known.record = record;
-  }
-  // The sink may not have acted on the removal yet, but others may know it.
-  if (sink_.OnRecord(record, loop_.now()) || reappears)
+  if (!first && record.offset <= known.record.offset)
+    return false;
+  const RecordEffect effect = sink_.OnRecord(record, loop_.now());
+  known.record.offset = record.offset;
+  // A peer may have taken the removal that an unchanged record undoes.
+  const bool undoes_removal = !known.record.value;
+  if (effect == RecordEffect::kChanged ||
+      (effect == RecordEffect::kUnchanged && undoes_removal))
     known.changed = record.offset;
+  if (effect != RecordEffect::kOutOfDate)
+    known.record.value = record.value;
   if (!record.value)
     PruneTombstones();
   return true;
--- a/carobshift/gateway/records/recording_follower_sink.h
+++ b/carobshift/gateway/records/recording_follower_sink.h
@@ -18,9 +18,9 @@
 
 class RecordingFollowerSink : public KeyedFollowerSink {
  public:
-  bool OnRecord(const KeyedRecord& record, MonotonicTime now) override {
+  RecordEffect OnRecord(const KeyedRecord& record, MonotonicTime now) override {
     records.push_back(record.key + "=" + record.value.value_or("(removed)"));
-    return forward == nullptr ? changes : forward->OnRecord(record, now);
+    return forward == nullptr ? effect : forward->OnRecord(record, now);
   }
   void OnSnapshot(const std::vector<std::string>& present,
                   MonotonicTime now) override {
@@ -44,7 +44,7 @@
   // Told of all as well, if set.
   KeyedFollowerSink* forward = nullptr;
   // The return value of OnRecord() without `forward`.
-  bool changes = true;
+  RecordEffect effect = RecordEffect::kChanged;
   int lost = 0;
   int back = 0;
 };
