--- a/fuzz/caller_connection_fuzz.cc
+++ b/fuzz/caller_connection_fuzz.cc
@@ -293,7 +293,9 @@
 void PlaySeeds(std::uint64_t first, std::uint64_t last) {
   for (std::uint64_t seed = first; seed <= last; ++seed) {
     INFO("seed " << seed);
-    REQUIRE(World(seed).Run() == "");
+    const std::string violation = World(seed).Run();
+    INFO(violation);
+    REQUIRE(violation.empty());
   }
 }
 
