--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -168,7 +168,7 @@
        {{"max_header_bytes", 16384},
         {"max_body_bytes", 65536},
         {"header_timeout_ms", 1000},
-        {"idle_timeout_ms", 5000}}},
+        {"idle_timeout_ms", change.idle_timeout.count()}}},
       {"tenants", accounts}};
   PutKeyed("keyed.op", "config", config.dump());
 }
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -86,6 +86,8 @@
     bool with_key = true;
     // Timeout of every route; that of the options if it isn't set.
     std::optional<Milliseconds> timeout{};
+    // Of callers' connections.
+    Milliseconds idle_timeout{5000};
     // The service to which /review/ leads.
     std::string review_service = "engines";
   };
