Streams: a lost stream waits for the configuration of its own time (ORDER)

A stream whose record is lost goes on at its service's only version as soon as the endpoints' records are as new as the request. The configuration was taken as it was: an instance that had read the endpoints' stream and not yet the operator's, as after standing still or over a slow link, could let the stream go on at the service to which its route led before.

KeyedFollower::ReadNow ends the wait of a long poll meanwhile, at most once in 300 ms.

Evidence: gateway_test "a lost stream waits for the configuration*" with the condition on the configuration taken out of HasReadUpTo: CHECK( instance.requests.awaits_records() ) was false CHECK( caller->head.status == status ): 200 == 503 It passes with the change, as does "a read that waits is ended for records of the present".

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -350,6 +350,7 @@
       });
   requests.SetStreamDirectory(
       &stream_directory, [this] { return endpoint_follower.records_as_of(); });
+  requests.SetConfigAsOf([this] { return operator_follower.records_as_of(); });
   operator_follower.Start();
   endpoint_follower.Start();
   loop.AddTimer(loop.now() + kTick, [this] { OnTick(); });
@@ -389,6 +390,8 @@
       requests.OnPeerCrashReport(*report);
   }
   requests.OnTick();
+  if (requests.awaits_records())
+    operator_follower.ReadNow();
   load_query_service.OnTick();
   stream_directory.OnTick();
   if (requests.has_config() && EndpointRecordsAreCurrent())
--- a/carobshift/gateway/handoff/stream_take_up_test.cc
+++ b/carobshift/gateway/handoff/stream_take_up_test.cc
@@ -168,6 +168,36 @@
   CHECK(fixture.Runs() == (status == 200 ? 1 : 0));
 }
 
+// Guards against a stream that goes on at the service to which its route led
+// before, as this instance hasn't read the configuration yet under which
+// another one began it.
+TEST_CASE("a lost stream waits for the configuration of its own time") {
+  HandoffFixture fixture(EndOfStream);
+  FakeStreamDirectory directory;
+  Instance& instance = fixture.peer();
+  instance.registry.OnRecordsFollowedSince({});
+  MonotonicTime as_of = fixture.loop.now() - Milliseconds(500);
+  instance.requests.SetStreamDirectory(
+      &directory, [&fixture] { return fixture.loop.now(); });
+  instance.requests.SetConfigAsOf([&as_of] { return as_of; });
+  const auto caller = TakeUp(fixture);
+  RunUntil(fixture.loop, [&directory] { return directory.lookups == 1; });
+  instance.requests.OnTick();
+  CHECK_FALSE(caller->over);
+  CHECK(instance.requests.awaits_records());
+  int status = 200;
+  SECTION("which is the one in force") {}
+  SECTION("which moves the route") {
+    instance.requests.SetConfig(ConfigWithReviewAt(ServiceName("other")));
+    status = 503;
+  }
+  as_of = fixture.loop.now();
+  instance.requests.OnTick();
+  RunUntil(fixture.loop, [&caller] { return caller->over; });
+  CHECK(caller->head.status == status);
+  CHECK_FALSE(instance.requests.awaits_records());
+}
+
 TEST_CASE("a resumable stream's beginning is recorded with its first event") {
   HandoffFixture fixture(
       [](HttpServerConnection& connection, const HttpServerRequest&) {
--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -62,7 +62,7 @@
   request_sent_at_ = loop_.now();
   if (!page_token_)
     snapshot_sent_at_ = request_sent_at_;
-  long_poll_in_flight_ = false;
+  wait_in_flight_ = Milliseconds(0);
   fetch_.Start(
       client_, loop_, log_,
       SerializeRequest(dialect_.EncodeNewest(stream_, page_token_), log_, ""),
@@ -107,16 +107,19 @@
 }
 
 void KeyedFollower::ReadNext() {
+  Read(long_poll_ ? options_.long_poll_wait : wait_);
+}
+
+void KeyedFollower::Read(Milliseconds wait) {
   if (stopped_)
     return;
   request_sent_at_ = loop_.now();
   const LogOffset from = next_;
-  long_poll_in_flight_ = long_poll_;
-  const Milliseconds wait = long_poll_ ? options_.long_poll_wait : wait_;
+  wait_in_flight_ = wait;
   fetch_.Start(
       client_, loop_, log_,
       SerializeRequest(dialect_.EncodeRead(stream_, next_, wait), log_, ""),
-      ReadOptions(wait + options_.timeout_margin),
+      ReadOptions(std::max(wait, wait_) + options_.timeout_margin),
       [this, from](const FetchOutcome& outcome) { OnBatch(outcome, from); });
 }
 
@@ -245,13 +248,22 @@
 
 void KeyedFollower::SetLongPoll(bool long_poll) {
   long_poll_ = long_poll;
-  if (long_poll_ || !long_poll_in_flight_ || !fetch_.active() ||
-      fetch_.receiving())
+  if (long_poll_ || wait_in_flight_ < options_.long_poll_wait ||
+      !fetch_.active() || fetch_.receiving())
     return;
   fetch_.Cancel();
   ReadNext();
 }
 
+void KeyedFollower::ReadNow() {
+  if (wait_in_flight_ == Milliseconds(0) || !fetch_.active() ||
+      fetch_.receiving() || loop_.now() < next_read_now_)
+    return;
+  next_read_now_ = loop_.now() + kReadNowInterval;
+  fetch_.Cancel();
+  Read(Milliseconds(0));
+}
+
 void KeyedFollower::SetPaused(bool paused) {
   paused_ = paused && caught_up_;
   if (!paused_ && std::exchange(idle_, false))
--- a/carobshift/gateway/records/keyed_follower.h
+++ b/carobshift/gateway/records/keyed_follower.h
@@ -67,6 +67,9 @@
 
 class KeyedFollower {
  public:
+  // Calls of the log cost money.
+  static constexpr Milliseconds kReadNowInterval{300};
+
   KeyedFollower(EventLoop& loop,
                 HttpClient& client,
                 const NetAddress& log,
@@ -97,6 +100,10 @@
   // Turning the mode off restarts a read in flight that has received nothing
   // yet.
   void SetLongPoll(bool long_poll);
+  // Ends the wait of a read in flight that has received nothing yet, so that
+  // the log answers at once with what it has. For a decision that needs records
+  // of the present. Does nothing within kReadNowInterval of the last time.
+  void ReadNow();
   // Shortens the wait of a read; nullopt restores the configured wait.
   void SetMaxWait(std::optional<Milliseconds> wait) {
     wait_ = std::min(options_.wait, wait.value_or(options_.wait));
@@ -135,6 +142,8 @@
   void ReadPage();
   void OnPage(const FetchOutcome& outcome);
   void ReadNext();
+  // Reads what follows; the log waits for as long if there is nothing.
+  void Read(Milliseconds wait);
   // `from` is the offset at which the read began. A peer's answer may have
   // advanced next_ meanwhile, and the records are numbered from `from`.
   void OnBatch(const FetchOutcome& outcome, LogOffset from);
@@ -166,7 +175,8 @@
   bool paused_ = false;
   bool long_poll_ = false;
   // State of the read in flight.
-  bool long_poll_in_flight_ = false;
+  Milliseconds wait_in_flight_{0};
+  MonotonicTime next_read_now_{};
   // True if no read is in flight or scheduled.
   bool idle_ = false;
   bool caught_up_ = false;
--- a/carobshift/gateway/records/keyed_follower_test.cc
+++ b/carobshift/gateway/records/keyed_follower_test.cc
@@ -105,6 +105,28 @@
   CHECK(*fixture.follower.records_as_of() > before);
 }
 
+// Guards against decisions that wait for a read of twenty seconds.
+TEST_CASE("a read that waits is ended for records of the present") {
+  Fixture fixture;
+  fixture.follower.SetLongPoll(true);
+  fixture.follower.Start();
+  RunUntil(fixture.loop, [&] { return fixture.follower.caught_up(); });
+  RunFor(fixture.loop, Milliseconds(50));
+  const MonotonicTime asked = fixture.loop.now();
+  const int calls = fixture.log.calls();
+  RunUntil(fixture.loop, [&] {
+    fixture.follower.ReadNow();
+    return *fixture.follower.records_as_of() >= asked;
+  });
+  CHECK(fixture.loop.now() - asked < KeyedFollower::kReadNowInterval);
+  RunFor(fixture.loop, Milliseconds(50));
+  fixture.follower.ReadNow();
+  RunFor(fixture.loop, Milliseconds(50));
+  // The one that doesn't wait, and the next one, which does.
+  CHECK(fixture.log.calls() == calls + 2);
+  CHECK(fixture.sink.lost == 0);
+}
+
 // Guards against a peer that isn't told of removals which this instance has
 // never known, or has forgotten.
 TEST_CASE("removals are known since the snapshot or the oldest one kept") {
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -166,6 +166,13 @@
     stream_directory_ = directory;
     records_as_of_ = std::move(records_as_of);
   }
+  // Sets a function that returns a time up to which all configurations have
+  // been read. Without it, the one in force counts as current.
+  void SetConfigAsOf(RecordsAsOf config_as_of) {
+    config_as_of_ = std::move(config_as_of);
+  }
+  // Returns whether streams wait for records or configurations of their time.
+  [[nodiscard]] bool awaits_records() const { return !take_ups_.empty(); }
   // See StreamRouteHistory.
   [[nodiscard]] Milliseconds LongestStream(MonotonicTime now) const {
     return stream_routes_.LongestStream(now);
@@ -321,6 +328,9 @@
   // only. Waits until the records tell that of the time at which the caller
   // took it up.
   void ContinueAtSoleVersion(const std::shared_ptr<ExchangeRun>& run);
+  // Whether all records of endpoints and all configurations are known that the
+  // log held at `time`.
+  [[nodiscard]] bool HasReadUpTo(MonotonicTime time) const;
   void ContinueStream(const std::shared_ptr<ExchangeRun>& run,
                       const StreamLookup& lookup);
   [[nodiscard]] SoleVersionQuestion SoleVersionQuestionOf(
@@ -467,6 +477,7 @@
   LoadQueryService* load_query_service_ = nullptr;
   StreamDirectory* stream_directory_ = nullptr;
   RecordsAsOf records_as_of_;
+  RecordsAsOf config_as_of_;
   // Streams that are taken up and wait in ContinueAtSoleVersion().
   std::vector<std::shared_ptr<ExchangeRun>> take_ups_;
   HandoffRunner* handoff_runner_ = nullptr;
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -104,10 +104,10 @@
   StreamLookup known;
   if (LeadsToSameService(config_.get(), setup))
     known.sole_version = SoleVersion(SoleVersionQuestionOf(setup));
-  // Another instance may have read a new version's record sooner, and begun the
-  // stream there.
+  // Another instance may have read a new version's record sooner, or a
+  // configuration, and begun the stream there.
   const bool may_be_outdated =
-      known.sole_version && *records_as_of_() < setup.arrived;
+      known.sole_version && !HasReadUpTo(setup.arrived);
   if (may_be_outdated &&
       loop_.now() - setup.arrived < Exchange::kMaxResumeWait) {
     take_ups_.push_back(run);
@@ -118,6 +118,11 @@
   ContinueStream(run, known);
 }
 
+bool RequestService::HasReadUpTo(MonotonicTime time) const {
+  return records_as_of_() >= time &&
+         (!config_as_of_ || config_as_of_() >= time);
+}
+
 void RequestService::ContinueStream(const std::shared_ptr<ExchangeRun>& run,
                                     const StreamLookup& lookup) {
   Exchange& exchange = run->exchange();
