Records: an endpoint that came back unseen counts with its version (ORDER)

A listener that was out of step sees of an endpoint that came back and went only the removal. If it had known the endpoint before, it took that for a repetition: the version counted as gone since the first removal, and a lost stream of that endpoint could go on at the other version.

Change: a removal of an endpoint that isn't listed marks the version that it had as listed until then.

Evidence, on with the test only: gateway_test "an endpoint that came back unseen*" CHECK_FALSE( sole(later).has_value() ): !true It passes with the change.

--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -119,10 +119,10 @@
 
 void EndpointRecords::Put(const EndpointRecord& endpoint, MonotonicTime now) {
   registry_.Put(endpoint, now);
-  listed_[endpoint.id] = now;
+  listed_.insert_or_assign(endpoint.id, Listed{endpoint, now});
   if (listed_.size() > kMaxListed) {
     std::erase_if(listed_, [now](const auto& listed) {
-      return now - listed.second >= SoftwareHistory::kKeepTime;
+      return now - listed.second.time >= SoftwareHistory::kKeepTime;
     });
   }
   if (endpoint.bad_cold_time) {
@@ -151,8 +151,15 @@
 }
 
 void EndpointRecords::NoteRemoval(const EndpointId& id, MonotonicTime now) {
-  if (listed_.contains(id))
+  if (const auto found = listed_.find(id); found != listed_.end()) {
+    if (registry_.Find(id) != nullptr)
+      return;
+    // It was gone, so that it came back and went unseen: its version counts
+    // until now.
+    registry_.Put(found->second.record, now);
+    registry_.Remove(id, RemovalCause::kAnnounced, now);
     return;
+  }
   // The endpoint came and went unseen.
   registry_.OnRecordsFollowedSince(now);
   LogEvent(LogLevel::kInfo, "endpoint_records_missed",
--- a/carobshift/gateway/gateway_state.h
+++ b/carobshift/gateway/gateway_state.h
@@ -135,8 +135,12 @@
   const GatewayStateListener& listener_;
   const MonotonicTime shows_all_until_;
   bool snapshot_read_ = false;
-  // When each endpoint last wrote a record, also those that are gone.
-  std::map<EndpointId, MonotonicTime> listed_;
+  struct Listed {
+    EndpointRecord record;
+    MonotonicTime time;
+  };
+  // What each endpoint last wrote, and when, also those that are gone.
+  std::map<EndpointId, Listed> listed_;
   // When the log last recovered from an outage of at least kEntryExpiryOutage.
   // Entries that are missing within EndpointRegistry::kOutageGracePeriod after
   // it may still reappear.
--- a/carobshift/gateway/gateway_state_test.cc
+++ b/carobshift/gateway/gateway_state_test.cc
@@ -16,17 +16,20 @@
  public:
   [[nodiscard]] Result<EndpointRecord> DecodeEndpointRecord(
       const std::string& key,
-      std::string_view) const override {
+      std::string_view value) const override {
     EndpointRecord record;
     record.id = EndpointId(key);
+    record.software = SoftwareVersion(std::string(value));
     return record;
   }
 };
 
 struct EndpointRecordsFixture {
-  void Write(const std::string& id, MonotonicTime now) {
-    records.OnRecord({.key = id, .value = "", .offset = LogOffset(++offset)},
-                     now);
+  void Write(const std::string& id,
+             MonotonicTime now,
+             const std::string& software = "") {
+    records.OnRecord(
+        {.key = id, .value = software, .offset = LogOffset(++offset)}, now);
   }
   void Remove(const std::string& id, MonotonicTime now) {
     records.OnRecord(
@@ -82,6 +85,28 @@
   }
 }
 
+// Guards against a version that is taken for long gone, as its endpoint was
+// listed again and removed while an instance was out of step and saw the second
+// removal only.
+TEST_CASE("an endpoint that came back unseen counts with its version") {
+  EndpointRecordsFixture fixture;
+  constexpr Milliseconds kSpan{1000};
+  const auto sole = [&](MonotonicTime now) {
+    return fixture.registry.software_history().SoleVersion(ServiceName(), kSpan,
+                                                           now);
+  };
+  fixture.Write("e1", kStart, "v1");
+  fixture.Write("e2", kStart, "v2");
+  fixture.records.OnSnapshot({"e1", "e2"}, kStart);
+  fixture.Remove("e2", kStart);
+  const MonotonicTime later = kStart + 2 * kSpan;
+  CHECK(sole(later) == SoftwareVersion("v1"));
+  fixture.Remove("e2", later);
+  CHECK_FALSE(sole(later).has_value());
+  CHECK(sole(later + kSpan) == SoftwareVersion("v1"));
+  CHECK_FALSE(fixture.Knows("e2", later));
+}
+
 TEST_CASE("the first records of a deployment show all that there ever was") {
   EndpointRecordsFixture fixture;
   EndpointRecords records(fixture.dialect, fixture.registry, fixture.listener,
--- a/carobshift/gateway/records/record_history_test.cc
+++ b/carobshift/gateway/records/record_history_test.cc
@@ -290,8 +290,10 @@
       instance.hangs = false;
       instance.pace.reset();
     }
-    for (const auto& [id, version] : lapsed_)
-      Relist(id, version);
+    for (const auto& [id, version] : lapsed_) {
+      if (!live_.contains(id))
+        Relist(id, version);
+    }
     lapsed_.clear();
     List("v1");
     const auto live = live_;
