--- a/carobshift/gateway/endpoints/endpoint_incarnations.cc
+++ b/carobshift/gateway/endpoints/endpoint_incarnations.cc
@@ -18,16 +18,17 @@
 
 RecordStanding EndpointIncarnations::StandingOf(const EndpointRecord& record,
                                                 const Incarnation& newest) {
-  if (record.start_time < newest.start_time)
+  if (record.start_time < newest.record.start_time)
     return RecordStanding::kOlderIncarnation;
-  if (record.start_time > newest.start_time)
+  if (record.start_time > newest.record.start_time)
     return RecordStanding::kCurrent;
-  if (newest.leaving && !record.leaving)
+  if (newest.record.leaving && !record.leaving)
     return RecordStanding::kBeforeLeaving;
-  if (!record.heartbeat || !newest.heartbeat)
+  if (!record.heartbeat || !newest.record.heartbeat)
     return RecordStanding::kCurrent;
-  const bool is_older = newest.removed ? *record.heartbeat <= *newest.heartbeat
-                                       : *record.heartbeat < *newest.heartbeat;
+  const bool is_older = newest.removed
+                            ? *record.heartbeat <= *newest.record.heartbeat
+                            : *record.heartbeat < *newest.record.heartbeat;
   return is_older ? RecordStanding::kOlderHeartbeat : RecordStanding::kCurrent;
 }
 
@@ -43,12 +44,7 @@
         ++newest.late_records <= kMaxLateRecords)
       return standing;
   }
-  newest = {.start_time = record.start_time,
-            .heartbeat = record.heartbeat,
-            .leaving = record.leaving,
-            .removed = false,
-            .last_record = now,
-            .late_records = 0};
+  newest = {.record = record, .recorded = now};
   ForgetOld(now);
   return RecordStanding::kCurrent;
 }
@@ -59,17 +55,23 @@
     found->second.removed = true;
 }
 
-std::optional<HeartbeatNumber> EndpointIncarnations::LastHeartbeat(
+const EndpointRecord* EndpointIncarnations::LastRecord(
     const EndpointId& id) const {
   const auto found = newest_.find(id);
-  return found == newest_.end() ? std::nullopt : found->second.heartbeat;
+  return found == newest_.end() ? nullptr : &found->second.record;
+}
+
+std::optional<HeartbeatNumber> EndpointIncarnations::LastHeartbeat(
+    const EndpointId& id) const {
+  const EndpointRecord* const last = LastRecord(id);
+  return last == nullptr ? std::nullopt : last->heartbeat;
 }
 
 void EndpointIncarnations::ForgetOld(MonotonicTime now) {
   if (newest_.size() <= kMaxKnown)
     return;
   std::erase_if(newest_, [now](const auto& known) {
-    return now - known.second.last_record >= kKeepTime;
+    return now - known.second.recorded >= kKeepTime;
   });
 }
 
--- a/carobshift/gateway/endpoints/endpoint_incarnations.h
+++ b/carobshift/gateway/endpoints/endpoint_incarnations.h
@@ -59,7 +59,9 @@
  public:
   static constexpr std::size_t kMaxKnown = 4096;
   static constexpr Milliseconds kKeepTime{600'000};
-  // As many as an endpoint sends in ten seconds.
+  // So many records in a row that are out of date by their start times or
+  // numbers are late. If more follow, they are believed: otherwise one odd
+  // record with a huge number would shut a live endpoint out for good.
   static constexpr int kMaxLateRecords = 20;
 
   // Judges a record that has arrived, and remembers it if it is current.
@@ -68,10 +70,9 @@
   // snapshot.
   void OnRemoved(const EndpointId& id);
 
-  // Returns whether the endpoint has written a record.
-  [[nodiscard]] bool Knows(const EndpointId& id) const {
-    return newest_.contains(id);
-  }
+  // Returns the endpoint's last current record, also if its entry is gone; null
+  // if it has written none.
+  [[nodiscard]] const EndpointRecord* LastRecord(const EndpointId& id) const;
   // Returns the number of the last heartbeat; nullopt if it stated none.
   [[nodiscard]] std::optional<HeartbeatNumber> LastHeartbeat(
       const EndpointId& id) const;
@@ -79,11 +80,9 @@
  private:
   // The newest incarnation of an endpoint.
   struct Incarnation {
-    EndpointStartTime start_time{};
-    std::optional<HeartbeatNumber> heartbeat;
-    bool leaving = false;
+    EndpointRecord record;
+    MonotonicTime recorded{};
     bool removed = false;
-    MonotonicTime last_record{};
     // Records since the last current one that were out of date by their start
     // times or numbers.
     int late_records = 0;
--- a/carobshift/gateway/endpoints/endpoint_incarnations_test.cc
+++ b/carobshift/gateway/endpoints/endpoint_incarnations_test.cc
@@ -110,12 +110,12 @@
     record.id = EndpointId("other" + std::to_string(i));
     incarnations.OnRecord(record, later);
   }
-  CHECK(incarnations.Knows(kEndpoint));
+  CHECK(incarnations.LastRecord(kEndpoint) != nullptr);
   EndpointRecord one_more = Heartbeat(1);
   one_more.id = EndpointId("one more");
   incarnations.OnRecord(one_more, later);
-  CHECK_FALSE(incarnations.Knows(kEndpoint));
-  CHECK(incarnations.Knows(one_more.id));
+  CHECK(incarnations.LastRecord(kEndpoint) == nullptr);
+  CHECK(incarnations.LastRecord(one_more.id) != nullptr);
 }
 
 }  // namespace
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -185,8 +185,15 @@
 }
 
 void EndpointRecords::NoteRemoval(const EndpointId& id, MonotonicTime now) {
-  if (incarnations_.Knows(id))
+  if (const EndpointRecord* const last = incarnations_.LastRecord(id)) {
+    if (registry_.Find(id) != nullptr)
+      return;
+    // It was gone, so that it came back and went unseen: its version counts
+    // until now.
+    registry_.Put(*last, now);
+    registry_.Remove(id, RemovalCause::kAnnounced, now);
     return;
+  }
   // The endpoint came and went unseen.
   registry_.OnRecordsFollowedSince(now);
   LogEvent(LogLevel::kInfo, "endpoint_records_missed",
