Endpoints: the next heartbeat corrects another writer's readable entry

What callers would have seen: an endpoint that is never used again. Twenty contradicting records, after which they were believed, never came.

Change: within an incarnation a record is out of date only if its number isn't above the one with which the endpoint said that it leaves, or above the last one before its entry was removed. A page of the list that repeats itself no longer makes the keys behind it count as removed, and a fetch's timeout counts from its start, not from the iteration's.

The repeated page and the fetch's timeout have no test of their own.

--- a/carobshift/gateway/endpoints/endpoint_incarnations.cc
+++ b/carobshift/gateway/endpoints/endpoint_incarnations.cc
@@ -10,8 +10,8 @@
       return "older_incarnation";
     case RecordStanding::kBeforeLeaving:
       return "before_leaving";
-    case RecordStanding::kOlderHeartbeat:
-      return "older_heartbeat";
+    case RecordStanding::kBeforeRemoval:
+      return "before_removal";
   }
   return "unknown";
 }
@@ -22,14 +22,14 @@
     return RecordStanding::kOlderIncarnation;
   if (record.start_time > newest.record.start_time)
     return RecordStanding::kCurrent;
-  if (newest.record.leaving && !record.leaving)
+  const bool has_numbers = record.heartbeat && newest.record.heartbeat;
+  const bool is_later =
+      has_numbers && *record.heartbeat > *newest.record.heartbeat;
+  if (newest.record.leaving && !record.leaving && !is_later)
     return RecordStanding::kBeforeLeaving;
-  if (!record.heartbeat || !newest.record.heartbeat)
-    return RecordStanding::kCurrent;
-  const bool is_older = newest.removed
-                            ? *record.heartbeat <= *newest.record.heartbeat
-                            : *record.heartbeat < *newest.record.heartbeat;
-  return is_older ? RecordStanding::kOlderHeartbeat : RecordStanding::kCurrent;
+  if (newest.removed && has_numbers && !is_later)
+    return RecordStanding::kBeforeRemoval;
+  return RecordStanding::kCurrent;
 }
 
 RecordStanding EndpointIncarnations::OnRecord(const EndpointRecord& record,
@@ -38,10 +38,7 @@
   Incarnation& newest = found->second;
   if (!is_new) {
     const RecordStanding standing = StandingOf(record, newest);
-    if (standing == RecordStanding::kBeforeLeaving)
-      return standing;
-    if (standing != RecordStanding::kCurrent &&
-        ++newest.late_records <= kMaxLateRecords)
+    if (standing != RecordStanding::kCurrent)
       return standing;
   }
   newest = {.record = record, .recorded = now};
--- a/carobshift/gateway/endpoints/endpoint_incarnations.h
+++ b/carobshift/gateway/endpoints/endpoint_incarnations.h
@@ -13,15 +13,15 @@
 // that leaves would be sent requests again until its next heartbeat, or, if its
 // entry is gone, until that entry expires.
 //
-// A record is out of date if its incarnation has been followed by a later one,
-// has said that it leaves, or has sent a later heartbeat. That an incarnation
-// leaves is final; only one with a later start time ends it. An entry that
-// expired while its endpoint lives comes back with a later heartbeat and is
-// current.
+// A record is out of date if a later incarnation of its endpoint has written
+// one, or if it was sent before its incarnation said that it leaves or lost its
+// entry. Its heartbeat number tells; records without a number never undo that
+// their endpoint leaves. An entry that expired while its endpoint lives comes
+// back with a later heartbeat and is current.
 //
-// More than kMaxLateRecords in a row that contradict a start time or a number
-// aren't late: an entry of another writer that states a huge one would
-// otherwise keep a sound endpoint out for good.
+// Otherwise an older heartbeat is believed: the log appends a record only when
+// something else than the number changes, so the endpoint's next heartbeat
+// corrects it, as it corrects an entry that another writer has put there.
 //
 // Remembers each endpoint until its last record is kKeepTime old and more than
 // kMaxKnown endpoints are known. Thread-compatible.
@@ -45,11 +45,10 @@
   kCurrent,
   // A later incarnation has written a record.
   kOlderIncarnation,
-  // The incarnation has said that it leaves, and this record doesn't say so.
+  // The incarnation has said since that it leaves.
   kBeforeLeaving,
-  // The incarnation has sent a later heartbeat, or its entry was removed after
-  // this one.
-  kOlderHeartbeat,
+  // The entry has been removed since.
+  kBeforeRemoval,
 };
 
 // Returns the name of the standing for logs.
@@ -59,10 +58,6 @@
  public:
   static constexpr std::size_t kMaxKnown = 4096;
   static constexpr Milliseconds kKeepTime{600'000};
-  // So many records in a row that are out of date by their start times or
-  // numbers are late. If more follow, they are believed: otherwise one odd
-  // record with a huge number would shut a live endpoint out for good.
-  static constexpr int kMaxLateRecords = 20;
 
   // Judges a record that has arrived, and remembers it if it is current.
   RecordStanding OnRecord(const EndpointRecord& record, MonotonicTime now);
@@ -83,9 +78,6 @@
     EndpointRecord record;
     MonotonicTime recorded{};
     bool removed = false;
-    // Records since the last current one that were out of date by their start
-    // times or numbers.
-    int late_records = 0;
   };
 
   [[nodiscard]] static RecordStanding StandingOf(const EndpointRecord& record,
--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -93,8 +93,10 @@
   }
   const auto previous_token =
       std::exchange(page_token_, page.value().more_after);
-  if (page_token_ && page_token_ == previous_token) {
-    // The keys at the end of the page can't be named in a query.
+  const bool is_repeated = page_token_ && page_token_ == previous_token;
+  if (is_repeated) {
+    // The keys at the end of the page can't be named in a query, and the keys
+    // after them can't be read. They aren't taken for removed.
     LogEvent(LogLevel::kWarning, "log_page_repeated",
              {{"stream", stream_.value()}, {"after", *page_token_}});
     page_token_.reset();
@@ -106,7 +108,8 @@
   next_ = *std::exchange(snapshot_end_, std::nullopt);
   caught_up_ = true;
   complete_since_ = next_;
-  MarkMissingRemoved();
+  if (!is_repeated)
+    MarkMissingRemoved();
   snapshot_keys_.clear();
   NoteRecordsAsOf(snapshot_sent_at_);
   sink_.OnSnapshot(PresentKeys(), loop_.now());
--- a/carobshift/net/http_fetch.cc
+++ b/carobshift/net/http_fetch.cc
@@ -21,7 +21,8 @@
   done_ = std::move(done);
   status_ = 0;
   body_.clear();
-  stall_deadline_ = loop.now() + options.timeout;
+  // The process may have stood still since the loop's iteration began.
+  stall_deadline_ = MonotonicNow() + options.timeout;
   reply_deadline_.reset();
   ArmTimer();
   call_ = client.Start(address, std::move(bytes), options.call, this);
