Records: an unseen listing is noted without listing the endpoint

The version of an endpoint that came back unseen counted by putting its record into the registry and taking it out again, which also told everybody of two changes. The tests of it pass (gateway_test "*endpoint that came back*,*followed*,what instances*", 4 cases).

--- a/carobshift/gateway/endpoints/endpoint_registry.h
+++ b/carobshift/gateway/endpoints/endpoint_registry.h
@@ -74,6 +74,11 @@
   void OnRecordsFollowedSince(MonotonicTime since) {
     software_history_.FollowFrom(since);
   }
+  // An endpoint that is gone was listed until now with this record, unseen.
+  void OnUnseenListing(const EndpointRecord& record, MonotonicTime now) {
+    software_history_.OnListed(record, now);
+    software_history_.OnUnlisted(record, now);
+  }
   [[nodiscard]] const SoftwareHistory& software_history() const {
     return software_history_;
   }
--- a/carobshift/gateway/gateway_state.cc
+++ b/carobshift/gateway/gateway_state.cc
@@ -190,8 +190,7 @@
       return;
     // It was gone, so that it came back and went unseen: its version counts
     // until now.
-    registry_.Put(*last, now);
-    registry_.Remove(id, RemovalCause::kAnnounced, now);
+    registry_.OnUnseenListing(*last, now);
     return;
   }
   // The endpoint came and went unseen.
