event_loop_test: each connection that a test opens is ended by it

Under the address sanitizer net_test ended with a leak of one connection (552 bytes): the server that stands still opened one more for the request of its own call, and only the last was cancelled. It stands still for the first request only. Run under the sanitizer: the four cases alone and all of net_test pass, without a leak; not run again against the loop as it was before.

--- a/carobshift/net/event_loop_test.cc
+++ b/carobshift/net/event_loop_test.cc
@@ -84,8 +84,8 @@
   CHECK(has_run);
 }
 
-// A server at which one request makes the loop stand still, in the middle of an
-// iteration, and then opens a connection.
+// A server at which the first request makes the loop stand still, in the middle
+// of an iteration, and then opens a connection.
 class StandingStill {
  public:
   // `meanwhile` is called while the loop stands still.
@@ -96,10 +96,12 @@
         server_(loop,
                 [this, time, meanwhile](HttpServerConnection& connection,
                                         const HttpServerRequest& request) {
-                  meanwhile();
-                  std::this_thread::sleep_for(time);
-                  call_ = client_.Start(server_.address(), Get("/"), {},
-                                        &listener_);
+                  if (call_ == nullptr) {
+                    meanwhile();
+                    std::this_thread::sleep_for(time);
+                    call_ = client_.Start(server_.address(), Get("/"), {},
+                                          &listener_);
+                  }
                   AnswerOk(connection, request);
                 }) {}
 
