Planned stop: logs tell what a stop cuts, and its times have one home

Change: a line for each request that the stop ends (stop_cuts_request: arrival, last attempt and last data in ms since SIGTERM, what it waits for), stop_ms in request_done, and what is unsent at the exit in gateway_stopped. The times of a stop are a type of their own, ShutdownSchedule; no time and no decision changes.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -29,6 +29,7 @@
 #include "carobshift/gateway/records/peer_sync.h"
 #include "carobshift/gateway/records/record_listener.h"
 #include "carobshift/gateway/request/request_service.h"
+#include "carobshift/gateway/shutdown_schedule.h"
 #include "carobshift/gateway/state_dump.h"
 #include "carobshift/gateway/streams/shared_stream_directory.h"
 #include "carobshift/gateway/streams/sole_version_learner.h"
@@ -50,16 +51,6 @@
 // Callers repeat their address query after this time. A shorter TTL replaces a
 // dead instance sooner but costs more queries.
 constexpr Milliseconds kAddressTtl{2000};
-// After the announcement of a stop, new connections are accepted for this long,
-// by which time most callers have repeated their address query. Later
-// connections are reset at once and go to other instances, so that the accepted
-// requests can finish in time.
-constexpr Milliseconds kStopAcceptDuration{2400};
-// Part of the grace period that is reserved for the exit of the process.
-constexpr Milliseconds kExitReserve{700};
-// Part of kExitReserve in which the answers of requests that were still open
-// are sent.
-constexpr Milliseconds kLastReplyTime{300};
 // Endpoint records are read in batches at this interval. Each read has a cost,
 // and a change may take up to two seconds to take effect.
 constexpr Milliseconds kEndpointReadInterval{500};
@@ -255,7 +246,7 @@
   bool endpoints_changed = false;
   MonotonicTime last_tick = loop.now();
   MonotonicTime next_sweep{};
-  std::optional<MonotonicTime> stop_began;
+  std::optional<ShutdownSchedule> shutdown;
 };
 
 HandoffEnvironment Gateway::Impl::HandoffEnvironmentOf() {
@@ -419,7 +410,7 @@
   handoff_client.CloseIdle(loop.now());
   WatchCaches();
   store_reclaimer.OnTick(
-      /*frees_parts=*/cluster.Rank() == 0 && !stop_began,
+      /*frees_parts=*/cluster.Rank() == 0 && !shutdown,
       endpoint_follower.last_answer(),
       [this](const auto& endpoint, const auto& model) {
         return requests.WeightsOf(endpoint, model);
@@ -510,7 +501,7 @@
 
 QueryAnswer Gateway::Impl::Answer(const HttpHead& question) {
   if (dialects.directory.IsReadinessQuestion(question)) {
-    const bool ready = requests.has_config() && !stop_began;
+    const bool ready = requests.has_config() && !shutdown;
     return {ready ? 200 : 503, {}, {}};
   }
   const auto wanted = dialects.directory.DecodeAddressQuestion(question);
@@ -596,7 +587,7 @@
        .open_requests = requests.open_requests(),
        .waiting_requests = requests.waiting_requests(),
        .lease_holder = rollout_controller.IsHolder(),
-       .stopping = stop_began.has_value()},
+       .stopping = shutdown.has_value()},
       loop.now());
 }
 
@@ -606,31 +597,30 @@
 void Gateway::Impl::BeginStop() {
   LogEvent(LogLevel::kInfo, "stop_began",
            {{"open_requests", requests.open_requests()}});
-  stop_began = loop.now();
+  shutdown = ShutdownSchedule(loop.now(), settings.stop_grace);
   rollout_controller.Stop();
   cluster.Leave();
   stream_directory.HandOver();
-  requests.BeginStop();
+  requests.BeginStop(*shutdown);
   handoff_listener.BeginStop();
-  loop.AddTimer(loop.now() + kStopAcceptDuration, [this] {
+  loop.AddTimer(shutdown->listeners_close(), [this] {
     caller_listener->Close();
     handoff_listener.Close();
   });
-  loop.AddTimer(loop.now() + settings.stop_grace - kExitReserve,
+  loop.AddTimer(shutdown->requests_end(),
                 [this] { requests.EndOpenRequests(); });
 }
 
 bool Gateway::Impl::Stopped() const {
-  if (!stop_began)
+  if (!shutdown)
     return false;
-  const auto passed = loop.now() - *stop_began;
-  const Milliseconds last = settings.stop_grace - kExitReserve;
-  if (passed >= last + kLastReplyTime)
+  const MonotonicTime now = loop.now();
+  if (now >= shutdown->exit())
     return true;
   const bool busy = requests.busy() || handoff_listener.busy();
-  if (passed >= last)
+  if (now >= shutdown->requests_end())
     return !busy;
-  return passed >= kStopAcceptDuration && !busy &&
+  return now >= shutdown->listeners_close() && !busy &&
          !MustDelayShutdown(cluster.membership().Members(), settings.entry,
                             peer_sync.IsLogUnresponsive());
 }
@@ -646,7 +636,7 @@
 
 void Gateway::Run(const GatewaySignals& signals) {
   impl_->loop.Run([this, &signals] {
-    if (!impl_->stop_began && signals.stop_requested())
+    if (!impl_->shutdown && signals.stop_requested())
       impl_->BeginStop();
     if (signals.take_reload()) {
       const Result<GatewaySettings> settings = signals.read_settings();
@@ -659,7 +649,10 @@
     return impl_->Stopped();
   });
   LogEvent(LogLevel::kInfo, "gateway_stopped",
-           {{"open_requests", impl_->requests.open_requests()}});
+           {{"open_requests", impl_->requests.open_requests()},
+            {"open_connections", impl_->requests.open_connections()},
+            {"unsent_bytes", impl_->requests.unsent_bytes()},
+            {"stop_ms", impl_->shutdown->Age(MonotonicNow()).count()}});
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -252,7 +252,8 @@
       });
   const auto caller = fixture.Send("/book/1");
   RunUntil(fixture.loop, [&fixture] { return fixture.Runs() == 1; });
-  fixture.peer().requests.BeginStop();
+  fixture.peer().requests.BeginStop(
+      ShutdownSchedule(fixture.loop.now(), Milliseconds(8000)));
   fixture.peer().listener.BeginStop();
   fixture.peer().listener.Close();
   CHECK(fixture.peer().requests.open_requests() == 1);
--- a/carobshift/gateway/request/request_report.cc
+++ b/carobshift/gateway/request/request_report.cc
@@ -95,6 +95,8 @@
     fields["first_ms"] = ToMilliseconds(*summary.first_byte - setup.arrived);
   if (summary.code == ResultCode::kDeadlineExceeded)
     fields["late_ms"] = ToMilliseconds(now - exchange.deadline());
+  if (trace.arrived_after_stop)
+    fields["stop_ms"] = trace.arrived_after_stop->count();
   if (setup.account != nullptr)
     fields["account"] = setup.account->name.value();
   LogEvent(LogLevel::kInfo, "request_done", std::move(fields));
--- a/carobshift/gateway/request/request_report.h
+++ b/carobshift/gateway/request/request_report.h
@@ -47,6 +47,9 @@
   SizeBand size = SizeBand::kSmall;
   Microseconds longest_pause{0};
   std::uint64_t registry_revision = 0;
+  // Time from the beginning of a planned stop to the arrival of the request;
+  // negative if it arrived before.
+  std::optional<Milliseconds> arrived_after_stop;
 };
 
 // Returns the outcome of a prompt: "in_target" or "late", by the time of the
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -78,7 +78,7 @@
   const auto connection = HttpServerConnection::Open(
       loop_, socket, CallerConnectionLimits(), kCallerTcp, *this);
   connections_[connection.get()] = connection;
-  if (stopping_)
+  if (shutdown_)
     connection->CloseAfterReply();
 }
 
@@ -158,8 +158,8 @@
   }
 }
 
-void RequestService::BeginStop() {
-  stopping_ = true;
+void RequestService::BeginStop(const ShutdownSchedule& shutdown) {
+  shutdown_ = shutdown;
   std::vector<std::shared_ptr<HttpServerConnection>> all;
   for (const auto& [key, connection] : connections_)
     all.push_back(connection);
@@ -173,8 +173,42 @@
     open.push_back(running.run);
   LogEvent(LogLevel::kInfo, "stop_ends_requests", {{"requests", open.size()}});
   // The end of the grace period is a deadline for all of them.
-  for (const auto& run : open)
+  for (const auto& run : open) {
+    LogStopCut(*run);
     run->exchange().OnDeadline(loop_.now());
+  }
+}
+
+void RequestService::LogStopCut(ExchangeRun& run) const {
+  Exchange& exchange = run.exchange();
+  const Running& running = runs_.at(&exchange);
+  const auto age_of = [this](MonotonicTime time) {
+    return shutdown_->Age(time).count();
+  };
+  nlohmann::json fields = {{"request", exchange.request().id.value()},
+                           {"route", exchange.setup().route->name},
+                           {"arrived_ms", age_of(exchange.setup().arrived)},
+                           {"attempts", running.attempts.size()},
+                           {"replied", exchange.summary().status != 0},
+                           {"suspended", exchange.suspended()},
+                           {"waiting", running.wait_id.has_value()},
+                           {"handed_over", exchange.request().handed_over},
+                           {"unsent", running.connection->unsent_bytes()}};
+  if (!running.attempts.empty()) {
+    const AttemptRecord& last = running.attempts.back();
+    fields["endpoint"] = last.endpoint.value();
+    fields["began_ms"] = age_of(last.began);
+    fields["last_received_ms"] =
+        age_of(run.LastReceived(last.number, loop_.now()));
+  }
+  LogEvent(LogLevel::kWarning, "stop_cuts_request", std::move(fields));
+}
+
+std::size_t RequestService::unsent_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [key, connection] : connections_)
+    bytes += connection->unsent_bytes();
+  return bytes;
 }
 
 bool RequestService::busy() const {
@@ -409,6 +443,8 @@
   trace.loads_reported = running.shortlist.size();
   trace.longest_pause = running.run->longest_pause();
   trace.registry_revision = registry_.revision();
+  if (shutdown_)
+    trace.arrived_after_stop = shutdown_->Age(exchange.setup().arrived);
   trace.tokens = running.footprint.TotalTokens();
   trace.size = sizes_.BandOf(exchange.setup().route->name,
                              static_cast<double>(trace.tokens));
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -5,7 +5,7 @@
 //                          deadlines, metrics, options);
 //   service.SetConfig(config);
 //   service.Accept(socket);
-//   service.BeginStop();
+//   service.BeginStop(shutdown);
 
 #ifndef CAROBSHIFT_GATEWAY_REQUEST_REQUEST_SERVICE_H_
 #define CAROBSHIFT_GATEWAY_REQUEST_REQUEST_SERVICE_H_
@@ -46,6 +46,7 @@
 #include "carobshift/gateway/request/request_report.h"
 #include "carobshift/gateway/request/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
+#include "carobshift/gateway/shutdown_schedule.h"
 #include "carobshift/gateway/streams/stream_directory.h"
 #include "carobshift/gateway/streams/stream_route_history.h"
 #include "carobshift/net/http_server_connection.h"
@@ -204,7 +205,7 @@
   [[nodiscard]] RejectionLimits& rejections() { return rejections_; }
 
   // Tells callers to connect elsewhere; requests in progress continue.
-  void BeginStop();
+  void BeginStop(const ShutdownSchedule& shutdown);
   // Gives each request in progress its final answer, since this process can't
   // wait for it any longer. Replies that have begun break off.
   void EndOpenRequests();
@@ -228,6 +229,8 @@
   [[nodiscard]] std::size_t open_connections() const {
     return connections_.size();
   }
+  // Bytes of replies that the callers have not taken yet.
+  [[nodiscard]] std::size_t unsent_bytes() const;
   // Whether a request is being read or served, or a reply is not sent yet.
   [[nodiscard]] bool busy() const;
   [[nodiscard]] bool has_config() const { return config_ != nullptr; }
@@ -343,6 +346,8 @@
                   const std::vector<EndpointId>& endpoints,
                   const std::function<void()>& done);
   void Report(const Exchange& exchange, const Running& running) const;
+  // Logs what the request waits for that the end of the grace period ends.
+  void LogStopCut(ExchangeRun& run) const;
   [[nodiscard]] static RequestFingerprint FingerprintOfExchange(
       const Exchange& exchange);
   // Returns why the planner found no endpoint.
@@ -494,7 +499,7 @@
   std::map<EndpointId, NetAddress> addresses_;
   int live_instances_ = 1;
   MonotonicTime last_tick_{};
-  bool stopping_ = false;
+  std::optional<ShutdownSchedule> shutdown_;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/request/request_service_waiting_test.cc
+++ b/carobshift/gateway/request/request_service_waiting_test.cc
@@ -167,7 +167,8 @@
 TEST_CASE("a stop refuses what still waits as not run") {
   WaitingFixture fixture;
   fixture.SendAndLetWait();
-  fixture.requests.BeginStop();
+  fixture.requests.BeginStop(
+      ShutdownSchedule(fixture.loop.now(), Milliseconds(8000)));
   CHECK(fixture.requests.waiting_requests() == 1);
   fixture.requests.EndOpenRequests();
   RunUntil(fixture.loop, [&] { return fixture.over; });
--- /dev/null
+++ b/carobshift/gateway/shutdown_schedule.h
@@ -0,0 +1,59 @@
+// The times of a planned stop, for all parts that have to be done by one of
+// them.
+//
+//   const ShutdownSchedule shutdown(now, settings.stop_grace);
+//   loop.AddTimer(shutdown.listeners_close(), [this] { listener.Close(); });
+//   loop.AddTimer(shutdown.requests_end(), [this] { EndOpenRequests(); });
+//
+// A value type; thread-compatible.
+
+#ifndef CAROBSHIFT_GATEWAY_SHUTDOWN_SCHEDULE_H_
+#define CAROBSHIFT_GATEWAY_SHUTDOWN_SCHEDULE_H_
+
+#include "carobshift/base/units.h"
+
+namespace carobshift {
+
+class ShutdownSchedule {
+ public:
+  // After the announcement of a stop, new connections are accepted for this
+  // long, by which time most callers have repeated their address query. Later
+  // connections are reset at once and go to other instances, so that the
+  // accepted requests can finish in time.
+  static constexpr Milliseconds kAcceptDuration{2400};
+  // Part of the grace period that is reserved for the exit of the process.
+  static constexpr Milliseconds kExitReserve{700};
+  // Part of kExitReserve in which the answers of requests that were still open
+  // are sent.
+  static constexpr Milliseconds kLastReplyTime{300};
+
+  // The stop began at `began`; the process is killed when `grace` has passed
+  // since.
+  ShutdownSchedule(MonotonicTime began, Milliseconds grace)
+      : began_(began), grace_(grace) {}
+
+  [[nodiscard]] MonotonicTime began() const { return began_; }
+  [[nodiscard]] MonotonicTime listeners_close() const {
+    return began_ + kAcceptDuration;
+  }
+  // Requests that are open by then get their final answer.
+  [[nodiscard]] MonotonicTime requests_end() const {
+    return began_ + grace_ - kExitReserve;
+  }
+  // The process exits by then, whatever is unsent.
+  [[nodiscard]] MonotonicTime exit() const {
+    return requests_end() + kLastReplyTime;
+  }
+  // Returns how long ago the stop began.
+  [[nodiscard]] Milliseconds Age(MonotonicTime now) const {
+    return std::chrono::duration_cast<Milliseconds>(now - began_);
+  }
+
+ private:
+  MonotonicTime began_;
+  Milliseconds grace_;
+};
+
+}  // namespace carobshift
+
+#endif  // CAROBSHIFT_GATEWAY_SHUTDOWN_SCHEDULE_H_
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -133,6 +133,8 @@
     return serving_ || parser_.begun() || tcp_->unsent() > 0;
   }
   [[nodiscard]] bool serving() const { return serving_; }
+  // Bytes of the reply that have not been handed to the kernel yet.
+  [[nodiscard]] std::size_t unsent_bytes() const { return tcp_->unsent(); }
 
   // How the connection has ended. For use in OnConnectionEnd().
   [[nodiscard]] ConnectionEnd end() const { return end_; }
