Planned stop: connections without a request are closed with the listeners

Cause: a stop closed the connections that were idle at SIGTERM, and the listeners 2.4 s later, but nothing closed the connections that had been accepted in between and had sent nothing. They stayed until the configured idle limit.

Change: as the listeners close, both the callers' and the handoff listener's connections without a request are closed unread, like at SIGTERM. One that has begun to send keeps its connection until its reply.

Why it works: a close with nothing read is one of the two signs on which the callers' protocol lets any request be sent again; input that has already arrived keeps the connection (HttpServerConnection::EndIdle).

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -606,6 +606,9 @@
   loop.AddTimer(shutdown->listeners_close(), [this] {
     caller_listener->Close();
     handoff_listener.Close();
+    // A caller that has not sent its request by now sends it elsewhere.
+    requests.CloseIdleConnections();
+    handoff_listener.CloseIdleConnections();
   });
   loop.AddTimer(shutdown->requests_end(),
                 [this] { requests.EndOpenRequests(); });
--- a/carobshift/gateway/handoff/handoff_listener.cc
+++ b/carobshift/gateway/handoff/handoff_listener.cc
@@ -56,6 +56,10 @@
 
 void HandoffListener::BeginStop() {
   stopping_ = true;
+  CloseIdleConnections();
+}
+
+void HandoffListener::CloseIdleConnections() {
   std::vector<std::shared_ptr<HttpServerConnection>> all;
   for (const auto& [key, connection] : connections_)
     all.push_back(connection);
--- a/carobshift/gateway/handoff/handoff_listener.h
+++ b/carobshift/gateway/handoff/handoff_listener.h
@@ -60,6 +60,9 @@
   void BeginStop();
   // Stops accepting connections.
   void Close();
+  // Closes the connections without a request, unread, and the others after
+  // their reply. To be called again when no more connections are accepted.
+  void CloseIdleConnections();
   // Whether a request is being read or served, or a reply is not sent yet.
   [[nodiscard]] bool busy() const;
   // Stops accepting connections and resets the open ones.
--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -265,6 +265,40 @@
   CHECK(fixture.peer().requests.open_requests() == 0);
 }
 
+// A connection to a handoff listener on which nothing is sent.
+class SilentPeer : public TcpConnectionHandler {
+ public:
+  SilentPeer(EventLoop& loop, const NetAddress& address)
+      : connection_(TcpConnection::Connect(loop, address, {}, this)) {}
+  ~SilentPeer() override { connection_->Close(); }
+  [[nodiscard]] bool connected() const { return connection_->connected(); }
+  [[nodiscard]] bool closed() const { return closed_; }
+
+  void OnData(std::string_view) override {}
+  void OnClosed(CloseReason) override { closed_ = true; }
+
+ private:
+  std::shared_ptr<TcpConnection> connection_;
+  bool closed_ = false;
+};
+
+// Guards against handoffs that come late in the grace period of the peer, on
+// connections that were opened after its beginning.
+TEST_CASE("a planned stop of the peer closes connections without a handoff") {
+  HandoffFixture fixture(ReplyDone);
+  Instance& peer = fixture.peer();
+  peer.requests.BeginStop(
+      ShutdownSchedule(fixture.loop.now(), Milliseconds(8000)));
+  peer.listener.BeginStop();
+  const SilentPeer silent(fixture.loop, {peer.host, peer.listener.port()});
+  RunUntil(fixture.loop, [&] { return silent.connected(); });
+  RunFor(fixture.loop, Milliseconds(50));
+  REQUIRE_FALSE(silent.closed());
+  peer.listener.Close();
+  peer.listener.CloseIdleConnections();
+  RunUntil(fixture.loop, [&] { return silent.closed(); });
+}
+
 // Guards against deadlines that start anew at the peer.
 TEST_CASE("the peer has only the time that the caller has left") {
   std::string time_left;
--- a/carobshift/gateway/request/caller_connections_test.cc
+++ b/carobshift/gateway/request/caller_connections_test.cc
@@ -199,6 +199,25 @@
         std::string::npos);
 }
 
+// Guards against requests that come late in the grace period of a planned stop,
+// on connections that were opened after its beginning.
+TEST_CASE("a connection without a request is closed unread in a planned stop") {
+  ServiceUnderTest under_test;
+  under_test.service.SetConfig(ConfigWith(1, {}));
+  under_test.service.BeginStop(
+      ShutdownSchedule(under_test.loop.now(), Milliseconds(8000)));
+  PersistentCaller idle(under_test);
+  PersistentCaller sending(under_test);
+  sending.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n");
+  under_test.listener->Close();
+  under_test.service.CloseIdleConnections();
+  RunUntil(under_test.loop, [&] { return idle.closed(); });
+  CHECK(idle.received().empty());
+  CHECK(sending.Ask("body"));
+  RunUntil(under_test.loop, [&] { return sending.closed(); });
+  CHECK(under_test.service.open_connections() == 0);
+}
+
 // Guards against proper requests that are rejected since their connection was
 // accepted under lower limits.
 TEST_CASE("raised limits of a request hold for connections that are open") {
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -158,15 +158,6 @@
   }
 }
 
-void RequestService::BeginStop(const ShutdownSchedule& shutdown) {
-  shutdown_ = shutdown;
-  std::vector<std::shared_ptr<HttpServerConnection>> all;
-  for (const auto& [key, connection] : connections_)
-    all.push_back(connection);
-  for (const auto& connection : all)
-    connection->CloseWhenIdle();
-}
-
 void RequestService::EndOpenRequests() {
   std::vector<std::shared_ptr<ExchangeRun>> open;
   for (const auto& [exchange, running] : runs_)
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -206,6 +206,9 @@
 
   // Tells callers to connect elsewhere; requests in progress continue.
   void BeginStop(const ShutdownSchedule& shutdown);
+  // Closes the connections without a request, unread, and the others after
+  // their reply. To be called again when no more connections are accepted.
+  void CloseIdleConnections();
   // Gives each request in progress its final answer, since this process can't
   // wait for it any longer. Replies that have begun break off.
   void EndOpenRequests();
--- /dev/null
+++ b/carobshift/gateway/request/request_service_shutdown.cc
@@ -0,0 +1,24 @@
+// The part of RequestService that prepares for the end of the process in a
+// planned stop.
+
+#include <memory>
+#include <vector>
+
+#include "carobshift/gateway/request/request_service.h"
+
+namespace carobshift {
+
+void RequestService::BeginStop(const ShutdownSchedule& shutdown) {
+  shutdown_ = shutdown;
+  CloseIdleConnections();
+}
+
+void RequestService::CloseIdleConnections() {
+  std::vector<std::shared_ptr<HttpServerConnection>> all;
+  for (const auto& [key, connection] : connections_)
+    all.push_back(connection);
+  for (const auto& connection : all)
+    connection->CloseWhenIdle();
+}
+
+}  // namespace carobshift
