Planned stop: the grace period counts from before the signal was sent

What callers saw: an instance that stood still as SIGTERM was sent, and went on 0.7 s later or more, was killed before it had answered; all its callers were reset at once and nothing was logged.

Cause: the stop counted from when the loop saw the signal, the platform counts from the sending. A stop that was seen after its own end also ended the process at once, without an answer to anyone.

Change: SignalTime keeps the time of the last look that found no signal, and the grace period counts from there, at the start from before the handlers are installed. The process ends only once the open requests have their last answers, and leaves 0.3 s for sending them if it saw the signal late. stop_began tells how late that was (seen_ms).

--- a/carobshift/cmd/gateway_command.cc
+++ b/carobshift/cmd/gateway_command.cc
@@ -76,7 +76,8 @@
   bool print_address = false;
 };
 
-int Serve(const GatewayFlags& flags) {
+// `handled_since`: no signal had arrived then.
+int Serve(const GatewayFlags& flags, MonotonicTime handled_since) {
   const Result<GatewaySettings> settings =
       ReadSettings(flags.settings_path, flags.metrics_port);
   if (!settings.ok())
@@ -92,7 +93,8 @@
     std::cout << "listening " + settings.value().callers.ToString() + "\n"
               << std::flush;
   }
-  gateway.Run({.stop_requested = [] { return stop_requested.load(); },
+  gateway.Run({.handled_since = handled_since,
+               .stop_requested = [] { return stop_requested.load(); },
                .take_reload = [] { return reload_requested.exchange(false); },
                .read_settings =
                    [&] {
@@ -106,6 +108,7 @@
 }  // namespace
 
 int RunGatewayCommand(int argc, char** argv) {
+  const MonotonicTime handled_since = MonotonicNow();
   InstallSignalHandlers();
   cxxopts::Options options = DescribeFlags();
   try {
@@ -126,7 +129,8 @@
     return Serve({.settings_path = *path,
                   .metrics_port = parsed["metrics-port"].as<std::uint16_t>(),
                   .log_level = *level,
-                  .print_address = parsed.count("print-address") > 0});
+                  .print_address = parsed.count("print-address") > 0},
+                 handled_since);
   } catch (const cxxopts::exceptions::exception& e) {
     return Fail(ExitCode::kUsage, e.what());
   }
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -30,6 +30,7 @@
 #include "carobshift/gateway/records/record_listener.h"
 #include "carobshift/gateway/request/request_service.h"
 #include "carobshift/gateway/shutdown_schedule.h"
+#include "carobshift/gateway/signal_time.h"
 #include "carobshift/gateway/state_dump.h"
 #include "carobshift/gateway/streams/shared_stream_directory.h"
 #include "carobshift/gateway/streams/sole_version_learner.h"
@@ -119,7 +120,9 @@
   // Does nothing before the other instances are known.
   void WatchCaches();
   void OnConfig(std::shared_ptr<const ServingConfigSnapshot> config);
-  void BeginStop();
+  // The stop was requested at `sent` at the earliest.
+  void BeginStop(MonotonicTime sent);
+  void EndOpenRequests();
   [[nodiscard]] bool Stopped() const;
   QueryAnswer Answer(const HttpHead& question);
   QueryAnswer AnswerMetrics(const HttpHead& question);
@@ -247,6 +250,8 @@
   MonotonicTime last_tick = loop.now();
   MonotonicTime next_sweep{};
   std::optional<ShutdownSchedule> shutdown;
+  // The requests that were open at the end of their time have their answers.
+  bool requests_ended = false;
 };
 
 HandoffEnvironment Gateway::Impl::HandoffEnvironmentOf() {
@@ -594,10 +599,12 @@
 // The instance becomes unready and leaves the address answers at once. It
 // continues to serve callers with a cached answer until the answers expire, and
 // each reply tells them to connect elsewhere.
-void Gateway::Impl::BeginStop() {
+void Gateway::Impl::BeginStop(MonotonicTime sent) {
+  const MonotonicTime now = MonotonicNow();
+  shutdown = ShutdownSchedule(sent, settings.stop_grace, now);
   LogEvent(LogLevel::kInfo, "stop_began",
-           {{"open_requests", requests.open_requests()}});
-  shutdown = ShutdownSchedule(loop.now(), settings.stop_grace);
+           {{"open_requests", requests.open_requests()},
+            {"seen_ms", shutdown->Age(now).count()}});
   rollout_controller.Stop();
   cluster.Leave();
   stream_directory.HandOver();
@@ -607,19 +614,21 @@
     caller_listener->Close();
     handoff_listener.Close();
   });
-  loop.AddTimer(shutdown->requests_end(),
-                [this] { requests.EndOpenRequests(); });
+  loop.AddTimer(shutdown->requests_end(), [this] { EndOpenRequests(); });
+}
+
+void Gateway::Impl::EndOpenRequests() {
+  requests.EndOpenRequests();
+  requests_ended = true;
 }
 
 bool Gateway::Impl::Stopped() const {
   if (!shutdown)
     return false;
   const MonotonicTime now = loop.now();
-  if (now >= shutdown->exit())
-    return true;
   const bool busy = requests.busy() || handoff_listener.busy();
-  if (now >= shutdown->requests_end())
-    return !busy;
+  if (requests_ended)
+    return !busy || now >= shutdown->exit();
   return now >= shutdown->listeners_close() && !busy &&
          !MustDelayShutdown(cluster.membership().Members(), settings.entry,
                             peer_sync.IsLogUnresponsive());
@@ -635,9 +644,12 @@
 }
 
 void Gateway::Run(const GatewaySignals& signals) {
-  impl_->loop.Run([this, &signals] {
-    if (!impl_->shutdown && signals.stop_requested())
-      impl_->BeginStop();
+  SignalTime stop_sent(signals.handled_since);
+  impl_->loop.Run([this, &signals, &stop_sent] {
+    const MonotonicTime now = MonotonicNow();
+    const auto sent = stop_sent.Check(signals.stop_requested(), now);
+    if (!impl_->shutdown && sent)
+      impl_->BeginStop(*sent);
     if (signals.take_reload()) {
       const Result<GatewaySettings> settings = signals.read_settings();
       LogEvent(LogLevel::kInfo, "settings_reloaded",
--- a/carobshift/gateway/gateway.h
+++ b/carobshift/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include <memory>
 
 #include "carobshift/base/result.h"
+#include "carobshift/base/units.h"
 #include "carobshift/gateway/dialect.h"
 #include "carobshift/gateway/gateway_settings.h"
 
@@ -23,6 +24,10 @@
 
 // Polled by the event loop; set by signal handlers.
 struct GatewaySignals {
+  // No stop had been requested then. The grace period counts from there if the
+  // first look finds a request.
+  MonotonicTime handled_since;
+  // Stays true once it has been.
   std::function<bool()> stop_requested;
   // Returns true once for each request to reload the settings.
   std::function<bool()> take_reload;
--- a/carobshift/gateway/shutdown_schedule.h
+++ b/carobshift/gateway/shutdown_schedule.h
@@ -1,7 +1,7 @@
 // The times of a planned stop, for all parts that have to be done by one of
 // them.
 //
-//   const ShutdownSchedule shutdown(now, settings.stop_grace);
+//   const ShutdownSchedule shutdown(sent, settings.stop_grace, now);
 //   loop.AddTimer(shutdown.listeners_close(), [this] { listener.Close(); });
 //   loop.AddTimer(shutdown.requests_end(), [this] { EndOpenRequests(); });
 //
@@ -10,6 +10,8 @@
 #ifndef CAROBSHIFT_GATEWAY_SHUTDOWN_SCHEDULE_H_
 #define CAROBSHIFT_GATEWAY_SHUTDOWN_SCHEDULE_H_
 
+#include <algorithm>
+
 #include "carobshift/base/units.h"
 
 namespace carobshift {
@@ -27,10 +29,12 @@
   // are sent.
   static constexpr Milliseconds kLastReplyTime{300};
 
-  // The stop began at `began`; the process is killed when `grace` has passed
-  // since.
+  // The stop began at `began`, its request was seen at `seen`; the process is
+  // killed when `grace` has passed since `began`.
+  ShutdownSchedule(MonotonicTime began, Milliseconds grace, MonotonicTime seen)
+      : began_(began), grace_(grace), seen_(seen) {}
   ShutdownSchedule(MonotonicTime began, Milliseconds grace)
-      : began_(began), grace_(grace) {}
+      : ShutdownSchedule(began, grace, began) {}
 
   [[nodiscard]] MonotonicTime began() const { return began_; }
   [[nodiscard]] MonotonicTime listeners_close() const {
@@ -40,9 +44,11 @@
   [[nodiscard]] MonotonicTime requests_end() const {
     return began_ + grace_ - kExitReserve;
   }
-  // The process exits by then, whatever is unsent.
+  // The process exits by then, whatever is unsent. A request that was seen
+  // after requests_end() leaves kLastReplyTime all the same: a process that is
+  // killed meanwhile loses no more than one that ends itself.
   [[nodiscard]] MonotonicTime exit() const {
-    return requests_end() + kLastReplyTime;
+    return std::max(requests_end(), seen_) + kLastReplyTime;
   }
   // Returns how long ago the stop began.
   [[nodiscard]] Milliseconds Age(MonotonicTime now) const {
@@ -52,6 +58,7 @@
  private:
   MonotonicTime began_;
   Milliseconds grace_;
+  MonotonicTime seen_;
 };
 
 }  // namespace carobshift
--- a/testing/relayed_gateway_main.cc
+++ b/testing/relayed_gateway_main.cc
@@ -25,6 +25,8 @@
 namespace {
 
 std::atomic<bool> stop_requested = false;
+// No signal had arrived then.
+const MonotonicTime handled_since = MonotonicNow();
 
 // Reads the platform's records and replaces the host of each endpoint.
 class RelayedLogDialect : public PlatformLogDialect {
@@ -65,7 +67,8 @@
     return 1;
   }
   std::cout << "listening " + settings.callers.ToString() + "\n" << std::flush;
-  gateway.Run({.stop_requested = [] { return stop_requested.load(); },
+  gateway.Run({.handled_since = handled_since,
+               .stop_requested = [] { return stop_requested.load(); },
                .take_reload = [] { return false; },
                .read_settings = [&settings] { return settings; }});
   FinishLogOutput();
