Replies to an instance's own calls: a bound in sum, and for each use

Callers saw: none of their requests on an instance answered once its memory was used up by what faulty endpoints sent. Cause: each HttpFetch kept up to 8 MiB, whatever it had asked for, and nothing bounded the sum. Change: ByteBudget, with reservations that end with their buffer; as in an overload manager what matters least is refused first. The calls of an instance hold 16 MiB in sum. 64 KiB each, unless the call asks for more: events 2 MiB, lists and the log 4 MiB, peers 8 MiB. A declared length beyond the bound is refused at the head. The call fails like a broken one, its connection is reset; reply_given_up, carobshift_reply_bytes_held, carobshift_replies_over_budget.

--- a/carobshift/gateway/cache/cache_watcher.cc
+++ b/carobshift/gateway/cache/cache_watcher.cc
@@ -19,6 +19,10 @@
 // quarter to a half more shared tokens (seven instances, 12 engines at full
 // load).
 constexpr Milliseconds kReadInterval{100};
+// What a holder remembers of its events, and what it holds: some twenty to
+// forty thousand rows.
+constexpr std::size_t kMaxEventBytes = std::size_t{2} << 20;
+constexpr std::size_t kMaxListBytes = std::size_t{4} << 20;
 
 }  // namespace
 
@@ -172,6 +176,8 @@
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = CacheContents::kReaderWait + kReplyMargin;
+  options.max_body = kMaxEventBytes;
+  options.importance = ByteImportance::kOptional;
   const std::uint64_t since = contents_.next(reader.watched.holder);
   const HttpHead head =
       dialect_.EncodeEventsQuestion(since, CacheContents::kReaderWait);
@@ -219,6 +225,8 @@
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = kListTimeout;
+  options.max_body = kMaxListBytes;
+  options.importance = ByteImportance::kOptional;
   LogEvent(LogLevel::kInfo, "cache_listed",
            {{"holder", reader.watched.holder.value()}});
   reader.fetch.Start(client_, loop_, reader.watched.address,
--- a/carobshift/gateway/connection_options.h
+++ b/carobshift/gateway/connection_options.h
@@ -1,6 +1,8 @@
-// TCP options by the purpose of a connection.
+// TCP options by the purpose of a connection, and what replies may hold by the
+// purpose of a call.
 //
 //   HttpClient client(loop, {.tcp = kEndpointTcp});
+//   options.max_body = kMaxLogReplyBytes;
 //
 // TcpOptions::user_timeout ends a connection whose peer acknowledges nothing,
 // whose peer doesn't read, or that answers no keep-alive probe. What may be
@@ -10,6 +12,8 @@
 #ifndef CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
 #define CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
 
+#include <cstddef>
+
 #include "carobshift/net/tcp_connection.h"
 
 namespace carobshift {
@@ -29,6 +33,15 @@
 // connection that hangs must be recognized before the next calls use it.
 inline constexpr TcpOptions kControlTcp{.user_timeout = Milliseconds(2000)};
 
+// The log sends at most a megabyte, in base64 a third more, unless one record
+// is longer.
+inline constexpr std::size_t kMaxLogReplyBytes = std::size_t{4} << 20;
+// Other instances send all records that they know.
+inline constexpr std::size_t kMaxPeerReplyBytes = std::size_t{8} << 20;
+// What an instance holds of replies to its own calls, in sum. A fifth of the
+// memory of a small instance.
+inline constexpr std::size_t kMaxHeldReplyBytes = std::size_t{16} << 20;
+
 }  // namespace carobshift
 
 #endif  // CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -134,7 +134,10 @@
   HttpClient endpoint_client{loop, {.tcp = kEndpointTcp}};
   // Separate from the requests' client, so that a flood of requests doesn't use
   // up the connections to the log and the stores, or the other way round.
-  HttpClient control_client{loop, {.tcp = kControlTcp}};
+  ByteBudget reply_budget{kMaxHeldReplyBytes};
+  HttpClient control_client{
+      loop,
+      {.tcp = kControlTcp, .reply_budget = &reply_budget}};
   // Separate from the endpoints' client, whose connections show which services
   // this instance reaches.
   HttpClient handoff_client{loop, {.tcp = kEndpointTcp}};
@@ -541,6 +544,10 @@
               static_cast<double>(handoff_runner.outstanding()));
   metrics.Set("carobshift_log_lines_dropped", {},
               static_cast<double>(DroppedLogLines()));
+  metrics.Set("carobshift_reply_bytes_held", {},
+              static_cast<double>(reply_budget.held()));
+  metrics.Set("carobshift_replies_over_budget", {},
+              static_cast<double>(reply_budget.refusals()));
   metrics.Set("carobshift_limited_endpoints", {},
               static_cast<double>(requests.limited_endpoints()));
   metrics.Set("carobshift_services_with_rejection_limit", {},
--- a/carobshift/gateway/records/keyed_follower.cc
+++ b/carobshift/gateway/records/keyed_follower.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "carobshift/gateway/connection_options.h"
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
@@ -53,6 +54,7 @@
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = wait + extra_timeout_;
+  options.max_body = kMaxLogReplyBytes;
   return options;
 }
 
--- a/carobshift/gateway/records/peer_sync.cc
+++ b/carobshift/gateway/records/peer_sync.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/gateway/connection_options.h"
 #include "carobshift/gateway/instances/peer_choice.h"
 #include "carobshift/gateway/records/peer_state_codec.h"
 #include "carobshift/telemetry/event_log.h"
@@ -97,6 +98,7 @@
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = kCallTimeout;
+  options.max_body = kMaxPeerReplyBytes;
   fetch_.Start(
       client_, loop_, peer.peer_address(),
       SerializeRequest(head, peer.peer_address(), ""), options,
--- a/carobshift/gateway/records/record_listener.cc
+++ b/carobshift/gateway/records/record_listener.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "carobshift/base/digest.h"
+#include "carobshift/gateway/connection_options.h"
 #include "carobshift/gateway/records/record_readers.h"
 #include "carobshift/gateway/records/stream_positions.h"
 #include "carobshift/telemetry/event_log.h"
@@ -121,6 +122,7 @@
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = kCallTimeout;
+  options.max_body = kMaxPeerReplyBytes;
   query_sent_at_ = loop_.now();
   fetch_.Start(client_, loop_, reader.peer_address(),
                SerializeRequest(head, reader.peer_address(), ""), options,
--- a/carobshift/gateway/weights/weight_rollout_controller.cc
+++ b/carobshift/gateway/weights/weight_rollout_controller.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "carobshift/gateway/connection_options.h"
 #include "carobshift/gateway/weights/weight_note.h"
 #include "carobshift/telemetry/event_log.h"
 
@@ -39,11 +40,13 @@
   return options;
 }
 
-FetchOptions CallOptions(Milliseconds timeout) {
+FetchOptions CallOptions(Milliseconds timeout,
+                         std::size_t max_body = FetchOptions{}.max_body) {
   FetchOptions options;
   options.call.connect_timeout = kConnectTimeout;
   options.timeout = timeout;
   options.stall_timeout = timeout;
+  options.max_body = max_body;
   return options;
 }
 
@@ -338,7 +341,7 @@
       client_, loop_, settings_.log,
       SerializeRequest(dialects_.log.EncodeRead(stream_, from, Milliseconds(0)),
                        settings_.log, ""),
-      CallOptions(kLeaseCallTimeout),
+      CallOptions(kLeaseCallTimeout, kMaxLogReplyBytes),
       [this, from](const FetchOutcome& outcome) {
         const bool held = lease_.IsHolder();
         Result<LogBatch> batch =
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -49,6 +49,7 @@
 #include <string_view>
 #include <vector>
 
+#include "carobshift/base/byte_budget.h"
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/strong_type.h"
 #include "carobshift/net/event_loop.h"
@@ -190,6 +191,9 @@
   // Idle timeout for a peer that announces none.
   Milliseconds default_idle{4000};
   std::size_t max_head_bytes = std::size_t{64} << 10;
+  // Bounds the replies that HttpFetch holds of all calls of this client and of
+  // others with the same budget. Must outlive the calls. Null for no bound.
+  ByteBudget* reply_budget = nullptr;
 
   // Interim replies (1xx) to one call.
   static constexpr int kMaxInterimReplies = 16;
@@ -233,6 +237,9 @@
   void CloseIdle(MonotonicTime now);
 
   [[nodiscard]] const HttpClientCounters& counters() const { return counters_; }
+  [[nodiscard]] ByteBudget* reply_budget() const {
+    return options_.reply_budget;
+  }
   [[nodiscard]] int OpenConnections(const NetAddress& address) const;
   // Returns whether a call to the address would get a connection now.
   [[nodiscard]] bool HasFreeConnection(const NetAddress& address) const;
--- a/carobshift/net/http_fetch.cc
+++ b/carobshift/net/http_fetch.cc
@@ -3,7 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "carobshift/telemetry/event_log.h"
+
 namespace carobshift {
+namespace {
+
+constexpr std::string_view kTooLarge = "reply too large";
+constexpr std::string_view kOverBudget = "replies over budget";
+
+}  // namespace
 
 HttpFetch::~HttpFetch() {
   Cancel();
@@ -19,8 +27,10 @@
   loop_ = &loop;
   options_ = options;
   done_ = std::move(done);
+  address_ = address;
   status_ = 0;
-  body_.clear();
+  std::string().swap(body_);
+  held_ = ByteReservation(client.reply_budget(), options.importance);
   // The process may have stood still since the loop's iteration began.
   stall_deadline_ = MonotonicNow() + options.timeout;
   reply_deadline_.reset();
@@ -35,6 +45,8 @@
   loop_->CancelTimer(timer_);
   call_->Cancel();
   call_.reset();
+  std::string().swap(body_);
+  held_.Release();
 }
 
 void HttpFetch::ArmTimer() {
@@ -59,27 +71,53 @@
 }
 
 ReplyDisposition HttpFetch::OnReplyHead(const HttpHead& head,
-                                        const HttpMessageInfo&) {
+                                        const HttpMessageInfo& info) {
   status_ = head.status;
   stall_deadline_ = loop_->now() + options_.stall_timeout;
   reply_deadline_ = loop_->now() + options_.max_reply_time;
   loop_->CancelTimer(timer_);
   ArmTimer();
+  if (info.framing == HttpBodyFraming::kLength &&
+      info.length > options_.max_body)
+    GiveUp(kTooLarge);
   return ReplyDisposition::kAccept;
 }
 
 void HttpFetch::OnReplyBody(std::string_view bytes) {
   stall_deadline_ = loop_->now() + options_.stall_timeout;
-  if (body_.size() + bytes.size() <= options_.max_body) {
+  const std::string_view refusal = Reserve(body_.size() + bytes.size());
+  if (refusal.empty())
     body_.append(bytes);
-    return;
-  }
-  call_->Cancel();
+  else
+    GiveUp(refusal);
+}
+
+std::string_view HttpFetch::Reserve(std::size_t size) {
+  if (size > options_.max_body)
+    return kTooLarge;
+  if (size <= body_.capacity())
+    return {};
+  const std::size_t capacity =
+      std::min(std::max(size, 2 * body_.capacity()), options_.max_body);
+  if (!held_.GrowTo(capacity))
+    return kOverBudget;
+  body_.reserve(capacity);
+  return {};
+}
+
+void HttpFetch::GiveUp(std::string_view reason) {
+  const std::size_t received = body_.size();
+  LogEvent(LogLevel::kWarning, "reply_given_up",
+           {{"peer", address_.ToString()},
+            {"reason", reason},
+            {"received", received},
+            {"most", options_.max_body}});
+  call_->Abort();
   Finish({.status = std::nullopt,
           .body = {},
           .sent = true,
-          .received = body_.size(),
-          .reason = "reply too large"});
+          .received = received,
+          .reason = reason});
 }
 
 void HttpFetch::OnReplyEnd() {
@@ -102,6 +140,9 @@
 void HttpFetch::Finish(FetchOutcome outcome) {
   loop_->CancelTimer(timer_);
   call_.reset();
+  std::string().swap(body_);
+  // Until the callback has read the reply.
+  const ByteReservation held = std::move(held_);
   // The callback may start another call with this object.
   const Done done = std::exchange(done_, nullptr);
   if (done != nullptr)
--- a/carobshift/net/http_fetch.h
+++ b/carobshift/net/http_fetch.h
@@ -10,6 +10,12 @@
 // than to its total length. If a long reply over a slow link were cut off at a
 // fixed time, each retry would start again at its first byte, and the reply
 // would never complete.
+//
+// A peer in trouble may send a reply that is no answer, without end. What one
+// reply may hold is FetchOptions::max_body, and what all replies hold in sum
+// the client's HttpClientOptions::reply_budget. A call whose reply exceeds
+// either fails like a broken one; its connection is reset, and
+// `reply_given_up` is logged.
 
 #ifndef CAROBSHIFT_NET_HTTP_FETCH_H_
 #define CAROBSHIFT_NET_HTTP_FETCH_H_
@@ -33,7 +39,10 @@
   // From the reply's head to its end. Bounds a call to a peer that sends one
   // byte at a time.
   Milliseconds max_reply_time{15000};
-  std::size_t max_body = std::size_t{8} << 20;
+  // Enough for a reply that is neither a list nor records.
+  std::size_t max_body = std::size_t{64} << 10;
+  // Optional replies are given up first when the client's budget is scarce.
+  ByteImportance importance = ByteImportance::kRequired;
 };
 
 struct FetchOutcome {
@@ -76,6 +85,10 @@
   void OnCallFailed(const CallFailure& failure) override;
   void ArmTimer();
   void OnTimer();
+  // Makes room for `size` bytes of body altogether. Returns the reason why
+  // there is none, or an empty text.
+  [[nodiscard]] std::string_view Reserve(std::size_t size);
+  void GiveUp(std::string_view reason);
   void Finish(FetchOutcome outcome);
 
   EventLoop* loop_ = nullptr;
@@ -88,8 +101,11 @@
   MonotonicTime stall_deadline_{};
   std::optional<MonotonicTime> reply_deadline_;
   Done done_;
+  NetAddress address_;
   int status_ = 0;
   std::string body_;
+  // Of the capacity of `body_`.
+  ByteReservation held_;
 };
 
 // Serializes a request with Host, Content-Length and the body.
