Cache events: a holder in trouble is asked less and less

Callers saw: with 40 endpoints that answer with bytes that are no answer, up to 461 MB held by the instance, and one in 44 requests without an answer within 5 s. Cause: a read that had failed was repeated 400 ms later for as long as the endpoint was listed, and one that had succeeded 100 ms later however long the answer was, so that the loop did little else. Change: ReadBackoff. The pause doubles from 0.4 to 12.8 s, with jitter, and an answer starts it anew; it stays the same if the holder can't be reached, which costs next to nothing. After an answer the pause is long enough for 512 KiB/s. cache_reader_back tells the failures.

--- a/carobshift/gateway/cache/cache_watcher.cc
+++ b/carobshift/gateway/cache/cache_watcher.cc
@@ -13,12 +13,6 @@
 // Added to the reader's wait. The sum is within CacheContents::kTrustTimeout.
 constexpr Milliseconds kReplyMargin{300};
 constexpr Milliseconds kListTimeout{1500};
-constexpr Milliseconds kRetryDelay{400};
-// Delay before the next read, which returns all events since. With 300 ms
-// instances use a tenth less of their processors, but engines recompute a
-// quarter to a half more shared tokens (seven instances, 12 engines at full
-// load).
-constexpr Milliseconds kReadInterval{100};
 // What a holder remembers of its events, and what it holds: some twenty to
 // forty thousand rows.
 constexpr std::size_t kMaxEventBytes = std::size_t{2} << 20;
@@ -193,21 +187,24 @@
                             std::uint64_t since,
                             const FetchOutcome& outcome) {
   if (!outcome.status) {
-    OnReadFailed(reader, outcome.reason);
+    OnReadFailed(reader, outcome, outcome.reason);
     return;
   }
   const Result<StoreEvents> events =
       dialect_.DecodeEvents(*outcome.status, outcome.body);
   if (!events.ok()) {
-    OnReadFailed(reader, events.error().message);
+    OnReadFailed(reader, outcome, events.error().message);
     return;
   }
   if (!reader.reachable) {
     reader.reachable = true;
     LogEvent(LogLevel::kInfo, "cache_reader_back",
              {{"holder", reader.watched.holder.value()},
-              {"epoch", events.value().epoch}});
+              {"epoch", events.value().epoch},
+              {"failures", reader.failures}});
+    reader.failures = 0;
   }
+  const Milliseconds pause = reader.read_backoff.OnAnswer(outcome.received);
   contents_.OnEvents(reader.watched.holder, events.value(), loop_.now());
   if (reader.role == CacheReaderRole::kForwarder)
     relay_.OnRead(reader.watched.holder, since, events.value(),
@@ -215,7 +212,7 @@
   if (reader.watched.listed && contents_.NeedsListing(reader.watched.holder))
     List(reader);
   else
-    ScheduleRead(reader, kReadInterval);
+    ScheduleRead(reader, pause);
 }
 
 void CacheWatcher::List(Reader& reader) {
@@ -234,13 +231,13 @@
                                       reader.watched.address, ""),
                      options, [this, &reader](const FetchOutcome& outcome) {
                        if (!outcome.status) {
-                         OnReadFailed(reader, outcome.reason);
+                         OnReadFailed(reader, outcome, outcome.reason);
                          return;
                        }
                        const auto listing =
                            dialect_.DecodeList(*outcome.status, outcome.body);
                        if (!listing.ok()) {
-                         OnReadFailed(reader, listing.error().message);
+                         OnReadFailed(reader, outcome, listing.error().message);
                          return;
                        }
                        contents_.OnListing(reader.watched.holder,
@@ -249,14 +246,20 @@
                      });
 }
 
-void CacheWatcher::OnReadFailed(Reader& reader, std::string_view reason) {
+void CacheWatcher::OnReadFailed(Reader& reader,
+                                const FetchOutcome& outcome,
+                                std::string_view reason) {
   contents_.OnReaderLost(reader.watched.holder);
   if (reader.reachable) {
     reader.reachable = false;
     LogEvent(LogLevel::kWarning, "cache_reader_lost",
              {{"holder", reader.watched.holder.value()}, {"reason", reason}});
   }
-  ScheduleRead(reader, kRetryDelay);
+  ++reader.failures;
+  const std::uint64_t hash =
+      CombineHashes(FastHash(reader.watched.holder.value()), jitter_seed_++);
+  ScheduleRead(reader, outcome.sent ? reader.read_backoff.OnFailure(hash)
+                                    : reader.read_backoff.OnUnreachable());
 }
 
 void CacheWatcher::ScheduleRead(Reader& reader, Milliseconds wait) {
--- a/carobshift/gateway/cache/cache_watcher.h
+++ b/carobshift/gateway/cache/cache_watcher.h
@@ -15,6 +15,7 @@
 
 #include "carobshift/gateway/cache/cache_contents.h"
 #include "carobshift/gateway/cache/cache_relay.h"
+#include "carobshift/gateway/cache/read_backoff.h"
 #include "carobshift/gateway/dialect.h"
 #include "carobshift/gateway/endpoints/endpoint_registry.h"
 #include "carobshift/gateway/instances/peer_datagrams.h"
@@ -83,6 +84,9 @@
     bool started = false;
     CacheReaderRole role = CacheReaderRole::kReader;
     ListBackoff list_backoff;
+    ReadBackoff read_backoff;
+    // Since its events can't be read.
+    int failures = 0;
   };
 
   void SetRole(Reader& reader, CacheReaderRole role);
@@ -96,7 +100,9 @@
   void OnEvents(Reader& reader,
                 std::uint64_t since,
                 const FetchOutcome& outcome);
-  void OnReadFailed(Reader& reader, std::string_view reason);
+  void OnReadFailed(Reader& reader,
+                    const FetchOutcome& outcome,
+                    std::string_view reason);
   void ScheduleRead(Reader& reader, Milliseconds wait);
 
   EventLoop& loop_;
@@ -107,7 +113,7 @@
   std::map<CacheHolder, std::unique_ptr<Reader>> readers_;
   CacheRelay relay_;
   std::size_t instances_ = 1;
-  // Differs between instances, and between the listings of this one.
+  // Differs between instances, and between the calls of this one.
   std::uint64_t jitter_seed_;
   int starts_left_ = kStartsPerTick;
   MonotonicTime next_send_{};
--- a/carobshift/gateway/cache/cache_watcher_test.cc
+++ b/carobshift/gateway/cache/cache_watcher_test.cc
@@ -61,6 +61,12 @@
   }
   void Answer(HttpServerConnection& connection,
               const HttpServerRequest& request) {
+    ++questions;
+    if (endless) {
+      connection.SendCompleteReply(ReplyHead(200),
+                                   std::string(std::size_t{3} << 20, 'x'));
+      return;
+    }
     if (request.head.target == "/list") {
       ++lists;
       loop.AddTimer(loop.now() + list_time, [&connection] {
@@ -96,6 +102,9 @@
   Milliseconds list_time{0};
   int lists = 0;
   int first_reads = 0;
+  int questions = 0;
+  // Answers are longer than any that can be wanted.
+  bool endless = false;
 };
 
 // Returns `self` and two other instances, such that `self` has this role for
@@ -119,6 +128,23 @@
   CHECK(fixture.lists == 0);
 }
 
+// Guards against a holder in trouble that is asked again at once for as long as
+// it is listed.
+TEST_CASE("a holder without answers is asked less and less until it has one") {
+  Fixture fixture;
+  fixture.endless = true;
+  fixture.watcher.SetHolders(
+      fixture.Holders(),
+      LiveWith(CacheReaderRole::kReader, fixture.settings.entry),
+      fixture.settings.entry);
+  // 0.4 to 0.6 s, then 0.8 to 1.2 s, then 1.6 to 2.4 s.
+  RunFor(fixture.loop, Milliseconds(2600));
+  CHECK(fixture.questions >= 3);
+  CHECK(fixture.questions <= 4);
+  fixture.endless = false;
+  RunUntil(fixture.loop, [&] { return fixture.Knows(); });
+}
+
 TEST_CASE("a listener that missed news lists the store, also a slow one") {
   // Guards against a listing that is aborted and restarted at each membership
   // update. It would never complete if the store takes longer to list its parts
--- /dev/null
+++ b/testing/gateway_bytes_without_end_process_test.cc
@@ -0,0 +1,149 @@
+// A gateway process beside engine entries whose address answers every question
+// with bytes that are no answer, or with far more than was asked for.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <string_view>
+
+#include "testing/endless_server.h"
+#include "testing/gateway_cluster.h"
+
+namespace carobshift {
+namespace {
+
+using nlohmann::json;
+
+// The memory of the smallest instance, in KB.
+constexpr long kSmallestInstance = 88L << 10;
+// Within which callers' requests are answered meanwhile. Their streams take
+// 0.1 s by themselves.
+constexpr Milliseconds kMaxAnswerTime{1000};
+// How long callers send their requests.
+constexpr Milliseconds kTime{6000};
+// Questions that a faulty endpoint may get within kTime. Each kind of call has
+// a pause that grows, from less than a second on.
+constexpr std::uint64_t kMaxQuestionsEach = 6;
+
+// Returns the largest resident size that the process has had, in KB.
+long PeakMemory(const Process& process) {
+  std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with("VmHWM:"))
+      return std::stol(line.substr(line.find_first_of("0123456789")));
+  }
+  return 0;
+}
+
+// Writes records of engines at the server's addresses. No route leads to them,
+// so that their only calls are the instance's own.
+void AddEntries(GatewayCluster& cluster, const EndlessServer& server) {
+  int index = 0;
+  for (const NetAddress& address : server.addresses()) {
+    cluster.PutKeyed("keyed.servers", "faulty-" + std::to_string(index++),
+                     json{{"service", "spares"},
+                          {"address", address.ToString()},
+                          {"zone", "z1"},
+                          {"version", "v1"},
+                          {"slots", 16},
+                          {"state", "ready"},
+                          {"sequence", 1},
+                          {"born", 0},
+                          {"models", json::array()}}
+                         .dump());
+  }
+}
+
+struct CallerResults {
+  int sent = 0;
+  int whole = 0;
+  Milliseconds slowest{0};
+};
+
+CallerResults SendRequests(GatewayCluster& cluster) {
+  CallerResults results;
+  const MonotonicTime end = MonotonicNow() + kTime;
+  while (MonotonicNow() < end) {
+    for (const std::string_view path : {"/review/1", "/find/1"}) {
+      const MonotonicTime begin = MonotonicNow();
+      const HttpAnswer answer =
+          cluster.Send(0, "POST", std::string(path), {.body = "body"});
+      const bool whole =
+          answer.status == 200 && answer.failure.empty() &&
+          (answer.body.ends_with("token5\n\n") || answer.body == "done body");
+      ++results.sent;
+      results.whole += whole ? 1 : 0;
+      results.slowest = std::max(
+          results.slowest,
+          std::chrono::duration_cast<Milliseconds>(MonotonicNow() - begin));
+    }
+  }
+  return results;
+}
+
+// Sends requests and checks that they are answered, and the instance's memory.
+void CheckCallers(GatewayCluster& cluster, const EndlessServer& server) {
+  const CallerResults results = SendRequests(cluster);
+  const long peak = PeakMemory(cluster.gateway(0));
+  std::cout << "endpoints " << server.addresses().size() << ": peak "
+            << peak / 1024 << " MB, questions " << server.questions()
+            << ", MB sent " << (server.bytes_sent() >> 20) << ", whole "
+            << results.whole << " of " << results.sent << ", slowest "
+            << results.slowest.count() << " ms" << std::endl;
+  CHECK(peak < kSmallestInstance);
+  CHECK(results.whole == results.sent);
+  CHECK(results.slowest < kMaxAnswerTime);
+}
+
+void CheckServed(EndlessForm form, int endpoints) {
+  CAPTURE(static_cast<int>(form), endpoints);
+  GatewayCluster cluster(
+      {.gateways = 1, .engines = 2, .plain_services = 1, .spares = true});
+  const EndlessServer server(form, endpoints);
+  AddEntries(cluster, server);
+  CheckCallers(cluster, server);
+  CHECK(server.questions() >= static_cast<std::uint64_t>(endpoints));
+  CHECK(server.questions() <=
+        kMaxQuestionsEach * static_cast<std::uint64_t>(endpoints));
+}
+// Guards against an instance that keeps as much as each of its calls may bear.
+TEST_CASE("bodies without end cost an instance less than its memory") {
+  CheckServed(EndlessForm::kBody, GENERATE(1, 3, 40));
+}
+
+TEST_CASE("heads without end cost an instance less than its memory") {
+  CheckServed(EndlessForm::kHead, GENERATE(1, 40));
+}
+
+// Guards against a tree of many times the text, and against callers that wait
+// while it is built.
+TEST_CASE("lists that aren't what was asked for cost no caller its answer") {
+  CheckServed(EndlessForm::kList, GENERATE(1, 3, 40));
+}
+
+TEST_CASE("events beyond any that can be wanted cost no caller its answer") {
+  CheckServed(EndlessForm::kEvents, GENERATE(1, 40));
+}
+
+TEST_CASE("answers in order and of two MiB are read at a bounded rate") {
+  CheckServed(EndlessForm::kLongEvents, GENERATE(1, 40));
+}
+
+TEST_CASE("a byte a second, in a head or in a body, costs no caller's answer") {
+  CheckServed(GENERATE(EndlessForm::kSlowHead, EndlessForm::kSlowBody), 40);
+}
+
+// The answers are in order, and read again without a pause that grows.
+TEST_CASE("bytes without end behind an answer cost no caller its answer") {
+  GatewayCluster cluster(
+      {.gateways = 1, .engines = 2, .plain_services = 1, .spares = true});
+  const EndlessServer server(EndlessForm::kUnsolicited, 40);
+  AddEntries(cluster, server);
+  CheckCallers(cluster, server);
+}
+
+}  // namespace
+}  // namespace carobshift
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -49,6 +49,8 @@
   // Gateway 0 reaches the endpoints through relays, so that its paths to the
   // endpoints can be cut.
   bool relayed = false;
+  // A further service of engines, "spares", to which no route leads.
+  bool spares = false;
 };
 
 // Configured routes: /review/ (a resumable stream), /ask/ (a stream that is not
