Planned stop: a request that can't surely end in time is refused at once

Whoever had sent it at 0 to 3 s could have turned to another instance with all its time left.

Cause: nothing between the connection and the planner knew when the grace period ends. Class: work is accepted without asking whether its result can still be delivered.

Change: ShutdownSchedule, the one home of a stop's times, says whether a request may start that has surely ended by the earlier of its deadline and its route's timeout. RequestService asks it for each request that is whole after SIGTERM, from callers and from peers. Any other one gets 503 (entry_leaving), "not run", Retry-After 50 ms and "Connection: close"; a handed-over one the handoff state "not run", so that the instance that handed it over tries another peer.

Why it works: 503 with "not run" is a promise on which callers may send any request again, and the bound holds whatever the endpoint does.

Evidence: gateway_process_test "a request late in the grace period is answered whole or refused" failed before in 5 of its 7 requests (200 with 7, 11, 21, 15 and 11 events, then a reset); it passes now. A request whose bound fits is served as before.

--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -265,6 +265,41 @@
   CHECK(fixture.peer().requests.open_requests() == 0);
 }
 
+// A grace period that is over before a request's own bound.
+constexpr Milliseconds kShortGrace{1500};
+
+void BeginStop(Instance& instance) {
+  instance.requests.BeginStop(ShutdownSchedule(MonotonicNow(), kShortGrace));
+  instance.listener.BeginStop();
+}
+
+// Guards against handoffs to a peer that cuts them at the end of its grace
+// period.
+TEST_CASE("what a stopping peer refuses goes to another one") {
+  HandoffFixture fixture(ReplyDone, 3);
+  BeginStop(fixture.peer(1));
+  int refused = 0;
+  for (int i = 0; i < 10; ++i) {
+    const auto caller = fixture.SendAndWait("/book/1");
+    CHECK(caller->head.status == 200);
+    refused = static_cast<int>(fixture.peer(1).metrics.Value(
+        "carobshift_rejected_total", {{"code", "entry_leaving"}}));
+  }
+  CHECK(refused > 0);
+  CHECK(fixture.Runs() == 10);
+}
+
+// Guards against a caller that gets no promise when all peers stop.
+TEST_CASE("what only a stopping peer could serve is refused as not run") {
+  HandoffFixture fixture(ReplyDone);
+  BeginStop(fixture.peer());
+  const auto caller = fixture.SendAndWait("/book/1");
+  CHECK(caller->head.status == 503);
+  CHECK(caller->head.Find("Retry-After") != nullptr);
+  CHECK(caller->whole);
+  CHECK(fixture.Runs() == 0);
+}
+
 // A connection to a handoff listener on which nothing is sent.
 class SilentPeer : public TcpConnectionHandler {
  public:
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -260,6 +260,10 @@
     Reject(*connection, request.id, ResultCode::kNoEndpoint, from);
     return;
   }
+  if (!MayStart(*route, request)) {
+    Reject(*connection, request.id, ResultCode::kEntryLeaving, from);
+    return;
+  }
   // The instance that handed the request over has counted it.
   if (!request.handed_over)
     allowance_.OnRequest(service, loop_.now());
@@ -345,8 +349,11 @@
        {"code", ResultCodeName(code)},
        {"config", config_ == nullptr ? 0 : config_->config().number.value()}});
   std::optional<Milliseconds> retry_after;
-  if (status == kUnavailable)
-    retry_after = kRetryAfterWithoutConfig;
+  if (status == kUnavailable) {
+    retry_after = code == ResultCode::kEntryLeaving
+                      ? ShutdownSchedule::kRetryAfter
+                      : kRetryAfterWithoutConfig;
+  }
   HttpHead head = FailureHead(status, retry_after);
   if (from != nullptr)
     SetHandoffState(HandoffState::kNotRun, head);
@@ -479,16 +486,6 @@
     run->exchange().OnTooLateToBegin(attempt, now);
 }
 
-void RequestService::ResumeSuspendedStreams(MonotonicTime now) {
-  std::vector<std::shared_ptr<ExchangeRun>> suspended;
-  for (const auto& [exchange, running] : runs_) {
-    if (exchange->suspended())
-      suspended.push_back(running.run);
-  }
-  for (const auto& run : suspended)
-    run->exchange().OnTick(now);
-}
-
 std::vector<RequestService::WaitingAttempt> RequestService::WaitingAttempts()
     const {
   std::vector<WaitingAttempt> waiting;
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -44,6 +44,7 @@
 #include "carobshift/gateway/request/held_crash_reports.h"
 #include "carobshift/gateway/request/part_suspects.h"
 #include "carobshift/gateway/request/request_report.h"
+#include "carobshift/gateway/request/request_service_options.h"
 #include "carobshift/gateway/request/retry_allowance.h"
 #include "carobshift/gateway/serving_config.h"
 #include "carobshift/gateway/shutdown_schedule.h"
@@ -56,21 +57,6 @@
 
 class HandoffRunner;
 
-struct RequestServiceOptions {
-  RetryLimits retries;
-  ColdStartOptions cold_start;
-  // A hash that differs between instances.
-  std::uint64_t instance = 0;
-  // Connecting to an endpoint takes a round trip of a few milliseconds. If it
-  // takes longer than this, the connection attempt was lost or the endpoint is
-  // unreachable.
-  Milliseconds connect_timeout{200};
-  // Maximum idle time of a reused connection for a request that may run only
-  // once: if the connection has failed unnoticed, the outcome of the request is
-  // unknown.
-  Milliseconds run_once_max_idle{1000};
-};
-
 class RequestService : private HttpServerHandler, private AttemptRunner {
  public:
   RequestService(EventLoop& loop,
@@ -321,6 +307,10 @@
               const RequestId& id,
               ResultCode code,
               const EntryId* from);
+  // Returns whether a request that arrives now may start, which during a
+  // planned stop depends on when it will have ended.
+  [[nodiscard]] bool MayStart(const Route& route,
+                              const CallerRequest& request) const;
   [[nodiscard]] bool WouldHandOver(const ExchangeSetup& setup) const;
   // Binds a stream that the caller takes up again, or refuses it, and starts
   // the exchange.
--- a/carobshift/gateway/request/request_service_shutdown.cc
+++ b/carobshift/gateway/request/request_service_shutdown.cc
@@ -1,6 +1,7 @@
 // The part of RequestService that prepares for the end of the process in a
 // planned stop.
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -21,4 +22,11 @@
     connection->CloseWhenIdle();
 }
 
+bool RequestService::MayStart(const Route& route,
+                              const CallerRequest& request) const {
+  const Milliseconds time =
+      std::min(route.timeout, request.time_left.value_or(route.timeout));
+  return !shutdown_ || shutdown_->MayStart(loop_.now() + time);
+}
+
 }  // namespace carobshift
--- a/carobshift/gateway/request/request_service_streams.cc
+++ b/carobshift/gateway/request/request_service_streams.cc
@@ -182,6 +182,16 @@
        std::chrono::duration_cast<Milliseconds>(end - loop_.now())});
 }
 
+void RequestService::ResumeSuspendedStreams(MonotonicTime now) {
+  std::vector<std::shared_ptr<ExchangeRun>> suspended;
+  for (const auto& [exchange, running] : runs_) {
+    if (exchange->suspended())
+      suspended.push_back(running.run);
+  }
+  for (const auto& run : suspended)
+    run->exchange().OnTick(now);
+}
+
 void RequestService::ReportContinuation(const Running& running,
                                         const AttemptParams& wish,
                                         const EndpointRecord& endpoint) {
--- a/carobshift/gateway/shutdown_schedule.h
+++ b/carobshift/gateway/shutdown_schedule.h
@@ -4,6 +4,7 @@
 //   const ShutdownSchedule shutdown(now, settings.stop_grace);
 //   loop.AddTimer(shutdown.listeners_close(), [this] { listener.Close(); });
 //   loop.AddTimer(shutdown.requests_end(), [this] { EndOpenRequests(); });
+//   if (!shutdown.MayStart(deadline)) ...  // refuse the request
 //
 // A value type; thread-compatible.
 
@@ -27,6 +28,10 @@
   // are sent.
   static constexpr Milliseconds kLastReplyTime{300};
 
+  // When the caller of a request that may not start may come back. The other
+  // instances are ready already.
+  static constexpr Milliseconds kRetryAfter{50};
+
   // The stop began at `began`; the process is killed when `grace` has passed
   // since.
   ShutdownSchedule(MonotonicTime began, Milliseconds grace)
@@ -40,6 +45,13 @@
   [[nodiscard]] MonotonicTime requests_end() const {
     return began_ + grace_ - kExitReserve;
   }
+  // Returns whether a request, or an attempt of one, may still start that has
+  // surely ended by `bound`: the earlier of its deadline and its route's
+  // timeout. Any other one might be cut at requests_end(), and is refused while
+  // its caller can still turn to another instance.
+  [[nodiscard]] bool MayStart(MonotonicTime bound) const {
+    return bound <= requests_end();
+  }
   // The process exits by then, whatever is unsent.
   [[nodiscard]] MonotonicTime exit() const {
     return requests_end() + kLastReplyTime;
--- a/testing/gateway_shutdown_process_test.cc
+++ b/testing/gateway_shutdown_process_test.cc
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <cstddef>
 #include <list>
 #include <string>
 #include <thread>
@@ -23,6 +24,8 @@
 // A stream of kEvents lasts twice as long as the grace period.
 constexpr Milliseconds kEventGap{200};
 constexpr Milliseconds kTimeout{20000};
+// A refusal comes at once.
+constexpr Milliseconds kPromptly{500};
 
 GatewayClusterOptions LongStreams() {
   return {.gateways = 2,
@@ -31,6 +34,15 @@
           .timeout = kTimeout};
 }
 
+std::string CompleteStream() {
+  std::string text;
+  for (int i = 1; i <= kEvents; ++i) {
+    text += "id: " + std::to_string(i) + "\ndata: token" + std::to_string(i) +
+            "\n\n";
+  }
+  return text;
+}
+
 void SleepUntil(MonotonicTime time) {
   std::this_thread::sleep_until(time);
 }
@@ -140,6 +152,39 @@
   return runs;
 }
 
+bool IsRefusal(const TimedOutcome& outcome) {
+  const HttpAnswer& answer = outcome.answer;
+  const json body = answer.Json();
+  return answer.status == 503 && answer.failure.empty() &&
+         outcome.took < kPromptly && !answer.Header("Retry-After").empty() &&
+         answer.Header("Connection") == "close" && body.is_object() &&
+         body.at("error").at("run_state") == "not_run";
+}
+
+bool IsWhole(const TimedOutcome& outcome) {
+  const HttpAnswer& answer = outcome.answer;
+  const std::string expected = outcome.request.path.starts_with("/book")
+                                   ? "done late"
+                                   : CompleteStream();
+  return answer.status == 200 && answer.failure.empty() &&
+         answer.body == expected;
+}
+
+// Checks that the request got a whole answer, was refused at once, or was never
+// read.
+void CheckNotLost(const GatewayCluster& cluster, const TimedOutcome& outcome) {
+  const int runs = RunsOf(cluster, outcome.request.id);
+  INFO(outcome.request.id << ": status " << outcome.answer.status << ", "
+                          << outcome.answer.body.size() << " bytes, "
+                          << outcome.answer.failure << ", after "
+                          << outcome.took.count() << " ms, " << runs
+                          << " runs");
+  const bool unread = outcome.answer.status == 0 && runs == 0;
+  const bool refused = IsRefusal(outcome) && runs == 0;
+  const bool served = IsWhole(outcome) && runs == 1;
+  CHECK((unread || refused || served));
+}
+
 // Callers of gateway 0, which is about to stop and has an open stream, so that
 // it stays for its whole grace period.
 class StoppingGateway {
@@ -196,5 +241,129 @@
   }
 }
 
+// Guards against requests that are passed on late in the grace period and cut
+// at its end.
+TEST_CASE("a request late in the grace period is answered whole or refused") {
+  StoppingGateway stopping(LongStreams());
+  const Milliseconds connects{2000};
+  const Milliseconds early{1000};
+  const auto outcomes = stopping.StopUnder({
+      {"review-late", "/review/1", connects, Milliseconds(4000),
+       Milliseconds(4000)},
+      {"ask-late", "/ask/1", early, Milliseconds(3200), Milliseconds(3200)},
+      {"ask-soon", "/ask/1", early, early, early},
+      {"review-before-close", "/review/1", connects, Milliseconds(2300),
+       Milliseconds(2300)},
+      {"body-late", "/ask/1", connects, Milliseconds(2300), Milliseconds(3100)},
+      {"book-late", "/book/1", connects, Milliseconds(3500),
+       Milliseconds(3500)},
+      {"book-body-late", "/book/1", connects, Milliseconds(2300),
+       Milliseconds(3100)},
+  });
+  for (const TimedOutcome& outcome : outcomes)
+    CheckNotLost(stopping.cluster(), outcome);
+}
+
+// Guards against a stop that refuses what it could still answer.
+TEST_CASE("a request whose bound fits into the grace period is served") {
+  StoppingGateway stopping(LongStreams());
+  const auto outcomes = stopping.StopUnder({
+      {"book-soon", "/book/1", Milliseconds(300), Milliseconds(300),
+       Milliseconds(300), 2000},
+      {"book-body-late", "/book/1", Milliseconds(2000), Milliseconds(2300),
+       Milliseconds(3000), 1500},
+  });
+  for (const TimedOutcome& outcome : outcomes) {
+    INFO(outcome.request.id << ": " << outcome.answer.status);
+    CHECK(IsWhole(outcome));
+  }
+}
+
+// Guards against a request behind another one on its connection that is passed
+// on by an instance that stops.
+TEST_CASE("a request behind another one is not passed on during a stop") {
+  StoppingGateway stopping(LongStreams());
+  GatewayCluster& cluster = stopping.cluster();
+  for (std::size_t i = cluster.engines(); i < cluster.replicas(); ++i) {
+    REQUIRE(HttpSend(cluster.replica(i).address(), "POST", "/faults",
+                     {.body = R"({"queue_ms": 1500})"})
+                .status == 200);
+  }
+  const bool pipelined = GENERATE(true, false);
+  Poco::Net::StreamSocket socket =
+      ConnectBlocking(cluster.FrontAddress(0), kTimeout, kTimeout);
+  const RequestText first = RequestTo("/book/1", "first", 4000);
+  const RequestText next = RequestTo("/ask/1", "next");
+  SendBytes(socket, first.head + first.body);
+  REQUIRE(WaitUntil([&] { return cluster.State(0).at("open_requests") == 2; }));
+  TimedOutcome first_outcome{.request = {.id = "first", .path = "/book/1"}};
+  TimedOutcome next_outcome{.request = {.id = "next", .path = "/ask/1"}};
+  std::jthread caller([&] {
+    if (pipelined)
+      SendBytes(socket, next.head + next.body);
+    ReadAnswer(socket, MonotonicNow(), first_outcome);
+    if (!pipelined)
+      SendBytes(socket, next.head + next.body);
+    ReadAnswer(socket, MonotonicNow(), next_outcome);
+  });
+  (void)stopping.StopUnder({});
+  caller.join();
+  CHECK(IsWhole(first_outcome));
+  CheckNotLost(cluster, next_outcome);
+}
+
+// Sends requests to gateway 0, one after the other, for `time`.
+std::vector<TimedOutcome> AskFor(const GatewayCluster& cluster,
+                                 const std::string& name,
+                                 const std::string& path,
+                                 Milliseconds time) {
+  std::vector<TimedOutcome> outcomes;
+  const MonotonicTime end = MonotonicNow() + time;
+  while (MonotonicNow() < end) {
+    const std::string id = name + "-" + std::to_string(outcomes.size());
+    outcomes.push_back(
+        Ask(cluster.FrontAddress(0), {id, path}, MonotonicNow()));
+  }
+  return outcomes;
+}
+
+// Guards against requests that are handed over to an instance that stops, and
+// cut there.
+TEST_CASE("callers are served while the peer that serves them stops") {
+  GatewayCluster cluster({.gateways = 3,
+                          .events = kEvents,
+                          .event_gap = Milliseconds(10),
+                          .timeout = kTimeout,
+                          .relayed = true});
+  cluster.CutPathsToEndpoints(CutForm::kRefused);
+  // What is sent while the loss is noticed may be refused.
+  REQUIRE(WaitUntil([&] {
+    return cluster.Send(0, "POST", "/find/1", {.body = "b"}).body == "done b";
+  }));
+  std::vector<std::vector<TimedOutcome>> outcomes(6);
+  {
+    std::list<std::jthread> callers;
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+      callers.emplace_back([&cluster, &outcomes, i] {
+        outcomes[i] =
+            AskFor(cluster, "caller" + std::to_string(i),
+                   i % 2 == 0 ? "/ask/1" : "/book/1", Milliseconds(4000));
+      });
+    }
+    SleepUntil(MonotonicNow() + Milliseconds(1000));
+    cluster.gateway(1).Signal(SIGTERM);
+  }
+  CHECK(cluster.gateway(1).WaitForExit(Milliseconds(8000)) == 0);
+  for (const auto& of_caller : outcomes) {
+    for (const TimedOutcome& outcome : of_caller) {
+      INFO(outcome.request.id << ": status " << outcome.answer.status << ", "
+                              << outcome.answer.body.size() << " bytes, "
+                              << outcome.answer.failure);
+      CHECK(IsWhole(outcome));
+    }
+  }
+  cluster.RestorePathsToEndpoints();
+}
+
 }  // namespace
 }  // namespace carobshift
