Planned stop: attempts and waiting requests are held to its end too

Callers saw: a request that waited at SIGTERM (for room, load reports or the beginning of its stream) was refused 7.3 s later, or sent and cut then; a retry, a replacement or a handoff could begin at any time of the grace.

Whether there is time was asked when a request arrived, and an attempt can begin seconds later, or elsewhere.

Change: whatever begins an attempt asks RequestService::MayBeginAttempt, at endpoints, at peers and again when the connection is established. At SIGTERM, requests without an attempt whose bound doesn't fit are refused at once. The answer is whole: "not run" (503), or "outcome unknown" (502) if an attempt may have run. What a caller has of a stream isn't given up: it goes on until the end as before.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -266,6 +266,10 @@
           },
       .refund_retry =
           [this](const ServiceName& service) { requests.RefundRetry(service); },
+      .may_begin =
+          [this](Exchange& exchange) {
+            return requests.MayBeginAttempt(exchange);
+          },
       .on_relayed_reply =
           [this](const ReplyMetadata& reply) {
             requests.statements().OnRelayedReply(reply, loop.now());
--- a/carobshift/gateway/handoff/handoff_fixture.h
+++ b/carobshift/gateway/handoff/handoff_fixture.h
@@ -183,6 +183,10 @@
                       ++retries_ended;
                       requests.RefundRetry(service);
                     },
+                .may_begin =
+                    [this](Exchange& exchange) {
+                      return requests.MayBeginAttempt(exchange);
+                    },
                 .on_relayed_reply =
                     [this, &loop](const ReplyMetadata& reply) {
                       requests.statements().OnRelayedReply(reply, loop.now());
--- a/carobshift/gateway/handoff/handoff_runner.cc
+++ b/carobshift/gateway/handoff/handoff_runner.cc
@@ -94,6 +94,8 @@
       request.at_endpoints.insert(wish.number);
     return error;
   }
+  if (!environment_.may_begin(exchange))
+    return AttemptError::kShuttingDown;
   if (wish.replacement) {
     std::erase_if(candidates,
                   [](const auto& candidate) { return candidate.avoided; });
--- a/carobshift/gateway/handoff/handoff_service_test.cc
+++ b/carobshift/gateway/handoff/handoff_service_test.cc
@@ -300,6 +300,43 @@
   CHECK(fixture.Runs() == 0);
 }
 
+// Guards against attempts that begin late in the grace period and are cut.
+TEST_CASE("another attempt isn't begun when a stop would cut it") {
+  Instance* stopping = nullptr;
+  HandoffFixture fixture(
+      [&stopping](HttpServerConnection& connection, const HttpServerRequest&) {
+        BeginStop(*stopping);
+        HttpHead head = ReplyHead(503);
+        head.Set("Not-Run", "1");
+        connection.SendCompleteReply(head, "");
+      });
+  stopping = &fixture.peer();
+  fixture.peer().AddEndpoint("e2", fixture.endpoint.address());
+  Caller caller(fixture.loop, fixture.peer().address(), "/book/1");
+  RunUntil(fixture.loop, [&] { return caller.over; });
+  CHECK(caller.head.status == 503);
+  CHECK(caller.whole);
+  CHECK(fixture.Runs() == 1);
+}
+
+// Guards against the same with an attempt at a peer.
+TEST_CASE("a request isn't handed over when a stop would cut it") {
+  HandoffFixture* running = nullptr;
+  HandoffFixture fixture(
+      [&running](HttpServerConnection&, const HttpServerRequest&) {
+        running->loop.AddTimer(running->loop.now(), [&running] {
+          BeginStop(running->isolated());
+          running->BusyPeer().listener.Abort();
+        });
+      },
+      3);
+  running = &fixture;
+  const auto caller = fixture.SendAndWait("/find/1");
+  CHECK(caller->head.status == 502);
+  CHECK(caller->whole);
+  CHECK(fixture.Runs() == 1);
+}
+
 // A connection to a handoff listener on which nothing is sent.
 class SilentPeer : public TcpConnectionHandler {
  public:
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -31,6 +31,8 @@
       return ResultCode::kRequestSuspected;
     case AttemptError::kNoTime:
       return ResultCode::kDeadlineExceeded;
+    case AttemptError::kShuttingDown:
+      return ResultCode::kEntryLeaving;
     case AttemptError::kWeightsReplaced:
       return ResultCode::kWeightsReplaced;
     case AttemptError::kZoneEvacuated:
@@ -61,6 +63,7 @@
     case AttemptError::kZoneEvacuated:
     case AttemptError::kRegionNotAllowed:
     case AttemptError::kNoTime:
+    case AttemptError::kShuttingDown:
     case AttemptError::kSuspected:
       return false;
   }
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -120,6 +120,8 @@
   kRetryBudgetSpent,
   // The caller's deadline leaves too little time.
   kNoTime,
+  // The attempt would not end within the grace period of a planned stop.
+  kShuttingDown,
   // The answer would start too late to be useful to the caller.
   kOverloaded,
   // CrashRecord refuses the request because its recent runs have crashed their
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -83,6 +83,10 @@
   // attempt_runner(). Without it, nothing is handed over.
   void SetHandoffRunner(HandoffRunner* runner) { handoff_runner_ = runner; }
   [[nodiscard]] AttemptRunner& attempt_runner() { return *this; }
+  // Returns whether an attempt of the request may begin now, which during a
+  // planned stop depends on when it will have ended. What a caller has of a
+  // stream isn't given up for that. Sets when a refused caller may return.
+  [[nodiscard]] bool MayBeginAttempt(Exchange& exchange);
   // Spends one retry of the service's budget; returns false if it is exhausted.
   // Each retry is ended by one call of SettleRetry() or RefundRetry().
   [[nodiscard]] bool TrySpendRetry(const ServiceName& service);
@@ -311,6 +315,8 @@
   // planned stop depends on when it will have ended.
   [[nodiscard]] bool MayStart(const Route& route,
                               const CallerRequest& request) const;
+  // Refuses the requests that have no attempt yet and may not start any more.
+  void RefuseLateStarts();
   [[nodiscard]] bool WouldHandOver(const ExchangeSetup& setup) const;
   // Binds a stream that the caller takes up again, or refuses it, and starts
   // the exchange.
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -41,6 +41,8 @@
 AttemptError RequestService::StartAttempt(Exchange& exchange,
                                           const AttemptParams& wish,
                                           AttemptStart* start) {
+  if (!MayBeginAttempt(exchange))
+    return AttemptError::kShuttingDown;
   const ExchangeSetup& setup = exchange.setup();
   if (!crashes_.empty() &&
       crashes_.Refuses(FingerprintOfExchange(exchange), loop_.now()))
@@ -79,7 +81,8 @@
     options.max_idle = options_.run_once_max_idle;
   options.may_send = [this, &exchange,
                       endpoint = EndpointIncarnation::Of(plan->endpoint)] {
-    return MayStillSend(exchange.setup(), endpoint);
+    return MayStillSend(exchange.setup(), endpoint) &&
+           MayBeginAttempt(exchange);
   };
   *start = {plan->endpoint.id, plan->endpoint.software};
   std::string bytes = dialect_.EncodeAttempt(setup.request, plan->fields);
--- a/carobshift/gateway/request/request_service_shutdown.cc
+++ b/carobshift/gateway/request/request_service_shutdown.cc
@@ -11,6 +11,7 @@
 
 void RequestService::BeginStop(const ShutdownSchedule& shutdown) {
   shutdown_ = shutdown;
+  RefuseLateStarts();
   CloseIdleConnections();
 }
 
@@ -29,4 +30,27 @@
   return !shutdown_ || shutdown_->MayStart(loop_.now() + time);
 }
 
+bool RequestService::MayBeginAttempt(Exchange& exchange) {
+  const bool replied = exchange.summary().status != 0;
+  if (!shutdown_ || replied || shutdown_->MayStart(exchange.deadline()))
+    return true;
+  runs_.at(&exchange).retry_after = ShutdownSchedule::kRetryAfter;
+  return false;
+}
+
+void RequestService::RefuseLateStarts() {
+  std::vector<std::shared_ptr<ExchangeRun>> late;
+  for (const auto& [exchange, running] : runs_) {
+    if (exchange->summary().attempts == 0 && !MayBeginAttempt(*exchange))
+      late.push_back(running.run);
+  }
+  for (const auto& run : late) {
+    if (run->exchange().over())
+      continue;
+    if (runs_.at(&run->exchange()).wait_id)
+      CountWait(run->exchange().setup(), "stopping");
+    run->exchange().RefuseToStart(ResultCode::kEntryLeaving, loop_.now());
+  }
+}
+
 }  // namespace carobshift
