--- a/carobshift/gateway/shutdown_schedule.h
+++ b/carobshift/gateway/shutdown_schedule.h
@@ -4,6 +4,7 @@
 //   const ShutdownSchedule shutdown(sent, settings.stop_grace, now);
 //   loop.AddTimer(shutdown.listeners_close(), [this] { listener.Close(); });
 //   loop.AddTimer(shutdown.requests_end(), [this] { EndOpenRequests(); });
+//   if (!shutdown.MayStart(deadline)) ...  // refuse the request
 //
 // A value type; thread-compatible.
 
@@ -29,6 +30,10 @@
   // are sent.
   static constexpr Milliseconds kLastReplyTime{300};
 
+  // When the caller of a request that may not start may come back. The other
+  // instances are ready already.
+  static constexpr Milliseconds kRetryAfter{50};
+
   // The stop began at `began`, its request was seen at `seen`; the process is
   // killed when `grace` has passed since `began`.
   ShutdownSchedule(MonotonicTime began, Milliseconds grace, MonotonicTime seen)
@@ -44,6 +49,13 @@
   [[nodiscard]] MonotonicTime requests_end() const {
     return began_ + grace_ - kExitReserve;
   }
+  // Returns whether a request, or an attempt of one, may still start that has
+  // surely ended by `bound`: the earlier of its deadline and its route's
+  // timeout. Any other one might be cut at requests_end(), and is refused while
+  // its caller can still turn to another instance.
+  [[nodiscard]] bool MayStart(MonotonicTime bound) const {
+    return bound <= requests_end();
+  }
   // The process exits by then, whatever is unsent. A request that was seen
   // after requests_end() leaves kLastReplyTime all the same: a process that is
   // killed meanwhile loses no more than one that ends itself.
