What attempts hold of answers is bounded in sum

Callers saw: the instance beyond the memory of a small one while 60 of them got answers without end at once. Cause: an event that hasn't ended, and a reply to a streaming route that is no stream, are bounded one by one (1 MiB), but not in sum, and a text that grows takes up to three times its size. Change: both count against the same budget as the replies to the instance's own calls. An attempt without room fails as with an event that is too long. An answer of another route that finds no room is handed on at once, so that no run is lost.

--- a/carobshift/base/byte_budget.h
+++ b/carobshift/base/byte_budget.h
@@ -16,13 +16,17 @@
 // - All replies that aren't required fill three quarters of it at most.
 // - Required ones fill all of it.
 //
-// Neither class throws. Thread-compatible: one event loop.
+// A BudgetedBuffer is a text with its reservation.
+//
+// Nothing is refused with an exception. Thread-compatible: one event loop.
 
 #ifndef CAROBSHIFT_BASE_BYTE_BUDGET_H_
 #define CAROBSHIFT_BASE_BYTE_BUDGET_H_
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace carobshift {
@@ -114,6 +118,32 @@
   std::size_t size_ = 0;
 };
 
+// The memory that the text takes is reserved, which may be more than its size.
+class BudgetedBuffer {
+ public:
+  // Without a budget, nothing is refused.
+  BudgetedBuffer() = default;
+  BudgetedBuffer(ByteBudget* budget, ByteImportance importance)
+      : held_(budget, importance) {}
+
+  // Returns false if there is no room for the bytes. The text is of no use then
+  // and should be cleared.
+  [[nodiscard]] bool Append(std::string_view bytes) {
+    text_.append(bytes);
+    return held_.GrowTo(text_.capacity());
+  }
+  // Frees the memory as well.
+  void Clear() {
+    std::string().swap(text_);
+    held_.Release();
+  }
+  [[nodiscard]] const std::string& text() const { return text_; }
+
+ private:
+  std::string text_;
+  ByteReservation held_;
+};
+
 }  // namespace carobshift
 
 #endif  // CAROBSHIFT_BASE_BYTE_BUDGET_H_
--- a/carobshift/base/byte_budget_test.cc
+++ b/carobshift/base/byte_budget_test.cc
@@ -1,6 +1,7 @@
 #include "carobshift/base/byte_budget.h"
 
 #include <catch2/catch.hpp>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -62,6 +63,23 @@
   CHECK(budget.refusals() == 0);
 }
 
+TEST_CASE("a buffer reserves the memory of its text") {
+  ByteBudget budget(kLimit);
+  BudgetedBuffer buffer(&budget, ByteImportance::kOptional);
+  const std::string piece(1000, 'x');
+  std::size_t size = 0;
+  while (buffer.Append(piece)) {
+    size += piece.size();
+    CHECK(buffer.text().size() == size);
+    CHECK(budget.held() >= size);
+  }
+  CHECK(size <= kLimit / 2);
+  buffer.Clear();
+  CHECK(buffer.text().empty());
+  CHECK(budget.held() == 0);
+  CHECK(buffer.Append(piece));
+}
+
 TEST_CASE("without a budget nothing is refused") {
   ByteReservation held;
   CHECK(held.GrowTo(kLimit));
--- a/carobshift/gateway/connection_options.h
+++ b/carobshift/gateway/connection_options.h
@@ -38,8 +38,8 @@
 inline constexpr std::size_t kMaxLogReplyBytes = std::size_t{4} << 20;
 // Other instances send all records that they know.
 inline constexpr std::size_t kMaxPeerReplyBytes = std::size_t{8} << 20;
-// What an instance holds of replies to its own calls, in sum. A fifth of the
-// memory of a small instance.
+// What an instance holds of replies to its own calls, and of answers that can't
+// be passed on yet, in sum. A fifth of the memory of a small instance.
 inline constexpr std::size_t kMaxHeldReplyBytes = std::size_t{16} << 20;
 
 }  // namespace carobshift
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -131,10 +131,14 @@
   EventLoop loop;
   Metrics metrics;
   GatewayStateListener listener;
-  HttpClient endpoint_client{loop, {.tcp = kEndpointTcp}};
+  // Of replies to calls of this instance's own and of what attempts hold of
+  // answers.
+  ByteBudget reply_budget{kMaxHeldReplyBytes};
+  HttpClient endpoint_client{
+      loop,
+      {.tcp = kEndpointTcp, .reply_budget = &reply_budget}};
   // Separate from the requests' client, so that a flood of requests doesn't use
   // up the connections to the log and the stores, or the other way round.
-  ByteBudget reply_budget{kMaxHeldReplyBytes};
   HttpClient control_client{
       loop,
       {.tcp = kControlTcp, .reply_budget = &reply_budget}};
--- a/carobshift/gateway/handoff/handoff_runner.h
+++ b/carobshift/gateway/handoff/handoff_runner.h
@@ -124,6 +124,7 @@
                         const CallFailure& failure) override;
   void OnStreamBegins(Exchange& exchange) override;
   Milliseconds RetryAfter(Exchange& exchange) override;
+  ByteBudget* held_bytes() override { return endpoint_attempts_.held_bytes(); }
   void OnExchangeEnd(Exchange& exchange) override;
 
  private:
--- a/carobshift/gateway/request/event_splitter.cc
+++ b/carobshift/gateway/request/event_splitter.cc
@@ -74,7 +74,8 @@
     partial_ = std::move(joined);
   else
     partial_ = bytes;
-  return partial_.size() <= kMaxEventBytes;
+  held_.Release();
+  return partial_.size() <= kMaxEventBytes && held_.GrowTo(partial_.capacity());
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/request/event_splitter.h
+++ b/carobshift/gateway/request/event_splitter.h
@@ -5,12 +5,13 @@
 //   EventSplitter splitter;
 //   if (!splitter.Feed(bytes,
 //                      [&](const StreamEvent& event) { Send(event.bytes); }))
-//     ...  // an event is too long
+//     ...  // an event is too long, or there is no room for it
 //   if (!splitter.at_boundary()) ...  // the stream ended within an event
 //
 // An endpoint in trouble may send an event that never ends. Such an event is
-// given up at kMaxEventBytes, and each of its bytes is searched once or, at the
-// end of a read, twice.
+// given up at kMaxEventBytes, or earlier if all buffered events together would
+// exceed the budget. Each of its bytes is searched once or, at the end of a
+// read, twice.
 //
 // Thread-compatible.
 
@@ -22,6 +23,7 @@
 #include <string>
 #include <string_view>
 
+#include "carobshift/base/byte_budget.h"
 #include "carobshift/gateway/request/caller_request.h"
 
 namespace carobshift {
@@ -40,9 +42,15 @@
 
   static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
 
+  // Buffered bytes count against `budget`, which must outlive the splitter.
+  // Null for no bound in sum.
+  explicit EventSplitter(ByteBudget* budget = nullptr)
+      : held_(budget, ByteImportance::kOptional) {}
+
   // Calls `on_event` for each event that `bytes` completes, in order. Returns
-  // false at an event, complete or not, that exceeds kMaxEventBytes; the stream
-  // can't be read any further then.
+  // false at an event, complete or not, that exceeds kMaxEventBytes, or at an
+  // incomplete one that exceeds the budget; the stream can't be read any
+  // further then.
   [[nodiscard]] bool Feed(std::string_view bytes, const OnEvent& on_event);
 
   // True if no incomplete event is buffered.
@@ -51,14 +59,17 @@
   // Discards a buffered incomplete event, before another endpoint resumes the
   // stream.
   void DropPartial() {
-    partial_.clear();
+    std::string().swap(partial_);
     partial_line_ = 0;
+    held_.Release();
   }
 
  private:
   std::string partial_;
   // Where the last line of `partial_`, which isn't complete, begins.
   std::size_t partial_line_ = 0;
+  // Of the capacity of `partial_`.
+  ByteReservation held_;
 };
 
 }  // namespace carobshift
--- a/carobshift/gateway/request/event_splitter_test.cc
+++ b/carobshift/gateway/request/event_splitter_test.cc
@@ -1,6 +1,7 @@
 #include "carobshift/gateway/request/event_splitter.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,53 @@
   }
 }
 
+// Guards against many events without an end that fill the memory together.
+TEST_CASE("events without an end hold no more than the budget in sum") {
+  constexpr std::size_t kLimit = std::size_t{4} << 20;
+  const std::string piece(std::size_t{16} << 10, 'x');
+  ByteBudget budget(kLimit);
+  {
+    std::vector<std::unique_ptr<EventSplitter>> splitters;
+    for (int i = 0; i < 60; ++i)
+      splitters.push_back(std::make_unique<EventSplitter>(&budget));
+    int refused = 0;
+    for (int read = 0; read < 40; ++read) {
+      for (auto& splitter : splitters) {
+        if (splitter == nullptr)
+          continue;
+        const bool sound =
+            splitter->Feed(piece, [](const StreamEvent&) { FAIL(); });
+        CHECK(budget.held() <= kLimit);
+        if (!sound) {
+          ++refused;
+          splitter = nullptr;
+        }
+      }
+    }
+    CHECK(refused > 0);
+    CHECK(refused < 60);
+    // One in order goes on beside them.
+    EventSplitter sound(&budget);
+    CHECK(sound.Feed("id: 1\nda", [](const StreamEvent&) {}));
+  }
+  CHECK(budget.held() == 0);
+}
+
+TEST_CASE("an event that ends or is dropped gives its bytes back") {
+  ByteBudget budget(std::size_t{1} << 20);
+  EventSplitter splitter(&budget);
+  REQUIRE(splitter.Feed("data: " + std::string(5000, 'x'),
+                        [](const StreamEvent&) { FAIL(); }));
+  CHECK(budget.held() >= 5000);
+  SECTION("ends") {
+    REQUIRE(splitter.Feed("\n\n", [](const StreamEvent&) {}));
+  }
+  SECTION("is dropped") {
+    splitter.DropPartial();
+  }
+  CHECK(budget.held() < 100);
+}
+
 TEST_CASE("a long stream of sound events passes whole") {
   const std::string event = "id: 1\ndata: " + std::string(1000, 'x') + "\n\n";
   EventSplitter splitter;
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -83,7 +83,11 @@
 Exchange::Exchange(ExchangeSetup setup,
                    AttemptRunner& attempt_runner,
                    CallerReply& reply)
-    : setup_(std::move(setup)), attempt_runner_(attempt_runner), reply_(reply) {
+    : setup_(std::move(setup)),
+      attempt_runner_(attempt_runner),
+      reply_(reply),
+      splitter_(attempt_runner.held_bytes()),
+      buffered_body_(attempt_runner.held_bytes(), ByteImportance::kOptional) {
   Milliseconds time = setup_.route->timeout;
   if (setup_.request.time_left)
     time = std::min(time, *setup_.request.time_left);
@@ -216,7 +220,7 @@
 
 void Exchange::DiscardPartialAnswer() {
   splitter_.DropPartial();
-  buffered_body_.clear();
+  buffered_body_.Clear();
   if (head_sent_)
     ++summary_.resumes;
 }
@@ -267,7 +271,7 @@
                               : ReplyDisposition::kAcceptShort;
   }
   buffered_head_ = head;
-  buffered_body_.clear();
+  buffered_body_.Clear();
   if (stream && !refused_by_endpoint_) {
     TakeStreamHead(head);
     return ReplyDisposition::kAccept;
@@ -298,14 +302,19 @@
     CancelReplacement();
   if (state_ == State::kStreaming) {
     if (!ForwardEvents(bytes, now))
-      OnEventTooLong(attempt, now);
+      OnReplyTooLong(attempt, now);
     return;
   }
   if (refused_by_endpoint_)
     return;
-  buffered_body_.append(bytes);
-  if (buffered_body_.size() > kMaxBufferedBytes && !head_sent_ &&
-      !refused_by_endpoint_ && !setup_.route->streaming) {
+  const bool has_room = buffered_body_.Append(bytes);
+  if (!has_room && setup_.route->streaming) {
+    OnReplyTooLong(attempt, now);
+    return;
+  }
+  const bool fits =
+      has_room && buffered_body_.text().size() <= kMaxBufferedBytes;
+  if (!fits && !head_sent_ && !setup_.route->streaming) {
     // The answer is too long to buffer. From here on, a failure aborts the
     // caller's connection.
     head_sent_ = true;
@@ -313,12 +322,12 @@
     reply_.BeginStream(CallerHead(buffered_head_));
   }
   if (head_sent_ && !setup_.route->streaming) {
-    reply_.SendChunk(buffered_body_);
-    buffered_body_.clear();
+    reply_.SendChunk(buffered_body_.text());
+    buffered_body_.Clear();
   }
 }
 
-void Exchange::OnEventTooLong(AttemptNumber attempt, MonotonicTime now) {
+void Exchange::OnReplyTooLong(AttemptNumber attempt, MonotonicTime now) {
   attempt_runner_.DropAttempt(*this, attempt);
   OnAttemptFailed(attempt, {CallFault::kMalformed, true, false}, now);
 }
@@ -414,10 +423,10 @@
   summary_.status = buffered_head_.status;
   summary_.completed = true;
   if (head_sent_) {
-    reply_.SendChunk(buffered_body_);
+    reply_.SendChunk(buffered_body_.text());
     reply_.EndStream();
   } else {
-    reply_.SendWhole(CallerHead(buffered_head_), buffered_body_);
+    reply_.SendWhole(CallerHead(buffered_head_), buffered_body_.text());
   }
   Finish();
 }
--- a/carobshift/gateway/request/exchange.h
+++ b/carobshift/gateway/request/exchange.h
@@ -52,6 +52,7 @@
 #include <string_view>
 #include <vector>
 
+#include "carobshift/base/byte_budget.h"
 #include "carobshift/base/result_code.h"
 #include "carobshift/gateway/request/caller_request.h"
 #include "carobshift/gateway/request/event_splitter.h"
@@ -161,6 +162,8 @@
   virtual void OnStreamBegins(Exchange& exchange) = 0;
   // Returns how long the caller should wait before it retries.
   virtual Milliseconds RetryAfter(Exchange& exchange) = 0;
+  // Returns the budget of the bytes that exchanges hold, or null for no bound.
+  [[nodiscard]] virtual ByteBudget* held_bytes() { return nullptr; }
   // The exchange is over. This is its last call.
   virtual void OnExchangeEnd(Exchange& exchange) = 0;
 };
@@ -326,10 +329,10 @@
   void DiscardPartialAnswer();
   void DropAll();
   void TakeStreamHead(const HttpHead& head);
-  // Returns false if an event is too long.
+  // Returns false if an event is too long, or there is no room for it.
   [[nodiscard]] bool ForwardEvents(std::string_view bytes, MonotonicTime now);
   // Gives up the attempt, whose endpoint may send without end.
-  void OnEventTooLong(AttemptNumber attempt, MonotonicTime now);
+  void OnReplyTooLong(AttemptNumber attempt, MonotonicTime now);
   // Sends the head of a stream to the caller and binds the stream.
   void BeginStream();
   void DeliverBuffered();
@@ -377,7 +380,7 @@
   // The head of the answer has been sent to the caller.
   bool head_sent_ = false;
   HttpHead buffered_head_;
-  std::string buffered_body_;
+  BudgetedBuffer buffered_body_;
   bool refused_by_endpoint_ = false;
   ExchangeSummary summary_;
 };
--- a/carobshift/gateway/request/exchange_fixture.h
+++ b/carobshift/gateway/request/exchange_fixture.h
@@ -99,8 +99,11 @@
     begun.push_back(*exchange.setup().software);
   }
   Milliseconds RetryAfter(Exchange&) override { return Milliseconds(400); }
+  ByteBudget* held_bytes() override { return budget; }
   void OnExchangeEnd(Exchange&) override { ++ends; }
 
+  ByteBudget* budget = nullptr;
+
   AttemptError verdict = AttemptError::kNone;
   int endpoints = 4;
   int repeats_left = 4;
@@ -172,8 +175,10 @@
 class ExchangeFixture {
  public:
   explicit ExchangeFixture(Route given,
-                           std::optional<EventNumber> last_event = {})
+                           std::optional<EventNumber> last_event = {},
+                           ByteBudget* budget = nullptr)
       : route(std::move(given)) {
+    attempt_runner.budget = budget;
     ExchangeSetup setup;
     setup.request.last_event = last_event;
     setup.request.id = RequestId("r1");
--- a/carobshift/gateway/request/exchange_test.cc
+++ b/carobshift/gateway/request/exchange_test.cc
@@ -124,6 +124,40 @@
   CHECK(fixture.reply.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against an instance that holds what each attempt may bear, however
+// many there are.
+TEST_CASE("without room an event is tried again and an answer handed on") {
+  ByteBudget budget(1000);
+  const std::string bytes(2000, 'x');
+  SECTION("stream") {
+    ExchangeFixture fixture(StreamRoute(/*resumable=*/true), {}, &budget);
+    fixture.exchange->Start(kStart);
+    const int status = GENERATE(200, 404);
+    fixture.Answer(status, Event(1));
+    fixture.exchange->OnReplyBody(fixture.latest(), bytes, kStart);
+    CHECK(fixture.attempt_runner.dropped == 1);
+    CHECK(fixture.attempt_runner.started == 2);
+    CHECK(fixture.attempt_runner.failures ==
+          std::vector{CallFault::kMalformed});
+    CHECK(budget.held() < 100);
+    fixture.Answer(200, Event(2));
+    fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
+    CHECK(fixture.reply.ended);
+  }
+  SECTION("booking") {
+    ExchangeFixture fixture(BookingRoute(), {}, &budget);
+    fixture.exchange->Start(kStart);
+    fixture.Answer(200, bytes);
+    CHECK(fixture.reply.begun);
+    fixture.exchange->OnReplyBody(fixture.latest(), bytes, kStart);
+    fixture.exchange->OnReplyEnd(fixture.latest(), kStart);
+    CHECK(fixture.attempt_runner.started == 1);
+    CHECK(fixture.reply.body == bytes + bytes);
+    CHECK(fixture.reply.ended);
+    CHECK(budget.held() == 0);
+  }
+}
+
 TEST_CASE("an endpoint's failure of an idempotent request is tried again") {
   ExchangeFixture fixture(IdempotentRoute());
   fixture.exchange->Start(kStart);
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -261,6 +261,7 @@
                         const CallFailure& failure) override;
   void OnStreamBegins(Exchange& exchange) override;
   Milliseconds RetryAfter(Exchange& exchange) override;
+  ByteBudget* held_bytes() override { return client_.reply_budget(); }
   void OnExchangeEnd(Exchange& exchange) override;
 
   struct AttemptRecord {
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -191,8 +191,9 @@
   // Idle timeout for a peer that announces none.
   Milliseconds default_idle{4000};
   std::size_t max_head_bytes = std::size_t{64} << 10;
-  // Bounds the replies that HttpFetch holds of all calls of this client and of
-  // others with the same budget. Must outlive the calls. Null for no bound.
+  // Bounds what listeners hold of the replies to all calls of this client and
+  // of others with the same budget: HttpFetch by itself, others by
+  // reply_budget(). Must outlive the calls. Null for no bound.
   ByteBudget* reply_budget = nullptr;
 
   // Interim replies (1xx) to one call.
--- a/testing/gateway_bytes_without_end_process_test.cc
+++ b/testing/gateway_bytes_without_end_process_test.cc
@@ -2,11 +2,14 @@
 // with bytes that are no answer, or with far more than was asked for.
 
 #include <algorithm>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <iostream>
 #include <string>
 #include <string_view>
+#include <thread>
+#include <vector>
 
 #include "testing/endless_server.h"
 #include "testing/gateway_cluster.h"
@@ -145,5 +148,58 @@
   CheckCallers(cluster, server);
 }
 
+// Guards against an instance that keeps as much as each of its attempts may
+// bear, however many callers there are.
+TEST_CASE(
+    "callers' answers without end cost an instance less than its memory") {
+  constexpr int kCallers = 60;
+  GatewayCluster cluster({.gateways = 1,
+                          .engines = 2,
+                          .plain_services = 1,
+                          .slots = kCallers,
+                          .spares = true});
+  for (std::size_t i = 0; i < 2; ++i) {
+    REQUIRE(HttpSend(cluster.replica(i).address(), "POST", "/faults",
+                     {.body = R"({"endless": 1})"})
+                .status == 200);
+  }
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    HttpSendOptions options =
+        GatewayCluster::StreamRequestOptions("endless-" + std::to_string(i));
+    options.body = "body";
+    callers.emplace_back([&cluster, &answered, options] {
+      for (int j = 0; j < 5; ++j) {
+        const HttpAnswer answer =
+            HttpSend(cluster.FrontAddress(0), "POST", "/review/1", options);
+        answered += answer.status != 0 ? 1 : 0;
+      }
+    });
+  }
+  int whole = 0;
+  int sent = 0;
+  Milliseconds slowest{0};
+  for (; sent < 20; ++sent) {
+    const MonotonicTime begin = MonotonicNow();
+    const HttpAnswer answer =
+        cluster.Send(0, "POST", "/find/1", {.body = "body"});
+    whole += answer.status == 200 && answer.body == "done body" ? 1 : 0;
+    slowest = std::max(slowest, std::chrono::duration_cast<Milliseconds>(
+                                    MonotonicNow() - begin));
+    std::this_thread::sleep_for(Milliseconds(50));
+  }
+  for (std::thread& caller : callers)
+    caller.join();
+  const long peak = PeakMemory(cluster.gateway(0));
+  std::cout << "callers: peak " << peak / 1024 << " MB, answered " << answered
+            << ", others " << whole << " of " << sent << ", slowest "
+            << slowest.count() << " ms" << std::endl;
+  CHECK(peak < kSmallestInstance);
+  CHECK(whole == sent);
+  CHECK(slowest < kMaxAnswerTime);
+  CHECK(answered == 5 * kCallers);
+}
+
 }  // namespace
 }  // namespace carobshift
