Reports, heads and bodies without end from all sides are played

Cause: the process test played what answers readers of cache events and callers with an event. Change: engines whose reports never end while new weights are published, and callers whose attempts get heads and bodies without end.

--- a/testing/gateway_bytes_without_end_process_test.cc
+++ b/testing/gateway_bytes_without_end_process_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -41,13 +42,16 @@
   return 0;
 }
 
-// Writes records of engines at the server's addresses. No route leads to them,
-// so that their only calls are the instance's own.
-void AddEntries(GatewayCluster& cluster, const EndlessServer& server) {
+// Writes records of engines at the server's addresses. No route leads to
+// "spares", so that the only calls to them are the instance's own.
+void AddEntries(GatewayCluster& cluster,
+                const EndlessServer& server,
+                const std::string& service = "spares",
+                const json& models = json::array()) {
   int index = 0;
   for (const NetAddress& address : server.addresses()) {
     cluster.PutKeyed("keyed.servers", "faulty-" + std::to_string(index++),
-                     json{{"service", "spares"},
+                     json{{"service", service},
                           {"address", address.ToString()},
                           {"zone", "z1"},
                           {"version", "v1"},
@@ -55,7 +59,7 @@
                           {"state", "ready"},
                           {"sequence", 1},
                           {"born", 0},
-                          {"models", json::array()}}
+                          {"models", models}}
                          .dump());
   }
 }
@@ -148,17 +152,35 @@
   CheckCallers(cluster, server);
 }
 
+// Guards against an instance that does nothing but ask engines for reports that
+// never come.
+TEST_CASE("reports without end cost no caller its answer") {
+  GatewayCluster cluster(
+      {.gateways = 1, .engines = 2, .plain_services = 1, .spares = true});
+  const EndlessServer server(
+      GENERATE(EndlessForm::kBody, EndlessForm::kHead, EndlessForm::kList), 40);
+  AddEntries(cluster, server, "spares",
+             json::array({{{"name", "m1"}, {"version", 0}}}));
+  cluster.PublishWeightVersion(1);
+  CheckCallers(cluster, server);
+}
+
 // Guards against an instance that keeps as much as each of its attempts may
 // bear, however many callers there are.
 TEST_CASE(
     "callers' answers without end cost an instance less than its memory") {
   constexpr int kCallers = 60;
+  const auto form = GENERATE(as<std::optional<EndlessForm>>{}, std::nullopt,
+                             EndlessForm::kBody, EndlessForm::kHead);
   GatewayCluster cluster({.gateways = 1,
                           .engines = 2,
                           .plain_services = 1,
                           .slots = kCallers,
                           .spares = true});
-  for (std::size_t i = 0; i < 2; ++i) {
+  const EndlessServer server(form.value_or(EndlessForm::kBody), 8);
+  if (form)
+    AddEntries(cluster, server, "engines");
+  for (std::size_t i = 0; i < 2 && !form; ++i) {
     REQUIRE(HttpSend(cluster.replica(i).address(), "POST", "/faults",
                      {.body = R"({"endless": 1})"})
                 .status == 200);
@@ -192,9 +214,10 @@
   for (std::thread& caller : callers)
     caller.join();
   const long peak = PeakMemory(cluster.gateway(0));
-  std::cout << "callers: peak " << peak / 1024 << " MB, answered " << answered
-            << ", others " << whole << " of " << sent << ", slowest "
-            << slowest.count() << " ms" << std::endl;
+  std::cout << "callers: questions " << server.questions() << ", peak "
+            << peak / 1024 << " MB, answered " << answered << ", others "
+            << whole << " of " << sent << ", slowest " << slowest.count()
+            << " ms" << std::endl;
   CHECK(peak < kSmallestInstance);
   CHECK(whole == sent);
   CHECK(slowest < kMaxAnswerTime);
