Connections: an end takes effect only once the caller can know of it

What callers saw around a planned stop: a request sent behind a stream whose head didn't announce the end was read and thrown away, at its end or, pipelined, seconds after it had come. Slow readers that sent more lost the rest of a whole reply as the process ended and the kernel reset the connection.

Cause: the end of the stream closed the connection though its caller had not been told; "sent" meant handed to the kernel; connections that linger after their last reply counted as ended, so that the process didn't wait for them.

Change: input is thrown away only behind a reply that announced the end. Behind another one, a request that has arrived is answered, and the connection ends unread once the caller's kernel has received all. busy() and the idle timeout go by what is received (SIOCOUTQ), lingering lasts while bytes are under way, and the process waits within its schedule for lingering connections (EventLoop::HasEndingSockets).

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -626,10 +626,13 @@
   if (!shutdown)
     return false;
   const MonotonicTime now = loop.now();
-  const bool busy = requests.busy() || handoff_listener.busy();
+  const auto is_busy = [this] {
+    return requests.busy() || handoff_listener.busy() ||
+           loop.HasEndingSockets();
+  };
   if (requests_ended)
-    return !busy || now >= shutdown->exit();
-  return now >= shutdown->listeners_close() && !busy &&
+    return now >= shutdown->exit() || !is_busy();
+  return now >= shutdown->listeners_close() && !is_busy() &&
          !MustDelayShutdown(cluster.membership().Members(), settings.entry,
                             peer_sync.IsLogUnresponsive());
 }
--- a/carobshift/net/event_loop.cc
+++ b/carobshift/net/event_loop.cc
@@ -47,6 +47,12 @@
   timers_.RunDue(now_);
 }
 
+bool EventLoop::HasEndingSockets() const {
+  return std::any_of(handlers_.begin(), handlers_.end(), [](const auto& entry) {
+    return entry.second->IsEnding();
+  });
+}
+
 bool EventLoop::HasDueTimer() const {
   const auto next = timers_.Next();
   return next && *next <= now_;
--- a/carobshift/net/event_loop.h
+++ b/carobshift/net/event_loop.h
@@ -38,6 +38,9 @@
   virtual void OnWritable() = 0;
   // The socket has failed; reading from it returns the error.
   virtual void OnSocketError() = 0;
+  // Whether this side has ended the connection and its peer has not, so that
+  // the end of the process could cost the peer what it has been sent.
+  [[nodiscard]] virtual bool IsEnding() const { return false; }
 };
 
 class EventLoop {
@@ -80,6 +83,8 @@
   [[nodiscard]] MonotonicTime now() const { return now_; }
 
   [[nodiscard]] std::size_t sockets() const { return handlers_.size(); }
+  // Whether a handler's IsEnding() is true.
+  [[nodiscard]] bool HasEndingSockets() const;
 
  private:
   using ReadySockets = Poco::Net::PollSet::SocketModeMap;
--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -300,6 +300,40 @@
   CHECK(server.bodies.size() == 1);
 }
 
+// Guards against a request that is read and thrown away behind a stream whose
+// head didn't announce that its connection would end.
+TEST_CASE("a request behind the last stream of a connection gets an answer") {
+  EventLoop loop;
+  std::shared_ptr<HttpServerConnection> streaming;
+  LoopbackServer server(
+      loop, [&](HttpServerConnection& connection, const HttpServerRequest&) {
+        if (streaming != nullptr) {
+          connection.SendCompleteReply(ReplyHead(200), "hello");
+          return;
+        }
+        streaming = connection.shared_from_this();
+        streaming->BeginStream(ReplyHead(200));
+      });
+  SocketCaller caller(loop, server.address());
+  caller.Send(Get("/1"));
+  CHECK(caller.Receive().starts_with("HTTP/1.1 200 "));
+  streaming->CloseWhenIdle();
+  SECTION("that arrives within the stream") {
+    caller.Send(Get("/2"));
+    RunFor(loop, Milliseconds(30));
+    streaming->EndStream();
+  }
+  SECTION("that arrives with its end") {
+    caller.Send(Get("/2"));
+    streaming->EndStream();
+  }
+  const std::string reply = caller.Receive();
+  CHECK(reply.ends_with("hello"));
+  CHECK(reply.find("Connection: close") != std::string::npos);
+  CHECK(server.bodies.size() == 2);
+  RunUntil(loop, [&] { return server.ended == 1; });
+}
+
 // Guards against replies that lose their end because a caller needs more than a
 // second to read them before its connection closes.
 TEST_CASE("a reply is sent whole before its connection closes") {
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -85,7 +85,7 @@
     // in the middle of a request gets an error reply.
     if (reading_request)
       self->Reject(kRequestTimeout);
-    else if (self->tcp_->unsent() > 0)
+    else if (self->tcp_->undelivered() > 0)
       self->BeginIdlePeriod();
     else
       self->EndIdle();
@@ -239,10 +239,6 @@
   paused_ = false;
   if (ended_)
     return;
-  // The head of a stream that began before the shutdown lacks "Connection:
-  // close".
-  if (close_after_reply_)
-    keep_alive_ = false;
   if (!keep_alive_) {
     EndWhenSent();
     return;
@@ -256,7 +252,12 @@
       if (const auto self = weak.lock())
         self->Parse();
     });
+    return;
   }
+  // The head of a stream that began before the shutdown lacks "Connection:
+  // close".
+  if (close_after_reply_)
+    EndIdle();
 }
 
 void HttpServerConnection::Abort() {
@@ -271,10 +272,7 @@
   close_after_reply_ = true;
   if (ended_ || ending_ || serving_ || parser_.begun() || !unparsed_.empty())
     return;
-  if (tcp_->unsent() > 0)
-    EndWhenSent();
-  else
-    EndIdle();
+  EndIdle();
 }
 
 void HttpServerConnection::EndIdle() {
@@ -283,6 +281,15 @@
   close_after_reply_ = true;
   if (tcp_->HasInput())
     return;
+  if (tcp_->undelivered() > 0) {
+    loop_.CancelTimer(delivery_timer_);
+    delivery_timer_ = loop_.AddTimer(loop_.now() + kDeliveryCheckInterval,
+                                     [weak = weak_from_this()] {
+                                       if (const auto self = weak.lock())
+                                         self->CloseWhenIdle();
+                                     });
+    return;
+  }
   MarkEnded(ConnectionEnd::kIdle);
   if (pipelines_)
     tcp_->CloseAfterFlush();
@@ -314,6 +321,7 @@
   end_ = end;
   left_unread_ = tcp_->HasInput();
   loop_.CancelTimer(timer_);
+  loop_.CancelTimer(delivery_timer_);
 }
 
 void HttpServerConnection::CheckBackpressure() {
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -19,8 +19,12 @@
 //   then, it is served. Otherwise it stays unread and resets the connection: a
 //   caller may send a request again that was not read, even one that may run
 //   only once.
+// - A request follows a reply that didn't announce the end of its connection,
+//   as of a stream that began before the shutdown. It is served if it has
+//   arrived before the caller has received that reply, and stays unread
+//   otherwise.
 // - A caller reads the last reply slowly. The connection ends after the caller
-//   has taken all of it, and busy() is true until then.
+//   has received all of it, and busy() is true until then.
 // - A caller doesn't read. Beyond `high_water` unsent bytes the handler is
 //   asked to pause the source of the reply.
 
@@ -127,10 +131,11 @@
   // Like CloseAfterReply(), but if no request has arrived, closes once the
   // caller has taken the last reply.
   void CloseWhenIdle();
-  // Whether a request is being read or served, or the caller has not taken the
-  // whole reply yet.
+  // Whether a request is being read or served, or the caller has not received
+  // the whole reply yet. Asks the kernel.
   [[nodiscard]] bool busy() const {
-    return serving_ || parser_.begun() || tcp_->unsent() > 0;
+    return serving_ || parser_.begun() || !unparsed_.empty() ||
+           tcp_->undelivered() > 0;
   }
   [[nodiscard]] bool serving() const { return serving_; }
   // Bytes of the reply that have not been handed to the kernel yet.
@@ -154,6 +159,9 @@
   void OnFlushed() override;
 
  private:
+  // Time between two looks whether the caller has received the last reply.
+  static constexpr Milliseconds kDeliveryCheckInterval{20};
+
   HttpServerConnection(EventLoop& loop,
                        const HttpServerLimits& limits,
                        HttpServerHandler& handler);
@@ -172,7 +180,8 @@
   void EndWhenSent();
   void End();
   void MarkEnded(ConnectionEnd end);
-  // Closes the connection without a reply, unless a request has arrived.
+  // Closes the connection without a reply, once the caller has received the
+  // last one, unless a request has arrived.
   void EndIdle();
 
   EventLoop& loop_;
@@ -184,6 +193,8 @@
   // Bytes received but not yet parsed.
   std::string unparsed_;
   TimerId timer_;
+  // While the connection waits to end until the last reply is received.
+  TimerId delivery_timer_;
   // Of the present idle period, or of the last one.
   MonotonicTime idle_since_{};
   MonotonicTime idle_until_{};
--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -1,9 +1,11 @@
 #include "carobshift/net/tcp_connection.h"
 
 #include <Poco/Exception.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -175,8 +177,26 @@
     Close();
     return;
   }
-  loop_.AddTimer(loop_.now() + kLinger,
-                 [self = shared_from_this()] { self->Close(); });
+  CloseOnceDelivered();
+}
+
+void TcpConnection::CloseOnceDelivered() {
+  loop_.AddTimer(loop_.now() + kLinger, [self = shared_from_this()] {
+    // A peer that doesn't receive at all is given up by the user timeout.
+    if (self->undelivered() > 0)
+      self->CloseOnceDelivered();
+    else
+      self->Close();
+  });
+}
+
+std::size_t TcpConnection::undelivered() const {
+  if (closed_)
+    return 0;
+  int in_kernel = 0;
+  if (::ioctl(socket_.impl()->sockfd(), SIOCOUTQ, &in_kernel) != 0)
+    in_kernel = 0;
+  return unsent() + static_cast<std::size_t>(in_kernel);
 }
 
 bool TcpConnection::FinishConnect() {
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -69,8 +69,8 @@
 class TcpConnection : public SocketHandler,
                       public std::enable_shared_from_this<TcpConnection> {
  public:
-  // How long CloseAfterFlush() continues to read what the peer sends, once all
-  // bytes are sent.
+  // How long CloseAfterFlush() continues to read what the peer sends, once the
+  // peer has received all bytes.
   static constexpr Milliseconds kLinger{1000};
 
   // Starts to connect. OnConnected or OnClosed follows, after this function has
@@ -97,10 +97,11 @@
   // closes. How long the sending takes is up to the peer, within
   // TcpOptions::user_timeout without progress.
   void CloseAfterFlush();
-  // Ends this side of a connection that is idle and whose bytes have been sent,
-  // and closes. Bytes that cross the end stay unread and reset the connection,
-  // so that the peer can tell that its request was not read. Peers that send a
-  // request before they have the reply to the last one may lose that reply.
+  // Ends this side of a connection that is idle and whose bytes the peer has
+  // received, and closes. Bytes that cross the end stay unread and reset the
+  // connection, so that the peer can tell that its request was not read. Peers
+  // that send a request before they have the reply to the last one may lose
+  // that reply.
   void CloseUnread();
   // Returns whether bytes, the peer's end or an error have arrived that the
   // handler has not been told of.
@@ -112,12 +113,18 @@
   [[nodiscard]] std::size_t unsent() const {
     return send_buffer_.size() - send_offset_;
   }
+  // Bytes that the peer has not received yet: unsent() and those in the kernel.
+  // Asks the kernel.
+  [[nodiscard]] std::size_t undelivered() const;
   [[nodiscard]] bool connected() const { return connected_; }
   [[nodiscard]] bool closed() const { return closed_; }
 
   void OnReadable() override;
   void OnWritable() override;
   void OnSocketError() override;
+  [[nodiscard]] bool IsEnding() const override {
+    return lingering_ && discards_input_ && !closed_;
+  }
 
  private:
   TcpConnection(EventLoop& loop,
@@ -132,6 +139,8 @@
   void Flush();
   // Ends this side of a connection that is lingering.
   void EndSending();
+  // Closes after kLinger, or later if the peer has not received all by then.
+  void CloseOnceDelivered();
   void UpdateInterest();
   void Fail(CloseReason reason);
   void PostFailure();
--- a/testing/gateway_shutdown_exit_process_test.cc
+++ b/testing/gateway_shutdown_exit_process_test.cc
@@ -2,10 +2,17 @@
 // last answer before the process is killed, and no reply is lost on the way
 // out.
 
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "testing/gateway_cluster.h"
@@ -133,5 +140,168 @@
   CHECK(exit_status == 0);
 }
 
+// A caller that keeps its connection.
+class KeptConnection {
+ public:
+  // As little as the kernel allows.
+  static constexpr int kSmallBuffer = 4096;
+
+  explicit KeptConnection(const NetAddress& address, int receive_buffer = 0) {
+    socket_.init(AF_INET);
+    if (receive_buffer > 0)
+      socket_.setReceiveBufferSize(receive_buffer);
+    socket_.connect(Poco::Net::SocketAddress(address.host, address.port));
+    socket_.setReceiveTimeout(Poco::Timespan(8, 0));
+  }
+
+  void Send(const std::string& path,
+            const std::string& request,
+            const std::string& body = "") {
+    std::string text = "POST " + path + " HTTP/1.1\r\n";
+    for (const auto& [name, value] :
+         GatewayCluster::StreamRequestOptions(request).headers)
+      text += name + ": " + value + "\r\n";
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    text += body;
+    try {
+      for (std::size_t at = 0; at < text.size();)
+        at += static_cast<std::size_t>(socket_.sendBytes(
+            text.data() + at, static_cast<int>(text.size() - at)));
+    } catch (const Poco::Exception&) {
+      // The end is seen by the next read.
+    }
+  }
+
+  // Reads at most `most` bytes. Returns false at the end of the connection.
+  bool Read(std::size_t most = std::size_t{64} << 10) {
+    std::string buffer(most, ' ');
+    try {
+      const int size =
+          socket_.receiveBytes(buffer.data(), static_cast<int>(most));
+      if (size <= 0)
+        return false;
+      received_.append(buffer, 0, static_cast<std::size_t>(size));
+      return true;
+    } catch (const Poco::Exception&) {
+      reset_ = true;
+      return false;
+    }
+  }
+  // Reads until `text` has arrived or the connection ends.
+  void ReadUntil(std::string_view text) {
+    while (received_.find(text) == std::string::npos && Read()) {
+    }
+  }
+  void ReadToEnd() {
+    while (Read()) {
+    }
+  }
+  [[nodiscard]] const std::string& received() const { return received_; }
+  // Removes and returns what has been received.
+  std::string Take() { return std::exchange(received_, {}); }
+  // Whether the other side reset the connection, as it does if it closes it
+  // before it has read all.
+  [[nodiscard]] bool WasReset() {
+    std::this_thread::sleep_for(Milliseconds(50));
+    int error = 0;
+    socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
+    return reset_ || error != 0;
+  }
+
+ private:
+  Poco::Net::StreamSocket socket_;
+  std::string received_;
+  bool reset_ = false;
+};
+
+constexpr std::string_view kStreamEnd = "0\r\n\r\n";
+constexpr int kEvents = 30;
+constexpr Milliseconds kStreamTime{3000};
+
+GatewayClusterOptions StreamingGateway() {
+  GatewayClusterOptions options = OneGateway();
+  options.events = kEvents;
+  options.event_gap = kStreamTime / kEvents;
+  return options;
+}
+
+bool HasRun(const GatewayCluster& cluster, const std::string& request) {
+  for (std::size_t i = 0; i < cluster.replicas(); ++i) {
+    for (const auto& run : cluster.RunsOf(i).at("runs")) {
+      if (run.at("request") == request)
+        return true;
+    }
+  }
+  return false;
+}
+
+// Guards against a request that is read and thrown away, so that its caller
+// may not send it again.
+TEST_CASE("a request behind a stream is answered or stays unread at a stop") {
+  // Of the stream at SIGTERM.
+  const Milliseconds age = GENERATE(Milliseconds(300), Milliseconds(1500));
+  const bool pipelined = GENERATE(false, true);
+  CAPTURE(age.count(), pipelined);
+  GatewayCluster cluster(StreamingGateway());
+  KeptConnection caller(cluster.FrontAddress(0));
+  caller.Send("/review/1", "first");
+  caller.ReadUntil("token1");
+  std::this_thread::sleep_for(age);
+  cluster.gateway(0).Signal(SIGTERM);
+  if (pipelined)
+    caller.Send("/book/1", "second");
+  caller.ReadUntil(kStreamEnd);
+  const std::string stream = caller.Take();
+  CHECK(stream.find("token" + std::to_string(kEvents)) != std::string::npos);
+  if (!pipelined)
+    caller.Send("/book/1", "second");
+  caller.ReadToEnd();
+  const std::string rest =
+      stream.substr(stream.find(kStreamEnd) + kStreamEnd.size()) +
+      caller.received();
+  CAPTURE(rest);
+  const bool answered = rest.starts_with("HTTP/1.1 ");
+  CHECK((answered || (!pipelined && caller.WasReset())));
+  CHECK((answered || !HasRun(cluster, "second")));
+  CHECK(cluster.gateway(0).WaitForExit(kGrace) == 0);
+}
+
+// Guards against replies that lose their end, since the process has ended and
+// the kernel resets a connection on which more arrives.
+TEST_CASE("a process waits until slow callers have taken their replies") {
+  GatewayCluster cluster(OneGateway());
+  const std::string body(60000, 'x');
+  const bool begun_before = GENERATE(true, false);
+  CAPTURE(begun_before);
+  const auto stop_process = [&] {
+    std::this_thread::sleep_for(Milliseconds(100));
+    cluster.gateway(0).Signal(SIGTERM);
+    return MonotonicNow();
+  };
+  MonotonicTime stop{};
+  if (!begun_before) {
+    stop = stop_process();
+    std::this_thread::sleep_for(Milliseconds(1800));
+  }
+  KeptConnection caller(cluster.FrontAddress(0), KeptConnection::kSmallBuffer);
+  caller.Send("/book/1", "slow", body);
+  if (begun_before)
+    stop = stop_process();
+  bool sent_more = false;
+  while (MonotonicNow() < stop + Milliseconds(5000) && caller.Read(1000)) {
+    std::this_thread::sleep_for(Milliseconds(40));
+    if (!sent_more && MonotonicNow() >= stop + Milliseconds(2700)) {
+      caller.Send("/book/1", "more");
+      sent_more = true;
+    }
+  }
+  CHECK(sent_more);
+  const std::size_t end = caller.received().find("done " + body);
+  REQUIRE(end != std::string::npos);
+  const std::string rest = caller.received().substr(end + body.size() + 5);
+  CHECK((rest.ends_with("\r\n\r\ndone ") || !HasRun(cluster, "more")));
+  CHECK(cluster.gateway(0).WaitForExit(kGrace) == 0);
+}
+
 }  // namespace
 }  // namespace carobshift
