--- a/testing/gateway_shutdown_exit_process_test.cc
+++ b/testing/gateway_shutdown_exit_process_test.cc
@@ -303,5 +303,94 @@
   CHECK(cluster.gateway(0).WaitForExit(kGrace) == 0);
 }
 
+// Callers of one gateway, each with a stream that lasts kStreamTime.
+class StreamCallers {
+ public:
+  StreamCallers(GatewayCluster& cluster, std::size_t gateway, int count)
+      : answers_(static_cast<std::size_t>(count)) {
+    for (std::size_t i = 0; i < answers_.size(); ++i) {
+      HttpSendOptions options = GatewayCluster::StreamRequestOptions(
+          "stream-" + std::to_string(gateway) + "-" + std::to_string(i));
+      options.timeout = 2 * kGrace;
+      threads_.emplace_back(
+          [this, i, options, address = cluster.FrontAddress(gateway)] {
+            answers_[i] = HttpSend(
+                address, "POST", i % 2 == 0 ? "/review/1" : "/ask/1", options);
+          });
+    }
+    REQUIRE(WaitUntil([&] {
+      return cluster.State(gateway).at("open_requests") == answers_.size();
+    }));
+  }
+
+  // To be called once. Waits for the ends of the streams.
+  [[nodiscard]] int Whole() {
+    threads_.clear();
+    int whole = 0;
+    for (const HttpAnswer& answer : answers_) {
+      if (answer.failure.empty() &&
+          answer.body.find("token" + std::to_string(kEvents)) !=
+              std::string::npos)
+        ++whole;
+    }
+    return whole;
+  }
+
+ private:
+  std::vector<HttpAnswer> answers_;
+  std::vector<std::jthread> threads_;
+};
+
+enum class Beside { kNothing, kTimeouts, kRoute, kSilentLog };
+
+// Guards against streams that a stop cuts off since other planned work, or an
+// outage of the log, comes beside it.
+TEST_CASE("two stops within a second finish the streams beside other work") {
+  const Beside beside = GENERATE(Beside::kNothing, Beside::kTimeouts,
+                                 Beside::kRoute, Beside::kSilentLog);
+  CAPTURE(static_cast<int>(beside));
+  GatewayClusterOptions options = StreamingGateway();
+  options.gateways = 2;
+  options.engines = 2;
+  GatewayCluster cluster(options);
+  StreamCallers first(cluster, 0, 4);
+  StreamCallers second(cluster, 1, 4);
+  if (beside == Beside::kSilentLog)
+    cluster.platform().Signal(SIGSTOP);
+  cluster.gateway(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(Milliseconds(300));
+  if (beside == Beside::kTimeouts) {
+    cluster.PutConfig(
+        2, {.timeout = Milliseconds(5000), .idle_timeout = Milliseconds(500)});
+  } else if (beside == Beside::kRoute) {
+    cluster.PutConfig(2, {.review_service = "desks"});
+  }
+  std::this_thread::sleep_for(Milliseconds(500));
+  cluster.gateway(1).Signal(SIGHUP);
+  cluster.gateway(1).Signal(SIGTERM);
+  CHECK(first.Whole() == 4);
+  CHECK(second.Whole() == 4);
+  CHECK(cluster.gateway(0).WaitForExit(kGrace) == 0);
+  CHECK(cluster.gateway(1).WaitForExit(kGrace) == 0);
+  if (beside == Beside::kSilentLog)
+    cluster.platform().Signal(SIGCONT);
+}
+
+// Guards against an instance that is stopped as it starts and neither answers
+// nor ends.
+TEST_CASE("an instance that is stopped as it starts ends in time") {
+  GatewayClusterOptions options = OneGateway();
+  options.gateways = 2;
+  GatewayCluster cluster(options);
+  cluster.gateway(1).Kill();
+  cluster.StartGateway(1);
+  const MonotonicTime stop = MonotonicNow();
+  cluster.gateway(1).Signal(SIGTERM);
+  const HttpAnswer answer = cluster.Send(1, "POST", "/book/1");
+  CHECK(answer.failure.empty());
+  CHECK_FALSE(cluster.Ready(1));
+  CHECK(EndLikePlatform(cluster.gateway(1), stop) == 0);
+}
+
 }  // namespace
 }  // namespace carobshift
