--- a/testing/gateway_shutdown_exit_process_test.cc
+++ b/testing/gateway_shutdown_exit_process_test.cc
@@ -392,5 +392,30 @@
   CHECK(EndLikePlatform(cluster.gateway(1), stop) == 0);
 }
 
+// Guards against early streams that are cut though their endpoint has ended,
+// since their callers read slowly.
+TEST_CASE("a stream whose endpoint has ended reaches a slow caller whole") {
+  GatewayClusterOptions options = OneGateway();
+  options.events = 3000;
+  options.event_gap = Milliseconds(0);
+  GatewayCluster cluster(options);
+  KeptConnection caller(cluster.FrontAddress(0), KeptConnection::kSmallBuffer);
+  caller.Send("/ask/1", "slow");
+  REQUIRE(WaitUntil(
+      [&] { return cluster.LogLines("event", "request_done").size() == 1; }));
+  cluster.gateway(0).Signal(SIGTERM);
+  const MonotonicTime stop = MonotonicNow();
+  constexpr Milliseconds kPause{60};
+  while (MonotonicNow() < stop + 2 * kGrace &&
+         caller.received().find(kStreamEnd) == std::string::npos &&
+         caller.Read(1000)) {
+    std::this_thread::sleep_for(kPause);
+  }
+  // Otherwise the process may have lived on until the caller had all.
+  CHECK(MonotonicNow() > stop + kGrace);
+  CHECK(caller.received().ends_with(kStreamEnd));
+  CHECK(EndLikePlatform(cluster.gateway(0), stop) == 0);
+}
+
 }  // namespace
 }  // namespace carobshift
