--- a/testing/gateway_shutdown_exit_process_test.cc
+++ b/testing/gateway_shutdown_exit_process_test.cc
@@ -417,5 +417,25 @@
   CHECK(EndLikePlatform(cluster.gateway(0), stop) == 0);
 }
 
+// Guards against streams that are cut since one of the two instances is stopped
+// through which they go.
+TEST_CASE("streams that are handed over outlast the stop of either instance") {
+  const std::size_t stopped = GENERATE(std::size_t{0}, std::size_t{1});
+  CAPTURE(stopped);
+  GatewayClusterOptions options = StreamingGateway();
+  options.gateways = 2;
+  options.engines = 2;
+  options.relayed = true;
+  GatewayCluster cluster(options);
+  cluster.CutPathsToEndpoints(CutForm::kRefused);
+  REQUIRE(WaitUntil(
+      [&] { return cluster.Send(0, "POST", "/find/1").status == 200; }));
+  StreamCallers callers(cluster, 0, 6);
+  REQUIRE(WaitUntil([&] { return cluster.State(1).at("open_requests") == 6; }));
+  cluster.gateway(stopped).Signal(SIGTERM);
+  CHECK(callers.Whole() == 6);
+  CHECK(cluster.gateway(stopped).WaitForExit(kGrace) == 0);
+}
+
 }  // namespace
 }  // namespace carobshift
