Shutdown tests: forty callers send a request as their streams end at a stop

Many connections instead of one: each request is answered or stays unread, unless its stream announced the end.

--- a/testing/gateway_shutdown_exit_process_test.cc
+++ b/testing/gateway_shutdown_exit_process_test.cc
@@ -7,6 +7,8 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <string>
@@ -266,6 +268,47 @@
   CHECK(cluster.gateway(0).WaitForExit(kGrace) == 0);
 }
 
+// Sends a request as its stream ends. Returns whether the stream is whole, and
+// the request answered or left unread, unless the stream announced the end of
+// its connection.
+bool IsServedOrUnread(const GatewayCluster& cluster, int number) {
+  const std::string request = std::to_string(number);
+  KeptConnection caller(cluster.FrontAddress(0));
+  caller.Send("/ask/1", "stream-" + request);
+  caller.ReadUntil(kStreamEnd);
+  const std::string stream = caller.Take();
+  caller.Send("/book/1", "next-" + request);
+  caller.ReadToEnd();
+  const std::string answer =
+      stream.substr(stream.find(kStreamEnd) + kStreamEnd.size()) +
+      caller.received();
+  // A stream that waited for room may begin after SIGTERM.
+  const bool told = stream.find("Connection: close") != std::string::npos;
+  return stream.find("token" + std::to_string(kEvents)) != std::string::npos &&
+         (told || answer.starts_with("HTTP/1.1 ") || caller.WasReset());
+}
+
+// Guards against the same among callers whose streams end one after the other
+// until the process is gone.
+TEST_CASE("no caller of many loses a request behind its stream at a stop") {
+  GatewayCluster cluster(StreamingGateway());
+  constexpr int kCallers = 40;
+  std::array<bool, kCallers> good{};
+  {
+    std::vector<std::jthread> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&cluster, &good, i] {
+        std::this_thread::sleep_for(i * Milliseconds(50));
+        good[static_cast<std::size_t>(i)] = IsServedOrUnread(cluster, i);
+      });
+    }
+    std::this_thread::sleep_for(kCallers * Milliseconds(50));
+    cluster.gateway(0).Signal(SIGTERM);
+  }
+  CHECK(std::count(good.begin(), good.end(), true) == kCallers);
+  CHECK(cluster.gateway(0).WaitForExit(kGrace) == 0);
+}
+
 // Guards against replies that lose their end, since the process has ended and
 // the kernel resets a connection on which more arrives.
 TEST_CASE("a process waits until slow callers have taken their replies") {
