Byte budget: a small part of a caller's answer is never refused

Callers would have seen: a sound stream that ends, without an answer where it can't be resumed, since other parties have filled three quarters of the budget. Cause: an unfinished event, and an answer that is buffered, counted as optional like cache lists.

--- a/carobshift/base/byte_budget.h
+++ b/carobshift/base/byte_budget.h
@@ -15,6 +15,9 @@
 //   replies are small.
 // - All replies that aren't required fill three quarters of it at most.
 // - Required ones fill all of it.
+// - Up to kSmallBytes of a caller's answer are counted and never refused: a
+//   sound stream must not end for what other parties send. Beyond, answers
+//   fill half of it at most.
 //
 // A BudgetedBuffer is a text with its reservation.
 //
@@ -25,6 +28,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +40,8 @@
   kOptional,
   // Without these bytes, an instance can't do its work.
   kRequired,
+  // Without these bytes, a caller loses its answer.
+  kAnswer,
 };
 
 class ByteBudget {
@@ -59,7 +65,11 @@
                                      ByteImportance importance) const {
     if (importance == ByteImportance::kRequired)
       return limit_;
-    return size > kSmallBytes ? limit_ / 2 : limit_ / 4 * 3;
+    if (size > kSmallBytes)
+      return limit_ / 2;
+    return importance == ByteImportance::kAnswer
+               ? std::numeric_limits<std::size_t>::max()
+               : limit_ / 4 * 3;
   }
 
   std::size_t limit_;
--- a/carobshift/base/byte_budget_test.cc
+++ b/carobshift/base/byte_budget_test.cc
@@ -42,6 +42,19 @@
   CHECK_FALSE(required.GrowTo(kLimit / 4 + 1));
 }
 
+// Guards against a sound stream that ends since others fill the budget.
+TEST_CASE("a small part of an answer is never refused") {
+  ByteBudget budget(kLimit);
+  ByteReservation required(&budget, ByteImportance::kRequired);
+  REQUIRE(required.GrowTo(kLimit));
+  ByteReservation answer(&budget, ByteImportance::kAnswer);
+  CHECK(answer.GrowTo(ByteBudget::kSmallBytes));
+  CHECK_FALSE(answer.GrowTo(ByteBudget::kSmallBytes + 1));
+  ByteReservation more(&budget, ByteImportance::kRequired);
+  CHECK_FALSE(more.GrowTo(1));
+  CHECK(budget.held() == kLimit + ByteBudget::kSmallBytes);
+}
+
 TEST_CASE("a reservation gives its bytes back once, however it ends") {
   ByteBudget budget(kLimit);
   {
--- a/carobshift/gateway/request/event_splitter.h
+++ b/carobshift/gateway/request/event_splitter.h
@@ -9,8 +9,8 @@
 //   if (!splitter.at_boundary()) ...  // the stream ended within an event
 //
 // An endpoint in trouble may send an event that never ends. Such an event is
-// given up at kMaxEventBytes, or earlier if all buffered events together would
-// exceed the budget. Each of its bytes is searched once or, at the end of a
+// given up at kMaxEventBytes, or above ByteBudget::kSmallBytes if all buffered
+// bytes together would exceed what the budget grants to answers. Each of its bytes is searched once or, at the end of a
 // read, twice.
 //
 // Thread-compatible.
@@ -45,7 +45,7 @@
   // Buffered bytes count against `budget`, which must outlive the splitter.
   // Null for no bound in sum.
   explicit EventSplitter(ByteBudget* budget = nullptr)
-      : held_(budget, ByteImportance::kOptional) {}
+      : held_(budget, ByteImportance::kAnswer) {}
 
   // Calls `on_event` for each event that `bytes` completes, in order. Returns
   // false at an event, complete or not, that exceeds kMaxEventBytes, or at an
--- a/carobshift/gateway/request/event_splitter_test.cc
+++ b/carobshift/gateway/request/event_splitter_test.cc
@@ -95,6 +95,21 @@
   CHECK(budget.held() < 100);
 }
 
+// Guards against sound streams that end since others fill the budget.
+TEST_CASE("a sound stream goes on while the budget is full") {
+  ByteBudget budget(std::size_t{1} << 20);
+  ByteReservation required(&budget, ByteImportance::kRequired);
+  REQUIRE(required.GrowTo(budget.limit()));
+  EventSplitter splitter(&budget);
+  int events = 0;
+  const auto count = [&events](const StreamEvent&) { ++events; };
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(splitter.Feed("id: 1\ndata: to", count));
+    REQUIRE(splitter.Feed("ken\n\n", count));
+  }
+  CHECK(events == 3);
+}
+
 TEST_CASE("a long stream of sound events passes whole") {
   const std::string event = "id: 1\ndata: " + std::string(1000, 'x') + "\n\n";
   EventSplitter splitter;
--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -84,7 +84,7 @@
       attempt_runner_(attempt_runner),
       reply_(reply),
       splitter_(attempt_runner.held_bytes()),
-      buffered_body_(attempt_runner.held_bytes(), ByteImportance::kOptional) {
+      buffered_body_(attempt_runner.held_bytes(), ByteImportance::kAnswer) {
   Milliseconds time = setup_.route->timeout;
   if (setup_.request.time_left)
     time = std::min(time, *setup_.request.time_left);
