Planned stop: what is refused at its beginning announces the close

Callers saw: 503 with Retry-After 50 ms without "Connection: close", and their next request on that connection unread. Cause: the requests that wait were refused before the connections were told of the stop. Change: both listeners tell their connections first.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -304,8 +304,9 @@
   rollout_controller.Stop();
   cluster.Leave();
   stream_directory.HandOver();
-  requests.BeginStop(*shutdown);
+  // Before the requests that it has delivered are refused.
   handoff_listener.BeginStop();
+  requests.BeginStop(*shutdown);
   loop.AddTimer(shutdown->listeners_close(), [this] {
     caller_listener->Close();
     handoff_listener.Close();
--- a/carobshift/gateway/request/request_service_shutdown.cc
+++ b/carobshift/gateway/request/request_service_shutdown.cc
@@ -11,8 +11,9 @@
 
 void RequestService::BeginStop(const ShutdownSchedule& shutdown) {
   shutdown_ = shutdown;
-  RefuseLateStarts();
+  // First, so that the refusals announce the close.
   CloseIdleConnections();
+  RefuseLateStarts();
 }
 
 void RequestService::CloseIdleConnections() {
--- a/carobshift/gateway/request/request_service_waiting_test.cc
+++ b/carobshift/gateway/request/request_service_waiting_test.cc
@@ -108,6 +108,8 @@
   ReplyDisposition OnReplyHead(const HttpHead& head,
                                const HttpMessageInfo&) override {
     status = head.status;
+    const std::string* const connection = head.Find("Connection");
+    announced_close = connection != nullptr && *connection == "close";
     return ReplyDisposition::kAccept;
   }
   void OnReplyBody(std::string_view) override {}
@@ -135,6 +137,7 @@
   std::shared_ptr<ClientCall> call;
   std::optional<int> status;
   bool over = false;
+  bool announced_close = false;
 };
 
 // Fails if a request that waits isn't sent when room becomes free.
@@ -173,6 +176,8 @@
   CHECK(fixture.requests.waiting_requests() == 0);
   RunUntil(fixture.loop, [&] { return fixture.over; });
   CHECK(fixture.status == 503);
+  // Or the caller returns on the same connection.
+  CHECK(fixture.announced_close);
   fixture.FreeMemory();
   RunFor(fixture.loop, Milliseconds(300));
   CHECK(fixture.engine.bodies.empty());
