Shutdown test: what came while the process stood still is answered at a stop

Suspected by the review: a process that stood still for longer than it accepts connections, and has nothing open, could end as it sees SIGTERM, with requests unread in its sockets. Not brought about: the loop reads its sockets before it looks for the signal.

--- a/testing/gateway_shutdown_process_test.cc
+++ b/testing/gateway_shutdown_process_test.cc
@@ -312,6 +312,26 @@
   CheckNotLost(cluster, next_outcome);
 }
 
+// Guards against a process that ends as it sees SIGTERM, with requests in its
+// sockets that came while it stood still.
+TEST_CASE("what came while the process stood still is answered at a stop") {
+  GatewayCluster cluster({.gateways = 2});
+  cluster.gateway(0).Signal(SIGSTOP);
+  Poco::Net::StreamSocket socket =
+      ConnectBlocking(cluster.FrontAddress(0), kTimeout, kTimeout);
+  const RequestText request = RequestTo("/book/1", "meanwhile", 2000);
+  SendBytes(socket, request.head + request.body);
+  // Longer than a stopping process accepts connections.
+  std::this_thread::sleep_for(Milliseconds(2800));
+  cluster.gateway(0).Signal(SIGTERM);
+  cluster.gateway(0).Signal(SIGCONT);
+  TimedOutcome outcome{.request = {.id = "meanwhile", .path = "/book/1"}};
+  ReadAnswer(socket, MonotonicNow(), outcome);
+  INFO(outcome.answer.status << " " << outcome.answer.failure);
+  CHECK(IsWhole(outcome));
+  CHECK(cluster.gateway(0).WaitForExit(Milliseconds(6000)) == 0);
+}
+
 // Sends requests to gateway 0, one after the other, for `time`.
 std::vector<TimedOutcome> AskFor(const GatewayCluster& cluster,
                                  const std::string& name,
