--- a/carobshift/gateway/request/event_splitter.h
+++ b/carobshift/gateway/request/event_splitter.h
@@ -10,8 +10,8 @@
 //
 // An endpoint in trouble may send an event that never ends. Such an event is
 // given up at kMaxEventBytes, or above ByteBudget::kSmallBytes if all buffered
-// bytes together would exceed what the budget grants to answers. Each of its bytes is searched once or, at the end of a
-// read, twice.
+// bytes together would exceed what the budget grants to answers. Each of its
+// bytes is searched once or, at the end of a read, twice.
 //
 // Thread-compatible.
 
