Attempts during a stop: AdmitAttempt, as it also notes when to return

The name read like a question. Comments of ShutdownSchedule promised that other instances are ready. No logic changes; gateway_test "*stop*" passes.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -55,9 +55,9 @@
           },
       .refund_retry =
           [this](const ServiceName& service) { requests.RefundRetry(service); },
-      .may_begin =
+      .admit_attempt =
           [this](Exchange& exchange) {
-            return requests.MayBeginAttempt(exchange);
+            return requests.AdmitAttempt(exchange);
           },
       .on_relayed_reply =
           [this](const ReplyMetadata& reply) {
--- a/carobshift/gateway/handoff/handoff_fixture.h
+++ b/carobshift/gateway/handoff/handoff_fixture.h
@@ -183,9 +183,9 @@
                       ++retries_ended;
                       requests.RefundRetry(service);
                     },
-                .may_begin =
+                .admit_attempt =
                     [this](Exchange& exchange) {
-                      return requests.MayBeginAttempt(exchange);
+                      return requests.AdmitAttempt(exchange);
                     },
                 .on_relayed_reply =
                     [this, &loop](const ReplyMetadata& reply) {
--- a/carobshift/gateway/handoff/handoff_runner.cc
+++ b/carobshift/gateway/handoff/handoff_runner.cc
@@ -94,7 +94,7 @@
       request.at_endpoints.insert(wish.number);
     return error;
   }
-  if (!environment_.may_begin(exchange))
+  if (!environment_.admit_attempt(exchange))
     return AttemptError::kShuttingDown;
   if (wish.replacement) {
     std::erase_if(candidates,
--- a/carobshift/gateway/handoff/handoff_runner.h
+++ b/carobshift/gateway/handoff/handoff_runner.h
@@ -69,8 +69,8 @@
       settle_retry;
   // The retry was never sent.
   std::function<void(const ServiceName&)> refund_retry;
-  // Returns whether an attempt of the request may begin now.
-  std::function<bool(Exchange&)> may_begin;
+  // RequestService::AdmitAttempt().
+  std::function<bool(Exchange&)> admit_attempt;
   // A peer has relayed the reply of an endpoint.
   std::function<void(const ReplyMetadata&)> on_relayed_reply;
 };
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -84,9 +84,10 @@
   void SetHandoffRunner(HandoffRunner* runner) { handoff_runner_ = runner; }
   [[nodiscard]] AttemptRunner& attempt_runner() { return *this; }
   // Returns whether an attempt of the request may begin now, which during a
-  // planned stop depends on when it will have ended. What a caller has of a
-  // stream isn't given up for that. Sets when a refused caller may return.
-  [[nodiscard]] bool MayBeginAttempt(Exchange& exchange);
+  // planned stop depends on when it will have ended; otherwise notes when its
+  // caller may return. A stream of which the caller has something is always
+  // admitted.
+  [[nodiscard]] bool AdmitAttempt(Exchange& exchange);
   // Spends one retry of the service's budget; returns false if it is exhausted.
   // Each retry is ended by one call of SettleRetry() or RefundRetry().
   [[nodiscard]] bool TrySpendRetry(const ServiceName& service);
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -41,7 +41,7 @@
 AttemptError RequestService::StartAttempt(Exchange& exchange,
                                           const AttemptParams& wish,
                                           AttemptStart* start) {
-  if (!MayBeginAttempt(exchange))
+  if (!AdmitAttempt(exchange))
     return AttemptError::kShuttingDown;
   const ExchangeSetup& setup = exchange.setup();
   if (!crashes_.empty() &&
@@ -81,8 +81,7 @@
     options.max_idle = options_.run_once_max_idle;
   options.may_send = [this, &exchange,
                       endpoint = EndpointIncarnation::Of(plan->endpoint)] {
-    return MayStillSend(exchange.setup(), endpoint) &&
-           MayBeginAttempt(exchange);
+    return MayStillSend(exchange.setup(), endpoint) && AdmitAttempt(exchange);
   };
   *start = {plan->endpoint.id, plan->endpoint.software};
   std::string bytes = dialect_.EncodeAttempt(setup.request, plan->fields);
--- a/carobshift/gateway/request/request_service_shutdown.cc
+++ b/carobshift/gateway/request/request_service_shutdown.cc
@@ -31,7 +31,7 @@
   return !shutdown_ || shutdown_->MayStart(loop_.now() + time);
 }
 
-bool RequestService::MayBeginAttempt(Exchange& exchange) {
+bool RequestService::AdmitAttempt(Exchange& exchange) {
   const bool replied = exchange.summary().status != 0;
   if (!shutdown_ || replied || shutdown_->MayStart(exchange.deadline()))
     return true;
@@ -42,7 +42,7 @@
 void RequestService::RefuseLateStarts() {
   std::vector<std::shared_ptr<ExchangeRun>> late;
   for (const auto& [exchange, running] : runs_) {
-    if (exchange->summary().attempts == 0 && !MayBeginAttempt(*exchange))
+    if (exchange->summary().attempts == 0 && !AdmitAttempt(*exchange))
       late.push_back(running.run);
   }
   for (const auto& run : late) {
--- a/carobshift/gateway/shutdown_schedule.h
+++ b/carobshift/gateway/shutdown_schedule.h
@@ -30,8 +30,8 @@
   // are sent.
   static constexpr Milliseconds kLastReplyTime{300};
 
-  // When the caller of a request that may not start may come back. The other
-  // instances are ready already.
+  // When the caller of a request that may not start may come back, as another
+  // instance need not get ready first.
   static constexpr Milliseconds kRetryAfter{50};
 
   // The stop began at `began`, its request was seen at `seen`; the process is
@@ -51,8 +51,8 @@
   }
   // Returns whether a request, or an attempt of one, may still start that has
   // surely ended by `bound`: the earlier of its deadline and its route's
-  // timeout. Any other one might be cut at requests_end(), and is refused while
-  // its caller can still turn to another instance.
+  // timeout. Any other one might be cut at requests_end(); refused at once, it
+  // leaves its caller the time for another instance.
   [[nodiscard]] bool MayStart(MonotonicTime bound) const {
     return bound <= requests_end();
   }
