Request service and exchange: the end of a stop, and of a long reply, stand with their kind

A test of late connections demands that they were connected (found by the review: it would have passed without a connection).

--- a/carobshift/gateway/request/exchange.cc
+++ b/carobshift/gateway/request/exchange.cc
@@ -324,11 +324,6 @@
   }
 }
 
-void Exchange::OnReplyTooLong(AttemptNumber attempt, MonotonicTime now) {
-  attempt_runner_.DropAttempt(*this, attempt);
-  OnAttemptFailed(attempt, {CallFault::kMalformed, true, false}, now);
-}
-
 bool Exchange::ForwardEvents(std::string_view bytes, MonotonicTime now) {
   std::string complete;
   const bool sound = splitter_.Feed(bytes, [&](const StreamEvent& event) {
--- a/carobshift/gateway/request/exchange_failure.cc
+++ b/carobshift/gateway/request/exchange_failure.cc
@@ -16,6 +16,11 @@
 
 }  // namespace
 
+void Exchange::OnReplyTooLong(AttemptNumber attempt, MonotonicTime now) {
+  attempt_runner_.DropAttempt(*this, attempt);
+  OnAttemptFailed(attempt, {CallFault::kMalformed, true, false}, now);
+}
+
 void Exchange::Fail(ResultCode code, MonotonicTime) {
   summary_.code = code;
   if (head_sent_) {
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -158,56 +158,6 @@
   }
 }
 
-void RequestService::EndOpenRequests() {
-  std::vector<std::shared_ptr<ExchangeRun>> open;
-  for (const auto& [exchange, running] : runs_)
-    open.push_back(running.run);
-  LogEvent(LogLevel::kInfo, "stop_ends_requests", {{"requests", open.size()}});
-  // The end of the grace period is a deadline for all of them.
-  for (const auto& run : open) {
-    LogStopCut(*run);
-    run->exchange().OnDeadline(loop_.now());
-  }
-}
-
-void RequestService::LogStopCut(ExchangeRun& run) const {
-  Exchange& exchange = run.exchange();
-  const Running& running = runs_.at(&exchange);
-  const auto age_of = [this](MonotonicTime time) {
-    return shutdown_->Age(time).count();
-  };
-  nlohmann::json fields = {{"request", exchange.request().id.value()},
-                           {"route", exchange.setup().route->name},
-                           {"arrived_ms", age_of(exchange.setup().arrived)},
-                           {"attempts", running.attempts.size()},
-                           {"replied", exchange.summary().status != 0},
-                           {"suspended", exchange.suspended()},
-                           {"waiting", running.wait_id.has_value()},
-                           {"handed_over", exchange.request().handed_over},
-                           {"unsent", running.connection->unsent_bytes()}};
-  if (!running.attempts.empty()) {
-    const AttemptRecord& last = running.attempts.back();
-    fields["endpoint"] = last.endpoint.value();
-    fields["began_ms"] = age_of(last.began);
-    fields["last_received_ms"] =
-        age_of(run.LastReceived(last.number, loop_.now()));
-  }
-  LogEvent(LogLevel::kWarning, "stop_cuts_request", std::move(fields));
-}
-
-std::size_t RequestService::unsent_bytes() const {
-  std::size_t bytes = 0;
-  for (const auto& [key, connection] : connections_)
-    bytes += connection->unsent_bytes();
-  return bytes;
-}
-
-bool RequestService::busy() const {
-  return !runs_.empty() ||
-         std::any_of(connections_.begin(), connections_.end(),
-                     [](const auto& entry) { return entry.second->busy(); });
-}
-
 void RequestService::OnRequest(
     const std::shared_ptr<HttpServerConnection>& connection,
     HttpServerRequest received) {
--- a/testing/gateway_shutdown_process_test.cc
+++ b/testing/gateway_shutdown_process_test.cc
@@ -87,6 +87,7 @@
 
 struct TimedOutcome {
   TimedRequest request{};
+  bool connected = false;
   HttpAnswer answer{};
   // From the last byte of the request to the end of the answer.
   Milliseconds took{0};
@@ -128,6 +129,7 @@
     SleepUntil(stop + request.connects);
     Poco::Net::StreamSocket socket =
         ConnectBlocking(gateway, kTimeout, kTimeout);
+    outcome.connected = true;
     const RequestText text =
         RequestTo(request.path, request.id, request.deadline_ms);
     SleepUntil(stop + request.sends_head);
@@ -236,6 +238,7 @@
   });
   for (const TimedOutcome& outcome : outcomes) {
     INFO(outcome.request.id << ": status " << outcome.answer.status);
+    CHECK(outcome.connected);
     CHECK(outcome.answer.status == 0);
     CHECK(RunsOf(stopping.cluster(), outcome.request.id) == 0);
   }
