--- a/testing/relayed_gateway_main.cc
+++ b/testing/relayed_gateway_main.cc
@@ -25,8 +25,6 @@
 namespace {
 
 std::atomic<bool> stop_requested = false;
-// No signal had arrived then.
-const MonotonicTime handled_since = MonotonicNow();
 
 // Reads the platform's records and replaces the host of each endpoint.
 class RelayedLogDialect : public PlatformLogDialect {
@@ -53,7 +51,10 @@
   return ParseSettingsFile(std::string(std::istreambuf_iterator<char>(in), {}));
 }
 
-int Serve(GatewaySettings settings, const std::string& relay_host) {
+// `handled_since`: no signal had arrived then.
+int Serve(GatewaySettings settings,
+          const std::string& relay_host,
+          MonotonicTime handled_since) {
   ConfigureEventLog(LogLevel::kInfo, settings.entry.value());
   const PlatformDialects platform;
   const Dialects usual = platform.dialects();
@@ -75,7 +76,7 @@
   return 0;
 }
 
-int Run(int argc, char** argv) {
+int Run(int argc, char** argv, MonotonicTime handled_since) {
   cxxopts::Options options("relayed_gateway");
   options.add_options()("settings", "settings file",
                         cxxopts::value<std::string>())(
@@ -91,14 +92,15 @@
   }
   settings.value().metrics_port = flags["metrics-port"].as<std::uint16_t>();
   return Serve(std::move(settings.value()),
-               flags["relay-host"].as<std::string>());
+               flags["relay-host"].as<std::string>(), handled_since);
 }
 
 }  // namespace
 }  // namespace carobshift
 
 int main(int argc, char** argv) {
+  const carobshift::MonotonicTime handled_since = carobshift::MonotonicNow();
   std::signal(SIGTERM, [](int) { carobshift::stop_requested = true; });
   std::signal(SIGPIPE, SIG_IGN);
-  return carobshift::Run(argc, argv);
+  return carobshift::Run(argc, argv, handled_since);
 }
