Connections: a pipelining caller's crossing request stays unread too

What callers saw: a caller that had once sent a request before it had the reply to the one before, and whose next request crossed the close of its idle connection (idle timeout, or a planned stop), got the end of the connection and no sign that the request had not been served. It was read and thrown away. Cause: EndIdle discarded the input of such connections, since a reset may take replies from a caller that has not received them. The reason is gone: the connection ends only once the caller's kernel has received all replies. Change: they are closed unread as all others; the flag is gone.

--- a/carobshift/net/http_loopback_test.cc
+++ b/carobshift/net/http_loopback_test.cc
@@ -1,6 +1,7 @@
 // Tests HttpClient and HttpServerConnection against each other, over loopback
 // in one event loop.
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -207,7 +208,7 @@
       RunFor(loop_, Milliseconds(30));
       if (!socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
         return all;
-      const int received = socket_.receiveBytes(buffer.data(), buffer.size());
+      const int received = ReceiveOnce(buffer);
       if (received <= 0)
         return all;
       all.append(buffer.data(), static_cast<std::size_t>(received));
@@ -216,12 +217,22 @@
   [[nodiscard]] bool WasReset() {
     int error = 0;
     socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
-    return error != 0;
+    return reset_ || error != 0;
   }
 
  private:
+  int ReceiveOnce(std::array<char, 4096>& buffer) {
+    try {
+      return socket_.receiveBytes(buffer.data(), buffer.size());
+    } catch (const Poco::Net::ConnectionResetException&) {
+      reset_ = true;
+      return 0;
+    }
+  }
+
   EventLoop& loop_;
   Poco::Net::StreamSocket socket_;
+  bool reset_ = false;
 };
 
 // Guards against a request that has arrived and is thrown away because its
@@ -262,6 +273,36 @@
   CHECK(server.bodies.size() == 1);
 }
 
+// Guards against the same if the caller once sent a request before it had the
+// reply to the one before, and against replies that such a caller loses.
+TEST_CASE("a request that crosses a pipelining caller's close stays unread") {
+  EventLoop loop;
+  std::shared_ptr<HttpServerConnection> serving;
+  LoopbackServer server(
+      loop,
+      [&](HttpServerConnection& connection, const HttpServerRequest&) {
+        serving = connection.shared_from_this();
+      },
+      {.idle_timeout = Milliseconds(200)});
+  SocketCaller caller(loop, server.address());
+  caller.Send(Get("/1"));
+  RunUntil(loop, [&] { return server.bodies.size() == 1; });
+  caller.Send(Get("/2"));
+  RunFor(loop, Milliseconds(30));
+  serving->SendCompleteReply(ReplyHead(200), "first");
+  RunUntil(loop, [&] { return server.bodies.size() == 2; });
+  serving->SendCompleteReply(ReplyHead(200), "second");
+  SECTION("at a planned stop") {
+    serving->CloseWhenIdle();
+  }
+  RunUntil(loop, [&] { return server.ended == 1; });
+  caller.Send(Get("/3"));
+  RunFor(loop, Milliseconds(30));
+  CHECK(caller.Receive().ends_with("second"));
+  CHECK(caller.WasReset());
+  CHECK(server.bodies.size() == 2);
+}
+
 // Guards against a slow caller that is told that its request is malformed, and
 // so doesn't send it again.
 TEST_CASE("a request that doesn't arrive in time is answered with 408") {
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -98,7 +98,6 @@
     return;
   unparsed_.append(bytes);
   if (serving_) {
-    pipelines_ = true;
     if (unparsed_.size() > kMaxUnparsedBytes)
       tcp_->SetReading(false);
     return;
@@ -291,10 +290,7 @@
     return;
   }
   MarkEnded(ConnectionEnd::kIdle);
-  if (pipelines_)
-    tcp_->CloseAfterFlush();
-  else
-    tcp_->CloseUnread();
+  tcp_->CloseUnread();
   handler_->OnConnectionEnd(*this);
 }
 
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -207,8 +207,6 @@
   bool paused_ = false;
   // The connection ends once all bytes are sent. No further request is read.
   bool ending_ = false;
-  // The caller has sent a request before it had the reply to the one before.
-  bool pipelines_ = false;
   bool too_large_ = false;
   bool ended_ = false;
   ConnectionEnd end_ = ConnectionEnd::kIdle;
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -99,9 +99,7 @@
   void CloseAfterFlush();
   // Ends this side of a connection that is idle and whose bytes the peer has
   // received, and closes. Bytes that cross the end stay unread and reset the
-  // connection, so that the peer can tell that its request was not read. Peers
-  // that send a request before they have the reply to the last one may lose
-  // that reply.
+  // connection, so that the peer can tell that its request was not read.
   void CloseUnread();
   // Returns whether bytes, the peer's end or an error have arrived that the
   // handler has not been told of.
