Request bodies: bounded in sum, and held once

Cause: a body had a bound, the sum of all had none, and each was held twice: by the request, and by the connection to the endpoint. A kept connection also kept the memory of its largest body. SharedBytes: request, retries and connection hold one copy, which leaves the budget with its last owner. Small requests always find a quarter of the budget.

--- a/carobshift/base/byte_budget.h
+++ b/carobshift/base/byte_budget.h
@@ -19,6 +19,9 @@
 //   sound stream must not end for what other parties send. Beyond, answers
 //   fill half of it at most.
 //
+// - Requests up to kSmallBytes may fill all of it, larger ones three quarters:
+//   a few large bodies don't keep out the small ones.
+//
 // A BudgetedBuffer is a text with its reservation.
 //
 // Nothing is refused with an exception. Thread-compatible: one event loop.
@@ -42,6 +45,8 @@
   kRequired,
   // Without these bytes, a caller loses its answer.
   kAnswer,
+  // Without these bytes, a caller's request is refused before it has run.
+  kRequest,
 };
 
 class ByteBudget {
@@ -63,13 +68,18 @@
   // How full the budget may be with a reservation of `size` bytes in it.
   [[nodiscard]] std::size_t LimitFor(std::size_t size,
                                      ByteImportance importance) const {
-    if (importance == ByteImportance::kRequired)
-      return limit_;
-    if (size > kSmallBytes)
-      return limit_ / 2;
-    return importance == ByteImportance::kAnswer
-               ? std::numeric_limits<std::size_t>::max()
-               : limit_ / 4 * 3;
+    const bool is_small = size <= kSmallBytes;
+    switch (importance) {
+      case ByteImportance::kRequired:
+        break;
+      case ByteImportance::kRequest:
+        return is_small ? limit_ : limit_ / 4 * 3;
+      case ByteImportance::kAnswer:
+        return is_small ? std::numeric_limits<std::size_t>::max() : limit_ / 2;
+      case ByteImportance::kOptional:
+        return is_small ? limit_ / 4 * 3 : limit_ / 2;
+    }
+    return limit_;
   }
 
   std::size_t limit_;
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -22,13 +22,13 @@
 
 }  // namespace
 
-RequestServiceOptions Gateway::Impl::ServiceOptions(
-    const GatewaySettings& settings) {
+RequestServiceOptions Gateway::Impl::ServiceOptions() {
   RequestServiceOptions options;
   options.retries = settings.retries;
   options.retries.first_start = settings.first_start;
   options.cold_start = settings.cold_start;
   options.instance = FastHash(settings.entry.value());
+  options.body_budget = &body_budget;
   return options;
 }
 
--- a/carobshift/gateway/gateway_impl.h
+++ b/carobshift/gateway/gateway_impl.h
@@ -102,8 +102,7 @@
   QueryAnswer AnswerMetrics(const HttpHead& question);
   [[nodiscard]] std::string StateDumpText() const;
   [[nodiscard]] HandoffEnvironment HandoffEnvironmentOf();
-  [[nodiscard]] static RequestServiceOptions ServiceOptions(
-      const GatewaySettings& settings);
+  [[nodiscard]] RequestServiceOptions ServiceOptions();
   [[nodiscard]] static KeyedFollowerOptions EndpointFollowerOptions();
 
   GatewaySettings settings;
@@ -114,6 +113,10 @@
   // Of replies to calls of this instance's own and of what attempts hold of
   // answers.
   ByteBudget reply_budget{kMaxHeldReplyBytes};
+  // Of the bodies of callers' requests, of those too that other instances hand
+  // over.
+  ByteBudget body_budget{static_cast<std::size_t>(
+      static_cast<double>(settings.memory_limit) * kRequestBodyShare)};
   HttpClient endpoint_client{
       loop,
       {.tcp = kEndpointTcp, .reply_budget = &reply_budget}};
@@ -133,16 +136,9 @@
   ZoneEvacuations evacuations;
   ZoneRegions regions{settings.regions};
   Cluster cluster{loop, settings};
-  RequestService requests{loop,
-                          endpoint_client,
-                          dialects.request,
-                          registry,
-                          contents,
-                          deadlines,
-                          evacuations,
-                          regions,
-                          metrics,
-                          ServiceOptions(settings)};
+  RequestService requests{loop,     endpoint_client, dialects.request, registry,
+                          contents, deadlines,       evacuations,      regions,
+                          metrics,  ServiceOptions()};
   PeerDatagrams datagrams{loop, settings, cluster};
   ReachabilitySharing reachability_sharing{loop, cluster, datagrams,
                                            reachability.reachability()};
--- a/carobshift/gateway/gateway_settings.h
+++ b/carobshift/gateway/gateway_settings.h
@@ -52,6 +52,8 @@
   bool engines_check_fencing = true;
   // Time between the announcement of a stop and the forced end of the process.
   Milliseconds stop_grace{8000};
+  // Memory that the process may take.
+  Bytes memory_limit{160 << 20};
   // Maximum time for which callers may cache an address answer.
   Milliseconds max_address_ttl{5000};
 };
--- a/carobshift/gateway/handoff/handoff_listener.cc
+++ b/carobshift/gateway/handoff/handoff_listener.cc
@@ -9,6 +9,17 @@
 #include "carobshift/telemetry/event_log.h"
 
 namespace carobshift {
+namespace {
+
+// Tells the other instance that the request has not run.
+void SendRefusal(HttpServerConnection& connection, ResultCode code) {
+  HttpHead head = FailureHead(HttpStatusOf(code), std::nullopt);
+  SetHandoffState(HandoffState::kNotRun, head);
+  connection.SendCompleteReply(
+      std::move(head), FailureBody(code, RunStateName(RunState::kNotRun)));
+}
+
+}  // namespace
 
 HandoffListener::HandoffListener(EventLoop& loop,
                                  RequestService& requests,
@@ -105,12 +116,7 @@
   const std::string_view name = HandoffRejectionName(reason);
   metrics_.Add("carobshift_handoffs_rejected_total", {{"reason", name}}, 1);
   LogEvent(LogLevel::kWarning, "handoff_rejected", {{"reason", name}});
-  HttpHead head =
-      FailureHead(HttpStatusOf(ResultCode::kPeerRejected), std::nullopt);
-  SetHandoffState(HandoffState::kNotRun, head);
-  connection.SendCompleteReply(
-      std::move(head),
-      FailureBody(ResultCode::kPeerRejected, RunStateName(RunState::kNotRun)));
+  SendRefusal(connection, ResultCode::kPeerRejected);
 }
 
 void HandoffListener::OnCallerDisconnected(HttpServerConnection& connection) {
@@ -126,6 +132,14 @@
   connections_.erase(&connection);
 }
 
+void HandoffListener::OnNoRoom(HttpServerConnection& connection,
+                               const HttpHead&) {
+  metrics_.Add("carobshift_handoffs_rejected_total", {{"reason", "no_room"}},
+               1);
+  LogEvent(LogLevel::kWarning, "handoff_rejected", {{"reason", "no_room"}});
+  SendRefusal(connection, ResultCode::kOverloaded);
+}
+
 void HandoffListener::OnMalformed(int status) {
   requests_.connection_handler().OnMalformed(status);
 }
--- a/carobshift/gateway/handoff/handoff_listener.h
+++ b/carobshift/gateway/handoff/handoff_listener.h
@@ -75,6 +75,8 @@
   void OnBackpressure(HttpServerConnection& connection, bool pause) override;
   void OnConnectionEnd(HttpServerConnection& connection) override;
   void OnMalformed(int status) override;
+  void OnNoRoom(HttpServerConnection& connection,
+                const HttpHead& head) override;
 
   void Accept(const Poco::Net::StreamSocket& socket);
   [[nodiscard]] HttpServerLimits ConnectionLimits() const;
--- a/carobshift/gateway/handoff/handoff_runner.cc
+++ b/carobshift/gateway/handoff/handoff_runner.cc
@@ -130,11 +130,12 @@
   SealHandoff({.from = environment_.self,
                .to = peer.id,
                .to_incarnation = peer.incarnation},
-              sent.body, environment_.secret, head);
+              sent.body.view(), environment_.secret, head);
   HttpCallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.max_idle = kMaxIdle;
   options.is_head_request = sent.method == "HEAD";
+  options.body = sent.body;
   LogEvent(LogLevel::kInfo, "request_handed_off",
            {{"request", sent.id.value()},
             {"peer", peer.id.value()},
@@ -142,7 +143,7 @@
             {"repeat", wish.repeat}});
   request.run.lock()->StartCall(
       wish.number, client_, {peer.host, environment_.port},
-      SerializeRequestHead(head) + sent.body, options,
+      SerializeRequestHead(head), options,
       [this](const HttpHead& reply) { return DecodeReply(reply); });
 }
 
--- a/carobshift/gateway/records/fake_log.h
+++ b/carobshift/gateway/records/fake_log.h
@@ -265,13 +265,14 @@
 
 inline void FakeLog::ServeLater(HttpServerConnection& connection,
                                 const HttpServerRequest& request) {
-  loop_.AddTimer(loop_.now() + delay_,
-                 [this, request, to = connection.weak_from_this(),
-                  alive = std::weak_ptr<bool>(alive_)] {
-                   const auto open = to.lock();
-                   if (open != nullptr && !alive.expired())
-                     Serve(*open, request);
-                 });
+  loop_.AddTimer(
+      loop_.now() + delay_,
+      [this, head = request.head, body = request.body,
+       to = connection.weak_from_this(), alive = std::weak_ptr<bool>(alive_)] {
+        const auto open = to.lock();
+        if (open != nullptr && !alive.expired())
+          Serve(*open, {.head = head, .body = body});
+      });
 }
 
 // `argument` is "FROM/WAIT", with the wait in milliseconds.
--- a/carobshift/gateway/request/caller_request.h
+++ b/carobshift/gateway/request/caller_request.h
@@ -12,6 +12,7 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/net_address.h"
+#include "carobshift/base/shared_bytes.h"
 #include "carobshift/base/units.h"
 #include "carobshift/net/http_message.h"
 
@@ -63,7 +64,7 @@
   // Header fields forwarded to the endpoint, without those that the gateway
   // sets.
   std::vector<HttpField> fields;
-  std::string body;
+  SharedBytes body;
   // Handed over by another instance, to which the reply states whether the
   // request ran.
   bool handed_over = false;
--- a/carobshift/gateway/request/crash_record.cc
+++ b/carobshift/gateway/request/crash_record.cc
@@ -21,7 +21,7 @@
   if (account)
     text += account->value();
   text += '\n';
-  text += request.body;
+  text += request.body.view();
   // The last part of a prompt is specific to the request.
   if (request.prompt && !request.prompt->parts.empty())
     text += '\n' + request.prompt->parts.back().id;
--- a/carobshift/gateway/request/crash_record_test.cc
+++ b/carobshift/gateway/request/crash_record_test.cc
@@ -16,7 +16,7 @@
   CrashRecord record;
   CallerRequest request;
   request.target = "/review/1";
-  request.body = "poison";
+  request.body = SharedBytes("poison");
   const auto fingerprint = FingerprintOf(request, AccountId("north"));
   CHECK(fingerprint != FingerprintOf(request, AccountId("south")));
   for (const char* run : {"r1.1", "r2.1"}) {
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr int kUnavailable = 503;
+// By this time endpoints have read a good part of the bodies that take up the
+// room.
+constexpr Milliseconds kRetryAfterWithoutRoom{500};
 // By this time the instance, or another one, is expected to be ready.
 constexpr Milliseconds kRetryAfterWithoutConfig{300};
 // Fraction of an endpoint's connection limit that the instances share, so that
@@ -25,6 +28,18 @@
 constexpr double kConnectionShare = 0.9;
 constexpr int kNoConnectionLimit = 0;
 
+// Returns when the caller of a request that was rejected without a look at the
+// endpoints may return, if that helps.
+std::optional<Milliseconds> RetryAfterRejection(ResultCode code) {
+  if (code == ResultCode::kOverloaded)
+    return kRetryAfterWithoutRoom;
+  if (code == ResultCode::kEntryLeaving)
+    return ShutdownSchedule::kRetryAfter;
+  if (HttpStatusOf(code) == kUnavailable)
+    return kRetryAfterWithoutConfig;
+  return std::nullopt;
+}
+
 }  // namespace
 
 RequestService::RequestService(EventLoop& loop,
@@ -88,6 +103,7 @@
   limits.body_bytes = applied_caller_limits_.body_bytes;
   limits.head_timeout = applied_caller_limits_.head_timeout;
   limits.idle_timeout = applied_caller_limits_.idle_timeout;
+  limits.body_budget = options_.body_budget;
   return limits;
 }
 
@@ -184,7 +200,8 @@
     return;
   }
   CallerRequest& request = decoded.value();
-  request.body = std::move(received.body);
+  request.body =
+      SharedBytes(std::move(received.body), std::move(received.reserved));
   request.handed_over = from != nullptr;
   if (request.handed_over) {
     LogEvent(LogLevel::kInfo, "handoff_accepted",
@@ -298,19 +315,20 @@
        {"status", status},
        {"code", ResultCodeName(code)},
        {"config", config_ == nullptr ? 0 : config_->config().number.value()}});
-  std::optional<Milliseconds> retry_after;
-  if (status == kUnavailable) {
-    retry_after = code == ResultCode::kEntryLeaving
-                      ? ShutdownSchedule::kRetryAfter
-                      : kRetryAfterWithoutConfig;
-  }
-  HttpHead head = FailureHead(status, retry_after);
+  HttpHead head = FailureHead(status, RetryAfterRejection(code));
   if (from != nullptr)
     SetHandoffState(HandoffState::kNotRun, head);
   connection.SendCompleteReply(
       std::move(head), FailureBody(code, RunStateName(RunState::kNotRun)));
 }
 
+void RequestService::OnNoRoom(HttpServerConnection& connection,
+                              const HttpHead& head) {
+  const Result<CallerRequest> decoded = dialect_.DecodeRequest(head);
+  Reject(connection, decoded.ok() ? decoded.value().id : RequestId(),
+         ResultCode::kOverloaded, /*from=*/nullptr);
+}
+
 void RequestService::OnMalformed(int status) {
   metrics_.Add("carobshift_malformed_total", {}, 1);
   LogEvent(LogLevel::kInfo, "request_malformed", {{"status", status}});
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -236,6 +236,8 @@
   void OnBackpressure(HttpServerConnection& connection, bool pause) override;
   void OnConnectionEnd(HttpServerConnection& connection) override;
   void OnMalformed(int status) override;
+  void OnNoRoom(HttpServerConnection& connection,
+                const HttpHead& head) override;
 
   AttemptError StartAttempt(Exchange& exchange,
                             const AttemptParams& wish,
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -84,10 +84,10 @@
     return MayStillSend(exchange.setup(), endpoint) && AdmitAttempt(exchange);
   };
   *start = {plan->endpoint.id, plan->endpoint.software};
-  std::string bytes = dialect_.EncodeAttempt(setup.request, plan->fields);
-  bytes += setup.request.body;
+  options.body = setup.request.body;
   running.run->StartCall(wish.number, client_, plan->endpoint.address,
-                         std::move(bytes), options);
+                         dialect_.EncodeAttempt(setup.request, plan->fields),
+                         options);
   return AttemptError::kNone;
 }
 
--- a/carobshift/gateway/request/request_service_options.h
+++ b/carobshift/gateway/request/request_service_options.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 
+#include "carobshift/base/byte_budget.h"
 #include "carobshift/base/units.h"
 #include "carobshift/gateway/endpoints/cold_start_limits.h"
 #include "carobshift/gateway/request/retry_allowance.h"
@@ -24,6 +25,8 @@
   // once: if the connection has failed unnoticed, the outcome of the request is
   // unknown.
   Milliseconds run_once_max_idle{1000};
+  // Bounds the bodies of callers' requests in sum. Null for no bound.
+  ByteBudget* body_budget = nullptr;
 };
 
 }  // namespace carobshift
--- /dev/null
+++ b/carobshift/net/http_body_budget_test.cc
@@ -0,0 +1,114 @@
+// Bodies of requests beside a budget in sum, and bodies that a client shares.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <utility>
+
+#include "carobshift/base/byte_budget.h"
+#include "carobshift/base/shared_bytes.h"
+#include "carobshift/net/http_client.h"
+#include "carobshift/net/http_server_connection.h"
+#include "carobshift/net/http_test_calls.h"
+#include "carobshift/net/loopback_server.h"
+
+namespace carobshift {
+namespace {
+
+constexpr std::size_t kBodyBytes = std::size_t{1} << 20;
+
+std::string PostHead(std::size_t length) {
+  return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(length) + "\r\n\r\n";
+}
+
+std::string ChunkedPost(std::size_t length) {
+  constexpr char kChunk[] = "400\r\n";
+  constexpr std::size_t kChunkBytes = 1024;
+  std::string request =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t sent = 0; sent < length; sent += kChunkBytes)
+    request += kChunk + std::string(kChunkBytes, 'x') + "\r\n";
+  return request + "0\r\n\r\n";
+}
+
+// Sends one request and returns the status of its reply.
+int StatusOf(EventLoop& loop,
+             const NetAddress& address,
+             const std::string& request) {
+  HttpClient client(loop, {});
+  TestListener listener;
+  const auto call = client.Start(address, request, {}, &listener);
+  RunUntil(loop, [&] { return listener.over(); });
+  return listener.status;
+}
+
+// Guards against an instance that reads as many bodies as its callers send.
+TEST_CASE("a request whose body has no room is refused before it is read") {
+  EventLoop loop;
+  ByteBudget budget(4 * kBodyBytes);
+  LoopbackServer server(loop, AnswerOk, {.body_budget = &budget});
+  server.holds_requests = true;
+  const bool chunked = GENERATE(false, true);
+  CAPTURE(chunked);
+  const std::string request =
+      chunked ? ChunkedPost(kBodyBytes)
+              : PostHead(kBodyBytes) + std::string(kBodyBytes, 'x');
+  int accepted = 0;
+  while (accepted < 8 && StatusOf(loop, server.address(), request) == 200)
+    ++accepted;
+  // A chunked body may take up to twice its size.
+  CHECK(accepted >= 1);
+  CHECK(accepted <= 3);
+  CHECK(budget.held() <= 3 * kBodyBytes);
+  CHECK(server.bodies.size() == static_cast<std::size_t>(accepted));
+  CHECK(StatusOf(loop, server.address(), request) == 503);
+  // Small ones still have room.
+  CHECK(StatusOf(loop, server.address(), PostHead(5) + "hello") == 200);
+  server.held.clear();
+  CHECK(budget.held() == 0);
+  CHECK(StatusOf(loop, server.address(), request) == 200);
+}
+
+TEST_CASE("a connection that ends within a body gives its room back") {
+  EventLoop loop;
+  ByteBudget budget(4 * kBodyBytes);
+  LoopbackServer server(loop, AnswerOk, {.body_budget = &budget});
+  HttpClient client(loop, {});
+  TestListener listener;
+  const auto call = client.Start(server.address(),
+                                 PostHead(kBodyBytes) + "part", {}, &listener);
+  RunUntil(loop, [&] { return budget.held() == kBodyBytes; });
+  call->Cancel();
+  RunUntil(loop, [&] { return server.ended == 1; });
+  server.connections.clear();
+  CHECK(budget.held() == 0);
+}
+
+// Guards against a body that is held twice while its peer reads slowly.
+TEST_CASE("a shared body is sent whole and not copied") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk, {.body_bytes = 8 * kBodyBytes});
+  HttpClient client(loop, {});
+  const std::size_t size = GENERATE(std::size_t{0}, std::size_t{5},
+                                    std::size_t{17} << 10, 8 * kBodyBytes);
+  CAPTURE(size);
+  ByteBudget budget(8 * kBodyBytes);
+  ByteReservation reserved(&budget, ByteImportance::kRequired);
+  REQUIRE(reserved.GrowTo(size));
+  HttpCallOptions options;
+  options.body = SharedBytes(std::string(size, 'x'), std::move(reserved));
+  for (int i = 0; i < 2; ++i) {
+    TestListener listener;
+    const auto call =
+        client.Start(server.address(), PostHead(size), options, &listener);
+    RunUntil(loop, [&] { return listener.over(); });
+    CHECK(listener.status == 200);
+    CHECK(server.bodies.back() == options.body.view());
+  }
+  CHECK(server.accepted == 1);
+  options.body = SharedBytes();
+  CHECK(budget.held() == 0);
+}
+
+}  // namespace
+}  // namespace carobshift
--- a/carobshift/net/http_client.cc
+++ b/carobshift/net/http_client.cc
@@ -9,6 +9,9 @@
 
 constexpr std::string_view kTimeoutParameter = "timeout=";
 constexpr int kFirstFinalStatus = 200;
+// Bodies up to this size are copied behind their head and leave in one segment
+// with it.
+constexpr std::size_t kMaxCopiedBody = std::size_t{16} << 10;
 
 // Returns the value of "timeout=N" in a Keep-Alive field.
 std::optional<Seconds> KeepAliveTimeout(std::string_view value) {
@@ -280,14 +283,25 @@
   parser_.Reset(is_head_request_);
   if (tcp_->connected()) {
     OnRequestSent();
-    tcp_->Send(bytes);
+    SendRequest(bytes, options.body);
   } else {
     sent_ = false;
     unsent_request_ = std::move(bytes);
+    unsent_body_ = options.body;
     may_send_ = options.may_send;
   }
 }
 
+void HttpClientConnection::SendRequest(std::string bytes,
+                                       const SharedBytes& body) {
+  const bool copies_body = body.size() <= kMaxCopiedBody;
+  if (copies_body)
+    bytes += body.view();
+  tcp_->Send(bytes);
+  if (!copies_body)
+    tcp_->SendShared(body);
+}
+
 void HttpClientConnection::Remember(const std::optional<ReplyKey>& key) {
   if (!key)
     return;
@@ -314,9 +328,8 @@
     return;
   }
   OnRequestSent();
-  const std::string bytes = std::move(unsent_request_);
-  unsent_request_.clear();
-  tcp_->Send(bytes);
+  SendRequest(std::exchange(unsent_request_, {}),
+              std::exchange(unsent_body_, {}));
 }
 
 void HttpClientConnection::SetReading(bool reading) {
--- a/carobshift/net/http_client.h
+++ b/carobshift/net/http_client.h
@@ -51,6 +51,7 @@
 
 #include "carobshift/base/byte_budget.h"
 #include "carobshift/base/net_address.h"
+#include "carobshift/base/shared_bytes.h"
 #include "carobshift/base/strong_type.h"
 #include "carobshift/net/event_loop.h"
 #include "carobshift/net/http_parser.h"
@@ -137,6 +138,8 @@
   // If set, the call doesn't use a connection that has lately carried one with
   // the same key.
   std::optional<ReplyKey> reply_key{};
+  // Sent behind the bytes of the call.
+  SharedBytes body{};
   // Asked right before the first byte is sent on a connection that the call had
   // to wait for; the call fails as kWithdrawn if it returns false. May be null.
   std::function<bool()> may_send{};
@@ -215,8 +218,9 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  // Sends `bytes`, a complete request. The listener must live until its last
-  // event or Cancel(). No listener call is made before this function returns.
+  // Sends `bytes`, a complete request unless its body is in the options. The
+  // listener must live until its last event or Cancel(). No listener call is
+  // made before this function returns.
   std::shared_ptr<ClientCall> Start(const NetAddress& address,
                                     std::string bytes,
                                     const HttpCallOptions& options,
@@ -334,6 +338,7 @@
   void End(void (TcpConnection::*close)());
   void BecomeIdle();
   void OnRequestSent();
+  void SendRequest(std::string bytes, const SharedBytes& body);
   void Remember(const std::optional<ReplyKey>& key);
   // Reports the end of the attempt to connect, if one is in progress.
   void EndConnecting(HttpClient::ObserverEvent outcome);
@@ -353,6 +358,7 @@
   HttpCallListener* listener_ = nullptr;
   std::shared_ptr<ClientCall> call_;
   std::string unsent_request_;
+  SharedBytes unsent_body_;
   std::function<bool()> may_send_;
   TimerId connect_timer_;
   bool connecting_ = false;
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -11,6 +11,7 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
+constexpr int kUnavailable = 503;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 // Maximum number of bytes buffered beyond the request being served. Reading
@@ -35,6 +36,13 @@
   return "unknown";
 }
 
+void HttpServerHandler::OnNoRoom(HttpServerConnection& connection,
+                                 const HttpHead&) {
+  HttpHead reply;
+  reply.status = kUnavailable;
+  connection.SendCompleteReply(std::move(reply), "");
+}
+
 HttpServerConnection::HttpServerConnection(EventLoop& loop,
                                            const HttpServerLimits& limits,
                                            HttpServerHandler& handler)
@@ -116,6 +124,10 @@
       Reject(kPayloadTooLarge);
       return;
     }
+    if (no_room_) {
+      RefuseForRoom();
+      return;
+    }
     switch (progress.state) {
       case HttpParser::State::kPartial:
         if (is_first_byte || head_was_done || parser_.head_done())
@@ -142,12 +154,17 @@
   http_1_0_ = info.http_1_0;
   keep_alive_ = info.keep_alive && !info.http_1_0;
   reply_to_head_ = head.method == "HEAD";
-  if (info.framing == HttpBodyFraming::kLength &&
-      info.length > limits_.body_bytes)
-    too_large_ = true;
+  request_.reserved =
+      ByteReservation(limits_.body_budget, ByteImportance::kRequest);
+  if (info.framing == HttpBodyFraming::kLength) {
+    too_large_ = info.length > limits_.body_bytes;
+    no_room_ = !too_large_ && !request_.reserved.GrowTo(info.length);
+    if (!too_large_ && !no_room_)
+      request_.body.reserve(info.length);
+  }
   const std::string* const expect = head.Find("Expect");
   if (expect != nullptr && EqualsIgnoringCase(*expect, "100-continue") &&
-      info.framing != HttpBodyFraming::kNone && !too_large_)
+      info.framing != HttpBodyFraming::kNone && !too_large_ && !no_room_)
     tcp_->Send(kContinue);
   request_.head = std::move(head);
 }
@@ -155,13 +172,17 @@
 void HttpServerConnection::OnBody(std::string_view bytes) {
   if (request_.body.size() + bytes.size() > limits_.body_bytes)
     too_large_ = true;
-  if (!too_large_)
-    request_.body.append(bytes);
+  if (too_large_ || no_room_)
+    return;
+  request_.body.append(bytes);
+  // Grows only for a body that came without its length.
+  no_room_ = !request_.reserved.GrowTo(request_.body.capacity());
 }
 
 void HttpServerConnection::Reject(int status) {
   if (ended_)
     return;
+  request_ = {};
   handler_->OnMalformed(status);
   HttpHead head;
   head.status = status;
@@ -170,6 +191,13 @@
   SendCompleteReply(std::move(head), "");
 }
 
+void HttpServerConnection::RefuseForRoom() {
+  const HttpHead head = std::exchange(request_, {}).head;
+  serving_ = true;
+  keep_alive_ = false;
+  handler_->OnNoRoom(*this, head);
+}
+
 void HttpServerConnection::AddConnectionFields(HttpHead& head) {
   if (close_after_reply_)
     keep_alive_ = false;
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -25,6 +25,9 @@
 //   otherwise.
 // - A caller reads the last reply slowly. The connection ends after the caller
 //   has received all of it, and busy() is true until then.
+// - Callers send more than the instance has room for. A body counts in
+//   `body_budget` once its length is known, for as long as the handler holds
+//   it; a request whose body has no room is refused before it is read.
 // - A caller doesn't read. Beyond `high_water` unsent bytes the handler is
 //   asked to pause the source of the reply.
 
@@ -37,6 +40,7 @@
 #include <string>
 #include <string_view>
 
+#include "carobshift/base/byte_budget.h"
 #include "carobshift/net/event_loop.h"
 #include "carobshift/net/http_parser.h"
 #include "carobshift/net/tcp_connection.h"
@@ -54,11 +58,16 @@
   // all have been sent. Equals the data of a few round trips at a stream's
   // speed.
   std::size_t high_water = std::size_t{256} << 10;
+  // Bounds the bodies of all connections with the same budget in sum. Must
+  // outlive them and their requests. Null for no bound.
+  ByteBudget* body_budget = nullptr;
 };
 
 struct HttpServerRequest {
   HttpHead head;
   std::string body;
+  // Of the body. Whoever keeps the body keeps this too.
+  ByteReservation reserved{};
 };
 
 // How a connection ended, by the side that ended it.
@@ -97,6 +106,10 @@
   virtual void OnConnectionEnd(HttpServerConnection& connection) = 0;
   // A malformed, oversized or incomplete request was rejected with this status.
   virtual void OnMalformed(int) {}
+  // There is no room for the request's body, which has not been read. The
+  // handler must send one reply, which tells that the request has not run; the
+  // connection ends behind it.
+  virtual void OnNoRoom(HttpServerConnection& connection, const HttpHead& head);
 };
 
 class HttpServerConnection
@@ -171,6 +184,7 @@
 
   void Parse();
   void Reject(int status);
+  void RefuseForRoom();
   void AddConnectionFields(HttpHead& head);
   void FinishReply();
   void BeginIdlePeriod();
@@ -210,6 +224,8 @@
   // The caller has sent a request before it had the reply to the one before.
   bool pipelines_ = false;
   bool too_large_ = false;
+  // The body of the request being read has no room in the budget.
+  bool no_room_ = false;
   bool ended_ = false;
   ConnectionEnd end_ = ConnectionEnd::kIdle;
   bool left_unread_ = false;
--- a/carobshift/net/loopback_server.h
+++ b/carobshift/net/loopback_server.h
@@ -57,6 +57,8 @@
                  HttpServerRequest request) override {
     bodies.push_back(request.body);
     answer_(*connection, request);
+    if (holds_requests)
+      held.push_back(std::move(request));
   }
   void OnCallerDisconnected(HttpServerConnection&) override { ++gone; }
   void OnConnectionEnd(HttpServerConnection&) override { ++ended; }
@@ -66,6 +68,10 @@
   std::vector<std::shared_ptr<HttpServerConnection>> connections;
   std::vector<std::string> bodies;
   std::vector<int> malformed;
+  // Whether requests are held after their answer, as while an endpoint reads
+  // them.
+  bool holds_requests = false;
+  std::vector<HttpServerRequest> held;
   int accepted = 0;
   int gone = 0;
   int ended = 0;
--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -16,7 +16,8 @@
 
 constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10;
 
-// Sent bytes are removed from the buffer once there are this many.
+// Sent bytes are removed from the buffer once there are this many. An empty
+// buffer with more room gives its memory back.
 constexpr std::size_t kCompactBytes = std::size_t{64} << 10;
 
 }  // namespace
@@ -79,18 +80,56 @@
 void TcpConnection::Send(std::string_view bytes) {
   if (closed_ || lingering_)
     return;
+  BufferShared();
   send_buffer_.append(bytes);
   if (connected_)
     Flush();
 }
 
+void TcpConnection::SendShared(const SharedBytes& bytes) {
+  if (closed_ || lingering_)
+    return;
+  BufferShared();
+  shared_ = bytes;
+  if (connected_)
+    Flush();
+}
+
+void TcpConnection::BufferShared() {
+  send_buffer_.append(shared_.view().substr(shared_offset_));
+  shared_ = {};
+  shared_offset_ = 0;
+}
+
+std::string_view TcpConnection::NextUnsent() const {
+  if (send_offset_ < send_buffer_.size())
+    return std::string_view(send_buffer_).substr(send_offset_);
+  return shared_.view().substr(shared_offset_);
+}
+
+void TcpConnection::OnSent(std::size_t bytes) {
+  if (send_offset_ < send_buffer_.size())
+    send_offset_ += bytes;
+  else
+    shared_offset_ += bytes;
+}
+
+void TcpConnection::DropUnsent() {
+  if (send_buffer_.capacity() > kCompactBytes)
+    std::string().swap(send_buffer_);
+  send_buffer_.clear();
+  send_offset_ = 0;
+  shared_ = {};
+  shared_offset_ = 0;
+}
+
 void TcpConnection::Flush() {
   while (unsent() > 0) {
+    const std::string_view next = NextUnsent();
     // sendBytes() throws the same exception for a full buffer and for a
     // failure; only the latter must close the connection.
-    const ssize_t sent =
-        ::send(socket_.impl()->sockfd(), send_buffer_.data() + send_offset_,
-               unsent(), MSG_NOSIGNAL);
+    const ssize_t sent = ::send(socket_.impl()->sockfd(), next.data(),
+                                next.size(), MSG_NOSIGNAL);
     if (sent < 0 && errno == EINTR)
       continue;
     if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
@@ -100,11 +139,10 @@
       PostFailure();
       return;
     }
-    send_offset_ += static_cast<std::size_t>(sent);
+    OnSent(static_cast<std::size_t>(sent));
   }
   if (unsent() == 0) {
-    send_buffer_.clear();
-    send_offset_ = 0;
+    DropUnsent();
   } else if (send_offset_ >= kCompactBytes) {
     send_buffer_.erase(0, send_offset_);
     send_offset_ = 0;
@@ -133,6 +171,7 @@
     return;
   closed_ = true;
   handler_ = nullptr;
+  DropUnsent();
   loop_.Remove(socket_);
   socket_.close();
 }
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -30,6 +30,7 @@
 #include <string_view>
 
 #include "carobshift/base/net_address.h"
+#include "carobshift/base/shared_bytes.h"
 #include "carobshift/net/event_loop.h"
 
 namespace carobshift {
@@ -88,6 +89,9 @@
 
   // Sends what the socket accepts now, and buffers the rest.
   void Send(std::string_view bytes);
+  // The same; the rest is held, not copied, unless the connection sends more
+  // before it is gone.
+  void SendShared(const SharedBytes& bytes);
   // Stops or resumes reading. While reading is stopped, the end of the peer's
   // side isn't noticed.
   void SetReading(bool reading);
@@ -111,7 +115,7 @@
   void Abort();
 
   [[nodiscard]] std::size_t unsent() const {
-    return send_buffer_.size() - send_offset_;
+    return send_buffer_.size() - send_offset_ + shared_.size() - shared_offset_;
   }
   // Bytes that the peer has not received yet: unsent() and those in the kernel.
   // Asks the kernel.
@@ -135,8 +139,14 @@
   void Configure(const TcpOptions& options);
   void StartConnect(const NetAddress& address);
   bool FinishConnect();
-  // Sends from the buffer until the socket accepts no more.
+  // Sends unsent bytes until the socket accepts no more.
   void Flush();
+  // Returns the bytes that are to be sent next, in one piece.
+  [[nodiscard]] std::string_view NextUnsent() const;
+  void OnSent(std::size_t bytes);
+  // Moves the rest of shared_ behind send_buffer_.
+  void BufferShared();
+  void DropUnsent();
   // Ends this side of a connection that is lingering.
   void EndSending();
   // Closes after kLinger, or later if the peer has not received all by then.
@@ -151,6 +161,9 @@
   TcpConnectionHandler* handler_;
   std::string send_buffer_;
   std::size_t send_offset_ = 0;
+  // Sent after send_buffer_, from the offset on.
+  SharedBytes shared_;
+  std::size_t shared_offset_ = 0;
   int interest_ = 0;
   bool connected_ = false;
   bool reading_ = true;
--- a/testing/endless_server.cc
+++ b/testing/endless_server.cc
@@ -59,12 +59,19 @@
           form == EndlessForm::kEvents ? kListBytes : kEventBytes,
           R"({"epoch":1,"next_page_token":9,"lost":false,"events":[)",
           R"([119,"+","s1","5c1e07a2",800,"daka510000"])", "]}");
+    case EndlessForm::kUnread:
+      break;
     case EndlessForm::kUnsolicited:
       return std::string(kOk) + "Content-Length: 2\r\n\r\n{}";
   }
   return {};
 }
 
+// Returns what makes a connection due to be read.
+short ReadEvents(EndlessForm form) {
+  return form == EndlessForm::kUnread ? 0 : POLLIN;
+}
+
 bool IsComplete(EndlessForm form) {
   return form == EndlessForm::kList || form == EndlessForm::kEvents ||
          form == EndlessForm::kLongEvents;
@@ -118,9 +125,9 @@
       polled.push_back({listener, POLLIN, 0});
     for (const Connection& connection : connections_) {
       const bool writes = connection.answering && !IsSlow(form_);
-      polled.push_back({connection.socket,
-                        static_cast<short>(writes ? POLLIN | POLLOUT : POLLIN),
-                        0});
+      polled.push_back(
+          {connection.socket,
+           static_cast<short>(ReadEvents(form_) | (writes ? POLLOUT : 0)), 0});
     }
     (void)poll(polled.data(), polled.size(), kMaxWaitMs);
     const std::size_t known = connections_.size();
--- a/testing/endless_server.h
+++ b/testing/endless_server.h
@@ -35,6 +35,8 @@
   kSlowHead,
   // A complete short answer, followed by bytes without end.
   kUnsolicited,
+  // No answer: requests are not read.
+  kUnread,
 };
 
 // The accessors are thread-safe.
--- a/testing/gateway_bytes_without_end_process_test.cc
+++ b/testing/gateway_bytes_without_end_process_test.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "testing/endless_server.h"
+#include "testing/faulty_endpoints.h"
 #include "testing/gateway_cluster.h"
 
 namespace carobshift {
@@ -20,8 +20,6 @@
 
 using nlohmann::json;
 
-// The memory of the smallest instance, in KB.
-constexpr long kSmallestInstance = 88L << 10;
 // Within which callers' requests are answered meanwhile. Their streams take
 // 0.1 s by themselves.
 constexpr Milliseconds kMaxAnswerTime{1000};
@@ -31,39 +29,6 @@
 // a pause that grows, from less than a second on.
 constexpr std::uint64_t kMaxQuestionsEach = 6;
 
-// Returns the largest resident size that the process has had, in KB.
-long PeakMemory(const Process& process) {
-  std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.starts_with("VmHWM:"))
-      return std::stol(line.substr(line.find_first_of("0123456789")));
-  }
-  return 0;
-}
-
-// Writes records of engines at the server's addresses. No route leads to
-// "spares", so that the only calls to them are the instance's own.
-void AddEntries(GatewayCluster& cluster,
-                const EndlessServer& server,
-                const std::string& service = "spares",
-                const json& models = json::array()) {
-  int index = 0;
-  for (const NetAddress& address : server.addresses()) {
-    cluster.PutKeyed("keyed.servers", "faulty-" + std::to_string(index++),
-                     json{{"service", service},
-                          {"address", address.ToString()},
-                          {"zone", "z1"},
-                          {"version", "v1"},
-                          {"slots", 16},
-                          {"state", "ready"},
-                          {"sequence", 1},
-                          {"born", 0},
-                          {"models", models}}
-                         .dump());
-  }
-}
-
 struct CallerResults {
   int sent = 0;
   int whole = 0;
--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -170,7 +170,7 @@
                    {{"name", "desks"}, {"connection_limit", 100}}}},
                  {"limits",
                   {{"max_header_bytes", 16384},
-                   {"max_body_bytes", 65536},
+                   {"max_body_bytes", options_.max_body_bytes},
                    {"header_timeout_ms", 1000},
                    {"idle_timeout_ms", change.idle_timeout.count()}}},
                  {"tenants", accounts}};
@@ -247,6 +247,7 @@
       << ", version_ms: " << options_.weights_replacement_bound.count()
       << ", grace_period_s: 6, retry_budget_ratio: 0.2, retry_budget_extra: "
       << options_.retry_budget_extra << "}"
+      << "\nlimits: {memory_mb: " << options_.memory_mb << "}"
       << "\nfirst_start: " << (first_start ? "true" : "false")
       << "\nplatform: {address: \"" << platform_->address().ToString()
       << "\"}\n";
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -49,6 +49,9 @@
   // Gateway 0 reaches the endpoints through relays, so that its paths to the
   // endpoints can be cut.
   bool relayed = false;
+  // Limit of a request's body, and of the memory of a gateway.
+  int max_body_bytes = 65536;
+  int memory_mb = 160;
   // A further service of engines, "spares", to which no route leads.
   bool spares = false;
 };
