Entry: a planned stop ends under load, and cuts no request

What callers saw: an entry that got SIGTERM while callers kept their connections and went on sending took their requests and never ended. Ended by force, it cut them: run, without an answer. Cause: DrainAndStop took requests until a moment came in which none was open, and no reply told callers to go elsewhere. Change: from SIGTERM on each reply announces the end of its connection; when the last address answer has expired, the listener and the connections without a request are closed, and the requests that have begun are waited for.

--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -34,7 +34,6 @@
 namespace carobshift {
 namespace {
 
-constexpr Milliseconds kDrainPollInterval{20};
 // The time until gossip has told the other entries that this one is leaving.
 // Until then they still name it in their address answers.
 constexpr Milliseconds kLeaveGossipDelay{2000};
@@ -262,13 +261,9 @@
   LogEvent(LogLevel::kInfo, "entry_leaving", nlohmann::json::object());
   // A caller may use an address answer until its time to live ends. Refusing it
   // earlier would interrupt callers during a planned stop.
-  const MonotonicTime last_answer_expires =
-      MonotonicNow() + parts_->settings.address_ttl + kLeaveGossipDelay;
-  while (MonotonicNow() < last_answer_expires ||
-         parts_->front.active_requests() > 0) {
-    std::this_thread::sleep_for(kDrainPollInterval);
-  }
-  parts_->front.StopAccepting();
+  parts_->front.BeginDrain();
+  std::this_thread::sleep_for(parts_->settings.address_ttl + kLeaveGossipDelay);
+  parts_->front.Stop();
   parts_->peer_server.Stop();
   parts_->runner.StopAll();
   LogEvent(LogLevel::kInfo, "entry_stopped", nlohmann::json::object());
--- a/carobshift/server/entry.h
+++ b/carobshift/server/entry.h
@@ -29,8 +29,9 @@
   Result<NetAddress> Start();
 
   // Stops the entry without interrupting callers. Other entries stop naming
-  // this entry in their address answers; it serves until the last address
-  // answer that named it has expired and every request has ended, then stops.
+  // this entry in their address answers; it takes requests until the last
+  // address answer that named it has expired, ends those that it has taken, and
+  // stops. That takes as long as the longest deadline of a request.
   void DrainAndStop();
 
  private:
--- a/carobshift/server/http/caller_http_server.cc
+++ b/carobshift/server/http/caller_http_server.cc
@@ -29,17 +29,16 @@
  public:
   RequestAdapter(const CallerHttpServerOptions& options,
                  const RouteTable& routes,
-                 std::atomic<int>& active)
-      : options_(options), routes_(routes), active_(active) {
-    ++active_;
-  }
-  ~RequestAdapter() override { --active_; }
+                 const std::atomic<bool>& draining)
+      : options_(options), routes_(routes), draining_(draining) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
     RequestExchange exchange{
         request, response, NewRequestId(options_.entry), MonotonicNow(), {}};
     response.set("Carobshift-Request-Id", exchange.id.value());
+    if (draining_)
+      response.setKeepAlive(false);
     try {
       Route(exchange);
       if (!response.getKeepAlive())
@@ -98,25 +97,25 @@
 
   const CallerHttpServerOptions& options_;
   const RouteTable& routes_;
-  std::atomic<int>& active_;
+  const std::atomic<bool>& draining_;
 };
 
 class AdapterFactory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
   AdapterFactory(const CallerHttpServerOptions& options,
                  const RouteTable& routes,
-                 std::atomic<int>& active)
-      : options_(options), routes_(routes), active_(active) {}
+                 const std::atomic<bool>& draining)
+      : options_(options), routes_(routes), draining_(draining) {}
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest&) override {
-    return new RequestAdapter(options_, routes_, active_);
+    return new RequestAdapter(options_, routes_, draining_);
   }
 
  private:
   const CallerHttpServerOptions& options_;
   const RouteTable& routes_;
-  std::atomic<int>& active_;
+  const std::atomic<bool>& draining_;
 };
 
 Poco::Timespan Span(Milliseconds duration) {
@@ -150,8 +149,8 @@
     params->setKeepAliveTimeout(Span(options_.keep_alive_timeout));
     params->setMaxKeepAliveRequests(0);
     server_ = std::make_unique<Poco::Net::HTTPServer>(
-        new AdapterFactory(options_, routes_, active_requests_), threads_,
-        socket, params);
+        new AdapterFactory(options_, routes_, draining_), threads_, socket,
+        params);
     server_->start();
     return NetAddress{options_.listen.host, socket.address().port()};
   } catch (const Poco::Exception& e) {
@@ -161,9 +160,9 @@
   }
 }
 
-void CallerHttpServer::StopAccepting() {
+void CallerHttpServer::Stop() {
   if (server_)
-    server_->stop();
+    server_->stopAll(/*abortCurrent=*/false);
 }
 
 }  // namespace carobshift
--- a/carobshift/server/http/caller_http_server.h
+++ b/carobshift/server/http/caller_http_server.h
@@ -4,7 +4,8 @@
 //   CallerHttpServer front(options, routes);
 //   Result<NetAddress> address = front.Start();
 //   ...
-//   front.StopAccepting();
+//   front.BeginDrain();
+//   front.Stop();
 
 #ifndef CAROBSHIFT_SERVER_HTTP_CALLER_HTTP_SERVER_H_
 #define CAROBSHIFT_SERVER_HTTP_CALLER_HTTP_SERVER_H_
@@ -41,17 +42,18 @@
   // Binds the socket and starts serving. Returns the bound address.
   Result<NetAddress> Start();
 
-  // Refuses new connections. Connections in progress continue.
-  void StopAccepting();
-
-  // The number of requests being handled.
-  [[nodiscard]] int active_requests() const { return active_requests_; }
+  // From now on each reply announces the end of its connection, so that callers
+  // send their next requests elsewhere. Thread-safe.
+  void BeginDrain() { draining_ = true; }
+  // Refuses new connections, closes those without a request, and returns when
+  // each request that has begun has its whole reply.
+  void Stop();
 
  private:
   const CallerHttpServerOptions options_;
   const RouteTable& routes_;
   Poco::ThreadPool threads_;
-  std::atomic<int> active_requests_{0};
+  std::atomic<bool> draining_{false};
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
 
