Query service: a question with a large body is refused

Cause: the listeners of address, readiness, metrics and peer questions read bodies of up to 4 MiB for each connection, although questions have none; they count in no budget. Change: more than 1 KiB is refused with 413 as its length is known. Result: gateway_test "a question with a large body is refused" failed before (the body was waited for, 408) and passes.

--- a/carobshift/gateway/query_service.cc
+++ b/carobshift/gateway/query_service.cc
@@ -5,12 +5,18 @@
 #include "carobshift/gateway/connection_options.h"
 
 namespace carobshift {
+namespace {
+
+// Questions have no body.
+constexpr std::size_t kMaxBodyBytes = std::size_t{1} << 10;
+
+}  // namespace
 
 Status QueryService::Listen(const NetAddress& address) {
   auto listener = TcpListener::Open(
       loop_, address, [this](const Poco::Net::StreamSocket& socket) {
-        const auto connection =
-            HttpServerConnection::Open(loop_, socket, {}, kControlTcp, *this);
+        const auto connection = HttpServerConnection::Open(
+            loop_, socket, {.body_bytes = kMaxBodyBytes}, kControlTcp, *this);
         connections_[connection.get()] = connection;
       });
   if (!listener.ok())
--- a/carobshift/gateway/query_service.h
+++ b/carobshift/gateway/query_service.h
@@ -35,6 +35,8 @@
       : loop_(loop), answer_(std::move(answer)) {}
 
   [[nodiscard]] Status Listen(const NetAddress& address);
+  // The port that Listen() has opened.
+  [[nodiscard]] std::uint16_t port() const { return listener_->port(); }
   void Close();
   // Total size of all answer bodies so far, in bytes.
   [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
