Replies that callers don't take: bounded in sum

Cause: a bound for each connection, none in sum. Change: unsent reply bytes count in the budget of what callers send (caller_budget); without room a reply's source is paused sooner. Nothing is refused or cut. Result: net_test "replies that aren't read pause their sources within the budget" (12 callers, 1 MiB) held 3,329,664 bytes with the reservation taken out and passes with it. Not played with processes.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -28,7 +28,7 @@
   options.retries.first_start = settings.first_start;
   options.cold_start = settings.cold_start;
   options.instance = FastHash(settings.entry.value());
-  options.body_budget = &body_budget;
+  options.caller_budget = &caller_budget;
   return options;
 }
 
--- a/carobshift/gateway/gateway_impl.h
+++ b/carobshift/gateway/gateway_impl.h
@@ -115,7 +115,7 @@
   ByteBudget reply_budget{kMaxHeldReplyBytes};
   // Of the bodies of callers' requests, of those too that other instances hand
   // over.
-  ByteBudget body_budget{static_cast<std::size_t>(
+  ByteBudget caller_budget{static_cast<std::size_t>(
       static_cast<double>(settings.memory_limit) * kRequestBodyShare)};
   HttpClient endpoint_client{
       loop,
--- a/carobshift/gateway/gateway_pages.cc
+++ b/carobshift/gateway/gateway_pages.cc
@@ -66,10 +66,10 @@
               static_cast<double>(reply_budget.held()));
   metrics.Set("carobshift_replies_over_budget", {},
               static_cast<double>(reply_budget.refusals()));
-  metrics.Set("carobshift_body_bytes_held", {},
-              static_cast<double>(body_budget.held()));
-  metrics.Set("carobshift_bodies_over_budget", {},
-              static_cast<double>(body_budget.refusals()));
+  metrics.Set("carobshift_caller_bytes_held", {},
+              static_cast<double>(caller_budget.held()));
+  metrics.Set("carobshift_caller_bytes_over_budget", {},
+              static_cast<double>(caller_budget.refusals()));
   metrics.Set("carobshift_limited_endpoints", {},
               static_cast<double>(requests.limited_endpoints()));
   metrics.Set("carobshift_services_with_rejection_limit", {},
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -103,7 +103,7 @@
   limits.body_bytes = applied_caller_limits_.body_bytes;
   limits.head_timeout = applied_caller_limits_.head_timeout;
   limits.idle_timeout = applied_caller_limits_.idle_timeout;
-  limits.body_budget = options_.body_budget;
+  limits.caller_budget = options_.caller_budget;
   return limits;
 }
 
--- a/carobshift/gateway/request/request_service_options.h
+++ b/carobshift/gateway/request/request_service_options.h
@@ -26,7 +26,7 @@
   // unknown.
   Milliseconds run_once_max_idle{1000};
   // Bounds the bodies of callers' requests in sum. Null for no bound.
-  ByteBudget* body_budget = nullptr;
+  ByteBudget* caller_budget = nullptr;
 };
 
 }  // namespace carobshift
--- a/carobshift/net/http_body_budget_test.cc
+++ b/carobshift/net/http_body_budget_test.cc
@@ -1,8 +1,10 @@
 // Bodies of requests beside a budget in sum, and bodies that a client shares.
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "carobshift/base/byte_budget.h"
 #include "carobshift/base/shared_bytes.h"
@@ -46,7 +48,7 @@
 TEST_CASE("a request whose body has no room is refused before it is read") {
   EventLoop loop;
   ByteBudget budget(4 * kBodyBytes);
-  LoopbackServer server(loop, AnswerOk, {.body_budget = &budget});
+  LoopbackServer server(loop, AnswerOk, {.caller_budget = &budget});
   server.holds_requests = true;
   const bool chunked = GENERATE(false, true);
   CAPTURE(chunked);
@@ -72,7 +74,7 @@
 TEST_CASE("a connection that ends within a body gives its room back") {
   EventLoop loop;
   ByteBudget budget(4 * kBodyBytes);
-  LoopbackServer server(loop, AnswerOk, {.body_budget = &budget});
+  LoopbackServer server(loop, AnswerOk, {.caller_budget = &budget});
   HttpClient client(loop, {});
   TestListener listener;
   const auto call = client.Start(server.address(),
@@ -84,6 +86,44 @@
   CHECK(budget.held() == 0);
 }
 
+// Guards against an instance that holds as much of each reply as one caller may
+// leave unread, however many callers there are.
+TEST_CASE("replies that aren't read pause their sources within the budget") {
+  constexpr std::size_t kCallers = 12;
+  constexpr std::size_t kPiece = std::size_t{16} << 10;
+  EventLoop loop;
+  ByteBudget budget(std::size_t{1} << 20);
+  LoopbackServer server(
+      loop,
+      [](HttpServerConnection& connection, const HttpServerRequest&) {
+        connection.BeginStream(ReplyHead(200));
+      },
+      {.caller_budget = &budget});
+  HttpClient client(loop, {});
+  std::vector<std::unique_ptr<TestListener>> listeners;
+  std::vector<std::shared_ptr<ClientCall>> calls;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    listeners.push_back(std::make_unique<TestListener>());
+    calls.push_back(
+        client.Start(server.address(), Get("/"), {}, listeners.back().get()));
+    RunUntil(loop, [&] { return server.bodies.size() == i + 1; });
+    calls.back()->SetReading(false);
+  }
+  std::size_t unsent = 0;
+  int paused = 0;
+  for (const auto& connection : server.connections) {
+    while (server.paused == paused)
+      connection->SendChunk(std::string(kPiece, 'x'));
+    ++paused;
+    unsent += connection->unsent_bytes();
+  }
+  CHECK(unsent <= budget.limit() + 2 * kCallers * kPiece);
+  for (const auto& call : calls)
+    call->SetReading(true);
+  RunUntil(loop, [&] { return server.paused == 0; });
+  CHECK(budget.held() == 0);
+}
+
 // Guards against a body that is held twice while its peer reads slowly.
 TEST_CASE("a shared body is sent whole and not copied") {
   EventLoop loop;
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -51,7 +51,8 @@
       handler_(&handler),
       parser_(HttpParser::Kind::kRequest,
               {.head_bytes = limits.head_bytes},
-              *this) {}
+              *this),
+      unsent_reserved_(limits.caller_budget, ByteImportance::kOptional) {}
 
 std::shared_ptr<HttpServerConnection> HttpServerConnection::Open(
     EventLoop& loop,
@@ -154,7 +155,7 @@
   keep_alive_ = info.keep_alive && !info.http_1_0;
   reply_to_head_ = head.method == "HEAD";
   request_.reserved =
-      ByteReservation(limits_.body_budget, ByteImportance::kRequest);
+      ByteReservation(limits_.caller_budget, ByteImportance::kRequest);
   if (info.framing == HttpBodyFraming::kLength) {
     too_large_ = info.length > limits_.body_bytes;
     no_room_ = !too_large_ && !request_.reserved.GrowTo(info.length);
@@ -349,7 +350,15 @@
 }
 
 void HttpServerConnection::CheckBackpressure() {
-  if (paused_ || tcp_->unsent() < limits_.high_water)
+  if (paused_)
+    return;
+  const std::size_t unsent = tcp_->unsent();
+  if (unsent == 0) {
+    unsent_reserved_.Release();
+    return;
+  }
+  const bool has_room = unsent_reserved_.GrowTo(unsent);
+  if (has_room && unsent < limits_.high_water)
     return;
   paused_ = true;
   handler_->OnBackpressure(*this, true);
@@ -361,6 +370,7 @@
     End();
     return;
   }
+  unsent_reserved_.Release();
   if (!paused_)
     return;
   paused_ = false;
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -26,10 +26,11 @@
 // - A caller reads the last reply slowly. The connection ends after the caller
 //   has received all of it, and busy() is true until then.
 // - Callers send more than the instance has room for. A body counts in
-//   `body_budget` once its length is known, for as long as the handler holds
+//   `caller_budget` once its length is known, for as long as the handler holds
 //   it; a request whose body has no room is refused before it is read.
 // - A caller doesn't read. Beyond `high_water` unsent bytes the handler is
-//   asked to pause the source of the reply.
+//   asked to pause the source of the reply, and sooner if the unsent bytes of
+//   all callers have no room in `caller_budget`.
 
 #ifndef CAROBSHIFT_NET_HTTP_SERVER_CONNECTION_H_
 #define CAROBSHIFT_NET_HTTP_SERVER_CONNECTION_H_
@@ -58,9 +59,10 @@
   // all have been sent. Equals the data of a few round trips at a stream's
   // speed.
   std::size_t high_water = std::size_t{256} << 10;
-  // Bounds the bodies of all connections with the same budget in sum. Must
-  // outlive them and their requests. Null for no bound.
-  ByteBudget* body_budget = nullptr;
+  // Bounds the bodies of all connections with the same budget in sum, and the
+  // reply bytes that their callers don't take. Must outlive the connections and
+  // their requests. Null for no bound.
+  ByteBudget* caller_budget = nullptr;
 };
 
 struct HttpServerRequest {
@@ -204,6 +206,8 @@
   std::shared_ptr<TcpConnection> tcp_;
   HttpParser parser_;
   HttpServerRequest request_;
+  // Of the reply bytes that the caller has not taken.
+  ByteReservation unsent_reserved_;
   // Bytes received but not yet parsed.
   std::string unparsed_;
   TimerId timer_;
--- a/carobshift/net/loopback_server.h
+++ b/carobshift/net/loopback_server.h
@@ -61,6 +61,9 @@
       held.push_back(std::move(request));
   }
   void OnCallerDisconnected(HttpServerConnection&) override { ++gone; }
+  void OnBackpressure(HttpServerConnection&, bool pause) override {
+    paused += pause ? 1 : -1;
+  }
   void OnConnectionEnd(HttpServerConnection&) override { ++ended; }
   void OnMalformed(int status) override { malformed.push_back(status); }
 
@@ -75,6 +78,8 @@
   int accepted = 0;
   int gone = 0;
   int ended = 0;
+  // Connections whose source is to pause.
+  int paused = 0;
 
  private:
   Answer answer_;
