--- a/carobshift/gateway/connection_options.h
+++ b/carobshift/gateway/connection_options.h
@@ -41,9 +41,10 @@
 // What an instance holds of replies to its own calls, and of answers that can't
 // be passed on yet, in sum. A fifth of the memory of a small instance.
 inline constexpr std::size_t kMaxHeldReplyBytes = std::size_t{16} << 20;
-// Part of an instance's memory that the bodies of callers' requests may take in
-// sum. The rest holds its tables, replies and what is being read.
-inline constexpr double kRequestBodyShare = 0.4;
+// Part of an instance's memory that may be taken, in sum, by the bodies of
+// callers' requests and by replies that callers don't take. The rest holds its
+// tables, replies and what is being read.
+inline constexpr double kCallerBytesShare = 0.4;
 
 }  // namespace carobshift
 
--- a/carobshift/gateway/gateway_impl.h
+++ b/carobshift/gateway/gateway_impl.h
@@ -107,16 +107,17 @@
 
   GatewaySettings settings;
   Dialects dialects;
-  EventLoop loop;
-  Metrics metrics;
-  GatewayStateListener listener;
+  // Before the loop, whose timers may hold what counts in them to the end.
   // Of replies to calls of this instance's own and of what attempts hold of
   // answers.
   ByteBudget reply_budget{kMaxHeldReplyBytes};
-  // Of the bodies of callers' requests, of those too that other instances hand
-  // over.
+  // Of the bodies of requests, of those too that other instances hand over, and
+  // of replies that callers don't take.
   ByteBudget caller_budget{static_cast<std::size_t>(
-      static_cast<double>(settings.memory_limit) * kRequestBodyShare)};
+      static_cast<double>(settings.memory_limit) * kCallerBytesShare)};
+  EventLoop loop;
+  Metrics metrics;
+  GatewayStateListener listener;
   HttpClient endpoint_client{
       loop,
       {.tcp = kEndpointTcp, .reply_budget = &reply_budget}};
--- a/carobshift/gateway/request/request_service_options.h
+++ b/carobshift/gateway/request/request_service_options.h
@@ -25,7 +25,7 @@
   // once: if the connection has failed unnoticed, the outcome of the request is
   // unknown.
   Milliseconds run_once_max_idle{1000};
-  // Bounds the bodies of callers' requests in sum. Null for no bound.
+  // See HttpServerLimits::caller_budget.
   ByteBudget* caller_budget = nullptr;
 };
 
--- a/carobshift/net/http_body_budget_test.cc
+++ b/carobshift/net/http_body_budget_test.cc
@@ -46,8 +46,8 @@
 
 // Guards against an instance that reads as many bodies as its callers send.
 TEST_CASE("a request whose body has no room is refused before it is read") {
-  EventLoop loop;
   ByteBudget budget(4 * kBodyBytes);
+  EventLoop loop;
   LoopbackServer server(loop, AnswerOk, {.caller_budget = &budget});
   server.holds_requests = true;
   const bool chunked = GENERATE(false, true);
@@ -72,8 +72,8 @@
 }
 
 TEST_CASE("a connection that ends within a body gives its room back") {
-  EventLoop loop;
   ByteBudget budget(4 * kBodyBytes);
+  EventLoop loop;
   LoopbackServer server(loop, AnswerOk, {.caller_budget = &budget});
   HttpClient client(loop, {});
   TestListener listener;
@@ -91,8 +91,8 @@
 TEST_CASE("replies that aren't read pause their sources within the budget") {
   constexpr std::size_t kCallers = 12;
   constexpr std::size_t kPiece = std::size_t{16} << 10;
-  EventLoop loop;
   ByteBudget budget(std::size_t{1} << 20);
+  EventLoop loop;
   LoopbackServer server(
       loop,
       [](HttpServerConnection& connection, const HttpServerRequest&) {
@@ -126,13 +126,13 @@
 
 // Guards against a body that is held twice while its peer reads slowly.
 TEST_CASE("a shared body is sent whole and not copied") {
+  ByteBudget budget(8 * kBodyBytes);
   EventLoop loop;
   LoopbackServer server(loop, AnswerOk, {.body_bytes = 8 * kBodyBytes});
   HttpClient client(loop, {});
   const std::size_t size = GENERATE(std::size_t{0}, std::size_t{5},
                                     std::size_t{17} << 10, 8 * kBodyBytes);
   CAPTURE(size);
-  ByteBudget budget(8 * kBodyBytes);
   ByteReservation reserved(&budget, ByteImportance::kRequired);
   REQUIRE(reserved.GrowTo(size));
   HttpCallOptions options;
