--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -38,6 +38,7 @@
 #include "carobshift/gateway/placement/attempt_planner.h"
 #include "carobshift/gateway/placement/overload_guard.h"
 #include "carobshift/gateway/placement/prompt_sizes.h"
+#include "carobshift/gateway/request/attempt_record.h"
 #include "carobshift/gateway/request/caller_limits_in_force.h"
 #include "carobshift/gateway/request/crash_record.h"
 #include "carobshift/gateway/request/exchange_run.h"
@@ -260,26 +261,6 @@
   ByteBudget* held_bytes() override { return client_.reply_budget(); }
   void OnExchangeEnd(Exchange& exchange) override;
 
-  struct AttemptRecord {
-    AttemptNumber number{};
-    EndpointId endpoint;
-    EndpointStartTime start_time{};
-    // Prompt tokens of the attempt that the endpoint has not prefilled yet.
-    double prefill_tokens = 0;
-    AttemptTrace trace;
-    MonotonicTime began{};
-    bool in_progress = true;
-    // The attempt was counted as a retry, and may still arrive.
-    bool unsettled_retry = false;
-    // The endpoint has begun to reply.
-    bool replied = false;
-    // The first event of the reply, or the whole one, has arrived.
-    bool has_events = false;
-    // The attempt is the probe of a refused part.
-    bool is_probe = false;
-    // The endpoint replied that it did not run the attempt.
-    bool not_run = false;
-  };
   struct Running {
     [[nodiscard]] AttemptRecord& Attempt(AttemptNumber number);
 
--- a/carobshift/gateway/request/request_service_attempts.cc
+++ b/carobshift/gateway/request/request_service_attempts.cc
@@ -145,8 +145,7 @@
   running.attempts.push_back(std::move(attempt));
 }
 
-RequestService::AttemptRecord& RequestService::Running::Attempt(
-    AttemptNumber number) {
+AttemptRecord& RequestService::Running::Attempt(AttemptNumber number) {
   return *std::find_if(
       attempts.begin(), attempts.end(),
       [number](const AttemptRecord& one) { return one.number == number; });
