--- a/testing/faulty_endpoints.h
+++ b/testing/faulty_endpoints.h
@@ -8,9 +8,11 @@
 #ifndef TESTING_FAULTY_ENDPOINTS_H_
 #define TESTING_FAULTY_ENDPOINTS_H_
 
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 
 #include "testing/endless_server.h"
 #include "testing/gateway_cluster.h"
@@ -53,6 +55,31 @@
   }
 }
 
+// What other callers get of a gateway meanwhile.
+struct OtherCallers {
+  int sent = 0;
+  int whole = 0;
+  Milliseconds slowest{0};
+};
+
+// Sends short requests to a plain service, one after the other.
+inline OtherCallers AskPlainService(GatewayCluster& cluster,
+                                    int count,
+                                    Milliseconds pause) {
+  OtherCallers others;
+  for (; others.sent < count; ++others.sent) {
+    const MonotonicTime begin = MonotonicNow();
+    const HttpAnswer answer =
+        cluster.Send(0, "POST", "/find/1", {.body = "body"});
+    others.whole += answer.status == 200 && answer.body == "done body" ? 1 : 0;
+    others.slowest = std::max(
+        others.slowest,
+        std::chrono::duration_cast<Milliseconds>(MonotonicNow() - begin));
+    std::this_thread::sleep_for(pause);
+  }
+  return others;
+}
+
 }  // namespace carobshift
 
 #endif  // TESTING_FAULTY_ENDPOINTS_H_
--- a/testing/gateway_bytes_without_end_process_test.cc
+++ b/testing/gateway_bytes_without_end_process_test.cc
@@ -174,28 +174,18 @@
       }
     });
   }
-  int whole = 0;
-  int sent = 0;
-  Milliseconds slowest{0};
-  for (; sent < 20; ++sent) {
-    const MonotonicTime begin = MonotonicNow();
-    const HttpAnswer answer =
-        cluster.Send(0, "POST", "/find/1", {.body = "body"});
-    whole += answer.status == 200 && answer.body == "done body" ? 1 : 0;
-    slowest = std::max(slowest, std::chrono::duration_cast<Milliseconds>(
-                                    MonotonicNow() - begin));
-    std::this_thread::sleep_for(Milliseconds(50));
-  }
+  const OtherCallers others =
+      AskPlainService(cluster, /*count=*/20, Milliseconds(50));
   for (std::thread& caller : callers)
     caller.join();
   const long peak = PeakMemory(cluster.gateway(0));
   std::cout << "callers: questions " << server.questions() << ", peak "
             << peak / 1024 << " MB, answered " << answered << ", others "
-            << whole << " of " << sent << ", slowest " << slowest.count()
-            << " ms" << std::endl;
+            << others.whole << " of " << others.sent << ", slowest "
+            << others.slowest.count() << " ms" << std::endl;
   CHECK(peak < kSmallestInstance);
-  CHECK(whole == sent);
-  CHECK(slowest < kMaxAnswerTime);
+  CHECK(others.whole == others.sent);
+  CHECK(others.slowest < kMaxAnswerTime);
   CHECK(answered == 5 * kCallers);
 }
 
--- a/testing/gateway_endless_reply_process_test.cc
+++ b/testing/gateway_endless_reply_process_test.cc
@@ -1,29 +1,15 @@
 // A gateway process with endpoints that send bytes without end.
 
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <string>
 #include <thread>
 
+#include "testing/faulty_endpoints.h"
 #include "testing/gateway_cluster.h"
 
 namespace carobshift {
 namespace {
 
-// The memory of the smallest instance, in KB.
-constexpr long kSmallestInstance = 120L << 10;
-
-// Returns the largest resident size that the process has had, in KB.
-long PeakMemory(const Process& process) {
-  std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.starts_with("VmHWM:"))
-      return std::stol(line.substr(line.find_first_of("0123456789")));
-  }
-  return 0;
-}
-
 // Guards against an instance that keeps an event without an end until its
 // memory is used up, and searches all of it with each read.
 TEST_CASE("an event without end costs an attempt and not the gateway") {
--- a/testing/gateway_request_bytes_process_test.cc
+++ b/testing/gateway_request_bytes_process_test.cc
@@ -52,18 +52,8 @@
                         LargeRequest(i));
     });
   }
-  int whole = 0;
-  int sent = 0;
-  Milliseconds slowest{0};
-  for (; sent < 20; ++sent) {
-    const MonotonicTime begin = MonotonicNow();
-    const HttpAnswer answer =
-        cluster.Send(0, "POST", "/find/1", {.body = "body"});
-    whole += answer.status == 200 && answer.body == "done body" ? 1 : 0;
-    slowest = std::max(slowest, std::chrono::duration_cast<Milliseconds>(
-                                    MonotonicNow() - begin));
-    std::this_thread::sleep_for(Milliseconds(100));
-  }
+  const OtherCallers others =
+      AskPlainService(cluster, /*count=*/20, Milliseconds(100));
   for (std::thread& caller : callers)
     caller.join();
   std::map<int, int> by_status;
@@ -72,12 +62,12 @@
     ++by_status[answer.failure.empty() ? answer.status : 0];
   }
   const long peak = PeakMemory(cluster.gateway(0));
-  std::cout << "peak " << peak / 1024 << " MB, others " << whole << " of "
-            << sent << ", slowest " << slowest.count() << " ms, answers "
-            << json(by_status).dump() << std::endl;
+  std::cout << "peak " << peak / 1024 << " MB, others " << others.whole
+            << " of " << others.sent << ", slowest " << others.slowest.count()
+            << " ms, answers " << json(by_status).dump() << std::endl;
   CHECK(peak < kSmallestInstance);
-  CHECK(whole == sent);
-  CHECK(slowest < kMaxAnswerTime);
+  CHECK(others.whole == others.sent);
+  CHECK(others.slowest < kMaxAnswerTime);
   // Each caller has an answer.
   CHECK(by_status[0] == 0);
   CHECK(cluster.State(0).at("open_requests") == 0);
