Handoff tests: a port that is free on the hosts of all instances

Cause, by reading: the port was chosen among the ephemeral ones, looked at on the first host only and given back, and each instance opened its callers' listener with a port of the system's choice on the same host before the handoff listener. Which of the two it was isn't shown. Change: the port is tried on all hosts, and the handoff listener is opened first.

--- a/carobshift/gateway/handoff/handoff_fixture.h
+++ b/carobshift/gateway/handoff/handoff_fixture.h
@@ -137,12 +137,17 @@
 // One instance; its callers' port is chosen by the system, and its handoff port
 // is the same as that of the others.
 struct Instance {
+  // The hosts are used by nothing else. Counted from 1 on.
+  [[nodiscard]] static std::string HostOf(int number) {
+    return "127.0.3." + std::to_string(number);
+  }
+
   Instance(EventLoop& loop,
            int number,
            std::uint16_t handoff_port,
            const std::vector<MemberInfo>& members)
       : id("entry-" + std::to_string(number)),
-        host("127.0.3." + std::to_string(number)),
+        host(HostOf(number)),
         endpoint_client(loop, {}),
         peer_client(loop, {}),
         requests(loop,
@@ -200,13 +205,14 @@
     requests.SetConfig(Config());
     requests.SetLiveInstances(2);
     requests.SetKnownInstances(2);
+    // Before the callers' port is chosen, which could be this one.
+    REQUIRE(listener.Listen({host, handoff_port}).ok());
     auto opened = TcpListener::Open(
         loop, {host, 0}, [this](const Poco::Net::StreamSocket& socket) {
           requests.Accept(socket);
         });
     REQUIRE(opened.ok());
     callers = opened.value();
-    REQUIRE(listener.Listen({host, handoff_port}).ok());
   }
   ~Instance() { callers->Close(); }
 
@@ -303,7 +309,7 @@
 
   explicit HandoffFixture(Answer answer, int instances_wanted = 2)
       : endpoint(loop, std::move(answer)) {
-    const std::uint16_t port = FreePort();
+    const std::uint16_t port = FreePort(instances_wanted);
     for (int i = 0; i < instances_wanted; ++i) {
       instances.push_back(
           std::make_unique<Instance>(loop, i + 1, port, members));
@@ -346,15 +352,34 @@
   std::vector<std::unique_ptr<Instance>> instances;
 
  private:
-  // Returns a port that was free a moment ago on one host; the test's hosts are
-  // used by nothing else.
-  std::uint16_t FreePort() {
-    const auto opened = TcpListener::Open(
-        loop, {"127.0.3.1", 0}, [](const Poco::Net::StreamSocket&) {});
-    REQUIRE(opened.ok());
-    const std::uint16_t port = opened.value()->port();
-    opened.value()->Close();
-    return port;
+  // Returns a port that was free a moment ago on the hosts of all instances.
+  std::uint16_t FreePort(int instances_wanted) {
+    constexpr int kTries = 20;
+    for (int i = 0; i < kTries; ++i) {
+      if (const auto port = TryPort(instances_wanted))
+        return *port;
+    }
+    FAIL("no port is free on all hosts");
+    return 0;
+  }
+
+  std::optional<std::uint16_t> TryPort(int instances_wanted) {
+    std::uint16_t port = 0;
+    std::vector<std::shared_ptr<TcpListener>> opened;
+    for (int number = 1; number <= instances_wanted; ++number) {
+      const auto listener =
+          TcpListener::Open(loop, {Instance::HostOf(number), port},
+                            [](const Poco::Net::StreamSocket&) {});
+      if (listener.ok())
+        opened.push_back(listener.value());
+      if (number == 1 && listener.ok())
+        port = listener.value()->port();
+    }
+    for (const auto& listener : opened)
+      listener->Close();
+    const bool is_free =
+        opened.size() == static_cast<std::size_t>(instances_wanted);
+    return is_free ? std::optional(port) : std::nullopt;
   }
 };
 
