Replies that callers don't take: a paused source goes on, requests wait for them

(1) A source whose caller had taken all before the connection was told stayed paused until its deadline, as only a write event resumed it. (2) A caller that sends requests on one connection and takes no replies filled the memory, as the next request was served whatever was unsent. (3) The bytes of plain replies weren't counted, and counted ones not given back with the end of a stream. One cause: the state of what is unsent was looked at by one event only. Change: the connection looks at it after each piece and at the end of each reply, and reads the next request once the last reply is handed to the kernel. Two tests also ask that no reset comes, since their caller no longer throws on one.

--- a/carobshift/net/http_body_budget_test.cc
+++ b/carobshift/net/http_body_budget_test.cc
@@ -1,5 +1,9 @@
 // Bodies of requests beside a budget in sum, and bodies that a client shares.
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
@@ -124,6 +128,34 @@
   CHECK(budget.held() == 0);
 }
 
+// Guards against a source that stays paused, since its caller has taken all
+// before the connection is told.
+TEST_CASE("a source goes on if all is sent with the piece behind the pause") {
+  ByteBudget budget(0);
+  EventLoop loop;
+  std::shared_ptr<HttpServerConnection> serving;
+  LoopbackServer server(
+      loop,
+      [&](HttpServerConnection& connection, const HttpServerRequest&) {
+        serving = connection.shared_from_this();
+        serving->BeginStream(ReplyHead(200));
+      },
+      {.caller_budget = &budget});
+  Poco::Net::StreamSocket caller(
+      Poco::Net::SocketAddress("127.0.0.1", server.address().port));
+  const std::string request = Get("/");
+  caller.sendBytes(request.data(), static_cast<int>(request.size()));
+  RunUntil(loop, [&] { return serving != nullptr; });
+  while (server.paused == 0)
+    serving->SendChunk(std::string(std::size_t{4} << 10, 'x'));
+  std::string buffer(std::size_t{1} << 20, ' ');
+  while (caller.poll(Poco::Timespan(0, 50'000), Poco::Net::Socket::SELECT_READ))
+    caller.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+  serving->SendChunk("x");
+  CHECK(serving->unsent_bytes() == 0);
+  CHECK(server.paused == 0);
+}
+
 // Guards against a body that is held twice while its peer reads slowly.
 TEST_CASE("a shared body is sent whole and not copied") {
   ByteBudget budget(8 * kBodyBytes);
--- a/carobshift/net/http_connection_end_test.cc
+++ b/carobshift/net/http_connection_end_test.cc
@@ -81,6 +81,18 @@
       all.append(buffer.data(), static_cast<std::size_t>(received));
     }
   }
+  // Returns how many bytes of those that have arrived were received.
+  std::size_t ReceiveNow() {
+    std::size_t size = 0;
+    std::array<char, 4096> buffer;
+    while (socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+      const int received = ReceiveOnce(buffer);
+      if (received <= 0)
+        break;
+      size += static_cast<std::size_t>(received);
+    }
+    return size;
+  }
   [[nodiscard]] bool WasReset() {
     int error = 0;
     socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
@@ -113,6 +125,7 @@
   caller.Send(Get("/"));
   server.connections.front()->CloseWhenIdle();
   const std::string reply = caller.Receive();
+  CHECK_FALSE(caller.WasReset());
   CHECK(reply.ends_with("hello"));
   CHECK(reply.find("Connection: close") != std::string::npos);
   CHECK(server.ended == 1);
@@ -184,11 +197,37 @@
   }
   RunFor(loop, Milliseconds(150));
   const std::string reply = caller.Receive();
+  CHECK_FALSE(caller.WasReset());
   CHECK(reply.starts_with("HTTP/1.1 408 "));
   CHECK(reply.find("Connection: close") != std::string::npos);
   CHECK(server.bodies.empty());
 }
 
+// Guards against a caller that sends requests, takes no replies and fills the
+// memory with them.
+TEST_CASE("requests wait until the reply to the one before is sent") {
+  constexpr int kRequests = 400;
+  constexpr std::size_t kReplyBytes = std::size_t{60} << 10;
+  EventLoop loop;
+  LoopbackServer server(loop, [](HttpServerConnection& connection,
+                                 const HttpServerRequest&) {
+    connection.SendCompleteReply(ReplyHead(200), std::string(kReplyBytes, 'x'));
+  });
+  SocketCaller caller(loop, server.address());
+  for (int i = 0; i < kRequests; ++i)
+    caller.Send(Get("/"));
+  RunFor(loop, Milliseconds(300));
+  CHECK(server.connections.front()->unsent_bytes() < 2 * kReplyBytes);
+  CHECK(server.bodies.size() < kRequests);
+  std::size_t received = 0;
+  RunUntil(loop, [&] {
+    received += caller.ReceiveNow();
+    return received >= kRequests * kReplyBytes;
+  });
+  CHECK(server.bodies.size() == kRequests);
+  CHECK(server.ended == 0);
+}
+
 // Guards against a further request that is served after a reply which announces
 // the end of its connection.
 TEST_CASE("no request is served behind the last reply of a connection") {
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -115,7 +115,8 @@
 }
 
 void HttpServerConnection::Parse() {
-  while (!ended_ && !ending_ && !serving_ && !unparsed_.empty()) {
+  while (!ended_ && !ending_ && !serving_ && !awaits_flush_ &&
+         !unparsed_.empty()) {
     const bool is_first_byte = !parser_.begun();
     const bool head_was_done = parser_.head_done();
     const HttpParser::Progress progress = parser_.Feed(unparsed_);
@@ -271,8 +272,18 @@
     EndWhenSent();
     return;
   }
+  (void)ReserveUnsent();
   BeginIdlePeriod();
-  tcp_->SetReading(true);
+  ReadOn();
+}
+
+void HttpServerConnection::ReadOn() {
+  // Otherwise a caller that sends requests and takes no replies fills the
+  // memory.
+  awaits_flush_ = tcp_->unsent() > 0;
+  tcp_->SetReading(!awaits_flush_);
+  if (awaits_flush_)
+    return;
   // Pipelined requests are parsed in the next iteration of the loop rather than
   // within the handler's call.
   if (!unparsed_.empty()) {
@@ -349,19 +360,24 @@
   loop_.CancelTimer(delivery_timer_);
 }
 
+bool HttpServerConnection::ReserveUnsent() {
+  const std::size_t unsent = tcp_->unsent();
+  if (unsent > 0)
+    return unsent_reserved_.GrowTo(unsent);
+  unsent_reserved_.Release();
+  return true;
+}
+
 void HttpServerConnection::CheckBackpressure() {
-  if (paused_)
-    return;
+  const bool has_room = ReserveUnsent();
   const std::size_t unsent = tcp_->unsent();
-  if (unsent == 0) {
-    unsent_reserved_.Release();
-    return;
-  }
-  const bool has_room = unsent_reserved_.GrowTo(unsent);
-  if (has_room && unsent < limits_.high_water)
+  const bool is_slow = !has_room || unsent >= limits_.high_water;
+  // Once paused, the source waits until all is sent.
+  const bool pause = paused_ ? unsent > 0 : is_slow;
+  if (pause == paused_)
     return;
-  paused_ = true;
-  handler_->OnBackpressure(*this, true);
+  paused_ = pause;
+  handler_->OnBackpressure(*this, pause);
 }
 
 void HttpServerConnection::OnFlushed() {
@@ -370,11 +386,12 @@
     End();
     return;
   }
-  unsent_reserved_.Release();
-  if (!paused_)
+  if (awaits_flush_) {
+    unsent_reserved_.Release();
+    ReadOn();
     return;
-  paused_ = false;
-  handler_->OnBackpressure(*this, false);
+  }
+  CheckBackpressure();
 }
 
 void HttpServerConnection::OnClosed(CloseReason reason) {
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -28,6 +28,8 @@
 // - Callers send more than the instance has room for. A body counts in
 //   `caller_budget` once its length is known, for as long as the handler holds
 //   it; a request whose body has no room is refused before it is read.
+// - A caller sends requests and takes no replies. A request is parsed once the
+//   reply to the one before is handed to the kernel.
 // - A caller doesn't read. Beyond `high_water` unsent bytes the handler is
 //   asked to pause the source of the reply, and sooner if the unsent bytes of
 //   all callers have no room in `caller_budget`.
@@ -191,6 +193,10 @@
   void FinishReply();
   void BeginIdlePeriod();
   void ArmTimer(MonotonicTime at, bool reading_request);
+  // Reads the next request, once all of the last reply is handed to the kernel.
+  void ReadOn();
+  // Counts the unsent bytes in the budget. Returns whether they have room.
+  bool ReserveUnsent();
   void CheckBackpressure();
   // Ends the connection once the caller has taken the whole reply.
   void EndWhenSent();
@@ -223,6 +229,8 @@
   bool http_1_0_ = false;
   bool reply_to_head_ = false;
   bool paused_ = false;
+  // The next request is read once the last reply is handed to the kernel.
+  bool awaits_flush_ = false;
   // The connection ends once all bytes are sent. No further request is read.
   bool ending_ = false;
   bool too_large_ = false;
