Connections: a caller that still sends a refused body gets the refusal; part requests can be refused

What callers saw: a caller whose body was refused (413, 429) and who went on sending for over a second got a reset, and often not the refusal; by reading (review), and with 429 the ordinary way under load. Cause: input behind the last reply was discarded for one second, whatever came. Change: behind a refused body it is discarded while it comes, for ten seconds at most. Result: net_test "a caller that sends a refused body slowly gets the refusal" failed before (reset) and passes.

--- a/carobshift/net/http_connection_end_test.cc
+++ b/carobshift/net/http_connection_end_test.cc
@@ -203,6 +203,21 @@
   CHECK(server.bodies.empty());
 }
 
+// Guards against a refusal that its caller doesn't get, since the connection is
+// reset while the caller still sends the body.
+TEST_CASE("a caller that sends a refused body slowly gets the refusal") {
+  EventLoop loop;
+  LoopbackServer server(loop, AnswerOk, {.body_bytes = 4});
+  SocketCaller caller(loop, server.address());
+  caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n");
+  for (int i = 0; i < 20; ++i) {
+    caller.Send(std::string(100, 'x'));
+    RunFor(loop, Milliseconds(100));
+  }
+  CHECK(caller.Receive().starts_with("HTTP/1.1 413 "));
+  CHECK_FALSE(caller.WasReset());
+}
+
 // Guards against a caller that sends requests, takes no replies and fills the
 // memory with them.
 TEST_CASE("requests wait until the reply to the one before is sent") {
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -314,6 +314,11 @@
   EndIdle();
 }
 
+void HttpServerConnection::RefuseUnfinished() {
+  if (!ending_ && !serving_ && parser_.begun())
+    Reject(kRequestTimeout);
+}
+
 void HttpServerConnection::EndIdle() {
   // The request is read in the next iteration of the loop; its reply announces
   // the close.
@@ -348,7 +353,9 @@
   if (ended_)
     return;
   MarkEnded(ConnectionEnd::kAfterReply);
-  tcp_->CloseAfterFlush();
+  const bool refuses_body = too_large_ || no_room_;
+  tcp_->CloseAfterFlush(refuses_body ? kMaxDiscardTime
+                                     : TcpConnection::kLinger);
   handler_->OnConnectionEnd(*this);
 }
 
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -148,6 +148,9 @@
   // Like CloseAfterReply(), but if no request has arrived, closes once the
   // caller has taken the last reply.
   void CloseWhenIdle();
+  // Answers a request of which a part has arrived with 408: it has not run. The
+  // connection ends behind it.
+  void RefuseUnfinished();
   // Whether a request is being read or served, or the caller has not received
   // the whole reply yet. Asks the kernel.
   [[nodiscard]] bool busy() const {
@@ -178,6 +181,9 @@
  private:
   // Time between two looks whether the caller has received the last reply.
   static constexpr Milliseconds kDeliveryCheckInterval{20};
+  // Longest time for which the rest of a refused body is read and thrown away,
+  // so that its caller gets the refusal rather than a reset.
+  static constexpr Milliseconds kMaxDiscardTime{10'000};
 
   HttpServerConnection(EventLoop& loop,
                        const HttpServerLimits& limits,
--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace carobshift {
 namespace {
@@ -187,9 +188,10 @@
   Close();
 }
 
-void TcpConnection::CloseAfterFlush() {
+void TcpConnection::CloseAfterFlush(Milliseconds longest) {
   if (closed_)
     return;
+  longest_linger_ = longest;
   handler_ = nullptr;
   lingering_ = true;
   SetReading(true);
@@ -216,13 +218,16 @@
     Close();
     return;
   }
+  linger_until_ = loop_.now() + longest_linger_;
   CloseOnceDelivered();
 }
 
 void TcpConnection::CloseOnceDelivered() {
   loop_.AddTimer(loop_.now() + kLinger, [self = shared_from_this()] {
     // A peer that doesn't receive at all is given up by the user timeout.
-    if (self->undelivered() > 0)
+    const bool goes_on = std::exchange(self->discarded_, false) &&
+                         self->loop_.now() < self->linger_until_;
+    if (self->undelivered() > 0 || goes_on)
       self->CloseOnceDelivered();
     else
       self->Close();
@@ -300,6 +305,7 @@
 void TcpConnection::DiscardInput() {
   std::array<char, kReadBufferBytes> buffer;
   try {
+    discarded_ = true;
     if (socket_.receiveBytes(buffer.data(), kReadBufferBytes) == 0)
       Close();
   } catch (const Poco::Exception&) {
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -98,9 +98,11 @@
   // Closes the connection; resets it if received bytes are unread.
   void Close();
   // Sends the unsent bytes, ends this side, continues to read for kLinger and
-  // closes. How long the sending takes is up to the peer, within
-  // TcpOptions::user_timeout without progress.
-  void CloseAfterFlush();
+  // closes. Reads on for up to `longest` while more comes: closing before would
+  // reset the connection, and the peer might lose what was sent. How long the
+  // sending takes is up to the peer, within TcpOptions::user_timeout without
+  // progress.
+  void CloseAfterFlush(Milliseconds longest = kLinger);
   // Ends this side of a connection that is idle and whose bytes the peer has
   // received, and closes. Bytes that cross the end stay unread and reset the
   // connection, so that the peer can tell that its request was not read.
@@ -147,7 +149,8 @@
   void DropUnsent();
   // Ends this side of a connection that is lingering.
   void EndSending();
-  // Closes after kLinger, or later if the peer has not received all by then.
+  // Closes after kLinger, or later if the peer has not received all by then or
+  // goes on sending.
   void CloseOnceDelivered();
   void UpdateInterest();
   void Fail(CloseReason reason);
@@ -169,6 +172,10 @@
   bool lingering_ = false;
   // While lingering, input is discarded; otherwise it resets the connection.
   bool discards_input_ = true;
+  // Input has been discarded since the last look.
+  bool discarded_ = false;
+  Milliseconds longest_linger_ = kLinger;
+  MonotonicTime linger_until_{};
 };
 
 }  // namespace carobshift
