Planned stop: a request that has arrived in part is answered at its end

What callers saw: a request whose head had come before the listeners closed, or behind a stream, and whose rest came in pieces was read until the process ended, and cut without an answer. Cause: the end of the stop looked only at requests that had arrived whole. Change: at the end each request that has arrived in part gets 408, which tells that it has not run, on both listeners.

--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -319,6 +319,7 @@
 
 void Gateway::Impl::EndOpenRequests() {
   requests.EndOpenRequests();
+  handoff_listener.RefuseUnfinished();
   requests_ended = true;
 }
 
--- a/carobshift/gateway/handoff/handoff_listener.cc
+++ b/carobshift/gateway/handoff/handoff_listener.cc
@@ -70,14 +70,24 @@
   CloseIdleConnections();
 }
 
-void HandoffListener::CloseIdleConnections() {
+std::vector<std::shared_ptr<HttpServerConnection>>
+HandoffListener::Connections() const {
   std::vector<std::shared_ptr<HttpServerConnection>> all;
   for (const auto& [key, connection] : connections_)
     all.push_back(connection);
-  for (const auto& connection : all)
+  return all;
+}
+
+void HandoffListener::CloseIdleConnections() {
+  for (const auto& connection : Connections())
     connection->CloseWhenIdle();
 }
 
+void HandoffListener::RefuseUnfinished() {
+  for (const auto& connection : Connections())
+    connection->RefuseUnfinished();
+}
+
 void HandoffListener::Close() {
   if (listener_ != nullptr)
     listener_->Close();
@@ -90,10 +100,7 @@
 
 void HandoffListener::Abort() {
   Close();
-  std::vector<std::shared_ptr<HttpServerConnection>> all;
-  for (const auto& [key, connection] : connections_)
-    all.push_back(connection);
-  for (const auto& connection : all)
+  for (const auto& connection : Connections())
     connection->Abort();
 }
 
--- a/carobshift/gateway/handoff/handoff_listener.h
+++ b/carobshift/gateway/handoff/handoff_listener.h
@@ -63,6 +63,8 @@
   // Closes the connections without a request, unread, and the others after
   // their reply. To be called again when no more connections are accepted.
   void CloseIdleConnections();
+  // Answers the requests that have arrived in part.
+  void RefuseUnfinished();
   // Whether a request is being read or served, or a reply is not sent yet.
   [[nodiscard]] bool busy() const;
   // Stops accepting connections and resets the open ones.
@@ -78,6 +80,9 @@
   void OnNoRoom(HttpServerConnection& connection,
                 const HttpHead& head) override;
 
+  // Connections, some of which may end while they are gone through.
+  [[nodiscard]] std::vector<std::shared_ptr<HttpServerConnection>> Connections()
+      const;
   void Accept(const Poco::Net::StreamSocket& socket);
   [[nodiscard]] HttpServerLimits ConnectionLimits() const;
   void Reject(HttpServerConnection& connection, HandoffRejection reason);
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -201,8 +201,9 @@
   // Closes the connections without a request, unread, and the others after
   // their reply. To be called again when no more connections are accepted.
   void CloseIdleConnections();
-  // Gives each request in progress its final answer, since this process can't
-  // wait for it any longer. Replies that have begun break off.
+  // Gives each request in progress, and each that has arrived in part, its
+  // final answer, since this process can't wait for it any longer. Replies that
+  // have begun break off.
   void EndOpenRequests();
   // Records the weights that the engine reported directly, which are newer than
   // those in its record.
@@ -300,6 +301,9 @@
   // planned stop depends on when it will have ended.
   [[nodiscard]] bool MayStart(const Route& route,
                               const CallerRequest& request) const;
+  // Callers' connections, some of which may end while they are gone through.
+  [[nodiscard]] std::vector<std::shared_ptr<HttpServerConnection>> Connections()
+      const;
   // Refuses the requests that have no attempt yet and may not start any more.
   void RefuseLateStarts();
   [[nodiscard]] bool WouldHandOver(const ExchangeSetup& setup) const;
--- a/carobshift/gateway/request/request_service_shutdown.cc
+++ b/carobshift/gateway/request/request_service_shutdown.cc
@@ -17,11 +17,16 @@
   RefuseLateStarts();
 }
 
-void RequestService::CloseIdleConnections() {
+std::vector<std::shared_ptr<HttpServerConnection>> RequestService::Connections()
+    const {
   std::vector<std::shared_ptr<HttpServerConnection>> all;
   for (const auto& [key, connection] : connections_)
     all.push_back(connection);
-  for (const auto& connection : all)
+  return all;
+}
+
+void RequestService::CloseIdleConnections() {
+  for (const auto& connection : Connections())
     connection->CloseWhenIdle();
 }
 
@@ -65,6 +70,8 @@
     LogStopCut(*run);
     run->exchange().OnDeadline(loop_.now());
   }
+  for (const auto& connection : Connections())
+    connection->RefuseUnfinished();
 }
 
 void RequestService::LogStopCut(ExchangeRun& run) const {
--- a/testing/gateway_shutdown_streams_process_test.cc
+++ b/testing/gateway_shutdown_streams_process_test.cc
@@ -1,6 +1,10 @@
 // Requests that a gateway process has taken before a planned stop, and whose
 // endpoints end or fall silent around it.
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -127,5 +131,35 @@
   cluster.replica(0).Signal(SIGCONT);
 }
 
+// Guards against a request that is read in part, and cut without an answer as
+// the process ends.
+TEST_CASE("a request that arrives in pieces until a stop ends is answered") {
+  GatewayCluster cluster(Streaming(/*engines=*/1));
+  const NetAddress address = cluster.FrontAddress(0);
+  Poco::Net::StreamSocket caller(
+      Poco::Net::SocketAddress(address.host, address.port));
+  const auto send = [&caller](const std::string& bytes) {
+    caller.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  };
+  std::string head = "POST /book/1 HTTP/1.1\r\n";
+  for (const auto& [name, value] :
+       GatewayCluster::StreamRequestOptions("slow").headers)
+    head += name + ": " + value + "\r\n";
+  send(head + "Content-Length: 100\r\n\r\n");
+  std::this_thread::sleep_for(Milliseconds(200));
+  cluster.gateway(0).Signal(SIGTERM);
+  // Shorter than the time in which the rest of a request has to come.
+  const Poco::Timespan pause(0, 400'000);
+  while (!caller.poll(pause, Poco::Net::Socket::SELECT_READ))
+    send("x");
+  std::string reply(4096, ' ');
+  const int size =
+      caller.receiveBytes(reply.data(), static_cast<int>(reply.size()));
+  reply.resize(static_cast<std::size_t>(std::max(size, 0)));
+  CHECK(reply.starts_with("HTTP/1.1 408 "));
+  CHECK(cluster.gateway(0).WaitForExit(kGrace) == 0);
+  CHECK(cluster.TotalRuns() == 0);
+}
+
 }  // namespace
 }  // namespace carobshift
