--- a/testing/gateway_silence_process_test.cc
+++ b/testing/gateway_silence_process_test.cc
@@ -81,6 +81,7 @@
       CHECK((request.status != kOk || request.expected_body));
     }
     CHECK(caller->served() > 0);
+    CHECK(caller->failed_connects() == 0);
   }
 }
 
--- a/testing/kept_caller.cc
+++ b/testing/kept_caller.cc
@@ -75,6 +75,7 @@
     socket_ = ConnectBlocking(options_.gateways[gateway], kConnectTimeout,
                               kReadTimeout);
   } catch (const Poco::Exception&) {
+    ++failed_connects_;
     return false;
   }
   return true;
--- a/testing/kept_caller.h
+++ b/testing/kept_caller.h
@@ -65,6 +65,8 @@
   }
   // Returns the number of requests that an endpoint answered whole.
   [[nodiscard]] int served() const;
+  // Returns how often no connection could be opened.
+  [[nodiscard]] int failed_connects() const { return failed_connects_; }
 
  private:
   // Returns whether there is a connection.
@@ -79,6 +81,7 @@
   SeededRandom random_;
   std::optional<Poco::Net::StreamSocket> socket_;
   std::vector<KeptCallerRequest> requests_;
+  int failed_connects_ = 0;
 };
 
 }  // namespace carobshift
