Net test: the calls of callers that don't read are ended

The address sanitizer saw 17,364 bytes leaked in 96 allocations at the end of net_test: calls whose streams never end were still open ("replies that aren't read pause their sources within the budget"). They are cancelled now.

--- a/carobshift/net/http_body_budget_test.cc
+++ b/carobshift/net/http_body_budget_test.cc
@@ -126,6 +126,8 @@
     call->SetReading(true);
   RunUntil(loop, [&] { return server.paused == 0; });
   CHECK(budget.held() == 0);
+  for (const auto& call : calls)
+    call->Cancel();
 }
 
 // Guards against a source that stays paused, since its caller has taken all
