Crowd tests: clients that send all they may, or stop short of it, and stay

They check that the process lives, that its memory (the largest resident size and what lies in the kernel) and its sockets stay under a bound, and that the request is answered; no times. One test for each kind of request that the issue names.

--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -171,8 +171,10 @@
                  {"limits",
                   {{"max_header_bytes", 16384},
                    {"max_body_bytes", options_.max_body_bytes},
-                   {"header_timeout_ms", 1000},
-                   {"idle_timeout_ms", change.idle_timeout.count()}}},
+                   {"header_timeout_ms", options_.header_timeout.count()},
+                   {"idle_timeout_ms",
+                    change.idle_timeout.value_or(options_.idle_timeout)
+                        .count()}}},
                  {"tenants", accounts}};
   if (options_.spares) {
     json spares = config.at("services").at(0);
@@ -227,6 +229,19 @@
   return AddressOf(index, kFront);
 }
 
+NetAddress GatewayCluster::DirectoryAddress(std::size_t index) const {
+  return AddressOf(index, kDirectory);
+}
+
+NetAddress GatewayCluster::ReadyAddress(std::size_t index) const {
+  return AddressOf(index, kReady);
+}
+
+NetAddress GatewayCluster::HandoffAddress(std::size_t index) const {
+  constexpr int kHandoff = kInternal + 2;
+  return AddressOf(index, kHandoff);
+}
+
 std::string GatewayCluster::WriteSettings(std::size_t gateway,
                                           bool first_start) const {
   const auto address = [&](PortOffset port) {
@@ -247,7 +262,10 @@
       << ", version_ms: " << options_.weights_replacement_bound.count()
       << ", grace_period_s: 6, retry_budget_ratio: 0.2, retry_budget_extra: "
       << options_.retry_budget_extra << "}"
-      << "\nlimits: {memory_mb: " << options_.memory_mb << "}"
+      << "\nlimits: {memory_mb: " << options_.memory_mb;
+  if (options_.file_descriptors > 0)
+    out << ", file_descriptors: " << options_.file_descriptors;
+  out << "}"
       << "\nfirst_start: " << (first_start ? "true" : "false")
       << "\nplatform: {address: \"" << platform_->address().ToString()
       << "\"}\n";
--- a/testing/gateway_cluster.h
+++ b/testing/gateway_cluster.h
@@ -52,6 +52,11 @@
   // Limit of a request's body, and of the memory of a gateway.
   int max_body_bytes = 65536;
   int memory_mb = 160;
+  // Descriptors that a gateway's settings allow it; none stated if 0.
+  int file_descriptors = 0;
+  // Limits of the time that a request's head may take, and a connection idle.
+  Milliseconds header_timeout{1000};
+  Milliseconds idle_timeout{5000};
   // A further service of engines, "spares", to which no route leads.
   bool spares = false;
 };
@@ -81,6 +86,11 @@
       const std::string& request);
   // Returns the address at which gateway `index` accepts client requests.
   [[nodiscard]] NetAddress FrontAddress(std::size_t index) const;
+  // Returns the addresses at which gateway `index` answers address lookups and
+  // readiness checks, and accepts requests that other gateways hand over.
+  [[nodiscard]] NetAddress DirectoryAddress(std::size_t index) const;
+  [[nodiscard]] NetAddress ReadyAddress(std::size_t index) const;
+  [[nodiscard]] NetAddress HandoffAddress(std::size_t index) const;
   // Returns the response of gateway `index` to an address lookup.
   [[nodiscard]] nlohmann::json Addresses(std::size_t index) const;
   [[nodiscard]] bool Ready(std::size_t index) const;
@@ -91,8 +101,8 @@
     bool with_key = true;
     // Timeout of every route; that of the options if it isn't set.
     std::optional<Milliseconds> timeout{};
-    // Of callers' connections.
-    Milliseconds idle_timeout{5000};
+    // Of callers' connections; that of the options if it isn't set.
+    std::optional<Milliseconds> idle_timeout{};
     // The service to which /review/ leads.
     std::string review_service = "engines";
   };
