--- a/carobshift/net/http_message.cc
+++ b/carobshift/net/http_message.cc
@@ -37,6 +37,12 @@
   out += kLineBreak;
 }
 
+bool LessIgnoringCase(std::string_view a, std::string_view b) {
+  return std::lexicographical_compare(
+      a.begin(), a.end(), b.begin(), b.end(),
+      [](char x, char y) { return LowerCase(x) < LowerCase(y); });
+}
+
 bool IsLineBreak(char c) {
   return c == '\r' || c == '\n';
 }
@@ -115,6 +121,7 @@
       names.remove_prefix(std::min(comma + 1, names.size()));
     }
   }
+  std::sort(named_.begin(), named_.end(), LessIgnoringCase);
 }
 
 bool ConnectionFields::Contains(std::string_view name) const {
@@ -123,10 +130,8 @@
                   [name](std::string_view known) {
                     return EqualsIgnoringCase(name, known);
                   });
-  return standard ||
-         std::any_of(named_.begin(), named_.end(), [name](auto named) {
-           return EqualsIgnoringCase(name, named);
-         });
+  return standard || std::binary_search(named_.begin(), named_.end(), name,
+                                        LessIgnoringCase);
 }
 
 std::optional<std::string_view> HttpHead::Find(std::string_view name) const {
--- a/carobshift/net/http_message.h
+++ b/carobshift/net/http_message.h
@@ -134,6 +134,8 @@
   [[nodiscard]] bool Contains(std::string_view name) const;
 
  private:
+  // In the order of their names, ignoring case: a head of many lines may name
+  // as many fields.
   std::vector<std::string_view> named_;
 };
 
