Callers' connections and bytes count in one bound, and room is taken from those who hold it without use

Callers saw: an instance beside clients that keep connections, heads or bodies open ran out of memory or of descriptors; an ordinary request had no answer in 20 s, or was refused. Cause: only bodies and unread replies had a bound in sum. Connections, heads, what serving a request takes, and bytes behind a request (80 KiB in the process and megabytes in the kernel) had none, and whoever came first kept what it held: timeouts end no caller that sends a byte now and then.

ConnectionQuota counts the connections of all listeners (half of limits.file_descriptors beyond 200) and, in the budget of two fifths of limits.memory_mb, 4 KiB a connection, heads as they are read, bodies, 8 KiB and the decoded head for a request that is served, and unread input with what the kernel keeps of it (receive buffers are bounded). Where there is no room it is taken from requests that don't arrive (408: not run), then idle connections, then requests that have just begun, then replies that aren't taken; served requests keep theirs. Large bodies take room only from requests that don't arrive, or they would displace each other. Requests above 16 KiB leave an eighth of the budget to ordinary ones. Input behind a request that has no room is thrown away, and the connection ends behind the reply. Replies' budget is a fifth of the memory at most.

--- a/carobshift/base/byte_budget.h
+++ b/carobshift/base/byte_budget.h
@@ -19,8 +19,9 @@
 //   sound stream must not end for what other parties send. Beyond, answers
 //   fill half of it at most.
 //
-// - Requests up to kSmallBytes may fill all of it, larger ones three quarters:
-//   a few large bodies don't keep out the small ones.
+// - Requests up to kOrdinaryBytes may fill all of it, those up to kSmallBytes
+//   seven eighths, larger ones three quarters: a few large bodies, or many
+//   large heads, don't keep out the ordinary ones.
 //
 // A BudgetedBuffer is a text with its reservation.
 //
@@ -52,6 +53,8 @@
 class ByteBudget {
  public:
   static constexpr std::size_t kSmallBytes = std::size_t{64} << 10;
+  // A request that isn't out of the common, with what serving it takes.
+  static constexpr std::size_t kOrdinaryBytes = std::size_t{16} << 10;
 
   explicit ByteBudget(std::size_t limit) : limit_(limit) {}
   ByteBudget(const ByteBudget&) = delete;
@@ -73,7 +76,9 @@
       case ByteImportance::kRequired:
         break;
       case ByteImportance::kRequest:
-        return is_small ? limit_ : limit_ / 4 * 3;
+        if (size <= kOrdinaryBytes)
+          return limit_;
+        return is_small ? limit_ / 8 * 7 : limit_ / 4 * 3;
       case ByteImportance::kAnswer:
         return is_small ? std::numeric_limits<std::size_t>::max() : limit_ / 2;
       case ByteImportance::kOptional:
--- a/carobshift/gateway/connection_options.h
+++ b/carobshift/gateway/connection_options.h
@@ -12,8 +12,10 @@
 #ifndef CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
 #define CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
 
+#include <algorithm>
 #include <cstddef>
 
+#include "carobshift/base/units.h"
 #include "carobshift/net/tcp_connection.h"
 
 namespace carobshift {
@@ -23,29 +25,64 @@
 // three seconds after they were sent first, and then they need a round trip.
 inline constexpr TcpOptions kEndpointTcp{.user_timeout = Milliseconds(4000)};
 
+// What the kernel keeps of a caller's bytes that are not read yet, for each
+// connection. Twice as much memory may be taken.
+inline constexpr int kCallerReceiveBufferBytes = 64 << 10;
+
 // From callers. A caller that is silent at the TCP level has usually no fault
 // but a lossy path or a full window, and the deadline of its request bounds the
 // work for it. Callers give up a silent stream after five seconds at most.
-inline constexpr TcpOptions kCallerTcp{.user_timeout = Milliseconds(6000)};
+inline constexpr TcpOptions kCallerTcp{
+    .receive_buffer_bytes = kCallerReceiveBufferBytes,
+    .user_timeout = Milliseconds(6000)};
 
 // To the log, the stores, engines' own interfaces and other instances. Each
 // call has a timeout of its own of about a second and is repeated, so that a
 // connection that hangs must be recognized before the next calls use it.
 inline constexpr TcpOptions kControlTcp{.user_timeout = Milliseconds(2000)};
 
+// From those who ask for addresses, readiness or metrics, and from other
+// instances. Questions are short.
+inline constexpr TcpOptions kQueryTcp{.receive_buffer_bytes = 16 << 10,
+                                      .user_timeout = Milliseconds(2000)};
+
 // The log sends at most a megabyte, in base64 a third more, unless one record
 // is longer.
 inline constexpr std::size_t kMaxLogReplyBytes = std::size_t{4} << 20;
 // Other instances send all records that they know.
 inline constexpr std::size_t kMaxPeerReplyBytes = std::size_t{8} << 20;
 // What an instance holds of replies to its own calls, and of answers that can't
-// be passed on yet, in sum. A fifth of the memory of a small instance.
+// be passed on yet, in sum: a part of its memory, and no more than this.
+inline constexpr double kReplyBytesShare = 0.2;
 inline constexpr std::size_t kMaxHeldReplyBytes = std::size_t{16} << 20;
-// Part of an instance's memory that may be taken, in sum, by the bodies of
-// callers' requests and by replies that callers don't take. The rest holds its
-// tables, replies and what is being read.
+// Part of an instance's memory that may be taken, in sum, by what callers make
+// it hold: connections, requests, bytes that are not read yet and replies that
+// they don't take. The rest holds its tables and replies.
 inline constexpr double kCallerBytesShare = 0.4;
 
+// Returns what an instance with this memory may hold of replies, in bytes.
+[[nodiscard]] constexpr std::size_t MaxHeldReplyBytes(Bytes memory_limit) {
+  const double part = static_cast<double>(memory_limit) * kReplyBytesShare;
+  return std::min(static_cast<std::size_t>(part), kMaxHeldReplyBytes);
+}
+
+// Returns what callers may make an instance with this memory hold, in bytes.
+[[nodiscard]] constexpr std::size_t MaxCallerBytes(Bytes memory_limit) {
+  return static_cast<std::size_t>(static_cast<double>(memory_limit) *
+                                  kCallerBytesShare);
+}
+
+// Descriptors that the platform keeps for files.
+inline constexpr int kFileDescriptors = 200;
+
+// Returns the number of connections that callers and other instances may keep
+// open to an instance with this number of descriptors: half of those for
+// sockets. Each request that is served needs another one to an endpoint.
+[[nodiscard]] constexpr std::size_t MaxCallerConnections(int descriptors) {
+  return static_cast<std::size_t>(
+      std::max((descriptors - kFileDescriptors) / 2, 1));
+}
+
 }  // namespace carobshift
 
 #endif  // CAROBSHIFT_GATEWAY_CONNECTION_OPTIONS_H_
--- a/carobshift/gateway/gateway.cc
+++ b/carobshift/gateway/gateway.cc
@@ -28,7 +28,7 @@
   options.retries.first_start = settings.first_start;
   options.cold_start = settings.cold_start;
   options.instance = FastHash(settings.entry.value());
-  options.caller_budget = &caller_budget;
+  options.quota = &caller_quota;
   return options;
 }
 
@@ -191,6 +191,7 @@
   rejection_sharing.OnTick();
   suspect_sharing.OnTick();
   caches.OnTick();
+  quota_report.OnTick(caller_quota, metrics, loop.now());
   record_listener.OnTick();
   peer_sync.OnTick();
   endpoint_records.Expire(loop.now());
--- a/carobshift/gateway/gateway_impl.h
+++ b/carobshift/gateway/gateway_impl.h
@@ -13,6 +13,7 @@
 #include "carobshift/gateway/cache/cache_watcher.h"
 #include "carobshift/gateway/cache/store_reclaimer.h"
 #include "carobshift/gateway/connection_options.h"
+#include "carobshift/gateway/connection_quota_report.h"
 #include "carobshift/gateway/endpoints/cold_start_sharing.h"
 #include "carobshift/gateway/endpoints/limit_sharing.h"
 #include "carobshift/gateway/endpoints/reachability_monitor.h"
@@ -110,11 +111,13 @@
   // Before the loop, whose timers may hold what counts in them to the end.
   // Of replies to calls of this instance's own and of what attempts hold of
   // answers.
-  ByteBudget reply_budget{kMaxHeldReplyBytes};
-  // Of the bodies of requests, of those too that other instances hand over, and
-  // of replies that callers don't take.
-  ByteBudget caller_budget{static_cast<std::size_t>(
-      static_cast<double>(settings.memory_limit) * kCallerBytesShare)};
+  ByteBudget reply_budget{MaxHeldReplyBytes(settings.memory_limit)};
+  // Of what callers, and other instances, make this one hold on all listeners.
+  ByteBudget caller_budget{MaxCallerBytes(settings.memory_limit)};
+  ConnectionQuota caller_quota{
+      {.max_connections = MaxCallerConnections(settings.file_descriptors)},
+      caller_budget};
+  ConnectionQuotaReport quota_report;
   EventLoop loop;
   Metrics metrics;
   GatewayStateListener listener;
@@ -202,8 +205,9 @@
                                   dialects.log.EndpointStream(),
                                   EndpointFollowerOptions(),
                                   endpoint_records};
-  PeerSync peer_sync{loop,    control_client,    settings,
-                     cluster, operator_follower, endpoint_follower};
+  PeerSync peer_sync{loop,         control_client,    settings,
+                     cluster,      operator_follower, endpoint_follower,
+                     &caller_quota};
   RecordListener record_listener{
       loop,
       control_client,
@@ -212,12 +216,15 @@
       operator_follower,
       endpoint_follower};
   QueryService queries{
-      loop, [this](const HttpHead& question) { return Answer(question); }};
+      loop, [this](const HttpHead& question) { return Answer(question); },
+      &caller_quota};
   QueryService directory{
-      loop, [this](const HttpHead& question) { return Answer(question); }};
-  QueryService metrics_page{loop, [this](const HttpHead& question) {
-                              return AnswerMetrics(question);
-                            }};
+      loop, [this](const HttpHead& question) { return Answer(question); },
+      &caller_quota};
+  QueryService metrics_page{
+      loop,
+      [this](const HttpHead& question) { return AnswerMetrics(question); },
+      &caller_quota};
   std::shared_ptr<TcpListener> caller_listener;
   // True if this process did not run for a while, so that records arriving now
   // may be old.
--- a/carobshift/gateway/gateway_settings.h
+++ b/carobshift/gateway/gateway_settings.h
@@ -54,6 +54,8 @@
   Milliseconds stop_grace{8000};
   // Memory that the process may take.
   Bytes memory_limit{160 << 20};
+  // Descriptors that the process may have open.
+  int file_descriptors = 4096;
   // Maximum time for which callers may cache an address answer.
   Milliseconds max_address_ttl{5000};
 };
--- a/carobshift/gateway/handoff/handoff_listener.cc
+++ b/carobshift/gateway/handoff/handoff_listener.cc
@@ -47,6 +47,8 @@
 void HandoffListener::Accept(const Poco::Net::StreamSocket& socket) {
   const auto connection = HttpServerConnection::Open(
       loop_, socket, ConnectionLimits(), kCallerTcp, *this);
+  if (connection == nullptr)
+    return;
   connections_[connection.get()] = connection;
   if (stopping_)
     connection->CloseAfterReply();
--- a/carobshift/gateway/query_service.cc
+++ b/carobshift/gateway/query_service.cc
@@ -15,9 +15,13 @@
 Status QueryService::Listen(const NetAddress& address) {
   auto listener = TcpListener::Open(
       loop_, address, [this](const Poco::Net::StreamSocket& socket) {
-        const auto connection = HttpServerConnection::Open(
-            loop_, socket, {.body_bytes = kMaxBodyBytes}, kControlTcp, *this);
-        connections_[connection.get()] = connection;
+        HttpServerLimits limits{.body_bytes = kMaxBodyBytes, .quota = quota_};
+        if (quota_ != nullptr)
+          limits.caller_budget = &quota_->budget();
+        const auto connection =
+            HttpServerConnection::Open(loop_, socket, limits, kQueryTcp, *this);
+        if (connection != nullptr)
+          connections_[connection.get()] = connection;
       });
   if (!listener.ok())
     return listener.error();
--- a/carobshift/gateway/query_service.h
+++ b/carobshift/gateway/query_service.h
@@ -31,8 +31,9 @@
  public:
   using Answer = std::function<QueryAnswer(const HttpHead&)>;
 
-  QueryService(EventLoop& loop, Answer answer)
-      : loop_(loop), answer_(std::move(answer)) {}
+  // `quota` bounds the connections; null for no bound.
+  QueryService(EventLoop& loop, Answer answer, ConnectionQuota* quota = nullptr)
+      : loop_(loop), answer_(std::move(answer)), quota_(quota) {}
 
   [[nodiscard]] Status Listen(const NetAddress& address);
   // The port that Listen() has opened.
@@ -51,6 +52,7 @@
 
   EventLoop& loop_;
   Answer answer_;
+  ConnectionQuota* const quota_;
   std::uint64_t bytes_sent_ = 0;
   std::shared_ptr<TcpListener> listener_;
   std::unordered_map<HttpServerConnection*,
--- a/carobshift/gateway/records/peer_sync.cc
+++ b/carobshift/gateway/records/peer_sync.cc
@@ -23,7 +23,8 @@
                    const GatewaySettings& settings,
                    const Cluster& cluster,
                    KeyedFollower& operators,
-                   KeyedFollower& endpoints)
+                   KeyedFollower& endpoints,
+                   ConnectionQuota* quota)
     : loop_(loop),
       client_(client),
       cluster_(cluster),
@@ -32,8 +33,10 @@
       address_{settings.host, settings.peer_port},
       self_(settings.entry),
       secret_(SharedSecret(settings)),
-      query_service_(loop,
-                     [this](const HttpHead& query) { return Answer(query); }),
+      query_service_(
+          loop,
+          [this](const HttpHead& query) { return Answer(query); },
+          quota),
       start_time_(loop.now()),
       next_peer_(FastHash("peer asked first\n" + self_.value())) {}
 
--- a/carobshift/gateway/records/peer_sync.h
+++ b/carobshift/gateway/records/peer_sync.h
@@ -41,12 +41,14 @@
   // Interval between two queries to peers.
   static constexpr Milliseconds kQueryInterval{400};
 
+  // `quota` bounds the connections of those that query; null for no bound.
   PeerSync(EventLoop& loop,
            HttpClient& client,
            const GatewaySettings& settings,
            const Cluster& cluster,
            KeyedFollower& operators,
-           KeyedFollower& endpoints);
+           KeyedFollower& endpoints,
+           ConnectionQuota* quota = nullptr);
 
   // Handles queries on the same port that are not for complete states.
   using FallbackHandler =
--- a/carobshift/gateway/request/caller_request.h
+++ b/carobshift/gateway/request/caller_request.h
@@ -68,6 +68,16 @@
   // Handed over by another instance, to which the reply states whether the
   // request ran.
   bool handed_over = false;
+
+  // Memory that serving the request takes for its head, in bytes, about: the
+  // fields are kept and sent on; each part of the prompt is kept by the
+  // request, its footprint and the tables of loads and suspects.
+  [[nodiscard]] std::size_t capacity() const {
+    constexpr std::size_t kPartBytes = 256;
+    const std::size_t parts = prompt ? prompt->parts.size() : 0;
+    return 2 * fields.capacity() + target.capacity() + host.capacity() +
+           key.capacity() + id.value().capacity() + parts * kPartBytes;
+  }
 };
 
 // Header fields that the gateway adds to a request when it sends it to an
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -20,6 +20,8 @@
 // differently.
 constexpr double kConnectionShare = 0.9;
 constexpr int kNoConnectionLimit = 0;
+// What serving a request takes beside its head and body, about.
+constexpr std::size_t kExchangeBytes = std::size_t{8} << 10;
 
 }  // namespace
 
@@ -73,6 +75,8 @@
 void RequestService::Accept(const Poco::Net::StreamSocket& socket) {
   const auto connection = HttpServerConnection::Open(
       loop_, socket, CallerConnectionLimits(), kCallerTcp, *this);
+  if (connection == nullptr)
+    return;
   connections_[connection.get()] = connection;
   if (shutdown_)
     connection->CloseAfterReply();
@@ -84,7 +88,9 @@
   limits.body_bytes = applied_caller_limits_.body_bytes;
   limits.head_timeout = applied_caller_limits_.head_timeout;
   limits.idle_timeout = applied_caller_limits_.idle_timeout;
-  limits.caller_budget = options_.caller_budget;
+  limits.quota = options_.quota;
+  if (limits.quota != nullptr)
+    limits.caller_budget = &limits.quota->budget();
   return limits;
 }
 
@@ -181,6 +187,10 @@
     return;
   }
   CallerRequest& request = decoded.value();
+  if (!ReserveServed(request, received)) {
+    Reject(*connection, request.id, ResultCode::kOverloaded, from);
+    return;
+  }
   request.body =
       SharedBytes(std::move(received.body), std::move(received.reserved));
   request.handed_over = from != nullptr;
@@ -245,6 +255,16 @@
   Begin(run);
 }
 
+bool RequestService::ReserveServed(const CallerRequest& request,
+                                   HttpServerRequest& received) const {
+  const std::size_t size =
+      received.body.capacity() + request.capacity() + kExchangeBytes;
+  if (options_.quota == nullptr)
+    return true;
+  return options_.quota->Grow(received.reserved, size, /*asking=*/nullptr,
+                              loop_.now());
+}
+
 void RequestService::Place(const std::shared_ptr<ExchangeRun>& run) {
   const ExchangeSetup& setup = run->exchange().setup();
   if (load_query_service_ == nullptr || !load_query_service_->active() ||
--- a/carobshift/gateway/request/request_service.h
+++ b/carobshift/gateway/request/request_service.h
@@ -292,6 +292,9 @@
   void Serve(const std::shared_ptr<HttpServerConnection>& connection,
              HttpServerRequest received,
              const EntryId* from);
+  // Reserves what serving the request takes. Returns whether it has room.
+  [[nodiscard]] bool ReserveServed(const CallerRequest& request,
+                                   HttpServerRequest& received) const;
   // Answers a request without an exchange. It has not run.
   void Reject(HttpServerConnection& connection,
               const RequestId& id,
--- a/carobshift/gateway/request/request_service_options.h
+++ b/carobshift/gateway/request/request_service_options.h
@@ -5,10 +5,10 @@
 
 #include <cstdint>
 
-#include "carobshift/base/byte_budget.h"
 #include "carobshift/base/units.h"
 #include "carobshift/gateway/endpoints/cold_start_limits.h"
 #include "carobshift/gateway/request/retry_allowance.h"
+#include "carobshift/net/connection_quota.h"
 
 namespace carobshift {
 
@@ -25,8 +25,8 @@
   // once: if the connection has failed unnoticed, the outcome of the request is
   // unknown.
   Milliseconds run_once_max_idle{1000};
-  // See HttpServerLimits::caller_budget.
-  ByteBudget* caller_budget = nullptr;
+  // Of all listeners; see HttpServerLimits::quota. Null for no bound.
+  ConnectionQuota* quota = nullptr;
 };
 
 }  // namespace carobshift
--- a/carobshift/net/http_server_connection.cc
+++ b/carobshift/net/http_server_connection.cc
@@ -17,6 +17,8 @@
 // Maximum number of bytes buffered beyond the request being served. Reading
 // stops above it.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10;
+// What the kernel keeps unread while reading is stopped, at most.
+constexpr std::size_t kMaxKernelUnreadBytes = std::size_t{128} << 10;
 
 }  // namespace
 
@@ -52,7 +54,8 @@
       parser_(HttpParser::Kind::kRequest,
               {.head_bytes = limits.head_bytes},
               *this),
-      unsent_reserved_(limits.caller_budget, ByteImportance::kOptional) {}
+      unsent_reserved_(limits.caller_budget, ByteImportance::kOptional),
+      unparsed_reserved_(limits.caller_budget, ByteImportance::kOptional) {}
 
 std::shared_ptr<HttpServerConnection> HttpServerConnection::Open(
     EventLoop& loop,
@@ -60,9 +63,22 @@
     const HttpServerLimits& limits,
     const TcpOptions& tcp,
     HttpServerHandler& handler) {
+  std::shared_ptr<ConnectionSlot> slot;
+  if (limits.quota != nullptr) {
+    slot = limits.quota->Admit(loop.now());
+    if (slot == nullptr) {
+      Poco::Net::StreamSocket(socket).close();
+      return nullptr;
+    }
+  }
   std::shared_ptr<HttpServerConnection> connection(
       new HttpServerConnection(loop, limits, handler));
   connection->tcp_ = TcpConnection::Accept(loop, socket, tcp, connection.get());
+  if (slot != nullptr) {
+    slot->Attach(connection, connection->tcp_);
+    connection->tcp_->HoldSlot(slot);
+    connection->slot_ = std::move(slot);
+  }
   connection->BeginIdlePeriod();
   return connection;
 }
@@ -103,66 +119,122 @@
 
 void HttpServerConnection::OnData(std::string_view bytes) {
   const auto self = shared_from_this();
-  if (ending_)
+  if (ending_ || discards_)
     return;
-  unparsed_.append(bytes);
-  if (serving_) {
-    if (unparsed_.size() > kMaxUnparsedBytes)
-      tcp_->SetReading(false);
+  if (serving_ || awaits_flush_ || !unparsed_.empty())
+    Keep(bytes);
+  else
+    Parse(bytes);
+}
+
+void HttpServerConnection::Keep(std::string_view bytes) {
+  const std::size_t size = unparsed_.size() + bytes.size();
+  const bool pauses = size > kMaxUnparsedBytes;
+  if (!unparsed_reserved_.GrowTo(size + (pauses ? kMaxKernelUnreadBytes : 0))) {
+    DiscardInput();
     return;
   }
-  Parse();
+  unparsed_.append(bytes);
+  if (pauses)
+    tcp_->SetReading(false);
+}
+
+void HttpServerConnection::DiscardInput() {
+  if (limits_.quota != nullptr)
+    limits_.quota->CountDiscarded();
+  discards_ = true;
+  keep_alive_ = false;
+  std::string().swap(unparsed_);
+  unparsed_reserved_.Release();
+  tcp_->SetReading(true);
 }
 
-void HttpServerConnection::Parse() {
-  while (!ended_ && !ending_ && !serving_ && !awaits_flush_ &&
-         !unparsed_.empty()) {
+void HttpServerConnection::ParseKept() {
+  if (ended_ || ending_ || serving_ || awaits_flush_)
+    return;
+  const std::string input = std::exchange(unparsed_, {});
+  unparsed_reserved_.Release();
+  Parse(input);
+}
+
+void HttpServerConnection::Parse(std::string_view input) {
+  while (!ended_ && !ending_ && !serving_ && !awaits_flush_ && !input.empty()) {
     const bool is_first_byte = !parser_.begun();
     const bool head_was_done = parser_.head_done();
-    const HttpParser::Progress progress = parser_.Feed(unparsed_);
-    unparsed_.erase(0, progress.consumed);
-    if (too_large_) {
-      Reject(kPayloadTooLarge);
-      return;
+    if (is_first_byte) {
+      request_began_ = loop_.now();
+      arrival_rate_ = ArrivalRate(request_began_);
     }
-    if (no_room_) {
-      RefuseForRoom();
+    const HttpParser::Progress progress = parser_.Feed(input);
+    input.remove_prefix(progress.consumed);
+    arrival_rate_.OnBytes(kept_bytes(), loop_.now());
+    const bool arms_timer = is_first_byte || head_was_done;
+    if (!HandleProgress(progress.state, arms_timer, input))
       return;
-    }
-    switch (progress.state) {
-      case HttpParser::State::kPartial:
-        if (is_first_byte || head_was_done || parser_.head_done())
-          // The loop may have stood still since its iteration began.
-          ArmTimer(MonotonicNow() + limits_.head_timeout, true);
-        return;
-      case HttpParser::State::kMalformed:
-        Reject(kBadRequest);
-        return;
-      case HttpParser::State::kHeadTooLarge:
-        Reject(kHeadTooLarge);
-        return;
-      case HttpParser::State::kComplete:
-        loop_.CancelTimer(timer_);
-        serving_ = true;
-        parser_.Reset();
-        handler_->OnRequest(shared_from_this(), std::exchange(request_, {}));
-        break;
-    }
   }
 }
 
+bool HttpServerConnection::HandleProgress(HttpParser::State state,
+                                          bool arms_timer,
+                                          std::string_view rest) {
+  if (too_large_) {
+    Reject(kPayloadTooLarge);
+    return false;
+  }
+  if (no_room_) {
+    RefuseForRoom();
+    return false;
+  }
+  switch (state) {
+    case HttpParser::State::kPartial:
+      if (!parser_.head_done() && !ReserveRequest(parser_.head_capacity())) {
+        Reject(kUnavailable);
+        return false;
+      }
+      if (arms_timer || parser_.head_done())
+        // The loop may have stood still since its iteration began.
+        ArmTimer(MonotonicNow() + limits_.head_timeout, true);
+      return false;
+    case HttpParser::State::kMalformed:
+      Reject(kBadRequest);
+      return false;
+    case HttpParser::State::kHeadTooLarge:
+      Reject(kHeadTooLarge);
+      return false;
+    case HttpParser::State::kComplete:
+      break;
+  }
+  loop_.CancelTimer(timer_);
+  serving_ = true;
+  parser_.Reset();
+  if (!rest.empty())
+    Keep(rest);
+  handler_->OnRequest(shared_from_this(), std::exchange(request_, {}));
+  return false;
+}
+
+bool HttpServerConnection::ReserveRequest(std::size_t size) {
+  if (request_.reserved.size() == 0) {
+    request_.reserved =
+        ByteReservation(limits_.caller_budget, ByteImportance::kRequest);
+  }
+  if (limits_.quota == nullptr)
+    return request_.reserved.GrowTo(size);
+  return limits_.quota->Grow(request_.reserved, size, this, loop_.now());
+}
+
 void HttpServerConnection::OnHead(HttpHead head, const HttpMessageInfo& info) {
   http_1_0_ = info.http_1_0;
   keep_alive_ = info.keep_alive && !info.http_1_0;
   reply_to_head_ = head.method == "HEAD";
-  request_.reserved =
-      ByteReservation(limits_.caller_budget, ByteImportance::kRequest);
+  std::size_t length = 0;
   if (info.framing == HttpBodyFraming::kLength) {
     too_large_ = info.length > limits_.body_bytes;
-    no_room_ = !too_large_ && !request_.reserved.GrowTo(info.length);
-    if (!too_large_ && !no_room_)
-      request_.body.reserve(info.length);
+    length = too_large_ ? 0 : info.length;
   }
+  no_room_ = !too_large_ && !ReserveRequest(head.capacity() + length);
+  if (!no_room_)
+    request_.body.reserve(length);
   const auto expect = head.Find("Expect");
   if (expect && EqualsIgnoringCase(*expect, "100-continue") &&
       info.framing != HttpBodyFraming::kNone && !too_large_ && !no_room_)
@@ -177,13 +249,15 @@
     return;
   request_.body.append(bytes);
   // Grows only for a body that came without its length.
-  no_room_ = !request_.reserved.GrowTo(request_.body.capacity());
+  no_room_ =
+      !ReserveRequest(request_.head.capacity() + request_.body.capacity());
 }
 
 void HttpServerConnection::Reject(int status) {
   if (ended_)
     return;
   request_ = {};
+  parser_.Reset();
   handler_->OnMalformed(status);
   HttpHead head;
   head.status = status;
@@ -194,6 +268,7 @@
 
 void HttpServerConnection::RefuseForRoom() {
   const HttpHead head = std::exchange(request_, {}).head;
+  parser_.Reset();
   serving_ = true;
   keep_alive_ = false;
   handler_->OnNoRoom(*this, head);
@@ -269,6 +344,7 @@
   if (ended_)
     return;
   if (!keep_alive_) {
+    idle_since_ = loop_.now();
     EndWhenSent();
     return;
   }
@@ -281,15 +357,23 @@
   // Otherwise a caller that sends requests and takes no replies fills the
   // memory.
   awaits_flush_ = tcp_->unsent() > 0;
-  tcp_->SetReading(!awaits_flush_);
-  if (awaits_flush_)
+  if (discards_ && !awaits_flush_) {
+    EndWhenSent();
     return;
+  }
+  tcp_->SetReading(discards_ || !awaits_flush_);
+  if (awaits_flush_) {
+    if (!discards_ &&
+        !unparsed_reserved_.GrowTo(unparsed_.size() + kMaxKernelUnreadBytes))
+      DiscardInput();
+    return;
+  }
   // Pipelined requests are parsed in the next iteration of the loop rather than
   // within the handler's call.
   if (!unparsed_.empty()) {
     loop_.AddTimer(loop_.now(), [weak = weak_from_this()] {
       if (const auto self = weak.lock())
-        self->Parse();
+        self->ParseKept();
     });
     return;
   }
@@ -319,6 +403,35 @@
     Reject(kRequestTimeout);
 }
 
+ConnectionActivity HttpServerConnection::activity() const {
+  if (serving_)
+    return {.state = ConnectionState::kServing};
+  if (ending_ || awaits_flush_)
+    return {.state = ConnectionState::kSending, .since = idle_since_};
+  if (!parser_.begun() && unparsed_.empty())
+    return {.state = ConnectionState::kIdle, .since = idle_since_};
+  return {.state = ConnectionState::kReading,
+          .since = request_began_,
+          .bytes_per_second = arrival_rate_.BytesPerSecond(loop_.now())};
+}
+
+void HttpServerConnection::Reclaim() {
+  const auto self = shared_from_this();
+  switch (activity().state) {
+    case ConnectionState::kServing:
+      return;
+    case ConnectionState::kSending:
+      Abort();
+      return;
+    case ConnectionState::kReading:
+      Reject(kRequestTimeout);
+      return;
+    case ConnectionState::kIdle:
+      EndIdle();
+      return;
+  }
+}
+
 void HttpServerConnection::EndIdle() {
   // The request is read in the next iteration of the loop; its reply announces
   // the close.
@@ -363,6 +476,9 @@
   ended_ = true;
   end_ = end;
   left_unread_ = tcp_->HasInput();
+  if (slot_ != nullptr)
+    slot_->OnEnded(loop_.now());
+  slot_.reset();
   loop_.CancelTimer(timer_);
   loop_.CancelTimer(delivery_timer_);
 }
--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -25,9 +25,15 @@
 //   otherwise.
 // - A caller reads the last reply slowly. The connection ends after the caller
 //   has received all of it, and busy() is true until then.
-// - Callers send more than the instance has room for. A body counts in
-//   `caller_budget` once its length is known, for as long as the handler holds
-//   it; a request whose body has no room is refused before it is read.
+// - Callers send more than the instance has room for. A request counts in
+//   `caller_budget` for as long as the handler holds it: what its head takes
+//   while it is read, and its body once its length is known. One that has no
+//   room is refused before it is read on.
+// - Many callers keep what they hold. With a `quota`, each connection has a
+//   place in it, and a request takes room from connections that hold it without
+//   use (connection_quota.h).
+// - A caller sends on while its request is served. What has no room is thrown
+//   away unread, and the connection ends behind the reply.
 // - A caller sends requests and takes no replies. A request is parsed once the
 //   reply to the one before is handed to the kernel.
 // - A caller doesn't read. Beyond `high_water` unsent bytes the handler is
@@ -44,6 +50,8 @@
 #include <string_view>
 
 #include "carobshift/base/byte_budget.h"
+#include "carobshift/net/arrival_rate.h"
+#include "carobshift/net/connection_quota.h"
 #include "carobshift/net/event_loop.h"
 #include "carobshift/net/http_parser.h"
 #include "carobshift/net/tcp_connection.h"
@@ -61,16 +69,20 @@
   // all have been sent. Equals the data of a few round trips at a stream's
   // speed.
   std::size_t high_water = std::size_t{256} << 10;
-  // Bounds the bodies of all connections with the same budget in sum, and the
-  // reply bytes that their callers don't take. Must outlive the connections and
-  // their requests. Null for no bound.
+  // Bounds the requests of all connections with the same budget in sum, their
+  // bytes that are not read yet, and the reply bytes that their callers don't
+  // take. Must outlive the connections and their requests. Null for no bound.
   ByteBudget* caller_budget = nullptr;
+  // Bounds the connections, and takes room for requests from other connections.
+  // Its budget is caller_budget. Must outlive the connections. Null for no
+  // bound.
+  ConnectionQuota* quota = nullptr;
 };
 
 struct HttpServerRequest {
   HttpHead head;
   std::string body;
-  // Of the body. Whoever keeps the body keeps this too.
+  // Of the head and the body. Whoever keeps one of them keeps this too.
   ByteReservation reserved{};
 };
 
@@ -110,17 +122,19 @@
   virtual void OnConnectionEnd(HttpServerConnection& connection) = 0;
   // A malformed, oversized or incomplete request was rejected with this status.
   virtual void OnMalformed(int) {}
-  // There is no room for the request's body, which has not been read. The
-  // handler must send one reply, which tells that the request has not run; the
-  // connection ends behind it.
+  // There is no room for the request, whose head is whole and whose body has
+  // not been read. The handler must send one reply, which tells that the
+  // request has not run; the connection ends behind it.
   virtual void OnNoRoom(HttpServerConnection& connection, const HttpHead& head);
 };
 
 class HttpServerConnection
     : public TcpConnectionHandler,
+      public QuotaMember,
       private HttpSink,
       public std::enable_shared_from_this<HttpServerConnection> {
  public:
+  // Returns null, with the socket closed, if the quota has no place.
   static std::shared_ptr<HttpServerConnection> Open(
       EventLoop& loop,
       const Poco::Net::StreamSocket& socket,
@@ -174,6 +188,9 @@
            (serving_ || parser_.begun() || !unparsed_.empty() || left_unread_);
   }
 
+  [[nodiscard]] ConnectionActivity activity() const override;
+  void Reclaim() override;
+
   void OnData(std::string_view bytes) override;
   void OnClosed(CloseReason reason) override;
   void OnFlushed() override;
@@ -192,7 +209,24 @@
   void OnHead(HttpHead head, const HttpMessageInfo& info) override;
   void OnBody(std::string_view bytes) override;
 
-  void Parse();
+  // Parses `input`, and keeps what of it belongs to later requests.
+  void Parse(std::string_view input);
+  void ParseKept();
+  // Returns false if parsing ends.
+  bool HandleProgress(HttpParser::State state,
+                      bool arms_timer,
+                      std::string_view rest);
+  // Keeps bytes until the request before them is served, if they have room.
+  void Keep(std::string_view bytes);
+  void DiscardInput();
+  // Reserves what the request takes that is being read. Returns whether it has
+  // room.
+  bool ReserveRequest(std::size_t size);
+  // Bytes of the request being read that are kept.
+  [[nodiscard]] std::size_t kept_bytes() const {
+    return parser_.head_capacity() + request_.head.capacity() +
+           request_.body.size();
+  }
   void Reject(int status);
   void RefuseForRoom();
   void AddConnectionFields(HttpHead& head);
@@ -222,6 +256,12 @@
   ByteReservation unsent_reserved_;
   // Bytes received but not yet parsed.
   std::string unparsed_;
+  // Of these, and of those that the kernel keeps while nothing is read.
+  ByteReservation unparsed_reserved_;
+  std::shared_ptr<ConnectionSlot> slot_;
+  // Of the request that is being read.
+  MonotonicTime request_began_{};
+  ArrivalRate arrival_rate_;
   TimerId timer_;
   // While the connection waits to end until the last reply is received.
   TimerId delivery_timer_;
@@ -240,8 +280,11 @@
   // The connection ends once all bytes are sent. No further request is read.
   bool ending_ = false;
   bool too_large_ = false;
-  // The body of the request being read has no room in the budget.
+  // The request being read has no room in the budget.
   bool no_room_ = false;
+  // What the caller sends is thrown away: it has no room, and the connection
+  // ends behind the reply.
+  bool discards_ = false;
   bool ended_ = false;
   ConnectionEnd end_ = ConnectionEnd::kIdle;
   bool left_unread_ = false;
--- a/carobshift/net/tcp_connection.cc
+++ b/carobshift/net/tcp_connection.cc
@@ -17,9 +17,11 @@
 
 constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10;
 
-// Sent bytes are removed from the buffer once there are this many. An empty
-// buffer with more room gives its memory back.
+// Sent bytes are removed from the buffer once there are this many.
 constexpr std::size_t kCompactBytes = std::size_t{64} << 10;
+// An empty buffer with more room gives its memory back: many connections are
+// idle.
+constexpr std::size_t kMaxEmptyBufferBytes = std::size_t{4} << 10;
 
 }  // namespace
 
@@ -66,6 +68,8 @@
 
 void TcpConnection::Configure(const TcpOptions& options) {
   socket_.setNoDelay(true);
+  if (options.receive_buffer_bytes > 0)
+    socket_.setReceiveBufferSize(options.receive_buffer_bytes);
   socket_.setKeepAlive(true);
   const int interval = static_cast<int>(options.probe_interval.count());
   socket_.setOption(IPPROTO_TCP, TCP_KEEPIDLE, interval);
@@ -116,7 +120,7 @@
 }
 
 void TcpConnection::DropUnsent() {
-  if (send_buffer_.capacity() > kCompactBytes)
+  if (send_buffer_.capacity() > kMaxEmptyBufferBytes)
     std::string().swap(send_buffer_);
   send_buffer_.clear();
   send_offset_ = 0;
@@ -175,6 +179,7 @@
   DropUnsent();
   loop_.Remove(socket_);
   socket_.close();
+  slot_.reset();
 }
 
 void TcpConnection::Abort() {
--- a/carobshift/net/tcp_connection.h
+++ b/carobshift/net/tcp_connection.h
@@ -28,9 +28,11 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/shared_bytes.h"
+#include "carobshift/net/connection_quota.h"
 #include "carobshift/net/event_loop.h"
 
 namespace carobshift {
@@ -55,6 +57,9 @@
 };
 
 struct TcpOptions {
+  // Largest number of received bytes that the kernel keeps unread, about; its
+  // own choice, of several megabytes at most, if 0.
+  int receive_buffer_bytes = 0;
   // Time without any sign of the peer after which the connection ends: with
   // unacknowledged bytes, with a peer whose window stays full, or with
   // unanswered keep-alive probes. TCP_USER_TIMEOUT decides all three, whatever
@@ -68,6 +73,7 @@
 };
 
 class TcpConnection : public SocketHandler,
+                      public QuotaSocket,
                       public std::enable_shared_from_this<TcpConnection> {
  public:
   // How long CloseAfterFlush() continues to read what the peer sends, once the
@@ -96,7 +102,11 @@
   // side isn't noticed.
   void SetReading(bool reading);
   // Closes the connection; resets it if received bytes are unread.
-  void Close();
+  void Close() override;
+  // Keeps the place of the connection until the socket is closed.
+  void HoldSlot(std::shared_ptr<ConnectionSlot> slot) {
+    slot_ = std::move(slot);
+  }
   // Sends the unsent bytes, ends this side, continues to read for kLinger and
   // closes. Reads on for up to `longest` while more comes: closing before would
   // reset the connection, and the peer might lose what was sent. How long the
@@ -158,6 +168,8 @@
   void DiscardInput();
 
   EventLoop& loop_;
+  // Before the socket, which is closed first.
+  std::shared_ptr<ConnectionSlot> slot_;
   Poco::Net::StreamSocket socket_;
   TcpConnectionHandler* handler_;
   std::string send_buffer_;
--- a/testing/crowd.cc
+++ b/testing/crowd.cc
@@ -121,10 +121,9 @@
 }
 
 int Crowd::sent_all() const {
-  return static_cast<int>(
-      std::count_if(callers_.begin(), callers_.end(), [](const Caller& c) {
-        return !c.failed && c.sent == c.bytes.size();
-      }));
+  return static_cast<int>(std::count_if(
+      callers_.begin(), callers_.end(),
+      [](const Caller& c) { return !c.failed && c.sent == c.bytes.size(); }));
 }
 
 long HeldMemory(const Process& process,
--- a/testing/gateway_cluster.cc
+++ b/testing/gateway_cluster.cc
@@ -153,29 +153,29 @@
                          const std::string& service, bool resumable) {
     return RouteOf(name, kind, service, resumable, timeout);
   };
-  json config = {{"version", number},
-                 {"routes",
-                  {route("review", "streaming", change.review_service, true),
-                   route("ask", "streaming", "engines", false),
-                   route("book", "unsafe", "desks", false),
-                   route("find", "safe", "desks", false)}},
-                 {"services",
-                  {{{"name", "engines"},
-                    {"connection_limit", 100},
-                    {"engine",
-                     {{"slots", 16},
-                      {"kv_cache_tokens", 100000},
-                      {"max_concurrent", 8},
-                      {"models", {{{"name", "m1"}}}}}}},
-                   {{"name", "desks"}, {"connection_limit", 100}}}},
-                 {"limits",
-                  {{"max_header_bytes", 16384},
-                   {"max_body_bytes", options_.max_body_bytes},
-                   {"header_timeout_ms", options_.header_timeout.count()},
-                   {"idle_timeout_ms",
-                    change.idle_timeout.value_or(options_.idle_timeout)
-                        .count()}}},
-                 {"tenants", accounts}};
+  json config = {
+      {"version", number},
+      {"routes",
+       {route("review", "streaming", change.review_service, true),
+        route("ask", "streaming", "engines", false),
+        route("book", "unsafe", "desks", false),
+        route("find", "safe", "desks", false)}},
+      {"services",
+       {{{"name", "engines"},
+         {"connection_limit", 100},
+         {"engine",
+          {{"slots", 16},
+           {"kv_cache_tokens", 100000},
+           {"max_concurrent", 8},
+           {"models", {{{"name", "m1"}}}}}}},
+        {{"name", "desks"}, {"connection_limit", 100}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", options_.max_body_bytes},
+        {"header_timeout_ms", options_.header_timeout.count()},
+        {"idle_timeout_ms",
+         change.idle_timeout.value_or(options_.idle_timeout).count()}}},
+      {"tenants", accounts}};
   if (options_.spares) {
     json spares = config.at("services").at(0);
     spares["name"] = "spares";
