The entry's callers count in one bound too, and yield threads and bytes that they hold without use

Callers saw: 200 bodies of 4 MiB, one byte short, by length or in one chunk, took 1,029 and 1,021 MB of an entry; at 32 threads, an ordinary call beside 200 connections without a request (or with a head or a body that doesn't end) got a reset. Cause: each body had a bound, their sum had none, and a connection kept its thread for as long as it sent a byte now and then.

CallerConnections puts the policy of ConnectionQuota under a mutex, for a thread for each connection: connections are counted as they are accepted, bodies as they grow, twice, in two fifths of the new setting memory_mb (160; a max_body_bytes that has no room is refused as the settings are read). Room is taken by ending the receiving side: the thread reads the end and answers `overloaded`, not run. Connections that wait for a thread keep their place, and those that have one yield it. ConnectionQuota has the number of active connections as an option of its own, and counts connections that have been idle for under a second among the last to go: newcomers had taken room from themselves. POCO takes the end of a connection for the end of a chunked body; such a body is refused now, which the reclaiming of one needs.

--- a/carobshift/gateway/connection_options.h
+++ b/carobshift/gateway/connection_options.h
@@ -16,6 +16,7 @@
 #include <cstddef>
 
 #include "carobshift/base/units.h"
+#include "carobshift/net/connection_quota.h"
 #include "carobshift/net/tcp_connection.h"
 
 namespace carobshift {
@@ -75,12 +76,15 @@
 // Descriptors that the platform keeps for files.
 inline constexpr int kFileDescriptors = 200;
 
-// Returns the number of connections that callers and other instances may keep
-// open to an instance with this number of descriptors: half of those for
-// sockets. Each request that is served needs another one to an endpoint.
-[[nodiscard]] constexpr std::size_t MaxCallerConnections(int descriptors) {
-  return static_cast<std::size_t>(
+// Returns how many connections callers and other instances may keep open to an
+// instance with this number of descriptors: half of those for sockets, since
+// each request that is served needs another one to an endpoint. An eighth is
+// for connections that the instance has ended: refusals are sent on them.
+[[nodiscard]] constexpr ConnectionQuotaOptions CallerQuota(int descriptors) {
+  constexpr std::size_t kEndedPart = 8;
+  const auto most = static_cast<std::size_t>(
       std::max((descriptors - kFileDescriptors) / 2, 1));
+  return {.max_connections = most, .max_active = most - most / kEndedPart};
 }
 
 }  // namespace carobshift
--- a/carobshift/gateway/gateway_impl.h
+++ b/carobshift/gateway/gateway_impl.h
@@ -114,9 +114,8 @@
   ByteBudget reply_budget{MaxHeldReplyBytes(settings.memory_limit)};
   // Of what callers, and other instances, make this one hold on all listeners.
   ByteBudget caller_budget{MaxCallerBytes(settings.memory_limit)};
-  ConnectionQuota caller_quota{
-      {.max_connections = MaxCallerConnections(settings.file_descriptors)},
-      caller_budget};
+  ConnectionQuota caller_quota{CallerQuota(settings.file_descriptors),
+                               caller_budget};
   ConnectionQuotaReport quota_report;
   EventLoop loop;
   Metrics metrics;
--- a/carobshift/net/connection_quota.cc
+++ b/carobshift/net/connection_quota.cc
@@ -48,7 +48,7 @@
 ConnectionQuota::~ConnectionQuota() = default;
 
 std::shared_ptr<ConnectionSlot> ConnectionQuota::Admit(MonotonicTime now) {
-  ReclaimPlaces(now);
+  ReclaimPlaces(/*asking=*/nullptr, now);
   ByteReservation reserved(&budget_, ByteImportance::kRequest);
   if (slots_.size() >= options_.max_connections ||
       !Grow(reserved, kConnectionBytes, /*asking=*/nullptr, now)) {
@@ -58,14 +58,15 @@
   return std::make_shared<ConnectionSlot>(*this, std::move(reserved));
 }
 
-void ConnectionQuota::ReclaimPlaces(MonotonicTime now) {
+void ConnectionQuota::ReclaimPlaces(const QuotaMember* asking,
+                                    MonotonicTime now) {
   const std::size_t most = options_.max_connections;
-  const std::size_t most_active = most - most / kEndedPart;
   const std::size_t portion = std::max<std::size_t>(1, most / kPortion);
-  if (slots_.size() - ended_ >= most_active) {
-    std::size_t left = portion;
+  const std::size_t active = slots_.size() - ended_;
+  if (active >= options_.max_active) {
+    std::size_t left = active - options_.max_active + portion;
     for (const Candidate& candidate :
-         Candidates(Rank::kStalled, Rank::kUnreadReply, nullptr, now)) {
+         Candidates(Rank::kStalled, Rank::kUnreadReply, asking, now)) {
       Take(candidate);
       if (--left == 0)
         break;
@@ -75,7 +76,7 @@
     return;
   std::size_t left = portion;
   for (const Candidate& candidate :
-       Candidates(Rank::kEnded, Rank::kEnded, nullptr, now)) {
+       Candidates(Rank::kEnded, Rank::kEnded, asking, now)) {
     Take(candidate);
     if (--left == 0)
       break;
@@ -120,6 +121,8 @@
   const ConnectionActivity activity = member->activity();
   switch (activity.state) {
     case ConnectionState::kIdle:
+      if (now - activity.since <= kGraceTime)
+        return {Rank::kBegun, kMinBytesPerSecond, std::move(slot)};
       return {Rank::kIdle, InSeconds(activity.since), std::move(slot)};
     case ConnectionState::kSending:
       return {Rank::kUnreadReply, InSeconds(activity.since), std::move(slot)};
--- a/carobshift/net/connection_quota.h
+++ b/carobshift/net/connection_quota.h
@@ -3,11 +3,10 @@
 // them in sum. As in a resource quota with reclamation, a caller that needs
 // room takes it from those that hold it without use.
 //
-//   ConnectionQuota quota({.max_connections = 1000}, budget);
-//   const auto slot = quota.Admit(now);
-//   if (slot == nullptr) ...  // refused
-//   slot->Attach(member, socket);
-//   if (!quota.Grow(reserved, bytes, asking, now)) ...  // refused
+//   ConnectionQuota quota({.max_connections = 1000, .max_active = 900},
+//   budget); const auto slot = quota.Admit(now); if (slot == nullptr) ...  //
+//   refused slot->Attach(member, socket); if (!quota.Grow(reserved, bytes,
+//   asking, now)) ...  // refused
 //
 // What is reclaimed, in this order:
 //
@@ -15,7 +14,8 @@
 //   peers have not.
 // - Requests that don't arrive: their callers are told that they have not run.
 // - Idle connections, the longest idle first.
-// - Requests that have just begun, the slowest first.
+// - Requests that have just begun, the slowest first, and connections that have
+//   just become idle.
 // - Replies that their callers don't take.
 //
 // Requests that are served keep what they hold. A body above
@@ -106,6 +106,9 @@
 struct ConnectionQuotaOptions {
   // Open sockets on all listeners together.
   std::size_t max_connections = 1000;
+  // Of these, connections that this side has not ended. Beyond, places are
+  // taken; refused is a connection only for want of a socket.
+  std::size_t max_active = 875;
 };
 
 // What was taken and refused so far.
@@ -126,9 +129,6 @@
  public:
   // What a connection takes by itself: its objects and the kernel's.
   static constexpr std::size_t kConnectionBytes = std::size_t{4} << 10;
-  // Part of the places, as a divisor, for connections that this side has ended:
-  // refusals are sent on them, and their callers may still be sending.
-  static constexpr std::size_t kEndedPart = 8;
   // A request that has lasted for the grace time doesn't arrive if its bytes
   // come at less than this.
   static constexpr double kMinBytesPerSecond = 16384;
@@ -143,6 +143,9 @@
   // Returns a place for one more connection, or null if there is none. The
   // quota must outlive it.
   [[nodiscard]] std::shared_ptr<ConnectionSlot> Admit(MonotonicTime now);
+  // Takes places from other connections than `asking` until one is free, as
+  // Admit() does.
+  void ReclaimPlaces(const QuotaMember* asking, MonotonicTime now);
   // Reserves `size` bytes altogether. Takes room from other connections than
   // `asking`, which may be null. Returns false, and reserves nothing more, if
   // there is none.
@@ -186,9 +189,6 @@
                                                   const QuotaMember* asking,
                                                   MonotonicTime now) const;
   void Take(const Candidate& candidate);
-  // Ends connections until there is a place.
-  void ReclaimPlaces(MonotonicTime now);
-
   const ConnectionQuotaOptions options_;
   ByteBudget& budget_;
   std::unordered_set<ConnectionSlot*> slots_;
--- a/carobshift/net/connection_quota_test.cc
+++ b/carobshift/net/connection_quota_test.cc
@@ -47,7 +47,8 @@
   }
 
   ByteBudget budget{kLimit};
-  ConnectionQuota quota{{.max_connections = kMost}, budget};
+  ConnectionQuota quota{{.max_connections = kMost, .max_active = kMost - 2},
+                        budget};
   std::vector<std::shared_ptr<FakeConnection>> all;
 };
 
--- a/carobshift/server/commands/call_command.cc
+++ b/carobshift/server/commands/call_command.cc
@@ -59,7 +59,7 @@
                      ServiceKind::kPlain);
   if (!service.ok())
     return service.error();
-  auto body = ReadBody(exchange.request, context_.settings.max_body_bytes);
+  auto body = ReadBody(exchange, context_.settings.max_body_bytes);
   if (!body.ok())
     return body.error();
   PlainJob job;
--- a/carobshift/server/commands/complete_command.cc
+++ b/carobshift/server/commands/complete_command.cc
@@ -101,7 +101,7 @@
   auto caller = IdentifyCaller(context_, exchange);
   if (!caller.ok())
     return caller.error();
-  auto text = ReadBody(exchange.request, context_.settings.max_body_bytes);
+  auto text = ReadBody(exchange, context_.settings.max_body_bytes);
   if (!text.ok())
     return text.error();
   auto task = MakeCompletionTask(caller.value(), format_, text.value());
--- a/carobshift/server/entry.cc
+++ b/carobshift/server/entry.cc
@@ -46,14 +46,17 @@
   return options;
 }
 
-CallerHttpServerOptions FrontOptions(const Settings& settings) {
+CallerHttpServerOptions FrontOptions(const Settings& settings,
+                                     Metrics& metrics) {
   return {settings.entry,
           settings.listen,
           settings.http_threads,
           settings.max_connections,
           settings.max_header_fields,
           settings.read_timeout,
-          settings.keep_alive_timeout};
+          settings.keep_alive_timeout,
+          Bytes{settings.memory_mb} << 20,
+          &metrics};
 }
 
 // At most a quarter of the worker threads may wait for one service. The others
@@ -80,7 +83,7 @@
         context{settings,   secret,     incarnation, platform, config,
                 endpoints,  load,       cache,       journal,  metrics,
                 state_dump, membership, lease},
-        front(FrontOptions(settings), routes) {}
+        front(FrontOptions(settings, metrics), routes) {}
 
   void AddRoutes() {
     routes.Add("POST", "/v1/completions", complete_text);
--- a/carobshift/server/http/caller_http_server.cc
+++ b/carobshift/server/http/caller_http_server.cc
@@ -3,8 +3,11 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/URI.h>
 
 #include <utility>
@@ -29,13 +32,21 @@
  public:
   RequestAdapter(const CallerHttpServerOptions& options,
                  const RouteTable& routes,
-                 const std::atomic<bool>& draining)
-      : options_(options), routes_(routes), draining_(draining) {}
+                 const std::atomic<bool>& draining,
+                 CallerConnections& connections)
+      : options_(options),
+        routes_(routes),
+        draining_(draining),
+        connections_(connections) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
+    RequestRoom room(
+        connections_,
+        static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket());
     RequestExchange exchange{
-        request, response, NewRequestId(options_.entry), MonotonicNow(), {}};
+        request,        response, NewRequestId(options_.entry),
+        MonotonicNow(), room,     {}};
     response.set("Carobshift-Request-Id", exchange.id.value());
     if (draining_)
       response.setKeepAlive(false);
@@ -98,24 +109,61 @@
   const CallerHttpServerOptions& options_;
   const RouteTable& routes_;
   const std::atomic<bool>& draining_;
+  CallerConnections& connections_;
 };
 
-class AdapterFactory : public Poco::Net::HTTPRequestHandlerFactory {
+// A connection with its thread.
+class CallerConnection : public Poco::Net::HTTPServerConnection {
  public:
-  AdapterFactory(const CallerHttpServerOptions& options,
-                 const RouteTable& routes,
-                 const std::atomic<bool>& draining)
-      : options_(options), routes_(routes), draining_(draining) {}
+  CallerConnection(const Poco::Net::StreamSocket& socket,
+                   const Poco::Net::HTTPServerParams::Ptr& params,
+                   const Poco::Net::HTTPRequestHandlerFactory::Ptr& handlers,
+                   CallerConnections& connections)
+      : HTTPServerConnection(socket, params, handlers),
+        connections_(connections) {
+    connections_.OnOpen(socket);
+  }
+  ~CallerConnection() override { connections_.OnClose(socket()); }
 
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const Poco::Net::HTTPServerRequest&) override {
-    return new RequestAdapter(options_, routes_, draining_);
+ private:
+  CallerConnections& connections_;
+};
+
+class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory {
+ public:
+  ConnectionFactory(Poco::Net::HTTPServerParams::Ptr params,
+                    Poco::Net::HTTPRequestHandlerFactory::Ptr handlers,
+                    CallerConnections& connections)
+      : params_(std::move(params)),
+        handlers_(std::move(handlers)),
+        connections_(connections) {}
+
+  Poco::Net::TCPServerConnection* createConnection(
+      const Poco::Net::StreamSocket& socket) override {
+    return new CallerConnection(socket, params_, handlers_, connections_);
   }
 
  private:
-  const CallerHttpServerOptions& options_;
-  const RouteTable& routes_;
-  const std::atomic<bool>& draining_;
+  const Poco::Net::HTTPServerParams::Ptr params_;
+  const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers_;
+  CallerConnections& connections_;
+};
+
+class AdmissionFilter : public Poco::Net::TCPServerConnectionFilter {
+ public:
+  AdmissionFilter(CallerConnections& connections, Metrics* metrics)
+      : connections_(connections), metrics_(metrics) {}
+
+  bool accept(const Poco::Net::StreamSocket& socket) override {
+    const bool admitted = connections_.Admit(socket);
+    if (metrics_ != nullptr)
+      connections_.WriteMetrics(*metrics_);
+    return admitted;
+  }
+
+ private:
+  CallerConnections& connections_;
+  Metrics* const metrics_;
 };
 
 Poco::Timespan Span(Milliseconds duration) {
@@ -124,15 +172,40 @@
 
 }  // namespace
 
+class CallerHttpServer::HandlerFactory
+    : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  explicit HandlerFactory(CallerHttpServer& server) : server_(server) {}
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const Poco::Net::HTTPServerRequest&) override {
+    return new RequestAdapter(server_.options_, server_.routes_,
+                              server_.draining_, server_.connections_);
+  }
+  // Ends the connections: at once, or those that have a request once it has its
+  // reply.
+  void EndConnections(bool at_once) { serverStopped(this, at_once); }
+
+ private:
+  CallerHttpServer& server_;
+};
+
 CallerHttpServer::CallerHttpServer(CallerHttpServerOptions options,
                                    const RouteTable& routes)
     : options_(std::move(options)),
       routes_(routes),
-      threads_("http", 8, options_.threads) {}
+      threads_("http", 8, options_.threads),
+      connections_(
+          {.threads = static_cast<std::size_t>(options_.threads),
+           .queued = static_cast<std::size_t>(options_.max_connections),
+           .memory = options_.memory}),
+      handlers_(new HandlerFactory(*this)) {}
 
 CallerHttpServer::~CallerHttpServer() {
-  if (server_)
-    server_->stopAll(true);
+  if (server_) {
+    server_->stop();
+    handlers_->EndConnections(/*at_once=*/true);
+  }
   threads_.stopAll();
 }
 
@@ -148,9 +221,11 @@
     params->setTimeout(Span(options_.read_timeout));
     params->setKeepAliveTimeout(Span(options_.keep_alive_timeout));
     params->setMaxKeepAliveRequests(0);
-    server_ = std::make_unique<Poco::Net::HTTPServer>(
-        new AdapterFactory(options_, routes_, draining_), threads_, socket,
-        params);
+    server_ = std::make_unique<Poco::Net::TCPServer>(
+        new ConnectionFactory(params, handlers_, connections_), threads_,
+        socket, params);
+    server_->setConnectionFilter(
+        new AdmissionFilter(connections_, options_.metrics));
     server_->start();
     return NetAddress{options_.listen.host, socket.address().port()};
   } catch (const Poco::Exception& e) {
@@ -161,8 +236,11 @@
 }
 
 void CallerHttpServer::Stop() {
-  if (server_)
-    server_->stopAll(/*abortCurrent=*/false);
+  if (!server_)
+    return;
+  server_->stop();
+  handlers_->EndConnections(/*at_once=*/false);
+  connections_.CloseQueued();
 }
 
 }  // namespace carobshift
--- a/carobshift/server/http/caller_http_server.h
+++ b/carobshift/server/http/caller_http_server.h
@@ -1,5 +1,6 @@
 // The HTTP server of an entry: enforces limits, assigns request ids, routes
 // requests to handlers and converts exceptions of handlers to error responses.
+// It bounds what callers make the entry hold (caller_connections.h).
 //
 //   CallerHttpServer front(options, routes);
 //   Result<NetAddress> address = front.Start();
@@ -10,7 +11,8 @@
 #ifndef CAROBSHIFT_SERVER_HTTP_CALLER_HTTP_SERVER_H_
 #define CAROBSHIFT_SERVER_HTTP_CALLER_HTTP_SERVER_H_
 
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/SharedPtr.h>
 #include <Poco/ThreadPool.h>
 
 #include <atomic>
@@ -19,6 +21,7 @@
 #include "carobshift/base/ids.h"
 #include "carobshift/base/net_address.h"
 #include "carobshift/base/result.h"
+#include "carobshift/server/http/caller_connections.h"
 #include "carobshift/server/http/route_table.h"
 
 namespace carobshift {
@@ -31,6 +34,11 @@
   int max_header_fields = 64;
   Milliseconds read_timeout{10000};
   Milliseconds keep_alive_timeout{15000};
+  // Of the process.
+  Bytes memory = 160 << 20;
+  // Told with each new connection what callers hold; null for none. Must
+  // outlive the server.
+  Metrics* metrics = nullptr;
 };
 
 class CallerHttpServer {
@@ -50,11 +58,15 @@
   void Stop();
 
  private:
+  class HandlerFactory;
+
   const CallerHttpServerOptions options_;
   const RouteTable& routes_;
   Poco::ThreadPool threads_;
   std::atomic<bool> draining_{false};
-  std::unique_ptr<Poco::Net::HTTPServer> server_;
+  CallerConnections connections_;
+  Poco::SharedPtr<HandlerFactory> handlers_;
+  std::unique_ptr<Poco::Net::TCPServer> server_;
 };
 
 }  // namespace carobshift
--- a/carobshift/server/http/caller_request.cc
+++ b/carobshift/server/http/caller_request.cc
@@ -3,6 +3,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <istream>
@@ -71,6 +72,27 @@
   return {};
 }
 
+// Makes room for a body of `size` bytes, and for as much again if that isn't
+// its stated length, so that a body in small chunks isn't copied for each.
+bool GrowBody(RequestRoom& room, std::string& body, std::size_t size) {
+  if (size <= body.capacity())
+    return true;
+  const std::size_t capacity =
+      body.empty() ? size : std::max(size, 2 * body.capacity());
+  if (!room.Reserve(capacity))
+    return false;
+  body.reserve(capacity);
+  return true;
+}
+
+// Returns whether `size` bytes are the whole body. POCO's stream takes the end
+// of a connection for the end of a body in chunks.
+bool IsWhole(Poco::Net::HTTPServerRequest& request, std::size_t size) {
+  if (request.hasContentLength())
+    return static_cast<Poco::Int64>(size) == request.getContentLength64();
+  return !CallerDisconnected(request);
+}
+
 bool IsAllowedId(const std::string& text) {
   return !text.empty() && text.size() <= kMaxCallerIdBytes;
 }
@@ -117,8 +139,8 @@
   return headers;
 }
 
-Result<std::string> ReadBody(Poco::Net::HTTPServerRequest& request,
-                             Bytes limit) {
+Result<std::string> ReadBody(RequestExchange& exchange, Bytes limit) {
+  Poco::Net::HTTPServerRequest& request = exchange.request;
   const Error too_large{
       ResultCode::kRequestTooLarge,
       "the body is larger than " + std::to_string(limit) + " bytes"};
@@ -128,21 +150,31 @@
   // would block until the connection closes.
   if (!request.hasContentLength() && !request.getChunkedTransferEncoding())
     return std::string();
+  const Error no_room{ResultCode::kOverloaded, "no room for the body"};
+  exchange.room.OnBodyBegins();
   std::string body;
+  if (request.hasContentLength() &&
+      !GrowBody(exchange.room, body,
+                static_cast<std::size_t>(request.getContentLength64())))
+    return no_room;
   std::array<char, 8192> buffer;
   std::istream& in = request.stream();
   while (in.read(buffer.data(), buffer.size()) || in.gcount() > 0) {
-    body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
-    if (static_cast<Bytes>(body.size()) > limit)
+    const auto size = static_cast<std::size_t>(in.gcount());
+    if (static_cast<Bytes>(body.size() + size) > limit)
       return too_large;
+    if (!GrowBody(exchange.room, body, body.size() + size))
+      return no_room;
+    body.append(buffer.data(), size);
+    exchange.room.OnBody(body.size());
   }
-  const bool complete =
-      !request.hasContentLength() ||
-      static_cast<Poco::Int64>(body.size()) == request.getContentLength64();
-  if (!complete) {
+  if (exchange.room.reclaimed())
+    return no_room;
+  if (!IsWhole(request, body.size())) {
     return Error{ResultCode::kMalformedRequest,
                  "the body ended before its stated length"};
   }
+  exchange.room.OnBodyRead();
   return body;
 }
 
--- a/carobshift/server/http/caller_request.h
+++ b/carobshift/server/http/caller_request.h
@@ -2,7 +2,7 @@
 // priority, idempotency key and body.
 //
 //   Result<CallerHeaders> headers = ParseCallerHeaders(request, defaults, now);
-//   Result<std::string> body = ReadBody(request, settings.max_body_bytes);
+//   Result<std::string> body = ReadBody(exchange, settings.max_body_bytes);
 
 #ifndef CAROBSHIFT_SERVER_HTTP_CALLER_REQUEST_H_
 #define CAROBSHIFT_SERVER_HTTP_CALLER_REQUEST_H_
@@ -16,6 +16,7 @@
 #include "carobshift/base/ids.h"
 #include "carobshift/base/result.h"
 #include "carobshift/base/units.h"
+#include "carobshift/server/http/route_handler.h"
 
 namespace carobshift {
 
@@ -48,10 +49,10 @@
     Milliseconds default_deadline,
     MonotonicTime now);
 
-// Reads the whole body. Returns kRequestTooLarge if it is longer than `limit`.
-[[nodiscard]] Result<std::string> ReadBody(
-    Poco::Net::HTTPServerRequest& request,
-    Bytes limit);
+// Reads the whole body. Returns kRequestTooLarge if it is longer than `limit`,
+// and kOverloaded if the entry has no room for it.
+[[nodiscard]] Result<std::string> ReadBody(RequestExchange& exchange,
+                                           Bytes limit);
 
 // Reads and discards the rest of the body, for at most one second, after an
 // answer that was sent before the body's end. Closing a connection with unread
--- a/carobshift/server/http/route_handler.h
+++ b/carobshift/server/http/route_handler.h
@@ -16,6 +16,7 @@
 
 #include "carobshift/base/ids.h"
 #include "carobshift/base/units.h"
+#include "carobshift/server/http/caller_connections.h"
 
 namespace carobshift {
 
@@ -25,6 +26,8 @@
   Poco::Net::HTTPServerResponse& response;
   RequestId id;
   MonotonicTime received;
+  // Of what the request makes the entry hold.
+  RequestRoom& room;
   // Decoded path segments that matched the {placeholders} of the route.
   std::vector<std::string> path_arguments;
 };
--- a/carobshift/server/settings.cc
+++ b/carobshift/server/settings.cc
@@ -5,9 +5,13 @@
 #include <charconv>
 #include <set>
 
+#include "carobshift/server/caller_memory.h"
+
 namespace carobshift {
 namespace {
 
+constexpr Bytes kBytesPerMebibyte = 1 << 20;
+
 template <auto Member>
 bool AssignText(Settings& settings, const std::string& text) {
   using Field = std::remove_reference_t<decltype(settings.*Member)>;
@@ -102,6 +106,13 @@
                  "missing; expected " + std::string(row.allowed));
       }
     }
+    const Bytes largest =
+        LargestBody(Bytes{settings_.memory_mb} * kBytesPerMebibyte);
+    if (settings_.max_body_bytes > largest) {
+      AddFault("settings", "max_body_bytes",
+               "expected at most " + std::to_string(largest) +
+                   ", for which memory_mb has room");
+    }
     if (!faults_.empty())
       return Error{ResultCode::kInvalidSettings, faults_};
     return settings_;
@@ -156,6 +167,8 @@
        AssignNumber<&S::max_header_fields, 8, 1000>},
       {"max_body_bytes", "bytes", "1024 to 67108864", false,
        AssignNumber<&S::max_body_bytes, 1024, 67108864>},
+      {"memory_mb", "MiB", "48 to 65536", false,
+       AssignNumber<&S::memory_mb, 48, 65536>},
       {"read_timeout_ms", "ms", "100 to 600000", false,
        AssignNumber<&S::read_timeout, 100, 600000>},
       {"keep_alive_timeout_ms", "ms", "100 to 600000", false,
--- a/carobshift/server/settings.h
+++ b/carobshift/server/settings.h
@@ -41,6 +41,8 @@
   int max_connections = 2048;
   int max_header_fields = 64;
   Bytes max_body_bytes = 4 << 20;
+  // In MiB.
+  int memory_mb = 160;
   Milliseconds read_timeout{10000};
   Milliseconds keep_alive_timeout{15000};
   Milliseconds default_deadline{60000};
