HttpServerConnection: reading requests has a file of its own

What reads requests, keeps input and refuses is in http_server_connection_reading.cc now; Parse takes one request at a time, since what follows is kept until its reply is sent. No change of behaviour.

--- a/carobshift/net/http_server_connection.h
+++ b/carobshift/net/http_server_connection.h
@@ -198,6 +198,8 @@
  private:
   // Time between two looks whether the caller has received the last reply.
   static constexpr Milliseconds kDeliveryCheckInterval{20};
+  // What the kernel keeps unread while reading is stopped, at most.
+  static constexpr std::size_t kMaxKernelUnreadBytes = std::size_t{128} << 10;
   // Longest time for which the rest of a refused body is read and thrown away,
   // so that its caller gets the refusal rather than a reset.
   static constexpr Milliseconds kMaxDiscardTime{10'000};
@@ -209,15 +211,15 @@
   void OnHead(HttpHead head, const HttpMessageInfo& info) override;
   void OnBody(std::string_view bytes) override;
 
-  // Parses `input`, and keeps what of it belongs to later requests.
+  // Parses `input`, which isn't empty, for one request.
   void Parse(std::string_view input);
+  // The same with what was kept while the request before was served.
   void ParseKept();
-  // Returns false if parsing ends.
-  bool HandleProgress(HttpParser::State state,
-                      bool arms_timer,
-                      std::string_view rest);
+  // Hands the whole request to the handler; `rest` belongs to later ones.
+  void Deliver(std::string_view rest);
   // Keeps bytes until the request before them is served, if they have room.
   void Keep(std::string_view bytes);
+  // From now on, throws away what the caller sends.
   void DiscardInput();
   // Reserves what the request takes that is being read. Returns whether it has
   // room.
