A body limit for which an instance has no room is told in the log

A configuration may allow bodies that no instance with its limits.memory_mb has room for even in calm: each such request would be refused with 429, and its caller told to come back, for ever. The instance warns as the configuration comes in force: body_limit_exceeds_room.

--- a/carobshift/base/byte_budget.h
+++ b/carobshift/base/byte_budget.h
@@ -61,6 +61,10 @@
   ByteBudget& operator=(const ByteBudget&) = delete;
 
   [[nodiscard]] std::size_t limit() const { return limit_; }
+  // The largest request for which there is ever room.
+  [[nodiscard]] std::size_t LargestRequest() const {
+    return LimitFor(limit_, ByteImportance::kRequest);
+  }
   [[nodiscard]] std::size_t held() const { return held_; }
   // Reservations that were refused.
   [[nodiscard]] std::uint64_t refusals() const { return refusals_; }
--- a/carobshift/gateway/request/request_service.cc
+++ b/carobshift/gateway/request/request_service.cc
@@ -99,6 +99,13 @@
   if (limits == applied_caller_limits_)
     return;
   applied_caller_limits_ = limits;
+  if (options_.quota != nullptr) {
+    const std::size_t room = options_.quota->budget().LargestRequest();
+    if (limits.body_bytes > room) {
+      LogEvent(LogLevel::kWarning, "body_limit_exceeds_room",
+               {{"limit", limits.body_bytes}, {"room", room}});
+    }
+  }
   for (const auto& [key, connection] : connections_)
     connection->SetLimits(CallerConnectionLimits());
 }
