Cut reply tests: the answer is awaited before the expected one is made

make check was red on: "a booking whose answer breaks off*" and "an idempotent request whose answer breaks off*" never saw a whole answer within 10 s, in each run. Cause, in the test: `Send(route).body == WholeAnswer(route)` compares with the answer to the request that Send numbers, and the order of the two operands is unspecified; g++ 12 evaluates the second one first, so that the answer to the request before was expected. The check is as strict as it was meant.

--- a/testing/gateway_cut_reply_process_test.cc
+++ b/testing/gateway_cut_reply_process_test.cc
@@ -129,7 +129,8 @@
     int count = 0;
     REQUIRE(WaitUntil([&] {
       SetCut(route, {.framing = "length"}, 0);
-      count = Send(route).body == WholeAnswer(route) ? count + 1 : 0;
+      const HttpAnswer answer = Send(route);
+      count = answer.body == WholeAnswer(route) ? count + 1 : 0;
       return count >= kInARow;
     }));
   }
@@ -175,7 +176,8 @@
     // endpoint counts as sound again.
     cluster.SetFaults(route, {{"until_close", series.kept ? 0 : 1}});
     REQUIRE(WaitUntil([&] {
-      return cluster.Send(route).body == cluster.WholeAnswer(route);
+      const HttpAnswer answer = cluster.Send(route);
+      return answer.body == cluster.WholeAnswer(route);
     }));
     cluster.SetCut(route, series, bytes);
     CAPTURE(route, series.framing, series.reset, series.kept, bytes, head_size,
