--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # there is nothing to compile; this checks that the interpreter reads them.
 set -eu
 cd "$(dirname "$0")"
-python3 -B - lib-2/*.py 6/run.py 8/run.py 9/run.py 10/run.py <<'CHECK'
+python3 -B - lib-2/*.py 6/run.py 7/run.py 8/run.py 9/run.py 10/run.py <<'CHECK'
 import ast
 import sys
 
